--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,107 @@
+//! Arguments.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+
+const EXIT_CODES: &str = "Exit codes:
+  0  done
+  1  failed; what was asked for may or may not have happened
+  2  wrong arguments
+  3  a file has problems; nothing was changed
+  4  refused: the number is taken or stale; nothing was changed
+  5  accepted, but not in force everywhere within the time given";
+
+/// Operates a hatchpitch fleet.
+#[derive(Debug, Parser)]
+#[command(name = "hatchpitch", version, about, after_help = EXIT_CODES)]
+pub struct Args {
+    /// Control boxes, as addresses for operators.
+    #[arg(long, global = true, value_delimiter = ',', env = "HATCHPITCH_CONTROL")]
+    pub control: Vec<SocketAddr>,
+    /// Any entry box; the others are learned from it.
+    #[arg(long, global = true, env = "HATCHPITCH_ENTRY")]
+    pub entry: Option<SocketAddr>,
+    /// Operator key.
+    #[arg(long, global = true, env = "HATCHPITCH_OPERATOR_KEY", hide_env_values = true)]
+    pub key: Option<String>,
+    /// Shape of the output.
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    pub output: Output,
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// Shape of the output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Output {
+    /// For people.
+    Text,
+    /// One JSON document.
+    Json,
+}
+
+/// Commands.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Check files without sending them.
+    Check {
+        /// What the files are.
+        #[arg(long, value_enum, default_value = "fleet")]
+        kind: FileKind,
+        /// Files in TOML.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+    /// Make a random key and print its digest for the fleet file.
+    Key,
+    /// Show what a fleet file would change.
+    Diff {
+        /// Fleet file.
+        file: PathBuf,
+    },
+    /// Submit a fleet file. Sending the same file again is safe.
+    Apply {
+        /// Fleet file.
+        file: PathBuf,
+        /// Wait until it is in force at every box, at most so many seconds.
+        #[arg(long, value_name = "SECONDS", num_args = 0..=1, default_missing_value = "10")]
+        wait: Option<u64>,
+    },
+    /// Print the configuration in force.
+    Get,
+    /// Show control boxes, entry boxes, upstreams, numbers in force, streams and waits.
+    Status,
+    /// Have an entry box finish what it has and take no new work.
+    Drain {
+        /// Name of the box.
+        name: String,
+        /// Wait until nothing runs there any more.
+        #[arg(long)]
+        wait: bool,
+    },
+    /// Show the spans of a trace from all boxes.
+    Trace {
+        /// Trace id, 32 hexadecimal digits.
+        id: String,
+    },
+    /// Print a completion script.
+    Completions {
+        /// Shell.
+        shell: Shell,
+    },
+}
+
+/// Kinds of files.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum FileKind {
+    /// A fleet file.
+    Fleet,
+    /// Settings of an entry process.
+    Entry,
+    /// Settings of a control process.
+    Control,
+}
--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,63 @@
+//! Runs a command.
+
+mod apply;
+mod check;
+mod drain;
+mod status;
+mod trace;
+
+use clap::CommandFactory;
+use hatchpitch::config::Entity;
+use hatchpitch::config::view::key_digest;
+use hatchpitch::security::new_key;
+use hatchpitch_net::keys::to_hex;
+use http::Method;
+use serde::Serialize;
+
+use crate::args::{Args, Command, Output};
+use crate::exit::Exit;
+use crate::output::show;
+use crate::remote::Remote;
+
+/// Runs the command that the arguments name.
+pub async fn run(args: Args) -> anyhow::Result<Exit> {
+    match &args.command {
+        Command::Check { kind, files } => Ok(check::run(args.output, *kind, files)),
+        Command::Key => Ok(key(args.output)),
+        Command::Diff { file } => apply::diff(&args, file).await,
+        Command::Apply { file, wait } => apply::apply(&args, file, *wait).await,
+        Command::Get => get(&args).await,
+        Command::Status => status::run(&args).await,
+        Command::Drain { name, wait } => drain::run(&args, name, *wait).await,
+        Command::Trace { id } => trace::run(&args, id).await,
+        Command::Completions { shell } => {
+            let mut command = Args::command();
+            clap_complete::generate(*shell, &mut command, "hatchpitch", &mut std::io::stdout());
+            Ok(Exit::Done)
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct NewKey {
+    key: String,
+    sha256: String,
+}
+
+fn key(output: Output) -> Exit {
+    let key = new_key();
+    let new = NewKey { sha256: to_hex(&key_digest(&key)), key };
+    show(output, &new, || format!("key     {}\nsha256  {}", new.key, new.sha256));
+    Exit::Done
+}
+
+async fn get(args: &Args) -> anyhow::Result<Exit> {
+    let remote = Remote::new(args)?;
+    let reply = remote.call_leader(Method::GET, "/ops/config", &[]).await?;
+    let entities: Vec<Entity> = reply.ok()?;
+    show(args.output, &entities, || {
+        let lines = entities.iter().map(|e| format!("{e:?}"));
+        lines.collect::<Vec<_>>().join("\n")
+    });
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/crates/cli/src/commands/apply.rs
@@ -0,0 +1,139 @@
+//! `hatchpitch apply` and `hatchpitch diff`.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use anyhow::Context as _;
+use hatchpitch::config::ApplyOutcome;
+use hatchpitch::config::entity::{EntityKey, kind_name};
+use hatchpitch::control::operators::{DiffAnswer, FileProblems};
+use hatchpitch::settings::diagnostic::Problems;
+use http::{Method, StatusCode};
+use serde::Serialize;
+
+use crate::args::Args;
+use crate::exit::Exit;
+use crate::output::show;
+use crate::remote::{Remote, Reply};
+
+const POLL: Duration = Duration::from_millis(50);
+
+#[derive(Serialize)]
+struct Applied {
+    #[serde(flatten)]
+    outcome: ApplyOutcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    missing: Option<Vec<String>>,
+}
+
+/// Submits a fleet file.
+pub async fn apply(args: &Args, file: &Path, wait: Option<u64>) -> anyhow::Result<Exit> {
+    let remote = Remote::new(args)?;
+    let reply = submit(&remote, "/ops/config", file).await?;
+    if let Some(exit) = problems(args, &reply)? {
+        return Ok(exit);
+    }
+    let outcome: ApplyOutcome = match reply.status {
+        StatusCode::CONFLICT => reply.json()?,
+        _ => reply.ok()?,
+    };
+    let (ApplyOutcome::Accepted { number, .. }, Some(seconds)) = (&outcome, wait) else {
+        let accepted = matches!(outcome, ApplyOutcome::Accepted { .. });
+        let text = describe(&outcome);
+        show(args.output, &Applied { outcome, missing: None }, || text);
+        return Ok(if accepted { Exit::Done } else { Exit::Refused });
+    };
+    let missing = wait_in_force(&remote, *number, Duration::from_secs(seconds)).await?;
+    let mut text = describe(&outcome);
+    match missing.is_empty() {
+        true => text.push_str("; in force at every box"),
+        false => text.push_str(&format!("; not in force at: {}", missing.join(", "))),
+    }
+    let exit = if missing.is_empty() { Exit::Done } else { Exit::NotYet };
+    show(args.output, &Applied { outcome, missing: Some(missing) }, || text);
+    Ok(exit)
+}
+
+/// Shows what a fleet file would change.
+pub async fn diff(args: &Args, file: &Path) -> anyhow::Result<Exit> {
+    let remote = Remote::new(args)?;
+    let reply = submit(&remote, "/ops/diff", file).await?;
+    if let Some(exit) = problems(args, &reply)? {
+        return Ok(exit);
+    }
+    let diff: DiffAnswer = reply.ok()?;
+    show(args.output, &diff, || {
+        let mut lines = vec![format!("against number {}", diff.base)];
+        for (sign, keys) in [('+', &diff.added), ('~', &diff.changed), ('-', &diff.removed)] {
+            lines.extend(keys.iter().map(|key| format!("{sign} {}", key_text(key))));
+        }
+        lines.join("\n")
+    });
+    Ok(Exit::Done)
+}
+
+async fn submit(remote: &Remote, path: &str, file: &Path) -> anyhow::Result<Reply> {
+    let text = std::fs::read(file).with_context(|| file.display().to_string())?;
+    let name = file.file_name().and_then(|name| name.to_str()).unwrap_or("fleet.toml");
+    let plain = name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b));
+    let name = if plain { name } else { "fleet.toml" };
+    remote.call_leader(Method::POST, &format!("{path}?file={name}"), &text).await
+}
+
+fn problems(args: &Args, reply: &Reply) -> anyhow::Result<Option<Exit>> {
+    if reply.status != StatusCode::UNPROCESSABLE_ENTITY {
+        return Ok(None);
+    }
+    let found: FileProblems = reply.json()?;
+    show(args.output, &found, || Problems(found.problems.clone()).to_string());
+    Ok(Some(Exit::Invalid))
+}
+
+/// Polls every entry box until the number is in force; returns the boxes where it is not.
+async fn wait_in_force(
+    remote: &Remote,
+    number: u64,
+    limit: Duration,
+) -> anyhow::Result<Vec<String>> {
+    let started = Instant::now();
+    loop {
+        let mut missing = Vec::new();
+        for (name, addr) in remote.entries().await.unwrap_or_default() {
+            let status = remote.entry_status(addr).await;
+            if !status.is_ok_and(|status| status.config_number >= number) {
+                missing.push(name);
+            }
+        }
+        let known = remote.entries().await.is_ok_and(|entries| !entries.is_empty());
+        if known && missing.is_empty() {
+            return Ok(missing);
+        }
+        if started.elapsed() >= limit {
+            if !known {
+                missing.push("(no entry box answered)".to_owned());
+            }
+            return Ok(missing);
+        }
+        compio::time::sleep(POLL).await;
+    }
+}
+
+fn describe(outcome: &ApplyOutcome) -> String {
+    match outcome {
+        ApplyOutcome::Accepted { number, content } => {
+            format!("number {number} accepted, content {}", &content[..12.min(content.len())])
+        }
+        ApplyOutcome::Taken { number, winner, by } => format!(
+            "refused: number {number} was taken by {by} with other content ({}); \
+             read it with `hatchpitch get`, then use a higher number",
+            &winner[..12.min(winner.len())]
+        ),
+        ApplyOutcome::Stale { number, newest } => {
+            format!("refused: number {number} is below the newest one, {newest}")
+        }
+    }
+}
+
+fn key_text(key: &EntityKey) -> String {
+    format!("{} {}", kind_name(key.0), key.1)
+}
--- /dev/null
+++ b/crates/cli/src/commands/status.rs
@@ -0,0 +1,114 @@
+//! `hatchpitch status`.
+
+use hatchpitch::control::operators::ControlStatus;
+use hatchpitch::entry::operators::EntryStatus;
+use serde::Serialize;
+
+use crate::args::Args;
+use crate::exit::Exit;
+use crate::output::{show, table};
+use crate::remote::Remote;
+
+#[derive(Serialize)]
+struct FleetStatus {
+    control: Vec<Row<ControlStatus>>,
+    entry: Vec<Row<EntryStatus>>,
+}
+
+#[derive(Serialize)]
+struct Row<T> {
+    at: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<T>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+}
+
+impl<T> Row<T> {
+    fn new(at: String, status: anyhow::Result<T>) -> Self {
+        match status {
+            Ok(status) => Self { at, status: Some(status), error: None },
+            Err(err) => Self { at, status: None, error: Some(format!("{err:#}")) },
+        }
+    }
+}
+
+/// Asks every box and prints what it says.
+pub async fn run(args: &Args) -> anyhow::Result<Exit> {
+    let remote = Remote::new(args)?;
+    let control = remote.control_status().await.into_iter();
+    let control = control.map(|(at, status)| Row::new(at.to_string(), status)).collect();
+    let mut entry = Vec::new();
+    match remote.entries().await {
+        Ok(found) => {
+            for (name, addr) in found {
+                entry.push(Row::new(name, remote.entry_status(addr).await));
+            }
+        }
+        Err(err) => entry.push(Row::new("entry boxes".to_owned(), Err(err))),
+    }
+    let fleet = FleetStatus { control, entry };
+    show(args.output, &fleet, || text(&fleet));
+    Ok(Exit::Done)
+}
+
+fn text(fleet: &FleetStatus) -> String {
+    let control: Vec<Vec<String>> = fleet.control.iter().map(control_row).collect();
+    let entry: Vec<Vec<String>> = fleet.entry.iter().map(entry_row).collect();
+    let seen = fleet.entry.iter().filter_map(|row| row.status.as_ref()).collect::<Vec<_>>();
+    let mut parts = vec![
+        table(&["CONTROL", "LEADS", "NUMBER", "CLAIMS"], &control),
+        table(&["ENTRY", "INTAKE", "NUMBER", "CONFIRMED", "ACTIVE", "STREAMS", "WAITING"], &entry),
+    ];
+    if let Some(first) = seen.first() {
+        parts.push(table(&["POOL", "RUNNER", "TAKES WORK", "RUNNING"], &runner_rows(first, &seen)));
+    }
+    parts.join("\n\n")
+}
+
+fn control_row(row: &Row<ControlStatus>) -> Vec<String> {
+    let Some(status) = &row.status else {
+        return vec![row.at.clone(), row.error.clone().unwrap_or_default()];
+    };
+    let leads = if status.leads { "yes" } else { "no" };
+    let (number, claims) = (status.config_number.to_string(), status.claims.to_string());
+    vec![status.name.clone(), leads.to_owned(), number, claims]
+}
+
+fn entry_row(row: &Row<EntryStatus>) -> Vec<String> {
+    let Some(status) = &row.status else {
+        return vec![row.at.clone(), row.error.clone().unwrap_or_default()];
+    };
+    let confirmed = status.confirmed_age_ms.map_or("never".to_owned(), |ms| format!("{ms} ms ago"));
+    let streams: u64 = status.streams.iter().map(|(_, count)| count).sum();
+    let waiting: usize = status.pools.iter().map(|pool| pool.waiting).sum();
+    vec![
+        status.name.clone(),
+        status.intake.clone(),
+        status.config_number.to_string(),
+        confirmed,
+        status.active.to_string(),
+        streams.to_string(),
+        waiting.to_string(),
+    ]
+}
+
+/// One row a runner: whether the first box sends it work, and what all boxes run on it.
+fn runner_rows(first: &EntryStatus, seen: &[&EntryStatus]) -> Vec<Vec<String>> {
+    let mut rows = Vec::new();
+    for pool in &first.pools {
+        for (runner, _, takes) in &pool.runners {
+            let running = seen.iter().flat_map(|status| &status.pools);
+            let running = running.flat_map(|pool| &pool.runners);
+            let running: u64 = running.filter(|r| r.0 == *runner).map(|r| r.1).sum();
+            let takes = if *takes { "yes" } else { "no" };
+            rows.push(vec![
+                pool.name.clone(),
+                runner.clone(),
+                takes.to_owned(),
+                running.to_string(),
+            ]);
+        }
+    }
+    rows
+}
--- /dev/null
+++ b/crates/e2e/src/fleet.rs
@@ -0,0 +1,492 @@
+//! A fleet of real processes with the stand-ins beside it.
+
+use std::fmt::Write as _;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context as _, bail};
+use bytes::Bytes;
+use hatchpitch::config::view::key_digest;
+use hatchpitch::entry::operators::EntryStatus;
+use hatchpitch_net::keys::to_hex;
+use hatchpitch_standins::caller::Caller;
+use hatchpitch_standins::engine::server::{Fault, LedgerRow};
+use http::{HeaderMap, Method};
+use serde::de::DeserializeOwned;
+use tempfile::TempDir;
+
+use crate::process::Process;
+
+/// Time in which anything that a test waits for must happen.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+/// The model of the test pool.
+pub const MODEL: &str = "explain-7b";
+/// Key of the first operator.
+pub const OPERATOR_KEY: &str = "operator-key-of-the-test-fleet";
+/// Keys and priorities of the workspaces.
+pub const WORKSPACES: [(&str, &str, u8); 3] = [
+    ("gold", "key-of-workspace-gold", 9),
+    ("silver", "key-of-workspace-silver", 5),
+    ("bronze", "key-of-workspace-bronze", 1),
+];
+
+/// How many processes of each kind a fleet has, and how they are set.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    /// Control boxes.
+    pub control: usize,
+    /// Entry boxes.
+    pub entry: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Application services.
+    pub apps: usize,
+    /// Arguments added for every engine.
+    pub engine_args: Vec<String>,
+    /// Lines added to the `[timing]` of every entry box.
+    pub timing: Vec<String>,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            control: 1,
+            entry: 3,
+            engines: 2,
+            apps: 1,
+            engine_args: Vec::new(),
+            timing: vec!["endpoints_max_age_ms = 1000".into(), "stop_grace_ms = 1500".into()],
+        }
+    }
+}
+
+/// A running fleet.
+pub struct TestFleet {
+    /// Control processes.
+    pub control: Vec<Process>,
+    /// Entry processes.
+    pub entry: Vec<Process>,
+    /// Engines.
+    pub engines: Vec<Process>,
+    /// Application services.
+    pub apps: Vec<Process>,
+    /// Where operators reach the control boxes.
+    pub control_addrs: Vec<SocketAddr>,
+    /// Where callers reach the entry boxes.
+    pub entry_addrs: Vec<SocketAddr>,
+    /// Where engines listen.
+    pub engine_addrs: Vec<SocketAddr>,
+    /// Where services listen.
+    pub app_addrs: Vec<SocketAddr>,
+    /// Where other boxes reach the entry boxes.
+    pub entry_box_addrs: Vec<SocketAddr>,
+    shape: Shape,
+    folder: TempDir,
+}
+
+/// Addresses of a fleet that is about to start.
+struct Plan {
+    control: Vec<(SocketAddr, SocketAddr)>,
+    entry: Vec<(SocketAddr, SocketAddr)>,
+    engines: Vec<SocketAddr>,
+    apps: Vec<SocketAddr>,
+}
+
+impl TestFleet {
+    /// Starts a fleet and applies its first configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start or the fleet does not become ready.
+    pub async fn start(shape: Shape) -> anyhow::Result<Self> {
+        let fleet = Self::launch(shape)?;
+        fleet.apply(1).await?;
+        fleet.wait_in_force(1).await?;
+        Ok(fleet)
+    }
+
+    /// Starts the processes and applies nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start.
+    pub fn launch(shape: Shape) -> anyhow::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        std::fs::write(folder.path().join("box.key"), "a secret that only the boxes share")?;
+        let plan = Plan::new(&shape)?;
+        let mut fleet = Self {
+            control: Vec::new(),
+            entry: Vec::new(),
+            engines: Vec::new(),
+            apps: Vec::new(),
+            control_addrs: plan.control.iter().map(|(_, operators)| *operators).collect(),
+            entry_addrs: plan.entry.iter().map(|(callers, _)| *callers).collect(),
+            entry_box_addrs: plan.entry.iter().map(|(_, boxes)| *boxes).collect(),
+            engine_addrs: plan.engines.clone(),
+            app_addrs: plan.apps.clone(),
+            shape,
+            folder,
+        };
+        fleet.start_standins(&plan)?;
+        fleet.start_boxes(&plan)?;
+        Ok(fleet)
+    }
+
+    fn start_standins(&mut self, plan: &Plan) -> anyhow::Result<()> {
+        for (i, addr) in plan.engines.iter().enumerate() {
+            let mut args =
+                vec!["--listen".into(), addr.to_string(), "--model".into(), MODEL.into()];
+            args.extend(self.shape.engine_args.iter().cloned());
+            let name = format!("engine-{i}");
+            let log = self.path(&format!("{name}.log"));
+            self.engines.push(Process::start(&name, "standin-engine", args, log)?);
+        }
+        for (i, addr) in plan.apps.iter().enumerate() {
+            let name = format!("app-{i}");
+            let log = self.path(&format!("{name}.log"));
+            let args = vec!["--listen".into(), addr.to_string()];
+            self.apps.push(Process::start(&name, "standin-app", args, log)?);
+        }
+        Ok(())
+    }
+
+    fn start_boxes(&mut self, plan: &Plan) -> anyhow::Result<()> {
+        for i in 0..plan.control.len() {
+            let name = format!("control-{i}");
+            let settings = self.control_settings(plan, i);
+            let process = self.start_box(&name, "hatchpitch-control", &settings)?;
+            self.control.push(process);
+        }
+        for i in 0..plan.entry.len() {
+            let name = format!("entry-{i}");
+            let settings = self.entry_settings(plan, i);
+            let process = self.start_box(&name, "hatchpitch-entry", &settings)?;
+            self.entry.push(process);
+        }
+        Ok(())
+    }
+
+    fn start_box(&self, name: &str, bin: &str, settings: &str) -> anyhow::Result<Process> {
+        let file = self.path(&format!("{name}.toml"));
+        std::fs::write(&file, settings)?;
+        let args = vec!["--settings".into(), file.display().to_string()];
+        Process::start(name, bin, args, self.path(&format!("{name}.log")))
+    }
+
+    fn control_settings(&self, plan: &Plan, i: usize) -> String {
+        let (boxes, operators) = plan.control[i];
+        let folder = self.data_folder(i);
+        let digest = to_hex(&key_digest(OPERATOR_KEY));
+        let mut text = format!(
+            "name = \"control-{i}\"\nboxes_addr = \"{boxes}\"\noperators_addr = \"{operators}\"\n\
+             data_folder = {folder:?}\nlog_level = \"debug\"\n{}\n\
+             [[operator]]\nname = \"root\"\nkeys = [{{ id = \"k1\", sha256 = \"{digest}\" }}]\n",
+            self.box_keys(),
+        );
+        for (j, (boxes, operators)) in plan.control.iter().enumerate() {
+            let _ = write!(
+                text,
+                "\n[[peer]]\nname = \"control-{j}\"\nboxes_addr = \"{boxes}\"\n\
+                 operators_addr = \"{operators}\"\n"
+            );
+        }
+        text
+    }
+
+    fn entry_settings(&self, plan: &Plan, i: usize) -> String {
+        let (callers, boxes) = plan.entry[i];
+        let list = |addrs: Vec<SocketAddr>| {
+            let quoted: Vec<String> = addrs.iter().map(|addr| format!("\"{addr}\"")).collect();
+            format!("[{}]", quoted.join(", "))
+        };
+        let control = list(plan.control.iter().map(|(boxes, _)| *boxes).collect());
+        let seeds = list(plan.entry.iter().map(|(_, boxes)| *boxes).collect());
+        format!(
+            "name = \"entry-{i}\"\nfailure_domain = \"{}\"\ncallers_addr = \"{callers}\"\n\
+             boxes_addr = \"{boxes}\"\ncontrol = {control}\nseeds = {seeds}\n\
+             log_level = \"debug\"\n{}\n[timing]\n{}\n",
+            DOMAINS[i % DOMAINS.len()],
+            self.box_keys(),
+            self.shape.timing.join("\n"),
+        )
+    }
+
+    fn box_keys(&self) -> String {
+        format!("box_keys = [{{ id = \"k1\", file = {:?} }}]", self.path("box.key"))
+    }
+
+    /// Returns the data folder of a control box.
+    pub fn data_folder(&self, i: usize) -> PathBuf {
+        self.path(&format!("control-{i}.data"))
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    /// Returns the text of a fleet file under a number.
+    pub fn fleet_file(&self, number: u64) -> String {
+        let mut text = format!("number = {number}\n");
+        for domain in DOMAINS {
+            let _ = write!(text, "\n[[failure_domain]]\nname = \"{domain}\"\nregion = \"here\"\n");
+        }
+        let _ = write!(
+            text,
+            "\n[[pool]]\nname = \"explain\"\nmodel = \"{MODEL}\"\nversion = \"1\"\n\
+             max_tokens = 4000\nsilence_limit_ms = 1000\n"
+        );
+        for (i, addr) in self.engine_addrs.iter().enumerate() {
+            let _ = write!(
+                text,
+                "\n[[runner]]\nname = \"engine-{i}\"\npool = \"explain\"\naddr = \"{addr}\"\n\
+                 failure_domain = \"{}\"\nmax_batch = 16\n",
+                DOMAINS[i % DOMAINS.len()]
+            );
+        }
+        text.push_str(
+            "\n[[service]]\nname = \"calculator\"\ntimeout_ms = 2000\n\
+             route = [{ path = \"/rates\", repeatable = true }, \
+             { path = \"/payoff\", repeatable = false }]\n",
+        );
+        for (i, addr) in self.app_addrs.iter().enumerate() {
+            let _ = write!(
+                text,
+                "\n[[service_upstream]]\nname = \"app-{i}\"\nservice = \"calculator\"\n\
+                 addr = \"{addr}\"\nfailure_domain = \"{}\"\n",
+                DOMAINS[i % DOMAINS.len()]
+            );
+        }
+        for (name, key, priority) in WORKSPACES {
+            let _ = write!(
+                text,
+                "\n[[workspace]]\nname = \"{name}\"\npriority = {priority}\npools = [\"explain\"]\n\
+                 services = [\"calculator\"]\nkeys = [{{ id = \"k1\", sha256 = \"{}\" }}]\n",
+                to_hex(&key_digest(key))
+            );
+        }
+        let digest = to_hex(&key_digest(OPERATOR_KEY));
+        let _ = write!(
+            text,
+            "\n[[operator]]\nname = \"root\"\nkeys = [{{ id = \"k1\", sha256 = \"{digest}\" }}]\n"
+        );
+        text
+    }
+
+    /// Submits a fleet file to whichever control box leads; returns status and body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no control box takes it in time.
+    pub async fn submit(&self, text: &str) -> anyhow::Result<(u16, String)> {
+        let started = Instant::now();
+        let mut last = String::new();
+        while started.elapsed() < PATIENCE {
+            for at in &self.control_addrs {
+                let body = Bytes::from(text.to_owned());
+                match self.operator_call(*at, Method::POST, "/ops/config", body).await {
+                    Ok((421 | 503, body)) => last = body,
+                    Ok(done) => return Ok(done),
+                    Err(err) => last = format!("{err:#}"),
+                }
+            }
+            compio::time::sleep(POLL).await;
+        }
+        bail!("no control box took the file: {last}")
+    }
+
+    /// Applies the fleet file under a number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is not accepted.
+    pub async fn apply(&self, number: u64) -> anyhow::Result<()> {
+        let (status, body) = self.submit(&self.fleet_file(number)).await?;
+        anyhow::ensure!(status == 200, "apply {number}: {status}: {body}");
+        Ok(())
+    }
+
+    /// Waits until every running entry box has a number in force and takes new work.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes too long.
+    pub async fn wait_in_force(&self, number: u64) -> anyhow::Result<()> {
+        for i in 0..self.entry_addrs.len() {
+            self.wait_entry(i, |status| {
+                status.config_number >= number && status.confirmed_age_ms.is_some()
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the status of an entry box is as wanted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the last status if that takes too long.
+    pub async fn wait_entry(
+        &self,
+        i: usize,
+        wanted: impl Fn(&EntryStatus) -> bool,
+    ) -> anyhow::Result<EntryStatus> {
+        let started = Instant::now();
+        let mut last = String::new();
+        while started.elapsed() < PATIENCE {
+            match self.entry_status(i).await {
+                Ok(status) if wanted(&status) => return Ok(status),
+                Ok(status) => last = format!("{status:?}"),
+                Err(err) => last = format!("{err:#}"),
+            }
+            compio::time::sleep(POLL).await;
+        }
+        bail!("entry-{i} is not as wanted: {last}")
+    }
+
+    /// Returns the status of an entry box.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not answer.
+    pub async fn entry_status(&self, i: usize) -> anyhow::Result<EntryStatus> {
+        let at = self.entry_addrs[i];
+        let (status, body) =
+            self.operator_call(at, Method::GET, "/ops/status", Bytes::new()).await?;
+        anyhow::ensure!(status == 200, "{status}: {body}");
+        Ok(serde_json::from_str(&body)?)
+    }
+
+    /// Calls an operators' listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer comes.
+    pub async fn operator_call(
+        &self,
+        at: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> anyhow::Result<(u16, String)> {
+        let operator = Caller { key: OPERATOR_KEY.to_owned() };
+        let (parts, body) = operator.call(at, method, path, HeaderMap::new(), body).await?;
+        Ok((parts.status.as_u16(), String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    /// Returns a caller of a workspace of [`WORKSPACES`].
+    pub fn caller(&self, workspace: usize) -> Caller {
+        Caller { key: WORKSPACES[workspace].1.to_owned() }
+    }
+
+    /// Has an engine play a fault.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the engine does not answer.
+    pub async fn set_fault(&self, engine: usize, fault: Fault) -> anyhow::Result<()> {
+        let body = Bytes::from(serde_json::to_vec(&fault)?);
+        self.standin(self.engine_addrs[engine], Method::POST, "/admin/fault", body).await?;
+        Ok(())
+    }
+
+    /// Returns everything that an engine generated.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the engine does not answer.
+    pub async fn ledger(&self, engine: usize) -> anyhow::Result<Vec<LedgerRow>> {
+        self.standin_json(self.engine_addrs[engine], "/admin/ledger").await
+    }
+
+    /// Reads a JSON document from a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not answer.
+    pub async fn standin_json<T: DeserializeOwned>(
+        &self,
+        at: SocketAddr,
+        path: &str,
+    ) -> anyhow::Result<T> {
+        let body = self.standin(at, Method::GET, path, Bytes::new()).await?;
+        serde_json::from_slice(&body).with_context(|| format!("{at}{path}"))
+    }
+
+    /// Calls a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not answer with success.
+    pub async fn standin(
+        &self,
+        at: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> anyhow::Result<Bytes> {
+        let caller = Caller { key: String::new() };
+        let (parts, body) = caller.call(at, method, path, HeaderMap::new(), body).await?;
+        anyhow::ensure!(parts.status.is_success(), "{at}{path}: {}", parts.status);
+        Ok(body)
+    }
+
+    /// Writes a file into the fleet's folder and returns its path.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn write(&self, name: &str, text: &str) -> anyhow::Result<PathBuf> {
+        let path = self.path(name);
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    /// Returns the fleet's folder.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+}
+
+const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
+
+impl Plan {
+    fn new(shape: &Shape) -> anyhow::Result<Self> {
+        let ip = own_loopback();
+        let mut ports = Ports { ip, held: Vec::new() };
+        let mut pairs = |count: usize| -> anyhow::Result<Vec<(SocketAddr, SocketAddr)>> {
+            (0..count).map(|_| Ok((ports.next()?, ports.next()?))).collect()
+        };
+        let control = pairs(shape.control)?;
+        let entry = pairs(shape.entry)?;
+        let engines = (0..shape.engines).map(|_| ports.next()).collect::<Result<_, _>>()?;
+        let apps = (0..shape.apps).map(|_| ports.next()).collect::<Result<_, _>>()?;
+        Ok(Self { control, entry, engines, apps })
+    }
+}
+
+/// Ports that the kernel gave; held until all are known, so that none comes twice.
+struct Ports {
+    ip: Ipv4Addr,
+    held: Vec<TcpListener>,
+}
+
+impl Ports {
+    fn next(&mut self) -> anyhow::Result<SocketAddr> {
+        let listener = TcpListener::bind((self.ip, 0))?;
+        let addr = listener.local_addr()?;
+        self.held.push(listener);
+        Ok(addr)
+    }
+}
+
+/// Returns a loopback address that no other fleet of this machine's tests uses.
+fn own_loopback() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let fleet = NEXT.fetch_add(1, Ordering::Relaxed);
+    let id = (std::process::id() << 8) | (fleet & 0xff);
+    let [_, b, c, d] = id.to_be_bytes();
+    Ipv4Addr::new(127, b.max(1), c, d.clamp(1, 254))
+}
--- /dev/null
+++ b/crates/e2e/src/process.rs
@@ -0,0 +1,116 @@
+//! One process of a test fleet.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::Context as _;
+
+/// A process that is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    /// Name for messages.
+    pub name: String,
+    bin: PathBuf,
+    args: Vec<String>,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Starts a program of this workspace; its log is appended to `log`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program was not built or does not start.
+    pub fn start(name: &str, bin: &str, args: Vec<String>, log: PathBuf) -> anyhow::Result<Self> {
+        let bin = program(bin)?;
+        let mut process = Self { name: name.to_owned(), bin, args, log, child: None };
+        process.restart()?;
+        Ok(process)
+    }
+
+    /// Starts the program again after it ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not start.
+    pub fn restart(&mut self) -> anyhow::Result<()> {
+        self.kill();
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.bin)
+            .args(&self.args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("start {}", self.bin.display()))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child
+            && let Ok(pid) = i32::try_from(child.id())
+        {
+            // SAFETY: `kill` has no memory effects; the id is that of a child not yet waited for.
+            unsafe { libc::kill(pid, signal) };
+        }
+    }
+
+    /// Stops the process from running until [`Self::thaw`].
+    pub fn freeze(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets a frozen process run again.
+    pub fn thaw(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    /// Waits until the process ends; returns whether it did within `limit`.
+    pub async fn wait_end(&mut self, limit: Duration) -> bool {
+        let started = Instant::now();
+        while !self.has_ended() {
+            if started.elapsed() > limit {
+                return false;
+            }
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        true
+    }
+
+    /// Returns the log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.thaw();
+        self.kill();
+    }
+}
+
+/// Finds a program that this workspace built, beside the running test.
+fn program(name: &str) -> anyhow::Result<PathBuf> {
+    let exe = std::env::current_exe()?;
+    let folders = exe.ancestors().skip(1).take(3);
+    let found = folders.map(|folder: &Path| folder.join(name)).find(|path| path.is_file());
+    found.with_context(|| format!("{name} is not built: run `cargo build --workspace` first"))
+}
--- /dev/null
+++ b/crates/hatchpitch/src/admission/state.rs
@@ -0,0 +1,241 @@
+//! The requests that wait for one pool, without I/O.
+//!
+//! Order: paid priority first; within a priority by start-time fair queueing,
+//! so workspaces that pay the same get the same service in tokens whatever
+//! their size. One grant in [`AdmissionConfig::oldest_every`] goes to the
+//! request that waits longest, which bounds every wait.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use crate::ids::{Priority, WorkspaceName};
+
+/// Names a waiting request; later requests have larger tickets.
+pub type Ticket = u64;
+/// Virtual service of a workspace, in tokens.
+pub type ServiceTag = u64;
+
+/// Bounds of a queue.
+#[derive(Debug, Clone, Copy)]
+pub struct AdmissionConfig {
+    /// Requests that may wait.
+    pub max_waiting: usize,
+    /// Longest time a request may wait.
+    pub max_wait: Duration,
+    /// One grant in so many goes to the oldest request.
+    pub oldest_every: u64,
+}
+
+impl Default for AdmissionConfig {
+    fn default() -> Self {
+        Self { max_waiting: 256, max_wait: Duration::from_secs(20), oldest_every: 16 }
+    }
+}
+
+/// A request that wants to run.
+#[derive(Debug, Clone)]
+pub struct Waiter {
+    /// Who asks.
+    pub workspace: WorkspaceName,
+    /// What it pays for.
+    pub priority: Priority,
+    /// Expected tokens of prompt and output.
+    pub cost: u64,
+    /// When it came.
+    pub since: Instant,
+}
+
+/// What became of a request that came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Enqueued {
+    /// It waits.
+    Waiting(Ticket),
+    /// It waits in the place of another one, which is refused.
+    Displaced {
+        /// The request that waits.
+        ticket: Ticket,
+        /// The request that is refused at once.
+        refused: Ticket,
+    },
+    /// It is refused at once.
+    Refused,
+}
+
+type OrderKey = (Reverse<Priority>, ServiceTag, Ticket);
+
+#[derive(Debug, Clone)]
+pub(super) struct Queued {
+    pub(super) waiter: Waiter,
+    pub(super) order: OrderKey,
+}
+
+/// The waiting requests of one pool.
+#[derive(Debug, Clone)]
+pub struct AdmissionQueue {
+    pub(super) cfg: AdmissionConfig,
+    pub(super) order: BTreeSet<OrderKey>,
+    pub(super) queued: BTreeMap<Ticket, Queued>,
+    tags: HashMap<WorkspaceName, ServiceTag>,
+    virtual_time: ServiceTag,
+    next_ticket: Ticket,
+    grants: u64,
+    /// Smoothed time between grants, for estimates of the wait.
+    grant_gap: Option<Duration>,
+    last_grant: Option<Instant>,
+}
+
+impl AdmissionQueue {
+    /// Creates an empty queue.
+    pub fn new(cfg: AdmissionConfig) -> Self {
+        Self {
+            cfg,
+            order: BTreeSet::new(),
+            queued: BTreeMap::new(),
+            tags: HashMap::new(),
+            virtual_time: 0,
+            next_ticket: 0,
+            grants: 0,
+            grant_gap: None,
+            last_grant: None,
+        }
+    }
+
+    /// Changes the bounds.
+    pub fn configure(&mut self, cfg: AdmissionConfig) {
+        self.cfg = cfg;
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.queued.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.queued.is_empty()
+    }
+
+    /// Puts a request into the queue, or refuses it or the one that would be served last.
+    pub fn enqueue(&mut self, waiter: Waiter) -> Enqueued {
+        if self.expected_wait(waiter.priority) > self.cfg.max_wait {
+            return Enqueued::Refused;
+        }
+        if self.queued.len() < self.cfg.max_waiting {
+            return Enqueued::Waiting(self.insert(waiter));
+        }
+        let last = self.order.last().copied();
+        match last {
+            Some((Reverse(priority), _, refused)) if priority < waiter.priority => {
+                self.remove(refused);
+                Enqueued::Displaced { ticket: self.insert(waiter), refused }
+            }
+            _ => Enqueued::Refused,
+        }
+    }
+
+    /// Takes the request that is served next.
+    pub fn grant(&mut self, now: Instant) -> Option<(Ticket, Waiter)> {
+        let ticket = if (self.grants + 1).is_multiple_of(self.cfg.oldest_every) {
+            *self.queued.first_key_value()?.0
+        } else {
+            self.order.first()?.2
+        };
+        self.grants += 1;
+        self.note_gap(now);
+        let queued = self.remove(ticket)?;
+        self.virtual_time = self.virtual_time.max(queued.order.1);
+        Some((ticket, queued.waiter))
+    }
+
+    /// Takes a request that gave up.
+    pub fn cancel(&mut self, ticket: Ticket) -> Option<Waiter> {
+        self.remove(ticket).map(|queued| queued.waiter)
+    }
+
+    /// Takes the requests that have waited too long.
+    pub fn expire(&mut self, now: Instant) -> Vec<Ticket> {
+        let max_wait = self.cfg.max_wait;
+        let waited = |q: &Queued| now.duration_since(q.waiter.since);
+        let late = self.queued.iter().take_while(|(_, q)| waited(q) >= max_wait);
+        let late: Vec<Ticket> = late.map(|(ticket, _)| *ticket).collect();
+        for ticket in &late {
+            self.remove(*ticket);
+        }
+        late
+    }
+
+    /// Charges a request that runs without having waited, and returns to its workspace what a
+    /// finished request cost less than expected.
+    pub fn charge(&mut self, workspace: &str, cost: u64) {
+        let start = self.start_tag(workspace);
+        self.tags.insert(workspace.to_owned(), start.saturating_add(cost));
+    }
+
+    /// Corrects the service of a workspace once the real cost is known.
+    pub fn correct(&mut self, workspace: &str, expected: u64, real: u64) {
+        if let Some(tag) = self.tags.get_mut(workspace) {
+            *tag = tag.saturating_add(real).saturating_sub(expected);
+        }
+        let virtual_time = self.virtual_time;
+        if self.tags.len() > MAX_TAGS {
+            self.tags.retain(|_, tag| *tag > virtual_time);
+        }
+    }
+
+    /// Returns how long a request of `priority` would wait.
+    pub fn expected_wait(&self, priority: Priority) -> Duration {
+        let Some(gap) = self.grant_gap else { return Duration::ZERO };
+        let lowest = (Reverse(priority), ServiceTag::MAX, Ticket::MAX);
+        let ahead = if self.queued.len() <= EXACT_UP_TO {
+            self.order.range(..=lowest).count()
+        } else {
+            self.queued.len()
+        };
+        gap.saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX))
+    }
+
+    /// Returns when a refused caller may come back.
+    pub fn retry_after(&self, priority: Priority) -> Duration {
+        self.expected_wait(priority).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    fn insert(&mut self, waiter: Waiter) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let start = self.start_tag(&waiter.workspace);
+        self.charge(&waiter.workspace, waiter.cost);
+        let order = (Reverse(waiter.priority), start, ticket);
+        self.order.insert(order);
+        self.queued.insert(ticket, Queued { waiter, order });
+        ticket
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Queued> {
+        let queued = self.queued.remove(&ticket)?;
+        self.order.remove(&queued.order);
+        Some(queued)
+    }
+
+    fn start_tag(&self, workspace: &str) -> ServiceTag {
+        self.tags.get(workspace).copied().unwrap_or(0).max(self.virtual_time)
+    }
+
+    fn note_gap(&mut self, now: Instant) {
+        if let Some(last) = self.last_grant {
+            let gap = now.duration_since(last).min(MAX_GAP);
+            let smoothed = self.grant_gap.map_or(gap, |old| (old * 7 + gap) / 8);
+            self.grant_gap = Some(smoothed);
+        }
+        self.last_grant = Some(now);
+    }
+}
+
+/// Workspaces whose service is remembered beyond the present virtual time.
+const MAX_TAGS: usize = 16_384;
+/// Queue length up to which waits are counted exactly; beyond it the whole queue counts.
+const EXACT_UP_TO: usize = 512;
+/// Longest gap between grants taken into the estimate: idle time is not waiting time.
+const MAX_GAP: Duration = Duration::from_secs(1);
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -0,0 +1,195 @@
+//! Carries configuration down the relay tree, and tells how fresh it is.
+//!
+//! Every box asks one parent with a held request. The parent answers when its
+//! number passes the one asked with, or when the hold ends, and says how long
+//! ago the control leader confirmed its number. The root of the tree is the
+//! control boxes. Cost a box: one small request a hold, plus what changed.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_channel::oneshot;
+use hatchpitch_net::{BoxClient, Stop};
+
+use super::messages::{FeedAnswer, FeedRequest};
+use super::state::ConfigState;
+use super::view::FleetView;
+use crate::ids::{BoxName, ConfigNumber};
+
+/// Path of the feed at every box.
+pub const FEED_PATH: &str = "/box/feed";
+/// How long a parent may hold a request.
+pub const HOLD: Duration = Duration::from_millis(1_000);
+/// Longest hold that a parent grants, whatever was asked.
+const MAX_HOLD: Duration = Duration::from_secs(5);
+/// Time allowed for an answer beyond the hold.
+const ANSWER_MARGIN: Duration = Duration::from_millis(1_500);
+/// Rest after a failed round, so that an unreachable parent is not hammered.
+const RETRY_REST: Duration = Duration::from_millis(200);
+
+/// The configuration in force at this box, shared by its tasks on one thread.
+pub struct ConfigCell {
+    inner: RefCell<Inner>,
+}
+
+struct Inner {
+    state: ConfigState,
+    view: Rc<FleetView>,
+    confirmed_at: Option<Instant>,
+    waiting: Vec<oneshot::Sender<()>>,
+}
+
+impl Default for ConfigCell {
+    fn default() -> Self {
+        let inner = Inner {
+            state: ConfigState::default(),
+            view: Rc::default(),
+            confirmed_at: None,
+            waiting: Vec::new(),
+        };
+        Self { inner: RefCell::new(inner) }
+    }
+}
+
+impl ConfigCell {
+    /// Returns the view of the configuration in force.
+    pub fn view(&self) -> Rc<FleetView> {
+        self.inner.borrow().view.clone()
+    }
+
+    /// Returns the number in force.
+    pub fn number(&self) -> ConfigNumber {
+        self.inner.borrow().state.number()
+    }
+
+    /// Returns how long ago the number was confirmed as the newest; `None` if never.
+    pub fn confirmed_age(&self) -> Option<Duration> {
+        self.inner.borrow().confirmed_at.map(|at| at.elapsed())
+    }
+
+    /// Puts a state that was applied here in force and confirms it.
+    pub fn replace(&self, state: &ConfigState) {
+        let mut inner = self.inner.borrow_mut();
+        if state.number() != inner.state.number() || state.digest() != inner.state.digest() {
+            inner.state = state.clone();
+            inner.publish();
+        }
+    }
+
+    /// Notes that the number in force was confirmed as the newest at `at`.
+    pub fn confirm(&self, at: Instant) {
+        let mut inner = self.inner.borrow_mut();
+        inner.confirmed_at = inner.confirmed_at.max(Some(at));
+    }
+
+    /// Answers a child, waiting for a change up to the hold that it asked for.
+    pub async fn answer(&self, req: &FeedRequest) -> FeedAnswer {
+        let started = Instant::now();
+        let hold = req.hold.min(MAX_HOLD);
+        if self.number() <= req.have && !hold.is_zero() {
+            let (tx, rx) = oneshot::channel();
+            self.inner.borrow_mut().waiting.push(tx);
+            let _ = compio::time::timeout(hold, rx).await;
+        }
+        let mut inner = self.inner.borrow_mut();
+        inner.waiting.retain(|tx| !tx.is_canceled());
+        let (snapshot, delta) = inner.state.delta_since(req.have);
+        FeedAnswer {
+            number: inner.state.number(),
+            digest: inner.state.digest(),
+            snapshot,
+            delta,
+            confirmed_age: inner.confirmed_at.map(|at| at.elapsed()),
+            held: started.elapsed(),
+        }
+    }
+
+    /// Takes a parent's answer in; `round_trip` is the whole time since the request was sent.
+    fn take(&self, answer: &FeedAnswer, round_trip: Duration) -> anyhow::Result<()> {
+        let mut inner = self.inner.borrow_mut();
+        if answer.number < inner.state.number() {
+            // The parent is behind. What is in force stays; the parent confirms nothing.
+            return Ok(());
+        }
+        let changed = answer.number > inner.state.number();
+        inner.state.install(answer.number, answer.digest, answer.snapshot, &answer.delta)?;
+        if changed {
+            inner.publish();
+        }
+        // The answer left the parent at most `round_trip - held` ago.
+        let transit = round_trip.saturating_sub(answer.held);
+        let age = answer.confirmed_age.map(|age| age + transit);
+        let at = age.and_then(|age| Instant::now().checked_sub(age));
+        inner.confirmed_at = inner.confirmed_at.max(at);
+        Ok(())
+    }
+}
+
+impl Inner {
+    fn publish(&mut self) {
+        self.view = Rc::new(FleetView::new(&self.state));
+        // Closing the channels wakes the children that wait.
+        self.waiting.clear();
+    }
+}
+
+/// Finds the parents of a box: first the one in the tree, then those to fall back on.
+///
+/// `boxes` are the live boxes in order of name. The first `fanout` boxes ask
+/// the control boxes; box `i` asks box `(i - fanout) / fanout`. Every box falls
+/// back on the control boxes, in an order that starts at a different one for each.
+pub fn parents(
+    own: usize,
+    boxes: &[SocketAddr],
+    control: &[SocketAddr],
+    fanout: usize,
+) -> Vec<SocketAddr> {
+    let mut found = Vec::with_capacity(control.len() + 1);
+    if own >= fanout {
+        found.extend(boxes.get((own - fanout) / fanout));
+    }
+    let start = own.checked_rem(control.len()).unwrap_or(0);
+    found.extend(control[start..].iter().chain(&control[..start]));
+    found
+}
+
+/// Follows the feed until `stop`; `find_parents` is asked anew for each round.
+pub async fn follow(
+    own: BoxName,
+    cell: &ConfigCell,
+    client: &BoxClient,
+    find_parents: impl Fn() -> Vec<SocketAddr>,
+    stop: Stop,
+) {
+    while !stop.is_set() {
+        if !follow_once(&own, cell, client, find_parents()).await {
+            compio::time::sleep(RETRY_REST).await;
+        }
+    }
+}
+
+/// Asks the parents in turn until one answers with a number that is not behind.
+async fn follow_once(
+    own: &BoxName,
+    cell: &ConfigCell,
+    client: &BoxClient,
+    parents: Vec<SocketAddr>,
+) -> bool {
+    for parent in parents {
+        let req = FeedRequest { from: own.clone(), have: cell.number(), hold: HOLD };
+        let sent = Instant::now();
+        let answer = client.call::<_, FeedAnswer>(parent, FEED_PATH, &req, HOLD + ANSWER_MARGIN);
+        let taken = match answer.await {
+            Ok(answer) => cell.take(&answer, sent.elapsed()).map(|()| answer.number >= req.have),
+            Err(err) => Err(err.into()),
+        };
+        match taken {
+            Ok(true) => return true,
+            Ok(false) => log::debug!("feed: box {parent} is behind"),
+            Err(err) => log::debug!("feed from box {parent}: {err:#}"),
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/hatchpitch/src/config/messages.rs
@@ -0,0 +1,74 @@
+//! Messages about configuration: outcomes for operators, deltas for boxes.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::entity::{Entity, EntityKey};
+use crate::ids::{BoxName, ConfigNumber, Digest};
+
+/// What became of a submitted fleet file. The same submission always gets the same outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub enum ApplyOutcome {
+    /// The content is the accepted one for its number.
+    Accepted {
+        /// The file's number.
+        number: ConfigNumber,
+        /// SHA-256 of the checked content, in hexadecimal digits.
+        content: String,
+    },
+    /// Other content was accepted first under this number.
+    Taken {
+        /// The file's number.
+        number: ConfigNumber,
+        /// Content that holds the number.
+        winner: String,
+        /// Who submitted the winner.
+        by: String,
+    },
+    /// The number is below the newest one and was never accepted.
+    Stale {
+        /// The file's number.
+        number: ConfigNumber,
+        /// The newest accepted number.
+        newest: ConfigNumber,
+    },
+}
+
+/// What changed between two numbers.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Delta {
+    /// Entities that are new or changed.
+    pub upserts: Vec<Entity>,
+    /// Entities that are gone.
+    pub removals: Vec<EntityKey>,
+}
+
+/// A box asks its parent for changes; the parent may hold the answer back for `hold`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FeedRequest {
+    /// Who asks.
+    pub from: BoxName,
+    /// The number that the box has, 0 for none.
+    pub have: ConfigNumber,
+    /// How long the parent may wait for a change.
+    pub hold: Duration,
+}
+
+/// The parent's answer to a [`FeedRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FeedAnswer {
+    /// The parent's number.
+    pub number: ConfigNumber,
+    /// Digest of the whole fleet at `number`.
+    pub digest: Digest,
+    /// Whether `delta` starts from nothing instead of from the number asked with.
+    pub snapshot: bool,
+    /// What changed.
+    pub delta: Delta,
+    /// Time since the control leader confirmed that `number` is the newest; `None` if never.
+    pub confirmed_age: Option<Duration>,
+    /// How long the parent held the request.
+    pub held: Duration,
+}
--- /dev/null
+++ b/crates/hatchpitch/src/config/view.rs
@@ -0,0 +1,144 @@
+//! The configuration as dense tables, made once a number and read on every request.
+
+use std::collections::HashMap;
+
+use sha2::{Digest as _, Sha256};
+
+use super::entity::{Entity, KeyHash, Pool, Route, Runner, Service, ServiceUpstream, Workspace};
+use super::state::ConfigState;
+use crate::ids::{ConfigNumber, Digest, FailureDomainName};
+
+/// Index of a pool in [`FleetView::pools`].
+pub type PoolIx = usize;
+/// Index of a workspace in [`FleetView::workspaces`].
+pub type WorkspaceIx = usize;
+
+/// A pool and its runners.
+#[derive(Debug, Clone)]
+pub struct PoolView {
+    /// The pool.
+    pub pool: Pool,
+    /// Its runners, in order of name.
+    pub runners: Vec<Runner>,
+}
+
+/// A service and its runners.
+#[derive(Debug, Clone)]
+pub struct ServiceView {
+    /// The service.
+    pub service: Service,
+    /// Its runners, in order of name.
+    pub upstreams: Vec<ServiceUpstream>,
+}
+
+/// An immutable view of one configuration.
+#[derive(Debug, Clone, Default)]
+pub struct FleetView {
+    /// The number it was made from.
+    pub number: ConfigNumber,
+    /// All pools.
+    pub pools: Vec<PoolView>,
+    /// All services.
+    pub services: Vec<ServiceView>,
+    /// All workspaces.
+    pub workspaces: Vec<Workspace>,
+    /// Region of each failure domain.
+    pub regions: HashMap<FailureDomainName, String>,
+    pool_of_model: HashMap<String, PoolIx>,
+    service_by_name: HashMap<String, usize>,
+    workspace_by_key: HashMap<Digest, WorkspaceIx>,
+    operator_by_key: HashMap<Digest, String>,
+}
+
+impl FleetView {
+    /// Makes the view of a configuration.
+    pub fn new(state: &ConfigState) -> Self {
+        let mut view = Self { number: state.number(), ..Self::default() };
+        // Entities come in order of kind, so pools stand before their runners.
+        for entity in state.entities() {
+            view.add(entity);
+        }
+        view
+    }
+
+    fn add(&mut self, entity: &Entity) {
+        match entity {
+            Entity::FailureDomain(e) => {
+                self.regions.insert(e.name.clone(), e.region.clone());
+            }
+            Entity::Pool(e) => {
+                self.pool_of_model.insert(e.model.clone(), self.pools.len());
+                self.pools.push(PoolView { pool: e.clone(), runners: Vec::new() });
+            }
+            Entity::Runner(e) => {
+                if let Some(view) = self.pools.iter_mut().find(|v| v.pool.name == e.pool) {
+                    view.runners.push(e.clone());
+                }
+            }
+            Entity::Service(e) => {
+                self.service_by_name.insert(e.name.clone(), self.services.len());
+                self.services.push(ServiceView { service: e.clone(), upstreams: Vec::new() });
+            }
+            Entity::ServiceUpstream(e) => {
+                if let Some(ix) = self.service_by_name.get(&e.service) {
+                    self.services[*ix].upstreams.push(e.clone());
+                }
+            }
+            Entity::Workspace(e) => {
+                let ix = self.workspaces.len();
+                self.workspace_by_key.extend(e.keys.iter().map(|key| (key.sha256, ix)));
+                self.workspaces.push(e.clone());
+            }
+            Entity::Operator(e) => {
+                let owned = e.keys.iter().map(|key| (key.sha256, e.name.clone()));
+                self.operator_by_key.extend(owned);
+            }
+        }
+    }
+
+    /// Finds the pool that holds a model.
+    pub fn pool_of_model(&self, model: &str) -> Option<PoolIx> {
+        self.pool_of_model.get(model).copied()
+    }
+
+    /// Finds a service by name.
+    pub fn service(&self, name: &str) -> Option<&ServiceView> {
+        self.service_by_name.get(name).map(|ix| &self.services[*ix])
+    }
+
+    /// Finds the workspace that a presented key belongs to.
+    ///
+    /// The look-up is by the key's SHA-256, so its timing tells nothing of other keys.
+    pub fn workspace_of_key(&self, key: &str) -> Option<WorkspaceIx> {
+        self.workspace_by_key.get(&key_digest(key)).copied()
+    }
+
+    /// Finds the operator that a presented key belongs to.
+    pub fn operator_of_key(&self, key: &str) -> Option<&str> {
+        self.operator_by_key.get(&key_digest(key)).map(String::as_str)
+    }
+}
+
+impl ServiceView {
+    /// Finds the route with the longest prefix of `path`.
+    pub fn route(&self, path: &str) -> Option<&Route> {
+        let matching = self.service.routes.iter().filter(|route| matches(&route.path, path));
+        matching.max_by_key(|route| route.path.len())
+    }
+}
+
+fn matches(prefix: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else { return false };
+    rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
+}
+
+/// Digest under which a presented key is looked up.
+pub fn key_digest(key: &str) -> Digest {
+    Sha256::digest(key.as_bytes()).into()
+}
+
+/// Finds the name of the key that `presented` matches.
+pub fn find_key<'a>(keys: &'a [KeyHash], presented: &str) -> Option<&'a str> {
+    let digest = key_digest(presented);
+    keys.iter().find(|key| key.sha256 == digest).map(|key| key.id.as_str())
+}
--- /dev/null
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -0,0 +1,84 @@
+//! The control box's listener for other boxes.
+
+use std::rc::Rc;
+
+use hatchpitch_net::{Body, open_message, read_body, rmp_response};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+
+use super::context::{ControlCx, ProposeError};
+use super::daemon::{BODY_LIMIT, MAX_BODY};
+use super::machine::{Order, Reply};
+use crate::claims::client::{CLAIM_PATH, LeaderAnswer, SETTLE_PATH};
+use crate::claims::{ClaimOutcome, ClaimRequest, SettleRequest};
+use crate::config::FeedRequest;
+use crate::config::feed::FEED_PATH;
+use crate::outcome::text_response;
+
+type Answered = Result<Response<Body>, Box<Response<Body>>>;
+
+/// Answers one message of another box.
+pub async fn handle(cx: Rc<ControlCx>, req: Request<Incoming>) -> Response<Body> {
+    if req.method() != Method::POST {
+        return text_response(StatusCode::METHOD_NOT_ALLOWED, "method: expected POST");
+    }
+    let (parts, incoming) = req.into_parts();
+    let body = match read_body(incoming, MAX_BODY, BODY_LIMIT).await {
+        Ok(body) => body,
+        Err(err) => return text_response(StatusCode::BAD_REQUEST, err.to_string()),
+    };
+    let message = Message { cx: &cx, path: parts.uri.path(), headers: &parts.headers, body: &body };
+    message.answer().await.unwrap_or_else(|refusal| *refusal)
+}
+
+struct Message<'a> {
+    cx: &'a Rc<ControlCx>,
+    path: &'a str,
+    headers: &'a HeaderMap,
+    body: &'a [u8],
+}
+
+impl Message<'_> {
+    async fn answer(&self) -> Answered {
+        match self.path {
+            FEED_PATH => {
+                let req = self.open::<FeedRequest>()?;
+                Ok(rmp_response(&self.cx.config.answer(&req).await))
+            }
+            CLAIM_PATH => {
+                let req = self.open::<ClaimRequest>()?;
+                self.ordered(Order::Claim(req), |reply| match reply {
+                    Reply::Claim(outcome) => outcome,
+                    Reply::Config(_) | Reply::Settled | Reply::Read => ClaimOutcome::Unknown,
+                })
+                .await
+            }
+            SETTLE_PATH => {
+                let req = self.open::<SettleRequest>()?;
+                self.ordered(Order::Settle(req), |_| ()).await
+            }
+            _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
+        }
+    }
+
+    fn open<Q: DeserializeOwned>(&self) -> Result<Q, Box<Response<Body>>> {
+        open_message(&self.cx.settings.box_keys, self.path, self.headers, self.body)
+    }
+
+    async fn ordered<A: serde::Serialize>(
+        &self,
+        order: Order,
+        answer: impl FnOnce(Reply) -> A,
+    ) -> Answered {
+        match self.cx.propose(order).await {
+            Ok(reply) => Ok(rmp_response(&LeaderAnswer::Served(answer(reply)))),
+            Err(ProposeError::NotLeader(leader)) => {
+                Ok(rmp_response(&LeaderAnswer::<A>::NotLeader(leader)))
+            }
+            Err(ProposeError::Unknown(cause)) => {
+                Err(Box::new(text_response(StatusCode::SERVICE_UNAVAILABLE, cause)))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/control/machine.rs
@@ -0,0 +1,73 @@
+//! What the replicated log drives: configuration and claims, as one deterministic state machine.
+
+use serde::{Deserialize, Serialize};
+
+use crate::claims::state::LogTime;
+use crate::claims::{ClaimOutcome, ClaimRequest, ClaimTable, ClaimsConfig, SettleRequest};
+use crate::config::{ApplyOutcome, ConfigChange, ConfigState};
+
+/// What an entry of the log orders.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Order {
+    /// Put a configuration in force.
+    Config(ConfigChange),
+    /// Claim a request.
+    Claim(ClaimRequest),
+    /// Settle a claim.
+    Settle(SettleRequest),
+    /// Change nothing; once applied, the state holds all that was committed before.
+    Read,
+}
+
+/// An entry of the log: an order and the leader's clock when it was made.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Command {
+    /// Milliseconds since 1970 at the leader.
+    pub at: LogTime,
+    /// The order.
+    pub order: Order,
+}
+
+/// What an order led to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Outcome of a configuration; `None` if it has to be prepared anew.
+    Config(Option<ApplyOutcome>),
+    /// Outcome of a claim.
+    Claim(ClaimOutcome),
+    /// The claim was settled.
+    Settled,
+    /// Everything committed before is applied.
+    Read,
+}
+
+/// All state of the control boxes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Machine {
+    /// Configuration.
+    pub config: ConfigState,
+    /// Claims.
+    pub claims: ClaimTable,
+    now: LogTime,
+}
+
+impl Machine {
+    /// Creates the state before the first entry.
+    pub fn new() -> Self {
+        Self { claims: ClaimTable::new(ClaimsConfig::default()), ..Self::default() }
+    }
+
+    /// Applies one committed entry. Time never goes back, whatever the leaders' clocks say.
+    pub fn apply(&mut self, command: Command) -> Reply {
+        self.now = self.now.max(command.at);
+        match command.order {
+            Order::Config(change) => Reply::Config(self.config.apply(change)),
+            Order::Claim(req) => Reply::Claim(self.claims.claim(&req, self.now)),
+            Order::Settle(req) => {
+                self.claims.settle(&req, self.now);
+                Reply::Settled
+            }
+            Order::Read => Reply::Read,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -0,0 +1,211 @@
+//! The control box's listener for operators.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use hatchpitch_net::keys::to_hex;
+use hatchpitch_net::{Body, read_body};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+
+use super::context::{ControlCx, ProposeError};
+use super::daemon::BODY_LIMIT;
+use super::machine::{Order, Reply};
+use crate::config::check::MAX_FLEET_FILE;
+use crate::config::view::find_key;
+use crate::config::{ApplyOutcome, Entity, EntityKey, load_fleet};
+use crate::ids::{BoxName, ConfigNumber};
+use crate::outcome::{Outcome, Problem, json_response, text_response};
+use crate::security::bearer;
+use crate::settings::diagnostic::Problem as FileProblem;
+
+/// Times that a change is prepared anew when others come between.
+const PREPARE_TRIES: usize = 8;
+
+/// What a control box tells operators about itself.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ControlStatus {
+    /// Name of the box.
+    pub name: BoxName,
+    /// Whether it leads.
+    pub leads: bool,
+    /// Where operators reach the leader, if it is known.
+    pub leader: Option<SocketAddr>,
+    /// Newest accepted configuration number known here.
+    pub config_number: ConfigNumber,
+    /// Digest of that configuration, in hexadecimal digits.
+    pub config_digest: String,
+    /// Claims held.
+    pub claims: usize,
+}
+
+/// Why a fleet file was not taken.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FileProblems {
+    /// Everything wrong in it.
+    pub problems: Vec<FileProblem>,
+}
+
+/// What a fleet file would change.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct DiffAnswer {
+    /// Number in force.
+    pub base: ConfigNumber,
+    /// Entities that would be added.
+    pub added: Vec<EntityKey>,
+    /// Entities that would change.
+    pub changed: Vec<EntityKey>,
+    /// Entities that would go.
+    pub removed: Vec<EntityKey>,
+}
+
+/// Answers one request of an operator.
+pub async fn handle(cx: Rc<ControlCx>, req: Request<Incoming>) -> Response<Body> {
+    match dispatch(&cx, req).await {
+        Ok(res) => res,
+        Err(problem) => {
+            log::info!("refused with {}: {}", problem.status, problem.message);
+            problem.into_response()
+        }
+    }
+}
+
+async fn dispatch(cx: &Rc<ControlCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
+    let path = req.uri().path().to_owned();
+    if path == "/metrics" {
+        return Ok(text_response(StatusCode::OK, cx.metrics.render()));
+    }
+    let operator = authenticate(cx, &req)?;
+    match (req.method().clone(), path.as_str()) {
+        (Method::GET, "/ops/status") => {
+            Ok(json_response(StatusCode::OK, &status(cx), Outcome::Done))
+        }
+        (Method::GET, "/ops/config") => {
+            let entities: Vec<Entity> = cx.with_machine(|m| m.config.entities().cloned().collect());
+            Ok(json_response(StatusCode::OK, &entities, Outcome::Done))
+        }
+        (Method::POST, "/ops/config") => apply(cx, req, &operator).await,
+        (Method::POST, "/ops/diff") => diff(cx, req).await,
+        _ => Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown_path", "no such path")),
+    }
+}
+
+fn authenticate(cx: &ControlCx, req: &Request<Incoming>) -> Result<String, Problem> {
+    let key = bearer(req.headers()).unwrap_or("");
+    let first = cx.settings.operators.iter().find(|op| find_key(&op.keys, key).is_some());
+    let known = first.map(|op| op.name.clone());
+    let view = cx.config.view();
+    known.or_else(|| view.operator_of_key(key).map(str::to_owned)).ok_or_else(|| {
+        let message = "Authorization: expected \"Bearer\" and a key of an operator";
+        Problem::not_run(StatusCode::UNAUTHORIZED, "unknown_key", message)
+    })
+}
+
+async fn fleet_file(req: Request<Incoming>) -> Result<(String, String), Problem> {
+    let query = req.uri().query().unwrap_or("");
+    let file = query.split('&').find_map(|pair| pair.strip_prefix("file=")).unwrap_or("fleet");
+    let file = file.to_owned();
+    let body = read_body(req.into_body(), MAX_FLEET_FILE, BODY_LIMIT).await;
+    let body = body.map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
+    let text = String::from_utf8(body.to_vec())
+        .map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
+    Ok((file, text))
+}
+
+async fn apply(
+    cx: &Rc<ControlCx>,
+    req: Request<Incoming>,
+    operator: &str,
+) -> Result<Response<Body>, Problem> {
+    let (file, text) = fleet_file(req).await?;
+    let fleet = match load_fleet(&file, &text) {
+        Ok(fleet) => fleet,
+        Err(problems) => {
+            let body = FileProblems { problems: problems.0 };
+            return Ok(json_response(StatusCode::UNPROCESSABLE_ENTITY, &body, Outcome::NotRun));
+        }
+    };
+    for _ in 0..PREPARE_TRIES {
+        let prepared = cx.with_machine(|m| m.config.prepare(&fleet, operator));
+        let order = match prepared {
+            Ok(change) => Order::Config(change),
+            // Only the leader may say that a number is taken or stale.
+            Err(_) => Order::Read,
+        };
+        match cx.propose(order).await {
+            Ok(Reply::Config(Some(outcome))) => return Ok(outcome_response(&outcome)),
+            Ok(Reply::Read) => {
+                let settled = cx.with_machine(|m| m.config.prepare(&fleet, operator)).err();
+                if let Some(outcome) = settled {
+                    return Ok(outcome_response(&outcome));
+                }
+            }
+            Ok(_) => {}
+            Err(err) => return Err(propose_problem(err)),
+        }
+    }
+    let message = "other changes came between each time; send the file again";
+    Err(Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "busy", message))
+}
+
+fn outcome_response(outcome: &ApplyOutcome) -> Response<Body> {
+    let status = match outcome {
+        ApplyOutcome::Accepted { .. } => StatusCode::OK,
+        ApplyOutcome::Taken { .. } | ApplyOutcome::Stale { .. } => StatusCode::CONFLICT,
+    };
+    json_response(status, outcome, Outcome::Done)
+}
+
+fn propose_problem(err: ProposeError) -> Problem {
+    match err {
+        ProposeError::NotLeader(leader) => {
+            let message = match leader {
+                Some(addr) => format!("this box does not lead; the leader is {addr}"),
+                None => "no leader is known".to_owned(),
+            };
+            Problem::not_run(StatusCode::MISDIRECTED_REQUEST, "not_leader", message)
+        }
+        ProposeError::Unknown(cause) => {
+            Problem::unknown(StatusCode::SERVICE_UNAVAILABLE, "unknown", cause)
+        }
+    }
+}
+
+async fn diff(cx: &Rc<ControlCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
+    let (file, text) = fleet_file(req).await?;
+    let fleet = match load_fleet(&file, &text) {
+        Ok(fleet) => fleet,
+        Err(problems) => {
+            let body = FileProblems { problems: problems.0 };
+            return Ok(json_response(StatusCode::UNPROCESSABLE_ENTITY, &body, Outcome::NotRun));
+        }
+    };
+    let answer = cx.with_machine(|m| {
+        let have: std::collections::BTreeMap<EntityKey, &Entity> =
+            m.config.entities().map(|e| (e.key(), e)).collect();
+        let new = fleet.entities.iter();
+        let (known, added): (Vec<_>, Vec<_>) = new.partition(|(key, _)| have.contains_key(*key));
+        let changed = known.iter().filter(|(key, entity)| have[*key] != *entity);
+        let removed = have.keys().filter(|key| !fleet.entities.contains_key(*key));
+        DiffAnswer {
+            base: m.config.number(),
+            added: added.iter().map(|(key, _)| (*key).clone()).collect(),
+            changed: changed.map(|(key, _)| (*key).clone()).collect(),
+            removed: removed.cloned().collect(),
+        }
+    });
+    Ok(json_response(StatusCode::OK, &answer, Outcome::Done))
+}
+
+/// Returns the status of this box.
+pub fn status(cx: &ControlCx) -> ControlStatus {
+    cx.with_machine(|m| ControlStatus {
+        name: cx.settings.own.name.clone(),
+        leads: cx.leads(),
+        leader: cx.leader(),
+        config_number: m.config.number(),
+        config_digest: to_hex(&m.config.digest()),
+        claims: m.claims.len(),
+    })
+}
--- /dev/null
+++ b/crates/hatchpitch/src/discovery/mod.rs
@@ -0,0 +1,51 @@
+//! Which boxes a caller should use: callers ask any box and then connect themselves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::membership::MemberRecord;
+
+/// Addresses that one answer holds at most.
+pub const MAX_ENDPOINTS: usize = 3;
+
+/// One address that a caller may use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Endpoint {
+    /// Where to connect.
+    pub addr: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: String,
+}
+
+/// The answer to `GET /v1/endpoints`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Endpoints {
+    /// Addresses, the preferred one first.
+    pub endpoints: Vec<Endpoint>,
+    /// Seconds for which the caller may keep the answer.
+    pub max_age_s: u64,
+}
+
+/// Chooses addresses for a caller: its own failure domain first, spread by `spread`.
+pub fn choose<'a>(
+    boxes: impl Iterator<Item = &'a MemberRecord>,
+    near: Option<&str>,
+    spread: u64,
+    max_age: Duration,
+) -> Endpoints {
+    let mut boxes: Vec<&MemberRecord> = boxes.collect();
+    let count = boxes.len().max(1);
+    boxes.sort_by(|a, b| a.subject.cmp(&b.subject));
+    let start = usize::try_from(spread % count as u64).unwrap_or(0);
+    if !boxes.is_empty() {
+        boxes.rotate_left(start);
+    }
+    boxes.sort_by_key(|r| Some(r.failure_domain.as_str()) != near);
+    let chosen = boxes.into_iter().take(MAX_ENDPOINTS);
+    let endpoints = chosen
+        .map(|r| Endpoint { addr: r.addr, failure_domain: r.failure_domain.clone() })
+        .collect();
+    Endpoints { endpoints, max_age_s: max_age.as_secs() }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -0,0 +1,48 @@
+//! The listener for other boxes.
+
+use std::rc::Rc;
+
+use hatchpitch_net::{Body, open_message, read_body, rmp_response};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use super::callers::{body_problem, only};
+use super::context::EntryCx;
+use crate::config::FeedRequest;
+use crate::config::feed::FEED_PATH;
+use crate::membership::messages::{Gossip, ProbeRequest};
+use crate::membership::task::{self, GOSSIP_PATH, PING_PATH, PROBE_PATH};
+use crate::outcome::text_response;
+
+/// Answers one message of another box.
+pub async fn handle(cx: Rc<EntryCx>, req: Request<Incoming>) -> Response<Body> {
+    if let Err(problem) = only(Method::POST, &req) {
+        return problem.into_response();
+    }
+    let (parts, incoming) = req.into_parts();
+    let limits = &cx.settings;
+    let read = read_body(incoming, limits.limits.max_body, limits.timing.body_timeout);
+    let body = match read.await {
+        Ok(body) => body,
+        Err(err) => return body_problem(err).into_response(),
+    };
+    let path = parts.uri.path();
+    let keys = &cx.settings.box_keys;
+    let answered = match path {
+        GOSSIP_PATH => open_message::<Gossip>(keys, path, &parts.headers, &body)
+            .map(|gossip| rmp_response(&task::answer(&cx.membership, &cx.boxes, gossip))),
+        PING_PATH => {
+            open_message::<()>(keys, path, &parts.headers, &body).map(|()| rmp_response(&()))
+        }
+        PROBE_PATH => match open_message::<ProbeRequest>(keys, path, &parts.headers, &body) {
+            Ok(req) => Ok(rmp_response(&task::probe(&cx.boxes, req).await)),
+            Err(refusal) => Err(refusal),
+        },
+        FEED_PATH => match open_message::<FeedRequest>(keys, path, &parts.headers, &body) {
+            Ok(req) => Ok(rmp_response(&cx.config.answer(&req).await)),
+            Err(refusal) => Err(refusal),
+        },
+        _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
+    };
+    answered.unwrap_or_else(|refusal| *refusal)
+}
--- /dev/null
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -0,0 +1,210 @@
+//! The listener for callers and operators.
+
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hatchpitch_net::{Body, BodyError, read_body};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use super::apps::{self, AppCall};
+use super::completions;
+use super::context::{EntryCx, Intake};
+use super::operators;
+use crate::config::{FleetView, Workspace};
+use crate::discovery::{self, Endpoints};
+use crate::metrics::Count;
+use crate::outcome::{Outcome, Problem, json_response, text_response};
+use crate::security::bearer;
+use crate::trace::Span;
+
+/// Longest path with query, in bytes.
+const MAX_TARGET: usize = 4_096;
+
+/// Answers one request of a caller or operator.
+pub async fn handle(cx: Rc<EntryCx>, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+    let _active = cx.begin();
+    let mut span = cx.tracer.start("caller.request", req.headers());
+    span.note("path", path_label(req.uri().path()));
+    let trace = span.trace().to_owned();
+    let mut res = match dispatch(&cx, req, peer, span).await {
+        Ok(res) => res,
+        Err(problem) => {
+            note_problem(&cx, &problem);
+            problem.into_response()
+        }
+    };
+    if let Ok(value) = trace.parse() {
+        res.headers_mut().insert("x-hatchpitch-trace", value);
+    }
+    res
+}
+
+fn note_problem(cx: &EntryCx, problem: &Problem) {
+    let count = match (problem.status, problem.outcome) {
+        (StatusCode::UNAUTHORIZED, _) => Count::UnknownKey,
+        (StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE, _) => Count::BadInput,
+        (_, Outcome::Unknown) => Count::Unknown,
+        _ => Count::Refused,
+    };
+    cx.metrics.count(count, "");
+    log::info!("refused with {}: {}: {}", problem.status, problem.kind, problem.message);
+}
+
+async fn dispatch(
+    cx: &Rc<EntryCx>,
+    req: Request<Incoming>,
+    peer: SocketAddr,
+    span: Span,
+) -> Result<Response<Body>, Problem> {
+    let target_len = req.uri().path_and_query().map_or(0, |target| target.as_str().len());
+    if target_len > MAX_TARGET {
+        let message = format!("target of {target_len} bytes, at most {MAX_TARGET} are accepted");
+        return Err(Problem::not_run(StatusCode::URI_TOO_LONG, "bad_request", message));
+    }
+    let path = req.uri().path().to_owned();
+    match path.as_str() {
+        "/v1/endpoints" => only(Method::GET, &req).map(|()| endpoints(cx, &req, peer)),
+        "/metrics" => only(Method::GET, &req).map(|()| metrics(cx)),
+        "/health" => Ok(health(cx)),
+        _ if path.starts_with("/ops/") => operators::handle(cx, req).await,
+        _ => work(cx, req, &path, span).await,
+    }
+}
+
+/// Serves a request that needs a workspace.
+async fn work(
+    cx: &Rc<EntryCx>,
+    req: Request<Incoming>,
+    path: &str,
+    span: Span,
+) -> Result<Response<Body>, Problem> {
+    let view = cx.sync_gates();
+    let workspace = authenticate(&view, req.headers())?;
+    if let Some(token) = path.strip_prefix("/v1/responses/") {
+        // Reading on is not new work: a leaving box and an old configuration allow it.
+        only(Method::GET, &req)?;
+        let headers = req.headers().clone();
+        return completions::resume(cx.clone(), &view, workspace, token, &headers, span).await;
+    }
+    check_intake(cx)?;
+    cx.metrics.count(Count::Requests, "");
+    match path {
+        "/v1/chat/completions" | "/v1/completions" => {
+            only(Method::POST, &req)?;
+            let chat = path.contains("chat");
+            let body = body(cx, req.into_body()).await?;
+            completions::serve(cx.clone(), &view, workspace, &body, chat, span).await
+        }
+        _ => match path.strip_prefix("/apps/").map(split_service) {
+            Some((service, rest)) => {
+                let call = app_call(cx, req, rest.to_owned()).await?;
+                apps::serve(cx.clone(), &view, workspace, service, call, span).await
+            }
+            None => {
+                let message = format!("no such path: {}", path_label(path));
+                Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown_path", message))
+            }
+        },
+    }
+}
+
+fn authenticate<'a>(view: &'a FleetView, headers: &HeaderMap) -> Result<&'a Workspace, Problem> {
+    let found = bearer(headers).and_then(|key| view.workspace_of_key(key));
+    found.map(|ix| &view.workspaces[ix]).ok_or_else(|| {
+        let message = "Authorization: expected \"Bearer\" and a key of a workspace";
+        Problem::not_run(StatusCode::UNAUTHORIZED, "unknown_key", message)
+    })
+}
+
+/// Refuses new work while the box stops or its configuration may be old.
+fn check_intake(cx: &EntryCx) -> Result<(), Problem> {
+    if cx.intake.get() == Intake::Closed {
+        let message = "this box is stopping; ask /v1/endpoints of another one";
+        let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "stopping", message);
+        return Err(problem.retry_after(Duration::ZERO));
+    }
+    if !cx.config_is_fresh() {
+        let message = "this box is cut off and its configuration may be old; use another one";
+        let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "config_stale", message);
+        return Err(problem.retry_after(cx.short_retry()));
+    }
+    Ok(())
+}
+
+async fn app_call(cx: &EntryCx, req: Request<Incoming>, path: String) -> Result<AppCall, Problem> {
+    let (parts, incoming) = req.into_parts();
+    let body = body(cx, incoming).await?;
+    let path = match parts.uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path,
+    };
+    Ok(AppCall { method: parts.method, path, headers: parts.headers, body })
+}
+
+async fn body(cx: &EntryCx, incoming: Incoming) -> Result<Bytes, Problem> {
+    let max = cx.settings.limits.max_body;
+    read_body(incoming, max, cx.settings.timing.body_timeout).await.map_err(body_problem)
+}
+
+/// Returns the refusal for a body that could not be read.
+pub(super) fn body_problem(err: BodyError) -> Problem {
+    let status = match err {
+        BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Closed | BodyError::Broken(_) => StatusCode::BAD_REQUEST,
+    };
+    Problem::not_run(status, "bad_request", format!("request body: {err}"))
+}
+
+/// Refuses other methods.
+pub(super) fn only<B>(method: Method, req: &Request<B>) -> Result<(), Problem> {
+    if req.method() == method {
+        return Ok(());
+    }
+    let message = format!("method: found {}, expected {method}", req.method());
+    Err(Problem::not_run(StatusCode::METHOD_NOT_ALLOWED, "bad_request", message))
+}
+
+fn endpoints(cx: &EntryCx, req: &Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+    let query = req.uri().query().unwrap_or("");
+    let near = query.split('&').find_map(|pair| pair.strip_prefix("failure_domain="));
+    let mut hasher = DefaultHasher::new();
+    peer.hash(&mut hasher);
+    let membership = cx.membership.borrow();
+    let max_age = cx.settings.timing.endpoints_max_age;
+    let chosen: Endpoints =
+        discovery::choose(membership.serving_boxes(), near, hasher.finish(), max_age);
+    json_response(StatusCode::OK, &chosen, Outcome::Done)
+}
+
+fn metrics(cx: &EntryCx) -> Response<Body> {
+    cx.metrics.gauge("hatchpitch_active_requests", cx.active() as f64);
+    cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
+    let age = cx.config.confirmed_age().map_or(f64::INFINITY, |age| age.as_secs_f64());
+    cx.metrics.gauge("hatchpitch_config_confirmed_age_seconds", age);
+    text_response(StatusCode::OK, cx.metrics.render())
+}
+
+fn health(cx: &EntryCx) -> Response<Body> {
+    if cx.intake.get() == Intake::Open && cx.config_is_fresh() {
+        return text_response(StatusCode::OK, "ok\n");
+    }
+    text_response(StatusCode::SERVICE_UNAVAILABLE, "takes no new work\n")
+}
+
+fn split_service(rest: &str) -> (&str, &str) {
+    match rest.find('/') {
+        Some(at) => rest.split_at(at),
+        None => (rest, "/"),
+    }
+}
+
+/// Returns a path that is safe to log: response tokens are left out.
+fn path_label(path: &str) -> &str {
+    if path.starts_with("/v1/responses/") { "/v1/responses/…" } else { path }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -0,0 +1,230 @@
+//! What the tasks of one entry process share. One thread, so plain cells.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hatchpitch_net::{BoxClient, Upstream};
+
+use crate::admission::{AdmissionConfig, Gate};
+use crate::claims::ClaimClient;
+use crate::config::feed::ConfigCell;
+use crate::config::view::PoolView;
+use crate::config::{FleetView, Runner};
+use crate::ids::{PoolName, WorkspaceName};
+use crate::limits::RetryBudgets;
+use crate::membership::task::SharedMembership;
+use crate::metrics::Metrics;
+use crate::routing::RoutingConfig;
+use crate::routing::state::RunnerSpec;
+use crate::settings::EntrySettings;
+use crate::trace::Tracer;
+
+/// Whether the process takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Intake {
+    /// It does.
+    Open,
+    /// It left the lists of addresses but still takes what comes.
+    Leaving,
+    /// It refuses new work and finishes what it has.
+    Closed,
+}
+
+/// Shared state of an entry process.
+pub struct EntryCx {
+    /// Settings.
+    pub settings: EntrySettings,
+    /// Configuration in force.
+    pub config: ConfigCell,
+    /// Membership.
+    pub membership: SharedMembership,
+    /// Spans.
+    pub tracer: Tracer,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Client for other boxes.
+    pub boxes: BoxClient,
+    /// Claims.
+    pub claims: ClaimClient,
+    /// Budgets for runs elsewhere.
+    pub retries: RefCell<RetryBudgets>,
+    /// Whether new work is taken.
+    pub intake: Cell<Intake>,
+    gates: RefCell<HashMap<PoolName, Gate>>,
+    synced: Cell<u64>,
+    streams: RefCell<HashMap<WorkspaceName, u64>>,
+    active: Cell<usize>,
+    app_turn: Cell<usize>,
+}
+
+impl EntryCx {
+    /// Creates the shared state.
+    pub fn new(
+        settings: EntrySettings,
+        membership: SharedMembership,
+        boxes: BoxClient,
+    ) -> Rc<Self> {
+        let claims = ClaimClient::new(boxes.clone(), settings.control.clone());
+        Rc::new(Self {
+            tracer: Tracer::new(settings.name.clone()),
+            settings,
+            config: ConfigCell::default(),
+            membership,
+            metrics: Metrics::default(),
+            boxes,
+            claims,
+            retries: RefCell::default(),
+            intake: Cell::new(Intake::Open),
+            gates: RefCell::default(),
+            synced: Cell::new(0),
+            streams: RefCell::default(),
+            active: Cell::new(0),
+            app_turn: Cell::new(0),
+        })
+    }
+
+    /// Returns the gate of a pool.
+    pub fn gate(&self, pool: &str) -> Gate {
+        let mut gates = self.gates.borrow_mut();
+        let new = || Gate::new(AdmissionConfig::default(), RoutingConfig::default());
+        gates.entry(pool.to_owned()).or_insert_with(new).clone()
+    }
+
+    /// Returns the gates of all pools.
+    pub fn gates(&self) -> Vec<(PoolName, Gate)> {
+        self.gates.borrow().iter().map(|(name, gate)| (name.clone(), gate.clone())).collect()
+    }
+
+    /// Brings the gates up to the configuration in force.
+    pub fn sync_gates(&self) -> Rc<FleetView> {
+        let view = self.config.view();
+        if self.synced.replace(view.number) != view.number {
+            for pool in &view.pools {
+                self.sync_gate(pool);
+            }
+            let gone = |name: &str| !view.pools.iter().any(|p| p.pool.name == name);
+            for (_, gate) in self.gates().iter().filter(|(name, _)| gone(name)) {
+                gate.update(|table| table.sync([]));
+            }
+        }
+        view
+    }
+
+    fn sync_gate(&self, pool: &PoolView) {
+        let gate = self.gate(&pool.pool.name);
+        gate.configure(AdmissionConfig {
+            max_waiting: usize::try_from(pool.pool.max_waiting).unwrap_or(usize::MAX),
+            max_wait: self.settings.timing.max_wait,
+            ..AdmissionConfig::default()
+        });
+        let specs = pool.runners.iter().map(runner_spec);
+        gate.update(|table| table.sync(specs));
+        self.apply_membership(pool);
+    }
+
+    /// Tells the gate of a pool which of its runners membership lets serve.
+    pub fn apply_membership(&self, pool: &PoolView) {
+        let membership = self.membership.borrow();
+        self.gate(&pool.pool.name).update(|table| {
+            for runner in &pool.runners {
+                table.set_serving(&runner.name, membership.upstream_serves(&runner.name));
+            }
+        });
+    }
+
+    /// Returns whether the configuration is fresh enough for new work.
+    pub fn config_is_fresh(&self) -> bool {
+        let max_age = self.settings.timing.config_max_age;
+        if self.config.confirmed_age().is_some_and(|age| age <= max_age) {
+            return true;
+        }
+        let number = self.config.number();
+        self.membership.borrow().peers_confirm(number, Instant::now(), max_age)
+    }
+
+    /// Returns an upstream with the bounds of this box.
+    pub fn upstream(&self, addr: SocketAddr) -> Upstream {
+        Upstream { addr, connect_timeout: self.settings.timing.connect_timeout }
+    }
+
+    /// Returns how many requests are in progress.
+    pub fn active(&self) -> usize {
+        self.active.get()
+    }
+
+    /// Counts a request in progress until the guard is dropped.
+    pub fn begin(self: &Rc<Self>) -> ActiveGuard {
+        self.active.set(self.active.get() + 1);
+        ActiveGuard(self.clone())
+    }
+
+    /// Takes one of a workspace's streams, or `None` if it holds as many as it may.
+    pub fn begin_stream(self: &Rc<Self>, workspace: &str, max: u64) -> Option<StreamGuard> {
+        let mut streams = self.streams.borrow_mut();
+        let held = streams.entry(workspace.to_owned()).or_default();
+        if *held >= max {
+            return None;
+        }
+        *held += 1;
+        Some(StreamGuard { cx: self.clone(), workspace: workspace.to_owned() })
+    }
+
+    /// Returns streams in progress a workspace.
+    pub fn stream_counts(&self) -> Vec<(WorkspaceName, u64)> {
+        let mut counts: Vec<_> =
+            self.streams.borrow().iter().map(|(name, n)| (name.clone(), *n)).collect();
+        counts.sort();
+        counts
+    }
+
+    /// Returns a number that differs from call to call, to spread calls over upstreams.
+    pub fn next_turn(&self) -> usize {
+        let turn = self.app_turn.get();
+        self.app_turn.set(turn.wrapping_add(1));
+        turn
+    }
+
+    /// Returns the time after which a refused caller may try this or another box again.
+    pub fn short_retry(&self) -> Duration {
+        Duration::from_secs(1)
+    }
+}
+
+fn runner_spec(runner: &Runner) -> RunnerSpec {
+    RunnerSpec {
+        name: runner.name.clone(),
+        addr: runner.addr,
+        failure_domain: runner.failure_domain.clone(),
+        slots: runner.max_batch,
+    }
+}
+
+/// A request in progress.
+pub struct ActiveGuard(Rc<EntryCx>);
+
+impl Drop for ActiveGuard {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+/// A stream of a workspace.
+pub struct StreamGuard {
+    cx: Rc<EntryCx>,
+    workspace: WorkspaceName,
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        let mut streams = self.cx.streams.borrow_mut();
+        if let Some(held) = streams.get_mut(&self.workspace) {
+            *held -= 1;
+            if *held == 0 {
+                streams.remove(&self.workspace);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -0,0 +1,133 @@
+//! Wires an entry process: listeners, tasks, and the planned stop.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context as _;
+use futures_util::FutureExt;
+use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, serve, stop_pair};
+
+use super::context::{EntryCx, Intake};
+use super::{boxes, callers};
+use crate::config::feed;
+use crate::logging::unix_ms;
+use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
+use crate::membership::state::{Membership, MembershipConfig};
+use crate::membership::task;
+use crate::routing::task as routing;
+use crate::settings::EntrySettings;
+use crate::signals;
+
+/// How often the planned stop looks whether requests are still in progress.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Runs an entry process until it is asked to stop and every request has its answer.
+///
+/// # Errors
+///
+/// Returns an error that names the listener that could not be opened.
+pub async fn run(settings: EntrySettings) -> anyhow::Result<()> {
+    let callers = bind(settings.callers_addr).await.context("callers' listener")?;
+    let boxes = bind(settings.boxes_addr).await.context("boxes' listener")?;
+    let client = BoxClient::new(settings.box_keys.clone())?;
+    let membership = Rc::new(RefCell::new(new_membership(&settings)));
+    let cx = EntryCx::new(settings, membership, client);
+    log::info!("entry box {} serves callers at {}", cx.settings.name, cx.settings.callers_addr);
+
+    let (stop_handle, stop) = stop_pair();
+    let listeners = [
+        compio::runtime::spawn(serve(callers, limits(&cx), callers_handler(&cx), stop.clone())),
+        compio::runtime::spawn(serve(boxes, limits(&cx), boxes_handler(&cx), stop.clone())),
+    ];
+    spawn_tasks(&cx, &stop);
+
+    signals::stop_requested().await?;
+    begin_drain(&cx);
+    let cut_short = signals::stop_requested().fuse();
+    let drained = drained(&cx).fuse();
+    futures_util::pin_mut!(cut_short, drained);
+    futures_util::select! {
+        () = drained => log::info!("every request has its answer"),
+        _ = cut_short => log::warn!("cut short with {} requests in progress", cx.active()),
+    }
+    drop(stop_handle);
+    for listener in listeners {
+        let _ = compio::time::timeout(Duration::from_secs(1), listener).await;
+    }
+    Ok(())
+}
+
+/// Begins the planned stop: leaves the lists of addresses, and closes the intake
+/// once no caller can hold a list that names this box.
+pub fn begin_drain(cx: &Rc<EntryCx>) {
+    if cx.intake.get() != Intake::Open {
+        return;
+    }
+    cx.intake.set(Intake::Leaving);
+    let actions = cx.membership.borrow_mut().leave(Instant::now());
+    task::perform(&cx.membership, &cx.boxes, actions);
+    let cx = cx.clone();
+    compio::runtime::spawn(async move {
+        compio::time::sleep(cx.settings.timing.stop_grace).await;
+        cx.intake.set(Intake::Closed);
+        log::info!("takes no new work; {} requests in progress", cx.active());
+    })
+    .detach();
+}
+
+/// Resolves once the intake is closed and no request is in progress.
+async fn drained(cx: &EntryCx) {
+    while cx.intake.get() != Intake::Closed || cx.active() > 0 {
+        compio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
+fn spawn_tasks(cx: &Rc<EntryCx>, stop: &Stop) {
+    let membership = cx.membership.clone();
+    let seeds = cx.settings.seeds.clone();
+    compio::runtime::spawn(task::run(membership, cx.boxes.clone(), seeds, stop.clone())).detach();
+    compio::runtime::spawn(follow_config(cx.clone(), stop.clone())).detach();
+    compio::runtime::spawn(routing::run(cx.clone(), stop.clone())).detach();
+}
+
+async fn follow_config(cx: Rc<EntryCx>, stop: Stop) {
+    let find = || config_parents(&cx);
+    feed::follow(cx.settings.name.clone(), &cx.config, &cx.boxes, find, stop).await;
+}
+
+fn config_parents(cx: &EntryCx) -> Vec<SocketAddr> {
+    let membership = cx.membership.borrow();
+    let own = membership.own_record().subject.clone();
+    let live: Vec<&MemberRecord> = membership.serving_boxes().collect();
+    let position = live.iter().position(|r| r.subject == own).unwrap_or(0);
+    let addrs: Vec<SocketAddr> = live.iter().map(|r| r.box_addr).collect();
+    feed::parents(position, &addrs, &cx.settings.control, cx.settings.limits.feed_fanout)
+}
+
+fn new_membership(settings: &EntrySettings) -> Membership {
+    let own = MemberRecord {
+        subject: Subject::Box(settings.name.clone()),
+        incarnation: unix_ms(),
+        status: MemberStatus::Alive,
+        addr: settings.callers_addr,
+        box_addr: settings.boxes_addr,
+        failure_domain: settings.failure_domain.clone(),
+    };
+    Membership::new(own, MembershipConfig::default(), rand::random(), Instant::now())
+}
+
+fn limits(cx: &EntryCx) -> ServerLimits {
+    ServerLimits { connections: cx.settings.limits.max_connections, ..ServerLimits::default() }
+}
+
+fn callers_handler(cx: &Rc<EntryCx>) -> Handler {
+    let cx = cx.clone();
+    Rc::new(move |req, peer| callers::handle(cx.clone(), req, peer).boxed_local())
+}
+
+fn boxes_handler(cx: &Rc<EntryCx>) -> Handler {
+    let cx = cx.clone();
+    Rc::new(move |req, _peer| boxes::handle(cx.clone(), req).boxed_local())
+}
--- /dev/null
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -0,0 +1,449 @@
+//! Drives one answer: opens attempts at engines and feeds [`StreamState`].
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use super::context::{EntryCx, StreamGuard};
+use crate::admission::{Gate, Permit, Refusal, Want};
+use crate::engine::adapter::{self, EngineError};
+use crate::engine::{EventReader, GenerateRequest};
+use crate::ids::{AttemptId, GenerationId, PoolName, Priority, RunnerName, WorkspaceName};
+use crate::metrics::{Count, STALL_THRESHOLD, Timing};
+use crate::streams::{Phase, StreamLimits, StreamState, StreamStep};
+use crate::trace::Span;
+
+/// Rest before the second link to an engine; it doubles with each further one.
+const RELINK_REST: Duration = Duration::from_millis(50);
+/// Characters of prompt that count as one token where the engine has not counted yet.
+const CHARS_PER_TOKEN: u64 = 4;
+/// Output expected of a request of which nothing is known, in tokens.
+const EXPECTED_OUTPUT: u64 = 256;
+
+/// A checked request for a generation.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Who asks.
+    pub workspace: WorkspaceName,
+    /// What it pays for.
+    pub priority: Priority,
+    /// The pool that holds the model.
+    pub pool: PoolName,
+    /// The model.
+    pub model: String,
+    /// The prompt.
+    pub prompt: String,
+    /// Bound on the output, in tokens.
+    pub max_tokens: u64,
+    /// Seed for a repeatable output.
+    pub seed: Option<u64>,
+    /// Whether tokens go to the caller as they come.
+    pub streams: bool,
+    /// Silence after which a link is remade.
+    pub silence_limit: Duration,
+}
+
+impl Job {
+    /// Returns the tokens of the prompt, roughly.
+    pub fn prompt_tokens(&self) -> u64 {
+        self.prompt.chars().count() as u64 / CHARS_PER_TOKEN + 1
+    }
+
+    fn cost(&self) -> u64 {
+        self.prompt_tokens() + self.max_tokens.min(EXPECTED_OUTPUT)
+    }
+}
+
+/// Why no answer could begin.
+#[derive(Debug)]
+pub enum StartError {
+    /// No runner took the request; it was not run.
+    Refused(Refusal),
+    /// Runners failed before the first token.
+    Failed {
+        /// Why.
+        cause: String,
+        /// Whether any runner can have run it.
+        ran: bool,
+    },
+}
+
+/// One answer in progress. Dropping it cancels the generation unless another
+/// box has resumed it.
+pub struct Generation {
+    cx: Rc<EntryCx>,
+    job: Job,
+    gate: Gate,
+    state: StreamState,
+    permit: Option<Permit>,
+    upstream: hatchpitch_net::Upstream,
+    runner: RunnerName,
+    reader: Option<EventReader>,
+    failed_runners: Vec<RunnerName>,
+    relink_rest: Duration,
+    ran: bool,
+    span: Span,
+    _streams: StreamGuard,
+    started: Instant,
+    last_progress: Instant,
+}
+
+impl Generation {
+    /// Waits for a runner and starts the generation there.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StartError`] if no runner could be found or none could start it.
+    pub async fn start(
+        cx: Rc<EntryCx>,
+        job: Job,
+        span: Span,
+        streams: StreamGuard,
+    ) -> Result<Self, StartError> {
+        let gate = cx.gate(&job.pool);
+        cx.retries.borrow_mut().earn(&job.workspace, &job.pool);
+        let started = Instant::now();
+        let permit = admit(&gate, &job, &[], &span).await.map_err(StartError::Refused)?;
+        cx.metrics.time(Timing::Wait, &job.pool, job.priority, started.elapsed());
+        let limits = StreamLimits::default();
+        let state = StreamState::new(new_id(), new_id(), job.streams, limits);
+        let mut generation = Self {
+            upstream: cx.upstream(permit.runner.addr),
+            runner: permit.runner.name.clone(),
+            cx,
+            job,
+            gate,
+            state,
+            permit: Some(permit),
+            reader: None,
+            failed_runners: Vec::new(),
+            relink_rest: RELINK_REST,
+            ran: false,
+            span,
+            _streams: streams,
+            started,
+            last_progress: started,
+        };
+        match generation.open().await {
+            StreamStep::Fail { cause } => Err(StartError::Failed { cause, ran: generation.ran }),
+            _ => Ok(generation),
+        }
+    }
+
+    /// Resumes an answer that began at another box, from token `next` on.
+    pub async fn resume(
+        cx: Rc<EntryCx>,
+        job: Job,
+        runner: (RunnerName, std::net::SocketAddr),
+        generation: GenerationId,
+        next: u64,
+        span: Span,
+        streams: StreamGuard,
+    ) -> Result<Self, StartError> {
+        let gate = cx.gate(&job.pool);
+        let started = Instant::now();
+        let mut resumed = Self {
+            upstream: cx.upstream(runner.1),
+            runner: runner.0,
+            cx,
+            job,
+            gate,
+            state: StreamState::resume(generation, new_id(), next, StreamLimits::default()),
+            permit: None,
+            reader: None,
+            failed_runners: Vec::new(),
+            relink_rest: RELINK_REST,
+            ran: true,
+            span,
+            _streams: streams,
+            started,
+            last_progress: started,
+        };
+        match resumed.relink(next).await {
+            StreamStep::Fail { cause } => Err(StartError::Failed { cause, ran: true }),
+            _ => Ok(resumed),
+        }
+    }
+
+    /// Returns the runner that the answer comes from now.
+    pub fn runner(&self) -> &RunnerName {
+        &self.runner
+    }
+
+    /// Returns the generation that the answer comes from now.
+    pub fn id(&self) -> &str {
+        self.state.generation()
+    }
+
+    /// Returns the request.
+    pub fn job(&self) -> &Job {
+        &self.job
+    }
+
+    /// Returns whether any runner can have run the request.
+    pub fn ran(&self) -> bool {
+        self.ran
+    }
+
+    /// Waits for the next step that concerns the caller.
+    ///
+    /// [`StreamStep::Nothing`] comes from time to time and shows that the engine lives;
+    /// [`StreamStep::Rerun`] tells that what was collected so far is void.
+    pub async fn next(&mut self) -> StreamStep {
+        loop {
+            let step = self.read_step().await;
+            match self.handle(step).await {
+                Some(step) => return step,
+                None => continue,
+            }
+        }
+    }
+
+    async fn handle(&mut self, step: StreamStep) -> Option<StreamStep> {
+        match step {
+            StreamStep::Drop => {
+                self.cx.metrics.count(Count::DroppedMessages, &self.job.pool);
+                None
+            }
+            StreamStep::Preempted => {
+                self.cx.metrics.count(Count::Preemptions, &self.job.pool);
+                self.span.note("preempted_at", self.state.next_index());
+                None
+            }
+            StreamStep::Relink { from } => match self.relink(from).await {
+                StreamStep::Nothing => None,
+                other => Some(other),
+            },
+            StreamStep::Rerun => match self.rerun().await {
+                StreamStep::Nothing => Some(StreamStep::Rerun),
+                other => Some(other),
+            },
+            StreamStep::Deliver { .. } => {
+                self.note_progress();
+                Some(step)
+            }
+            StreamStep::Finish { tokens, .. } => {
+                self.note_finish(tokens);
+                Some(step)
+            }
+            StreamStep::Nothing | StreamStep::Fail { .. } => Some(step),
+        }
+    }
+
+    async fn read_step(&mut self) -> StreamStep {
+        let silence = self.job.silence_limit;
+        let Some(reader) = self.reader.as_mut() else {
+            return self.state.on_link_lost("no link to the engine");
+        };
+        match compio::time::timeout(silence, reader.next()).await {
+            Ok(Ok(Some(event))) => self.state.on_event(event),
+            Ok(Ok(None)) => self.state.on_link_lost("the engine closed the stream"),
+            Ok(Err(err)) => self.state.on_link_lost(&err.to_string()),
+            Err(_) => self.state.on_link_lost("the engine fell silent"),
+        }
+    }
+
+    /// Opens the first link of a new generation; on failure goes on to other runners.
+    async fn open(&mut self) -> StreamStep {
+        loop {
+            match self.generate().await {
+                Ok(()) => return StreamStep::Nothing,
+                Err(err) => match self.state.on_generation_lost(&err.to_string()) {
+                    StreamStep::Rerun => match self.move_to_other_runner(&err.to_string()).await {
+                        StreamStep::Nothing => continue,
+                        failed => return failed,
+                    },
+                    other => return other,
+                },
+            }
+        }
+    }
+
+    async fn generate(&mut self) -> Result<(), EngineError> {
+        let mut span = self.span.child("engine.generate");
+        span.note("runner", &self.runner);
+        let req = GenerateRequest {
+            generation: self.state.generation().to_owned(),
+            attempt: self.state.attempt().to_owned(),
+            model: self.job.model.clone(),
+            prompt: self.job.prompt.clone(),
+            max_tokens: self.job.max_tokens,
+            priority: self.job.priority,
+            seed: self.job.seed,
+        };
+        let head_timeout = self.cx.settings.timing.head_timeout;
+        let opened =
+            adapter::generate(&self.upstream, &req, &span.traceparent(), head_timeout).await;
+        match opened {
+            Ok(reader) => {
+                self.ran = true;
+                self.reader = Some(reader);
+                Ok(())
+            }
+            Err(err) => {
+                span.note("error", &err);
+                log::info!("generate at {}: {err}", self.runner);
+                self.ran |= !err.is_not_run();
+                if let (Some(permit), EngineError::Send(_)) = (self.permit.as_mut(), &err) {
+                    permit.failed();
+                }
+                Err(err)
+            }
+        }
+    }
+
+    /// Opens a new link to the same generation.
+    async fn relink(&mut self, from: u64) -> StreamStep {
+        self.reader = None;
+        self.cx.metrics.count(Count::Relinks, &self.job.pool);
+        loop {
+            self.state.relinked(new_id());
+            let mut span = self.span.child("engine.resume");
+            span.note("runner", &self.runner);
+            span.note("from", from);
+            let head_timeout = self.job.silence_limit;
+            let (id, attempt) = (self.state.generation(), self.state.attempt());
+            let trace = span.traceparent();
+            let opened =
+                adapter::resume(&self.upstream, id, attempt, from, &trace, head_timeout).await;
+            let step = match opened {
+                Ok(reader) => {
+                    self.reader = Some(reader);
+                    self.relink_rest = RELINK_REST;
+                    return StreamStep::Nothing;
+                }
+                Err(EngineError::Refused { cause, .. }) => self.state.on_generation_lost(&cause),
+                Err(err) => {
+                    span.note("error", &err);
+                    self.state.on_link_lost(&err.to_string())
+                }
+            };
+            match step {
+                StreamStep::Relink { .. } => {
+                    compio::time::sleep(self.relink_rest).await;
+                    self.relink_rest *= 2;
+                }
+                StreamStep::Rerun => {
+                    return match self.rerun().await {
+                        StreamStep::Nothing => StreamStep::Rerun,
+                        failed => failed,
+                    };
+                }
+                other => {
+                    self.runner_failed();
+                    return other;
+                }
+            }
+        }
+    }
+
+    /// Runs the request anew at another runner. The caller has seen nothing of the old run.
+    async fn rerun(&mut self) -> StreamStep {
+        self.runner_failed();
+        self.cancel_now();
+        match self.move_to_other_runner("the engine lost the generation").await {
+            StreamStep::Nothing => self.open().await,
+            failed => failed,
+        }
+    }
+
+    async fn move_to_other_runner(&mut self, cause: &str) -> StreamStep {
+        self.reader = None;
+        self.permit = None;
+        self.failed_runners.push(self.runner.clone());
+        let allowed = self.cx.retries.borrow_mut().take(&self.job.workspace, &self.job.pool);
+        if !allowed {
+            return self.state.fail(&format!("{cause}; the retry budget is used up"));
+        }
+        self.cx.metrics.count(Count::Reruns, &self.job.pool);
+        let admitted = admit(&self.gate, &self.job, &self.failed_runners, &self.span).await;
+        let permit = match admitted {
+            Ok(permit) => permit,
+            Err(refusal) => return self.state.fail(&format!("{cause}; {}", refusal.cause)),
+        };
+        self.upstream = self.cx.upstream(permit.runner.addr);
+        self.runner = permit.runner.name.clone();
+        self.permit = Some(permit);
+        self.state.rerun(new_id(), new_id());
+        StreamStep::Nothing
+    }
+
+    fn runner_failed(&mut self) {
+        if let Some(permit) = self.permit.as_mut() {
+            permit.failed();
+        }
+    }
+
+    fn note_progress(&mut self) {
+        let (pool, priority) = (&self.job.pool, self.job.priority);
+        let gap = self.last_progress.elapsed();
+        if self.state.next_index() == 1 {
+            self.cx.metrics.time(Timing::FirstToken, pool, priority, self.started.elapsed());
+            self.span.note("first_token_us", self.started.elapsed().as_micros());
+        } else {
+            self.cx.metrics.time(Timing::TokenGap, pool, priority, gap);
+            if gap > STALL_THRESHOLD {
+                self.cx.metrics.time(Timing::Stall, pool, priority, gap);
+            }
+        }
+        self.last_progress = Instant::now();
+    }
+
+    fn note_finish(&mut self, tokens: u64) {
+        self.cx.metrics.count(Count::Done, &self.job.pool);
+        self.span.note("tokens", tokens);
+        let real = self.job.prompt_tokens() + tokens;
+        if let Some(permit) = self.permit.as_mut() {
+            permit.succeeded(real);
+        }
+    }
+
+    fn cancel_now(&self) {
+        spawn_cancel(self.upstream, &self.state, Duration::ZERO);
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        let after = match self.state.phase() {
+            Phase::Done => return,
+            Phase::Ended => Duration::ZERO,
+            // The caller left; it may come back to any box within the window.
+            Phase::Open => self.cx.settings.timing.resume_window,
+        };
+        spawn_cancel(self.upstream, &self.state, after);
+    }
+}
+
+fn spawn_cancel(upstream: hatchpitch_net::Upstream, state: &StreamState, after: Duration) {
+    let (id, attempt) = (state.generation().to_owned(), state.attempt().to_owned());
+    compio::runtime::spawn(async move {
+        compio::time::sleep(after).await;
+        if let Err(err) = adapter::cancel(&upstream, &id, &attempt).await {
+            log::debug!("cancel of {id}: {err}");
+        }
+    })
+    .detach();
+}
+
+async fn admit(
+    gate: &Gate,
+    job: &Job,
+    avoid: &[RunnerName],
+    span: &Span,
+) -> Result<Permit, Refusal> {
+    let _span = span.child("admission.wait");
+    let want = Want {
+        workspace: job.workspace.clone(),
+        priority: job.priority,
+        cost: job.cost(),
+        avoid: avoid.to_vec(),
+    };
+    gate.admit(want).await
+}
+
+/// Makes an id that no other process will make.
+pub fn new_id() -> AttemptId {
+    format!("{:032x}", rand::rng().random::<u128>())
+}
--- /dev/null
+++ b/crates/hatchpitch/src/entry/mod.rs
@@ -0,0 +1,14 @@
+//! The entry process: takes callers' requests in and sees each to its answer.
+
+pub mod apps;
+pub mod boxes;
+pub mod callers;
+pub mod chunks;
+pub mod completions;
+pub mod context;
+pub mod daemon;
+pub mod generation;
+pub mod operators;
+
+pub use context::EntryCx;
+pub use daemon::run;
--- /dev/null
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -0,0 +1,133 @@
+//! What operators ask of an entry box, under `/ops/`.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use hatchpitch_net::{Body, read_body};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+
+use super::callers::{body_problem, only};
+use super::context::{EntryCx, Intake};
+use super::daemon;
+use crate::ids::{BoxName, ConfigNumber, PoolName, RunnerName, WorkspaceName};
+use crate::membership::MemberStatus;
+use crate::outcome::{Outcome, Problem, json_response};
+use crate::security::bearer;
+
+/// What an entry box tells operators about itself.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EntryStatus {
+    /// Name of the box.
+    pub name: BoxName,
+    /// Configuration number in force.
+    pub config_number: ConfigNumber,
+    /// Milliseconds since that number was confirmed as the newest; `None` if never.
+    pub confirmed_age_ms: Option<u64>,
+    /// `open`, `leaving` or `closed`.
+    pub intake: String,
+    /// Requests in progress.
+    pub active: usize,
+    /// Streams in progress a workspace.
+    pub streams: Vec<(WorkspaceName, u64)>,
+    /// Pools as this box sees them.
+    pub pools: Vec<PoolStatus>,
+    /// Boxes as this box sees them.
+    pub boxes: Vec<BoxStatus>,
+}
+
+/// A pool as one box sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PoolStatus {
+    /// Its name.
+    pub name: PoolName,
+    /// Requests that wait at this box.
+    pub waiting: usize,
+    /// Its runners: name, requests of this box, whether it takes new work.
+    pub runners: Vec<(RunnerName, u64, bool)>,
+}
+
+/// A box as another one sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct BoxStatus {
+    /// Its name.
+    pub name: BoxName,
+    /// Its status.
+    pub status: MemberStatus,
+    /// Where callers reach it.
+    pub addr: std::net::SocketAddr,
+}
+
+/// Answers one request of an operator.
+pub async fn handle(cx: &Rc<EntryCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
+    let view = cx.config.view();
+    let operator = bearer(req.headers()).and_then(|key| view.operator_of_key(key));
+    let Some(operator) = operator.map(str::to_owned) else {
+        let message = "Authorization: expected \"Bearer\" and a key of an operator";
+        return Err(Problem::not_run(StatusCode::UNAUTHORIZED, "unknown_key", message));
+    };
+    let path = req.uri().path().to_owned();
+    if let Some(trace) = path.strip_prefix("/ops/trace/") {
+        only(Method::GET, &req)?;
+        return Ok(json_response(StatusCode::OK, &cx.tracer.find(trace), Outcome::Done));
+    }
+    match path.as_str() {
+        "/ops/status" => {
+            only(Method::GET, &req)?;
+            Ok(json_response(StatusCode::OK, &status(cx), Outcome::Done))
+        }
+        "/ops/drain" => {
+            only(Method::POST, &req)?;
+            let limits = cx.settings.timing.body_timeout;
+            read_body(req.into_body(), 1_024, limits).await.map_err(body_problem)?;
+            log::info!("drain ordered by operator {operator}");
+            daemon::begin_drain(cx);
+            Ok(json_response(StatusCode::ACCEPTED, &status(cx), Outcome::Done))
+        }
+        _ => Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown_path", "no such path")),
+    }
+}
+
+/// Returns the status of this box.
+pub fn status(cx: &Rc<EntryCx>) -> EntryStatus {
+    cx.sync_gates();
+    let now = Instant::now();
+    let age = cx.config.confirmed_age().map(|age| u64::try_from(age.as_millis()));
+    let pools = cx.gates().into_iter().map(|(name, gate)| PoolStatus {
+        name,
+        waiting: gate.waiting(),
+        runners: gate.update(|table| table.overview(now)),
+    });
+    let mut pools: Vec<PoolStatus> = pools.collect();
+    pools.sort_by(|a, b| a.name.cmp(&b.name));
+    EntryStatus {
+        name: cx.settings.name.clone(),
+        config_number: cx.config.number(),
+        confirmed_age_ms: age.and_then(Result::ok),
+        intake: intake_name(cx.intake.get()).to_owned(),
+        active: cx.active(),
+        streams: cx.stream_counts(),
+        pools,
+        boxes: boxes(cx),
+    }
+}
+
+fn boxes(cx: &EntryCx) -> Vec<BoxStatus> {
+    let membership = cx.membership.borrow();
+    let rows = membership.records().filter_map(|record| match &record.subject {
+        crate::membership::Subject::Box(name) => {
+            Some(BoxStatus { name: name.clone(), status: record.status, addr: record.addr })
+        }
+        crate::membership::Subject::Upstream(_) => None,
+    });
+    rows.collect()
+}
+
+fn intake_name(intake: Intake) -> &'static str {
+    match intake {
+        Intake::Open => "open",
+        Intake::Leaving => "leaving",
+        Intake::Closed => "closed",
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/lib.rs
@@ -0,0 +1,26 @@
+//! The serving system for generations of unknown length on crowded engines.
+//!
+//! One folder a duty. In each, `state` is plain data with functions that know
+//! no socket, clock or chance; `messages` is what goes over the wire; `verify`
+//! checks the invariants in tests; a thin task does the I/O. The daemons
+//! `hatchpitch-entry` and `hatchpitch-control` only wire duties together.
+
+pub mod admission;
+pub mod claims;
+pub mod config;
+pub mod control;
+pub mod discovery;
+pub mod engine;
+pub mod entry;
+pub mod ids;
+pub mod limits;
+pub mod logging;
+pub mod membership;
+pub mod metrics;
+pub mod outcome;
+pub mod routing;
+pub mod security;
+pub mod settings;
+pub mod signals;
+pub mod streams;
+pub mod trace;
--- /dev/null
+++ b/crates/hatchpitch/src/outcome.rs
@@ -0,0 +1,144 @@
+//! What a caller is told when a request has no answer: `not_run`, `done` or `unknown`.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hatchpitch_net::Body;
+use http::{HeaderValue, Response, StatusCode, header};
+use serde::{Deserialize, Serialize};
+
+/// Header that carries the outcome of every answer.
+pub const OUTCOME_HEADER: &str = "x-hatchpitch-outcome";
+
+/// Whether a request was run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// No byte of the request reached an upstream, or the upstream itself says that it ran nothing.
+    NotRun,
+    /// It was run and this is its answer.
+    Done,
+    /// It may have been run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the name used in headers and bodies.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Done => "done",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// A final answer other than success.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Stable name of the kind of problem.
+    pub kind: &'static str,
+    /// What went wrong, for people.
+    pub message: String,
+    /// Whether the request was run.
+    pub outcome: Outcome,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// The body of a [`Problem`], in the shape that clients of the usual API read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProblemBody {
+    /// The problem.
+    pub error: ProblemDetail,
+}
+
+/// The inner part of a [`ProblemBody`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProblemDetail {
+    /// What went wrong, for people.
+    pub message: String,
+    /// Stable name of the kind of problem.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// Whether the request was run.
+    pub outcome: Outcome,
+    /// When to come back, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// A request that is wrong itself; it was not run and would not be next time.
+    pub fn bad_request(message: impl Into<String>) -> Self {
+        Self::not_run(StatusCode::BAD_REQUEST, "bad_request", message)
+    }
+
+    /// A request that was not run.
+    pub fn not_run(status: StatusCode, kind: &'static str, message: impl Into<String>) -> Self {
+        let message = message.into();
+        Self { status, kind, message, outcome: Outcome::NotRun, retry_after: None }
+    }
+
+    /// A request that may have been run.
+    pub fn unknown(status: StatusCode, kind: &'static str, message: impl Into<String>) -> Self {
+        let message = message.into();
+        Self { status, kind, message, outcome: Outcome::Unknown, retry_after: None }
+    }
+
+    /// Adds the time after which to come back.
+    pub fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Returns the body.
+    pub fn body(&self) -> ProblemBody {
+        let after = self.retry_after.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+        ProblemBody {
+            error: ProblemDetail {
+                message: self.message.clone(),
+                kind: self.kind.to_owned(),
+                outcome: self.outcome,
+                retry_after_ms: after,
+            },
+        }
+    }
+
+    /// Returns the HTTP answer.
+    pub fn into_response(self) -> Response<Body> {
+        let mut res = json_response(self.status, &self.body(), self.outcome);
+        if let Some(after) = self.retry_after {
+            // The header has whole seconds; rounding up keeps callers from coming too early.
+            let seconds = after.as_millis().div_ceil(1_000);
+            if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+                res.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+        }
+        res
+    }
+}
+
+/// Answers with a JSON body and the outcome in the header.
+pub fn json_response<T: Serialize>(
+    status: StatusCode,
+    body: &T,
+    outcome: Outcome,
+) -> Response<Body> {
+    let text = serde_json::to_vec(body).unwrap_or_else(|err| err.to_string().into_bytes());
+    let mut res = Response::new(Body::from(Bytes::from(text)));
+    *res.status_mut() = status;
+    let headers = res.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome.as_str()));
+    res
+}
+
+/// Answers with plain text.
+pub fn text_response(status: StatusCode, text: impl Into<String>) -> Response<Body> {
+    let mut res = Response::new(Body::from(text.into()));
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/crates/hatchpitch/src/routing/mod.rs
@@ -0,0 +1,7 @@
+//! Where a request runs: the state of each runner as one box sees it.
+
+pub mod state;
+pub mod task;
+pub mod verify;
+
+pub use state::{RoutingConfig, RunnerTable};
--- /dev/null
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -0,0 +1,190 @@
+//! The runners of one pool as one box sees them, without I/O.
+//!
+//! What this box runs itself is known exactly; load reports lag and only break
+//! ties between runners. A runner that fails is ejected for a time that
+//! doubles, and comes back with one request at a time until one succeeds.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::engine::EngineLoad;
+use crate::ids::{FailureDomainName, RunnerName};
+
+/// Bounds of ejection.
+#[derive(Debug, Clone, Copy)]
+pub struct RoutingConfig {
+    /// First time of ejection.
+    pub eject_min: Duration,
+    /// Longest time of ejection.
+    pub eject_max: Duration,
+}
+
+impl Default for RoutingConfig {
+    fn default() -> Self {
+        Self { eject_min: Duration::from_millis(500), eject_max: Duration::from_secs(30) }
+    }
+}
+
+/// A runner as the fleet file defines it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunnerSpec {
+    /// Its name.
+    pub name: RunnerName,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: FailureDomainName,
+    /// Requests that this box may run on it at once.
+    pub slots: u64,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct RunnerState {
+    pub(super) spec: RunnerSpec,
+    pub(super) running: u64,
+    /// Whether the fleet file still holds it.
+    pub(super) configured: bool,
+    /// Whether membership lets it take new work.
+    pub(super) serving: bool,
+    pub(super) failures: u32,
+    pub(super) ejected_until: Option<Instant>,
+    pub(super) load: Option<EngineLoad>,
+}
+
+/// The runners of one pool.
+#[derive(Debug, Clone)]
+pub struct RunnerTable {
+    cfg: RoutingConfig,
+    pub(super) runners: BTreeMap<RunnerName, RunnerState>,
+    picks: usize,
+}
+
+impl RunnerTable {
+    /// Creates an empty table.
+    pub fn new(cfg: RoutingConfig) -> Self {
+        Self { cfg, runners: BTreeMap::new(), picks: 0 }
+    }
+
+    /// Takes in what the fleet file says; runners that are gone finish what they have.
+    pub fn sync(&mut self, specs: impl IntoIterator<Item = RunnerSpec>) {
+        for runner in self.runners.values_mut() {
+            runner.configured = false;
+        }
+        for spec in specs {
+            let runner = self.runners.entry(spec.name.clone()).or_insert_with(|| RunnerState {
+                spec: spec.clone(),
+                running: 0,
+                configured: true,
+                serving: true,
+                failures: 0,
+                ejected_until: None,
+                load: None,
+            });
+            runner.configured = true;
+            runner.spec = spec;
+        }
+        self.runners.retain(|_, runner| runner.configured || runner.running > 0);
+    }
+
+    /// Picks the least loaded runner that takes new work and is not in `avoid`, and takes a slot on it.
+    pub fn pick(&mut self, avoid: &[RunnerName], now: Instant) -> Option<RunnerSpec> {
+        self.picks += 1;
+        let turn = self.picks;
+        let count = self.runners.len().max(1);
+        let open = self.runners.values_mut().enumerate();
+        let open = open.filter(|(_, r)| r.has_slot(now) && !avoid.contains(&r.spec.name));
+        let (_, best) = open.min_by(|(i, a), (j, b)| {
+            let order = a.load_share().total_cmp(&b.load_share());
+            order.then_with(|| ((i + turn) % count).cmp(&((j + turn) % count)))
+        })?;
+        best.running += 1;
+        Some(best.spec.clone())
+    }
+
+    /// Returns whether any runner could take new work now or after others finish.
+    pub fn any_serving(&self, now: Instant) -> bool {
+        self.runners.values().any(|r| r.takes_work(now))
+    }
+
+    /// Returns when the first ejected runner comes back, if none serves.
+    pub fn next_return(&self) -> Option<Instant> {
+        let back = self.runners.values().filter(|r| r.configured && r.serving);
+        back.filter_map(|r| r.ejected_until).min()
+    }
+
+    /// Gives a slot back after success.
+    pub fn succeeded(&mut self, name: &str) {
+        let Some(runner) = self.runners.get_mut(name) else { return };
+        runner.failures = 0;
+        runner.ejected_until = None;
+        runner.release();
+    }
+
+    /// Gives a slot back without a verdict on the runner.
+    pub fn released(&mut self, name: &str) {
+        if let Some(runner) = self.runners.get_mut(name) {
+            runner.release();
+        }
+    }
+
+    /// Gives a slot back after the runner failed.
+    pub fn failed(&mut self, name: &str, now: Instant) {
+        let cfg = self.cfg;
+        let Some(runner) = self.runners.get_mut(name) else { return };
+        let doubled = cfg.eject_min.saturating_mul(1 << runner.failures.min(16));
+        runner.failures += 1;
+        runner.ejected_until = Some(now + doubled.min(cfg.eject_max));
+        runner.release();
+    }
+
+    /// Notes whether membership lets a runner take new work.
+    pub fn set_serving(&mut self, name: &str, serving: bool) {
+        if let Some(runner) = self.runners.get_mut(name) {
+            runner.serving = serving;
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn report(&mut self, name: &str, load: EngineLoad) {
+        if let Some(runner) = self.runners.get_mut(name) {
+            runner.load = Some(load);
+        }
+    }
+
+    /// Returns the runners that the fleet file holds.
+    pub fn configured(&self) -> impl Iterator<Item = &RunnerSpec> {
+        self.runners.values().filter(|r| r.configured).map(|r| &r.spec)
+    }
+
+    /// Returns name, requests of this box and whether it takes new work, for operators.
+    pub fn overview(&self, now: Instant) -> Vec<(RunnerName, u64, bool)> {
+        let rows = self.runners.values();
+        rows.map(|r| (r.spec.name.clone(), r.running, r.takes_work(now))).collect()
+    }
+}
+
+impl RunnerState {
+    fn takes_work(&self, now: Instant) -> bool {
+        self.configured && self.serving && self.ejected_until.is_none_or(|until| now >= until)
+    }
+
+    fn has_slot(&self, now: Instant) -> bool {
+        let slots = if self.failures > 0 { 1 } else { self.spec.slots };
+        self.takes_work(now) && self.running < slots
+    }
+
+    /// Share of the slots in use here, with the reported memory as a finer measure.
+    fn load_share(&self) -> f64 {
+        let own = self.running as f64 / self.spec.slots.max(1) as f64;
+        let reported = self.load.as_ref().map_or(0.0, |load| {
+            let memory = load.memory_used as f64 / load.memory_limit.max(1) as f64;
+            memory + load.waiting as f64 / self.spec.slots.max(1) as f64
+        });
+        own + reported
+    }
+
+    fn release(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -0,0 +1,59 @@
+//! Reads the load reports of upstreams and passes on what they say about leaving.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hatchpitch_net::Stop;
+
+use crate::config::Runner;
+use crate::engine::{EngineLoad, adapter};
+use crate::entry::EntryCx;
+use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
+use crate::membership::task;
+
+/// Time between load reports of one runner.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+
+/// Reads reports until `stop`.
+pub async fn run(cx: Rc<EntryCx>, stop: Stop) {
+    while !stop.is_set() {
+        let view = cx.sync_gates();
+        cx.membership.borrow_mut().set_config_number(view.number);
+        for pool in &view.pools {
+            for runner in &pool.runners {
+                let (cx, runner) = (cx.clone(), runner.clone());
+                compio::runtime::spawn(async move { read_report(&cx, &runner).await }).detach();
+            }
+            cx.apply_membership(pool);
+            cx.gate(&pool.pool.name).tick(Instant::now());
+        }
+        compio::time::sleep(REPORT_PERIOD).await;
+    }
+}
+
+async fn read_report(cx: &EntryCx, runner: &Runner) {
+    let load = match adapter::load(&cx.upstream(runner.addr)).await {
+        Ok(load) => load,
+        Err(err) => {
+            log::debug!("load report of {}: {err}", runner.name);
+            return;
+        }
+    };
+    observe(cx, runner, &load);
+    cx.gate(&runner.pool).update(|table| table.report(&runner.name, load));
+}
+
+/// Notes what the upstream says about its own life; leaving is sticky within it.
+fn observe(cx: &EntryCx, runner: &Runner, load: &EngineLoad) {
+    let status = if load.leaving { MemberStatus::Leaving } else { MemberStatus::Alive };
+    let record = MemberRecord {
+        subject: Subject::Upstream(runner.name.clone()),
+        incarnation: load.incarnation,
+        status,
+        addr: runner.addr,
+        box_addr: runner.addr,
+        failure_domain: runner.failure_domain.clone(),
+    };
+    let actions = cx.membership.borrow_mut().observe(record, Instant::now());
+    task::perform(&cx.membership, &cx.boxes, actions);
+}
--- /dev/null
+++ b/crates/hatchpitch/src/settings/control.rs
@@ -0,0 +1,119 @@
+//! Settings of a control process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use hatchpitch_net::KeyRing;
+use log::LevelFilter;
+use serde::Deserialize;
+use toml::Spanned;
+
+use super::diagnostic::{Checker, Finding};
+use super::shared::{self, RawBoxKey};
+use crate::config::Operator;
+use crate::config::check::check_keys;
+use crate::config::raw::RawOperator;
+use crate::ids::BoxName;
+
+/// The settings file before it is checked.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawControlSettings {
+    name: Spanned<String>,
+    boxes_addr: Spanned<String>,
+    operators_addr: Spanned<String>,
+    data_folder: PathBuf,
+    #[serde(default)]
+    peer: Vec<RawPeer>,
+    box_keys: Spanned<Vec<RawBoxKey>>,
+    #[serde(default)]
+    operator: Vec<RawOperator>,
+    log_level: Option<Spanned<String>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawPeer {
+    name: Spanned<String>,
+    boxes_addr: Spanned<String>,
+    operators_addr: Spanned<String>,
+}
+
+/// A control box as its peers know it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlPeer {
+    /// Its name.
+    pub name: BoxName,
+    /// Where other boxes reach it.
+    pub boxes_addr: SocketAddr,
+    /// Where operators reach it.
+    pub operators_addr: SocketAddr,
+}
+
+/// Checked settings of a control process.
+#[derive(Debug, Clone)]
+pub struct ControlSettings {
+    /// The box itself.
+    pub own: ControlPeer,
+    /// All control boxes of the first configuration, the box itself included.
+    pub peers: Vec<ControlPeer>,
+    /// Folder for all that must survive.
+    pub data_folder: PathBuf,
+    /// Keys shared by the boxes.
+    pub box_keys: KeyRing,
+    /// Operators that are known before the first fleet file.
+    pub operators: Vec<Operator>,
+    /// Level of the logs.
+    pub log_level: LevelFilter,
+}
+
+impl TryFrom<RawControlSettings> for ControlSettings {
+    type Error = Vec<Finding>;
+
+    fn try_from(raw: RawControlSettings) -> Result<Self, Self::Error> {
+        let mut check = Checker::default();
+        let own = peer(&mut check, "", &raw.name, &raw.boxes_addr, &raw.operators_addr);
+        let peers: Vec<Option<ControlPeer>> = raw
+            .peer
+            .iter()
+            .map(|p| peer(&mut check, "peer.", &p.name, &p.boxes_addr, &p.operators_addr))
+            .collect();
+        let box_keys = shared::key_ring(&mut check, &raw.box_keys);
+        let operators = raw.operator.iter().map(|op| operator(&mut check, op)).collect();
+        let log_level = shared::log_level(&mut check, &raw.log_level);
+        let (Some(own), Some(box_keys)) = (own, box_keys) else {
+            return Err(check.finish(()).expect_err("each missing value was noted"));
+        };
+        let mut peers: Vec<ControlPeer> = peers.into_iter().flatten().collect();
+        if !peers.iter().any(|p| p.name == own.name) {
+            peers.push(own.clone());
+        }
+        peers.sort_by(|a, b| a.name.cmp(&b.name));
+        if let Some(pair) = peers.windows(2).find(|pair| pair[0].name == pair[1].name) {
+            let found = format!("{:?} twice", pair[0].name);
+            check.note(raw.name.span(), "peer.name", found, "each control box once");
+        }
+        let data_folder = raw.data_folder;
+        check.finish(Self { own, peers, data_folder, box_keys, operators, log_level })
+    }
+}
+
+fn peer(
+    check: &mut Checker,
+    prefix: &str,
+    name: &Spanned<String>,
+    boxes_addr: &Spanned<String>,
+    operators_addr: &Spanned<String>,
+) -> Option<ControlPeer> {
+    let name = check.name(&format!("{prefix}name"), name);
+    let boxes_addr = check.parse(&format!("{prefix}boxes_addr"), boxes_addr, shared::ADDR)?;
+    let operators_addr =
+        check.parse(&format!("{prefix}operators_addr"), operators_addr, shared::ADDR)?;
+    Some(ControlPeer { name, boxes_addr, operators_addr })
+}
+
+fn operator(check: &mut Checker, raw: &RawOperator) -> Operator {
+    let name = check.name("operator.name", &raw.name);
+    let keys = check_keys(check, "operator.keys", &raw.keys);
+    Operator { name, keys }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/settings/entry.rs
@@ -0,0 +1,208 @@
+//! Settings of an entry process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hatchpitch_net::KeyRing;
+use log::LevelFilter;
+use serde::Deserialize;
+use toml::Spanned;
+
+use super::diagnostic::{Checker, Finding};
+use super::shared::{self, RawBoxKey};
+use crate::ids::{BoxName, FailureDomainName};
+
+/// The settings file before it is checked.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawEntrySettings {
+    name: Spanned<String>,
+    failure_domain: Spanned<String>,
+    callers_addr: Spanned<String>,
+    boxes_addr: Spanned<String>,
+    control: Spanned<Vec<Spanned<String>>>,
+    #[serde(default)]
+    seeds: Vec<Spanned<String>>,
+    box_keys: Spanned<Vec<RawBoxKey>>,
+    log_level: Option<Spanned<String>>,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    timing: RawTiming,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawLimits {
+    max_body_bytes: Option<Spanned<u64>>,
+    max_connections: Option<Spanned<u64>>,
+    feed_fanout: Option<Spanned<u64>>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawTiming {
+    body_timeout_ms: Option<Spanned<u64>>,
+    connect_timeout_ms: Option<Spanned<u64>>,
+    head_timeout_ms: Option<Spanned<u64>>,
+    endpoints_max_age_ms: Option<Spanned<u64>>,
+    stop_grace_ms: Option<Spanned<u64>>,
+    config_max_age_ms: Option<Spanned<u64>>,
+    max_wait_ms: Option<Spanned<u64>>,
+    slow_caller_ms: Option<Spanned<u64>>,
+    resume_window_ms: Option<Spanned<u64>>,
+}
+
+/// Bounds that an entry process holds.
+#[derive(Debug, Clone, Copy)]
+pub struct EntryLimits {
+    /// Largest request body, in bytes.
+    pub max_body: usize,
+    /// Connections open at once a listener.
+    pub max_connections: usize,
+    /// Children a box feeds with configuration.
+    pub feed_fanout: usize,
+}
+
+/// Times that an entry process keeps.
+#[derive(Debug, Clone, Copy)]
+pub struct EntryTiming {
+    /// Time in which a request body must arrive.
+    pub body_timeout: Duration,
+    /// Time for a connect to an upstream.
+    pub connect_timeout: Duration,
+    /// Time in which an upstream must begin to answer.
+    pub head_timeout: Duration,
+    /// How long callers may keep a list of addresses.
+    pub endpoints_max_age: Duration,
+    /// How long a stopping box takes new work; always longer than `endpoints_max_age`.
+    pub stop_grace: Duration,
+    /// Age from which on an unconfirmed configuration stops new work.
+    pub config_max_age: Duration,
+    /// Longest time a request may wait for a runner.
+    pub max_wait: Duration,
+    /// How long a caller may keep a stream from moving on.
+    pub slow_caller: Duration,
+    /// How long a generation is kept for a caller that left.
+    pub resume_window: Duration,
+}
+
+/// Checked settings of an entry process.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Name of the box.
+    pub name: BoxName,
+    /// Where it stands.
+    pub failure_domain: FailureDomainName,
+    /// Listener for callers and operators.
+    pub callers_addr: SocketAddr,
+    /// Listener for other boxes.
+    pub boxes_addr: SocketAddr,
+    /// The control boxes.
+    pub control: Vec<SocketAddr>,
+    /// Other entry boxes to join through.
+    pub seeds: Vec<SocketAddr>,
+    /// Keys shared by the boxes.
+    pub box_keys: KeyRing,
+    /// Level of the logs.
+    pub log_level: LevelFilter,
+    /// Bounds.
+    pub limits: EntryLimits,
+    /// Times.
+    pub timing: EntryTiming,
+}
+
+impl TryFrom<RawEntrySettings> for EntrySettings {
+    type Error = Vec<Finding>;
+
+    fn try_from(raw: RawEntrySettings) -> Result<Self, Self::Error> {
+        let mut check = Checker::default();
+        let name = check.name("name", &raw.name);
+        let failure_domain = check.name("failure_domain", &raw.failure_domain);
+        let callers_addr = check.parse("callers_addr", &raw.callers_addr, shared::ADDR);
+        let boxes_addr = check.parse("boxes_addr", &raw.boxes_addr, shared::ADDR);
+        let control = shared::addrs(&mut check, "control", raw.control.get_ref());
+        if raw.control.get_ref().is_empty() {
+            check.note(raw.control.span(), "control", "no address", "one address or more");
+        }
+        let seeds = shared::addrs(&mut check, "seeds", &raw.seeds);
+        let box_keys = shared::key_ring(&mut check, &raw.box_keys);
+        let log_level = shared::log_level(&mut check, &raw.log_level);
+        let limits = limits(&mut check, &raw.limits);
+        let timing = timing(&mut check, &raw.timing);
+        let (Some(callers_addr), Some(boxes_addr), Some(box_keys)) =
+            (callers_addr, boxes_addr, box_keys)
+        else {
+            return Err(check.finish(()).expect_err("each missing value was noted"));
+        };
+        check.finish(Self {
+            name,
+            failure_domain,
+            callers_addr,
+            boxes_addr,
+            control,
+            seeds,
+            box_keys,
+            log_level,
+            limits,
+            timing,
+        })
+    }
+}
+
+/// Returns a number within a range, or its default.
+fn number(
+    check: &mut Checker,
+    key: &str,
+    raw: &Option<Spanned<u64>>,
+    allowed: std::ops::RangeInclusive<u64>,
+    default: u64,
+) -> u64 {
+    let Some(raw) = raw else { return default };
+    check.range(key, raw, allowed);
+    *raw.get_ref()
+}
+
+fn limits(check: &mut Checker, raw: &RawLimits) -> EntryLimits {
+    let mut size = |key, raw: &Option<Spanned<u64>>, allowed, default| {
+        usize::try_from(number(check, key, raw, allowed, default)).unwrap_or(usize::MAX)
+    };
+    EntryLimits {
+        max_body: size("limits.max_body_bytes", &raw.max_body_bytes, 1_024..=64 << 20, 1 << 20),
+        max_connections: size("limits.max_connections", &raw.max_connections, 16..=65_536, 4_096),
+        feed_fanout: size("limits.feed_fanout", &raw.feed_fanout, 1..=64, 8),
+    }
+}
+
+fn timing(check: &mut Checker, raw: &RawTiming) -> EntryTiming {
+    let mut ms = |key, raw: &Option<Spanned<u64>>, allowed, default| {
+        Duration::from_millis(number(check, key, raw, allowed, default))
+    };
+    let timing = EntryTiming {
+        body_timeout: ms("timing.body_timeout_ms", &raw.body_timeout_ms, 100..=600_000, 10_000),
+        connect_timeout: ms("timing.connect_timeout_ms", &raw.connect_timeout_ms, 10..=60_000, 500),
+        head_timeout: ms("timing.head_timeout_ms", &raw.head_timeout_ms, 10..=600_000, 10_000),
+        endpoints_max_age: ms(
+            "timing.endpoints_max_age_ms",
+            &raw.endpoints_max_age_ms,
+            1_000..=600_000,
+            5_000,
+        ),
+        stop_grace: ms("timing.stop_grace_ms", &raw.stop_grace_ms, 1_000..=900_000, 7_000),
+        config_max_age: ms(
+            "timing.config_max_age_ms",
+            &raw.config_max_age_ms,
+            1_000..=600_000,
+            10_000,
+        ),
+        max_wait: ms("timing.max_wait_ms", &raw.max_wait_ms, 10..=600_000, 20_000),
+        slow_caller: ms("timing.slow_caller_ms", &raw.slow_caller_ms, 100..=600_000, 15_000),
+        resume_window: ms("timing.resume_window_ms", &raw.resume_window_ms, 0..=600_000, 3_000),
+    };
+    if timing.stop_grace <= timing.endpoints_max_age {
+        let span = raw.stop_grace_ms.as_ref().map_or(0..0, Spanned::span);
+        let found = format!("{} ms", timing.stop_grace.as_millis());
+        check.note(span, "timing.stop_grace_ms", found, "more than endpoints_max_age_ms");
+    }
+    timing
+}
--- /dev/null
+++ b/crates/hatchpitch/src/settings/shared.rs
@@ -0,0 +1,59 @@
+//! Parts that the settings of both daemons share.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use hatchpitch_net::{KeyRing, SigningKey};
+use log::LevelFilter;
+use serde::Deserialize;
+use toml::Spanned;
+
+use super::diagnostic::Checker;
+
+pub(super) const ADDR: &str = "an address such as \"127.0.0.1:7001\"";
+
+/// A key that the boxes share; its secret stands in a file of its own.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawBoxKey {
+    pub id: Spanned<String>,
+    pub file: Spanned<PathBuf>,
+}
+
+/// Reads the key files and makes the ring. The first key signs.
+pub(super) fn key_ring(check: &mut Checker, raw: &Spanned<Vec<RawBoxKey>>) -> Option<KeyRing> {
+    let mut keys = Vec::new();
+    for raw_key in raw.get_ref() {
+        let secret = match std::fs::read_to_string(raw_key.file.get_ref()) {
+            Ok(text) => text.trim().as_bytes().to_vec(),
+            Err(err) => {
+                let found = format!("{}: {err}", raw_key.file.get_ref().display());
+                check.note(raw_key.file.span(), "box_keys.file", found, "a readable key file");
+                return None;
+            }
+        };
+        let Some(key) = SigningKey::new(raw_key.id.get_ref().clone(), secret) else {
+            let expected = "a plain id and a secret of at least 16 bytes";
+            check.note(raw_key.id.span(), "box_keys", "an unfit key", expected);
+            return None;
+        };
+        keys.push(key);
+    }
+    let ring = KeyRing::new(keys);
+    if ring.is_none() {
+        check.note(raw.span(), "box_keys", "no key or an id twice", "one key or more");
+    }
+    ring
+}
+
+/// Parses a list of addresses.
+pub(super) fn addrs(check: &mut Checker, key: &str, raw: &[Spanned<String>]) -> Vec<SocketAddr> {
+    raw.iter().filter_map(|addr| check.parse(key, addr, ADDR)).collect()
+}
+
+/// Parses the level of the logs; `info` if none is given.
+pub(super) fn log_level(check: &mut Checker, raw: &Option<Spanned<String>>) -> LevelFilter {
+    let Some(raw) = raw else { return LevelFilter::Info };
+    let expected = "off, error, warn, info, debug or trace";
+    check.parse("log_level", raw, expected).unwrap_or(LevelFilter::Info)
+}
--- /dev/null
+++ b/crates/net/src/keys.rs
@@ -0,0 +1,90 @@
+//! Keys shared by the boxes: they sign messages between boxes and response tokens.
+//!
+//! A ring holds several keys. The first signs, every one verifies, so a key is
+//! rolled by adding the new one last everywhere, then moving it first
+//! everywhere, then removing the old one.
+
+use std::fmt;
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// Names a key inside a [`KeyRing`].
+pub type KeyId = String;
+
+/// One secret and its name.
+#[derive(Clone)]
+pub struct SigningKey {
+    /// The name that travels with each signature.
+    pub id: KeyId,
+    secret: Vec<u8>,
+}
+
+impl SigningKey {
+    /// Shortest secret accepted, in bytes.
+    pub const MIN_SECRET: usize = 16;
+
+    /// Creates a key, or `None` if the secret is too short or the id is not plain.
+    pub fn new(id: KeyId, secret: Vec<u8>) -> Option<Self> {
+        let plain = !id.is_empty() && id.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
+        (plain && secret.len() >= Self::MIN_SECRET).then_some(Self { id, secret })
+    }
+}
+
+impl fmt::Debug for SigningKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SigningKey").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+/// The keys that a box signs and verifies with. Never empty.
+#[derive(Debug, Clone)]
+pub struct KeyRing(Vec<SigningKey>);
+
+impl KeyRing {
+    /// Creates a ring whose first key signs, or `None` if `keys` is empty or names repeat.
+    pub fn new(keys: Vec<SigningKey>) -> Option<Self> {
+        let repeats = keys.iter().enumerate().any(|(i, a)| keys[..i].iter().any(|b| a.id == b.id));
+        (!keys.is_empty() && !repeats).then_some(Self(keys))
+    }
+
+    /// Signs `parts` for `purpose`; returns `key-id.hex`.
+    pub fn sign(&self, purpose: &str, parts: &[&[u8]]) -> String {
+        let key = &self.0[0];
+        format!("{}.{}", key.id, to_hex(&mac(key, purpose, parts).finalize().into_bytes()))
+    }
+
+    /// Returns whether `signature` was made by a key of this ring over the same parts.
+    pub fn verify(&self, purpose: &str, parts: &[&[u8]], signature: &str) -> bool {
+        let Some((id, hex)) = signature.split_once('.') else {
+            return false;
+        };
+        let (Some(key), Some(tag)) = (self.0.iter().find(|key| key.id == id), from_hex(hex)) else {
+            return false;
+        };
+        mac(key, purpose, parts).verify_slice(&tag).is_ok()
+    }
+}
+
+fn mac(key: &SigningKey, purpose: &str, parts: &[&[u8]]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(&key.secret).expect("HMAC takes any key length");
+    for part in std::iter::once(&purpose.as_bytes()).chain(parts) {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac
+}
+
+/// Writes bytes as lower-case hexadecimal digits.
+pub fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// Reads hexadecimal digits; `None` if there are others or an odd count.
+pub fn from_hex(text: &str) -> Option<Vec<u8>> {
+    if !text.len().is_multiple_of(2) || !text.is_ascii() {
+        return None;
+    }
+    let digits = text.as_bytes().chunks(2);
+    digits.map(|d| u8::from_str_radix(std::str::from_utf8(d).ok()?, 16).ok()).collect()
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,21 @@
+//! HTTP over compio for the processes of hatchpitch.
+//!
+//! This crate is the only one that touches sockets. It exists so that the
+//! duties in the `hatchpitch` library can be written against three small
+//! things: a bounded server ([`serve`]), a client whose errors say how much of
+//! a request can have reached the peer ([`Upstream`]), and signed messages
+//! between boxes ([`BoxClient`]).
+
+pub mod body;
+pub mod client;
+pub mod keys;
+pub mod rpc;
+pub mod server;
+pub mod stop;
+
+pub use body::{Body, BodyError, BodySender, read_body, read_stream};
+pub use client::{SendError, SendStep, Upstream};
+pub use keys::{KeyId, KeyRing, SigningKey};
+pub use rpc::{BoxClient, CallError, CallStep, open_message, rmp_response};
+pub use server::{Handler, ServerLimits, bind, serve};
+pub use stop::{Stop, StopHandle, stop_pair};
--- /dev/null
+++ b/crates/net/src/rpc.rs
@@ -0,0 +1,180 @@
+//! Signed calls between boxes: HTTP `POST` with an `rmp-serde` body.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{Body, KeyRing};
+
+/// Header that carries the signature of a message between boxes.
+pub const SIGNATURE_HEADER: &str = "x-hatchpitch-signature";
+/// Purpose under which messages between boxes are signed.
+const PURPOSE: &str = "box-message";
+/// Largest answer read from another box, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+const CONTENT_TYPE: &str = "application/msgpack";
+
+/// The step of a call to another box at which it failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallStep {
+    /// The message could not be encoded.
+    Encode,
+    /// The call could not be sent or was not answered.
+    Send,
+    /// The box answered with a refusal.
+    Refused,
+    /// The answer could not be decoded.
+    Decode,
+}
+
+/// A failed call to another box.
+#[derive(Debug)]
+pub struct CallError {
+    /// The step that failed.
+    pub step: CallStep,
+    /// The box's address.
+    pub peer: SocketAddr,
+    /// What went wrong.
+    pub cause: String,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} at box {}: {}", self.step, self.peer, self.cause)
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// Calls other boxes over kept connections, signing each message.
+#[derive(Clone)]
+pub struct BoxClient {
+    http: cyper::Client,
+    keys: KeyRing,
+}
+
+impl BoxClient {
+    /// Creates a client that signs with the first key of `keys`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the HTTP library's error if its client cannot be built.
+    pub fn new(keys: KeyRing) -> anyhow::Result<Self> {
+        let http = cyper::Client::builder().no_proxy().build()?;
+        Ok(Self { http, keys })
+    }
+
+    /// Returns the keys that this client signs with.
+    pub fn keys(&self) -> &KeyRing {
+        &self.keys
+    }
+
+    /// Sends `message` to `path` at `peer` and decodes the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] that names the step and the peer.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        message: &Q,
+        limit: Duration,
+    ) -> Result<A, CallError> {
+        let fail = |step, cause: String| CallError { step, peer, cause };
+        let body = rmp_serde::to_vec_named(message)
+            .map_err(|err| fail(CallStep::Encode, err.to_string()))?;
+        let bytes = match compio::time::timeout(limit, self.exchange(peer, path, body)).await {
+            Ok(answer) => answer?,
+            Err(_) => return Err(fail(CallStep::Send, format!("no answer within {limit:?}"))),
+        };
+        rmp_serde::from_slice(&bytes).map_err(|err| fail(CallStep::Decode, err.to_string()))
+    }
+
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Bytes, CallError> {
+        let fail = |step, cause: String| CallError { step, peer, cause };
+        let send_failed = |err: cyper::Error| fail(CallStep::Send, error_chain(&err));
+        let signature = self.keys.sign(PURPOSE, &[path.as_bytes(), &body]);
+        let req = self
+            .http
+            .post(format!("http://{peer}{path}"))
+            .and_then(|req| req.header(header::CONTENT_TYPE, CONTENT_TYPE))
+            .and_then(|req| req.header(SIGNATURE_HEADER, signature))
+            .map_err(send_failed)?;
+        let res = req.body(body).send().await.map_err(send_failed)?;
+        let status = res.status();
+        if res.content_length().is_some_and(|len| len > MAX_ANSWER as u64) {
+            return Err(fail(CallStep::Decode, format!("answer larger than {MAX_ANSWER} bytes")));
+        }
+        let bytes = res.bytes().await.map_err(send_failed)?;
+        if status != StatusCode::OK {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            return Err(fail(CallStep::Refused, format!("{status}: {text}")));
+        }
+        Ok(bytes)
+    }
+}
+
+/// Joins an error with its causes.
+fn error_chain(err: &dyn std::error::Error) -> String {
+    let mut text = err.to_string();
+    let mut cause = err.source();
+    while let Some(err) = cause {
+        text.push_str(": ");
+        text.push_str(&err.to_string());
+        cause = err.source();
+    }
+    text
+}
+
+/// Checks the signature of a message from another box and decodes it.
+///
+/// # Errors
+///
+/// Returns the refusal to answer with: 401 for a wrong signature, 400 for a
+/// body that does not decode.
+pub fn open_message<Q: DeserializeOwned>(
+    keys: &KeyRing,
+    path: &str,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Result<Q, Box<Response<Body>>> {
+    let signature = headers.get(SIGNATURE_HEADER).and_then(|value| value.to_str().ok());
+    let signed = signature.is_some_and(|s| keys.verify(PURPOSE, &[path.as_bytes(), body], s));
+    if !signed {
+        return Err(Box::new(plain(StatusCode::UNAUTHORIZED, "unknown or missing box signature")));
+    }
+    rmp_serde::from_slice(body).map_err(|err| {
+        let text = format!("{path}: message does not decode: {err}");
+        Box::new(plain(StatusCode::BAD_REQUEST, &text))
+    })
+}
+
+/// Answers another box with an `rmp-serde` body.
+pub fn rmp_response<A: Serialize>(answer: &A) -> Response<Body> {
+    match rmp_serde::to_vec_named(answer) {
+        Ok(bytes) => {
+            let mut res = Response::new(Body::from(Bytes::from(bytes)));
+            let value = HeaderValue::from_static(CONTENT_TYPE);
+            res.headers_mut().insert(header::CONTENT_TYPE, value);
+            res
+        }
+        Err(err) => plain(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()),
+    }
+}
+
+fn plain(status: StatusCode, text: &str) -> Response<Body> {
+    let mut res = Response::new(Body::from(text.to_owned()));
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,119 @@
+//! A bounded HTTP/1.1 server on the current thread.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, LocalBoxFuture, select};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+
+use crate::{Body, Stop};
+
+/// Answers one request; the address is the caller's.
+pub type Handler =
+    Rc<dyn Fn(Request<Incoming>, SocketAddr) -> LocalBoxFuture<'static, Response<Body>>>;
+
+/// Bounds that hold for each listener.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// Connections open at once; more are closed on arrival.
+    pub connections: usize,
+    /// Time in which a whole request head must arrive.
+    pub header_timeout: Duration,
+    /// Bytes that a connection may buffer.
+    pub buffer: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self { connections: 4096, header_timeout: Duration::from_secs(10), buffer: 64 * 1024 }
+    }
+}
+
+/// How long the accept loop rests after a failure such as too many open files.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Returns the system's error with the address that could not be bound.
+pub async fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|err| io::Error::new(err.kind(), format!("bind {addr}: {err}")))
+}
+
+/// Serves connections until `stop` is set; requests in progress then finish.
+///
+/// Returns once every connection has closed.
+pub async fn serve(listener: TcpListener, limits: ServerLimits, handler: Handler, stop: Stop) {
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let accepted = match select(Box::pin(listener.accept()), Box::pin(stop.wait())).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => break,
+        };
+        match accepted {
+            Ok((stream, peer)) if open.get() < limits.connections => {
+                open.set(open.get() + 1);
+                let task = connection(stream, peer, limits, handler.clone(), stop.clone());
+                let open = open.clone();
+                compio::runtime::spawn(async move {
+                    task.await;
+                    open.set(open.get() - 1);
+                })
+                .detach();
+            }
+            Ok((_, peer)) => log::warn!("connection from {peer} closed: too many open"),
+            Err(err) => {
+                log::warn!("accept failed: {err}");
+                compio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+    drop(listener);
+    while open.get() > 0 {
+        compio::time::sleep(ACCEPT_RETRY).await;
+    }
+}
+
+async fn connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: ServerLimits,
+    handler: Handler,
+    stop: Stop,
+) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("set_nodelay for {peer}: {err}");
+    }
+    let service = service_fn(move |req| {
+        let answer = handler(req, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.buffer)
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let mut conn = Box::pin(conn);
+    let ended = match select(conn.as_mut(), Box::pin(stop.wait())).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right(_) => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(err) = ended {
+        log::debug!("connection from {peer} ended: {err}");
+    }
+}
