--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -83,6 +83,12 @@
         #[arg(long)]
         wait: bool,
     },
+    /// Replace a control box that lost its disk; done means that a second loss costs nothing.
+    Repair {
+        /// Name of the box, which has to run with an empty data folder.
+        #[arg(long, value_name = "BOX")]
+        replace: String,
+    },
     /// Show the spans of a trace from all boxes.
     Trace {
         /// Trace id, 32 hexadecimal digits.
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -9,6 +9,7 @@
 use clap::CommandFactory;
 use hatchpitch::config::Entity;
 use hatchpitch::config::view::key_digest;
+use hatchpitch::control::repair::Repaired;
 use hatchpitch::security::new_key;
 use hatchpitch_net::keys::to_hex;
 use http::Method;
@@ -29,6 +30,7 @@
         Command::Get => get(&args).await,
         Command::Status => status::run(&args).await,
         Command::Drain { name, wait } => drain::run(&args, name, *wait).await,
+        Command::Repair { replace } => repair(&args, replace).await,
         Command::Trace { id } => trace::run(&args, id).await,
         Command::Completions { shell } => {
             let mut command = Args::command();
@@ -51,6 +53,16 @@
     Exit::Done
 }
 
+async fn repair(args: &Args, name: &str) -> anyhow::Result<Exit> {
+    let remote = Remote::new(args)?;
+    let path = format!("/ops/repair?replace={name}");
+    let repaired: Repaired = remote.call_leader(Method::POST, &path, &[]).await?.ok()?;
+    show(args.output, &repaired, || {
+        format!("{name} replaced; these control boxes count: {}", repaired.voters.join(", "))
+    });
+    Ok(Exit::Done)
+}
+
 async fn get(args: &Args) -> anyhow::Result<Exit> {
     let remote = Remote::new(args)?;
     let reply = remote.call_leader(Method::GET, "/ops/config", &[]).await?;
--- a/crates/cli/src/remote.rs
+++ b/crates/cli/src/remote.rs
@@ -12,7 +12,10 @@
 
 use crate::args::Args;
 
-const CALL_LIMIT: Duration = Duration::from_secs(10);
+/// Time for one call; a box may be frozen.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// Time for a repair.
+const REPAIR_LIMIT: Duration = Duration::from_secs(90);
 /// Time for which a leader is looked for.
 const LEADER_BUDGET: Duration = Duration::from_secs(15);
 const RETRY_REST: Duration = Duration::from_millis(200);
@@ -68,6 +71,7 @@
         path: &str,
         body: Vec<u8>,
     ) -> anyhow::Result<Reply> {
+        let limit = if path.starts_with("/ops/repair") { REPAIR_LIMIT } else { CALL_LIMIT };
         let req = self.http.request(method, format!("http://{at}{path}"))?;
         let req = req.bearer_auth(&self.key)?.body(body);
         let answer = async {
@@ -75,7 +79,7 @@
             let status = res.status();
             anyhow::Ok(Reply { status, body: res.bytes().await?.to_vec() })
         };
-        let answer = compio::time::timeout(CALL_LIMIT, answer).await;
+        let answer = compio::time::timeout(limit, answer).await;
         answer.with_context(|| format!("box {at}: no answer"))?.with_context(|| format!("box {at}"))
     }
 
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -21,6 +21,8 @@
 
 /// Time in which anything that a test waits for must happen.
 pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Time for one call to a box, which may be frozen.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(3);
 const POLL: Duration = Duration::from_millis(20);
 /// The model of the test pool.
 pub const MODEL: &str = "explain-7b";
@@ -53,7 +55,7 @@
 impl Default for Shape {
     fn default() -> Self {
         Self {
-            control: 1,
+            control: 3,
             entry: 3,
             engines: 2,
             apps: 1,
@@ -359,7 +361,7 @@
         Ok(serde_json::from_str(&body)?)
     }
 
-    /// Calls an operators' listener.
+    /// Calls an operators' listener; a repair takes the longest.
     ///
     /// # Errors
     ///
@@ -372,7 +374,10 @@
         body: Bytes,
     ) -> anyhow::Result<(u16, String)> {
         let operator = Caller { key: OPERATOR_KEY.to_owned() };
-        let (parts, body) = operator.call(at, method, path, HeaderMap::new(), body).await?;
+        let call = operator.call(at, method, path, HeaderMap::new(), body);
+        let limit = if path.starts_with("/ops/repair") { PATIENCE } else { OPERATOR_PATIENCE };
+        let answer = compio::time::timeout(limit, call).await;
+        let (parts, body) = answer.with_context(|| format!("{at} does not answer"))??;
         Ok((parts.status.as_u16(), String::from_utf8_lossy(&body).into_owned()))
     }
 
--- /dev/null
+++ b/crates/e2e/tests/control.rs
@@ -0,0 +1,203 @@
+//! The control boxes as real processes: kills, freezes, lost disks, racing operators.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hatchpitch::config::ApplyOutcome;
+use hatchpitch::control::operators::ControlStatus;
+use hatchpitch::control::repair::Repaired;
+use hatchpitch_e2e::fleet::PATIENCE;
+use hatchpitch_e2e::{Shape, TestFleet};
+use http::Method;
+
+async fn control_status(fleet: &TestFleet, i: usize) -> anyhow::Result<ControlStatus> {
+    let at = fleet.control_addrs[i];
+    let (status, body) = fleet.operator_call(at, Method::GET, "/ops/status", Bytes::new()).await?;
+    anyhow::ensure!(status == 200, "{body}");
+    Ok(serde_json::from_str(&body)?)
+}
+
+/// Waits for a box that leads among those that `counts` lets take part.
+async fn wait_leader(fleet: &TestFleet, counts: impl Fn(usize) -> bool) -> anyhow::Result<usize> {
+    let started = Instant::now();
+    while started.elapsed() < PATIENCE {
+        for i in (0..fleet.control_addrs.len()).filter(|i| counts(*i)) {
+            if control_status(fleet, i).await.is_ok_and(|status| status.leads) {
+                return Ok(i);
+            }
+        }
+        compio::time::sleep(Duration::from_millis(20)).await;
+    }
+    anyhow::bail!("no control box leads")
+}
+
+fn small() -> Shape {
+    Shape { entry: 2, engines: 1, apps: 0, ..Shape::default() }
+}
+
+#[compio::test]
+async fn a_killed_leader_is_replaced_and_nothing_accepted_is_lost() -> anyhow::Result<()> {
+    let mut fleet = TestFleet::start(small()).await?;
+    for number in 2..=4 {
+        let leader = wait_leader(&fleet, |_| true).await?;
+        fleet.control[leader].kill();
+        fleet.apply(number).await?;
+        fleet.wait_in_force(number).await?;
+        fleet.control[leader].restart()?;
+    }
+    for i in 0..3 {
+        let started = Instant::now();
+        while control_status(&fleet, i).await.map_or(0, |s| s.config_number) < 4 {
+            assert!(started.elapsed() < PATIENCE, "control-{i} does not catch up");
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+#[compio::test]
+async fn a_frozen_leader_that_thaws_puts_nothing_old_in_force() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(small()).await?;
+    let old = wait_leader(&fleet, |_| true).await?;
+    fleet.control[old].freeze();
+    let new = wait_leader(&fleet, |i| i != old).await?;
+    fleet.apply(2).await?;
+    fleet.wait_in_force(2).await?;
+    fleet.control[old].thaw();
+    let (status, body) = {
+        let body = Bytes::from(fleet.fleet_file(2).replace("priority = 9", "priority = 8"));
+        fleet.operator_call(fleet.control_addrs[old], Method::POST, "/ops/config", body).await?
+    };
+    assert_ne!(status, 200, "{body}");
+    for i in 0..2 {
+        assert_eq!(fleet.entry_status(i).await?.config_number, 2);
+    }
+    assert!(control_status(&fleet, new).await?.config_number >= 2);
+    Ok(())
+}
+
+#[compio::test]
+async fn racing_operators_get_one_winner_a_number_and_resends_get_the_same_answer()
+-> anyhow::Result<()> {
+    let mut fleet = TestFleet::start(small()).await?;
+    let mut winners: BTreeMap<u64, String> = BTreeMap::new();
+    for number in 2..=9 {
+        let one = fleet.fleet_file(number);
+        let other = one.replace("priority = 1\n", "priority = 2\n");
+        let (first, second) = futures_join(fleet.submit(&one), fleet.submit(&other)).await;
+        let outcomes = [outcome(first?)?, outcome(second?)?];
+        let accepted = outcomes.iter().filter(|o| matches!(o, ApplyOutcome::Accepted { .. }));
+        let accepted: Vec<&ApplyOutcome> = accepted.collect();
+        assert_eq!(accepted.len(), 1, "{outcomes:?}");
+        let ApplyOutcome::Accepted { content, .. } = accepted[0] else { unreachable!() };
+        winners.insert(number, content.clone());
+        let refused = outcomes.iter().find_map(|o| match o {
+            ApplyOutcome::Taken { winner, .. } => Some(winner.clone()),
+            _ => None,
+        });
+        assert_eq!(refused.as_ref(), Some(content), "{outcomes:?}");
+        let again = [outcome(fleet.submit(&one).await?)?, outcome(fleet.submit(&other).await?)?];
+        assert_eq!(again, outcomes);
+    }
+    let leader = wait_leader(&fleet, |_| true).await?;
+    fleet.control[leader].kill();
+    for (number, content) in &winners {
+        let one = fleet.fleet_file(*number);
+        let other = one.replace("priority = 1\n", "priority = 2\n");
+        for text in [one, other] {
+            match outcome(fleet.submit(&text).await?)? {
+                ApplyOutcome::Accepted { content: held, .. } => assert_eq!(held, *content),
+                ApplyOutcome::Taken { winner, .. } => assert_eq!(winner, *content),
+                stale => panic!("{stale:?}"),
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn futures_join<A, B>(a: impl Future<Output = A>, b: impl Future<Output = B>) -> (A, B) {
+    futures_util::future::join(a, b).await
+}
+
+fn outcome((status, body): (u16, String)) -> anyhow::Result<ApplyOutcome> {
+    anyhow::ensure!(status == 200 || status == 409, "{status}: {body}");
+    Ok(serde_json::from_str(&body)?)
+}
+
+#[compio::test]
+async fn a_lost_disk_is_repaired_and_a_second_loss_right_after_costs_nothing() -> anyhow::Result<()>
+{
+    let mut fleet = TestFleet::start(small()).await?;
+    for number in 2..=5 {
+        fleet.apply(number).await?;
+    }
+    let leader = wait_leader(&fleet, |_| true).await?;
+    let lost = (leader + 1) % 3;
+    let third = (leader + 2) % 3;
+    fleet.control[lost].kill();
+    std::fs::remove_dir_all(fleet.data_folder(lost))?;
+    fleet.control[lost].restart()?;
+
+    let repaired = repair(&fleet, lost).await?;
+    assert_eq!(repaired.voters.len(), 3);
+    fleet.control[third].kill();
+    std::fs::remove_dir_all(fleet.data_folder(third))?;
+
+    let text = fleet.fleet_file(5);
+    assert!(matches!(outcome(fleet.submit(&text).await?)?, ApplyOutcome::Accepted { .. }));
+    fleet.apply(6).await?;
+    fleet.wait_in_force(6).await?;
+    Ok(())
+}
+
+async fn repair(fleet: &TestFleet, lost: usize) -> anyhow::Result<Repaired> {
+    let started = Instant::now();
+    let path = format!("/ops/repair?replace=control-{lost}");
+    let mut last = String::new();
+    while started.elapsed() < PATIENCE {
+        for at in &fleet.control_addrs {
+            match fleet.operator_call(*at, Method::POST, &path, Bytes::new()).await {
+                Ok((200, body)) => return Ok(serde_json::from_str(&body)?),
+                Ok((status, body)) => last = format!("{status}: {body}"),
+                Err(err) => last = format!("{err:#}"),
+            }
+        }
+    }
+    anyhow::bail!("not repaired: {last}")
+}
+
+#[compio::test]
+async fn a_box_that_lost_its_disk_does_not_begin_anew() -> anyhow::Result<()> {
+    let mut fleet = TestFleet::start(small()).await?;
+    let lost = 1;
+    fleet.control[lost].kill();
+    std::fs::remove_dir_all(fleet.data_folder(lost))?;
+    fleet.control[lost].restart()?;
+    wait_leader(&fleet, |i| i != lost).await?;
+    let status = {
+        let started = Instant::now();
+        loop {
+            match control_status(&fleet, lost).await {
+                Ok(status) => break status,
+                Err(err) => assert!(started.elapsed() < PATIENCE, "{err:#}"),
+            }
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    assert!(status.voters.is_empty());
+    assert_eq!(status.config_number, 0);
+    Ok(())
+}
+
+#[compio::test]
+async fn an_entry_box_that_was_down_catches_up_with_hundreds_of_changes() -> anyhow::Result<()> {
+    let mut fleet = TestFleet::start(small()).await?;
+    fleet.entry[0].kill();
+    for number in 2..=200 {
+        fleet.apply(number).await?;
+    }
+    fleet.entry[0].restart()?;
+    fleet.wait_in_force(200).await?;
+    Ok(())
+}
--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -69,10 +69,10 @@
         self.inner.borrow().confirmed_at.map(|at| at.elapsed())
     }
 
-    /// Puts a state that was applied here in force and confirms it.
+    /// Puts a state that was applied here in force, unless a newer one already is.
     pub fn replace(&self, state: &ConfigState) {
         let mut inner = self.inner.borrow_mut();
-        if state.number() != inner.state.number() || state.digest() != inner.state.digest() {
+        if state.number() > inner.state.number() {
             inner.state = state.clone();
             inner.publish();
         }
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -15,6 +15,9 @@
 use crate::config::FeedRequest;
 use crate::config::feed::FEED_PATH;
 use crate::outcome::text_response;
+use crate::replication::bootstrap::{HELLO_PATH, Hello};
+use crate::replication::messages::LogBatch;
+use crate::replication::task::LOG_PATH;
 
 type Answered = Result<Response<Body>, Box<Response<Body>>>;
 
@@ -54,6 +57,15 @@
                 })
                 .await
             }
+            LOG_PATH => {
+                let batch = self.open::<LogBatch>()?;
+                self.receive(batch);
+                Ok(rmp_response(&()))
+            }
+            HELLO_PATH => {
+                self.open::<Hello>()?;
+                Ok(rmp_response(&self.cx.hello()))
+            }
             SETTLE_PATH => {
                 let req = self.open::<SettleRequest>()?;
                 self.ordered(Order::Settle(req), |_| ()).await
@@ -62,6 +74,16 @@
         }
     }
 
+    /// Passes messages of the log on; before it began, they are only a sign of being let in.
+    fn receive(&self, batch: LogBatch) {
+        let own = self.cx.id;
+        match self.cx.log() {
+            Some(log) => log.receive(batch),
+            None if batch.envelopes.iter().any(|e| e.to == own) => self.cx.invited.set(true),
+            None => {}
+        }
+    }
+
     fn open<Q: DeserializeOwned>(&self) -> Result<Q, Box<Response<Body>>> {
         open_message(&self.cx.settings.box_keys, self.path, self.headers, self.body)
     }
@@ -74,6 +96,7 @@
         match self.cx.propose(order).await {
             Ok(reply) => Ok(rmp_response(&LeaderAnswer::Served(answer(reply)))),
             Err(ProposeError::NotLeader(leader)) => {
+                let leader = leader.map(|leader| leader.boxes_addr);
                 Ok(rmp_response(&LeaderAnswer::<A>::NotLeader(leader)))
             }
             Err(ProposeError::Unknown(cause)) => {
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -1,21 +1,26 @@
 //! What the tasks of one control process share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
+use hatchpitch_net::BoxClient;
+
 use super::machine::{Command, Machine, Order, Reply};
 use crate::config::feed::ConfigCell;
 use crate::logging::unix_ms;
 use crate::metrics::Metrics;
+use crate::replication::bootstrap::Hello;
+use crate::replication::task::{Applier, ProposeFailure, ReplicaHandle};
+use crate::replication::{NodeId, Peer};
 use crate::settings::ControlSettings;
 
 /// Why an order was not carried out here.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ProposeError {
-    /// Another box leads, if it is known.
-    NotLeader(Option<SocketAddr>),
+    /// Another box leads, if it is known; nothing was begun.
+    NotLeader(Option<Peer>),
     /// Whether the order was or will be carried out is not known.
     Unknown(String),
 }
@@ -24,21 +29,32 @@
 pub struct ControlCx {
     /// Settings.
     pub settings: ControlSettings,
+    /// Identity of this box's disk.
+    pub id: NodeId,
     /// Configuration in force here, for the feed.
     pub config: ConfigCell,
     /// Metrics.
     pub metrics: Metrics,
+    /// Client for other boxes.
+    pub boxes: BoxClient,
+    /// Whether a leader has sent this box its log before it had one.
+    pub invited: Cell<bool>,
     machine: RefCell<Machine>,
+    log: OnceCell<ReplicaHandle>,
 }
 
 impl ControlCx {
-    /// Creates the shared state.
-    pub fn new(settings: ControlSettings) -> Rc<Self> {
+    /// Creates the shared state; the log begins later.
+    pub fn new(settings: ControlSettings, id: NodeId, boxes: BoxClient) -> Rc<Self> {
         Rc::new(Self {
             settings,
+            id,
             config: ConfigCell::default(),
             metrics: Metrics::default(),
+            boxes,
+            invited: Cell::new(false),
             machine: RefCell::new(Machine::new()),
+            log: OnceCell::new(),
         })
     }
 
@@ -47,29 +63,99 @@
         read(&self.machine.borrow())
     }
 
+    /// Sets the log once it has begun.
+    pub fn begin_log(&self, log: ReplicaHandle) {
+        // A second log cannot begin: the daemon starts one.
+        let _ = self.log.set(log);
+    }
+
+    /// Returns the log, once it has begun.
+    pub fn log(&self) -> Option<&ReplicaHandle> {
+        self.log.get()
+    }
+
+    /// Returns how this box introduces itself to its peers.
+    pub fn hello(&self) -> Hello {
+        Hello {
+            name: self.settings.own.name.clone(),
+            id: self.id,
+            members: self.log().map(|log| log.with(|replica| replica.members().clone())),
+        }
+    }
+
+    /// Returns the functions through which the log drives the state.
+    pub fn applier(self: &Rc<Self>) -> Applier {
+        let (apply, snapshot, restore, applied) =
+            (self.clone(), self.clone(), self.clone(), self.clone());
+        Applier {
+            apply: Box::new(move |command| apply.apply(command)),
+            snapshot: Box::new(move || encode(&*snapshot.machine.borrow())),
+            restore: Box::new(move |data| {
+                *restore.machine.borrow_mut() = match data {
+                    Some(bytes) => rmp_serde::from_slice(bytes)?,
+                    None => Machine::new(),
+                };
+                restore.config.replace(&restore.machine.borrow().config);
+                Ok(())
+            }),
+            applied: Box::new(move || applied.config.replace(&applied.machine.borrow().config)),
+        }
+    }
+
     /// Has an order carried out by the replicated log.
     ///
     /// # Errors
     ///
     /// Returns a [`ProposeError`] if this box does not lead or lost the lead meanwhile.
     pub async fn propose(&self, order: Order) -> Result<Reply, ProposeError> {
-        let reply = self.machine.borrow_mut().apply(Command { at: unix_ms(), order });
-        self.config.replace(&self.machine.borrow().config);
-        Ok(reply)
+        let Some(log) = self.log() else { return Err(ProposeError::NotLeader(None)) };
+        let command = encode(&Command { at: unix_ms(), order });
+        match log.propose(command).await {
+            Ok(reply) => rmp_serde::from_slice(&reply)
+                .map_err(|err| ProposeError::Unknown(format!("reply: {err}"))),
+            Err(ProposeFailure::NotLeader) => Err(ProposeError::NotLeader(self.leader())),
+            Err(ProposeFailure::Unknown(cause)) => Err(ProposeError::Unknown(cause)),
+        }
     }
 
     /// Returns whether this box leads.
     pub fn leads(&self) -> bool {
-        true
+        self.log().is_some_and(ReplicaHandle::holds_lease)
+    }
+
+    /// Returns the leader, as far as it is known here.
+    pub fn leader(&self) -> Option<Peer> {
+        self.log()?.with(|replica| replica.members().get(replica.leader()?).cloned())
     }
 
-    /// Returns where operators reach the leader.
-    pub fn leader(&self) -> Option<SocketAddr> {
-        Some(self.settings.own.operators_addr)
+    /// Returns where to follow the configuration: the leader, unless this box leads itself.
+    pub fn config_parents(&self) -> Vec<SocketAddr> {
+        let others =
+            self.leader().filter(|leader| leader.boxes_addr != self.settings.own.boxes_addr);
+        others.map(|leader| leader.boxes_addr).into_iter().collect()
     }
 
-    /// Notes that the configuration here was the newest a moment ago.
-    pub fn confirm_config(&self, at: Instant) {
-        self.config.confirm(at);
+    /// While this box holds the lease, notes that its configuration is the newest.
+    pub fn confirm_config(&self) {
+        let now = Instant::now();
+        if self.leads() {
+            self.config.confirm(now);
+        }
     }
+
+    fn apply(&self, command: &[u8]) -> Vec<u8> {
+        let reply = match rmp_serde::from_slice::<Command>(command) {
+            Ok(command) => self.machine.borrow_mut().apply(command),
+            Err(err) => {
+                // Every replica reads the same bytes with the same result.
+                log::error!("a command of the log does not decode: {err}");
+                Reply::Read
+            }
+        };
+        encode(&reply)
+    }
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    rmp_serde::to_vec_named(value).expect("commands, replies and the state always encode")
 }
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -1,14 +1,18 @@
-//! Wires a control process: listeners and tasks.
+//! Wires a control process: listeners, the log, and the feed of configuration.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::Context as _;
 use futures_util::FutureExt;
-use hatchpitch_net::{Handler, ServerLimits, bind, serve, stop_pair};
+use futures_util::future::{Either, select};
+use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, serve, stop_pair};
 
 use super::context::ControlCx;
 use super::{boxes, operators};
+use crate::config::feed;
+use crate::replication::disk::Disk;
+use crate::replication::{Storage, bootstrap, task};
 use crate::settings::ControlSettings;
 use crate::signals;
 
@@ -16,6 +20,8 @@
 pub const MAX_BODY: usize = 64 * 1024 * 1024;
 /// Time in which a body must arrive.
 pub const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Time between confirmations of the configuration while this box leads.
+const CONFIRM_PERIOD: Duration = Duration::from_millis(100);
 
 /// Runs a control process until it is asked to stop.
 ///
@@ -24,29 +30,27 @@
 /// Returns an error that names the listener that could not be opened, or what is
 /// wrong with the data folder.
 pub async fn run(settings: ControlSettings) -> anyhow::Result<()> {
+    let disk = Disk::folder(&settings.data_folder)
+        .with_context(|| format!("data folder {}", settings.data_folder.display()))?;
+    let id = bootstrap::identity(&disk)?;
     let operators = bind(settings.own.operators_addr).await.context("operators' listener")?;
     let boxes = bind(settings.own.boxes_addr).await.context("boxes' listener")?;
-    let cx = ControlCx::new(settings);
-    log::info!(
-        "control box {} serves operators at {}",
-        cx.settings.own.name,
-        cx.settings.own.operators_addr
-    );
+    let client = BoxClient::new(settings.box_keys.clone())?;
+    let cx = ControlCx::new(settings, id, client);
+    let own = &cx.settings.own;
+    log::info!("control box {} serves operators at {}", own.name, own.operators_addr);
     let (stop_handle, stop) = stop_pair();
     let limits = ServerLimits::default();
     let listeners = [
         compio::runtime::spawn(serve(operators, limits, operators_handler(&cx), stop.clone())),
         compio::runtime::spawn(serve(boxes, limits, boxes_handler(&cx), stop.clone())),
     ];
-    let confirmer = cx.clone();
-    compio::runtime::spawn(async move {
-        loop {
-            confirmer.confirm_config(std::time::Instant::now());
-            compio::time::sleep(Duration::from_millis(100)).await;
-        }
-    })
-    .detach();
-    signals::stop_requested().await?;
+    let ended =
+        select(Box::pin(run_log(&cx, disk, stop.clone())), Box::pin(signals::stop_requested()));
+    match ended.await {
+        Either::Left((failed, _)) => failed?,
+        Either::Right((asked, _)) => asked?,
+    }
     drop(stop_handle);
     for listener in listeners {
         let _ = compio::time::timeout(Duration::from_secs(1), listener).await;
@@ -54,6 +58,46 @@
     Ok(())
 }
 
+/// Begins the log, then confirms the configuration for as long as the process runs.
+async fn run_log(cx: &Rc<ControlCx>, disk: Disk, stop: Stop) -> anyhow::Result<()> {
+    if !Storage::has_log(&disk)? {
+        let hello = cx.hello();
+        let begun = bootstrap::bootstrap(&disk, &hello, &cx.settings.peers, &cx.boxes);
+        let joined = select(Box::pin(begun), Box::pin(joined(cx, &disk)));
+        match joined.await {
+            Either::Left((begun, _)) => begun?,
+            Either::Right((joined, _)) => joined?,
+        }
+    }
+    let own_addr = cx.settings.own.boxes_addr;
+    let client = cx.boxes.clone();
+    let log = task::start(disk, cx.id, cx.applier(), client, own_addr, stop.clone())?;
+    cx.begin_log(log);
+    log::info!("the log goes on; identity {:016x}", cx.id);
+    let follower = cx.clone();
+    compio::runtime::spawn(async move {
+        let find = || follower.config_parents();
+        let name = follower.settings.own.name.clone();
+        feed::follow(name, &follower.config, &follower.boxes, find, stop).await;
+    })
+    .detach();
+    loop {
+        cx.confirm_config();
+        compio::time::sleep(CONFIRM_PERIOD).await;
+    }
+}
+
+/// Waits until a leader that lets this box in has sent a first message.
+async fn joined(cx: &ControlCx, disk: &Disk) -> anyhow::Result<()> {
+    loop {
+        if cx.invited.get() {
+            // Who takes part comes with the log; until then this box is none of them.
+            return Ok(Storage::create(disk, crate::replication::Members::default())?);
+        }
+        compio::time::sleep(CONFIRM_PERIOD).await;
+    }
+}
+
 fn operators_handler(cx: &Rc<ControlCx>) -> Handler {
     let cx = cx.clone();
     Rc::new(move |req, _peer| operators::handle(cx.clone(), req).boxed_local())
--- a/crates/hatchpitch/src/control/mod.rs
+++ b/crates/hatchpitch/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod daemon;
 pub mod machine;
 pub mod operators;
+pub mod repair;
 
 pub use daemon::run;
 pub use machine::{Command, Machine, Reply};
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -1,6 +1,5 @@
 //! The control box's listener for operators.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use hatchpitch_net::keys::to_hex;
@@ -12,6 +11,7 @@
 use super::context::{ControlCx, ProposeError};
 use super::daemon::BODY_LIMIT;
 use super::machine::{Order, Reply};
+use super::repair;
 use crate::config::check::MAX_FLEET_FILE;
 use crate::config::view::find_key;
 use crate::config::{ApplyOutcome, Entity, EntityKey, load_fleet};
@@ -30,8 +30,12 @@
     pub name: BoxName,
     /// Whether it leads.
     pub leads: bool,
-    /// Where operators reach the leader, if it is known.
-    pub leader: Option<SocketAddr>,
+    /// The leader, if it is known.
+    pub leader: Option<BoxName>,
+    /// Control boxes that count.
+    pub voters: Vec<BoxName>,
+    /// Control boxes that receive the log and do not count yet.
+    pub learners: Vec<BoxName>,
     /// Newest accepted configuration number known here.
     pub config_number: ConfigNumber,
     /// Digest of that configuration, in hexadecimal digits.
@@ -87,6 +91,7 @@
         }
         (Method::POST, "/ops/config") => apply(cx, req, &operator).await,
         (Method::POST, "/ops/diff") => diff(cx, req).await,
+        (Method::POST, "/ops/repair") => repair(cx, req, &operator).await,
         _ => Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown_path", "no such path")),
     }
 }
@@ -161,7 +166,10 @@
     match err {
         ProposeError::NotLeader(leader) => {
             let message = match leader {
-                Some(addr) => format!("this box does not lead; the leader is {addr}"),
+                Some(leader) => {
+                    let (name, addr) = (leader.name, leader.operators_addr);
+                    format!("this box does not lead; the leader is {name} at {addr}")
+                }
                 None => "no leader is known".to_owned(),
             };
             Problem::not_run(StatusCode::MISDIRECTED_REQUEST, "not_leader", message)
@@ -198,12 +206,36 @@
     Ok(json_response(StatusCode::OK, &answer, Outcome::Done))
 }
 
+async fn repair(
+    cx: &Rc<ControlCx>,
+    req: Request<Incoming>,
+    operator: &str,
+) -> Result<Response<Body>, Problem> {
+    let query = req.uri().query().unwrap_or("");
+    let name = query.split('&').find_map(|pair| pair.strip_prefix("replace="));
+    let name = name.ok_or_else(|| Problem::bad_request("replace: missing"))?.to_owned();
+    if !cx.leads() {
+        return Err(propose_problem(ProposeError::NotLeader(cx.leader())));
+    }
+    log::info!("repair of {name} ordered by operator {operator}");
+    match repair::replace(cx, &name).await {
+        Ok(repaired) => Ok(json_response(StatusCode::OK, &repaired, Outcome::Done)),
+        Err(err) => {
+            let message = format!("not done; ask again: {err}");
+            Err(Problem::unknown(StatusCode::BAD_GATEWAY, "repair_failed", message))
+        }
+    }
+}
+
 /// Returns the status of this box.
 pub fn status(cx: &ControlCx) -> ControlStatus {
+    let members = cx.hello().members.unwrap_or_default();
     cx.with_machine(|m| ControlStatus {
         name: cx.settings.own.name.clone(),
         leads: cx.leads(),
-        leader: cx.leader(),
+        leader: cx.leader().map(|leader| leader.name),
+        voters: members.voters.values().map(|peer| peer.name.clone()).collect(),
+        learners: members.learners.values().map(|peer| peer.name.clone()).collect(),
         config_number: m.config.number(),
         config_digest: to_hex(&m.config.digest()),
         claims: m.claims.len(),
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod outcome;
+pub mod replication;
 pub mod routing;
 pub mod security;
 pub mod settings;
--- /dev/null
+++ b/crates/hatchpitch/src/replication/mod.rs
@@ -0,0 +1,20 @@
+//! The replicated log: Raft as a state machine without I/O, its files, and its driver.
+//!
+//! Pre-vote and check-quorum keep a box that comes back from a cut from
+//! disturbing the leader; the lease rests on the monotonic clock alone.
+
+pub mod append;
+pub mod bootstrap;
+pub mod change;
+pub mod disk;
+pub mod election;
+pub mod entries;
+pub mod messages;
+pub mod state;
+pub mod storage;
+pub mod task;
+pub mod verify;
+
+pub use messages::{Entry, Envelope, Index, Members, Message, NodeId, Payload, Peer, Term};
+pub use state::{HardState, Ready, Replica, ReplicaConfig, Restored, Snapshot};
+pub use storage::Storage;
--- /dev/null
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -0,0 +1,388 @@
+//! Drives a [`Replica`]: takes in everything that waits, syncs once, then sends and applies.
+//!
+//! Commands that arrive while a sync is in progress share the next one.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use hatchpitch_net::{BoxClient, Stop};
+
+use super::change::{ChangeError, MemberChange};
+use super::disk::Disk;
+use super::messages::{Entry, Envelope, Index, LogBatch, Message, NodeId, Payload, Term};
+use super::state::{Ready, Replica, ReplicaConfig, Snapshot};
+use super::storage::{Storage, StorageError};
+
+/// Path of messages between replicas.
+pub const LOG_PATH: &str = "/box/log";
+/// Messages that wait for one replica; older ones are dropped beyond it.
+const QUEUE: usize = 256;
+/// Time for a batch of messages to be taken.
+const SEND_LIMIT: Duration = Duration::from_millis(1_000);
+/// Longest time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(25);
+/// Bytes of the log file after which a snapshot is taken.
+const SNAPSHOT_BYTES: u64 = 8 * 1024 * 1024;
+/// Records of the log file after which a snapshot is taken.
+const SNAPSHOT_RECORDS: u64 = 20_000;
+/// Inputs that one sync takes in at most.
+const MAX_INPUTS: usize = 1_024;
+/// Rest after the disk refused a write, before the replica starts anew.
+const DISK_REST: Duration = Duration::from_secs(1);
+
+/// Applies a committed command and returns its encoded reply.
+pub type Apply = dyn FnMut(&[u8]) -> Vec<u8>;
+/// Replaces the state by an encoded one; `None` means the empty one.
+pub type Restore = dyn FnMut(Option<&[u8]>) -> anyhow::Result<()>;
+
+/// The state machine that the log drives.
+pub struct Applier {
+    /// Applies a committed command.
+    pub apply: Box<Apply>,
+    /// Encodes the state.
+    pub snapshot: Box<dyn FnMut() -> Vec<u8>>,
+    /// Replaces the state.
+    pub restore: Box<Restore>,
+    /// Called after entries were applied.
+    pub applied: Box<dyn FnMut()>,
+}
+
+/// Why a command got no reply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ProposeFailure {
+    /// This replica does not lead; nothing was begun.
+    NotLeader,
+    /// The command may or may not be carried out.
+    Unknown(String),
+}
+
+type ProposeReply = Result<Vec<u8>, ProposeFailure>;
+
+/// What other tasks ask of the driver.
+pub enum Input {
+    /// A message of another replica, and where it takes the answer.
+    Received(Envelope, SocketAddr),
+    /// A command.
+    Propose(Vec<u8>, oneshot::Sender<ProposeReply>),
+    /// A change of who takes part.
+    Change(MemberChange, oneshot::Sender<Result<(), ChangeError>>),
+}
+
+/// A replica as other tasks see it.
+#[derive(Clone)]
+pub struct ReplicaHandle {
+    tx: mpsc::UnboundedSender<Input>,
+    shared: Rc<RefCell<Replica>>,
+}
+
+impl ReplicaHandle {
+    /// Has a command carried out.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ProposeFailure`].
+    pub async fn propose(&self, command: Vec<u8>) -> ProposeReply {
+        let (tx, rx) = oneshot::channel();
+        let sent = self.tx.unbounded_send(Input::Propose(command, tx));
+        sent.map_err(|_| ProposeFailure::NotLeader)?;
+        rx.await.unwrap_or_else(|_| Err(ProposeFailure::Unknown("the log stopped".to_owned())))
+    }
+
+    /// Begins a change of who takes part.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ChangeError`]; nothing was begun then.
+    pub async fn change(&self, change: MemberChange) -> Result<(), ChangeError> {
+        let (tx, rx) = oneshot::channel();
+        let sent = self.tx.unbounded_send(Input::Change(change, tx));
+        sent.map_err(|_| ChangeError::NotLeader)?;
+        rx.await.unwrap_or(Err(ChangeError::NotLeader))
+    }
+
+    /// Passes on messages of another box.
+    pub fn receive(&self, batch: LogBatch) {
+        for envelope in batch.envelopes {
+            // A closed channel means that the process stops; the sender will ask another box.
+            let _ = self.tx.unbounded_send(Input::Received(envelope, batch.reply_to));
+        }
+    }
+
+    /// Looks at the replica.
+    pub fn with<T>(&self, read: impl FnOnce(&Replica) -> T) -> T {
+        read(&self.shared.borrow())
+    }
+
+    /// Returns whether this replica may act as the only leader now.
+    pub fn holds_lease(&self) -> bool {
+        self.with(|replica| replica.lease_until().is_some_and(|until| Instant::now() < until))
+    }
+}
+
+struct Waiting {
+    term: Term,
+    reply: oneshot::Sender<ProposeReply>,
+}
+
+struct Driver {
+    id: NodeId,
+    disk: Disk,
+    storage: Storage,
+    replica: Rc<RefCell<Replica>>,
+    applier: Applier,
+    applied: Index,
+    waiting: BTreeMap<Index, Waiting>,
+    senders: BTreeMap<NodeId, mpsc::Sender<Envelope>>,
+    /// Where replicas took answers last, for those that the members do not name.
+    heard_from: BTreeMap<NodeId, SocketAddr>,
+    client: BoxClient,
+    own_addr: SocketAddr,
+}
+
+/// Opens the log and starts its driver, which ends with `stop`.
+///
+/// # Errors
+///
+/// Returns a [`StorageError`] if the log cannot be opened, or the state's error
+/// if its snapshot does not decode.
+pub fn start(
+    disk: Disk,
+    id: NodeId,
+    mut applier: Applier,
+    client: BoxClient,
+    own_addr: SocketAddr,
+    stop: Stop,
+) -> anyhow::Result<ReplicaHandle> {
+    let (storage, replica, applied) = open(&disk, id, &mut applier)?;
+    let replica = Rc::new(RefCell::new(replica));
+    let (tx, rx) = mpsc::unbounded();
+    let handle = ReplicaHandle { tx, shared: replica.clone() };
+    let driver = Driver {
+        id,
+        disk,
+        storage,
+        replica,
+        applier,
+        applied,
+        waiting: BTreeMap::new(),
+        senders: BTreeMap::new(),
+        heard_from: BTreeMap::new(),
+        client,
+        own_addr,
+    };
+    compio::runtime::spawn(driver.run(rx, stop)).detach();
+    Ok(handle)
+}
+
+fn open(
+    disk: &Disk,
+    id: NodeId,
+    applier: &mut Applier,
+) -> anyhow::Result<(Storage, Replica, Index)> {
+    let (storage, restored) = Storage::open(disk.clone())?;
+    let applied = restored.snapshot.end.index;
+    let data = (applied > 0).then_some(restored.snapshot.data.as_slice());
+    (applier.restore)(data)?;
+    let seed = rand::random();
+    let replica = Replica::new(id, ReplicaConfig::default(), restored, seed, Instant::now());
+    Ok((storage, replica, applied))
+}
+
+impl Driver {
+    async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Input>, stop: Stop) {
+        while !stop.is_set() {
+            let first = compio::time::timeout(TICK, rx.next()).await;
+            match first {
+                Ok(Some(input)) => self.take(input),
+                Ok(None) => return,
+                Err(_) => {}
+            }
+            for _ in 0..MAX_INPUTS {
+                match rx.try_recv() {
+                    Ok(input) => self.take(input),
+                    Err(_) => break,
+                }
+            }
+            self.replica.borrow_mut().tick(Instant::now());
+            if let Err(err) = self.settle() {
+                log::error!("{err}; the replica starts anew");
+                self.start_anew().await;
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = Instant::now();
+        match input {
+            Input::Received(Envelope { from, to, message }, reply_to) if to == self.id => {
+                self.heard_from.insert(from, reply_to);
+                self.replica.borrow_mut().receive(from, message, now);
+            }
+            Input::Received(Envelope { to, .. }, _) => {
+                log::debug!("a message for identity {to} is dropped");
+            }
+            Input::Propose(command, reply) => self.propose(command, reply, now),
+            Input::Change(change, reply) => {
+                let begun = self.replica.borrow_mut().change(&change, now);
+                let _ = reply.send(begun);
+            }
+        }
+    }
+
+    fn propose(&mut self, command: Vec<u8>, reply: oneshot::Sender<ProposeReply>, now: Instant) {
+        let first = self.replica.borrow_mut().propose(vec![command], now);
+        match first {
+            Some(at) => {
+                self.waiting.insert(at.index, Waiting { term: at.term, reply });
+            }
+            None => {
+                let _ = reply.send(Err(ProposeFailure::NotLeader));
+            }
+        }
+    }
+
+    /// Carries out what the replica asks for until it asks for nothing.
+    fn settle(&mut self) -> Result<(), StorageError> {
+        loop {
+            let (ready, end) = {
+                let mut replica = self.replica.borrow_mut();
+                (replica.ready(), replica.end().index)
+            };
+            if ready.is_empty() {
+                break;
+            }
+            self.storage.save(&ready)?;
+            self.replica.borrow_mut().persisted(end, Instant::now());
+            self.finish(ready);
+        }
+        self.drop_lost_proposals();
+        self.compact()
+    }
+
+    fn finish(&mut self, ready: Ready) {
+        let Ready { snapshot, messages, committed, .. } = ready;
+        if let Some(snapshot) = snapshot {
+            self.restore(&snapshot);
+        }
+        for (to, message) in messages {
+            self.send(to, message);
+        }
+        if !committed.is_empty() {
+            for entry in committed {
+                self.apply(entry);
+            }
+            (self.applier.applied)();
+        }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) {
+        if let Err(err) = (self.applier.restore)(Some(&snapshot.data)) {
+            // The state cannot be read: going on would answer from an older one.
+            log::error!("snapshot at {}: {err:#}", snapshot.end.index);
+            std::process::exit(1);
+        }
+        self.applied = snapshot.end.index;
+        (self.applier.applied)();
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        if entry.index <= self.applied {
+            return;
+        }
+        self.applied = entry.index;
+        let reply = match entry.payload {
+            Payload::Command(command) => (self.applier.apply)(&command),
+            Payload::Noop | Payload::Members(_) => Vec::new(),
+        };
+        if let Some(waiting) = self.waiting.remove(&entry.index) {
+            let same = waiting.term == entry.term;
+            let lost = || ProposeFailure::Unknown("another leader's entry took its place".into());
+            let _ = waiting.reply.send(if same { Ok(reply) } else { Err(lost()) });
+        }
+    }
+
+    /// Tells proposers that the lead was lost; their commands may still be carried out.
+    fn drop_lost_proposals(&mut self) {
+        if self.waiting.is_empty() || self.replica.borrow().leads() {
+            return;
+        }
+        for (_, waiting) in std::mem::take(&mut self.waiting) {
+            let lost = ProposeFailure::Unknown("this box lost the lead".to_owned());
+            let _ = waiting.reply.send(Err(lost));
+        }
+    }
+
+    fn compact(&mut self) -> Result<(), StorageError> {
+        let large = self.storage.log_bytes() > SNAPSHOT_BYTES
+            || self.storage.log_records() > SNAPSHOT_RECORDS;
+        if !large || self.applied <= self.replica.borrow().log().start_index() {
+            return Ok(());
+        }
+        let data = (self.applier.snapshot)();
+        let mut replica = self.replica.borrow_mut();
+        let Some(snapshot) = replica.compact(self.applied, data) else { return Ok(()) };
+        log::info!("snapshot at {}", snapshot.end.index);
+        self.storage.begin(&snapshot, replica.log().from(snapshot.end.index + 1))
+    }
+
+    /// After the disk refused a write: forgets everything that is not durable.
+    async fn start_anew(&mut self) {
+        for (_, waiting) in std::mem::take(&mut self.waiting) {
+            let failed = ProposeFailure::Unknown("the disk refused a write".to_owned());
+            let _ = waiting.reply.send(Err(failed));
+        }
+        loop {
+            compio::time::sleep(DISK_REST).await;
+            match open(&self.disk, self.id, &mut self.applier) {
+                Ok((storage, replica, applied)) => {
+                    self.storage = storage;
+                    self.applied = applied;
+                    *self.replica.borrow_mut() = replica;
+                    return;
+                }
+                Err(err) => log::error!("{err:#}"),
+            }
+        }
+    }
+
+    fn send(&mut self, to: NodeId, message: Message) {
+        let envelope = Envelope { from: self.id, to, message };
+        let member = self.replica.borrow().members().get(to).map(|peer| peer.boxes_addr);
+        let Some(addr) = member.or_else(|| self.heard_from.get(&to).copied()) else { return };
+        let (client, own_addr) = (self.client.clone(), self.own_addr);
+        let sender = self.senders.entry(to).or_insert_with(|| {
+            let (tx, rx) = mpsc::channel(QUEUE);
+            compio::runtime::spawn(send_all(client, own_addr, addr, rx)).detach();
+            tx
+        });
+        if let Err(err) = sender.try_send(envelope)
+            && err.is_full()
+        {
+            log::debug!("messages to {to} are dropped: its box does not keep up");
+        }
+    }
+}
+
+/// Sends the messages for one replica in batches, one call at a time; ends with its channel.
+async fn send_all(
+    client: BoxClient,
+    reply_to: SocketAddr,
+    addr: SocketAddr,
+    mut rx: mpsc::Receiver<Envelope>,
+) {
+    while let Some(first) = rx.next().await {
+        let mut envelopes = vec![first];
+        while let Ok(next) = rx.try_recv() {
+            envelopes.push(next);
+        }
+        let batch = LogBatch { reply_to, envelopes };
+        if let Err(err) = client.call::<_, ()>(addr, LOG_PATH, &batch, SEND_LIMIT).await {
+            log::debug!("{} messages of the log: {err}", batch.envelopes.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/tests/replication/group.rs
@@ -0,0 +1,254 @@
+//! A group of replicas on fake disks, with messages that the test delivers.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hatchpitch::replication::disk::{Disk, FakeDisk};
+use hatchpitch::replication::storage::StorageError;
+use hatchpitch::replication::verify::GroupVerifier;
+use hatchpitch::replication::{
+    Index, Members, Message, NodeId, Payload, Peer, Replica, ReplicaConfig, Storage,
+};
+
+/// One box of the group; `replica` is `None` while it is down.
+pub struct Node {
+    pub disk: Rc<RefCell<FakeDisk>>,
+    pub storage: Option<Storage>,
+    pub replica: Option<Replica>,
+    /// Percent by which its clock runs faster or slower.
+    pub drift: i64,
+}
+
+/// A message on its way.
+#[derive(Clone)]
+pub struct Flying {
+    pub from: NodeId,
+    pub to: NodeId,
+    pub message: Message,
+}
+
+pub struct Group {
+    pub cfg: ReplicaConfig,
+    pub nodes: BTreeMap<NodeId, Node>,
+    pub flying: Vec<Flying>,
+    pub cut: BTreeSet<(NodeId, NodeId)>,
+    pub verifier: GroupVerifier,
+    base: Instant,
+    pub elapsed: Duration,
+    pub proposed: u64,
+    /// Commands that were acknowledged to their proposer.
+    pub acknowledged: BTreeMap<Index, Vec<u8>>,
+}
+
+pub fn peer(id: NodeId) -> Peer {
+    let addr = ([127, 0, 0, 1], 1).into();
+    Peer { name: format!("box-{id}"), boxes_addr: addr, operators_addr: addr }
+}
+
+pub fn voters(ids: impl IntoIterator<Item = NodeId>) -> Members {
+    let voters = ids.into_iter().map(|id| (id, peer(id))).collect();
+    Members { voters, learners: BTreeMap::new() }
+}
+
+impl Group {
+    pub fn new(size: u64) -> Self {
+        let mut group = Self {
+            cfg: ReplicaConfig::default(),
+            nodes: BTreeMap::new(),
+            flying: Vec::new(),
+            cut: BTreeSet::new(),
+            verifier: GroupVerifier::default(),
+            base: Instant::now(),
+            elapsed: Duration::ZERO,
+            proposed: 0,
+            acknowledged: BTreeMap::new(),
+        };
+        for id in 1..=size {
+            group.add(id, voters(1..=size));
+        }
+        group
+    }
+
+    /// Adds a box with an empty log.
+    pub fn add(&mut self, id: NodeId, members: Members) {
+        let disk = Rc::new(RefCell::new(FakeDisk::default()));
+        Storage::create(&Disk::Fake(disk.clone()), members).unwrap();
+        self.nodes.insert(id, Node { disk, storage: None, replica: None, drift: 0 });
+        self.start(id);
+    }
+
+    /// Returns a node's own monotonic clock; it may drift.
+    pub fn now(&self, id: NodeId) -> Instant {
+        let drift = self.nodes[&id].drift;
+        let millis = self.elapsed.as_millis() as i64;
+        self.base + Duration::from_millis((millis + millis * drift / 100) as u64)
+    }
+
+    /// Returns the common clock, against which leases are compared.
+    pub fn common_now(&self) -> Instant {
+        self.base + self.elapsed
+    }
+
+    /// Starts a box; on a disk that is still full it stays down.
+    pub fn start(&mut self, id: NodeId) {
+        let now = self.now(id);
+        let cfg = self.cfg;
+        let node = self.nodes.get_mut(&id).unwrap();
+        let (storage, restored) = match Storage::open(Disk::Fake(node.disk.clone())) {
+            Ok(opened) => opened,
+            Err(StorageError::Io { .. }) => return,
+            Err(err) => panic!("{err}"),
+        };
+        node.storage = Some(storage);
+        node.replica = Some(Replica::new(id, cfg, restored, id, now));
+    }
+
+    /// Ends a box; `kept` bytes of what was not synced survive.
+    pub fn crash(&mut self, id: NodeId, kept: usize) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        node.replica = None;
+        node.storage = None;
+        node.disk.borrow_mut().crash(kept);
+    }
+
+    /// Runs a step on one box and handles what comes of it. A failing disk ends the box.
+    pub fn step(&mut self, id: NodeId, step: impl FnOnce(&mut Replica, Instant)) {
+        let now = self.now(id);
+        let node = self.nodes.get_mut(&id).unwrap();
+        let Some(replica) = node.replica.as_mut() else { return };
+        step(replica, now);
+        self.settle(id);
+    }
+
+    fn settle(&mut self, id: NodeId) {
+        loop {
+            let now = self.now(id);
+            let node = self.nodes.get_mut(&id).unwrap();
+            let (Some(replica), Some(storage)) = (node.replica.as_mut(), node.storage.as_mut())
+            else {
+                return;
+            };
+            let ready = replica.ready();
+            if ready.is_empty() {
+                return;
+            }
+            let end = replica.end().index;
+            if storage.save(&ready).is_err() {
+                node.replica = None;
+                node.storage = None;
+                return;
+            }
+            replica.persisted(end, now);
+            let leads = replica.leads();
+            let flying = ready.messages.into_iter();
+            self.flying.extend(flying.map(|(to, message)| Flying { from: id, to, message }));
+            for entry in ready.committed.into_iter().filter(|_| leads) {
+                if let Payload::Command(command) = entry.payload {
+                    self.acknowledged.insert(entry.index, command);
+                }
+            }
+        }
+    }
+
+    pub fn propose(&mut self, id: NodeId) {
+        self.proposed += 1;
+        let command = self.proposed.to_be_bytes().to_vec();
+        self.step(id, |replica, now| {
+            replica.propose(vec![command], now);
+        });
+    }
+
+    /// Takes a snapshot of everything committed at a box.
+    pub fn compact(&mut self, id: NodeId) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        let (Some(replica), Some(storage)) = (node.replica.as_mut(), node.storage.as_mut()) else {
+            return;
+        };
+        let commit = replica.commit();
+        if let Some(snapshot) = replica.compact(commit, vec![0; 16])
+            && storage.begin(&snapshot, replica.log().from(commit + 1)).is_err()
+        {
+            node.replica = None;
+            node.storage = None;
+        }
+    }
+
+    /// Delivers the message at a place in the list, unless the link is cut.
+    pub fn deliver(&mut self, at: usize) {
+        let Flying { from, to, message } = self.flying.remove(at);
+        if self.cut.contains(&(from, to)) || !self.nodes.contains_key(&to) {
+            return;
+        }
+        self.step(to, |replica, now| replica.receive(from, message, now));
+    }
+
+    pub fn advance(&mut self, by: Duration) {
+        self.elapsed += by;
+        let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
+        for id in ids {
+            self.step(id, |replica, now| replica.tick(now));
+        }
+    }
+
+    pub fn verify(&mut self) -> Result<(), String> {
+        let now = self.common_now();
+        let replicas: Vec<Replica> =
+            self.nodes.values().filter_map(|node| node.replica.clone()).collect();
+        self.verifier.observe(replicas.iter(), now)
+    }
+
+    /// Lets the group run with all links whole.
+    pub fn run(&mut self, millis: u64) -> Result<(), String> {
+        for _ in 0..millis / 20 {
+            while !self.flying.is_empty() {
+                self.deliver(0);
+            }
+            self.advance(Duration::from_millis(20));
+            self.verify()?;
+        }
+        Ok(())
+    }
+
+    pub fn leader(&self) -> Option<NodeId> {
+        let leaders = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| node.replica.as_ref().is_some_and(|r| r.lease_until().is_some()));
+        leaders.max_by_key(|(_, node)| node.replica.as_ref().map(Replica::term)).map(|(id, _)| *id)
+    }
+
+    pub fn replica(&self, id: NodeId) -> &Replica {
+        self.nodes[&id].replica.as_ref().unwrap()
+    }
+
+    /// Heals everything and checks that nothing acknowledged is missing anywhere.
+    pub fn heal_and_check(&mut self) -> Result<(), String> {
+        self.cut.clear();
+        let down: Vec<NodeId> = self.nodes.keys().copied().collect();
+        for id in down {
+            self.nodes[&id].disk.borrow_mut().fail_after = None;
+            if self.nodes[&id].replica.is_none() {
+                self.start(id);
+            }
+        }
+        self.run(10_000)?;
+        let leader = self.leader().ok_or("no leader after everything was healed")?;
+        self.propose(leader);
+        self.run(1_000)?;
+        let replica = self.replica(leader);
+        for (index, command) in &self.acknowledged {
+            let Some(entry) = replica.log().get(*index) else {
+                if *index <= replica.log().end().index && replica.commit() >= *index {
+                    continue; // The snapshot holds it.
+                }
+                return Err(format!("acknowledged entry {index} is missing"));
+            };
+            if entry.payload != Payload::Command(command.clone()) {
+                return Err(format!("acknowledged entry {index} was replaced"));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/tests/replication/main.rs
@@ -0,0 +1,7 @@
+//! The replicated log under lost, doubled, reordered and late messages, crashes
+//! at every write, clocks that drift, and lost disks.
+
+mod explore;
+mod group;
+mod schedules;
+mod storage;
--- /dev/null
+++ b/crates/hatchpitch/tests/replication/schedules.rs
@@ -0,0 +1,216 @@
+//! Random schedules from fixed seeds, and the cases that they must contain.
+
+use std::time::Duration;
+
+use arbitrary::Unstructured;
+use hatchpitch::replication::change::{ChangeError, MemberChange};
+
+use super::group::{Group, peer, voters};
+
+const STEPS: usize = 300;
+/// Seeds carry the number of random bytes in their low half.
+const BYTES: u64 = 1 << 20;
+
+/// Time passes, and each message on its way arrives, is lost, doubled or late, in any order.
+fn round(group: &mut Group, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+    group.advance(Duration::from_millis(u.int_in_range(5..=120)?));
+    for _ in 0..group.flying.len() {
+        if group.flying.is_empty() {
+            break;
+        }
+        let at = u.choose_index(group.flying.len())?;
+        match u.int_in_range(0..=19)? {
+            0 => drop(group.flying.remove(at)),
+            1 => group.flying.push(group.flying[at].clone()),
+            2 => {}
+            _ => group.deliver(at),
+        }
+    }
+    Ok(())
+}
+
+fn random_step(group: &mut Group, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+    let size = group.nodes.len() as u64;
+    let (id, other) = (u.int_in_range(1..=size)?, u.int_in_range(1..=size)?);
+    match u.int_in_range(0..=39)? {
+        0 if group.nodes[&id].replica.is_some() => group.crash(id, u.int_in_range(0..=64)?),
+        1..=4 if group.nodes[&id].replica.is_none() => {
+            group.nodes[&id].disk.borrow_mut().fail_after = None;
+            group.start(id);
+        }
+        5 | 6 => {
+            group.cut.insert((id, other));
+        }
+        7 => group.cut.clear(),
+        8 => group.compact(id),
+        9 => {
+            let disk = &group.nodes[&id].disk;
+            let done = disk.borrow().operations();
+            disk.borrow_mut().fail_after = Some(done + u.int_in_range(0..=5)?);
+            disk.borrow_mut().tear = u.arbitrary()?;
+        }
+        10..=19 => {
+            for id in 1..=size {
+                group.propose(id);
+            }
+        }
+        _ => round(group, u)?,
+    }
+    Ok(())
+}
+
+/// Runs one schedule and returns how many commands were acknowledged before the end.
+fn run_schedule(u: &mut Unstructured<'_>, size: u64, drift: bool) -> arbitrary::Result<usize> {
+    let mut group = Group::new(size);
+    if drift {
+        for node in group.nodes.values_mut() {
+            node.drift = u.int_in_range(-10..=10)?;
+        }
+    }
+    for _ in 0..STEPS {
+        random_step(&mut group, u)?;
+        if let Err(err) = group.verify() {
+            panic!("{err}");
+        }
+    }
+    let acknowledged = group.acknowledged.len();
+    if let Err(err) = group.heal_and_check() {
+        panic!("{err}");
+    }
+    Ok(acknowledged)
+}
+
+fn run_schedules(seeds: u64, size: u64, drift: bool) {
+    let mut acknowledged = 0;
+    for seed in 0..seeds {
+        let run = |u: &mut Unstructured<'_>| {
+            acknowledged += run_schedule(u, size, drift)?;
+            Ok(())
+        };
+        arbtest::arbtest(run).seed(seed << 32 | BYTES).run();
+    }
+    println!("{seeds} schedules of {size} replicas, {acknowledged} commands acknowledged");
+    assert!(acknowledged as u64 > seeds * 5, "the schedules get something done");
+}
+
+#[test]
+fn three_replicas_keep_what_they_acknowledged() {
+    run_schedules(300, 3, false);
+}
+
+#[test]
+fn five_replicas_with_drifting_clocks_keep_what_they_acknowledged() {
+    run_schedules(60, 5, true);
+}
+
+#[test]
+fn a_leader_that_is_cut_off_loses_its_lease_before_another_is_elected() {
+    let mut group = Group::new(3);
+    group.run(3_000).unwrap();
+    let old = group.leader().unwrap();
+    for id in 1..=3 {
+        group.cut.insert((old, id));
+        group.cut.insert((id, old));
+    }
+    let mut lease_ended = None;
+    let mut elected = None;
+    for _ in 0..400 {
+        group.run(20).unwrap();
+        let leased = group.replica(old).lease_until().is_some_and(|t| group.common_now() < t);
+        if !leased && lease_ended.is_none() {
+            lease_ended = Some(group.elapsed);
+        }
+        if group.leader().is_some_and(|id| id != old) {
+            elected = elected.or(Some(group.elapsed));
+        }
+    }
+    assert!(lease_ended.unwrap() < elected.unwrap());
+    assert!(!group.replica(old).leads(), "check-quorum makes the old leader step down");
+}
+
+#[test]
+fn a_box_that_was_cut_off_does_not_disturb_the_leader() {
+    let mut group = Group::new(3);
+    group.run(3_000).unwrap();
+    let leader = group.leader().unwrap();
+    let term = group.replica(leader).term();
+    let cut = (1..=3).find(|id| *id != leader).unwrap();
+    for id in 1..=3 {
+        group.cut.insert((cut, id));
+        group.cut.insert((id, cut));
+    }
+    group.run(10_000).unwrap();
+    group.cut.clear();
+    group.run(3_000).unwrap();
+    assert_eq!(group.leader(), Some(leader));
+    assert_eq!(group.replica(leader).term(), term);
+}
+
+#[test]
+fn a_replica_far_behind_catches_up_by_snapshot() {
+    let mut group = Group::new(3);
+    group.run(3_000).unwrap();
+    let leader = group.leader().unwrap();
+    let behind = (1..=3).find(|id| *id != leader).unwrap();
+    group.crash(behind, 0);
+    for _ in 0..500 {
+        group.propose(leader);
+    }
+    group.run(500).unwrap();
+    group.compact(leader);
+    group.start(behind);
+    group.run(3_000).unwrap();
+    assert_eq!(group.replica(behind).commit(), group.replica(leader).commit());
+    group.heal_and_check().unwrap();
+}
+
+#[test]
+fn a_lost_disk_is_replaced_and_a_second_loss_then_costs_nothing() {
+    let mut group = Group::new(3);
+    group.run(3_000).unwrap();
+    let leader = group.leader().unwrap();
+    for _ in 0..50 {
+        group.propose(leader);
+    }
+    group.run(500).unwrap();
+    let lost = (1..=3).find(|id| *id != leader).unwrap();
+    group.nodes.remove(&lost);
+    let new = 4;
+    group.add(new, voters([]));
+    let add = MemberChange::AddLearner(new, peer(new));
+    group.step(leader, |r, now| r.change(&add, now).unwrap());
+    let too_early = MemberChange::Promote(new);
+    group.step(leader, |r, now| {
+        assert_eq!(r.change(&too_early, now), Err(ChangeError::Busy));
+    });
+    group.run(1_000).unwrap();
+    group.step(leader, |r, now| r.change(&MemberChange::Promote(new), now).unwrap());
+    group.run(1_000).unwrap();
+    group.step(leader, |r, now| r.change(&MemberChange::Remove(lost), now).unwrap());
+    group.run(1_000).unwrap();
+    assert_eq!(group.replica(leader).lacks(new), Some(0));
+    assert!(group.replica(leader).members_committed());
+
+    group.nodes.remove(&leader);
+    group.run(5_000).unwrap();
+    let next = group.leader().expect("two of three go on");
+    let held = group.replica(next).commit();
+    assert!(held >= *group.acknowledged.last_key_value().unwrap().0);
+    group.heal_and_check().unwrap();
+}
+
+#[test]
+fn a_learner_that_is_behind_is_not_promoted() {
+    let mut group = Group::new(3);
+    group.run(3_000).unwrap();
+    let leader = group.leader().unwrap();
+    group.add(4, voters([]));
+    for id in 1..=3 {
+        group.cut.insert((id, 4));
+    }
+    group.step(leader, |r, now| r.change(&MemberChange::AddLearner(4, peer(4)), now).unwrap());
+    group.run(1_000).unwrap();
+    group.step(leader, |r, now| {
+        assert_eq!(r.change(&MemberChange::Promote(4), now), Err(ChangeError::Behind));
+    });
+}
--- /dev/null
+++ b/crates/hatchpitch/tests/replication/storage.rs
@@ -0,0 +1,143 @@
+//! The files: torn tails, damage, full disks, crashes at every operation.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use hatchpitch::replication::disk::{Disk, FakeDisk};
+use hatchpitch::replication::messages::LogEnd;
+use hatchpitch::replication::storage::StorageError;
+use hatchpitch::replication::{Entry, HardState, Payload, Ready, Snapshot, Storage};
+
+use super::group::voters;
+
+type Fake = Rc<RefCell<FakeDisk>>;
+
+fn entry(index: u64) -> Entry {
+    Entry { term: 1, index, payload: Payload::Command(vec![7; 20]) }
+}
+
+fn batch(from: u64, count: u64) -> Ready {
+    Ready {
+        hard: Some(HardState { term: 1, voted_for: Some(1) }),
+        entries: (from..from + count).map(entry).collect(),
+        ..Ready::default()
+    }
+}
+
+fn new_disk() -> (Fake, Disk) {
+    let fake = Fake::default();
+    let disk = Disk::Fake(fake.clone());
+    Storage::create(&disk, voters([1])).unwrap();
+    (fake, disk)
+}
+
+#[test]
+fn what_was_saved_is_read_back() {
+    let (_, disk) = new_disk();
+    let (mut storage, _) = Storage::open(disk.clone()).unwrap();
+    storage.save(&batch(1, 3)).unwrap();
+    let truncate =
+        Ready { truncate_from: Some(3), entries: vec![entry(3), entry(4)], ..Ready::default() };
+    storage.save(&truncate).unwrap();
+    let (_, restored) = Storage::open(disk).unwrap();
+    assert_eq!(restored.entries.len(), 4);
+    assert_eq!(restored.hard, HardState { term: 1, voted_for: Some(1) });
+}
+
+#[test]
+fn a_torn_tail_is_cut() {
+    for kept in 0..200 {
+        let (fake, disk) = new_disk();
+        let (mut storage, _) = Storage::open(disk.clone()).unwrap();
+        storage.save(&batch(1, 2)).unwrap();
+        fake.borrow_mut().tear = true;
+        let done = fake.borrow().operations();
+        fake.borrow_mut().fail_after = Some(done);
+        assert!(storage.save(&batch(3, 2)).is_err());
+        fake.borrow_mut().crash(kept);
+        let (mut storage, restored) = Storage::open(disk.clone()).unwrap();
+        assert_eq!(restored.entries.len(), 2);
+        storage.save(&batch(3, 1)).unwrap();
+        let (_, restored) = Storage::open(disk).unwrap();
+        assert_eq!(restored.entries.len(), 3);
+    }
+}
+
+#[test]
+fn damage_to_anything_synced_stops_the_process() {
+    let (fake, disk) = new_disk();
+    let (mut storage, _) = Storage::open(disk.clone()).unwrap();
+    for i in 0..3 {
+        storage.save(&batch(1 + i, 1)).unwrap();
+    }
+    let length = storage.log_bytes() as usize;
+    drop(storage);
+    for at in 0..length {
+        fake.borrow_mut().damage("log", at);
+        let opened = Storage::open(disk.clone());
+        assert!(matches!(opened, Err(StorageError::Damaged { .. })), "byte {at}");
+        fake.borrow_mut().damage("log", at);
+    }
+    let text = {
+        fake.borrow_mut().damage("log", length - 1);
+        Storage::open(disk).unwrap_err().to_string()
+    };
+    assert!(text.contains("hatchpitch repair"), "{text}");
+}
+
+#[test]
+fn a_full_disk_is_an_error_and_nothing_saved_before_is_lost() {
+    let (fake, disk) = new_disk();
+    let (mut storage, _) = Storage::open(disk.clone()).unwrap();
+    storage.save(&batch(1, 2)).unwrap();
+    fake.borrow_mut().tear = true;
+    let done = fake.borrow().operations();
+    fake.borrow_mut().fail_after = Some(done);
+    let refused = storage.save(&batch(3, 2)).unwrap_err();
+    assert!(matches!(refused, StorageError::Io { .. }), "{refused}");
+    fake.borrow_mut().fail_after = None;
+    let (mut storage, restored) = Storage::open(disk).unwrap();
+    assert_eq!(restored.entries.len(), 2);
+    storage.save(&batch(3, 1)).unwrap();
+}
+
+#[test]
+fn a_crash_at_any_operation_of_a_snapshot_loses_nothing() {
+    for crash_after in 0..10 {
+        let (fake, disk) = new_disk();
+        let (mut storage, _) = Storage::open(disk.clone()).unwrap();
+        storage.save(&batch(1, 4)).unwrap();
+        let done = fake.borrow().operations();
+        fake.borrow_mut().fail_after = Some(done + crash_after);
+        let snapshot = Snapshot {
+            end: LogEnd { term: 1, index: 3 },
+            members: voters([1]),
+            data: vec![9; 100],
+        };
+        let begun = storage.begin(&snapshot, &[entry(4)]);
+        fake.borrow_mut().crash(0);
+        let (_, restored) = Storage::open(disk).unwrap();
+        let end = restored.snapshot.end.index + restored.entries.len() as u64;
+        assert_eq!(end, 4, "crash after operation {crash_after}");
+        if begun.is_ok() {
+            assert_eq!(restored.snapshot, snapshot);
+        }
+    }
+}
+
+#[test]
+fn an_identity_stays_with_its_disk() {
+    let (_, disk) = new_disk();
+    assert_eq!(Storage::identity(&disk).unwrap(), None);
+    Storage::bind_identity(&disk, 42).unwrap();
+    assert_eq!(Storage::identity(&disk).unwrap(), Some(42));
+}
+
+#[test]
+fn a_log_that_is_gone_is_not_begun_again_under_the_same_identity() {
+    let (_, disk) = new_disk();
+    drop(Storage::open(disk.clone()).unwrap());
+    assert!(Storage::has_log(&disk).unwrap());
+    disk.remove("log").unwrap();
+    assert!(matches!(Storage::has_log(&disk), Err(StorageError::Damaged { .. })));
+}
