Prove the promises of streams and claims under faults

Cause: the code for streams, claims, leaving and planned stops had two end-to-end tests and no faults.

Ruled out: wall-clock assertions; every wait has a generous bound and no test asserts how long anything took.

--- /dev/null
+++ b/crates/e2e/tests/streams.rs
@@ -0,0 +1,226 @@
+//! Streams under faults, through real processes: every token once, in order, from one generation.
+
+use std::time::{Duration, Instant};
+
+use hatchpitch_e2e::fleet::{MODEL, PATIENCE};
+use hatchpitch_e2e::{Shape, TestFleet};
+use hatchpitch_standins::caller::Answer;
+use hatchpitch_standins::engine::server::{Fault, LedgerRow};
+
+async fn ledgers(fleet: &TestFleet) -> Vec<LedgerRow> {
+    let mut rows = Vec::new();
+    for i in 0..fleet.engine_addrs.len() {
+        rows.extend(fleet.ledger(i).await.unwrap_or_default());
+    }
+    rows
+}
+
+/// Checks that what the caller saw is a beginning of exactly one generation.
+fn check_tokens(answer: &Answer, made: &[LedgerRow]) {
+    for (i, token) in answer.tokens.iter().enumerate() {
+        assert_eq!(token.index, i as u64, "each token once and in order");
+    }
+    let seen: Vec<&str> = answer.tokens.iter().map(|t| t.text.as_str()).collect();
+    let sources = made.iter().filter(|row| {
+        row.tokens.len() >= seen.len() && row.tokens.iter().zip(&seen).all(|(a, b)| a == b)
+    });
+    assert_eq!(sources.count(), 1, "from a single generation");
+}
+
+async fn answer_under(fault: Fault, prompt: &str) -> anyhow::Result<(Answer, Vec<LedgerRow>)> {
+    let fleet = TestFleet::start(Shape { entry: 1, engines: 1, ..Shape::default() }).await?;
+    fleet.set_fault(0, fault).await?;
+    let answer = fleet.caller(0).chat(fleet.entry_addrs[0], MODEL, prompt, |_| true).await?;
+    let made = ledgers(&fleet).await;
+    Ok((answer, made))
+}
+
+#[compio::test]
+async fn a_link_that_breaks_is_made_anew() -> anyhow::Result<()> {
+    let fault = Fault::Break { after: 10, links: 1 };
+    let (answer, made) = answer_under(fault, "report len=60").await?;
+    assert!(answer.complete, "{:?}", answer.error);
+    assert_eq!(answer.tokens.len(), 60);
+    check_tokens(&answer, &made);
+    Ok(())
+}
+
+#[compio::test]
+async fn a_link_that_stalls_without_closing_is_made_anew() -> anyhow::Result<()> {
+    let fault = Fault::Stall { after: 10, links: 1 };
+    let (answer, made) = answer_under(fault, "report len=60").await?;
+    assert!(answer.complete, "{:?}", answer.error);
+    assert_eq!(answer.tokens.len(), 60);
+    check_tokens(&answer, &made);
+    Ok(())
+}
+
+#[compio::test]
+async fn doubled_crossed_and_reordered_tokens_are_not_passed_on() -> anyhow::Result<()> {
+    for fault in [Fault::Duplicate, Fault::Crossed, Fault::Reorder { at: 5 }] {
+        let (answer, made) = answer_under(fault, "report len=30").await?;
+        assert!(answer.complete, "{fault:?}: {:?}", answer.error);
+        assert_eq!(answer.tokens.len(), 30, "{fault:?}");
+        check_tokens(&answer, &made);
+    }
+    Ok(())
+}
+
+#[compio::test]
+async fn an_engine_that_dies_before_the_first_token_is_made_up_for_elsewhere() -> anyhow::Result<()>
+{
+    let fleet = TestFleet::start(Shape { entry: 1, ..Shape::default() }).await?;
+    fleet.set_fault(0, Fault::Die { at: 0 }).await?;
+    fleet.set_fault(1, Fault::None).await?;
+    for i in 0..4 {
+        let prompt = format!("report {i} len=20");
+        let answer = fleet.caller(0).chat(fleet.entry_addrs[0], MODEL, &prompt, |_| true).await?;
+        assert!(answer.complete, "{:?}", answer.error);
+        check_tokens(&answer, &ledgers(&fleet).await);
+    }
+    Ok(())
+}
+
+#[compio::test]
+async fn an_engine_that_dies_after_a_token_ends_the_answer_at_once_and_says_so()
+-> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape { entry: 1, engines: 1, ..Shape::default() }).await?;
+    fleet.set_fault(0, Fault::Die { at: 10 }).await?;
+    let caller = fleet.caller(0);
+    let answer = caller.chat(fleet.entry_addrs[0], MODEL, "report len=60", |_| true).await?;
+    assert!(!answer.complete);
+    assert_eq!(answer.tokens.len(), 10);
+    let error = answer.error.expect("a typed error").error;
+    assert_eq!(error.kind, "engine_lost");
+    assert_eq!(serde_json::to_value(error.outcome)?, "unknown");
+    assert!(error.retry_after_ms.is_some());
+    Ok(())
+}
+
+#[compio::test]
+async fn an_answer_is_resumed_at_another_box_after_its_box_was_killed() -> anyhow::Result<()> {
+    let mut fleet = TestFleet::start(Shape { engines: 1, ..Shape::default() }).await?;
+    let caller = fleet.caller(0);
+    let (first, second) = (fleet.entry_addrs[0], fleet.entry_addrs[1]);
+    let broken = caller.chat(first, MODEL, "report len=200", |token| {
+        if token.index == 30 {
+            fleet.entry[0].kill();
+        }
+        true
+    });
+    let broken = broken.await?;
+    assert!(!broken.complete);
+    let answer = caller.resume(second, broken, |_| true).await?;
+    assert!(answer.complete, "{:?}", answer.error);
+    assert_eq!(answer.tokens.len(), 200);
+    check_tokens(&answer, &ledgers(&fleet).await);
+    Ok(())
+}
+
+#[compio::test]
+async fn a_response_is_not_read_by_another_workspace() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape { entry: 1, engines: 1, ..Shape::default() }).await?;
+    let at = fleet.entry_addrs[0];
+    let own = fleet.caller(0).chat(at, MODEL, "report len=50", |t| t.index < 5).await?;
+    let mut stolen = own.clone();
+    stolen.tokens.clear();
+    let other = fleet.caller(1).resume(at, stolen, |_| true).await?;
+    assert_eq!(other.status, 404);
+    assert!(other.tokens.is_empty());
+    let mut forged = own.clone();
+    forged.response.push('0');
+    let forged = fleet.caller(0).resume(at, forged, |_| true).await?;
+    assert_eq!(forged.status, 404);
+    Ok(())
+}
+
+#[compio::test]
+async fn a_generation_that_its_caller_left_is_cancelled() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape {
+        entry: 1,
+        engines: 1,
+        timing: vec!["resume_window_ms = 200".into()],
+        ..Shape::default()
+    })
+    .await?;
+    let caller = fleet.caller(0);
+    caller.chat(fleet.entry_addrs[0], MODEL, "report len=3000", |t| t.index < 5).await?;
+    let started = Instant::now();
+    while !ledgers(&fleet).await.iter().any(|row| row.cancelled) {
+        assert!(started.elapsed() < PATIENCE, "the generation goes on");
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
+#[compio::test]
+async fn an_upstream_that_leaves_gets_no_new_work_at_any_box() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape::default()).await?;
+    fleet
+        .standin(fleet.engine_addrs[0], http::Method::POST, "/admin/leave", Default::default())
+        .await?;
+    for i in 0..3 {
+        fleet
+            .wait_entry(i, |status| {
+                let runners = &status.pools[0].runners;
+                runners.iter().any(|(name, _, takes)| name == "engine-0" && !takes)
+            })
+            .await?;
+    }
+    let before = fleet.ledger(0).await?.len();
+    for i in 0..9 {
+        let prompt = format!("report {i} len=5");
+        let answer =
+            fleet.caller(0).chat(fleet.entry_addrs[i % 3], MODEL, &prompt, |_| true).await?;
+        assert!(answer.complete);
+    }
+    assert_eq!(fleet.ledger(0).await?.len(), before);
+    Ok(())
+}
+
+#[compio::test]
+async fn a_rolling_restart_under_load_loses_no_answer() -> anyhow::Result<()> {
+    let mut fleet = TestFleet::start(Shape::default()).await?;
+    for i in 0..3 {
+        let mut tasks = Vec::new();
+        for n in 0..6 {
+            let caller = fleet.caller(n % 3);
+            let at = fleet.entry_addrs[(i + n) % 3];
+            let prompt = format!("report {i} {n} len=150");
+            tasks.push(compio::runtime::spawn(async move {
+                caller.chat(at, MODEL, &prompt, |_| true).await
+            }));
+        }
+        compio::time::sleep(Duration::from_millis(300)).await;
+        fleet.entry[i].signal(libc::SIGTERM);
+        for task in tasks {
+            let answer = task.await.expect("the task ran")?;
+            assert!(answer.complete, "{:?}", answer.error);
+            check_tokens(&answer, &ledgers(&fleet).await);
+        }
+        assert!(fleet.entry[i].wait_end(PATIENCE).await, "entry-{i} does not end");
+        fleet.entry[i].restart()?;
+        fleet.wait_in_force(1).await?;
+    }
+    Ok(())
+}
+
+#[compio::test]
+async fn a_box_that_leaves_is_not_named_to_callers() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape::default()).await?;
+    let caller = fleet.caller(0);
+    let leaving = fleet.entry_addrs[0];
+    fleet.entry[0].signal(libc::SIGTERM);
+    let started = Instant::now();
+    for other in [fleet.entry_addrs[1], fleet.entry_addrs[2]] {
+        loop {
+            let found = caller.endpoints(other).await?;
+            if found.endpoints.iter().all(|e| e.addr != leaving) {
+                break;
+            }
+            assert!(started.elapsed() < PATIENCE, "{leaving} is still named");
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hatchpitch/tests/cases/claims.rs
@@ -0,0 +1,80 @@
+//! Drives a [`ClaimTable`] by a case file, under its verifier.
+
+use std::time::Duration;
+
+use hatchpitch::claims::verify::verify;
+use hatchpitch::claims::{
+    ClaimId, ClaimOutcome, ClaimRequest, ClaimTable, ClaimsConfig, KeptAnswer, SettleRequest,
+    Settlement,
+};
+
+use super::file::{Case, words};
+
+pub fn run(case: &Case) -> Vec<Vec<String>> {
+    let cfg = ClaimsConfig {
+        per_workspace: 3,
+        max_answer: 8,
+        keep: Duration::from_millis(1_000),
+        ..ClaimsConfig::default()
+    };
+    let mut table = ClaimTable::new(cfg);
+    let mut outputs = Vec::new();
+    for exchange in &case.exchanges {
+        let words = words(&exchange.input);
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        outputs.push(apply(&mut table, &words));
+        verify(&table).unwrap_or_else(|err| panic!("{}: {err}", case.name));
+    }
+    outputs
+}
+
+/// `claim AT KEY CONTENT ATTEMPT` or `settle AT KEY ATTEMPT done ANSWER|not-run|unknown`.
+fn apply(table: &mut ClaimTable, words: &[&str]) -> Vec<String> {
+    match *words {
+        ["claim", at, key, content, attempt] => {
+            let req = ClaimRequest {
+                id: id(key),
+                content: [content.as_bytes()[0]; 32],
+                attempt: attempt.to_owned(),
+                run_limit: Duration::from_millis(500),
+            };
+            vec![show(&table.claim(&req, at.parse().unwrap()))]
+        }
+        ["settle", at, key, attempt, ref how @ ..] => {
+            let settlement = match *how {
+                ["done", answer] => Settlement::Done(kept(answer)),
+                ["not-run"] => Settlement::NotRun,
+                ["unknown"] => Settlement::Unknown,
+                _ => panic!("unknown settlement {how:?}"),
+            };
+            let req = SettleRequest { id: id(key), attempt: attempt.to_owned(), settlement };
+            table.settle(&req, at.parse().unwrap());
+            Vec::new()
+        }
+        ["held"] => vec![table.len().to_string()],
+        _ => panic!("unknown input {words:?}"),
+    }
+}
+
+fn id(key: &str) -> ClaimId {
+    ClaimId { workspace: "w".to_owned(), key: key.to_owned() }
+}
+
+fn kept(answer: &str) -> KeptAnswer {
+    let body = Some(answer.as_bytes().to_vec());
+    KeptAnswer { status: 200, content_type: "text/plain".to_owned(), body }
+}
+
+fn show(outcome: &ClaimOutcome) -> String {
+    match outcome {
+        ClaimOutcome::Granted => "granted".to_owned(),
+        ClaimOutcome::Kept(KeptAnswer { body: Some(body), .. }) => {
+            format!("kept {}", String::from_utf8_lossy(body))
+        }
+        ClaimOutcome::Kept(_) => "kept without its body".to_owned(),
+        ClaimOutcome::Running => "running".to_owned(),
+        ClaimOutcome::Unknown => "unknown".to_owned(),
+        ClaimOutcome::KeyReused => "key reused".to_owned(),
+        ClaimOutcome::TooMany => "too many".to_owned(),
+    }
+}
