--- a/crates/hatchpitch/tests/cases/claims.rs
+++ b/crates/hatchpitch/tests/cases/claims.rs
@@ -11,12 +11,8 @@
 use super::file::{Case, words};
 
 pub fn run(case: &Case) -> Vec<Vec<String>> {
-    let cfg = ClaimsConfig {
-        per_workspace: 3,
-        max_answer: 8,
-        keep: Duration::from_millis(1_000),
-        ..ClaimsConfig::default()
-    };
+    let keep = Duration::from_millis(1_000);
+    let cfg = ClaimsConfig { per_workspace: 3, max_answer: 8, keep };
     let mut table = ClaimTable::new(cfg);
     let mut outputs = Vec::new();
     for exchange in &case.exchanges {
