--- /dev/null
+++ b/crates/bench/src/capacity.rs
@@ -0,0 +1,409 @@
+//! Slopes for docs/CAPACITY.md: what each role costs against what it grows with.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hatchpitch::admission::memory::{Candidate, EngineMemory, MemoryPolicy};
+use hatchpitch::admission::state::Waiter;
+use hatchpitch::admission::{AdmissionConfig, AdmissionQueue, LengthModel};
+use hatchpitch::config::{ConfigState, load_fleet};
+use hatchpitch::engine::EngineLoad;
+use hatchpitch_e2e::fleet::MODEL;
+use hatchpitch_e2e::process::Usage;
+use hatchpitch_e2e::{Shape, TestFleet};
+use http::{HeaderMap, Method};
+
+use crate::report::{histogram, millis, table};
+
+/// Time over which idle costs are measured.
+const IDLE: Duration = Duration::from_secs(8);
+/// Time that a fleet is given to settle before.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Measures everything in turn.
+///
+/// # Errors
+///
+/// Returns an error if a fleet does not start.
+pub async fn run() -> anyhow::Result<()> {
+    decisions();
+    config_bytes()?;
+    idle().await?;
+    in_force().await?;
+    claims().await?;
+    fail_over().await?;
+    tokens().await
+}
+
+/// Nanoseconds a decision against the requests that wait, and against the batch.
+fn decisions() {
+    const ROUNDS: u32 = 20_000;
+    let now = Instant::now();
+    let mut rows = Vec::new();
+    for waiting in [10_u32, 100, 1_000, 10_000] {
+        let cfg = AdmissionConfig { max_waiting: 20_000, ..AdmissionConfig::default() };
+        let mut queue = AdmissionQueue::new(cfg);
+        let waiter = |i: u32| Waiter {
+            workspace: format!("w{}", i % 500),
+            priority: (i % 9) as u8 + 1,
+            cost: u64::from(i % 700) + 20,
+            since: now,
+        };
+        for i in 0..waiting {
+            queue.enqueue(waiter(i));
+        }
+        let started = Instant::now();
+        for i in 0..ROUNDS {
+            queue.grant(now);
+            queue.enqueue(waiter(i));
+        }
+        let each = started.elapsed() / ROUNDS;
+        rows.push(vec![waiting.to_string(), format!("{}", each.as_nanos())]);
+    }
+    println!("\nqueue: one grant and one arrival");
+    table(&["waiting", "ns"], &rows);
+
+    let mut rows = Vec::new();
+    for batch in [8_u32, 16, 32, 64, 128] {
+        let mut lengths = LengthModel::default();
+        (0..500_u64).for_each(|i| lengths.observe("w", 8 + i * 3 % 900));
+        let mut memory = EngineMemory::default();
+        let load = EngineLoad {
+            incarnation: 1,
+            leaving: false,
+            memory_used: 0,
+            memory_limit: 1_000_000,
+            running: 0,
+            waiting: 0,
+            preemptions: 0,
+        };
+        memory.report(&load, now);
+        let candidate = Candidate { workspace: "w".to_owned(), prompt: 50 };
+        (0..batch).for_each(|i| memory.take(format!("g{i}"), candidate.clone(), now));
+        let rounds = 2_000;
+        let started = Instant::now();
+        for _ in 0..rounds {
+            let fits = memory.fits(MemoryPolicy::Survival(3.0), &candidate, &lengths, now);
+            std::hint::black_box(fits);
+        }
+        let each = started.elapsed() / rounds;
+        rows.push(vec![batch.to_string(), each.as_nanos().to_string()]);
+    }
+    println!("\nmemory: whether one more generation fits");
+    table(&["batch", "ns"], &rows);
+}
+
+/// Bytes of a change of one workspace against the size of the fleet, and after changes missed.
+fn config_bytes() -> anyhow::Result<()> {
+    let mut rows = Vec::new();
+    for workspaces in [10_usize, 100, 1_000, 5_500] {
+        let mut state = ConfigState::default();
+        apply(&mut state, &fleet_text(1, workspaces, 0))?;
+        let missed = [1_u64, 10, 100, 1_000];
+        let mut cells = vec![workspaces.to_string()];
+        let mut number = 1;
+        let mut took = Duration::ZERO;
+        for count in missed {
+            let have = number;
+            let changes = count.min(if workspaces > 1_000 { 20 } else { 100 });
+            for i in 0..changes {
+                number += 1;
+                apply(&mut state, &fleet_text(number, workspaces, i as usize + 1))?;
+            }
+            let started = Instant::now();
+            let (snapshot, delta) = state.delta_since(have);
+            took = took.max(started.elapsed());
+            assert!(!snapshot);
+            cells.push(format!("{}", rmp_len(&delta)));
+        }
+        let (_, all) = state.delta_since(0);
+        cells.push(rmp_len(&all).to_string());
+        cells.push(took.as_micros().to_string());
+        rows.push(cells);
+    }
+    println!(
+        "\nconfiguration: bytes of the delta after changes of one workspace's priority \
+         (at most 100 changes, 20 at 5,500 workspaces), of a snapshot, and time to make a delta"
+    );
+    table(&["workspaces", "1", "10", "100", "1000 (100/20)", "snapshot", "us"], &rows);
+    Ok(())
+}
+
+fn rmp_len<T: serde::Serialize>(value: &T) -> usize {
+    rmp_serde::to_vec_named(value).map_or(0, |bytes| bytes.len())
+}
+
+fn apply(state: &mut ConfigState, text: &str) -> anyhow::Result<()> {
+    let fleet = load_fleet("fleet", text)?;
+    let change = state.prepare(&fleet, "bench").map_err(|o| anyhow::anyhow!("{o:?}"))?;
+    state.apply(change);
+    Ok(())
+}
+
+/// A fleet whose last workspace's priority depends on `turn`.
+fn fleet_text(number: u64, workspaces: usize, turn: usize) -> String {
+    use std::fmt::Write as _;
+    let mut text = format!("number = {number}\n");
+    for i in 0..workspaces {
+        let priority = if i + 1 == workspaces { turn % 9 + 1 } else { 5 };
+        let _ = write!(
+            text,
+            "[[workspace]]\nname = \"workspace-{i}\"\npriority = {priority}\n\
+             keys = [{{ id = \"k1\", sha256 = \"{:064x}\" }}]\n",
+            i + 1
+        );
+    }
+    text
+}
+
+fn shape(entry: usize) -> Shape {
+    Shape { control: 3, entry, engines: 2, apps: 0, ..Shape::default() }
+}
+
+/// Idle cost of an entry and a control process against the number of boxes.
+async fn idle() -> anyhow::Result<()> {
+    let mut rows = Vec::new();
+    for boxes in [3_usize, 6, 12, 24, 48] {
+        let fleet = TestFleet::start(shape(boxes)).await?;
+        compio::time::sleep(SETTLE).await;
+        let before = snapshot(&fleet).await?;
+        compio::time::sleep(IDLE).await;
+        let after = snapshot(&fleet).await?;
+        let mut cells = vec![boxes.to_string()];
+        for (before, after) in before.iter().zip(&after) {
+            cells.extend(before.cost_until(after));
+        }
+        rows.push(cells);
+    }
+    println!("\nidle: an entry process (mean of all) and the control leader, over {IDLE:?}");
+    let head = [
+        "boxes",
+        "entry cpu %",
+        "MB",
+        "calls/s",
+        "body B/s",
+        "leader cpu %",
+        "MB",
+        "calls/s",
+        "body B/s",
+    ];
+    table(&head, &rows);
+    Ok(())
+}
+
+/// Costs of one role, as a mean over its processes.
+struct Cost {
+    cpu: f64,
+    memory: f64,
+    calls: f64,
+    bytes: f64,
+    at: Instant,
+}
+
+impl Cost {
+    fn cost_until(&self, after: &Self) -> Vec<String> {
+        let seconds = after.at.duration_since(self.at).as_secs_f64();
+        vec![
+            format!("{:.2}", (after.cpu - self.cpu) / seconds * 100.0),
+            format!("{:.1}", after.memory / 1e6),
+            format!("{:.1}", (after.calls - self.calls) / seconds),
+            format!("{:.0}", (after.bytes - self.bytes) / seconds),
+        ]
+    }
+}
+
+async fn snapshot(fleet: &TestFleet) -> anyhow::Result<[Cost; 2]> {
+    let mut entries = Vec::new();
+    for (process, at) in fleet.entry.iter().zip(&fleet.entry_addrs) {
+        entries.push((process.usage()?, gauges(fleet, *at).await?));
+    }
+    let mut leader = Vec::new();
+    for (process, at) in fleet.control.iter().zip(&fleet.control_addrs) {
+        let (calls, bytes, leads) = gauges(fleet, *at).await?;
+        if leads > 0.0 {
+            leader.push((process.usage()?, (calls, bytes, leads)));
+        }
+    }
+    Ok([mean(&entries), mean(&leader)])
+}
+
+/// What was read of one process: its usage, and calls, bytes and whether it leads.
+type Reading = (Usage, (f64, f64, f64));
+
+fn mean(rows: &[Reading]) -> Cost {
+    let count = rows.len().max(1) as f64;
+    let sum = |figure: fn(&Reading) -> f64| rows.iter().map(figure).sum::<f64>() / count;
+    Cost {
+        cpu: sum(|row| row.0.cpu.as_secs_f64()),
+        memory: sum(|row| row.0.memory as f64),
+        calls: sum(|row| row.1.0),
+        bytes: sum(|row| row.1.1),
+        at: Instant::now(),
+    }
+}
+
+/// Reads calls, bytes of bodies and whether the box leads from `/metrics`.
+async fn gauges(fleet: &TestFleet, at: std::net::SocketAddr) -> anyhow::Result<(f64, f64, f64)> {
+    let (_, text) = fleet.operator_call(at, Method::GET, "/metrics", Bytes::new()).await?;
+    let find = |name: &str| {
+        let line = text.lines().find_map(|line| line.strip_prefix(name));
+        line.and_then(|value| value.trim().parse::<f64>().ok()).unwrap_or(0.0)
+    };
+    Ok((
+        find("hatchpitch_box_calls "),
+        find("hatchpitch_box_body_bytes "),
+        find("hatchpitch_leads "),
+    ))
+}
+
+/// Time from accepted to in force at all of 12 boxes.
+async fn in_force() -> anyhow::Result<()> {
+    const CHANGES: u64 = 60;
+    let fleet = TestFleet::start(shape(12)).await?;
+    compio::time::sleep(SETTLE).await;
+    let (mut accepted, mut everywhere) = (Vec::new(), Vec::new());
+    for number in 2..2 + CHANGES {
+        let sent = Instant::now();
+        fleet.apply(number).await?;
+        accepted.push(sent.elapsed());
+        let from = Instant::now();
+        fleet.wait_in_force(number).await?;
+        everywhere.push(from.elapsed());
+    }
+    let (accepted, everywhere) =
+        (histogram(accepted.into_iter()), histogram(everywhere.into_iter()));
+    println!("\nconfiguration: {CHANGES} changes on 12 boxes, ms (looked at box by box)");
+    let row = |name: &str, h: &hdrhistogram::Histogram<u64>| {
+        vec![name.to_owned(), format!("{:.1}", millis(h, 0.5)), format!("{:.1}", millis(h, 0.99))]
+    };
+    let rows = [row("sent to accepted", &accepted), row("accepted to in force", &everywhere)];
+    table(&["", "p50", "p99"], &rows);
+    Ok(())
+}
+
+/// Claims a second with sync, from one to many at once.
+async fn claims() -> anyhow::Result<()> {
+    const TIME: Duration = Duration::from_secs(3);
+    let shape = Shape { control: 3, entry: 3, engines: 0, apps: 3, ..Shape::default() };
+    let fleet = TestFleet::start(shape).await?;
+    let mut rows = Vec::new();
+    for at_once in [1_usize, 8, 64] {
+        let mut tasks = Vec::new();
+        for task in 0..at_once {
+            let (caller, at) = (fleet.caller(0), fleet.entry_addrs[task % 3]);
+            tasks.push(compio::runtime::spawn(async move {
+                let started = Instant::now();
+                let mut times = Vec::new();
+                while started.elapsed() < TIME {
+                    let mut headers = HeaderMap::new();
+                    let key = format!("{at_once}-{task}-{}", times.len());
+                    headers.insert("idempotency-key", key.parse()?);
+                    let sent = Instant::now();
+                    let path = "/apps/calculator/payoff";
+                    let call = caller.call(at, Method::POST, path, headers, Bytes::new());
+                    let (parts, _) = call.await?;
+                    anyhow::ensure!(parts.status == 200, "{}", parts.status);
+                    times.push(sent.elapsed());
+                }
+                anyhow::Ok(times)
+            }));
+        }
+        let mut times = Vec::new();
+        for task in tasks {
+            times.extend(task.await.map_err(|_| anyhow::anyhow!("a task ended"))??);
+        }
+        let rate = times.len() as f64 / TIME.as_secs_f64();
+        let times = histogram(times.into_iter());
+        rows.push(vec![
+            at_once.to_string(),
+            format!("{rate:.0}"),
+            format!("{:.1}", millis(&times, 0.5)),
+            format!("{:.1}", millis(&times, 0.99)),
+        ]);
+    }
+    println!("\nquotes: claim, call and settlement, each synced at a majority");
+    table(&["at once", "a second", "p50 ms", "p99 ms"], &rows);
+    Ok(())
+}
+
+/// Time from the leader's death to the next accepted change.
+async fn fail_over() -> anyhow::Result<()> {
+    const KILLS: u64 = 8;
+    let mut fleet = TestFleet::start(shape(2)).await?;
+    let mut times = Vec::new();
+    for kill in 0..KILLS {
+        let mut leader = None;
+        for (i, at) in fleet.control_addrs.clone().into_iter().enumerate() {
+            if gauges(&fleet, at).await.is_ok_and(|gauges| gauges.2 > 0.0) {
+                leader = Some(i);
+            }
+        }
+        let Some(leader) = leader else {
+            compio::time::sleep(SETTLE).await;
+            continue;
+        };
+        fleet.control[leader].kill();
+        let killed = Instant::now();
+        fleet.apply(2 + kill).await?;
+        times.push(killed.elapsed());
+        fleet.control[leader].restart()?;
+        compio::time::sleep(SETTLE).await;
+    }
+    let count = times.len();
+    let times = histogram(times.into_iter());
+    println!(
+        "\nfail-over: {count} kills of the leader; next accepted change after p50 {:.0} ms, worst {:.0} ms",
+        millis(&times, 0.5),
+        millis(&times, 1.0)
+    );
+    Ok(())
+}
+
+/// Processor time of an entry process a token and a request.
+async fn tokens() -> anyhow::Result<()> {
+    let mut rows = Vec::new();
+    for length in [10_u64, 200] {
+        let shape = Shape {
+            control: 1,
+            entry: 1,
+            engines: 4,
+            apps: 0,
+            engine_args: vec!["--memory".into(), "1000000".into()],
+            ..Shape::default()
+        };
+        let fleet = TestFleet::start(shape).await?;
+        compio::time::sleep(SETTLE).await;
+        let before = fleet.entry[0].usage()?;
+        let started = Instant::now();
+        let mut tasks = Vec::new();
+        for task in 0..60 {
+            let (caller, at) = (fleet.caller(0), fleet.entry_addrs[0]);
+            tasks.push(compio::runtime::spawn(async move {
+                for i in 0..(2_000 / length).min(20) {
+                    let prompt = format!("note {task} {i} len={length}");
+                    let answer = caller.chat(at, MODEL, &prompt, |_| true).await?;
+                    anyhow::ensure!(answer.complete, "{:?}", answer.error);
+                }
+                anyhow::Ok((2_000 / length).min(20))
+            }));
+        }
+        let mut answers = 0;
+        for task in tasks {
+            answers += task.await.map_err(|_| anyhow::anyhow!("a task ended"))??;
+        }
+        let used = fleet.entry[0].usage()?.cpu - before.cpu;
+        let seconds = started.elapsed().as_secs_f64();
+        let tokens = answers * length;
+        rows.push(vec![
+            length.to_string(),
+            answers.to_string(),
+            format!("{:.0}", tokens as f64 / seconds),
+            format!("{:.1}", used.as_secs_f64() * 1e6 / tokens as f64),
+            format!("{:.1}", used.as_secs_f64() / seconds * 100.0),
+            format!("{:.1}", fleet.entry[0].usage()?.memory as f64 / 1e6),
+        ]);
+    }
+    println!("\nstreams: processor time of one entry process");
+    table(&["tokens an answer", "answers", "tokens/s", "us a token", "cpu %", "MB"], &rows);
+    Ok(())
+}
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -6,6 +6,20 @@
 
 use anyhow::Context as _;
 
+/// Clock ticks a second that the kernel reports in.
+const TICKS: u64 = 100;
+/// Bytes of a page.
+const PAGE: u64 = 4_096;
+
+/// What a process has used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time.
+    pub cpu: Duration,
+    /// Memory in use, in bytes.
+    pub memory: u64,
+}
+
 /// A process that is killed when dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -94,6 +108,22 @@
         true
     }
 
+    /// Returns the processor time used so far and the memory in use, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn usage(&self) -> anyhow::Result<Usage> {
+        let pid = self.child.as_ref().context("the process has ended")?.id();
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+        // The name in brackets may hold blanks; what follows it does not.
+        let rest = stat.rsplit_once(')').context("stat")?.1;
+        let field = |i: usize| rest.split_whitespace().nth(i).and_then(|f| f.parse::<u64>().ok());
+        let ticks = field(11).context("utime")? + field(12).context("stime")?;
+        let pages = field(21).context("rss")?;
+        Ok(Usage { cpu: Duration::from_millis(ticks * 1_000 / TICKS), memory: pages * PAGE })
+    }
+
     /// Returns the log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -78,7 +78,7 @@
 async fn dispatch(cx: &Rc<ControlCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
     let path = req.uri().path().to_owned();
     if path == "/metrics" {
-        return Ok(text_response(StatusCode::OK, cx.metrics.render()));
+        return Ok(metrics(cx));
     }
     let operator = authenticate(cx, &req)?;
     match (req.method().clone(), path.as_str()) {
@@ -96,6 +96,15 @@
     }
 }
 
+fn metrics(cx: &ControlCx) -> Response<Body> {
+    let traffic = cx.boxes.traffic();
+    cx.metrics.gauge("hatchpitch_box_calls", traffic.calls as f64);
+    cx.metrics.gauge("hatchpitch_box_body_bytes", traffic.body_bytes as f64);
+    cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
+    cx.metrics.gauge("hatchpitch_leads", if cx.leads() { 1.0 } else { 0.0 });
+    text_response(StatusCode::OK, cx.metrics.render())
+}
+
 fn authenticate(cx: &ControlCx, req: &Request<Incoming>) -> Result<String, Problem> {
     let key = bearer(req.headers()).unwrap_or("");
     let first = cx.settings.operators.iter().find(|op| find_key(&op.keys, key).is_some());
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -185,6 +185,9 @@
 fn metrics(cx: &EntryCx) -> Response<Body> {
     cx.metrics.gauge("hatchpitch_active_requests", cx.active() as f64);
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
+    let traffic = cx.boxes.traffic();
+    cx.metrics.gauge("hatchpitch_box_calls", traffic.calls as f64);
+    cx.metrics.gauge("hatchpitch_box_body_bytes", traffic.body_bytes as f64);
     let age = cx.config.confirmed_age().map_or(f64::INFINITY, |age| age.as_secs_f64());
     cx.metrics.gauge("hatchpitch_config_confirmed_age_seconds", age);
     text_response(StatusCode::OK, cx.metrics.render())
--- a/crates/hatchpitch/tests/replication/schedules.rs
+++ b/crates/hatchpitch/tests/replication/schedules.rs
@@ -1,9 +1,13 @@
 //! Random schedules from fixed seeds, and the cases that they must contain.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arbitrary::Unstructured;
 use hatchpitch::replication::change::{ChangeError, MemberChange};
+use hatchpitch::replication::messages::LogEnd;
+use hatchpitch::replication::{
+    Entry, HardState, Message, Payload, Replica, ReplicaConfig, Restored, Snapshot,
+};
 
 use super::group::{Group, peer, voters};
 
@@ -216,3 +220,39 @@
         assert_eq!(r.change(&MemberChange::Promote(4), now), Err(ChangeError::Behind));
     });
 }
+
+#[test]
+fn an_entry_of_an_old_term_is_not_committed_by_counting_replicas() {
+    let now = Instant::now();
+    let entry = |term, index| Entry { term, index, payload: Payload::Noop };
+    let restored = Restored {
+        hard: HardState { term: 3, voted_for: None },
+        snapshot: Snapshot {
+            end: LogEnd { term: 0, index: 0 },
+            members: voters(1..=5),
+            data: Vec::new(),
+        },
+        entries: vec![entry(1, 1), entry(2, 2)],
+    };
+    let mut replica = Replica::new(1, ReplicaConfig::default(), restored, 1, now);
+    let later = now + Duration::from_secs(10);
+    replica.tick(later);
+    for from in [2, 3] {
+        replica.receive(from, Message::PreVoteReply { term: 4, granted: true }, later);
+    }
+    for from in [2, 3] {
+        replica.receive(from, Message::VoteReply { term: 4, granted: true }, later);
+    }
+    assert!(replica.leads());
+    replica.ready();
+    replica.persisted(3, later);
+    let matched = |index| Message::AppendReply { term: 4, matched: true, index, round: 1 };
+    for from in [2, 3] {
+        replica.receive(from, matched(2), later);
+    }
+    assert_eq!(replica.commit(), 0, "another leader could still replace entry 2");
+    for from in [2, 3] {
+        replica.receive(from, matched(3), later);
+    }
+    assert_eq!(replica.commit(), 3);
+}
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -1,7 +1,9 @@
 //! Signed calls between boxes: HTTP `POST` with an `rmp-serde` body.
 
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -56,6 +58,16 @@
 pub struct BoxClient {
     http: cyper::Client,
     keys: KeyRing,
+    traffic: Rc<Cell<Traffic>>,
+}
+
+/// What a [`BoxClient`] has exchanged; heads of messages are not counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Calls begun.
+    pub calls: u64,
+    /// Bytes of the bodies sent and received.
+    pub body_bytes: u64,
 }
 
 impl BoxClient {
@@ -66,7 +78,7 @@
     /// Returns the HTTP library's error if its client cannot be built.
     pub fn new(keys: KeyRing) -> anyhow::Result<Self> {
         let http = cyper::Client::builder().no_proxy().build()?;
-        Ok(Self { http, keys })
+        Ok(Self { http, keys, traffic: Rc::default() })
     }
 
     /// Returns the keys that this client signs with.
@@ -74,6 +86,18 @@
         &self.keys
     }
 
+    /// Returns what was exchanged so far.
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.get()
+    }
+
+    fn count(&self, calls: u64, bytes: usize) {
+        let mut traffic = self.traffic.get();
+        traffic.calls += calls;
+        traffic.body_bytes += bytes as u64;
+        self.traffic.set(traffic);
+    }
+
     /// Sends `message` to `path` at `peer` and decodes the answer.
     ///
     /// # Errors
@@ -104,6 +128,7 @@
     ) -> Result<Bytes, CallError> {
         let fail = |step, cause: String| CallError { step, peer, cause };
         let send_failed = |err: cyper::Error| fail(CallStep::Send, error_chain(&err));
+        self.count(1, body.len());
         let signature = self.keys.sign(PURPOSE, &[path.as_bytes(), &body]);
         let req = self
             .http
@@ -117,6 +142,7 @@
             return Err(fail(CallStep::Decode, format!("answer larger than {MAX_ANSWER} bytes")));
         }
         let bytes = res.bytes().await.map_err(send_failed)?;
+        self.count(0, bytes.len());
         if status != StatusCode::OK {
             let text = String::from_utf8_lossy(&bytes).into_owned();
             return Err(fail(CallStep::Refused, format!("{status}: {text}")));
