Order models under a fence, and spread news to every box of a large fleet

Cause: engines had no orders from the control leader; a test with 370 boxes showed a leaving upstream unknown to some after 1.9 s.

Ruled out: a constant number of passings (8): with a fan-out of 3 it is used up before the last boxes heard; raising the fan-out costs every box.

Change: commands/ (one outstanding order an engine, lease with margin, wait-out for engines that do not check, read-back of unknown outcomes, shared rate of the weight store by paid priority); passings grow with the logarithm of the fleet; memory looks at 14 moments with those alive at the earlier and the size of the later one (six moments missed the peak: 9 long answers let in where 4 fit); tests of membership, parsers, admission, keys and the edge of 'not run'.

--- a/crates/bench/src/policies.rs
+++ b/crates/bench/src/policies.rs
@@ -25,7 +25,7 @@
 }
 
 /// Name of a policy and its lines of `[policy]` in an entry box's settings.
-const POLICIES: [(&str, &str); 9] = [
+const POLICIES: [(&str, &str); 10] = [
     (
         "naive",
         "placement = \"local\"\norder = \"arrival\"\npick = \"round-robin\"\nmemory = \"unlimited\"",
@@ -37,7 +37,8 @@
     ("owner-quantile", "placement = \"owner\"\nmemory = \"quantile\""),
     ("owner-survival", "placement = \"owner\"\nmemory = \"survival\""),
     ("owner-survival-3", "placement = \"owner\"\nmemory = \"survival\"\nmemory_bound = 3.0"),
-    ("owner-survival-4.5", "placement = \"owner\"\nmemory = \"survival\"\nmemory_bound = 4.5"),
+    ("owner-survival-2", "placement = \"owner\"\nmemory = \"survival\"\nmemory_bound = 2.0"),
+    ("owner-survival-1", "placement = \"owner\"\nmemory = \"survival\"\nmemory_bound = 1.0"),
 ];
 
 /// Engines of the measured fleet.
--- a/crates/hatchpitch/src/admission/lengths.rs
+++ b/crates/hatchpitch/src/admission/lengths.rs
@@ -25,12 +25,14 @@
 #[derive(Debug, Clone)]
 struct Samples {
     counts: [f32; BUCKETS],
+    /// Samples in all later buckets, so that a look-up costs the same whatever was seen.
+    above: [f32; BUCKETS],
     total: f64,
 }
 
 impl Default for Samples {
     fn default() -> Self {
-        Self { counts: [0.0; BUCKETS], total: 0.0 }
+        Self { counts: [0.0; BUCKETS], above: [0.0; BUCKETS], total: 0.0 }
     }
 }
 
@@ -42,15 +44,19 @@
         }
         self.counts[bucket(tokens)] += 1.0;
         self.total += 1.0;
+        let mut above = 0.0;
+        for (count, sum) in self.counts.iter().zip(&mut self.above).rev() {
+            *sum = above;
+            above += count;
+        }
     }
 
     /// Returns how many samples are longer than `tokens`; the bucket it lies in counts in part.
     fn longer(&self, tokens: f64) -> f64 {
         let at = position(tokens);
         let within = (at as usize).min(BUCKETS - 1);
-        let above: f32 = self.counts[within + 1..].iter().sum();
         let part = 1.0 - (at - within as f64).clamp(0.0, 1.0);
-        f64::from(above) + f64::from(self.counts[within]) * part
+        f64::from(self.above[within]) + f64::from(self.counts[within]) * part
     }
 }
 
--- a/crates/hatchpitch/src/admission/memory.rs
+++ b/crates/hatchpitch/src/admission/memory.rs
@@ -14,8 +14,12 @@
 use crate::engine::EngineLoad;
 use crate::ids::{AttemptId, WorkspaceName};
 
-/// Moments ahead that are looked at, in tokens.
-const MOMENTS: [f64; 6] = [0.0, 32.0, 128.0, 384.0, 1_024.0, 3_072.0];
+/// Moments ahead that are looked at, in tokens. What may be held between two of them is
+/// bounded by who is alive at the earlier and the size at the later one.
+const MOMENTS: [f64; 14] = [
+    0.0, 32.0, 64.0, 96.0, 144.0, 216.0, 324.0, 486.0, 730.0, 1_095.0, 1_640.0, 2_460.0, 3_690.0,
+    5_535.0,
+];
 /// Tokens a second of one generation before any was measured.
 const FIRST_RATE: f64 = 40.0;
 /// Reports whose smallest unexplained use counts: a lagging report also shows what has ended.
@@ -138,14 +142,17 @@
             .chain([(candidate, 0.0)])
             .map(|(c, age)| (c, age, lengths.survival(&c.workspace, age).max(1e-6)))
             .collect();
+        let mut before = 0.0;
         MOMENTS.iter().all(|ahead| {
             let (mut mean, mut variance) = (self.foreign(), 0.0);
             for (c, age, alive_now) in &parts {
-                let alive = (lengths.survival(&c.workspace, age + ahead) / alive_now).min(1.0);
+                // Whoever is alive at the moment before may hold what this one would.
+                let alive = (lengths.survival(&c.workspace, age + before) / alive_now).min(1.0);
                 let size = c.prompt as f64 + age + ahead;
                 mean += alive * size;
                 variance += alive * (1.0 - alive) * size * size;
             }
+            before = *ahead;
             mean + deviations * variance.sqrt() <= limit
         })
     }
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -10,6 +10,7 @@
 
 use super::context::ControlCx;
 use super::{boxes, operators};
+use crate::commands::task as commands;
 use crate::config::feed;
 use crate::replication::disk::Disk;
 use crate::replication::{Storage, bootstrap, task};
@@ -74,6 +75,7 @@
     let log = task::start(disk, cx.id, cx.applier(), client, own_addr, stop.clone())?;
     cx.begin_log(log);
     log::info!("the log goes on; identity {:016x}", cx.id);
+    compio::runtime::spawn(commands::run(cx.clone(), stop.clone())).detach();
     let follower = cx.clone();
     compio::runtime::spawn(async move {
         let find = || follower.config_parents();
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod claims;
+pub mod commands;
 pub mod config;
 pub mod control;
 pub mod discovery;
--- a/crates/hatchpitch/src/membership/state.rs
+++ b/crates/hatchpitch/src/membership/state.rs
@@ -19,7 +19,7 @@
     pub suspicion: Duration,
     /// Peers that hear of news at once.
     pub fanout: usize,
-    /// Times that a record is passed on.
+    /// Times that a record is passed on, for each doubling of the fleet's size.
     pub transmissions: u32,
     /// Records a message carries at most.
     pub max_records: usize,
@@ -33,7 +33,7 @@
             period: Duration::from_millis(500),
             suspicion: Duration::from_secs(2),
             fanout: 3,
-            transmissions: 8,
+            transmissions: 6,
             max_records: 64,
             forget_after: Duration::from_secs(3_600),
         }
@@ -259,7 +259,9 @@
     }
 
     fn put(&mut self, record: MemberRecord, now: Instant) {
-        let left_to_send = self.cfg.transmissions;
+        // With a constant number a few of many boxes would miss the news until a full exchange.
+        let doublings = (self.members.len() + 2).ilog2() + 1;
+        let left_to_send = self.cfg.transmissions * doublings;
         let member = Member { record, left_to_send, since: now };
         self.members.insert(member.record.subject.clone(), member);
     }
--- /dev/null
+++ b/crates/net/tests/keys.rs
@@ -0,0 +1,51 @@
+//! Keys shared by the boxes: rolled without a gap, and nothing forged is taken.
+
+use hatchpitch_net::keys::{from_hex, to_hex};
+use hatchpitch_net::{KeyRing, SigningKey};
+
+fn ring(ids: &[&str]) -> KeyRing {
+    let key = |id: &&str| SigningKey::new((*id).to_owned(), format!("secret of key {id}").into());
+    KeyRing::new(ids.iter().map(|id| key(id).unwrap()).collect()).unwrap()
+}
+
+#[test]
+fn a_key_is_rolled_without_a_gap() {
+    // Each step is rolled out box by box, so neighbours must understand each other.
+    let steps = [ring(&["old"]), ring(&["old", "new"]), ring(&["new", "old"]), ring(&["new"])];
+    for pair in steps.windows(2) {
+        for (a, b) in [(&pair[0], &pair[1]), (&pair[1], &pair[0])] {
+            let signature = a.sign("p", &[b"message"]);
+            assert!(b.verify("p", &[b"message"], &signature));
+        }
+    }
+    assert!(!steps[3].verify("p", &[b"m"], &steps[0].sign("p", &[b"m"])));
+}
+
+#[test]
+fn other_parts_purposes_and_noise_are_not_taken() {
+    let keys = ring(&["k"]);
+    let signature = keys.sign("p", &[b"ab", b"c"]);
+    assert!(keys.verify("p", &[b"ab", b"c"], &signature));
+    assert!(!keys.verify("p", &[b"a", b"bc"], &signature));
+    assert!(!keys.verify("q", &[b"ab", b"c"], &signature));
+    arbtest::arbtest(|u| {
+        let noise: String = u.arbitrary()?;
+        assert!(!keys.verify("p", &[b"ab", b"c"], &noise));
+        assert!(!keys.verify("p", &[b"ab", b"c"], &format!("k.{noise}")));
+        let bytes: Vec<u8> = u.arbitrary()?;
+        assert_eq!(from_hex(&to_hex(&bytes)), Some(bytes));
+        let _ = from_hex(&noise);
+        Ok(())
+    })
+    .seed(0x5eed_0000_1000)
+    .run();
+}
+
+#[test]
+fn unfit_keys_are_refused() {
+    assert!(SigningKey::new("k".into(), b"short".to_vec()).is_none());
+    assert!(SigningKey::new("a.b".into(), vec![1; 32]).is_none());
+    assert!(KeyRing::new(Vec::new()).is_none());
+    let twice = |_| SigningKey::new("k".into(), vec![1; 32]).unwrap();
+    assert!(KeyRing::new((0..2).map(twice).collect()).is_none());
+}
--- /dev/null
+++ b/crates/net/tests/steps.rs
@@ -0,0 +1,95 @@
+//! The edge of "not run": what a failed call says, against what the peer received.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use hatchpitch_net::{Body, SendError, SendStep, Upstream, read_body};
+use http::Request;
+
+const LIMIT: Duration = Duration::from_millis(300);
+const BODY: &str = "a body that is sent at once";
+
+/// What a peer does with its one connection, after which it closes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Peer {
+    CloseAtOnce,
+    ReadOneByte,
+    ReadAll,
+    ReadAllAndBeginHead,
+    ReadAllAndBeginBody,
+    StaySilent,
+}
+
+/// Runs a peer and returns how many bytes it received.
+fn start(peer: Peer) -> (SocketAddr, JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let thread = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 4096];
+        let mut received = 0;
+        match peer {
+            Peer::CloseAtOnce => {}
+            Peer::ReadOneByte => received += stream.read(&mut buf[..1]).unwrap(),
+            _ => {
+                while !String::from_utf8_lossy(&buf[..received]).ends_with(BODY) {
+                    received += stream.read(&mut buf[received..]).unwrap();
+                }
+            }
+        }
+        match peer {
+            Peer::ReadAllAndBeginHead => stream.write_all(b"HTTP/1.1 200 O").unwrap(),
+            Peer::ReadAllAndBeginBody => {
+                stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf").unwrap();
+            }
+            Peer::StaySilent => std::thread::sleep(LIMIT * 2),
+            _ => {}
+        }
+        received
+    });
+    (addr, thread)
+}
+
+async fn call(addr: SocketAddr) -> Result<http::Response<hyper::body::Incoming>, SendError> {
+    let upstream = Upstream { addr, connect_timeout: LIMIT };
+    let req = Request::post("/quote").header("host", "x").body(Body::from(BODY.to_owned()));
+    upstream.send(req.unwrap(), LIMIT).await
+}
+
+#[compio::test]
+async fn a_refused_connect_is_not_run() {
+    let addr = {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    };
+    let err = call(addr).await.unwrap_err();
+    assert_eq!(err.step, SendStep::Connect);
+    assert!(err.is_not_run());
+}
+
+#[compio::test]
+async fn not_run_is_never_said_once_a_byte_arrived() {
+    for _ in 0..50 {
+        let (addr, peer) = start(Peer::CloseAtOnce);
+        let err = call(addr).await.unwrap_err();
+        let received = peer.join().unwrap();
+        assert!(!err.is_not_run() || received == 0, "{err}: {received} bytes arrived");
+    }
+    for peer in [Peer::ReadOneByte, Peer::ReadAll, Peer::ReadAllAndBeginHead, Peer::StaySilent] {
+        let (addr, thread) = start(peer);
+        let err = call(addr).await.unwrap_err();
+        assert_eq!(err.step, SendStep::AwaitHead, "{peer:?}: {err}");
+        assert!(!err.is_not_run());
+        assert!(thread.join().unwrap() > 0);
+    }
+}
+
+#[compio::test]
+async fn a_body_that_breaks_off_is_not_an_answer() {
+    let (addr, peer) = start(Peer::ReadAllAndBeginBody);
+    let res = call(addr).await.unwrap();
+    assert!(read_body(res.into_body(), 1_000, LIMIT).await.is_err());
+    peer.join().unwrap();
+}
