Admit with one deviation, and keep waiting generations alive

Ruled out: lost answers by refusals (none was a 503) or by the retry budget alone: the budget only showed it. The stand-in engine woke all readers at each step and so never sent heartbeats to generations that waited; after three silent links they were taken for lost and run again.

--- a/crates/bench/src/policies.rs
+++ b/crates/bench/src/policies.rs
@@ -38,7 +38,7 @@
     ("owner-survival", "placement = \"owner\"\nmemory = \"survival\""),
     ("owner-survival-3", "placement = \"owner\"\nmemory = \"survival\"\nmemory_bound = 3.0"),
     ("owner-survival-2", "placement = \"owner\"\nmemory = \"survival\"\nmemory_bound = 2.0"),
-    ("owner-survival-1", "placement = \"owner\"\nmemory = \"survival\"\nmemory_bound = 1.0"),
+    ("owner-survival-1.5", "placement = \"owner\"\nmemory = \"survival\"\nmemory_bound = 1.5"),
 ];
 
 /// Engines of the measured fleet.
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -137,6 +137,17 @@
     }
 }
 
+/// Runs a program of this workspace to its end; returns its exit code and what it printed.
+///
+/// # Errors
+///
+/// Returns an error if the program was not built or does not start.
+pub fn run(bin: &str, args: &[&str]) -> anyhow::Result<(i32, String)> {
+    let output = Command::new(program(bin)?).args(args).stdin(Stdio::null()).output()?;
+    let text = [output.stdout, output.stderr].concat();
+    Ok((output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned()))
+}
+
 /// Finds a program that this workspace built, beside the running test.
 fn program(name: &str) -> anyhow::Result<PathBuf> {
     let exe = std::env::current_exe()?;
--- /dev/null
+++ b/crates/e2e/tests/cli.rs
@@ -0,0 +1,145 @@
+//! The commands of docs/OPERATORS.md, run as an operator runs them.
+
+use std::time::Instant;
+
+use hatchpitch_e2e::fleet::{MODEL, OPERATOR_KEY, PATIENCE};
+use hatchpitch_e2e::process::run;
+use hatchpitch_e2e::{Shape, TestFleet};
+use serde_json::Value;
+
+/// Runs `hatchpitch` against a fleet.
+fn hatchpitch(fleet: &TestFleet, args: &[&str]) -> (i32, String) {
+    let control: Vec<String> = fleet.control_addrs.iter().map(ToString::to_string).collect();
+    let (control, entry) = (control.join(","), fleet.entry_addrs[0].to_string());
+    let mut all = vec!["--control", &control, "--entry", &entry, "--key", OPERATOR_KEY];
+    all.extend(args);
+    run("hatchpitch", &all).unwrap()
+}
+
+fn json(output: &(i32, String)) -> Value {
+    serde_json::from_str(&output.1).unwrap_or_else(|err| panic!("{err}: {}", output.1))
+}
+
+#[compio::test]
+async fn check_diff_apply_get_and_status_do_as_the_page_says() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape { engines: 1, ..Shape::default() }).await?;
+    let two =
+        fleet.write("two.toml", &fleet.fleet_file(2).replace("priority = 9", "priority = 8"))?;
+    let other = fleet.write("other.toml", &fleet.fleet_file(2))?;
+    let bad =
+        fleet.write("bad.toml", &fleet.fleet_file(3).replace("max_batch = 16", "max_batch = 0"))?;
+    let old =
+        fleet.write("old.toml", &fleet.fleet_file(1).replace("priority = 9", "priority = 7"))?;
+    let path = |p: &std::path::PathBuf| p.display().to_string();
+
+    assert_eq!(hatchpitch(&fleet, &["check", &path(&two)]).0, 0);
+    let checked = hatchpitch(&fleet, &["check", &path(&bad)]);
+    assert_eq!(checked.0, 3);
+    assert!(checked.1.contains("runner.max_batch: found 0, expected 1 to 4096"), "{}", checked.1);
+    for kind in ["entry", "control"] {
+        let settings = fleet.folder().join(format!("{kind}-0.toml"));
+        let checked = hatchpitch(&fleet, &["check", "--kind", kind, &path(&settings)]);
+        assert_eq!(checked.0, 0, "{}", checked.1);
+    }
+
+    let diff = json(&hatchpitch(&fleet, &["--output", "json", "diff", &path(&two)]));
+    assert_eq!(diff["changed"].as_array().unwrap().len(), 1, "{diff}");
+    let applied = hatchpitch(&fleet, &["--output", "json", "apply", &path(&two), "--wait"]);
+    assert_eq!(applied.0, 0, "{}", applied.1);
+    assert_eq!(json(&applied)["missing"].as_array().unwrap().len(), 0);
+    assert_eq!(hatchpitch(&fleet, &["apply", &path(&two)]).0, 0, "again is safe");
+
+    let taken = hatchpitch(&fleet, &["apply", &path(&other)]);
+    assert_eq!(taken.0, 4);
+    assert!(taken.1.contains("was taken by root"), "{}", taken.1);
+    assert_eq!(hatchpitch(&fleet, &["apply", &path(&old)]).0, 4);
+    assert_eq!(hatchpitch(&fleet, &["apply", &path(&bad)]).0, 3);
+
+    let got = json(&hatchpitch(&fleet, &["--output", "json", "get"]));
+    assert!(got.as_array().unwrap().len() > 5);
+    let status = hatchpitch(&fleet, &["status"]);
+    assert_eq!(status.0, 0);
+    for part in ["control-0", "entry-2", "engine-0", "OWNER"] {
+        assert!(status.1.contains(part), "{}", status.1);
+    }
+    Ok(())
+}
+
+#[compio::test]
+async fn trace_shows_each_hop() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape { engines: 1, ..Shape::default() }).await?;
+    let answer = fleet.caller(0).chat(fleet.entry_addrs[1], MODEL, "note len=3", |_| true).await?;
+    let started = Instant::now();
+    loop {
+        // The root span ends a moment after the last token.
+        let (code, text) = hatchpitch(&fleet, &["trace", &answer.trace]);
+        let hops = ["caller.request", "admission.wait", "engine.generate"];
+        if code == 0 && hops.iter().all(|hop| text.contains(hop)) {
+            return Ok(());
+        }
+        assert!(started.elapsed() < PATIENCE, "{text}");
+    }
+}
+
+#[compio::test]
+async fn drain_waits_for_what_runs() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape { engines: 1, ..Shape::default() }).await?;
+    let (caller, at) = (fleet.caller(0), fleet.entry_addrs[2]);
+    let answer =
+        compio::runtime::spawn(
+            async move { caller.chat(at, MODEL, "report len=400", |_| true).await },
+        );
+    compio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let control: Vec<String> = fleet.control_addrs.iter().map(ToString::to_string).collect();
+    let (control, entry) = (control.join(","), fleet.entry_addrs[0].to_string());
+    // In a thread of its own: the caller has to go on reading meanwhile.
+    let drained = std::thread::spawn(move || {
+        let args = ["--control", &control, "--entry", &entry, "--key", OPERATOR_KEY];
+        run("hatchpitch", &[&args[..], &["drain", "entry-2", "--wait"]].concat())
+    });
+    let answer = answer.await.expect("the task ran")?;
+    assert!(answer.complete, "{:?}", answer.error);
+    let (code, text) = drained.join().expect("the thread ran")?;
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("closed"), "{text}");
+    Ok(())
+}
+
+#[compio::test]
+async fn keys_are_made_and_rolled_without_a_gap() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape { entry: 1, engines: 1, ..Shape::default() }).await?;
+    let new = json(&run("hatchpitch", &["--output", "json", "key"])?);
+    let (key, digest) = (new["key"].as_str().unwrap(), new["sha256"].as_str().unwrap());
+    let old =
+        hatchpitch_net::keys::to_hex(&hatchpitch::config::view::key_digest(&fleet.caller(0).key));
+    let entry = |id: &str, digest: &str| format!("{{ id = \"{id}\", sha256 = \"{digest}\" }}");
+    let both = format!("[{}, {}]", entry("k1", &old), entry("k2", digest));
+    let one = format!("[{}]", entry("k1", &old));
+    let text = fleet.fleet_file(2).replace(&one, &both);
+    assert_eq!(fleet.submit(&text).await?.0, 200);
+    fleet.wait_in_force(2).await?;
+    let (at, next) =
+        (fleet.entry_addrs[0], hatchpitch_standins::caller::Caller { key: key.into() });
+    for caller in [fleet.caller(0), next.clone()] {
+        assert!(caller.chat(at, MODEL, "note len=2", |_| true).await?.complete);
+    }
+    let text = fleet.fleet_file(3).replace(&one, &format!("[{}]", entry("k2", digest)));
+    assert_eq!(fleet.submit(&text).await?.0, 200);
+    fleet.wait_in_force(3).await?;
+    assert!(next.chat(at, MODEL, "note len=2", |_| true).await?.complete);
+    assert_eq!(fleet.caller(0).chat(at, MODEL, "note len=2", |_| true).await?.status, 401);
+    Ok(())
+}
+
+#[compio::test]
+async fn help_and_completions_are_printed_and_wrong_arguments_refused() -> anyhow::Result<()> {
+    let (code, text) = run("hatchpitch", &["--help"])?;
+    assert_eq!(code, 0);
+    assert!(text.contains("Exit codes") && text.contains("repair"), "{text}");
+    for shell in ["bash", "zsh", "fish"] {
+        let (code, text) = run("hatchpitch", &["completions", shell])?;
+        assert!(code == 0 && text.contains("hatchpitch"), "{shell}");
+    }
+    assert_eq!(run("hatchpitch", &["nothing"])?.0, 2);
+    Ok(())
+}
--- a/crates/e2e/tests/streams.rs
+++ b/crates/e2e/tests/streams.rs
@@ -224,3 +224,118 @@
     }
     Ok(())
 }
+
+#[compio::test]
+async fn a_generation_that_waits_in_a_busy_engine_is_not_taken_for_lost() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape {
+        entry: 1,
+        engines: 1,
+        engine_args: vec!["--max-batch".into(), "1".into()],
+        ..Shape::default()
+    })
+    .await?;
+    let mut tasks = Vec::new();
+    for i in 0..3 {
+        let (caller, at) = (fleet.caller(0), fleet.entry_addrs[0]);
+        tasks.push(compio::runtime::spawn(async move {
+            caller.chat(at, MODEL, &format!("report {i} len=300"), |_| true).await
+        }));
+    }
+    for task in tasks {
+        let answer = task.await.expect("the task ran")?;
+        assert!(answer.complete, "{:?}", answer.error);
+    }
+    assert_eq!(ledgers(&fleet).await.len(), 3, "nothing was run twice");
+    Ok(())
+}
+
+#[compio::test]
+async fn an_answer_of_a_frozen_box_is_resumed_at_another_one() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape { engines: 1, ..Shape::default() }).await?;
+    let caller = fleet.caller(0);
+    let broken = caller.chat(fleet.entry_addrs[0], MODEL, "report len=200", |token| {
+        if token.index == 30 {
+            fleet.entry[0].freeze();
+        }
+        true
+    });
+    let broken = broken.await?;
+    assert!(!broken.complete);
+    let answer = caller.resume(fleet.entry_addrs[1], broken, |_| true).await?;
+    assert!(answer.complete, "{:?}", answer.error);
+    assert_eq!(answer.tokens.len(), 200);
+    check_tokens(&answer, &ledgers(&fleet).await);
+    fleet.entry[0].thaw();
+    compio::time::sleep(Duration::from_millis(500)).await;
+    assert!(
+        ledgers(&fleet).await.iter().all(|row| !row.cancelled),
+        "the old reader cancels nothing"
+    );
+    Ok(())
+}
+
+#[compio::test]
+async fn every_token_is_right_under_a_random_schedule_of_kills() -> anyhow::Result<()> {
+    const REQUESTS: usize = 60;
+    let mut fleet = TestFleet::start(Shape { engines: 3, ..Shape::default() }).await?;
+    let mut tasks = Vec::new();
+    for i in 0..REQUESTS {
+        let (caller, entries) = (fleet.caller(i % 3), fleet.entry_addrs.clone());
+        tasks.push(compio::runtime::spawn(async move {
+            let prompt = format!("report {i} len={}", 40 + i * 7 % 160);
+            let mut at = i % 3;
+            let mut answer = caller.chat(entries[at], MODEL, &prompt, |_| true).await;
+            // A caller whose box died reads on elsewhere, or asks anew if nothing came.
+            for _ in 0..10 {
+                let broken = match answer {
+                    Ok(answer) if answer.complete || answer.error.is_some() => return Some(answer),
+                    Ok(broken) if !broken.response.is_empty() => Some(broken),
+                    _ => None,
+                };
+                compio::time::sleep(Duration::from_millis(100)).await;
+                at = (at + 1) % 3;
+                answer = match broken {
+                    Some(broken) => caller.resume(entries[at], broken, |_| true).await,
+                    None => caller.chat(entries[at], MODEL, &prompt, |_| true).await,
+                };
+            }
+            None
+        }));
+        compio::time::sleep(Duration::from_millis(40)).await;
+        // A fixed schedule: boxes die in turn, and one engine in the middle.
+        match i {
+            10 | 25 | 40 => {
+                let victim = i / 15 % 3;
+                fleet.entry[victim].kill();
+                fleet.entry[victim].restart()?;
+            }
+            32 => fleet.engines[2].kill(),
+            _ => {}
+        }
+    }
+    let mut answers = Vec::new();
+    for task in tasks {
+        answers.extend(task.await.expect("the task ran"));
+    }
+    let made = ledgers(&fleet).await;
+    let whole = answers.iter().filter(|answer| answer.complete).count();
+    for answer in &answers {
+        let known = answer
+            .tokens
+            .first()
+            .is_some_and(|first| made.iter().any(|row| row.tokens.first() == Some(&first.text)));
+        // Of the engine that died there is no ledger; order and count are checked all the same.
+        if known {
+            check_tokens(answer, &made);
+        }
+        for (i, token) in answer.tokens.iter().enumerate() {
+            assert_eq!(token.index, i as u64);
+        }
+    }
+    println!(
+        "{whole} of {REQUESTS} answers are whole, {} ended with an error",
+        answers.len() - whole
+    );
+    assert!(whole >= REQUESTS / 2, "{whole} of {REQUESTS}");
+    Ok(())
+}
--- a/crates/hatchpitch/src/admission/policy.rs
+++ b/crates/hatchpitch/src/admission/policy.rs
@@ -61,7 +61,7 @@
             placement: Placement::default(),
             order: Order::default(),
             pick: Pick::default(),
-            memory: MemoryPolicy::Survival(1.5),
+            memory: MemoryPolicy::Survival(1.0),
         }
     }
 }
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -17,6 +17,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 const MAX_BODY: usize = 8 * 1024 * 1024;
+/// Silence after which a caller gives a link up; boxes send heartbeats far more often.
+const SILENCE: Duration = Duration::from_secs(3);
 
 /// A caller with a workspace key.
 #[derive(Debug, Clone)]
@@ -200,7 +202,7 @@
     }
     let events = pieces(res.into_body()).eventsource();
     let mut events = std::pin::pin!(events);
-    while let Some(Ok(event)) = events.next().await {
+    while let Ok(Some(Ok(event))) = compio::time::timeout(SILENCE, events.next()).await {
         if event.event == "error" {
             answer.error = serde_json::from_str(&event.data).ok();
             return Ok(answer);
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -174,7 +174,9 @@
 
     fn stream(self: Rc<Self>, id: String, attempt: String, from: u64) -> Response<Body> {
         let (tx, body) = Body::stream(8);
-        let reader = Reader { engine: self, id, attempt, next: from, seen_preemptions: 0, tx };
+        let last_sent = Instant::now();
+        let reader =
+            Reader { engine: self, id, attempt, next: from, seen_preemptions: 0, tx, last_sent };
         compio::runtime::spawn(reader.run()).detach();
         Response::new(body)
     }
@@ -245,10 +247,11 @@
         fault
     }
 
-    async fn wait_for_news(&self) -> bool {
+    async fn wait_for_news(&self) {
         let (tx, rx) = oneshot::channel();
         self.waiting.borrow_mut().push(tx);
-        compio::time::timeout(HEARTBEAT, rx).await.is_ok()
+        // Running out of time and being woken mean the same: look again.
+        let _ = compio::time::timeout(HEARTBEAT, rx).await;
     }
 }
 
@@ -279,6 +282,8 @@
     next: u64,
     seen_preemptions: u64,
     tx: BodySender,
+    /// The batch wakes all readers at each step, so heartbeats go by the time of the last line.
+    last_sent: Instant,
 }
 
 enum News {
@@ -303,7 +308,8 @@
                     break;
                 }
                 News::Nothing => {
-                    if self.engine.wait_for_news().await {
+                    self.engine.wait_for_news().await;
+                    if self.last_sent.elapsed() < HEARTBEAT {
                         continue;
                     }
                     let attempt = self.attempt.clone();
@@ -404,6 +410,7 @@
     async fn send(&mut self, event: &EngineEvent) -> bool {
         let mut line = serde_json::to_vec(event).unwrap_or_default();
         line.push(b'\n');
+        self.last_sent = Instant::now();
         self.tx.send(Bytes::from(line)).await.is_ok()
     }
 }
