Work owners out once a change, not on every request

Cause: at 370 boxes and 4,600 engines each look at the owners costs 1.7 million hashes; the report loop did it twice a second and every request did it for its pool. Whether a request fits was asked of every engine of a pool.

Ruled out: a cheaper hash (20 ns each is not the cost, their number is).

Change: OwnerMap is kept until the members' version or the configuration changes; engines are asked in order of load until one fits.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -8,6 +8,8 @@
 use hatchpitch::admission::{AdmissionConfig, AdmissionQueue, LengthModel};
 use hatchpitch::config::{ConfigState, load_fleet};
 use hatchpitch::engine::EngineLoad;
+use hatchpitch::grants::ownership::owner_of;
+use hatchpitch::membership::{MemberRecord, MemberStatus, Subject};
 use hatchpitch_e2e::fleet::MODEL;
 use hatchpitch_e2e::process::Usage;
 use hatchpitch_e2e::{Shape, TestFleet};
@@ -27,6 +29,7 @@
 /// Returns an error if a fleet does not start.
 pub async fn run() -> anyhow::Result<()> {
     decisions();
+    ownership();
     config_bytes()?;
     idle().await?;
     in_force().await?;
@@ -78,7 +81,7 @@
             preemptions: 0,
         };
         memory.report(&load, now);
-        let candidate = Candidate { workspace: "w".to_owned(), prompt: 50 };
+        let candidate = Candidate { workspace: "w".to_owned(), priority: 5, prompt: 50 };
         (0..batch).for_each(|i| memory.take(format!("g{i}"), candidate.clone(), now));
         let rounds = 2_000;
         let started = Instant::now();
@@ -93,6 +96,32 @@
     table(&["batch", "ns"], &rows);
 }
 
+/// Time to work out the owners of all engines, after a box came or went.
+fn ownership() {
+    let addr: std::net::SocketAddr = ([127, 0, 0, 1], 1).into();
+    let mut rows = Vec::new();
+    for (boxes, engines) in [(12, 15), (48, 600), (370, 4_600)] {
+        let records: Vec<MemberRecord> = (0..boxes)
+            .map(|i| MemberRecord {
+                subject: Subject::Box(format!("box-{i}")),
+                incarnation: 1,
+                status: MemberStatus::Alive,
+                addr,
+                box_addr: addr,
+                failure_domain: "d".to_owned(),
+            })
+            .collect();
+        let started = Instant::now();
+        for i in 0..engines {
+            std::hint::black_box(owner_of(&format!("engine-{i}"), records.iter()));
+        }
+        let took = started.elapsed().as_micros();
+        rows.push(vec![boxes.to_string(), engines.to_string(), took.to_string()]);
+    }
+    println!("\nownership: all engines, once a change of the boxes");
+    table(&["boxes", "engines", "us"], &rows);
+}
+
 /// Bytes of a change of one workspace against the size of the fleet, and after changes missed.
 fn config_bytes() -> anyhow::Result<()> {
     let mut rows = Vec::new();
--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -51,7 +51,8 @@
 
 impl Want {
     fn candidate(&self) -> Candidate {
-        Candidate { workspace: self.workspace.clone(), prompt: self.prompt }
+        let workspace = self.workspace.clone();
+        Candidate { workspace, priority: self.priority, prompt: self.prompt }
     }
 }
 
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -13,11 +13,11 @@
 use crate::config::feed::ConfigCell;
 use crate::config::view::PoolView;
 use crate::config::{FleetView, Runner};
-use crate::grants::ownership::owner_of;
-use crate::grants::{GrantTable, task};
-use crate::ids::{AttemptId, BoxName, PoolName, WorkspaceName};
+use crate::grants::GrantTable;
+use crate::grants::ownership::OwnerMap;
+use crate::ids::{AttemptId, PoolName, WorkspaceName};
 use crate::limits::RetryBudgets;
-use crate::membership::Subject;
+use crate::membership::MemberRecord;
 use crate::membership::task::SharedMembership;
 use crate::metrics::Metrics;
 use crate::routing::RoutingConfig;
@@ -63,8 +63,9 @@
     gates: RefCell<HashMap<PoolName, Gate>>,
     /// Gates over all engines, for when no owner is in reach.
     fallback: RefCell<HashMap<PoolName, Gate>>,
-    /// Configuration number and members that the gates were made from.
-    synced: RefCell<(u64, Vec<BoxName>)>,
+    /// Configuration number and version of the members that the gates were made from.
+    synced: Cell<(u64, u64)>,
+    owners: RefCell<OwnerMap>,
     streams: RefCell<HashMap<WorkspaceName, u64>>,
     active: Cell<usize>,
     app_turn: Cell<usize>,
@@ -92,7 +93,8 @@
             held: RefCell::default(),
             gates: RefCell::default(),
             fallback: RefCell::default(),
-            synced: RefCell::default(),
+            synced: Cell::default(),
+            owners: RefCell::default(),
             streams: RefCell::default(),
             active: Cell::new(0),
             app_turn: Cell::new(0),
@@ -125,22 +127,16 @@
         Gate::new(admission, routing)
     }
 
-    /// Counts the engines of a pool that each box owns, by the address of the box.
+    /// Returns how many engines of a pool each box owns, by the address of the box.
     pub fn owners_of(&self, pool: &str) -> HashMap<SocketAddr, usize> {
-        let view = self.sync_gates();
-        let pool = view.pools.iter().find(|p| p.pool.name == pool);
-        pool.map(|pool| task::owners_of(self, pool)).unwrap_or_default()
+        self.sync_gates();
+        self.owners.borrow().owners_of(pool)
     }
 
     /// Returns whether this box decides for an engine.
     pub fn owns(&self, runner: &str) -> bool {
-        if self.settings.policy.placement == Placement::Local {
-            return true;
-        }
-        let membership = self.membership.borrow();
-        let own = membership.own_record();
-        let owner = owner_of(runner, membership.serving_boxes());
-        owner.is_none_or(|owner| owner.subject == own.subject)
+        let local = self.settings.policy.placement == Placement::Local;
+        local || self.owners.borrow().owns(runner)
     }
 
     /// Returns the gates of all pools.
@@ -151,28 +147,31 @@
     /// Brings the gates up to the configuration in force and the boxes that serve.
     pub fn sync_gates(&self) -> Rc<FleetView> {
         let view = self.config.view();
-        let boxes = self.serving_names();
-        let made_from = (view.number, boxes);
-        if *self.synced.borrow() != made_from {
-            *self.synced.borrow_mut() = made_from;
-            for pool in &view.pools {
-                self.sync_gate(pool);
-            }
-            let gone = |name: &str| !view.pools.iter().any(|p| p.pool.name == name);
-            for (_, gate) in self.gates().iter().filter(|(name, _)| gone(name)) {
-                gate.update(|table| table.sync([]));
-            }
+        let made_from = (view.number, self.membership.borrow().version());
+        let (number, _) = self.synced.get();
+        if self.synced.replace(made_from) == made_from {
+            return view;
+        }
+        let owners = {
+            let membership = self.membership.borrow();
+            let boxes: Vec<&MemberRecord> = membership.serving_boxes().collect();
+            OwnerMap::new(&view, &boxes, membership.own_record())
+        };
+        if *self.owners.borrow() != owners || number != view.number {
+            *self.owners.borrow_mut() = owners;
+            self.remake_gates(&view);
         }
         view
     }
 
-    fn serving_names(&self) -> Vec<BoxName> {
-        let membership = self.membership.borrow();
-        let names = membership.serving_boxes().filter_map(|record| match &record.subject {
-            Subject::Box(name) => Some(name.clone()),
-            Subject::Upstream(_) => None,
-        });
-        names.collect()
+    fn remake_gates(&self, view: &FleetView) {
+        for pool in &view.pools {
+            self.sync_gate(pool);
+        }
+        let gone = |name: &str| !view.pools.iter().any(|p| p.pool.name == name);
+        for (_, gate) in self.gates().iter().filter(|(name, _)| gone(name)) {
+            gate.update(|table| table.sync([]));
+        }
     }
 
     fn sync_gate(&self, pool: &PoolView) {
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -1,6 +1,6 @@
 //! Asks owners for slots, answers those who ask, and gives slots back.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -8,9 +8,7 @@
 use hatchpitch_net::Stop;
 
 use super::messages::{GrantAnswer, GrantRequest, GrantSync, ReleaseRequest};
-use super::ownership::owner_of;
 use crate::admission::{Permit, Placement, Refusal, Want};
-use crate::config::view::PoolView;
 use crate::entry::EntryCx;
 use crate::ids::{AttemptId, RunnerName};
 use crate::membership::MemberStatus;
@@ -293,16 +291,3 @@
         record.is_none_or(|record| record.status < MemberStatus::Dead)
     });
 }
-
-/// Counts the engines of a pool that each box owns.
-pub fn owners_of(cx: &EntryCx, pool: &PoolView) -> HashMap<SocketAddr, usize> {
-    let membership = cx.membership.borrow();
-    let mut owners = HashMap::new();
-    for runner in &pool.runners {
-        let owner = owner_of(&runner.name, membership.serving_boxes());
-        // A box that leaves still decides for itself until another one has taken over.
-        let owner = owner.unwrap_or_else(|| membership.own_record());
-        *owners.entry(owner.box_addr).or_default() += 1;
-    }
-    owners
-}
--- a/crates/hatchpitch/src/membership/state.rs
+++ b/crates/hatchpitch/src/membership/state.rs
@@ -74,6 +74,8 @@
     rng: SmallRng,
     next_heartbeat: Instant,
     rounds: u64,
+    /// Changes whenever a box or upstream comes, goes or changes status.
+    version: u64,
     config_number: ConfigNumber,
     /// Configuration number of each box and when it was heard.
     heard: BTreeMap<BoxName, (ConfigNumber, Instant)>,
@@ -92,6 +94,7 @@
             rng: SmallRng::seed_from_u64(seed),
             next_heartbeat: now,
             rounds: 0,
+            version: 0,
             config_number: 0,
             heard: BTreeMap::new(),
             cfg,
@@ -109,6 +112,11 @@
         &self.members[&self.own].record
     }
 
+    /// Returns a number that changes whenever any record does.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Iterates over all records.
     pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
         self.members.values().map(|m| &m.record)
@@ -262,6 +270,7 @@
         // With a constant number a few of many boxes would miss the news until a full exchange.
         let doublings = (self.members.len() + 2).ilog2() + 1;
         let left_to_send = self.cfg.transmissions * doublings;
+        self.version += 1;
         let member = Member { record, left_to_send, since: now };
         self.members.insert(member.record.subject.clone(), member);
     }
@@ -282,9 +291,11 @@
             self.mark(&subject, MemberStatus::Dead, now);
         }
         let forget = self.cfg.forget_after;
+        let before = self.members.len();
         self.members.retain(|_, m| {
             m.record.status != MemberStatus::Dead || now.duration_since(m.since) < forget
         });
+        self.version += u64::from(before != self.members.len());
         self.heard.retain(|_, (_, at)| now.duration_since(*at) < forget);
     }
 
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -125,19 +125,23 @@
     ) -> Option<RunnerSpec> {
         self.picks += 1;
         let (cfg, turn, count) = (self.cfg, self.picks, self.runners.len().max(1));
-        let fitting = self.runners.values_mut().enumerate().filter(|(_, r)| {
-            r.has_slot(now)
-                && !avoid.contains(&r.spec.name)
-                && r.memory.fits(cfg.memory, candidate, lengths, now)
-        });
-        let place = |i: usize| (i + turn) % count;
-        let (_, best) = fitting.min_by(|(i, a), (j, b)| {
-            let by_turn = place(*i).cmp(&place(*j));
-            match cfg.pick {
-                Pick::RoundRobin => by_turn,
-                Pick::LeastLoaded => a.load_share(now).total_cmp(&b.load_share(now)).then(by_turn),
-            }
-        })?;
+        let open = self.runners.values().enumerate();
+        let open = open.filter(|(_, r)| r.has_slot(now) && !avoid.contains(&r.spec.name));
+        let mut open: Vec<(f64, usize, &RunnerName)> = open
+            .map(|(i, r)| {
+                let share = match cfg.pick {
+                    Pick::RoundRobin => 0.0,
+                    Pick::LeastLoaded => r.load_share(now),
+                };
+                (share, (i + turn) % count, &r.spec.name)
+            })
+            .collect();
+        open.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        // Whether a request fits costs far more than the order, so it is asked one by one.
+        let fits =
+            |name: &RunnerName| self.runners[name].memory.fits(cfg.memory, candidate, lengths, now);
+        let name = open.into_iter().map(|(.., name)| name).find(|name| fits(name))?.clone();
+        let best = self.runners.get_mut(&name)?;
         best.running += 1;
         best.memory.take(id.clone(), candidate.clone(), now);
         Some(best.spec.clone())
