--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -71,8 +71,12 @@
         #[arg(long, value_name = "SECONDS", num_args = 0..=1, default_missing_value = "10")]
         wait: Option<u64>,
     },
-    /// Print the configuration in force.
-    Get,
+    /// Print the configuration in force, or which content holds a number.
+    Get {
+        /// Number of an accepted file.
+        #[arg(long)]
+        number: Option<u64>,
+    },
     /// Show control boxes, entry boxes, upstreams, numbers in force, streams and waits.
     Status,
     /// Have an entry box finish what it has and take no new work.
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -9,6 +9,7 @@
 use clap::CommandFactory;
 use hatchpitch::config::Entity;
 use hatchpitch::config::view::key_digest;
+use hatchpitch::control::operators::AcceptedAnswer;
 use hatchpitch::control::repair::Repaired;
 use hatchpitch::security::new_key;
 use hatchpitch_net::keys::to_hex;
@@ -27,7 +28,8 @@
         Command::Key => Ok(key(args.output)),
         Command::Diff { file } => apply::diff(&args, file).await,
         Command::Apply { file, wait } => apply::apply(&args, file, *wait).await,
-        Command::Get => get(&args).await,
+        Command::Get { number: None } => get(&args).await,
+        Command::Get { number: Some(number) } => get_number(&args, *number).await,
         Command::Status => status::run(&args).await,
         Command::Drain { name, wait } => drain::run(&args, name, *wait).await,
         Command::Repair { replace } => repair(&args, replace).await,
@@ -53,6 +55,14 @@
     Exit::Done
 }
 
+async fn get_number(args: &Args, number: u64) -> anyhow::Result<Exit> {
+    let remote = Remote::new(args)?;
+    let path = format!("/ops/accepted?number={number}");
+    let held: AcceptedAnswer = remote.call_leader(Method::GET, &path, &[]).await?.ok()?;
+    show(args.output, &held, || format!("number {number} holds {} by {}", held.content, held.by));
+    Ok(Exit::Done)
+}
+
 async fn repair(args: &Args, name: &str) -> anyhow::Result<Exit> {
     let remote = Remote::new(args)?;
     let path = format!("/ops/repair?replace={name}");
--- a/crates/e2e/tests/cli.rs
+++ b/crates/e2e/tests/cli.rs
@@ -57,6 +57,9 @@
 
     let got = json(&hatchpitch(&fleet, &["--output", "json", "get"]));
     assert!(got.as_array().unwrap().len() > 5);
+    let held = hatchpitch(&fleet, &["get", "--number", "2"]);
+    assert!(held.0 == 0 && held.1.contains("by root"), "{}", held.1);
+    assert_eq!(hatchpitch(&fleet, &["get", "--number", "77"]).0, 1);
     let status = hatchpitch(&fleet, &["status"]);
     assert_eq!(status.0, 0);
     for part in ["control-0", "entry-2", "engine-0", "OWNER"] {
--- a/crates/e2e/tests/streams.rs
+++ b/crates/e2e/tests/streams.rs
@@ -385,3 +385,30 @@
     drop(callers);
     Ok(())
 }
+
+#[compio::test]
+async fn an_engine_reclaimed_at_short_notice_costs_only_what_it_could_not_finish()
+-> anyhow::Result<()> {
+    let mut fleet = TestFleet::start(Shape { entry: 2, ..Shape::default() }).await?;
+    let mut tasks = Vec::new();
+    for i in 0..12 {
+        let (caller, at) = (fleet.caller(i % 3), fleet.entry_addrs[i % 2]);
+        let prompt = format!("report {i} len={}", if i < 6 { 20 } else { 400 });
+        tasks.push(compio::runtime::spawn(async move {
+            caller.chat(at, MODEL, &prompt, |_| true).await
+        }));
+    }
+    compio::time::sleep(Duration::from_millis(100)).await;
+    let notice = serde_json::to_vec(&1_500)?.into();
+    fleet.standin(fleet.engine_addrs[0], http::Method::POST, "/admin/reclaim", notice).await?;
+    for (i, task) in tasks.into_iter().enumerate() {
+        let answer = task.await.expect("the task ran")?;
+        let told = answer.error.as_ref().is_some_and(|e| e.error.kind == "engine_lost");
+        assert!(answer.complete || told, "{i}: {answer:?}");
+        assert!(answer.complete || i >= 6, "short answers end within the notice");
+    }
+    assert!(fleet.engines[0].wait_end(PATIENCE).await);
+    let after = fleet.caller(0).chat(fleet.entry_addrs[0], MODEL, "note len=5", |_| true).await?;
+    assert!(after.complete, "{:?}", after.error);
+    Ok(())
+}
--- a/crates/hatchpitch/src/config/state.rs
+++ b/crates/hatchpitch/src/config/state.rs
@@ -104,9 +104,10 @@
         self.entities.values().map(|v| &v.entity)
     }
 
-    /// Returns the digest of the content accepted under `number`, if it is remembered.
-    pub fn content_of(&self, number: ConfigNumber) -> Option<Digest> {
-        self.accepted.get(&number).map(|a| a.content)
+    /// Returns the digest of the content accepted under `number` and who submitted it, if it
+    /// is remembered.
+    pub fn accepted_under(&self, number: ConfigNumber) -> Option<(Digest, &str)> {
+        self.accepted.get(&number).map(|a| (a.content, a.by.as_str()))
     }
 
     /// Works out what a submitted fleet would change.
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -51,6 +51,17 @@
     pub problems: Vec<FileProblem>,
 }
 
+/// What holds a number.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct AcceptedAnswer {
+    /// The number.
+    pub number: ConfigNumber,
+    /// Digest of its content, in hexadecimal digits.
+    pub content: String,
+    /// Who submitted it.
+    pub by: String,
+}
+
 /// What a fleet file would change.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct DiffAnswer {
@@ -85,6 +96,7 @@
         (Method::GET, "/ops/status") => {
             Ok(json_response(StatusCode::OK, &status(cx), Outcome::Done))
         }
+        (Method::GET, "/ops/accepted") => accepted(cx, &req),
         (Method::GET, "/ops/config") => {
             let entities: Vec<Entity> = cx.with_machine(|m| m.config.entities().cloned().collect());
             Ok(json_response(StatusCode::OK, &entities, Outcome::Done))
@@ -215,6 +227,24 @@
     Ok(json_response(StatusCode::OK, &answer, Outcome::Done))
 }
 
+/// Tells which content holds a number, as far as this box knows.
+fn accepted(cx: &ControlCx, req: &Request<Incoming>) -> Result<Response<Body>, Problem> {
+    let query = req.uri().query().unwrap_or("");
+    let number = query.split('&').find_map(|pair| pair.strip_prefix("number="));
+    let number = number.and_then(|number| number.parse::<ConfigNumber>().ok());
+    let number = number.ok_or_else(|| Problem::bad_request("number: expected a number"))?;
+    let held = cx.with_machine(|m| {
+        let (content, by) = m.config.accepted_under(number)?;
+        Some(AcceptedAnswer { number, content: to_hex(&content), by: by.to_owned() })
+    });
+    let unknown = || {
+        let message = format!("number {number} was not accepted, or too long ago");
+        Problem::not_run(StatusCode::NOT_FOUND, "unknown_number", message)
+    };
+    let held = held.ok_or_else(unknown)?;
+    Ok(json_response(StatusCode::OK, &held, Outcome::Done))
+}
+
 async fn repair(
     cx: &Rc<ControlCx>,
     req: Request<Incoming>,
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -56,7 +56,7 @@
     pub retries: RefCell<RetryBudgets>,
     /// Whether new work is taken.
     pub intake: Cell<Intake>,
-    /// Slots given out to other boxes and this one's claims on its own engines.
+    /// Slots given out to other boxes.
     pub grants: RefCell<GrantTable>,
     /// Slots held from other boxes, by run.
     pub held: RefCell<HashMap<AttemptId, SocketAddr>>,
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -29,7 +29,7 @@
 const WAIT_MARGIN: Duration = Duration::from_millis(1_000);
 /// Time between two namings of the slots held.
 const SYNC_PERIOD: Duration = Duration::from_secs(2);
-/// Output expected of a request that cannot be asked about, when to come back.
+/// When a request for which no owner answers may come back.
 const NO_OWNER_RETRY: Duration = Duration::from_secs(1);
 
 /// A slot on an engine, wherever it was granted; dropping it gives it back.
@@ -167,7 +167,7 @@
         let owners = self.cx.owners_of(&self.pool);
         let mut order: Vec<(u64, SocketAddr)> = Vec::with_capacity(owners.len());
         for (addr, engines) in owners {
-            let draws = (0..engines).map(|_| self.cx.membership.borrow_mut().random());
+            let draws = (0..engines).map(|_| rand::random::<u64>());
             order.extend(draws.max().map(|best| (best, addr)));
         }
         order.sort_unstable_by(|a, b| b.cmp(a));
--- a/crates/hatchpitch/src/membership/state.rs
+++ b/crates/hatchpitch/src/membership/state.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
 
 use super::messages::{Gossip, MemberRecord, MemberStatus, Subject};
-use crate::ids::{BoxName, ConfigNumber, Incarnation};
+use crate::ids::{BoxName, ConfigNumber};
 
 /// Bounds and periods of membership.
 #[derive(Debug, Clone)]
@@ -69,6 +69,7 @@
 #[derive(Debug)]
 pub struct Membership {
     pub(super) own: Subject,
+    own_name: BoxName,
     cfg: MembershipConfig,
     pub(super) members: BTreeMap<Subject, Member>,
     rng: SmallRng,
@@ -86,10 +87,17 @@
 
 impl Membership {
     /// Starts with the box's own record.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the record is that of an upstream: only boxes run membership.
     pub fn new(own: MemberRecord, cfg: MembershipConfig, seed: u64, now: Instant) -> Self {
-        let subject = own.subject.clone();
+        let Subject::Box(own_name) = own.subject.clone() else {
+            panic!("only boxes run membership")
+        };
         let mut membership = Self {
-            own: subject,
+            own: own.subject.clone(),
+            own_name,
             members: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             next_heartbeat: now,
@@ -154,9 +162,7 @@
 
     /// Makes the message for a heartbeat or its answer.
     pub fn compose(&mut self, want_all: bool, all: bool) -> Gossip {
-        let Subject::Box(from) = self.own.clone() else {
-            unreachable!("only boxes run membership")
-        };
+        let from = self.own_name.clone();
         let mut records = vec![self.own_record().clone()];
         if all {
             records.extend(self.records().filter(|r| r.subject != self.own).cloned());
@@ -252,7 +258,7 @@
             return false;
         }
         let mut own = self.own_record().clone();
-        own.incarnation = seen.incarnation.saturating_add(1) as Incarnation;
+        own.incarnation = seen.incarnation.saturating_add(1);
         self.put(own, now);
         true
     }
@@ -317,9 +323,4 @@
         let picked = peers.choose_multiple(&mut self.rng, count);
         picked.map(|name| (*name).clone()).collect()
     }
-
-    /// Draws a number for callers that need to spread load.
-    pub fn random(&mut self) -> u64 {
-        self.rng.random()
-    }
 }
--- a/crates/standins/src/engine/model.rs
+++ b/crates/standins/src/engine/model.rs
@@ -40,6 +40,8 @@
     pub checks_fence: bool,
     /// Each so manieth cache event is lost; 0 for none.
     pub lose_event_every: u64,
+    /// Steps after which a cache event is published.
+    pub event_delay: u64,
     /// Time a generation without a reader is kept running.
     pub orphan_limit: Duration,
     /// Time a finished generation is kept.
@@ -58,6 +60,7 @@
             cache_blocks: 512,
             checks_fence: true,
             lose_event_every: 7,
+            event_delay: 20,
             orphan_limit: Duration::from_secs(10),
             keep_finished: Duration::from_secs(30),
         }
@@ -117,6 +120,8 @@
     pub block: String,
     /// Whether it was stored or dropped.
     pub stored: bool,
+    /// Step in which it happened.
+    pub step: u64,
 }
 
 /// Why an engine took no request.
@@ -150,6 +155,7 @@
     cache: VecDeque<String>,
     events: VecDeque<CacheEvent>,
     next_event: u64,
+    steps: u64,
 }
 
 impl EngineModel {
@@ -175,6 +181,7 @@
             cache: VecDeque::new(),
             events: VecDeque::new(),
             next_event: 0,
+            steps: 0,
         }
     }
 
@@ -251,6 +258,7 @@
 
     /// Runs one step; returns how long it took, or `None` if there was nothing to do.
     pub fn step(&mut self) -> Option<Duration> {
+        self.steps += 1;
         let prefill = self.fill_batch();
         let running = self.running();
         if running.is_empty() {
@@ -309,9 +317,12 @@
         }
     }
 
-    /// Returns the cache events after `sequence`.
+    /// Returns the published cache events after `sequence`.
     pub fn events_after(&self, sequence: u64) -> Vec<CacheEvent> {
-        self.events.iter().filter(|event| event.sequence > sequence).cloned().collect()
+        let published = |event: &&CacheEvent| {
+            event.sequence > sequence && event.step + self.cfg.event_delay <= self.steps
+        };
+        self.events.iter().filter(published).cloned().collect()
     }
 
     /// Carries an order out.
@@ -430,7 +441,7 @@
         if lost > 0 && sequence.is_multiple_of(lost) {
             return;
         }
-        self.events.push_back(CacheEvent { sequence, block, stored });
+        self.events.push_back(CacheEvent { sequence, block, stored, step: self.steps });
         if self.events.len() > KEPT_EVENTS {
             self.events.pop_front();
         }
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -132,6 +132,7 @@
             }
             (Method::POST, "/v1/commands") => self.command(req).await,
             (Method::POST, "/admin/leave") => self.set_leaving(true),
+            (Method::POST, "/admin/reclaim") => self.reclaim(req).await,
             (Method::POST, "/admin/fault") => self.set_fault(req).await,
             (Method::GET, "/admin/ledger") => self.ledger(),
             (method, _) => match path.strip_prefix("/v1/generations/") {
@@ -199,6 +200,19 @@
         json(StatusCode::OK, &leaving)
     }
 
+    /// Is taken away at short notice: leaves at once and ends when the notice is over.
+    async fn reclaim(&self, req: Request<Incoming>) -> Response<Body> {
+        let Some(notice_ms) = read_json::<u64>(req).await else {
+            return refuse(StatusCode::BAD_REQUEST, "expected the notice in milliseconds");
+        };
+        compio::runtime::spawn(async move {
+            compio::time::sleep(Duration::from_millis(notice_ms)).await;
+            std::process::exit(0);
+        })
+        .detach();
+        self.set_leaving(true)
+    }
+
     async fn set_fault(&self, req: Request<Incoming>) -> Response<Body> {
         let Some(fault) = read_json::<Fault>(req).await else {
             return refuse(StatusCode::BAD_REQUEST, "fault does not decode");
