--- a/crates/hatchpitch/src/membership/state.rs
+++ b/crates/hatchpitch/src/membership/state.rs
@@ -43,7 +43,7 @@
 /// What the driver has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MembershipAction {
-    /// Send a heartbeat and report the outcome with [`Membership::on_answer`] or [`Membership::on_silence`].
+    /// Send a heartbeat and report the outcome with [`Membership::on_gossip`] or [`Membership::on_silence`].
     Heartbeat {
         /// The box to send to.
         to: BoxName,
