Make one piece of code serve where two did

Cause: a reading of the whole change found logic that stood twice and work that was done again and again.

Ruled out: merging the daemons' main functions, and the settings' tables, which are alike in shape only.

Change: an owner decides for itself and for others in one function; submitted files are read, checked and refused in one; one look-up of query values; traffic gauges in one place. A gate asks membership about its own runners, not about all of the pool. A leader makes the orders' targets once a configuration, not ten times a second. Gone: a field of Storage that nobody read, two functions that nobody called.

Conclusion: behaviour is as it was.

--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -97,14 +97,15 @@
 ) -> anyhow::Result<Vec<String>> {
     let started = Instant::now();
     loop {
+        let entries = remote.entries().await.unwrap_or_default();
         let mut missing = Vec::new();
-        for (name, addr) in remote.entries().await.unwrap_or_default() {
-            let status = remote.entry_status(addr).await;
+        for (name, addr) in &entries {
+            let status = remote.entry_status(*addr).await;
             if !status.is_ok_and(|status| status.config_number >= number) {
-                missing.push(name);
+                missing.push(name.clone());
             }
         }
-        let known = remote.entries().await.is_ok_and(|entries| !entries.is_empty());
+        let known = !entries.is_empty();
         if known && missing.is_empty() {
             return Ok(missing);
         }
--- a/crates/e2e/tests/streams.rs
+++ b/crates/e2e/tests/streams.rs
@@ -27,41 +27,32 @@
     assert_eq!(sources.count(), 1, "from a single generation");
 }
 
-async fn answer_under(fault: Fault, prompt: &str) -> anyhow::Result<(Answer, Vec<LedgerRow>)> {
+/// Plays a fault on the only engine; the answer has to be whole all the same.
+async fn answer_is_whole_under(fault: Fault, length: usize) -> anyhow::Result<()> {
     let fleet = TestFleet::start(Shape { entry: 1, engines: 1, ..Shape::default() }).await?;
     fleet.set_fault(0, fault).await?;
-    let answer = fleet.caller(0).chat(fleet.entry_addrs[0], MODEL, prompt, |_| true).await?;
-    let made = ledgers(&fleet).await;
-    Ok((answer, made))
+    let prompt = format!("report len={length}");
+    let answer = fleet.caller(0).chat(fleet.entry_addrs[0], MODEL, &prompt, |_| true).await?;
+    assert!(answer.complete, "{fault:?}: {:?}", answer.error);
+    assert_eq!(answer.tokens.len(), length, "{fault:?}");
+    check_tokens(&answer, &ledgers(&fleet).await);
+    Ok(())
 }
 
 #[compio::test]
 async fn a_link_that_breaks_is_made_anew() -> anyhow::Result<()> {
-    let fault = Fault::Break { after: 10, links: 1 };
-    let (answer, made) = answer_under(fault, "report len=60").await?;
-    assert!(answer.complete, "{:?}", answer.error);
-    assert_eq!(answer.tokens.len(), 60);
-    check_tokens(&answer, &made);
-    Ok(())
+    answer_is_whole_under(Fault::Break { after: 10, links: 1 }, 60).await
 }
 
 #[compio::test]
 async fn a_link_that_stalls_without_closing_is_made_anew() -> anyhow::Result<()> {
-    let fault = Fault::Stall { after: 10, links: 1 };
-    let (answer, made) = answer_under(fault, "report len=60").await?;
-    assert!(answer.complete, "{:?}", answer.error);
-    assert_eq!(answer.tokens.len(), 60);
-    check_tokens(&answer, &made);
-    Ok(())
+    answer_is_whole_under(Fault::Stall { after: 10, links: 1 }, 60).await
 }
 
 #[compio::test]
 async fn doubled_crossed_and_reordered_tokens_are_not_passed_on() -> anyhow::Result<()> {
     for fault in [Fault::Duplicate, Fault::Crossed, Fault::Reorder { at: 5 }] {
-        let (answer, made) = answer_under(fault, "report len=30").await?;
-        assert!(answer.complete, "{fault:?}: {:?}", answer.error);
-        assert_eq!(answer.tokens.len(), 30, "{fault:?}");
-        check_tokens(&answer, &made);
+        answer_is_whole_under(fault, 30).await?;
     }
     Ok(())
 }
--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
-
 use serde::{Deserialize, Serialize};
 
 use super::lengths::LengthModel;
--- a/crates/hatchpitch/src/commands/task.rs
+++ b/crates/hatchpitch/src/commands/task.rs
@@ -14,14 +14,21 @@
 use crate::control::context::ControlCx;
 use crate::engine::adapter::{self, EngineError};
 use crate::engine::messages::{EngineCommand, EngineHoldings};
-use crate::ids::{Priority, RunnerName};
+use crate::ids::{ConfigNumber, Priority, RunnerName};
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
 const HOLDINGS_PATH: &str = "/v1/holdings";
 const COMMANDS_PATH: &str = "/v1/commands";
 
-type Shared = Rc<RefCell<Option<Commands>>>;
+/// The orders of this box's term as a leader.
+struct Leading {
+    commands: Commands,
+    /// Configuration number that the targets were made from.
+    targets_of: Option<ConfigNumber>,
+}
+
+type Shared = Rc<RefCell<Option<Leading>>>;
 
 /// Sends what is due until `stop`.
 pub async fn run(cx: Rc<ControlCx>, stop: Stop) {
@@ -39,17 +46,23 @@
     let now = Instant::now();
     let lease =
         cx.log().and_then(|log| log.with(|replica| Some((replica.term(), replica.lease_until()?))));
-    let mut commands = shared.borrow_mut();
+    let mut leading = shared.borrow_mut();
     let Some((term, lease_until)) = lease.filter(|(_, until)| now < *until) else {
-        *commands = None;
+        *leading = None;
         return Vec::new();
     };
-    if commands.as_ref().is_none_or(|commands| commands.term() != term) {
-        *commands = Some(Commands::begin(CommandConfig::default(), term, now));
+    let leading = match leading.take() {
+        Some(same) if same.commands.term() == term => leading.insert(same),
+        _ => {
+            let commands = Commands::begin(CommandConfig::default(), term, now);
+            leading.insert(Leading { commands, targets_of: None })
+        }
+    };
+    let view = cx.config.view();
+    if leading.targets_of.replace(view.number) != Some(view.number) {
+        leading.commands.set_targets(targets(&view), now);
     }
-    let Some(commands) = commands.as_mut() else { return Vec::new() };
-    commands.set_targets(targets(&cx.config.view()), now);
-    commands.tick(now, Some(lease_until))
+    leading.commands.tick(now, Some(lease_until))
 }
 
 /// Returns what each engine is to hold according to the configuration.
@@ -79,8 +92,8 @@
             if let Err(err) = &held {
                 log::debug!("holdings of {runner}: {err}");
             }
-            if let Some(commands) = shared.borrow_mut().as_mut() {
-                commands.on_holdings(&runner, held.ok().as_ref(), Instant::now());
+            if let Some(leading) = shared.borrow_mut().as_mut() {
+                leading.commands.on_holdings(&runner, held.ok().as_ref(), Instant::now());
             }
         }
         CommandAction::Send { runner, addr, command } => {
@@ -91,8 +104,8 @@
                 command.order
             );
             let outcome = send(addr, &command).await;
-            if let Some(commands) = shared.borrow_mut().as_mut() {
-                commands.on_sent(&runner, &outcome, Instant::now());
+            if let Some(leading) = shared.borrow_mut().as_mut() {
+                leading.commands.on_sent(&runner, &outcome, Instant::now());
             }
         }
     }
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use hatchpitch_net::keys::to_hex;
-use hatchpitch_net::{Body, read_body};
+use hatchpitch_net::{Body, query_value, read_body};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -14,7 +14,7 @@
 use super::repair;
 use crate::config::check::MAX_FLEET_FILE;
 use crate::config::view::find_key;
-use crate::config::{ApplyOutcome, Entity, EntityKey, load_fleet};
+use crate::config::{ApplyOutcome, Entity, EntityKey, Fleet, load_fleet};
 use crate::ids::{BoxName, ConfigNumber};
 use crate::outcome::{Outcome, Problem, json_response, text_response};
 use crate::security::bearer;
@@ -109,9 +109,7 @@
 }
 
 fn metrics(cx: &ControlCx) -> Response<Body> {
-    let traffic = cx.boxes.traffic();
-    cx.metrics.gauge("hatchpitch_box_calls", traffic.calls as f64);
-    cx.metrics.gauge("hatchpitch_box_body_bytes", traffic.body_bytes as f64);
+    cx.metrics.traffic(cx.boxes.traffic());
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
     cx.metrics.gauge("hatchpitch_leads", if cx.leads() { 1.0 } else { 0.0 });
     text_response(StatusCode::OK, cx.metrics.render())
@@ -128,15 +126,17 @@
     })
 }
 
-async fn fleet_file(req: Request<Incoming>) -> Result<(String, String), Problem> {
-    let query = req.uri().query().unwrap_or("");
-    let file = query.split('&').find_map(|pair| pair.strip_prefix("file=")).unwrap_or("fleet");
-    let file = file.to_owned();
+/// Reads and checks a submitted file; a file with problems is answered with all of them.
+async fn fleet_file(req: Request<Incoming>) -> Result<Result<Fleet, Response<Body>>, Problem> {
+    let file = query_value(req.uri(), "file").unwrap_or("fleet").to_owned();
     let body = read_body(req.into_body(), MAX_FLEET_FILE, BODY_LIMIT).await;
     let body = body.map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
     let text = String::from_utf8(body.to_vec())
         .map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
-    Ok((file, text))
+    Ok(load_fleet(&file, &text).map_err(|problems| {
+        let body = FileProblems { problems: problems.0 };
+        json_response(StatusCode::UNPROCESSABLE_ENTITY, &body, Outcome::NotRun)
+    }))
 }
 
 async fn apply(
@@ -144,13 +144,9 @@
     req: Request<Incoming>,
     operator: &str,
 ) -> Result<Response<Body>, Problem> {
-    let (file, text) = fleet_file(req).await?;
-    let fleet = match load_fleet(&file, &text) {
+    let fleet = match fleet_file(req).await? {
         Ok(fleet) => fleet,
-        Err(problems) => {
-            let body = FileProblems { problems: problems.0 };
-            return Ok(json_response(StatusCode::UNPROCESSABLE_ENTITY, &body, Outcome::NotRun));
-        }
+        Err(refused) => return Ok(refused),
     };
     for _ in 0..PREPARE_TRIES {
         let prepared = cx.with_machine(|m| m.config.prepare(&fleet, operator));
@@ -202,13 +198,9 @@
 }
 
 async fn diff(cx: &Rc<ControlCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
-    let (file, text) = fleet_file(req).await?;
-    let fleet = match load_fleet(&file, &text) {
+    let fleet = match fleet_file(req).await? {
         Ok(fleet) => fleet,
-        Err(problems) => {
-            let body = FileProblems { problems: problems.0 };
-            return Ok(json_response(StatusCode::UNPROCESSABLE_ENTITY, &body, Outcome::NotRun));
-        }
+        Err(refused) => return Ok(refused),
     };
     let answer = cx.with_machine(|m| {
         let have: std::collections::BTreeMap<EntityKey, &Entity> =
@@ -229,8 +221,7 @@
 
 /// Tells which content holds a number, as far as this box knows.
 fn accepted(cx: &ControlCx, req: &Request<Incoming>) -> Result<Response<Body>, Problem> {
-    let query = req.uri().query().unwrap_or("");
-    let number = query.split('&').find_map(|pair| pair.strip_prefix("number="));
+    let number = query_value(req.uri(), "number");
     let number = number.and_then(|number| number.parse::<ConfigNumber>().ok());
     let number = number.ok_or_else(|| Problem::bad_request("number: expected a number"))?;
     let held = cx.with_machine(|m| {
@@ -250,8 +241,7 @@
     req: Request<Incoming>,
     operator: &str,
 ) -> Result<Response<Body>, Problem> {
-    let query = req.uri().query().unwrap_or("");
-    let name = query.split('&').find_map(|pair| pair.strip_prefix("replace="));
+    let name = query_value(req.uri(), "replace");
     let name = name.ok_or_else(|| Problem::bad_request("replace: missing"))?.to_owned();
     if !cx.leads() {
         return Err(propose_problem(ProposeError::NotLeader(cx.leader())));
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodyError, read_body};
+use hatchpitch_net::{Body, BodyError, query_value, read_body};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -171,8 +171,7 @@
 }
 
 fn endpoints(cx: &EntryCx, req: &Request<Incoming>, peer: SocketAddr) -> Response<Body> {
-    let query = req.uri().query().unwrap_or("");
-    let near = query.split('&').find_map(|pair| pair.strip_prefix("failure_domain="));
+    let near = query_value(req.uri(), "failure_domain");
     let mut hasher = DefaultHasher::new();
     peer.hash(&mut hasher);
     let membership = cx.membership.borrow();
@@ -185,9 +184,7 @@
 fn metrics(cx: &EntryCx) -> Response<Body> {
     cx.metrics.gauge("hatchpitch_active_requests", cx.active() as f64);
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
-    let traffic = cx.boxes.traffic();
-    cx.metrics.gauge("hatchpitch_box_calls", traffic.calls as f64);
-    cx.metrics.gauge("hatchpitch_box_body_bytes", traffic.body_bytes as f64);
+    cx.metrics.traffic(cx.boxes.traffic());
     let age = cx.config.confirmed_age().map_or(f64::INFINITY, |age| age.as_secs_f64());
     cx.metrics.gauge("hatchpitch_config_confirmed_age_seconds", age);
     text_response(StatusCode::OK, cx.metrics.render())
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -114,7 +114,7 @@
         let view = self.config.view();
         if let Some(pool) = view.pools.iter().find(|p| p.pool.name == pool) {
             gate.update(|table| table.sync(pool.runners.iter().map(runner_spec)));
-            self.tell_membership(&gate, pool);
+            self.tell_membership(&gate);
         }
         gate
     }
@@ -184,21 +184,17 @@
         let owned = pool.runners.iter().filter(|runner| self.owns(&runner.name));
         let specs: Vec<RunnerSpec> = owned.map(runner_spec).collect();
         gate.update(|table| table.sync(specs));
-        self.apply_membership(pool);
+        self.tell_membership(&gate);
     }
 
     /// Tells the gate of a pool which of its runners membership lets serve.
-    pub fn apply_membership(&self, pool: &PoolView) {
-        self.tell_membership(&self.gate(&pool.pool.name), pool);
+    pub fn apply_membership(&self, pool: &str) {
+        self.tell_membership(&self.gate(pool));
     }
 
-    fn tell_membership(&self, gate: &Gate, pool: &PoolView) {
+    fn tell_membership(&self, gate: &Gate) {
         let membership = self.membership.borrow();
-        gate.update(|table| {
-            for runner in &pool.runners {
-                table.set_serving(&runner.name, membership.upstream_serves(&runner.name));
-            }
-        });
+        gate.update(|table| table.set_serving(|runner| membership.upstream_serves(runner)));
     }
 
     /// Returns whether the configuration is fresh enough for new work.
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -8,7 +8,7 @@
 use hatchpitch_net::Stop;
 
 use super::messages::{GrantAnswer, GrantRequest, GrantSync, ReleaseRequest};
-use crate::admission::{Permit, Placement, Refusal, Want};
+use crate::admission::{Gate, Permit, Placement, Refusal, Want};
 use crate::entry::EntryCx;
 use crate::ids::{AttemptId, RunnerName};
 use crate::membership::MemberStatus;
@@ -217,34 +217,45 @@
     }
 
     async fn ask_self(&self, wait: bool) -> Said {
-        let gate = self.cx.gate(&self.pool);
-        let id = self.want.id.clone();
-        match gate.try_admit(&self.want) {
-            Ok(Some(permit)) => Said::Slot(Box::new(Slot::own(&self.cx, id, permit))),
-            Ok(None) if !wait => Said::Busy(gate.expected_wait(self.want.priority)),
-            Ok(None) => match gate.admit(self.want.clone()).await {
-                Ok(permit) => Said::Slot(Box::new(Slot::own(&self.cx, id, permit))),
-                Err(refusal) => Said::Refused(refusal),
-            },
-            Err(_) => Said::Away,
+        match decide(&self.cx.gate(&self.pool), &self.want, wait).await {
+            Decided::Permit(permit) => {
+                Said::Slot(Box::new(Slot::own(&self.cx, self.want.id.clone(), *permit)))
+            }
+            Decided::Busy(wait) => Said::Busy(wait),
+            Decided::Refused(refusal) => Said::Refused(refusal),
+            Decided::NotOwner => Said::Away,
         }
     }
 }
 
+/// What an owner decides, whether for itself or for another box.
+enum Decided {
+    Permit(Box<Permit>),
+    Busy(Duration),
+    Refused(Refusal),
+    NotOwner,
+}
+
+async fn decide(gate: &Gate, want: &Want, wait: bool) -> Decided {
+    match gate.try_admit(want) {
+        Ok(Some(permit)) => Decided::Permit(Box::new(permit)),
+        Ok(None) if !wait => Decided::Busy(gate.expected_wait(want.priority)),
+        Ok(None) => match gate.admit(want.clone()).await {
+            Ok(permit) => Decided::Permit(Box::new(permit)),
+            Err(refusal) => Decided::Refused(refusal),
+        },
+        Err(_) => Decided::NotOwner,
+    }
+}
+
 /// Answers a box that asks for a slot.
 pub async fn answer(cx: &Rc<EntryCx>, req: GrantRequest) -> GrantAnswer {
     cx.sync_gates();
-    let gate = cx.gate(&req.pool);
-    let permit = match gate.try_admit(&req.want) {
-        Ok(Some(permit)) => permit,
-        Ok(None) if !req.wait => {
-            return GrantAnswer::Busy { wait: gate.expected_wait(req.want.priority) };
-        }
-        Ok(None) => match gate.admit(req.want.clone()).await {
-            Ok(permit) => permit,
-            Err(refusal) => return GrantAnswer::Refused(refusal),
-        },
-        Err(_) => return GrantAnswer::NotOwner,
+    let permit = match decide(&cx.gate(&req.pool), &req.want, req.wait).await {
+        Decided::Permit(permit) => *permit,
+        Decided::Busy(wait) => return GrantAnswer::Busy { wait },
+        Decided::Refused(refusal) => return GrantAnswer::Refused(refusal),
+        Decided::NotOwner => return GrantAnswer::NotOwner,
     };
     let (runner, addr) = (permit.runner.name.clone(), permit.runner.addr);
     cx.grants.borrow_mut().put(req.want.id, req.holder, permit, Instant::now());
--- a/crates/hatchpitch/src/membership/state.rs
+++ b/crates/hatchpitch/src/membership/state.rs
@@ -232,11 +232,6 @@
         self.mark(&own, MemberStatus::Leaving, now)
     }
 
-    /// Returns whether the box itself is leaving.
-    pub fn is_leaving(&self) -> bool {
-        self.own_record().status >= MemberStatus::Leaving
-    }
-
     /// Picks up to two boxes that can probe `target` in this box's place.
     pub fn helpers(&mut self, target: &BoxName) -> Vec<BoxName> {
         let mut peers = self.random_peers(3);
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hatchpitch_net::Traffic;
 use hdrhistogram::Histogram;
 
 use crate::ids::{PoolName, Priority};
@@ -95,6 +96,12 @@
         self.0.borrow_mut().gauges.insert(name, value);
     }
 
+    /// Shows what was exchanged with other boxes.
+    pub fn traffic(&self, traffic: Traffic) {
+        self.gauge("hatchpitch_box_calls", traffic.calls as f64);
+        self.gauge("hatchpitch_box_body_bytes", traffic.body_bytes as f64);
+    }
+
     /// Returns a count over all pools.
     pub fn total(&self, count: Count) -> u64 {
         self.0.borrow().counts.iter().filter(|((c, _), _)| *c == count).map(|(_, n)| n).sum()
--- a/crates/hatchpitch/src/replication/disk.rs
+++ b/crates/hatchpitch/src/replication/disk.rs
@@ -136,9 +136,9 @@
 pub struct FakeDisk {
     files: BTreeMap<String, FakeFile>,
     /// Operations after which every further one fails.
-    pub fail_after: Option<u64>,
+    fail_after: Option<u64>,
     /// Whether failing operations leave a part of their bytes.
-    pub tear: bool,
+    tear: bool,
     operations: u64,
 }
 
@@ -164,9 +164,15 @@
         }
     }
 
-    /// Returns how many operations were carried out.
-    pub fn operations(&self) -> u64 {
-        self.operations
+    /// Lets so many more operations through and then fails every one; `tear` leaves parts.
+    pub fn fail_in(&mut self, operations: u64, tear: bool) {
+        self.fail_after = Some(self.operations + operations);
+        self.tear = tear;
+    }
+
+    /// Lets operations through again.
+    pub fn mend(&mut self) {
+        self.fail_after = None;
     }
 
     /// Changes one byte of a file.
--- a/crates/hatchpitch/src/replication/storage.rs
+++ b/crates/hatchpitch/src/replication/storage.rs
@@ -95,8 +95,7 @@
     end: u64,
     hard: HardState,
     snapshot: LogEnd,
-    members: Members,
-    /// Kept entries are on disk; only their number is needed here.
+    /// Records after the header.
     records: u64,
 }
 
@@ -173,14 +172,8 @@
             entries: Vec::new(),
         };
         let (end, records) = replay(&disk, &bytes, offset, synced, &mut restored)?;
-        let storage = Self {
-            hard: restored.hard,
-            snapshot: header.snapshot,
-            members: header.members,
-            end: end as u64,
-            records,
-            disk,
-        };
+        let storage =
+            Self { hard: restored.hard, snapshot: header.snapshot, end: end as u64, records, disk };
         storage.cut_tail(bytes.len())?;
         if storage.disk.read(BEGUN).is_ok_and(|mark| mark.is_none()) {
             let marked = storage.disk.replace(BEGUN, &record(&true));
@@ -230,7 +223,6 @@
         let written = self.disk.replace(&name, &record(snapshot));
         written.map_err(|e| io_error("write", &self.disk, &name, e))?;
         self.snapshot = snapshot.end;
-        self.members.clone_from(&snapshot.members);
         let header =
             LogHeader { format: FORMAT, snapshot: snapshot.end, members: snapshot.members.clone() };
         let batch = Batch { hard: Some(self.hard), truncate_from: None, entries: entries.to_vec() };
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -185,10 +185,10 @@
         }
     }
 
-    /// Notes whether membership lets a runner take new work.
-    pub fn set_serving(&mut self, name: &str, serving: bool) {
-        if let Some(runner) = self.runners.get_mut(name) {
-            runner.serving = serving;
+    /// Notes which runners membership lets take new work.
+    pub fn set_serving(&mut self, serves: impl Fn(&str) -> bool) {
+        for (name, runner) in &mut self.runners {
+            runner.serving = serves(name);
         }
     }
 
@@ -200,11 +200,6 @@
         }
     }
 
-    /// Returns the runners that the fleet file holds.
-    pub fn configured(&self) -> impl Iterator<Item = &RunnerSpec> {
-        self.runners.values().filter(|r| r.configured).map(|r| &r.spec)
-    }
-
     /// Returns name, requests of this box and whether it takes new work, for operators.
     pub fn overview(&self, now: Instant) -> Vec<(RunnerName, u64, bool)> {
         let rows = self.runners.values();
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -24,7 +24,7 @@
                 let (cx, runner) = (cx.clone(), runner.clone());
                 compio::runtime::spawn(async move { read_report(&cx, &runner).await }).detach();
             }
-            cx.apply_membership(pool);
+            cx.apply_membership(&pool.pool.name);
             cx.gate(&pool.pool.name).tick(Instant::now());
         }
         compio::time::sleep(REPORT_PERIOD).await;
--- a/crates/hatchpitch/tests/replication/group.rs
+++ b/crates/hatchpitch/tests/replication/group.rs
@@ -237,7 +237,7 @@
         self.cut.clear();
         let down: Vec<NodeId> = self.nodes.keys().copied().collect();
         for id in down {
-            self.nodes[&id].disk.borrow_mut().fail_after = None;
+            self.nodes[&id].disk.borrow_mut().mend();
             if self.nodes[&id].replica.is_none() {
                 self.start(id);
             }
--- a/crates/hatchpitch/tests/replication/schedules.rs
+++ b/crates/hatchpitch/tests/replication/schedules.rs
@@ -39,7 +39,7 @@
     match u.int_in_range(0..=39)? {
         0 if group.nodes[&id].replica.is_some() => group.crash(id, u.int_in_range(0..=64)?),
         1..=4 if group.nodes[&id].replica.is_none() => {
-            group.nodes[&id].disk.borrow_mut().fail_after = None;
+            group.nodes[&id].disk.borrow_mut().mend();
             group.start(id);
         }
         5 | 6 => {
@@ -48,10 +48,8 @@
         7 => group.cut.clear(),
         8 => group.compact(id),
         9 => {
-            let disk = &group.nodes[&id].disk;
-            let done = disk.borrow().operations();
-            disk.borrow_mut().fail_after = Some(done + u.int_in_range(0..=5)?);
-            disk.borrow_mut().tear = u.arbitrary()?;
+            let (operations, tear) = (u.int_in_range(0..=5)?, u.arbitrary()?);
+            group.nodes[&id].disk.borrow_mut().fail_in(operations, tear);
         }
         10..=19 => {
             for id in 1..=size {
--- a/crates/hatchpitch/tests/replication/storage.rs
+++ b/crates/hatchpitch/tests/replication/storage.rs
@@ -50,9 +50,7 @@
         let (fake, disk) = new_disk();
         let (mut storage, _) = Storage::open(disk.clone()).unwrap();
         storage.save(&batch(1, 2)).unwrap();
-        fake.borrow_mut().tear = true;
-        let done = fake.borrow().operations();
-        fake.borrow_mut().fail_after = Some(done);
+        fake.borrow_mut().fail_in(0, true);
         assert!(storage.save(&batch(3, 2)).is_err());
         fake.borrow_mut().crash(kept);
         let (mut storage, restored) = Storage::open(disk.clone()).unwrap();
@@ -90,12 +88,10 @@
     let (fake, disk) = new_disk();
     let (mut storage, _) = Storage::open(disk.clone()).unwrap();
     storage.save(&batch(1, 2)).unwrap();
-    fake.borrow_mut().tear = true;
-    let done = fake.borrow().operations();
-    fake.borrow_mut().fail_after = Some(done);
+    fake.borrow_mut().fail_in(0, true);
     let refused = storage.save(&batch(3, 2)).unwrap_err();
     assert!(matches!(refused, StorageError::Io { .. }), "{refused}");
-    fake.borrow_mut().fail_after = None;
+    fake.borrow_mut().mend();
     let (mut storage, restored) = Storage::open(disk).unwrap();
     assert_eq!(restored.entries.len(), 2);
     storage.save(&batch(3, 1)).unwrap();
@@ -107,8 +103,7 @@
         let (fake, disk) = new_disk();
         let (mut storage, _) = Storage::open(disk.clone()).unwrap();
         storage.save(&batch(1, 4)).unwrap();
-        let done = fake.borrow().operations();
-        fake.borrow_mut().fail_after = Some(done + crash_after);
+        fake.borrow_mut().fail_in(crash_after, false);
         let snapshot = Snapshot {
             end: LogEnd { term: 1, index: 3 },
             members: voters([1]),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,5 +17,5 @@
 pub use client::{SendError, SendStep, Upstream};
 pub use keys::{KeyId, KeyRing, SigningKey};
 pub use rpc::{BoxClient, CallError, CallStep, Traffic, open_message, rmp_response};
-pub use server::{Handler, ServerLimits, bind, serve};
+pub use server::{Handler, ServerLimits, bind, query_value, serve};
 pub use stop::{Stop, StopHandle, stop_pair};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -10,7 +10,7 @@
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, LocalBoxFuture, select};
-use http::{Request, Response};
+use http::{Request, Response, Uri};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -41,6 +41,12 @@
 /// How long the accept loop rests after a failure such as too many open files.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
+/// Returns the value of a key in a request's query, as it stands there.
+pub fn query_value<'a>(uri: &'a Uri, key: &str) -> Option<&'a str> {
+    let mut pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(name, _)| *name == key).map(|(_, value)| value)
+}
+
 /// Binds a listener.
 ///
 /// # Errors
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -13,7 +13,9 @@
 use hatchpitch::engine::{EngineEvent, EngineLoad, GenerateRequest};
 use hatchpitch::logging::unix_ms;
 use hatchpitch::outcome::text_response;
-use hatchpitch_net::{Body, BodySender, Handler, ServerLimits, Stop, read_body, serve};
+use hatchpitch_net::{
+    Body, BodySender, Handler, ServerLimits, Stop, query_value, read_body, serve,
+};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -438,11 +440,7 @@
 
 impl Query {
     fn of<B>(req: &Request<B>) -> Self {
-        let query = req.uri().query().unwrap_or("");
-        let find = |key: &str| {
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(name, _)| *name == key).map_or("", |(_, value)| value)
-        };
+        let find = |key: &str| query_value(req.uri(), key).unwrap_or("");
         Self {
             attempt: find("attempt").to_owned(),
             from: find("from").parse().unwrap_or(0),
