End a streaming body with an error, and bound unacknowledged bytes

A stream that cannot go on ended cleanly: Body had no error, so a part looked like the whole. BodySender::abort ends it without the end of the message. Connections behind a cut hang without TCP_USER_TIMEOUT; both sides now give up after 5 s.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,7 +1,13 @@
 //! Message bodies: whole, or fed piece by piece through a bounded channel.
+//!
+//! A streaming body ends well when its sender is dropped. [`BodySender::abort`]
+//! ends it with an error instead, so that the connection is closed without the
+//! end of the message and no reader takes a part for the whole.
 
+use std::cell::Cell;
 use std::fmt;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -18,12 +24,22 @@
     /// All bytes are known.
     Full(Option<Bytes>),
     /// Bytes arrive through a [`BodySender`]; the body ends when it is dropped.
-    Stream(mpsc::Receiver<Bytes>),
+    Stream(BodyReceiver),
+}
+
+/// The receiving end of a streaming body.
+#[derive(Debug)]
+pub struct BodyReceiver {
+    rx: mpsc::Receiver<Bytes>,
+    aborted: Rc<Cell<bool>>,
 }
 
 /// Feeds a streaming body. The bound of the channel is the back-pressure.
 #[derive(Debug)]
-pub struct BodySender(mpsc::Sender<Bytes>);
+pub struct BodySender {
+    tx: mpsc::Sender<Bytes>,
+    aborted: Rc<Cell<bool>>,
+}
 
 impl Body {
     /// Creates an empty body.
@@ -34,7 +50,9 @@
     /// Creates a streaming body that buffers at most `depth` pieces.
     pub fn stream(depth: usize) -> (BodySender, Self) {
         let (tx, rx) = mpsc::channel(depth);
-        (BodySender(tx), Self::Stream(rx))
+        let aborted = Rc::new(Cell::new(false));
+        let sender = BodySender { tx, aborted: aborted.clone() };
+        (sender, Self::Stream(BodyReceiver { rx, aborted }))
     }
 }
 
@@ -57,18 +75,23 @@
     ///
     /// Returns [`BodyError::Closed`] when the reader has gone.
     pub async fn send(&mut self, piece: Bytes) -> Result<(), BodyError> {
-        self.0.send(piece).await.map_err(|_| BodyError::Closed)
+        self.tx.send(piece).await.map_err(|_| BodyError::Closed)
+    }
+
+    /// Ends the body with an error: the reader sees that the rest is missing.
+    pub fn abort(self) {
+        self.aborted.set(true);
     }
 
     /// Returns whether the reader has gone.
     pub fn is_closed(&self) -> bool {
-        self.0.is_closed()
+        self.tx.is_closed()
     }
 }
 
 impl HttpBody for Body {
     type Data = Bytes;
-    type Error = std::convert::Infallible;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
@@ -76,7 +99,12 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Stream(rx) => rx.poll_next_unpin(cx).map(|b| b.map(|b| Ok(Frame::data(b)))),
+            Self::Stream(body) => match body.rx.poll_next_unpin(cx) {
+                Poll::Ready(None) if body.aborted.get() => {
+                    Poll::Ready(Some(Err(BodyError::Broken("the rest is missing".to_owned()))))
+                }
+                polled => polled.map(|piece| piece.map(|piece| Ok(Frame::data(piece)))),
+            },
         }
     }
 
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1;
 
 use crate::Body;
+use crate::server::bound_silence;
 
 /// The step of a call to an upstream at which it failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -107,6 +108,7 @@
             .map_err(|_| fail(format!("no connection within {:?}", self.connect_timeout)))?
             .map_err(|err| fail(err.to_string()))?;
         stream.set_nodelay(true).map_err(|err| fail(err.to_string()))?;
+        bound_silence(&stream).map_err(|err| fail(err.to_string()))?;
         Ok(stream)
     }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -38,6 +38,10 @@
     }
 }
 
+/// How long a peer may leave sent bytes unacknowledged before its connection counts as broken.
+/// Twice the time after which a cut of a network link is usually noticed by heartbeats.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
+
 /// How long the accept loop rests after a failure such as too many open files.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -47,6 +51,15 @@
     pairs.find(|(name, _)| *name == key).map(|(_, value)| value)
 }
 
+/// Ends a connection whose peer acknowledges nothing for a while, such as one behind a cut.
+///
+/// # Errors
+///
+/// Returns the system's error if the socket does not take the option.
+pub(crate) fn bound_silence(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+}
+
 /// Binds a listener.
 ///
 /// # Errors
@@ -102,6 +115,9 @@
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("set_nodelay for {peer}: {err}");
     }
+    if let Err(err) = bound_silence(&stream) {
+        log::debug!("set_tcp_user_timeout for {peer}: {err}");
+    }
     let service = service_fn(move |req| {
         let answer = handler(req, peer);
         async move { Ok::<_, Infallible>(answer.await) }
