Route by host and path, and keep the text of a configuration

Hosted routes and services are entities of the fleet like all others, so deltas, digests and the log carry them. The text that the operator sent stays with the control boxes and is read back as it came.

--- a/crates/hatchpitch/src/config/check.rs
+++ b/crates/hatchpitch/src/config/check.rs
@@ -52,7 +52,7 @@
         raw.workspace.iter().for_each(|e| cx.workspace(e));
         raw.operator.iter().for_each(|e| cx.operator(e));
         let FleetChecker { check, entities, .. } = cx;
-        check.finish(Fleet { number, entities })
+        check.finish(Fleet { number, entities, document: None })
     }
 }
 
--- a/crates/hatchpitch/src/config/entity.rs
+++ b/crates/hatchpitch/src/config/entity.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
+use super::hosted::{HostedLimits, HostedRoute, HostedService};
 use crate::ids::{
     ConfigNumber, Digest, FailureDomainName, PoolName, Priority, RunnerName, ServiceName,
     WorkspaceName,
@@ -102,7 +103,7 @@
 pub struct Workspace {
     /// Its name.
     pub name: WorkspaceName,
-    /// The priority it pays for, 1 to 9.
+    /// The priority it pays for, 1 to 9; 0 leaves it to the route.
     pub priority: Priority,
     /// Pools it may use.
     pub pools: Vec<PoolName>,
@@ -143,6 +144,12 @@
     Workspace(Workspace),
     /// An operator.
     Operator(Operator),
+    /// A route by host and path.
+    HostedRoute(HostedRoute),
+    /// A service whose upstreams announce themselves.
+    HostedService(HostedService),
+    /// Bounds on callers of hosted routes.
+    HostedLimits(HostedLimits),
 }
 
 impl Entity {
@@ -156,6 +163,9 @@
             Self::ServiceUpstream(e) => (4, e.name.clone()),
             Self::Workspace(e) => (5, e.name.clone()),
             Self::Operator(e) => (6, e.name.clone()),
+            Self::HostedRoute(e) => (7, format!("{}{}", e.host, e.prefix)),
+            Self::HostedService(e) => (8, e.name.clone()),
+            Self::HostedLimits(_) => (9, String::new()),
         }
     }
 
@@ -172,7 +182,7 @@
 
 /// Names the kind of an entity for operators.
 pub fn kind_name(kind: u8) -> &'static str {
-    const NAMES: [&str; 7] = [
+    const NAMES: [&str; 10] = [
         "failure_domain",
         "pool",
         "runner",
@@ -180,6 +190,9 @@
         "service_upstream",
         "workspace",
         "operator",
+        "hosted_route",
+        "hosted_service",
+        "hosted_limits",
     ];
     NAMES.get(usize::from(kind)).copied().unwrap_or("unknown")
 }
@@ -191,9 +204,17 @@
     pub number: ConfigNumber,
     /// All entities.
     pub entities: BTreeMap<EntityKey, Entity>,
+    /// The text it was made from, if operators read that back; it decides nothing.
+    pub document: Option<Vec<u8>>,
 }
 
 impl Fleet {
+    /// Creates a fleet from checked entities.
+    pub fn new(number: ConfigNumber, entities: impl IntoIterator<Item = Entity>) -> Self {
+        let entities = entities.into_iter().map(|entity| (entity.key(), entity)).collect();
+        Self { number, entities, document: None }
+    }
+
     /// Returns the digest of the whole fleet, the number left out.
     pub fn digest(&self) -> Digest {
         self.entities.values().fold([0; 32], |sum, entity| xor(sum, entity.digest()))
--- a/crates/hatchpitch/src/config/mod.rs
+++ b/crates/hatchpitch/src/config/mod.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod entity;
 pub mod feed;
+pub mod hosted;
 pub mod messages;
 pub mod raw;
 pub mod state;
--- a/crates/hatchpitch/src/config/state.rs
+++ b/crates/hatchpitch/src/config/state.rs
@@ -33,6 +33,9 @@
     pub delta: Delta,
     /// Name of the operator.
     pub by: String,
+    /// The text that operators read back.
+    #[serde(default)]
+    pub document: Option<serde_bytes::ByteBuf>,
 }
 
 /// The content that holds a number.
@@ -130,7 +133,8 @@
             removals: gone.cloned().collect(),
         };
         let by = by.to_owned();
-        Ok(ConfigChange { number: fleet.number, content, base: self.number, delta, by })
+        let document = fleet.document.clone().map(serde_bytes::ByteBuf::from);
+        Ok(ConfigChange { number: fleet.number, content, base: self.number, delta, by, document })
     }
 
     /// Applies a committed change; `None` if another change came between and it must be prepared anew.
--- a/crates/hatchpitch/src/config/view.rs
+++ b/crates/hatchpitch/src/config/view.rs
@@ -1,12 +1,17 @@
 //! The configuration as dense tables, made once a number and read on every request.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
 
 use sha2::{Digest as _, Sha256};
 
 use super::entity::{Entity, KeyHash, Pool, Route, Runner, Service, ServiceUpstream, Workspace};
+use super::hosted::{HostedLimits, HostedRoute, HostedService};
 use super::state::ConfigState;
+use crate::admission::Placement;
 use crate::ids::{ConfigNumber, Digest, FailureDomainName};
+use crate::registry::UpstreamRecord;
 
 /// Index of a pool in [`FleetView::pools`].
 pub type PoolIx = usize;
@@ -20,6 +25,17 @@
     pub pool: Pool,
     /// Its runners, in order of name.
     pub runners: Vec<Runner>,
+    /// What is known of runners that announce themselves; `None` for those of a fleet file.
+    pub hosted: Option<HostedPool>,
+}
+
+/// A pool whose runners announce themselves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostedPool {
+    /// Who decides for its runners.
+    pub placement: Placement,
+    /// Size of a runner's memory in tokens; `None` for plain services.
+    pub memory: Option<u64>,
 }
 
 /// A service and its runners.
@@ -44,6 +60,12 @@
     pub workspaces: Vec<Workspace>,
     /// Region of each failure domain.
     pub regions: HashMap<FailureDomainName, String>,
+    /// Services whose upstreams announce themselves.
+    pub hosted_services: BTreeMap<String, Rc<HostedService>>,
+    /// Bounds on callers of hosted routes.
+    pub hosted_limits: Option<HostedLimits>,
+    /// Routes of each host, the longest prefix first.
+    hosted_routes: HashMap<String, Vec<Rc<HostedRoute>>>,
     pool_of_model: HashMap<String, PoolIx>,
     service_by_name: HashMap<String, usize>,
     workspace_by_key: HashMap<Digest, WorkspaceIx>,
@@ -58,6 +80,9 @@
         for entity in state.entities() {
             view.add(entity);
         }
+        for routes in view.hosted_routes.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
         view
     }
 
@@ -68,7 +93,7 @@
             }
             Entity::Pool(e) => {
                 self.pool_of_model.insert(e.model.clone(), self.pools.len());
-                self.pools.push(PoolView { pool: e.clone(), runners: Vec::new() });
+                self.pools.push(PoolView { pool: e.clone(), runners: Vec::new(), hosted: None });
             }
             Entity::Runner(e) => {
                 if let Some(view) = self.pools.iter_mut().find(|v| v.pool.name == e.pool) {
@@ -93,6 +118,14 @@
                 let owned = e.keys.iter().map(|key| (key.sha256, e.name.clone()));
                 self.operator_by_key.extend(owned);
             }
+            Entity::HostedRoute(e) => {
+                let routes = self.hosted_routes.entry(e.host.clone()).or_default();
+                routes.push(Rc::new(e.clone()));
+            }
+            Entity::HostedService(e) => {
+                self.hosted_services.insert(e.name.clone(), Rc::new(e.clone()));
+            }
+            Entity::HostedLimits(e) => self.hosted_limits = Some(e.clone()),
         }
     }
 
@@ -106,6 +139,26 @@
         self.service_by_name.get(name).map(|ix| &self.services[*ix])
     }
 
+    /// Adds the pools of hosted services with the upstreams that serve.
+    pub fn with_upstreams<'a>(&self, serving: impl Iterator<Item = &'a UpstreamRecord>) -> Self {
+        let mut view = self.clone();
+        let mut runners: HashMap<&str, Vec<Runner>> = HashMap::new();
+        for record in serving {
+            runners.entry(&record.service).or_default().push(hosted_runner(record));
+        }
+        for service in self.hosted_services.values() {
+            let runners = runners.remove(service.name.as_str()).unwrap_or_default();
+            view.pools.push(hosted_pool(service, runners));
+        }
+        view
+    }
+
+    /// Finds the route of a host with the longest prefix that begins `path`.
+    pub fn hosted_route(&self, host: &str, path: &str) -> Option<Rc<HostedRoute>> {
+        let routes = self.hosted_routes.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.prefix)).cloned()
+    }
+
     /// Finds the workspace that a presented key belongs to.
     ///
     /// The look-up is by the key's SHA-256, so its timing tells nothing of other keys.
@@ -127,6 +180,41 @@
     }
 }
 
+/// Silence after which a link to a runner that announces itself would be remade; such links
+/// are bounded by each request's own limits instead.
+const HOSTED_SILENCE: Duration = Duration::from_secs(60);
+/// Requests that may wait for a hosted service at one box: more than its largest burst brings.
+const HOSTED_MAX_WAITING: u64 = 512;
+
+fn hosted_runner(record: &UpstreamRecord) -> Runner {
+    Runner {
+        name: record.id.clone(),
+        pool: record.service.clone(),
+        addr: record.addr,
+        failure_domain: record.failure_domain.clone(),
+        max_batch: record.slots,
+        checks_fence: false,
+    }
+}
+
+fn hosted_pool(service: &HostedService, runners: Vec<Runner>) -> PoolView {
+    let pool = Pool {
+        name: service.name.clone(),
+        model: String::new(),
+        version: String::new(),
+        max_tokens: u64::MAX,
+        silence_limit: HOSTED_SILENCE,
+        max_waiting: HOSTED_MAX_WAITING,
+    };
+    let hosted = match &service.engine {
+        Some(engine) => {
+            HostedPool { placement: Placement::Owner, memory: Some(engine.memory_tokens) }
+        }
+        None => HostedPool { placement: Placement::Local, memory: None },
+    };
+    PoolView { pool, runners, hosted: Some(hosted) }
+}
+
 fn matches(prefix: &str, path: &str) -> bool {
     let Some(rest) = path.strip_prefix(prefix) else { return false };
     rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
--- a/crates/hatchpitch/src/control/machine.rs
+++ b/crates/hatchpitch/src/control/machine.rs
@@ -5,6 +5,7 @@
 use crate::claims::state::LogTime;
 use crate::claims::{ClaimOutcome, ClaimRequest, ClaimTable, ClaimsConfig, SettleRequest};
 use crate::config::{ApplyOutcome, ConfigChange, ConfigState};
+use crate::ids::ConfigNumber;
 
 /// What an entry of the log orders.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,9 +49,21 @@
     pub config: ConfigState,
     /// Claims.
     pub claims: ClaimTable,
+    /// The text of the configuration in force, if it came with one.
+    #[serde(default)]
+    pub document: Option<Document>,
     now: LogTime,
 }
 
+/// The text that a configuration was made from.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The number of the configuration.
+    pub number: ConfigNumber,
+    /// The text as the operator sent it.
+    pub text: serde_bytes::ByteBuf,
+}
+
 impl Machine {
     /// Creates the state before the first entry.
     pub fn new() -> Self {
@@ -61,7 +74,7 @@
     pub fn apply(&mut self, command: Command) -> Reply {
         self.now = self.now.max(command.at);
         match command.order {
-            Order::Config(change) => Reply::Config(self.config.apply(change)),
+            Order::Config(change) => Reply::Config(self.change(change)),
             Order::Claim(req) => Reply::Claim(self.claims.claim(&req, self.now)),
             Order::Settle(req) => {
                 self.claims.settle(&req, self.now);
@@ -70,4 +83,14 @@
             Order::Read => Reply::Read,
         }
     }
+
+    fn change(&mut self, change: ConfigChange) -> Option<ApplyOutcome> {
+        let (before, number) = (self.config.number(), change.number);
+        let document = change.document.clone();
+        let outcome = self.config.apply(change);
+        if self.config.number() > before {
+            self.document = document.map(|text| Document { number, text });
+        }
+        outcome
+    }
 }
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -10,8 +10,8 @@
 
 use super::context::{ControlCx, ProposeError};
 use super::daemon::BODY_LIMIT;
-use super::machine::{Order, Reply};
 use super::repair;
+use super::submit::{SubmitError, submit};
 use crate::config::check::MAX_FLEET_FILE;
 use crate::config::view::find_key;
 use crate::config::{ApplyOutcome, Entity, EntityKey, Fleet, load_fleet};
@@ -20,9 +20,6 @@
 use crate::security::bearer;
 use crate::settings::diagnostic::Problem as FileProblem;
 
-/// Times that a change is prepared anew when others come between.
-const PREPARE_TRIES: usize = 8;
-
 /// What a control box tells operators about itself.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ControlStatus {
@@ -148,27 +145,14 @@
         Ok(fleet) => fleet,
         Err(refused) => return Ok(refused),
     };
-    for _ in 0..PREPARE_TRIES {
-        let prepared = cx.with_machine(|m| m.config.prepare(&fleet, operator));
-        let order = match prepared {
-            Ok(change) => Order::Config(change),
-            // Only the leader may say that a number is taken or stale.
-            Err(_) => Order::Read,
-        };
-        match cx.propose(order).await {
-            Ok(Reply::Config(Some(outcome))) => return Ok(outcome_response(&outcome)),
-            Ok(Reply::Read) => {
-                let settled = cx.with_machine(|m| m.config.prepare(&fleet, operator)).err();
-                if let Some(outcome) = settled {
-                    return Ok(outcome_response(&outcome));
-                }
-            }
-            Ok(_) => {}
-            Err(err) => return Err(propose_problem(err)),
+    match submit(cx, &fleet, operator).await {
+        Ok(outcome) => Ok(outcome_response(&outcome)),
+        Err(SubmitError::Propose(err)) => Err(propose_problem(err)),
+        Err(SubmitError::Busy) => {
+            let message = "other changes came between each time; send the file again";
+            Err(Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "busy", message))
         }
     }
-    let message = "other changes came between each time; send the file again";
-    Err(Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "busy", message))
 }
 
 fn outcome_response(outcome: &ApplyOutcome) -> Response<Body> {
--- a/crates/hatchpitch/src/ids.rs
+++ b/crates/hatchpitch/src/ids.rs
@@ -13,6 +13,8 @@
 pub type RunnerName = String;
 /// Name of an application service.
 pub type ServiceName = String;
+/// Names requests whose outputs have like lengths.
+pub type RequestKind = String;
 /// Name of a workspace.
 pub type WorkspaceName = String;
 /// Number that an operator gives a fleet file; it only grows.
