--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -91,7 +91,7 @@
             preemptions: 0,
         };
         memory.report(&load, now);
-        let candidate = Candidate { workspace: "w".to_owned(), prompt: 50 };
+        let candidate = Candidate { kind: "w".to_owned(), prompt: 50, max_output: u64::MAX };
         (0..batch).for_each(|i| memory.take(format!("g{i}"), candidate.clone(), now));
         let rounds = 2_000;
         let started = Instant::now();
--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -11,7 +11,7 @@
 use super::lengths::LengthModel;
 use super::memory::Candidate;
 use super::state::{AdmissionConfig, AdmissionQueue, Enqueued, Ticket, Waiter};
-use crate::ids::{AttemptId, Priority, RunnerName, WorkspaceName};
+use crate::ids::{AttemptId, Priority, RequestKind, RunnerName, WorkspaceName};
 use crate::routing::state::RunnerSpec;
 use crate::routing::{RoutingConfig, RunnerTable, Verdict};
 
@@ -24,6 +24,8 @@
     pub workspace: WorkspaceName,
     /// What it pays for.
     pub priority: Priority,
+    /// Requests of one kind have outputs of like length.
+    pub kind: RequestKind,
     /// Tokens of the prompt.
     pub prompt: u64,
     /// Bound on the output, in tokens.
@@ -50,7 +52,7 @@
 
 impl Want {
     fn candidate(&self) -> Candidate {
-        Candidate { workspace: self.workspace.clone(), prompt: self.prompt }
+        Candidate { kind: self.kind.clone(), prompt: self.prompt, max_output: self.max_tokens }
     }
 }
 
@@ -294,7 +296,7 @@
         inner.table.give_back(name, id, self.verdict, self.tokens, now);
         if let Some(tokens) = self.tokens {
             let workspace = &self.want.workspace;
-            inner.lengths.observe(workspace, tokens);
+            inner.lengths.observe(&self.want.kind, tokens);
             inner.queue.correct(workspace, self.cost, self.want.prompt + tokens);
         }
         inner.pump(now);
--- a/crates/hatchpitch/src/admission/lengths.rs
+++ b/crates/hatchpitch/src/admission/lengths.rs
@@ -1,12 +1,12 @@
-//! How long outputs are: learned a workspace, without knowing any length ahead.
+//! How long outputs are: learned a kind of request, without knowing any length ahead.
 //!
 //! A histogram with buckets that grow by a quarter of a power of two gives the
-//! chance that an output is longer than so many tokens. A workspace with few
+//! chance that an output is longer than so many tokens. A kind with few
 //! samples borrows from its pool, and a pool from a heavy-tailed prior.
 
 use std::collections::HashMap;
 
-use crate::ids::WorkspaceName;
+use crate::ids::RequestKind;
 
 /// Buckets a power of two.
 const PER_OCTAVE: f64 = 4.0;
@@ -18,8 +18,8 @@
 const BORROWED: f64 = 16.0;
 /// Length from which the prior's tail falls, in tokens.
 const PRIOR_SCALE: f64 = 64.0;
-/// Workspaces that are kept apart; more share their pool's samples.
-const MAX_WORKSPACES: usize = 8_192;
+/// Kinds that are kept apart; more share their pool's samples.
+const MAX_KINDS: usize = 8_192;
 
 /// Lengths seen, newest ones weighing most.
 #[derive(Debug, Clone)]
@@ -72,37 +72,37 @@
 #[derive(Debug, Clone, Default)]
 pub struct LengthModel {
     pool: Samples,
-    workspaces: HashMap<WorkspaceName, Samples>,
+    kinds: HashMap<RequestKind, Samples>,
     mean: f64,
 }
 
 impl LengthModel {
     /// Takes in the length of a finished output.
-    pub fn observe(&mut self, workspace: &str, tokens: u64) {
+    pub fn observe(&mut self, kind: &str, tokens: u64) {
         self.pool.add(tokens);
         let weight = (1.0 / self.pool.total).max(0.01);
         self.mean += (tokens as f64 - self.mean) * weight;
-        if let Some(samples) = self.workspaces.get_mut(workspace) {
+        if let Some(samples) = self.kinds.get_mut(kind) {
             samples.add(tokens);
-        } else if self.workspaces.len() < MAX_WORKSPACES {
-            self.workspaces.entry(workspace.to_owned()).or_default().add(tokens);
+        } else if self.kinds.len() < MAX_KINDS {
+            self.kinds.entry(kind.to_owned()).or_default().add(tokens);
         }
     }
 
-    /// Returns the chance that an output of a workspace is longer than `tokens`.
-    pub fn survival(&self, workspace: &str, tokens: f64) -> f64 {
+    /// Returns the chance that an output of a kind is longer than `tokens`.
+    pub fn survival(&self, kind: &str, tokens: f64) -> f64 {
         let prior = (PRIOR_SCALE / tokens.max(PRIOR_SCALE)).powf(1.1);
         let pool = (self.pool.longer(tokens) + BORROWED * prior) / (self.pool.total + BORROWED);
-        match self.workspaces.get(workspace) {
+        match self.kinds.get(kind) {
             Some(own) => (own.longer(tokens) + BORROWED * pool) / (own.total + BORROWED),
             None => pool,
         }
     }
 
-    /// Returns the length that an output of a workspace stays below with chance `share`.
-    pub fn quantile(&self, workspace: &str, share: f64) -> u64 {
+    /// Returns the length that an output of a kind stays below with chance `share`.
+    pub fn quantile(&self, kind: &str, share: f64) -> u64 {
         let found = (0..BUCKETS).map(|b| 2_f64.powf(b as f64 / PER_OCTAVE));
-        let mut found = found.skip_while(|len| self.survival(workspace, *len) > 1.0 - share);
+        let mut found = found.skip_while(|len| self.survival(kind, *len) > 1.0 - share);
         found.next().map_or(u64::MAX / 4, |len| len as u64)
     }
 
--- a/crates/hatchpitch/src/admission/memory.rs
+++ b/crates/hatchpitch/src/admission/memory.rs
@@ -12,7 +12,7 @@
 
 use super::lengths::LengthModel;
 use crate::engine::EngineLoad;
-use crate::ids::{AttemptId, WorkspaceName};
+use crate::ids::{AttemptId, RequestKind};
 
 /// Moments ahead that are looked at, in tokens. What may be held between two of them is
 /// bounded by who is alive at the earlier and the size at the later one.
@@ -41,10 +41,22 @@
 /// A request for memory.
 #[derive(Debug, Clone)]
 pub struct Candidate {
-    /// Who asks.
-    pub workspace: WorkspaceName,
+    /// Requests of one kind have outputs of like length.
+    pub kind: RequestKind,
     /// Tokens of its prompt.
     pub prompt: u64,
+    /// Bound on its output, in tokens.
+    pub max_output: u64,
+}
+
+impl Candidate {
+    /// Returns the chance that the output is longer than `tokens`.
+    fn survival(&self, lengths: &LengthModel, tokens: f64) -> f64 {
+        if tokens >= self.max_output as f64 {
+            return 0.0;
+        }
+        lengths.survival(&self.kind, tokens)
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -85,6 +97,11 @@
         }
     }
 
+    /// Sets the size of the memory, where it is known without a report.
+    pub fn set_limit(&mut self, tokens: u64) {
+        self.limit = Some(tokens);
+    }
+
     /// Takes in a load report.
     pub fn report(&mut self, load: &EngineLoad, now: Instant) {
         self.limit = Some(load.memory_limit);
@@ -119,8 +136,9 @@
             }
             MemoryPolicy::Quantile(share) => {
                 let all = self.held.values().map(|held| &held.candidate).chain([candidate]);
-                let reserve =
-                    |c: &Candidate| (c.prompt + lengths.quantile(&c.workspace, share)) as f64;
+                let reserve = |c: &Candidate| {
+                    (c.prompt + lengths.quantile(&c.kind, share).min(c.max_output)) as f64
+                };
                 self.foreign() + all.map(reserve).sum::<f64>() <= limit
             }
             MemoryPolicy::Survival(deviations) => {
@@ -140,14 +158,14 @@
         let others = self.held.values().map(|held| (&held.candidate, self.tokens(held, now)));
         let parts: Vec<(&Candidate, f64, f64)> = others
             .chain([(candidate, 0.0)])
-            .map(|(c, age)| (c, age, lengths.survival(&c.workspace, age).max(1e-6)))
+            .map(|(c, age)| (c, age, c.survival(lengths, age).max(1e-6)))
             .collect();
         let mut before = 0.0;
         MOMENTS.iter().all(|ahead| {
             let (mut mean, mut variance) = (self.foreign(), 0.0);
             for (c, age, alive_now) in &parts {
                 // Whoever is alive at the moment before may hold what this one would.
-                let alive = (lengths.survival(&c.workspace, age + before) / alive_now).min(1.0);
+                let alive = (c.survival(lengths, age + before) / alive_now).min(1.0);
                 let size = c.prompt as f64 + age + ahead;
                 mean += alive * size;
                 variance += alive * (1.0 - alive) * size * size;
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -9,12 +9,16 @@
 
 use super::context::{ControlCx, ProposeError};
 use super::daemon::{BODY_LIMIT, MAX_BODY};
+use super::join::{self, JOIN_PATH, JoinRequest};
 use super::machine::{Order, Reply};
 use crate::claims::client::{CLAIM_PATH, LeaderAnswer, SETTLE_PATH};
 use crate::claims::{ClaimOutcome, ClaimRequest, SettleRequest};
 use crate::config::FeedRequest;
 use crate::config::feed::FEED_PATH;
 use crate::outcome::text_response;
+use crate::registry::follow::FOLLOW_PATH;
+use crate::registry::peers::NEWS_PATH;
+use crate::registry::{FollowRequest, RegistryNews};
 use crate::replication::bootstrap::{HELLO_PATH, Hello};
 use crate::replication::messages::LogBatch;
 use crate::replication::task::LOG_PATH;
@@ -62,6 +66,19 @@
                 self.receive(batch);
                 Ok(rmp_response(&()))
             }
+            FOLLOW_PATH => {
+                let req = self.open::<FollowRequest>()?;
+                let control = self.cx.core_addrs();
+                Ok(rmp_response(&self.cx.registry.answer(&req, control).await))
+            }
+            NEWS_PATH => {
+                self.cx.registry.take(self.open::<RegistryNews>()?);
+                Ok(rmp_response(&()))
+            }
+            JOIN_PATH => {
+                let req = self.open::<JoinRequest>()?;
+                Ok(rmp_response(&join::answer(self.cx, req)))
+            }
             HELLO_PATH => {
                 self.open::<Hello>()?;
                 Ok(rmp_response(&self.cx.hello()))
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -11,6 +11,7 @@
 use crate::config::feed::ConfigCell;
 use crate::logging::unix_ms;
 use crate::metrics::Metrics;
+use crate::registry::RegistryCell;
 use crate::replication::bootstrap::Hello;
 use crate::replication::task::{Applier, ProposeFailure, ReplicaHandle};
 use crate::replication::{NodeId, Peer};
@@ -39,6 +40,10 @@
     pub boxes: BoxClient,
     /// Whether a leader has sent this box its log before it had one.
     pub invited: Cell<bool>,
+    /// Whether a change of who takes part is under way here.
+    pub joining: Cell<bool>,
+    /// Upstreams that announce themselves.
+    pub registry: Rc<RegistryCell>,
     machine: RefCell<Machine>,
     log: OnceCell<ReplicaHandle>,
 }
@@ -53,6 +58,8 @@
             metrics: Metrics::default(),
             boxes,
             invited: Cell::new(false),
+            joining: Cell::new(false),
+            registry: Rc::new(RegistryCell::new(rand::random())),
             machine: RefCell::new(Machine::new()),
             log: OnceCell::new(),
         })
@@ -128,6 +135,28 @@
         self.log()?.with(|replica| replica.members().get(replica.leader()?).cloned())
     }
 
+    /// Returns where other boxes reach the control boxes, this one left out: those that take
+    /// part, and those of the settings.
+    pub fn peer_addrs(&self) -> Vec<SocketAddr> {
+        let own = self.settings.own.boxes_addr;
+        let members = self.hello().members.unwrap_or_default();
+        let members = members.all().map(|(_, peer)| peer.boxes_addr).collect::<Vec<_>>();
+        let settings = self.settings.peers.iter().map(|peer| peer.boxes_addr);
+        let mut addrs: Vec<SocketAddr> = members.into_iter().chain(settings).collect();
+        addrs.retain(|addr| *addr != own);
+        addrs.sort_unstable();
+        addrs.dedup();
+        addrs
+    }
+
+    /// Returns where other boxes reach the replicas that take part, this one included.
+    pub fn core_addrs(&self) -> Vec<SocketAddr> {
+        match self.hello().members {
+            Some(members) => members.all().map(|(_, peer)| peer.boxes_addr).collect(),
+            None => self.settings.peers.iter().map(|peer| peer.boxes_addr).collect(),
+        }
+    }
+
     /// Returns where to follow the configuration: the leader, unless this box leads itself.
     pub fn config_parents(&self) -> Vec<SocketAddr> {
         let others =
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -9,9 +9,11 @@
 use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, serve, stop_pair};
 
 use super::context::ControlCx;
-use super::{boxes, operators};
+use super::{boxes, join, operators};
 use crate::commands::task as commands;
 use crate::config::feed;
+use crate::listener::ExtraListener;
+use crate::registry::peers;
 use crate::replication::disk::Disk;
 use crate::replication::{Storage, bootstrap, task};
 use crate::settings::ControlSettings;
@@ -31,6 +33,20 @@
 /// Returns an error that names the listener that could not be opened, or what is
 /// wrong with the data folder.
 pub async fn run(settings: ControlSettings) -> anyhow::Result<()> {
+    run_with(settings, |_| Vec::new(), |_| {}).await
+}
+
+/// Runs a control process that serves further listeners beside its own. `reloaded` is called
+/// when the settings file may have changed.
+///
+/// # Errors
+///
+/// Returns an error as [`run`] does.
+pub async fn run_with(
+    settings: ControlSettings,
+    extra: impl FnOnce(&Rc<ControlCx>) -> Vec<ExtraListener>,
+    reloaded: impl Fn(&Rc<ControlCx>) + 'static,
+) -> anyhow::Result<()> {
     let disk = Disk::folder(&settings.data_folder)
         .with_context(|| format!("data folder {}", settings.data_folder.display()))?;
     let id = bootstrap::identity(&disk)?;
@@ -42,10 +58,17 @@
     log::info!("control box {} serves operators at {}", own.name, own.operators_addr);
     let (stop_handle, stop) = stop_pair();
     let limits = ServerLimits::default();
-    let listeners = [
+    let mut listeners = vec![
         compio::runtime::spawn(serve(operators, limits, operators_handler(&cx), stop.clone())),
         compio::runtime::spawn(serve(boxes, limits, boxes_handler(&cx), stop.clone())),
     ];
+    for ExtraListener { addr, limits, handler } in extra(&cx) {
+        let listener = bind(addr).await.context("further listener")?;
+        listeners.push(compio::runtime::spawn(serve(listener, limits, handler, stop.clone())));
+    }
+    spawn_tasks(&cx, &stop);
+    let reload_cx = cx.clone();
+    signals::on_hangup(move || reloaded(&reload_cx), stop.clone());
     let ended =
         select(Box::pin(run_log(&cx, disk, stop.clone())), Box::pin(signals::stop_requested()));
     match ended.await {
@@ -59,15 +82,28 @@
     Ok(())
 }
 
+fn spawn_tasks(cx: &Rc<ControlCx>, stop: &Stop) {
+    compio::runtime::spawn(join::run(cx.clone(), stop.clone())).detach();
+    let find = cx.clone();
+    let renew =
+        peers::run(cx.registry.clone(), cx.boxes.clone(), move || find.peer_addrs(), stop.clone());
+    compio::runtime::spawn(renew).detach();
+}
+
 /// Begins the log, then confirms the configuration for as long as the process runs.
 async fn run_log(cx: &Rc<ControlCx>, disk: Disk, stop: Stop) -> anyhow::Result<()> {
     if !Storage::has_log(&disk)? {
         let hello = cx.hello();
-        let begun = bootstrap::bootstrap(&disk, &hello, &cx.settings.peers, &cx.boxes);
-        let joined = select(Box::pin(begun), Box::pin(joined(cx, &disk)));
-        match joined.await {
-            Either::Left((begun, _)) => begun?,
-            Either::Right((joined, _)) => joined?,
+        if cx.settings.bootstrap {
+            let begun = bootstrap::bootstrap(&disk, &hello, &cx.settings.peers, &cx.boxes);
+            let joined = select(Box::pin(begun), Box::pin(joined(cx, &disk)));
+            match joined.await {
+                Either::Left((begun, _)) => begun?,
+                Either::Right((joined, _)) => joined?,
+            }
+        } else {
+            log::info!("no log here; asks for a place in the one that goes on");
+            joined(cx, &disk).await?;
         }
     }
     let own_addr = cx.settings.own.boxes_addr;
--- a/crates/hatchpitch/src/control/mod.rs
+++ b/crates/hatchpitch/src/control/mod.rs
@@ -3,9 +3,12 @@
 pub mod boxes;
 pub mod context;
 pub mod daemon;
+pub mod join;
 pub mod machine;
 pub mod operators;
+pub mod registrations;
 pub mod repair;
+pub mod submit;
 
 pub use daemon::run;
 pub use machine::{Command, Machine, Reply};
--- a/crates/hatchpitch/src/control/repair.rs
+++ b/crates/hatchpitch/src/control/repair.rs
@@ -92,13 +92,13 @@
 }
 
 /// Returns the other replicas of a box: those whose disks it lost.
-fn others_named(members: &Members, name: &str, keep: NodeId) -> Vec<NodeId> {
+pub(super) fn others_named(members: &Members, name: &str, keep: NodeId) -> Vec<NodeId> {
     let named = members.all().filter(|(id, peer)| peer.name == name && *id != keep);
     named.map(|(id, _)| id).collect()
 }
 
 /// Begins a change, as soon as the one before is committed, and waits until it is committed.
-async fn step(
+pub(super) async fn step(
     log: &ReplicaHandle,
     step: &'static str,
     change: &MemberChange,
@@ -116,7 +116,7 @@
     wait(log, step, |log| log.with(|replica| replica.members_committed())).await
 }
 
-async fn wait(
+pub(super) async fn wait(
     log: &ReplicaHandle,
     step: &'static str,
     done: impl Fn(&ReplicaHandle) -> bool,
--- a/crates/hatchpitch/src/discovery/mod.rs
+++ b/crates/hatchpitch/src/discovery/mod.rs
@@ -5,11 +5,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::membership::MemberRecord;
+use crate::membership::state::Membership;
+use crate::membership::{MemberRecord, MemberStatus};
 
 /// Addresses that one answer holds at most.
 pub const MAX_ENDPOINTS: usize = 3;
 
+/// Addresses that a whole list holds at most, as callers take no more.
+const MAX_LISTED: usize = 64;
+
 /// One address that a caller may use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
@@ -28,6 +32,24 @@
     pub max_age_s: u64,
 }
 
+/// Boxes of the caller's own failure domain that are enough to send it to no others.
+const ENOUGH_NEAR: usize = 2;
+
+/// Lists the boxes that a caller should use: those of its own failure domain if there are enough,
+/// else all. Boxes that may be lost are listed only if there are no others, and this box only
+/// while it takes work.
+pub fn near_boxes(membership: &Membership, takes_work: bool, near: &str) -> Vec<SocketAddr> {
+    let own = &membership.own_record().subject;
+    let serving = membership.serving_boxes().filter(|r| takes_work || r.subject != *own);
+    let (sound, doubtful): (Vec<_>, Vec<_>) =
+        serving.partition(|r| r.status == MemberStatus::Alive);
+    let boxes = if sound.is_empty() { doubtful } else { sound };
+    let near: Vec<&MemberRecord> =
+        boxes.iter().copied().filter(|r| r.failure_domain == near).collect();
+    let listed = if near.len() >= ENOUGH_NEAR { near } else { boxes };
+    listed.into_iter().map(|r| r.addr).take(MAX_LISTED).collect()
+}
+
 /// Chooses addresses for a caller: its own failure domain first, spread by `spread`.
 pub fn choose<'a>(
     boxes: impl Iterator<Item = &'a MemberRecord>,
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -4,7 +4,6 @@
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hatchpitch_net::{Body, BodyError, query_value, read_body};
@@ -13,7 +12,7 @@
 
 use super::apps::{self, AppCall};
 use super::completions;
-use super::context::{EntryCx, Intake};
+use super::context::EntryCx;
 use super::operators;
 use crate::config::{FleetView, Workspace};
 use crate::discovery::{self, Endpoints};
@@ -91,7 +90,7 @@
         let headers = req.headers().clone();
         return completions::resume(cx.clone(), &view, workspace, token, &headers, span).await;
     }
-    check_intake(cx)?;
+    cx.check_intake()?;
     cx.metrics.count(Count::Requests, "");
     match path {
         "/v1/chat/completions" | "/v1/completions" => {
@@ -121,21 +120,6 @@
     })
 }
 
-/// Refuses new work while the box stops or its configuration may be old.
-fn check_intake(cx: &EntryCx) -> Result<(), Problem> {
-    if cx.intake.get() == Intake::Closed {
-        let message = "this box is stopping; ask /v1/endpoints of another one";
-        let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "stopping", message);
-        return Err(problem.retry_after(Duration::ZERO));
-    }
-    if !cx.config_is_fresh() {
-        let message = "this box is cut off and its configuration may be old; use another one";
-        let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "config_stale", message);
-        return Err(problem.retry_after(cx.short_retry()));
-    }
-    Ok(())
-}
-
 async fn app_call(cx: &EntryCx, req: Request<Incoming>, path: String) -> Result<AppCall, Problem> {
     let (parts, incoming) = req.into_parts();
     let body = body(cx, incoming).await?;
@@ -191,7 +175,7 @@
 }
 
 fn health(cx: &EntryCx) -> Response<Body> {
-    if cx.intake.get() == Intake::Open && cx.config_is_fresh() {
+    if cx.takes_work() {
         return text_response(StatusCode::OK, "ok\n");
     }
     text_response(StatusCode::SERVICE_UNAVAILABLE, "takes no new work\n")
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::{BoxClient, Upstream};
+use http::StatusCode;
 
 use crate::admission::{AdmissionConfig, Gate, Placement};
 use crate::claims::ClaimClient;
@@ -20,6 +21,8 @@
 use crate::membership::MemberRecord;
 use crate::membership::task::SharedMembership;
 use crate::metrics::Metrics;
+use crate::outcome::Problem;
+use crate::registry::follow::Followed;
 use crate::routing::RoutingConfig;
 use crate::routing::state::RunnerSpec;
 use crate::settings::EntrySettings;
@@ -63,8 +66,12 @@
     gates: RefCell<HashMap<PoolName, Gate>>,
     /// Gates over all engines, for when no owner is in reach.
     fallback: RefCell<HashMap<PoolName, Gate>>,
-    /// Configuration number and version of the members that the gates were made from.
-    synced: Cell<(u64, u64)>,
+    /// Upstreams that announce themselves, and the control boxes that tell of them.
+    pub upstreams: Rc<Followed>,
+    /// The configuration in force with the upstreams that serve.
+    view: RefCell<Rc<FleetView>>,
+    /// Versions of configuration, members and roster that the gates were made from.
+    synced: Cell<(u64, u64, u64)>,
     owners: RefCell<OwnerMap>,
     streams: RefCell<HashMap<WorkspaceName, u64>>,
     active: Cell<usize>,
@@ -79,6 +86,7 @@
         boxes: BoxClient,
     ) -> Rc<Self> {
         let claims = ClaimClient::new(boxes.clone(), settings.control.clone());
+        let upstreams = Followed::new(&settings.control);
         Rc::new(Self {
             tracer: Tracer::new(settings.name.clone()),
             settings,
@@ -93,6 +101,8 @@
             held: RefCell::default(),
             gates: RefCell::default(),
             fallback: RefCell::default(),
+            upstreams,
+            view: RefCell::default(),
             synced: Cell::default(),
             owners: RefCell::default(),
             streams: RefCell::default(),
@@ -111,9 +121,9 @@
     pub fn fallback_gate(&self, pool: &str) -> Gate {
         let mut gates = self.fallback.borrow_mut();
         let gate = gates.entry(pool.to_owned()).or_insert_with(|| self.new_gate()).clone();
-        let view = self.config.view();
+        let view = self.sync_gates();
         if let Some(pool) = view.pools.iter().find(|p| p.pool.name == pool) {
-            gate.update(|table| table.sync(pool.runners.iter().map(runner_spec)));
+            gate.update(|table| table.sync(pool.runners.iter().map(|r| runner_spec(pool, r))));
             self.tell_membership(&gate);
         }
         gate
@@ -133,12 +143,17 @@
         self.owners.borrow().owners_of(pool)
     }
 
-    /// Returns whether this box decides for an engine.
-    pub fn owns(&self, runner: &str) -> bool {
-        let local = self.settings.policy.placement == Placement::Local;
+    /// Returns whether this box decides for an engine of a pool.
+    pub fn owns(&self, pool: &PoolView, runner: &str) -> bool {
+        let local = self.placement(pool) == Placement::Local;
         local || self.owners.borrow().owns(runner)
     }
 
+    /// Returns who decides for the engines of a pool.
+    pub fn placement(&self, pool: &PoolView) -> Placement {
+        pool.hosted.map_or(self.settings.policy.placement, |hosted| hosted.placement)
+    }
+
     /// Returns the gates of all pools.
     pub fn gates(&self) -> Vec<(PoolName, Gate)> {
         self.gates.borrow().iter().map(|(name, gate)| (name.clone(), gate.clone())).collect()
@@ -146,18 +161,26 @@
 
     /// Brings the gates up to the configuration in force and the boxes that serve.
     pub fn sync_gates(&self) -> Rc<FleetView> {
-        let view = self.config.view();
-        let made_from = (view.number, self.membership.borrow().version());
-        let (number, _) = self.synced.get();
+        let number = self.config.number();
+        let roster = self.upstreams.roster.borrow().version();
+        let made_from = (number, self.membership.borrow().version(), roster);
+        let (old_number, _, old_roster) = self.synced.get();
         if self.synced.replace(made_from) == made_from {
-            return view;
+            return self.view.borrow().clone();
         }
+        let new_view = (old_number, old_roster) != (number, roster);
+        if new_view {
+            let roster = self.upstreams.roster.borrow();
+            let view = self.config.view().with_upstreams(roster.serving());
+            *self.view.borrow_mut() = Rc::new(view);
+        }
+        let view = self.view.borrow().clone();
         let owners_changed = {
             let membership = self.membership.borrow();
             let boxes: Vec<&MemberRecord> = membership.serving_boxes().collect();
             self.owners.borrow_mut().update(&view, &boxes, membership.own_record())
         };
-        if owners_changed || number != view.number {
+        if owners_changed || new_view {
             self.remake_gates(&view);
         }
         view
@@ -181,8 +204,8 @@
             order: self.settings.policy.order,
             ..AdmissionConfig::default()
         });
-        let owned = pool.runners.iter().filter(|runner| self.owns(&runner.name));
-        let specs: Vec<RunnerSpec> = owned.map(runner_spec).collect();
+        let owned = pool.runners.iter().filter(|runner| self.owns(pool, &runner.name));
+        let specs: Vec<RunnerSpec> = owned.map(|runner| runner_spec(pool, runner)).collect();
         gate.update(|table| table.sync(specs));
         self.tell_membership(&gate);
     }
@@ -207,6 +230,36 @@
         self.membership.borrow().peers_confirm(number, Instant::now(), max_age)
     }
 
+    /// Returns whether callers should be sent here.
+    pub fn takes_work(&self) -> bool {
+        self.intake.get() == Intake::Open && self.config.number() > 0 && self.config_is_fresh()
+    }
+
+    /// Refuses new work while the box stops or its configuration may be old.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, with when to come back.
+    pub fn check_intake(&self) -> Result<(), Problem> {
+        if self.intake.get() == Intake::Closed {
+            let message = "this box is stopping; use another one";
+            let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "stopping", message);
+            return Err(problem.retry_after(Duration::ZERO));
+        }
+        if self.config.number() == 0 {
+            let message = "this box knows no configuration yet";
+            let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_config", message);
+            return Err(problem.retry_after(self.short_retry()));
+        }
+        if !self.config_is_fresh() {
+            let message = "this box is cut off and its configuration may be old; use another one";
+            let problem =
+                Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "config_stale", message);
+            return Err(problem.retry_after(self.short_retry()));
+        }
+        Ok(())
+    }
+
     /// Returns an upstream with the bounds of this box.
     pub fn upstream(&self, addr: SocketAddr) -> Upstream {
         Upstream { addr, connect_timeout: self.settings.timing.connect_timeout }
@@ -255,12 +308,13 @@
     }
 }
 
-fn runner_spec(runner: &Runner) -> RunnerSpec {
+fn runner_spec(pool: &PoolView, runner: &Runner) -> RunnerSpec {
     RunnerSpec {
         name: runner.name.clone(),
         addr: runner.addr,
         failure_domain: runner.failure_domain.clone(),
         slots: runner.max_batch,
+        memory: pool.hosted.and_then(|hosted| hosted.memory),
     }
 }
 
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -13,10 +13,12 @@
 use super::{boxes, callers};
 use crate::config::feed;
 use crate::grants::task as grants;
+use crate::listener::ExtraListener;
 use crate::logging::unix_ms;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::state::{Membership, MembershipConfig};
 use crate::membership::task;
+use crate::registry::follow;
 use crate::routing::task as routing;
 use crate::settings::EntrySettings;
 use crate::signals;
@@ -30,6 +32,20 @@
 ///
 /// Returns an error that names the listener that could not be opened.
 pub async fn run(settings: EntrySettings) -> anyhow::Result<()> {
+    run_with(settings, |_| Vec::new(), |_| {}).await
+}
+
+/// Runs an entry process that serves further listeners beside its own. `reloaded` is called
+/// when the settings file may have changed.
+///
+/// # Errors
+///
+/// Returns an error as [`run`] does.
+pub async fn run_with(
+    settings: EntrySettings,
+    extra: impl FnOnce(&Rc<EntryCx>) -> Vec<ExtraListener>,
+    reloaded: impl Fn(&Rc<EntryCx>) + 'static,
+) -> anyhow::Result<()> {
     let callers = bind(settings.callers_addr).await.context("callers' listener")?;
     let boxes = bind(settings.boxes_addr).await.context("boxes' listener")?;
     let client = BoxClient::new(settings.box_keys.clone())?;
@@ -38,11 +54,17 @@
     log::info!("entry box {} serves callers at {}", cx.settings.name, cx.settings.callers_addr);
 
     let (stop_handle, stop) = stop_pair();
-    let listeners = [
+    let mut listeners = vec![
         compio::runtime::spawn(serve(callers, limits(&cx), callers_handler(&cx), stop.clone())),
         compio::runtime::spawn(serve(boxes, limits(&cx), boxes_handler(&cx), stop.clone())),
     ];
+    for ExtraListener { addr, limits, handler } in extra(&cx) {
+        let listener = bind(addr).await.context("further listener")?;
+        listeners.push(compio::runtime::spawn(serve(listener, limits, handler, stop.clone())));
+    }
     spawn_tasks(&cx, &stop);
+    let reload_cx = cx.clone();
+    signals::on_hangup(move || reloaded(&reload_cx), stop.clone());
 
     signals::stop_requested().await?;
     begin_drain(&cx);
@@ -88,7 +110,18 @@
 fn spawn_tasks(cx: &Rc<EntryCx>, stop: &Stop) {
     let membership = cx.membership.clone();
     let seeds = cx.settings.seeds.clone();
-    compio::runtime::spawn(task::run(membership, cx.boxes.clone(), seeds, stop.clone())).detach();
+    let (joining, client, membership_stop) = (cx.clone(), cx.boxes.clone(), stop.clone());
+    compio::runtime::spawn(async move {
+        // Others send callers to every box that they know, so one joins once it can serve.
+        while joining.config.confirmed_age().is_none() && !membership_stop.is_set() {
+            compio::time::sleep(DRAIN_POLL).await;
+        }
+        task::run(membership, client, seeds, membership_stop).await;
+    })
+    .detach();
+    let followed = cx.upstreams.clone();
+    let upstreams = follow::run(cx.settings.name.clone(), followed, cx.boxes.clone(), stop.clone());
+    compio::runtime::spawn(upstreams).detach();
     compio::runtime::spawn(follow_config(cx.clone(), stop.clone())).detach();
     compio::runtime::spawn(routing::run(cx.clone(), stop.clone())).detach();
     compio::runtime::spawn(grants::run(cx.clone(), stop.clone())).detach();
@@ -105,7 +138,7 @@
     let live: Vec<&MemberRecord> = membership.serving_boxes().collect();
     let position = live.iter().position(|r| r.subject == own).unwrap_or(0);
     let addrs: Vec<SocketAddr> = live.iter().map(|r| r.box_addr).collect();
-    feed::parents(position, &addrs, &cx.settings.control, cx.settings.limits.feed_fanout)
+    feed::parents(position, &addrs, &cx.upstreams.control(), cx.settings.limits.feed_fanout)
 }
 
 fn new_membership(settings: &EntrySettings) -> Membership {
@@ -113,7 +146,7 @@
         subject: Subject::Box(settings.name.clone()),
         incarnation: unix_ms(),
         status: MemberStatus::Alive,
-        addr: settings.callers_addr,
+        addr: settings.advertised_addr.unwrap_or(settings.callers_addr),
         box_addr: settings.boxes_addr,
         failure_domain: settings.failure_domain.clone(),
     };
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -428,6 +428,7 @@
         id: new_id(),
         workspace: job.workspace.clone(),
         priority: job.priority,
+        kind: job.workspace.clone(),
         prompt: job.prompt_tokens(),
         max_tokens: job.max_tokens,
         avoid: avoid.to_vec(),
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -75,7 +75,7 @@
 
 /// Answers one request of an operator.
 pub async fn handle(cx: &Rc<EntryCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
-    let view = cx.config.view();
+    let view = cx.sync_gates();
     let operator = bearer(req.headers()).and_then(|key| view.operator_of_key(key));
     let Some(operator) = operator.map(str::to_owned) else {
         let message = "Authorization: expected \"Bearer\" and a key of an operator";
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -103,7 +103,9 @@
 ///
 /// Returns a [`Refusal`] as soon as the request is given up on.
 pub async fn obtain(cx: &Rc<EntryCx>, pool: &str, want: Want) -> Result<Slot, Refusal> {
-    if cx.settings.policy.placement == Placement::Local {
+    let view = cx.sync_gates();
+    let placement = view.pools.iter().find(|p| p.pool.name == pool).map(|p| cx.placement(p));
+    if placement.unwrap_or(cx.settings.policy.placement) == Placement::Local {
         let id = want.id.clone();
         let permit = cx.gate(pool).admit(want).await?;
         return Ok(Slot::own(cx, id, permit));
--- a/crates/hatchpitch/src/logging.rs
+++ b/crates/hatchpitch/src/logging.rs
@@ -1,6 +1,11 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines on standard output, bounded in number.
+//!
+//! Key-value pairs of a record become fields of its line. Under load, lines
+//! beyond the bound are left out and counted; warnings and errors have a bound
+//! of their own, so that a flood of routine lines does not hide them.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::cell::Cell;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use log::LevelFilter;
 
@@ -17,22 +22,88 @@
         .level_for("hatchpitch_net", level)
         .level_for("hatchpitch_entry", level)
         .level_for("hatchpitch_control", level)
+        .level_for("hatchpitch_platform", level)
         .level_for("span", level)
+        .filter(|meta| allowed(meta.level()))
         .format(move |out, message, record| {
-            let line = serde_json::json!({
-                "time_ms": unix_ms(),
-                "level": record.level().as_str(),
-                "box": name,
-                "target": record.target(),
-                "message": message.to_string(),
-            });
-            out.finish(format_args!("{line}"));
+            let mut line = serde_json::Map::new();
+            line.insert("time_ms".to_owned(), unix_ms().into());
+            line.insert("level".to_owned(), record.level().as_str().into());
+            line.insert("box".to_owned(), name.as_str().into());
+            line.insert("target".to_owned(), record.target().into());
+            line.insert("message".to_owned(), message.to_string().into());
+            if record.key_values().visit(&mut Fields(&mut line)).is_err() {
+                line.insert("fields".to_owned(), "unreadable".into());
+            }
+            out.finish(format_args!("{}", serde_json::Value::Object(line)));
         })
-        .chain(std::io::stderr())
+        .chain(std::io::stdout())
         .apply()?;
     Ok(())
 }
 
+/// Writes the key-value pairs of a record into its line.
+struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> log::kv::VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        let json = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (None, Some(flag)) => flag.into(),
+            (None, None) => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+/// Routine lines a second: about ten times what a box writes at its usual load.
+const LINES_PER_SECOND: u32 = 200;
+/// Warnings and errors a second.
+const WARNINGS_PER_SECOND: u32 = 50;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Lines written and left out in the present second.
+#[derive(Clone, Copy)]
+struct Written {
+    since: Option<Instant>,
+    lines: u32,
+    warnings: u32,
+    left_out: u32,
+}
+
+thread_local! {
+    static WRITTEN: Cell<Written> =
+        const { Cell::new(Written { since: None, lines: 0, warnings: 0, left_out: 0 }) };
+}
+
+/// Returns whether one more line may be written now.
+fn allowed(level: log::Level) -> bool {
+    let mut written = WRITTEN.get();
+    if written.since.is_none_or(|since| since.elapsed() >= SECOND) {
+        let left_out = written.left_out;
+        written = Written { since: Some(Instant::now()), lines: 0, warnings: 0, left_out: 0 };
+        WRITTEN.set(written);
+        if left_out > 0 {
+            log::warn!(left_out = left_out; "log lines left out in the last second");
+        }
+        written = WRITTEN.get();
+    }
+    let (count, bound) = match level {
+        log::Level::Error | log::Level::Warn => (&mut written.warnings, WARNINGS_PER_SECOND),
+        _ => (&mut written.lines, LINES_PER_SECOND),
+    };
+    *count += 1;
+    let allowed = *count <= bound;
+    written.left_out += u32::from(!allowed);
+    WRITTEN.set(written);
+    allowed
+}
+
 /// Returns the wall clock in milliseconds since 1970.
 pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- /dev/null
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -0,0 +1,121 @@
+//! Follows the tables of all control boxes from an entry box.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hatchpitch_net::{BoxClient, Stop};
+
+use super::messages::{FollowAnswer, FollowRequest};
+use super::roster::Roster;
+use crate::ids::BoxName;
+
+/// Path of the held requests.
+pub const FOLLOW_PATH: &str = "/box/upstreams";
+/// How long a control box may hold a request.
+const HOLD: Duration = Duration::from_millis(1_000);
+/// Time allowed for an answer beyond the hold.
+const ANSWER_MARGIN: Duration = Duration::from_millis(1_000);
+/// Rest after a failure, so that a control box that is away is not hammered.
+const RETRY_REST: Duration = Duration::from_millis(200);
+/// Time between looks for control boxes that nobody follows yet.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
+/// Failures in a row after which a control box that no other names is no longer followed.
+const MAX_FAILURES: u32 = 50;
+
+/// What the followers of one entry process share.
+pub struct Followed {
+    /// The upstreams.
+    pub roster: RefCell<Roster>,
+    /// Control boxes, from the settings and from what control boxes tell.
+    pub control: RefCell<BTreeSet<SocketAddr>>,
+    from_settings: RefCell<BTreeSet<SocketAddr>>,
+    running: RefCell<BTreeSet<SocketAddr>>,
+}
+
+impl Followed {
+    /// Creates the shared state with the control boxes of the settings.
+    pub fn new(control: &[SocketAddr]) -> Rc<Self> {
+        let control: BTreeSet<SocketAddr> = control.iter().copied().collect();
+        Rc::new(Self {
+            roster: RefCell::default(),
+            control: RefCell::new(control.clone()),
+            from_settings: RefCell::new(control),
+            running: RefCell::default(),
+        })
+    }
+
+    /// Takes in the control boxes of changed settings.
+    pub fn set_settings(&self, control: &[SocketAddr]) {
+        *self.from_settings.borrow_mut() = control.iter().copied().collect();
+        self.control.borrow_mut().extend(control);
+    }
+
+    /// Returns the control boxes that are known.
+    pub fn control(&self) -> Vec<SocketAddr> {
+        self.control.borrow().iter().copied().collect()
+    }
+}
+
+/// Follows every control box that is or becomes known, until `stop`.
+pub async fn run(own: BoxName, followed: Rc<Followed>, client: BoxClient, stop: Stop) {
+    while !stop.is_set() {
+        for source in followed.control() {
+            if followed.running.borrow_mut().insert(source) {
+                let task =
+                    follow(own.clone(), source, followed.clone(), client.clone(), stop.clone());
+                compio::runtime::spawn(task).detach();
+            }
+        }
+        compio::time::sleep(LOOK_PERIOD).await;
+    }
+}
+
+async fn follow(
+    own: BoxName,
+    source: SocketAddr,
+    followed: Rc<Followed>,
+    client: BoxClient,
+    stop: Stop,
+) {
+    let mut failures = 0;
+    while !stop.is_set() && failures < MAX_FAILURES {
+        let (epoch, have) = followed.roster.borrow().position(source);
+        let req = FollowRequest { from: own.clone(), epoch, have, hold: HOLD };
+        let call = client.call::<_, FollowAnswer>(source, FOLLOW_PATH, &req, HOLD + ANSWER_MARGIN);
+        match call.await {
+            Ok(answer) => {
+                failures = 0;
+                followed.control.borrow_mut().extend(&answer.control);
+                take(&followed, source, answer);
+            }
+            Err(err) => {
+                if failures == 0 {
+                    log::info!("control box {source} is out of reach: {err}");
+                }
+                failures += 1;
+                compio::time::sleep(RETRY_REST).await;
+            }
+        }
+        let in_settings = followed.from_settings.borrow().contains(&source);
+        if in_settings {
+            failures = failures.min(MAX_FAILURES - 1);
+        }
+    }
+    followed.running.borrow_mut().remove(&source);
+    followed.control.borrow_mut().remove(&source);
+}
+
+fn take(followed: &Followed, source: SocketAddr, answer: FollowAnswer) {
+    let (epoch, version) = (answer.epoch, answer.version);
+    let mut roster = followed.roster.borrow_mut();
+    if roster.take(source, answer) {
+        let (serving, leaving) = (roster.serving().count(), roster.leaving().count());
+        log::info!(
+            "upstreams changed: {serving} serve, {leaving} leave; roster {}, from {source} at {epoch:x}/{version}",
+            roster.version()
+        );
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/registry/verify.rs
@@ -0,0 +1,48 @@
+//! Checks the invariants of a [`Table`] and a [`Roster`].
+
+use std::collections::BTreeSet;
+
+use super::roster::Roster;
+use super::table::Table;
+
+/// Checks a control box's table.
+///
+/// # Errors
+///
+/// Returns the invariant that does not hold.
+pub fn verify_table(table: &Table) -> Result<(), String> {
+    let mut addrs = BTreeSet::new();
+    for (id, held) in &table.held {
+        if table.ended.contains_key(id) {
+            return Err(format!("{id} is held although its life ended"));
+        }
+        if held.changed > table.version {
+            return Err(format!("{id} changed after the newest version"));
+        }
+        if !addrs.insert(held.record.addr) {
+            return Err(format!("{} is held by two lives", held.record.addr));
+        }
+    }
+    Ok(())
+}
+
+/// Checks an entry box's roster.
+///
+/// # Errors
+///
+/// Returns the invariant that does not hold.
+pub fn verify_roster(roster: &Roster) -> Result<(), String> {
+    let mut addrs = BTreeSet::new();
+    for (id, known) in &roster.known {
+        if roster.ended.contains_key(id) {
+            return Err(format!("{id} is known although its life ended"));
+        }
+        if known.sources.is_empty() {
+            return Err(format!("{id} is named by no control box"));
+        }
+        if !addrs.insert(known.record.addr) {
+            return Err(format!("{} is held by two lives", known.record.addr));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -0,0 +1,353 @@
+//! One request: upstreams are tried until there is a final answer.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use hatchpitch_net::{Body, SendError, SendStep, read_stream};
+use http::response::Parts;
+use http::{Response, StatusCode, header};
+use hyper::body::Incoming;
+use rand::Rng;
+
+use super::budget::SharedBudgets;
+use super::dialect::{Attempt, Reading, RunnerDialect};
+use super::request::HostedRequest;
+use super::stream;
+use crate::admission::{Refusal, Want};
+use crate::config::hosted::{HostedRoute, RunPolicy};
+use crate::entry::EntryCx;
+use crate::grants::Slot;
+use crate::grants::task::obtain;
+use crate::ids::{RunnerName, ServiceName};
+use crate::metrics::{Count, Timing};
+use crate::outcome::{Outcome, Problem};
+use crate::routing::Verdict;
+
+/// Largest answer that is held until it is whole, in bytes; a larger one is passed on as it comes.
+const MAX_HELD_ANSWER: usize = 256 * 1024;
+/// Upstreams that turn a request away before it is refused: enough to pass over a few that are
+/// full or gone, few enough to stay far inside the time to an answer.
+const MAX_TURNED_AWAY: usize = 4;
+/// When a caller may come back after a failure that passes in moments.
+const SOON: Duration = Duration::from_millis(250);
+
+/// Time within which every upstream announces itself again: one heartbeat and its travel.
+const HEARTBEAT_WAIT: Duration = Duration::from_millis(1_400);
+/// Time between looks for an upstream that announced itself.
+const UPSTREAM_LOOK: Duration = Duration::from_millis(25);
+
+/// What all requests of hosted routes at one box share.
+pub struct Relay {
+    /// The box.
+    pub cx: Rc<EntryCx>,
+    /// What upstreams speak.
+    pub dialect: RunnerDialect,
+    /// Budgets for second upstreams.
+    pub budgets: RefCell<SharedBudgets>,
+}
+
+/// How one try at an upstream ended without the final answer.
+enum Failure {
+    /// The upstream did not run it. The flag tells whether the request arrived there.
+    NotRun { cause: String, arrived: bool },
+    /// It may have run.
+    MayHaveRun { cause: String },
+    /// It ran and failed; this is the upstream's answer.
+    Ran(Response<Body>),
+}
+
+/// Gives a request its final answer.
+///
+/// # Errors
+///
+/// Returns a [`Problem`] that tells whether the request was run.
+pub async fn serve(relay: &Rc<Relay>, req: HostedRequest) -> Result<Response<Body>, Problem> {
+    let run = Run::new(relay.clone(), Rc::new(req));
+    relay.cx.metrics.count(Count::Requests, &run.service);
+    relay.budgets.borrow_mut().earn(&run.service);
+    let left = run.req.time_left(Instant::now());
+    let answered = match compio::time::timeout(left, run.answer()).await {
+        Ok(answered) => answered,
+        Err(_) => Err(run.out_of_time()),
+    };
+    run.log(&answered);
+    answered
+}
+
+struct Run {
+    relay: Rc<Relay>,
+    req: Rc<HostedRequest>,
+    service: ServiceName,
+    /// Upstreams that turned the request away or failed it.
+    tried: RefCell<Vec<RunnerName>>,
+    /// Upstreams that the request may have run at.
+    ran_at: Cell<u32>,
+    /// Whether an upstream has the request now.
+    offered: Cell<bool>,
+}
+
+impl Run {
+    fn new(relay: Rc<Relay>, req: Rc<HostedRequest>) -> Self {
+        let service = choose_target(&req.route).to_owned();
+        Self {
+            relay,
+            req,
+            service,
+            tried: RefCell::default(),
+            ran_at: Cell::new(0),
+            offered: Cell::new(false),
+        }
+    }
+
+    async fn answer(&self) -> Result<Response<Body>, Problem> {
+        let mut last: Option<Response<Body>> = None;
+        loop {
+            let slot = match self.slot().await {
+                Ok(slot) => slot,
+                Err(refusal) => return last.map_or_else(|| Err(self.refused(refusal)), Ok),
+            };
+            let (runner, started) = (slot.runner.clone(), Instant::now());
+            let failure = match self.attempt(slot).await {
+                Ok(res) => return Ok(res),
+                Err(failure) => failure,
+            };
+            self.tried.borrow_mut().push(runner.clone());
+            let problem = match failure {
+                Failure::NotRun { cause, arrived } => {
+                    self.log_try(&runner, "not_run", &cause, started);
+                    if self.may_go_on(arrived) {
+                        continue;
+                    }
+                    let refusal = Refusal::new(&cause, SOON);
+                    self.refused(refusal)
+                }
+                Failure::MayHaveRun { cause } => {
+                    self.log_try(&runner, "may_have_run", &cause, started);
+                    self.ran_at.set(self.ran_at.get() + 1);
+                    if self.may_repeat() {
+                        continue;
+                    }
+                    Problem::unknown(StatusCode::BAD_GATEWAY, "upstream_lost", cause)
+                }
+                Failure::Ran(res) => {
+                    self.log_try(&runner, "failed", res.status().as_str(), started);
+                    self.ran_at.set(self.ran_at.get() + 1);
+                    if self.may_repeat() {
+                        last = Some(res);
+                        continue;
+                    }
+                    return Ok(res);
+                }
+            };
+            return last.map_or(Err(problem), Ok);
+        }
+    }
+
+    /// Returns whether a request that was not run may go to another upstream.
+    fn may_go_on(&self, arrived: bool) -> bool {
+        self.tried.borrow().len() < MAX_TURNED_AWAY && (!arrived || self.take_budget())
+    }
+
+    /// Returns whether a request that may have run may run again.
+    fn may_repeat(&self) -> bool {
+        self.req.route.runs == RunPolicy::Repeatable
+            && self.ran_at.get() < self.req.route.max_upstreams
+            && self.take_budget()
+    }
+
+    fn take_budget(&self) -> bool {
+        let boxes = self.relay.cx.membership.borrow().serving_boxes().count();
+        let mut budgets = self.relay.budgets.borrow_mut();
+        budgets.set_boxes(boxes);
+        budgets.take(&self.service)
+    }
+
+    async fn slot(&self) -> Result<Slot, Refusal> {
+        let needs = self.req.generation;
+        let want = Want {
+            id: crate::entry::generation::new_id(),
+            workspace: self.req.workspace.clone().unwrap_or_default(),
+            priority: self.req.priority(),
+            kind: self.req.route.name.clone(),
+            prompt: needs.map_or(0, |needs| needs.prompt),
+            max_tokens: needs.map_or(u64::MAX, |needs| needs.max_output),
+            avoid: self.tried.borrow().clone(),
+        };
+        let started = Instant::now();
+        self.await_upstreams(started).await;
+        let slot = obtain(&self.relay.cx, &self.service, want).await;
+        let (metrics, priority) = (&self.relay.cx.metrics, self.req.priority());
+        metrics.time(Timing::Wait, &self.service, priority, started.elapsed());
+        slot
+    }
+
+    /// Waits a little while no upstream of the service has announced itself: after a restart of
+    /// the control boxes they all do within one heartbeat.
+    async fn await_upstreams(&self, started: Instant) {
+        let any = || {
+            let roster = self.relay.cx.upstreams.roster.borrow();
+            roster.serving().any(|record| record.service == self.service)
+        };
+        while !any() && started.elapsed() < HEARTBEAT_WAIT {
+            compio::time::sleep(UPSTREAM_LOOK).await;
+        }
+    }
+
+    /// Sends the request to one upstream.
+    async fn attempt(&self, mut slot: Slot) -> Result<Response<Body>, Failure> {
+        let left = self.req.time_left(Instant::now());
+        let attempt = Attempt { upstream: slot.runner.clone(), time_left: left };
+        let message = (self.relay.dialect.request)(&self.req, &attempt);
+        self.offered.set(true);
+        let sent = self.relay.cx.upstream(slot.addr).send(message, left).await;
+        let res = sent.map_err(|err| {
+            slot.finish(Verdict::Failed, None);
+            self.send_failure(&err)
+        })?;
+        let (parts, body) = res.into_parts();
+        match (self.relay.dialect.read)(&self.req, &parts) {
+            Reading::Answer => {}
+            Reading::NotRun { cause, other_life } => {
+                self.offered.set(false);
+                let verdict = if other_life { Verdict::Failed } else { Verdict::Released };
+                slot.finish(verdict, None);
+                return Err(Failure::NotRun { cause, arrived: true });
+            }
+            Reading::Foreign(cause) => {
+                slot.finish(Verdict::Failed, None);
+                return Err(Failure::MayHaveRun { cause });
+            }
+        }
+        if self.req.route.runs == RunPolicy::Stream && parts.status.is_success() {
+            return Ok(stream::pass_on(&self.relay, self.req.clone(), slot, parts, body));
+        }
+        self.whole_answer(slot, parts, body).await
+    }
+
+    fn send_failure(&self, err: &SendError) -> Failure {
+        let cause = err.to_string();
+        match err.step {
+            SendStep::Connect | SendStep::Unsent => {
+                self.offered.set(false);
+                Failure::NotRun { cause, arrived: false }
+            }
+            SendStep::AwaitHead => Failure::MayHaveRun { cause },
+        }
+    }
+
+    /// Holds an answer until it is whole, so that a broken one can be made up for.
+    async fn whole_answer(
+        &self,
+        mut slot: Slot,
+        parts: Parts,
+        mut body: Incoming,
+    ) -> Result<Response<Body>, Failure> {
+        let mut buf = BytesMut::new();
+        loop {
+            match read_stream(&mut body).await {
+                Ok(Some(piece)) => buf.extend_from_slice(&piece),
+                Ok(None) => break,
+                Err(err) => {
+                    slot.finish(Verdict::Failed, None);
+                    let cause = format!("{}: {err}", slot.runner);
+                    return Err(Failure::MayHaveRun { cause });
+                }
+            }
+            if buf.len() > MAX_HELD_ANSWER {
+                let first = buf.freeze();
+                return Ok(stream::pass_rest(&self.relay, &self.req, slot, parts, first, body));
+            }
+        }
+        let failed = parts.status.is_server_error();
+        slot.finish(if failed { Verdict::Released } else { Verdict::Succeeded }, None);
+        let res = answer_with(parts, buf.freeze());
+        if failed { Err(Failure::Ran(res)) } else { Ok(res) }
+    }
+
+    /// Says that the request was not run, or that an earlier try of it may have been.
+    fn refused(&self, refusal: Refusal) -> Problem {
+        if self.ran_at.get() > 0 {
+            return Problem::unknown(StatusCode::BAD_GATEWAY, "upstream_lost", refusal.cause);
+        }
+        self.relay.cx.metrics.count(Count::Refused, &self.service);
+        Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_upstream", refusal.cause)
+            .retry_after(refusal.retry_after)
+    }
+
+    fn out_of_time(&self) -> Problem {
+        let message = "no answer within the time that the request may be held";
+        if self.offered.get() || self.ran_at.get() > 0 {
+            return Problem::unknown(StatusCode::GATEWAY_TIMEOUT, "out_of_time", message);
+        }
+        self.refused(Refusal::new(message, SOON))
+    }
+
+    fn log_try(&self, runner: &str, outcome: &str, cause: &str, started: Instant) {
+        log::info!(
+            request = self.req.id.as_str(), route = self.req.route.name.as_str(),
+            service = self.service.as_str(), upstream = runner, outcome = outcome, cause = cause,
+            took_ms = started.elapsed().as_millis(),
+            roster = self.relay.cx.upstreams.roster.borrow().version();
+            "an upstream did not answer the request"
+        );
+    }
+
+    fn log(&self, answered: &Result<Response<Body>, Problem>) {
+        let (status, outcome, cause) = match answered {
+            Ok(res) => (res.status(), Outcome::Done, ""),
+            Err(problem) => (problem.status, problem.outcome, problem.message.as_str()),
+        };
+        log::info!(
+            request = self.req.id.as_str(), route = self.req.route.name.as_str(),
+            service = self.service.as_str(),
+            workspace = self.req.workspace.as_deref().unwrap_or(""),
+            urgency = self.req.urgency, status = status.as_u16(), outcome = outcome.as_str(),
+            cause = cause, tries = self.tried.borrow().len(),
+            held_ms = self.req.received.elapsed().as_millis(),
+            config = self.relay.cx.config.number(),
+            config_age_ms = self.relay.cx.config.confirmed_age().unwrap_or_default().as_millis(),
+            roster = self.relay.cx.upstreams.roster.borrow().version();
+            "answered"
+        );
+    }
+}
+
+/// Draws one of the route's services by weight.
+fn choose_target(route: &HostedRoute) -> &str {
+    let sum: u32 = route.targets.iter().map(|target| target.weight).sum();
+    let mut draw = rand::rng().random_range(0..sum.max(1));
+    for target in &route.targets {
+        if draw < target.weight {
+            return &target.service;
+        }
+        draw -= target.weight;
+    }
+    route.targets.last().map_or("", |target| &target.service)
+}
+
+/// Makes the caller's answer out of an upstream's, with the length known.
+fn answer_with(mut parts: Parts, body: Bytes) -> Response<Body> {
+    strip_connection_headers(&mut parts);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    Response::from_parts(parts, Body::from(body))
+}
+
+/// Removes the headers that concern one connection only.
+pub(super) fn strip_connection_headers(parts: &mut Parts) {
+    let named: Vec<String> = parts
+        .headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_owned()))
+        .collect();
+    for name in named {
+        parts.headers.remove(name);
+    }
+    for name in ["connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade"] {
+        parts.headers.remove(name);
+    }
+    parts.version = http::Version::HTTP_11;
+}
--- a/crates/hatchpitch/src/replication/change.rs
+++ b/crates/hatchpitch/src/replication/change.rs
@@ -67,6 +67,14 @@
         Some(self.commit.saturating_sub(progress.matched))
     }
 
+    /// Returns how long a replica has not answered this leader; `None` if it is unknown, this
+    /// replica itself, or this one does not lead.
+    pub fn silent_for(&self, id: NodeId, now: Instant) -> Option<std::time::Duration> {
+        let Role::Leader(leadership) = &self.role else { return None };
+        let progress = leadership.progress.get(&id)?;
+        Some(now.duration_since(progress.heard.unwrap_or(leadership.since)))
+    }
+
     /// Returns whether the newest change of members is committed.
     pub fn members_committed(&self) -> bool {
         self.members_index <= self.commit
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -51,6 +51,8 @@
     pub failure_domain: FailureDomainName,
     /// Requests that this box may run on it at once.
     pub slots: u64,
+    /// Size of its memory in tokens, where it is known without a report.
+    pub memory: Option<u64>,
 }
 
 #[derive(Debug, Clone)]
@@ -109,6 +111,9 @@
                 memory: EngineMemory::default(),
             });
             runner.configured = true;
+            if let Some(tokens) = spec.memory {
+                runner.memory.set_limit(tokens);
+            }
             runner.spec = spec;
         }
         self.runners.retain(|_, runner| runner.configured || runner.running > 0);
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -20,7 +20,11 @@
         let view = cx.sync_gates();
         cx.membership.borrow_mut().set_config_number(view.number);
         for pool in &view.pools {
-            for runner in pool.runners.iter().filter(|runner| cx.owns(&runner.name)) {
+            let asked = pool.runners.iter().filter(|runner| {
+                // Runners that announce themselves speak another protocol.
+                pool.hosted.is_none() && cx.owns(pool, &runner.name)
+            });
+            for runner in asked {
                 let (cx, runner) = (cx.clone(), runner.clone());
                 compio::runtime::spawn(async move { read_report(&cx, &runner).await }).detach();
             }
--- a/crates/hatchpitch/src/settings/control.rs
+++ b/crates/hatchpitch/src/settings/control.rs
@@ -59,6 +59,10 @@
     pub peers: Vec<ControlPeer>,
     /// Folder for all that must survive.
     pub data_folder: PathBuf,
+    /// Whether this may be the first start of the whole system, so that a log may begin.
+    pub bootstrap: bool,
+    /// Replicas that the core keeps; further ones are removed once they are silent.
+    pub core_size: usize,
     /// Keys shared by the boxes.
     pub box_keys: KeyRing,
     /// Operators that are known before the first fleet file.
@@ -93,8 +97,16 @@
             let found = format!("{:?} twice", pair[0].name);
             check.note(raw.name.span(), "peer.name", found, "each control box once");
         }
-        let data_folder = raw.data_folder;
-        check.finish(Self { own, peers, data_folder, box_keys, operators, log_level })
+        check.finish(Self {
+            own,
+            core_size: peers.len(),
+            peers,
+            data_folder: raw.data_folder,
+            bootstrap: true,
+            box_keys,
+            operators,
+            log_level,
+        })
     }
 }
 
--- a/crates/hatchpitch/src/settings/entry.rs
+++ b/crates/hatchpitch/src/settings/entry.rs
@@ -100,6 +100,28 @@
     pub resume_window: Duration,
 }
 
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self { max_body: 1 << 20, max_connections: 4_096, feed_fanout: 8 }
+    }
+}
+
+impl Default for EntryTiming {
+    fn default() -> Self {
+        Self {
+            body_timeout: Duration::from_secs(10),
+            connect_timeout: Duration::from_millis(500),
+            head_timeout: Duration::from_secs(10),
+            endpoints_max_age: Duration::from_secs(5),
+            stop_grace: Duration::from_secs(7),
+            config_max_age: Duration::from_secs(10),
+            max_wait: Duration::from_secs(20),
+            slow_caller: Duration::from_secs(15),
+            resume_window: Duration::from_secs(3),
+        }
+    }
+}
+
 /// Checked settings of an entry process.
 #[derive(Debug, Clone)]
 pub struct EntrySettings {
@@ -109,6 +131,8 @@
     pub failure_domain: FailureDomainName,
     /// Listener for callers and operators.
     pub callers_addr: SocketAddr,
+    /// Where callers are sent, if not to `callers_addr`.
+    pub advertised_addr: Option<SocketAddr>,
     /// Listener for other boxes.
     pub boxes_addr: SocketAddr,
     /// The control boxes.
@@ -155,6 +179,7 @@
             name,
             failure_domain,
             callers_addr,
+            advertised_addr: None,
             boxes_addr,
             control,
             seeds,
@@ -181,40 +206,75 @@
 }
 
 fn limits(check: &mut Checker, raw: &RawLimits) -> EntryLimits {
-    let mut size = |key, raw: &Option<Spanned<u64>>, allowed, default| {
-        usize::try_from(number(check, key, raw, allowed, default)).unwrap_or(usize::MAX)
+    let default = EntryLimits::default();
+    let mut size = |key, raw: &Option<Spanned<u64>>, allowed, default: usize| {
+        usize::try_from(number(check, key, raw, allowed, default as u64)).unwrap_or(usize::MAX)
     };
     EntryLimits {
-        max_body: size("limits.max_body_bytes", &raw.max_body_bytes, 1_024..=64 << 20, 1 << 20),
-        max_connections: size("limits.max_connections", &raw.max_connections, 16..=65_536, 4_096),
-        feed_fanout: size("limits.feed_fanout", &raw.feed_fanout, 1..=64, 8),
+        max_body: size(
+            "limits.max_body_bytes",
+            &raw.max_body_bytes,
+            1_024..=64 << 20,
+            default.max_body,
+        ),
+        max_connections: size(
+            "limits.max_connections",
+            &raw.max_connections,
+            16..=65_536,
+            default.max_connections,
+        ),
+        feed_fanout: size("limits.feed_fanout", &raw.feed_fanout, 1..=64, default.feed_fanout),
     }
 }
 
 fn timing(check: &mut Checker, raw: &RawTiming) -> EntryTiming {
-    let mut ms = |key, raw: &Option<Spanned<u64>>, allowed, default| {
-        Duration::from_millis(number(check, key, raw, allowed, default))
+    let default = EntryTiming::default();
+    let mut ms = |key: &str, raw: &Option<Spanned<u64>>, allowed, default: Duration| {
+        let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+        let key = format!("timing.{key}");
+        Duration::from_millis(number(check, &key, raw, allowed, default))
     };
+    let minutes = 600_000;
     let timing = EntryTiming {
-        body_timeout: ms("timing.body_timeout_ms", &raw.body_timeout_ms, 100..=600_000, 10_000),
-        connect_timeout: ms("timing.connect_timeout_ms", &raw.connect_timeout_ms, 10..=60_000, 500),
-        head_timeout: ms("timing.head_timeout_ms", &raw.head_timeout_ms, 10..=600_000, 10_000),
+        body_timeout: ms(
+            "body_timeout_ms",
+            &raw.body_timeout_ms,
+            100..=minutes,
+            default.body_timeout,
+        ),
+        connect_timeout: ms(
+            "connect_timeout_ms",
+            &raw.connect_timeout_ms,
+            10..=60_000,
+            default.connect_timeout,
+        ),
+        head_timeout: ms(
+            "head_timeout_ms",
+            &raw.head_timeout_ms,
+            10..=minutes,
+            default.head_timeout,
+        ),
         endpoints_max_age: ms(
-            "timing.endpoints_max_age_ms",
+            "endpoints_max_age_ms",
             &raw.endpoints_max_age_ms,
-            1_000..=600_000,
-            5_000,
+            1_000..=minutes,
+            default.endpoints_max_age,
         ),
-        stop_grace: ms("timing.stop_grace_ms", &raw.stop_grace_ms, 1_000..=900_000, 7_000),
+        stop_grace: ms("stop_grace_ms", &raw.stop_grace_ms, 1_000..=900_000, default.stop_grace),
         config_max_age: ms(
-            "timing.config_max_age_ms",
+            "config_max_age_ms",
             &raw.config_max_age_ms,
-            1_000..=600_000,
-            10_000,
+            1_000..=minutes,
+            default.config_max_age,
+        ),
+        max_wait: ms("max_wait_ms", &raw.max_wait_ms, 10..=minutes, default.max_wait),
+        slow_caller: ms("slow_caller_ms", &raw.slow_caller_ms, 100..=minutes, default.slow_caller),
+        resume_window: ms(
+            "resume_window_ms",
+            &raw.resume_window_ms,
+            0..=minutes,
+            default.resume_window,
         ),
-        max_wait: ms("timing.max_wait_ms", &raw.max_wait_ms, 10..=600_000, 20_000),
-        slow_caller: ms("timing.slow_caller_ms", &raw.slow_caller_ms, 100..=600_000, 15_000),
-        resume_window: ms("timing.resume_window_ms", &raw.resume_window_ms, 0..=600_000, 3_000),
     };
     if timing.stop_grace <= timing.endpoints_max_age {
         let span = raw.stop_grace_ms.as_ref().map_or(0..0, Spanned::span);
--- a/crates/hatchpitch/tests/admission.rs
+++ b/crates/hatchpitch/tests/admission.rs
@@ -145,7 +145,7 @@
     let now = Instant::now();
     let mut memory = EngineMemory::default();
     memory.report(&report(0, 4_000), now);
-    let candidate = Candidate { workspace: "w".to_owned(), prompt: 50 };
+    let candidate = Candidate { kind: "w".to_owned(), prompt: 50, max_output: u64::MAX };
     for i in 0..1_000 {
         if !memory.fits(policy, &candidate, lengths, now) {
             return i;
