--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -11,8 +11,8 @@
 use super::lengths::LengthModel;
 use super::memory::Candidate;
 use super::state::{AdmissionConfig, AdmissionQueue, Enqueued, Ticket, Waiter};
-use crate::ids::{AttemptId, Priority, RequestKind, RunnerName, WorkspaceName};
-use crate::routing::state::RunnerSpec;
+use crate::ids::{AttemptId, FailureDomainName, Priority, RequestKind, RunnerName, WorkspaceName};
+use crate::routing::state::{Asked, RunnerSpec};
 use crate::routing::{RoutingConfig, RunnerTable, Verdict};
 
 /// What a request asks of a [`Gate`].
@@ -32,6 +32,12 @@
     pub max_tokens: u64,
     /// Runners that failed this request before.
     pub avoid: Vec<RunnerName>,
+    /// Failure domain whose runners are preferred while they are not much busier.
+    #[serde(default)]
+    pub near: Option<FailureDomainName>,
+    /// Longest wait, if it is shorter than the pool's.
+    #[serde(default)]
+    pub max_wait: Option<Duration>,
 }
 
 /// A request that was given up on before it ran.
@@ -119,7 +125,15 @@
         let (ticket, rx) = self.0.borrow_mut().enqueue(&want, cost, Instant::now())?;
         let id = want.id.clone();
         let mut guard = WaitGuard { gate: Rc::downgrade(&self.0), ticket, id, rx };
-        match (&mut guard.rx).await {
+        let limit = want.max_wait.unwrap_or(Duration::MAX);
+        let granted = match compio::time::timeout(limit.min(LONGEST_WAIT), &mut guard.rx).await {
+            Ok(granted) => granted,
+            Err(_) => {
+                let retry_after = self.0.borrow().queue.retry_after(want.priority);
+                return Err(Refusal::new("waited as long as the request allows", retry_after));
+            }
+        };
+        match granted {
             Ok(Ok(spec)) => Ok(Permit::new(self, spec, want, cost)),
             Ok(Err(refusal)) => Err(refusal),
             Err(_) => Err(Refusal::new("the box is stopping", Duration::ZERO)),
@@ -165,7 +179,8 @@
 
 impl Inner {
     fn pick(&mut self, want: &Want, now: Instant) -> Option<RunnerSpec> {
-        self.table.pick(&want.id, &want.candidate(), &want.avoid, &self.lengths, now)
+        let asked = Asked { id: &want.id, avoid: &want.avoid, near: want.near.as_deref() };
+        self.table.pick(&asked, &want.candidate(), &self.lengths, now)
     }
 
     fn cost(&self, want: &Want) -> u64 {
@@ -236,6 +251,8 @@
     }
 }
 
+/// Bound on waits for timers; queues expire their requests far earlier.
+const LONGEST_WAIT: Duration = Duration::from_secs(3_600);
 /// Output expected of a pool of which nothing is known, in tokens.
 const EXPECTED_OUTPUT: u64 = 256;
 const NO_RUNNER_RETRY: Duration = Duration::from_secs(5);
--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -26,6 +26,9 @@
 const MAX_HOLD: Duration = Duration::from_secs(5);
 /// Time allowed for an answer beyond the hold.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1_500);
+/// Age of a parent's confirmation from which on another parent is asked: a few holds, as each
+/// level of the tree adds one.
+const PARENT_MAX_AGE: Duration = Duration::from_millis(4_000);
 /// Rest after a failed round, so that an unreachable parent is not hammered.
 const RETRY_REST: Duration = Duration::from_millis(200);
 
@@ -170,7 +173,7 @@
     }
 }
 
-/// Asks the parents in turn until one answers with a number that is not behind.
+/// Asks the parents in turn until one answers that is not behind.
 async fn follow_once(
     own: &BoxName,
     cell: &ConfigCell,
@@ -178,18 +181,36 @@
     parents: Vec<SocketAddr>,
 ) -> bool {
     for parent in parents {
-        let req = FeedRequest { from: own.clone(), have: cell.number(), hold: HOLD };
-        let sent = Instant::now();
-        let answer = client.call::<_, FeedAnswer>(parent, FEED_PATH, &req, HOLD + ANSWER_MARGIN);
-        let taken = match answer.await {
-            Ok(answer) => cell.take(&answer, sent.elapsed()).map(|()| answer.number >= req.have),
-            Err(err) => Err(err.into()),
-        };
-        match taken {
-            Ok(true) => return true,
-            Ok(false) => log::debug!("feed: box {parent} is behind"),
-            Err(err) => log::debug!("feed from box {parent}: {err:#}"),
+        if fetch(own, cell, client, parent, HOLD).await {
+            return true;
         }
     }
     false
 }
+
+/// Asks one box for what is newer there; returns whether it answered and is not behind.
+pub async fn fetch(
+    own: &BoxName,
+    cell: &ConfigCell,
+    client: &BoxClient,
+    parent: SocketAddr,
+    hold: Duration,
+) -> bool {
+    let req = FeedRequest { from: own.clone(), have: cell.number(), hold };
+    let sent = Instant::now();
+    let answer = client.call::<_, FeedAnswer>(parent, FEED_PATH, &req, hold + ANSWER_MARGIN);
+    let taken = match answer.await {
+        Ok(answer) => cell.take(&answer, sent.elapsed()).map(|()| {
+            let confirmed = answer.confirmed_age.is_some_and(|age| age <= PARENT_MAX_AGE);
+            (answer.number >= req.have, confirmed)
+        }),
+        Err(err) => Err(err.into()),
+    };
+    match taken {
+        Ok((true, true)) => return true,
+        Ok((false, _)) => log::debug!("feed: box {parent} is behind"),
+        Ok((_, false)) => log::debug!("feed: box {parent} has lost touch with the leader"),
+        Err(err) => log::debug!("feed from box {parent}: {err:#}"),
+    }
+    false
+}
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -69,7 +69,8 @@
             FOLLOW_PATH => {
                 let req = self.open::<FollowRequest>()?;
                 let control = self.cx.core_addrs();
-                Ok(rmp_response(&self.cx.registry.answer(&req, control).await))
+                let config = || self.cx.config.number();
+                Ok(rmp_response(&self.cx.registry.answer(&req, config, control).await))
             }
             NEWS_PATH => {
                 self.cx.registry.take(self.open::<RegistryNews>()?);
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -105,7 +105,13 @@
                 restore.config.replace(&restore.machine.borrow().config);
                 Ok(())
             }),
-            applied: Box::new(move || applied.config.replace(&applied.machine.borrow().config)),
+            applied: Box::new(move || {
+                let before = applied.config.number();
+                applied.config.replace(&applied.machine.borrow().config);
+                if applied.config.number() != before {
+                    applied.registry.wake();
+                }
+            }),
         }
     }
 
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -21,6 +21,7 @@
 use crate::membership::MemberRecord;
 use crate::membership::task::SharedMembership;
 use crate::metrics::Metrics;
+use crate::moves::Turns;
 use crate::outcome::Problem;
 use crate::registry::follow::Followed;
 use crate::routing::RoutingConfig;
@@ -59,6 +60,8 @@
     pub retries: RefCell<RetryBudgets>,
     /// Whether new work is taken.
     pub intake: Cell<Intake>,
+    /// Turns to move generations off runners that leave.
+    pub turns: RefCell<Turns>,
     /// Slots given out to other boxes.
     pub grants: RefCell<GrantTable>,
     /// Slots held from other boxes, by run.
@@ -97,6 +100,7 @@
             claims,
             retries: RefCell::default(),
             intake: Cell::new(Intake::Open),
+            turns: RefCell::default(),
             grants: RefCell::default(),
             held: RefCell::default(),
             gates: RefCell::default(),
@@ -143,6 +147,11 @@
         self.owners.borrow().owners_of(pool)
     }
 
+    /// Returns whether the box at `addr` decides for an engine in a failure domain.
+    pub fn owns_in(&self, domain: &str, addr: SocketAddr) -> bool {
+        self.owners.borrow().owns_in(domain, addr)
+    }
+
     /// Returns whether this box decides for an engine of a pool.
     pub fn owns(&self, pool: &PoolView, runner: &str) -> bool {
         let local = self.placement(pool) == Placement::Local;
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -18,7 +18,7 @@
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::state::{Membership, MembershipConfig};
 use crate::membership::task;
-use crate::registry::follow;
+use crate::registry::follow::{self, ConfigHints};
 use crate::routing::task as routing;
 use crate::settings::EntrySettings;
 use crate::signals;
@@ -120,13 +120,31 @@
     })
     .detach();
     let followed = cx.upstreams.clone();
-    let upstreams = follow::run(cx.settings.name.clone(), followed, cx.boxes.clone(), stop.clone());
+    let (numbered, fetching) = (cx.clone(), cx.clone());
+    let hints = ConfigHints {
+        number: Rc::new(move || numbered.config.number()),
+        newer_at: Rc::new(move |source| fetch_config(&fetching, source)),
+    };
+    let name = cx.settings.name.clone();
+    let upstreams = follow::run(name, followed, cx.boxes.clone(), hints, stop.clone());
     compio::runtime::spawn(upstreams).detach();
     compio::runtime::spawn(follow_config(cx.clone(), stop.clone())).detach();
     compio::runtime::spawn(routing::run(cx.clone(), stop.clone())).detach();
     compio::runtime::spawn(grants::run(cx.clone(), stop.clone())).detach();
 }
 
+/// Fetches the configuration from a control box that was seen to have a newer one.
+fn fetch_config(cx: &Rc<EntryCx>, source: SocketAddr) {
+    let cx = cx.clone();
+    compio::runtime::spawn(async move {
+        let name = &cx.settings.name;
+        if !feed::fetch(name, &cx.config, &cx.boxes, source, Duration::ZERO).await {
+            log::info!("configuration not fetched from {source}");
+        }
+    })
+    .detach();
+}
+
 async fn follow_config(cx: Rc<EntryCx>, stop: Stop) {
     let find = || config_parents(&cx);
     feed::follow(cx.settings.name.clone(), &cx.config, &cx.boxes, find, stop).await;
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -432,6 +432,8 @@
         prompt: job.prompt_tokens(),
         max_tokens: job.max_tokens,
         avoid: avoid.to_vec(),
+        near: None,
+        max_wait: None,
     };
     grants::task::obtain(cx, &job.pool, want).await
 }
--- a/crates/hatchpitch/src/grants/messages.rs
+++ b/crates/hatchpitch/src/grants/messages.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admission::{Refusal, Want};
-use crate::ids::{AttemptId, BoxName, PoolName, RunnerName};
+use crate::ids::{AttemptId, BoxName, FailureDomainName, PoolName, RunnerName};
 use crate::routing::Verdict;
 
 /// Asks an owner for a slot on one of its engines.
@@ -31,6 +31,8 @@
         runner: RunnerName,
         /// Where it listens.
         addr: SocketAddr,
+        /// Where it stands.
+        failure_domain: FailureDomainName,
     },
     /// The request would wait about this long.
     Busy {
--- a/crates/hatchpitch/src/grants/ownership.rs
+++ b/crates/hatchpitch/src/grants/ownership.rs
@@ -3,13 +3,13 @@
 //! At full size one pass costs boxes times engines hashes, so the outcome is
 //! kept and mended by what changed, not worked out on requests.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use twox_hash::XxHash64;
 
 use crate::config::FleetView;
-use crate::ids::{BoxName, PoolName, RunnerName};
+use crate::ids::{BoxName, FailureDomainName, PoolName, RunnerName};
 use crate::membership::{MemberRecord, Subject};
 
 /// Seed of the hash; all boxes have to use the same.
@@ -35,6 +35,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Owned {
     pool: PoolName,
+    domain: FailureDomainName,
     /// Weight and name of the owner; `None` while no box serves.
     best: Option<(u64, BoxName)>,
 }
@@ -46,6 +47,8 @@
     engines: BTreeMap<RunnerName, Owned>,
     own: BoxName,
     by_pool: HashMap<PoolName, HashMap<SocketAddr, usize>>,
+    /// Boxes that own an engine in a failure domain.
+    in_domain: HashMap<FailureDomainName, HashSet<SocketAddr>>,
 }
 
 impl OwnerMap {
@@ -73,6 +76,7 @@
                 let known = engines.remove(&runner.name);
                 let owned = Owned {
                     pool: pool.pool.name.clone(),
+                    domain: runner.failure_domain.clone(),
                     best: self.best(&runner.name, known.and_then(|known| known.best), &came),
                 };
                 self.engines.insert(runner.name.clone(), owned);
@@ -93,6 +97,11 @@
         self.by_pool.get(pool).cloned().unwrap_or_default()
     }
 
+    /// Returns whether a box owns an engine in a failure domain.
+    pub fn owns_in(&self, domain: &str, addr: SocketAddr) -> bool {
+        self.in_domain.get(domain).is_some_and(|owners| owners.contains(&addr))
+    }
+
     /// Returns the owner's name of an engine, if any box serves.
     pub fn owner(&self, runner: &str) -> Option<&BoxName> {
         self.engines.get(runner)?.best.as_ref().map(|(_, name)| name)
@@ -114,10 +123,13 @@
     /// Counts the engines of each box; with no box serving, this one decides for all.
     fn count(&mut self, own: SocketAddr) {
         self.by_pool.clear();
+        self.in_domain.clear();
         for owned in self.engines.values() {
             let owner = owned.best.as_ref().and_then(|(_, name)| self.boxes.get(name));
             let counts = self.by_pool.entry(owned.pool.clone()).or_default();
-            *counts.entry(owner.copied().unwrap_or(own)).or_default() += 1;
+            let owner = owner.copied().unwrap_or(own);
+            *counts.entry(owner).or_default() += 1;
+            self.in_domain.entry(owned.domain.clone()).or_default().insert(owner);
         }
     }
 }
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -10,10 +10,11 @@
 use super::messages::{GrantAnswer, GrantRequest, GrantSync, ReleaseRequest};
 use crate::admission::{Gate, Permit, Placement, Refusal, Want};
 use crate::entry::EntryCx;
-use crate::ids::{AttemptId, RunnerName};
+use crate::ids::{AttemptId, FailureDomainName, RunnerName};
 use crate::membership::MemberStatus;
 use crate::membership::messages::Subject;
 use crate::routing::Verdict;
+use crate::routing::state::RunnerSpec;
 
 /// Path for slots.
 pub const GRANT_PATH: &str = "/box/grant";
@@ -22,7 +23,7 @@
 /// Path for naming the slots held.
 pub const SYNC_PATH: &str = "/box/grant-sync";
 /// Owners that are asked whether they have room at once.
-const ASKED: usize = 2;
+const ASKED: usize = 3;
 /// Time for a call that does not wait.
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time allowed beyond the longest wait.
@@ -39,6 +40,8 @@
     pub runner: RunnerName,
     /// Where it listens.
     pub addr: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: FailureDomainName,
     id: AttemptId,
     from: Source,
     verdict: Verdict,
@@ -64,6 +67,7 @@
             cx: cx.clone(),
             runner: permit.runner.name.clone(),
             addr: permit.runner.addr,
+            failure_domain: permit.runner.failure_domain.clone(),
             id,
             from: Source::Own(permit),
             verdict: Verdict::Released,
@@ -163,17 +167,18 @@
         permit.map(|permit| Slot::own(&self.cx, id, permit)).ok_or_else(none)
     }
 
-    /// Returns the owners of the pool's engines, in an order drawn anew each time; an
-    /// owner of more engines comes earlier as often as it has more.
+    /// Returns the owners of the pool's engines, those of near engines first, in an order drawn
+    /// anew each time; an owner of more engines comes earlier as often as it has more.
     fn owners(&self) -> Vec<SocketAddr> {
         let owners = self.cx.owners_of(&self.pool);
-        let mut order: Vec<(u64, SocketAddr)> = Vec::with_capacity(owners.len());
+        let mut order: Vec<(bool, u64, SocketAddr)> = Vec::with_capacity(owners.len());
         for (addr, engines) in owners {
             let draws = (0..engines).map(|_| rand::random::<u64>());
-            order.extend(draws.max().map(|best| (best, addr)));
+            let near = self.want.near.as_deref().is_some_and(|near| self.cx.owns_in(near, addr));
+            order.extend(draws.max().map(|best| (near, best, addr)));
         }
         order.sort_unstable_by(|a, b| b.cmp(a));
-        order.into_iter().map(|(_, addr)| addr).collect()
+        order.into_iter().map(|(.., addr)| addr).collect()
     }
 
     async fn ask_owner(&self, owner: SocketAddr, wait: bool) -> Said {
@@ -192,8 +197,8 @@
         };
         let answer = self.cx.boxes.call::<_, GrantAnswer>(owner, GRANT_PATH, &req, limit).await;
         match answer {
-            Ok(GrantAnswer::Granted { runner, addr }) => {
-                Said::Slot(Box::new(self.granted(owner, runner, addr)))
+            Ok(GrantAnswer::Granted { runner, addr, failure_domain }) => {
+                Said::Slot(Box::new(self.granted(owner, runner, addr, failure_domain)))
             }
             Ok(GrantAnswer::Busy { wait }) => Said::Busy(wait),
             Ok(GrantAnswer::Refused(refusal)) => Said::Refused(refusal),
@@ -205,12 +210,19 @@
         }
     }
 
-    fn granted(&self, owner: SocketAddr, runner: RunnerName, addr: SocketAddr) -> Slot {
+    fn granted(
+        &self,
+        owner: SocketAddr,
+        runner: RunnerName,
+        addr: SocketAddr,
+        failure_domain: FailureDomainName,
+    ) -> Slot {
         self.cx.held.borrow_mut().insert(self.want.id.clone(), owner);
         Slot {
             cx: self.cx.clone(),
             runner,
             addr,
+            failure_domain,
             id: self.want.id.clone(),
             from: Source::Owner(owner),
             verdict: Verdict::Released,
@@ -259,9 +271,9 @@
         Decided::Refused(refusal) => return GrantAnswer::Refused(refusal),
         Decided::NotOwner => return GrantAnswer::NotOwner,
     };
-    let (runner, addr) = (permit.runner.name.clone(), permit.runner.addr);
+    let RunnerSpec { name: runner, addr, failure_domain, .. } = permit.runner.clone();
     cx.grants.borrow_mut().put(req.want.id, req.holder, permit, Instant::now());
-    GrantAnswer::Granted { runner, addr }
+    GrantAnswer::Granted { runner, addr, failure_domain }
 }
 
 /// Takes a slot back.
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
+pub mod moves;
 pub mod outcome;
 pub mod registry;
 pub mod relay;
--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -10,7 +10,7 @@
 
 use super::messages::{FollowAnswer, FollowRequest};
 use super::roster::Roster;
-use crate::ids::BoxName;
+use crate::ids::{BoxName, ConfigNumber};
 
 /// Path of the held requests.
 pub const FOLLOW_PATH: &str = "/box/upstreams";
@@ -59,13 +59,28 @@
     }
 }
 
+/// What a follower does beside keeping the roster.
+#[derive(Clone)]
+pub struct ConfigHints {
+    /// Returns the configuration number in force here.
+    pub number: Rc<dyn Fn() -> ConfigNumber>,
+    /// Called when a control box has a newer one.
+    pub newer_at: Rc<dyn Fn(SocketAddr)>,
+}
+
 /// Follows every control box that is or becomes known, until `stop`.
-pub async fn run(own: BoxName, followed: Rc<Followed>, client: BoxClient, stop: Stop) {
+pub async fn run(
+    own: BoxName,
+    followed: Rc<Followed>,
+    client: BoxClient,
+    hints: ConfigHints,
+    stop: Stop,
+) {
     while !stop.is_set() {
         for source in followed.control() {
             if followed.running.borrow_mut().insert(source) {
-                let task =
-                    follow(own.clone(), source, followed.clone(), client.clone(), stop.clone());
+                let (own, followed, client) = (own.clone(), followed.clone(), client.clone());
+                let task = follow(own, source, followed, client, hints.clone(), stop.clone());
                 compio::runtime::spawn(task).detach();
             }
         }
@@ -78,17 +93,22 @@
     source: SocketAddr,
     followed: Rc<Followed>,
     client: BoxClient,
+    hints: ConfigHints,
     stop: Stop,
 ) {
     let mut failures = 0;
     while !stop.is_set() && failures < MAX_FAILURES {
         let (epoch, have) = followed.roster.borrow().position(source);
-        let req = FollowRequest { from: own.clone(), epoch, have, hold: HOLD };
+        let config = (hints.number)();
+        let req = FollowRequest { from: own.clone(), epoch, have, config, hold: HOLD };
         let call = client.call::<_, FollowAnswer>(source, FOLLOW_PATH, &req, HOLD + ANSWER_MARGIN);
         match call.await {
             Ok(answer) => {
                 failures = 0;
                 followed.control.borrow_mut().extend(&answer.control);
+                if answer.config > (hints.number)() {
+                    (hints.newer_at)(source);
+                }
                 take(&followed, source, answer);
             }
             Err(err) => {
--- a/crates/hatchpitch/src/registry/messages.rs
+++ b/crates/hatchpitch/src/registry/messages.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BoxName, FailureDomainName, RunnerName, ServiceName};
+use crate::ids::{BoxName, ConfigNumber, FailureDomainName, RunnerName, ServiceName};
 
 /// Life of a control process; a table of another life starts from nothing.
 pub type Epoch = u64;
@@ -69,6 +69,8 @@
     pub epoch: Epoch,
     /// The version that it has.
     pub have: Version,
+    /// The configuration number that it has.
+    pub config: ConfigNumber,
     /// How long the answer may be held back.
     pub hold: Duration,
 }
@@ -86,6 +88,8 @@
     pub ended: Vec<RunnerName>,
     /// Upstreams whose lease ran out since; they may announce themselves again.
     pub lapsed: Vec<RunnerName>,
+    /// The configuration number in force at the control box.
+    pub config: ConfigNumber,
     /// Whether the table is older than a lease, so that it knows every upstream in its reach.
     pub settled: bool,
     /// Where other boxes reach the control boxes, as far as is known there.
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -8,7 +8,7 @@
 use futures_channel::oneshot;
 
 use super::messages::{Epoch, FollowAnswer, FollowRequest, RegistryNews, UpstreamRecord, Version};
-use crate::ids::RunnerName;
+use crate::ids::{ConfigNumber, RunnerName};
 
 /// Time without an announcement after which an upstream no longer counts: four heartbeats of
 /// 1.2 s and the lateness that single heartbeats are known to have.
@@ -123,6 +123,7 @@
             records: alive.into_iter().map(|held| held.record.clone()).collect(),
             ended: ended.map(|(id, _)| id.clone()).collect(),
             lapsed: lapsed.into_iter().map(|held| held.record.id.clone()).collect(),
+            config: 0,
             settled: now.duration_since(self.started) >= LEASE,
             control: Vec::new(),
         }
@@ -200,9 +201,21 @@
         });
     }
 
-    /// Answers a follower, waiting for a change up to the hold that it asked for.
-    pub async fn answer(&self, req: &FollowRequest, control: Vec<SocketAddr>) -> FollowAnswer {
-        let current = self.with(|table| table.epoch == req.epoch && table.version <= req.have);
+    /// Wakes the followers, for a change beside the table.
+    pub fn wake(&self) {
+        self.waiting.borrow_mut().clear();
+    }
+
+    /// Answers a follower, waiting for a change up to the hold that it asked for. `config`
+    /// tells the configuration number in force.
+    pub async fn answer(
+        &self,
+        req: &FollowRequest,
+        config: impl Fn() -> ConfigNumber,
+        control: Vec<SocketAddr>,
+    ) -> FollowAnswer {
+        let current = self.with(|table| table.epoch == req.epoch && table.version <= req.have)
+            && config() <= req.config;
         if current && !req.hold.is_zero() {
             let (tx, rx) = oneshot::channel();
             self.waiting.borrow_mut().push(tx);
@@ -210,6 +223,7 @@
             self.waiting.borrow_mut().retain(|tx| !tx.is_canceled());
         }
         let mut answer = self.with(|table| table.changes(req.epoch, req.have, Instant::now()));
+        answer.config = config();
         answer.control = control;
         answer
     }
--- a/crates/hatchpitch/src/relay/budget.rs
+++ b/crates/hatchpitch/src/relay/budget.rs
@@ -70,6 +70,13 @@
         allowed
     }
 
+    /// Takes a repeat that cannot be held back, which leaves less for others.
+    pub fn spend(&mut self, service: &str) {
+        let cap = self.cap();
+        let saved = self.saved.entry(service.to_owned()).or_insert(cap);
+        *saved = (*saved - 1.0).max(-cap);
+    }
+
     /// Returns what may be saved: this box's part of the slack, and never less than one repeat.
     fn cap(&self) -> f64 {
         (self.limits.slack * USED_PART / self.boxes as f64).max(1.0)
--- a/crates/hatchpitch/src/relay/dialect.rs
+++ b/crates/hatchpitch/src/relay/dialect.rs
@@ -1,9 +1,11 @@
 //! What upstreams of hosted services speak, as functions that an adapter gives.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::Body;
+use futures_util::future::LocalBoxFuture;
+use hatchpitch_net::{Body, Upstream};
 use http::Request;
 use http::response::Parts;
 
@@ -17,8 +19,71 @@
     pub upstream: RunnerName,
     /// Time after which the answer is of no use.
     pub time_left: Duration,
+    /// The copy from which a stopped run goes on; `None` for a run that begins.
+    pub resume: Option<Resume>,
 }
 
+/// Where a stopped run goes on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resume {
+    /// Where the runner listens that made the copy.
+    pub source: SocketAddr,
+    /// Name of the copy there.
+    pub handle: String,
+    /// Id of the last event that was delivered.
+    pub after: Option<String>,
+}
+
+/// Asks a runner to copy the memory of a run to another runner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CopyOrder {
+    /// Id of the request that runs.
+    pub request: String,
+    /// Where the other runner listens.
+    pub to: SocketAddr,
+    /// Whether the run stops first, so that the copy is its last.
+    pub stop: bool,
+}
+
+/// A copy that was made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CopyAnswer {
+    /// Its name at the source.
+    pub handle: String,
+}
+
+/// Why a copy was not made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CopyFailure {
+    /// The runner has no such run, or none that has made anything yet.
+    NoSuchRun,
+    /// A copy of this run is under way.
+    Busy,
+    /// The other runner has no room or is out of reach.
+    NoRoom {
+        /// Name of the memory that stays at the source, if the run was stopped.
+        handle: Option<String>,
+    },
+    /// Whether the copy was made is not known.
+    Unclear(String),
+}
+
+impl std::fmt::Display for CopyFailure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NoSuchRun => f.write_str("the runner has no such run"),
+            Self::Busy => f.write_str("a copy of the run is under way"),
+            Self::NoRoom { .. } => f.write_str("the other runner has no room or is out of reach"),
+            Self::Unclear(cause) => write!(f, "copy: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for CopyFailure {}
+
+/// What comes of a [`CopyOrder`].
+pub type Copied = LocalBoxFuture<'static, Result<CopyAnswer, CopyFailure>>;
+
 /// What the head of an upstream's answer says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reading {
@@ -42,4 +107,6 @@
     pub request: Rc<dyn Fn(&HostedRequest, &Attempt) -> Request<Body>>,
     /// Reads the head of an answer.
     pub read: Rc<dyn Fn(&HostedRequest, &Parts) -> Reading>,
+    /// Has a runner copy a run.
+    pub copy: Rc<dyn Fn(Upstream, CopyOrder) -> Copied>,
 }
--- a/crates/hatchpitch/src/relay/events.rs
+++ b/crates/hatchpitch/src/relay/events.rs
@@ -10,6 +10,7 @@
     scanned: usize,
     events: u64,
     last_id: Option<String>,
+    out_of_order: bool,
 }
 
 impl EventSplitter {
@@ -47,12 +48,27 @@
         self.last_id.as_deref()
     }
 
+    /// Drops a part of an event, whose whole comes over another link.
+    pub fn drop_part(&mut self) {
+        self.buf.clear();
+        self.scanned = 0;
+    }
+
+    /// Returns whether an event's number was not above the one before.
+    pub fn out_of_order(&self) -> bool {
+        self.out_of_order
+    }
+
     fn note_event(&mut self, from: usize, to: usize) {
         self.events += 1;
         for line in self.buf[from..to].split(|b| *b == b'\n') {
             if let Some(value) = line.strip_prefix(b"id:") {
                 let value = String::from_utf8_lossy(value);
-                self.last_id = Some(value.trim().to_owned());
+                let id = value.trim();
+                let number = |id: &str| id.parse::<u64>().ok();
+                let before = self.last_id.as_deref().and_then(number);
+                self.out_of_order |= number(id).is_some_and(|id| before.is_some_and(|b| id <= b));
+                self.last_id = Some(id.to_owned());
             }
         }
     }
--- a/crates/hatchpitch/src/relay/mod.rs
+++ b/crates/hatchpitch/src/relay/mod.rs
@@ -13,6 +13,6 @@
 pub mod stream;
 
 pub use budget::{RetryLimits, SharedBudgets};
-pub use dialect::{Attempt, Reading, RunnerDialect};
+pub use dialect::{Attempt, Reading, Resume, RunnerDialect};
 pub use request::{GenerationNeeds, HostedRequest};
 pub use run::{Relay, serve};
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -174,6 +174,8 @@
             prompt: needs.map_or(0, |needs| needs.prompt),
             max_tokens: needs.map_or(u64::MAX, |needs| needs.max_output),
             avoid: self.tried.borrow().clone(),
+            near: Some(self.relay.cx.settings.failure_domain.clone()),
+            max_wait: None,
         };
         let started = Instant::now();
         self.await_upstreams(started).await;
@@ -198,7 +200,7 @@
     /// Sends the request to one upstream.
     async fn attempt(&self, mut slot: Slot) -> Result<Response<Body>, Failure> {
         let left = self.req.time_left(Instant::now());
-        let attempt = Attempt { upstream: slot.runner.clone(), time_left: left };
+        let attempt = Attempt { upstream: slot.runner.clone(), time_left: left, resume: None };
         let message = (self.relay.dialect.request)(&self.req, &attempt);
         self.offered.set(true);
         let sent = self.relay.cx.upstream(slot.addr).send(message, left).await;
@@ -221,7 +223,7 @@
             }
         }
         if self.req.route.runs == RunPolicy::Stream && parts.status.is_success() {
-            return Ok(stream::pass_on(&self.relay, self.req.clone(), slot, parts, body));
+            return Ok(stream::pass_on(&self.relay, self.req.clone(), &self.service, slot, parts, body));
         }
         self.whole_answer(slot, parts, body).await
     }
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -9,13 +9,18 @@
 use http::response::Parts;
 use hyper::body::Incoming;
 
+use super::dialect::{Attempt, Reading, Resume};
 use super::events::EventSplitter;
 use super::request::HostedRequest;
 use super::run::{Relay, strip_connection_headers};
-use crate::config::hosted::HostedService;
+use crate::config::hosted::EngineSpec;
 use crate::entry::context::ActiveGuard;
 use crate::grants::Slot;
+use crate::ids::ServiceName;
 use crate::metrics::{Count, STALL_THRESHOLD, Timing};
+use crate::moves::mover::Moving;
+use crate::moves::{self, Leaver, MoveEnd, Moved};
+use crate::registry::Phase;
 use crate::routing::Verdict;
 
 /// Pieces buffered between upstream and caller.
@@ -23,6 +28,16 @@
 /// Longest time until a caller that left is noticed while the upstream says nothing.
 const CALLER_LOOK: Duration = Duration::from_millis(100);
 
+/// Tokens still to come from which on a generation is moved: what a runner makes in about the
+/// shortest notice that it gives.
+const MIN_AT_STAKE: u64 = 160;
+/// Moves of one generation: runners that leave one after the other.
+const MAX_MOVES: u32 = 12;
+/// Rest after a move, and after one that came to nothing.
+const MOVE_REST: Duration = Duration::from_millis(100);
+/// Time for a move whose run was stopped to end.
+const MOVE_WAIT: Duration = Duration::from_millis(2_000);
+
 /// Why a stream ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum End {
@@ -40,13 +55,14 @@
 pub(super) fn pass_on(
     relay: &Rc<Relay>,
     req: Rc<HostedRequest>,
+    service: &str,
     slot: Slot,
     mut parts: Parts,
     body: Incoming,
 ) -> Response<Body> {
     strip_connection_headers(&mut parts);
     let (tx, out) = Body::stream(BUFFERED_PIECES);
-    let stream = EventStream::new(relay.clone(), req, slot);
+    let stream = EventStream::new(relay.clone(), req, service.to_owned(), slot);
     compio::runtime::spawn(stream.run(body, tx)).detach();
     Response::from_parts(parts, out)
 }
@@ -55,31 +71,53 @@
     relay: Rc<Relay>,
     req: Rc<HostedRequest>,
     slot: Slot,
+    service: ServiceName,
     splitter: EventSplitter,
+    moving: Option<Moving>,
+    /// Moves that were begun, and when the next may be.
+    moves: u32,
+    next_move: Instant,
+    /// Version of the roster that was last looked at.
+    seen_roster: u64,
+    leaving: bool,
     last_progress: Instant,
     longest_gap: Duration,
     /// Keeps the process running until the stream has ended.
     _active: ActiveGuard,
 }
 
+/// How one link to a runner ended.
+enum LinkEnd {
+    /// The stream is over.
+    Over(End),
+    /// The runner closed the stream, or it broke.
+    Closed(End),
+}
+
 impl EventStream {
-    fn new(relay: Rc<Relay>, req: Rc<HostedRequest>, slot: Slot) -> Self {
+    fn new(relay: Rc<Relay>, req: Rc<HostedRequest>, service: ServiceName, slot: Slot) -> Self {
         let active = relay.cx.begin();
+        let now = Instant::now();
         Self {
             relay,
             req,
             slot,
+            service,
             splitter: EventSplitter::default(),
-            last_progress: Instant::now(),
+            moving: None,
+            moves: 0,
+            next_move: now,
+            seen_roster: 0,
+            leaving: false,
+            last_progress: now,
             longest_gap: Duration::ZERO,
             _active: active,
         }
     }
 
-    async fn run(mut self, mut body: Incoming, mut tx: BodySender) {
-        let end = self.pass(&mut body, &mut tx).await;
-        drop(body);
-        let tokens = self.splitter.events() * tokens_per_event(&self.relay, &self.slot);
+    async fn run(mut self, body: Incoming, mut tx: BodySender) {
+        let end = self.pass(body, &mut tx).await;
+        let tokens = self.tokens_made();
         match &end {
             End::Whole => {
                 self.relay.cx.metrics.count(Count::Done, &self.req.route.name);
@@ -95,31 +133,140 @@
         self.log(&end);
     }
 
-    async fn pass(&mut self, body: &mut Incoming, tx: &mut BodySender) -> End {
+    /// Passes events on, from one runner after another if the generation is moved.
+    async fn pass(&mut self, mut body: Incoming, tx: &mut BodySender) -> End {
+        loop {
+            let closed = match self.pass_link(&mut body, tx).await {
+                LinkEnd::Over(end) => return end,
+                LinkEnd::Closed(end) => end,
+            };
+            body = match self.go_on().await {
+                Ok(Some(next)) => next,
+                Ok(None) => return self.finish_link(closed, tx).await,
+                Err(cause) => return End::Broken(cause),
+            };
+        }
+    }
+
+    async fn pass_link(&mut self, body: &mut Incoming, tx: &mut BodySender) -> LinkEnd {
         loop {
             if tx.is_closed() {
-                return End::CallerLeft;
+                return LinkEnd::Over(End::CallerLeft);
             }
             if Instant::now() >= self.req.end() {
-                return End::OutOfTime;
+                return LinkEnd::Over(End::OutOfTime);
             }
+            self.look_after_move();
             let piece = match compio::time::timeout(CALLER_LOOK, read_stream(body)).await {
                 Err(_) => continue,
-                Ok(Ok(Some(piece))) => self.splitter.push(&piece),
-                Ok(Ok(None)) => {
-                    if let Some(rest) = self.splitter.rest() {
-                        // The upstream ended the message itself, so what is left belongs to it.
-                        let _ = tx.send(rest).await;
-                    }
-                    return End::Whole;
-                }
-                Ok(Err(err)) => return End::Broken(err.to_string()),
+                Ok(Ok(Some(piece))) => piece,
+                Ok(Ok(None)) => return LinkEnd::Closed(End::Whole),
+                Ok(Err(err)) => return LinkEnd::Closed(End::Broken(err.to_string())),
             };
-            if let Some(events) = piece {
-                self.note_progress();
-                if let Some(end) = self.deliver(tx, events).await {
-                    return end;
-                }
+            let Some(events) = self.splitter.push(&piece) else { continue };
+            if self.splitter.out_of_order() {
+                return LinkEnd::Over(End::Broken("events out of order".to_owned()));
+            }
+            self.note_progress();
+            if let Some(end) = self.deliver(tx, events).await {
+                return LinkEnd::Over(end);
+            }
+        }
+    }
+
+    /// Ends the stream as its last link ended.
+    async fn finish_link(&mut self, closed: End, tx: &mut BodySender) -> End {
+        if closed == End::Whole
+            && let Some(rest) = self.splitter.rest()
+        {
+            // The upstream ended the message itself, so what is left belongs to it.
+            let _ = tx.send(rest).await;
+        }
+        closed
+    }
+
+    /// Begins a move once the runner leaves, and takes note of one that came to nothing.
+    fn look_after_move(&mut self) {
+        if let Some(moving) = &mut self.moving {
+            if moving.came_to_nothing() {
+                self.moving = None;
+                self.next_move = Instant::now() + MOVE_REST;
+            }
+            return;
+        }
+        self.look_at_roster();
+        if !self.leaving || self.moves >= MAX_MOVES || Instant::now() < self.next_move {
+            return;
+        }
+        let Some(needs) = self.req.generation else { return };
+        let made = self.tokens_made();
+        let at_stake = needs.max_output.saturating_sub(made);
+        if made == 0 || at_stake < MIN_AT_STAKE || !self.engine().is_some_and(|e| e.moves) {
+            return;
+        }
+        self.moves += 1;
+        let leaver = Leaver {
+            service: self.service.clone(),
+            runner: self.slot.runner.clone(),
+            addr: self.slot.addr,
+            failure_domain: self.slot.failure_domain.clone(),
+        };
+        let in_memory = needs.prompt + made;
+        self.moving = Some(moves::start(&self.relay, &self.req, leaver, at_stake, in_memory));
+    }
+
+    fn look_at_roster(&mut self) {
+        let roster = self.relay.cx.upstreams.roster.borrow();
+        if self.seen_roster != roster.version() {
+            self.seen_roster = roster.version();
+            let record = roster.get(&self.slot.runner);
+            // Some runners end their registration at once and serve on for as long as others do.
+            self.leaving = record.is_none_or(|record| record.phase == Phase::Leaving);
+        }
+    }
+
+    /// Waits for the move that closed the link, and opens the link to the copy. `None` means
+    /// that there was none.
+    async fn go_on(&mut self) -> Result<Option<Incoming>, String> {
+        let Some(moving) = self.moving.take() else { return Ok(None) };
+        let moved = match compio::time::timeout(MOVE_WAIT, moving.end).await {
+            Ok(Ok(MoveEnd::Moved(moved))) => moved,
+            Ok(Ok(MoveEnd::Stays(_))) => return Ok(None),
+            Ok(Ok(MoveEnd::Lost(cause))) => return Err(cause),
+            Ok(Err(_)) | Err(_) => return Err("the move did not end in time".to_owned()),
+        };
+        self.splitter.drop_part();
+        self.resume(moved).await.map(Some)
+    }
+
+    async fn resume(&mut self, moved: Moved) -> Result<Incoming, String> {
+        if let Some(slot) = moved.slot {
+            self.slot = slot;
+        }
+        self.seen_roster = 0;
+        self.next_move = Instant::now() + MOVE_REST;
+        let left = self.req.time_left(Instant::now());
+        let attempt = Attempt {
+            upstream: self.slot.runner.clone(),
+            time_left: left,
+            resume: Some(Resume {
+                source: moved.source,
+                handle: moved.handle,
+                after: self.splitter.last_id().map(str::to_owned),
+            }),
+        };
+        self.relay.budgets.borrow_mut().spend(&self.service);
+        let message = (self.relay.dialect.request)(&self.req, &attempt);
+        let sent = self.relay.cx.upstream(self.slot.addr).send(message, left).await;
+        let (parts, body) = sent.map_err(|err| err.to_string())?.into_parts();
+        match (self.relay.dialect.read)(&self.req, &parts) {
+            Reading::Answer if parts.status.is_success() => {
+                self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
+                Ok(body)
+            }
+            Reading::Answer => Err(format!("resume answered with {}", parts.status)),
+            Reading::NotRun { cause, .. } | Reading::Foreign(cause) => {
+                Err(format!("resume: {cause}"))
             }
         }
     }
@@ -152,6 +299,15 @@
         self.last_progress = Instant::now();
     }
 
+    fn tokens_made(&self) -> u64 {
+        self.splitter.events() * self.engine().map_or(1, |engine| engine.tokens_per_event)
+    }
+
+    fn engine(&self) -> Option<EngineSpec> {
+        let view = self.relay.cx.config.view();
+        view.hosted_services.get(&self.service)?.engine.clone()
+    }
+
     fn log(&self, end: &End) {
         let (outcome, cause) = match end {
             End::Whole => ("whole", ""),
@@ -162,7 +318,8 @@
         log::info!(
             request = self.req.id.as_str(), route = self.req.route.name.as_str(),
             upstream = self.slot.runner.as_str(), outcome = outcome, cause = cause,
-            events = self.splitter.events(), longest_gap_ms = self.longest_gap.as_millis(),
+            events = self.splitter.events(), moves = self.moves, leaving = self.leaving,
+            longest_gap_ms = self.longest_gap.as_millis(),
             since_last_ms = self.last_progress.elapsed().as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "stream ended"
@@ -170,16 +327,6 @@
     }
 }
 
-fn tokens_per_event(relay: &Relay, slot: &Slot) -> u64 {
-    let roster = relay.cx.upstreams.roster.borrow();
-    let service = roster.get(&slot.runner).map(|record| record.service.clone());
-    let view = relay.cx.config.view();
-    let spec = service.and_then(|name| view.hosted_services.get(&name).cloned());
-    spec.as_deref()
-        .and_then(|s: &HostedService| s.engine.as_ref())
-        .map_or(1, |e| e.tokens_per_event)
-}
-
 /// Passes on an answer that is too large to be held.
 pub(super) fn pass_rest(
     relay: &Rc<Relay>,
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -80,6 +80,28 @@
     Failed,
 }
 
+/// Which runners a request asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked<'a> {
+    /// The run.
+    pub id: &'a AttemptId,
+    /// Runners that are not picked.
+    pub avoid: &'a [RunnerName],
+    /// Failure domain whose runners are preferred.
+    pub near: Option<&'a str>,
+}
+
+/// Load by which a runner of another failure domain has to be less busy to be picked: the share
+/// of a runner that a few requests make.
+const DISTANCE: f64 = 0.15;
+
+impl Asked<'_> {
+    fn distance(&self, spec: &RunnerSpec) -> f64 {
+        let far = self.near.is_some_and(|near| near != spec.failure_domain);
+        if far { DISTANCE } else { 0.0 }
+    }
+}
+
 /// The runners of one pool.
 #[derive(Debug, Clone)]
 pub struct RunnerTable {
@@ -119,24 +141,24 @@
         self.runners.retain(|_, runner| runner.configured || runner.running > 0);
     }
 
-    /// Picks a runner that takes new work, has room and is not in `avoid`, and takes a slot on it.
+    /// Picks a runner that takes new work, has room and is not to be avoided, and takes a slot
+    /// on it.
     pub fn pick(
         &mut self,
-        id: &AttemptId,
+        asked: &Asked<'_>,
         candidate: &Candidate,
-        avoid: &[RunnerName],
         lengths: &LengthModel,
         now: Instant,
     ) -> Option<RunnerSpec> {
         self.picks += 1;
         let (cfg, turn, count) = (self.cfg, self.picks, self.runners.len().max(1));
         let open = self.runners.values().enumerate();
-        let open = open.filter(|(_, r)| r.has_slot(now) && !avoid.contains(&r.spec.name));
+        let open = open.filter(|(_, r)| r.has_slot(now) && !asked.avoid.contains(&r.spec.name));
         let mut open: Vec<(f64, usize, &RunnerName)> = open
             .map(|(i, r)| {
                 let share = match cfg.pick {
                     Pick::RoundRobin => 0.0,
-                    Pick::LeastLoaded => r.load_share(now),
+                    Pick::LeastLoaded => r.load_share(now) + asked.distance(&r.spec),
                 };
                 (share, (i + turn) % count, &r.spec.name)
             })
@@ -148,7 +170,7 @@
         let name = open.into_iter().map(|(.., name)| name).find(|name| fits(name))?.clone();
         let best = self.runners.get_mut(&name)?;
         best.running += 1;
-        best.memory.take(id.clone(), candidate.clone(), now);
+        best.memory.take(asked.id.clone(), candidate.clone(), now);
         Some(best.spec.clone())
     }
 
