Pin an upstream's life to its address, and test registry, turns and relay

Random announcements showed two lives held at one address, when an id was announced again with another address. A life has one address; a change of it is refused as stale.

--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -14,7 +14,7 @@
 use crate::grants::ownership::owner_of;
 use crate::grants::task::obtain;
 use crate::ids::{FailureDomainName, RunnerName, ServiceName};
-use crate::relay::dialect::{CopyAnswer, CopyOrder, CopyFailure};
+use crate::relay::dialect::{CopyAnswer, CopyFailure, CopyOrder};
 use crate::relay::{HostedRequest, Relay};
 
 /// Path on which turns are asked for.
@@ -149,9 +149,7 @@
         *self.stopping.borrow_mut() = true;
         let source = self.leaver.addr;
         match self.copy(slot.addr, true).await {
-            Ok(CopyAnswer { handle }) => {
-                MoveEnd::Moved(Moved { slot: Some(slot), source, handle })
-            }
+            Ok(CopyAnswer { handle }) => MoveEnd::Moved(Moved { slot: Some(slot), source, handle }),
             Err(CopyFailure::NoRoom { handle: Some(handle), .. }) => {
                 MoveEnd::Moved(Moved { slot: None, source, handle })
             }
--- a/crates/hatchpitch/src/registry/roster.rs
+++ b/crates/hatchpitch/src/registry/roster.rs
@@ -99,9 +99,8 @@
         }
         if let Some(known) = self.known.get_mut(&record.id) {
             known.sources.insert(source, epoch);
-            if record.supersedes(&known.record) {
-                let changed =
-                    record.phase != known.record.phase || record.addr != known.record.addr;
+            if record.supersedes(&known.record) && record.addr == known.record.addr {
+                let changed = record.phase != known.record.phase;
                 known.record = record;
                 self.version += u64::from(changed);
             }
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -64,12 +64,12 @@
             self.put(record, now);
             return Announced::News;
         };
-        if !record.supersedes(&known.record) {
+        // A life has one address; another one under its id is a fault of the sender.
+        if !record.supersedes(&known.record) || record.addr != known.record.addr {
             return Announced::Stale;
         }
         let news = known.lapsed
             || record.phase != known.record.phase
-            || record.addr != known.record.addr
             || record.slots != known.record.slots;
         if news {
             self.put(record, now);
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -223,7 +223,14 @@
             }
         }
         if self.req.route.runs == RunPolicy::Stream && parts.status.is_success() {
-            return Ok(stream::pass_on(&self.relay, self.req.clone(), &self.service, slot, parts, body));
+            return Ok(stream::pass_on(
+                &self.relay,
+                self.req.clone(),
+                &self.service,
+                slot,
+                parts,
+                body,
+            ));
         }
         self.whole_answer(slot, parts, body).await
     }
--- /dev/null
+++ b/crates/hatchpitch/tests/registry.rs
@@ -0,0 +1,183 @@
+//! Upstreams that announce themselves: order, leases, and the union at entry boxes.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hatchpitch::registry::table::LEASE;
+use hatchpitch::registry::verify::{verify_roster, verify_table};
+use hatchpitch::registry::{Announced, Phase, Roster, Table, UpstreamRecord};
+
+fn record(id: &str, port: u16, phase: Phase, sequence: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        addr: ([127, 0, 0, 1], port).into(),
+        failure_domain: "d".to_owned(),
+        slots: 4,
+        phase,
+        warm_in: Duration::ZERO,
+        sequence,
+    }
+}
+
+fn source(port: u16) -> SocketAddr {
+    ([127, 0, 0, 2], port).into()
+}
+
+fn ids(roster: &Roster) -> Vec<&str> {
+    roster.serving().map(|record| record.id.as_str()).collect()
+}
+
+#[test]
+fn a_late_announcement_does_not_bring_a_leaver_back() {
+    let now = Instant::now();
+    let mut table = Table::new(1, now);
+    assert_eq!(table.announce(record("a", 1, Phase::Serving, 1), now), Announced::News);
+    assert_eq!(table.announce(record("a", 1, Phase::Leaving, 3), now), Announced::News);
+    assert_eq!(table.announce(record("a", 1, Phase::Serving, 2), now), Announced::Stale);
+    assert_eq!(table.alive().next().unwrap().phase, Phase::Leaving);
+    verify_table(&table).unwrap();
+}
+
+#[test]
+fn a_life_that_ended_before_it_was_announced_stays_ended() {
+    let now = Instant::now();
+    let mut table = Table::new(1, now);
+    assert!(table.end("a", now));
+    assert!(!table.end("a", now));
+    assert_eq!(table.announce(record("a", 1, Phase::Serving, 1), now), Announced::Stale);
+    assert_eq!(table.alive().count(), 0);
+    verify_table(&table).unwrap();
+}
+
+#[test]
+fn a_new_life_at_an_address_ends_the_former_one() {
+    let now = Instant::now();
+    let mut table = Table::new(1, now);
+    table.announce(record("a", 1, Phase::Serving, 1), now);
+    table.announce(record("b", 1, Phase::Serving, 1), now);
+    let alive: Vec<&str> = table.alive().map(|record| record.id.as_str()).collect();
+    assert_eq!(alive, ["b"]);
+    let answer = table.changes(1, 1, now);
+    assert_eq!(answer.ended, ["a"]);
+    verify_table(&table).unwrap();
+}
+
+#[test]
+fn a_lease_that_ran_out_begins_anew_with_the_next_announcement() {
+    let now = Instant::now();
+    let mut table = Table::new(1, now);
+    table.announce(record("a", 1, Phase::Serving, 1), now);
+    assert_eq!(table.expire(now + LEASE / 2), Vec::<String>::new());
+    assert_eq!(table.expire(now + LEASE), ["a"]);
+    assert_eq!(table.changes(1, 1, now).lapsed, ["a"]);
+    let announced = table.announce(record("a", 1, Phase::Serving, 2), now + LEASE);
+    assert_eq!(announced, Announced::News);
+    assert_eq!(table.changes(1, 2, now).records.len(), 1);
+    verify_table(&table).unwrap();
+}
+
+#[test]
+fn a_follower_hears_what_changed_and_after_a_restart_everything() {
+    let now = Instant::now();
+    let mut table = Table::new(7, now);
+    table.announce(record("a", 1, Phase::Serving, 1), now);
+    table.announce(record("b", 2, Phase::Serving, 1), now);
+    let some = table.changes(7, 1, now);
+    assert_eq!((some.records.len(), some.version), (1, 2));
+    assert_eq!(table.changes(7, 2, now).records.len(), 0);
+    assert_eq!(table.changes(6, 2, now).records.len(), 2);
+}
+
+#[test]
+fn an_entry_box_keeps_what_any_control_box_names() {
+    let now = Instant::now();
+    let (mut one, mut two) = (Table::new(1, now), Table::new(2, now));
+    let mut roster = Roster::default();
+    one.announce(record("a", 1, Phase::Serving, 1), now);
+    two.announce(record("a", 1, Phase::Serving, 1), now);
+    two.announce(record("b", 2, Phase::Serving, 1), now);
+    assert!(roster.take(source(1), one.changes(0, 0, now)));
+    assert!(roster.take(source(2), two.changes(0, 0, now)));
+    assert_eq!(ids(&roster), ["a", "b"]);
+    // The first box loses the lease; the second still hears announcements.
+    one.expire(now + LEASE);
+    roster.take(source(1), one.changes(1, 1, now));
+    assert_eq!(ids(&roster), ["a", "b"]);
+    two.expire(now + LEASE);
+    roster.take(source(2), two.changes(2, 2, now));
+    assert_eq!(ids(&roster), Vec::<&str>::new());
+    verify_roster(&roster).unwrap();
+}
+
+#[test]
+fn leaving_holds_although_another_control_box_is_behind() {
+    let now = Instant::now();
+    let (mut one, mut two) = (Table::new(1, now), Table::new(2, now));
+    let mut roster = Roster::default();
+    one.announce(record("a", 1, Phase::Leaving, 5), now);
+    two.announce(record("a", 1, Phase::Serving, 4), now);
+    roster.take(source(1), one.changes(0, 0, now));
+    roster.take(source(2), two.changes(0, 0, now));
+    assert_eq!(ids(&roster), Vec::<&str>::new());
+    assert_eq!(roster.leaving().count(), 1);
+    one.end("a", now);
+    roster.take(source(1), one.changes(1, 1, now));
+    roster.take(source(2), two.changes(0, 0, now));
+    assert!(roster.get("a").is_none());
+    verify_roster(&roster).unwrap();
+}
+
+#[test]
+fn what_only_a_former_life_of_a_control_box_named_is_dropped_once_the_new_one_knows_all() {
+    let now = Instant::now();
+    let mut table = Table::new(1, now);
+    table.announce(record("a", 1, Phase::Serving, 1), now);
+    let mut roster = Roster::default();
+    roster.take(source(1), table.changes(0, 0, now));
+    let restarted = Table::new(2, now);
+    roster.take(source(1), restarted.changes(1, 1, now));
+    assert_eq!(ids(&roster), ["a"], "the new life may not have heard of it yet");
+    roster.take(source(1), restarted.changes(2, 0, now + LEASE));
+    assert_eq!(ids(&roster), Vec::<&str>::new());
+}
+
+#[test]
+fn tables_and_rosters_stay_sound_whatever_arrives() {
+    for seed in 0..50_u64 {
+        arbtest::arbtest(|u| {
+            let start = Instant::now();
+            let mut tables = [Table::new(1, start), Table::new(2, start)];
+            let mut roster = Roster::default();
+            for step in 0..40_u32 {
+                let now = start + LEASE / 8 * step;
+                let at = usize::from(u.int_in_range(0..=1_u8)?);
+                let id = u.int_in_range(0..=5_u8)?;
+                match u.int_in_range(0..=3_u8)? {
+                    0 => {
+                        let phase = if u.arbitrary()? { Phase::Serving } else { Phase::Leaving };
+                        let port = u.int_in_range(1..=3_u16)?;
+                        let sequence = u.int_in_range(0..=9_u64)?;
+                        tables[at].announce(record(&format!("u{id}"), port, phase, sequence), now);
+                    }
+                    1 => {
+                        tables[at].end(&format!("u{id}"), now);
+                    }
+                    2 => {
+                        tables[at].expire(now);
+                    }
+                    _ => {
+                        let source = source(u16::try_from(at).unwrap());
+                        let (epoch, have) = roster.position(source);
+                        roster.take(source, tables[at].changes(epoch, have, now));
+                    }
+                }
+                verify_table(&tables[at]).unwrap();
+                verify_roster(&roster).unwrap();
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | 2_000)
+        .run();
+    }
+}
