--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -244,6 +244,17 @@
         self.intake.get() == Intake::Open && self.config.number() > 0 && self.config_is_fresh()
     }
 
+    /// Waits a little for a box that has just started to learn the configuration: callers are
+    /// better served late than refused, and after a restart of the core it takes an election.
+    pub async fn await_config(&self) {
+        let started = Instant::now();
+        while (self.config.number() == 0 || !self.config_is_fresh())
+            && started.elapsed() < CONFIG_WAIT
+        {
+            compio::time::sleep(CONFIG_LOOK).await;
+        }
+    }
+
     /// Refuses new work while the box stops or its configuration may be old.
     ///
     /// # Errors
@@ -317,6 +328,12 @@
     }
 }
 
+/// Longest time that a request waits for this box to learn the configuration: a start, an
+/// election and the travel of the answer.
+const CONFIG_WAIT: Duration = Duration::from_millis(2_000);
+/// Time between looks for the configuration.
+const CONFIG_LOOK: Duration = Duration::from_millis(20);
+
 fn runner_spec(pool: &PoolView, runner: &Runner) -> RunnerSpec {
     RunnerSpec {
         name: runner.name.clone(),
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -84,6 +84,8 @@
     tried: RefCell<Vec<RunnerName>>,
     /// Upstreams that the request may have run at.
     ran_at: Cell<u32>,
+    /// Time spent waiting for slots.
+    waited: Cell<Duration>,
     /// Whether an upstream has the request now.
     offered: Cell<bool>,
 }
@@ -97,6 +99,7 @@
             service,
             tried: RefCell::default(),
             ran_at: Cell::new(0),
+            waited: Cell::new(Duration::ZERO),
             offered: Cell::new(false),
         }
     }
@@ -182,6 +185,7 @@
         let slot = obtain(&self.relay.cx, &self.service, want).await;
         let (metrics, priority) = (&self.relay.cx.metrics, self.req.priority());
         metrics.time(Timing::Wait, &self.service, priority, started.elapsed());
+        self.waited.set(self.waited.get() + started.elapsed());
         slot
     }
 
@@ -314,6 +318,7 @@
             workspace = self.req.workspace.as_deref().unwrap_or(""),
             urgency = self.req.urgency, status = status.as_u16(), outcome = outcome.as_str(),
             cause = cause, tries = self.tried.borrow().len(),
+            waited_ms = self.waited.get().as_millis(),
             held_ms = self.req.received.elapsed().as_millis(),
             config = self.relay.cx.config.number(),
             config_age_ms = self.relay.cx.config.confirmed_age().unwrap_or_default().as_millis(),
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -80,6 +80,7 @@
     /// Version of the roster that was last looked at.
     seen_roster: u64,
     leaving: bool,
+    first_event: Option<Duration>,
     last_progress: Instant,
     longest_gap: Duration,
     /// Keeps the process running until the stream has ended.
@@ -109,6 +110,7 @@
             next_move: now,
             seen_roster: 0,
             leaving: false,
+            first_event: None,
             last_progress: now,
             longest_gap: Duration::ZERO,
             _active: active,
@@ -287,7 +289,8 @@
         let (metrics, route) = (&self.relay.cx.metrics, &self.req.route.name);
         let priority = self.req.priority();
         let gap = self.last_progress.elapsed();
-        if self.splitter.events() == 1 {
+        if self.first_event.is_none() {
+            self.first_event = Some(self.req.received.elapsed());
             metrics.time(Timing::FirstToken, route, priority, self.req.received.elapsed());
         } else {
             metrics.time(Timing::TokenGap, route, priority, gap);
@@ -319,6 +322,7 @@
             request = self.req.id.as_str(), route = self.req.route.name.as_str(),
             upstream = self.slot.runner.as_str(), outcome = outcome, cause = cause,
             events = self.splitter.events(), moves = self.moves, leaving = self.leaving,
+            first_event_ms = self.first_event.unwrap_or_default().as_millis(),
             longest_gap_ms = self.longest_gap.as_millis(),
             since_last_ms = self.last_progress.elapsed().as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -134,6 +134,7 @@
     disk: Disk,
     storage: Storage,
     replica: Rc<RefCell<Replica>>,
+    cfg: ReplicaConfig,
     applier: Applier,
     applied: Index,
     waiting: BTreeMap<Index, Waiting>,
@@ -153,12 +154,13 @@
 pub fn start(
     disk: Disk,
     id: NodeId,
+    cfg: ReplicaConfig,
     mut applier: Applier,
     client: BoxClient,
     own_addr: SocketAddr,
     stop: Stop,
 ) -> anyhow::Result<ReplicaHandle> {
-    let (storage, replica, applied) = open(&disk, id, &mut applier)?;
+    let (storage, replica, applied) = open(&disk, id, cfg, &mut applier)?;
     let replica = Rc::new(RefCell::new(replica));
     let (tx, rx) = mpsc::unbounded();
     let handle = ReplicaHandle { tx, shared: replica.clone() };
@@ -167,6 +169,7 @@
         disk,
         storage,
         replica,
+        cfg,
         applier,
         applied,
         waiting: BTreeMap::new(),
@@ -182,6 +185,7 @@
 fn open(
     disk: &Disk,
     id: NodeId,
+    cfg: ReplicaConfig,
     applier: &mut Applier,
 ) -> anyhow::Result<(Storage, Replica, Index)> {
     let (storage, restored) = Storage::open(disk.clone())?;
@@ -189,7 +193,7 @@
     let data = (applied > 0).then_some(restored.snapshot.data.as_slice());
     (applier.restore)(data)?;
     let seed = rand::random();
-    let replica = Replica::new(id, ReplicaConfig::default(), restored, seed, Instant::now());
+    let replica = Replica::new(id, cfg, restored, seed, Instant::now());
     Ok((storage, replica, applied))
 }
 
@@ -338,7 +342,7 @@
         }
         loop {
             compio::time::sleep(DISK_REST).await;
-            match open(&self.disk, self.id, &mut self.applier) {
+            match open(&self.disk, self.id, self.cfg, &mut self.applier) {
                 Ok((storage, replica, applied)) => {
                     self.storage = storage;
                     self.applied = applied;
--- a/crates/hatchpitch/src/settings/control.rs
+++ b/crates/hatchpitch/src/settings/control.rs
@@ -14,6 +14,7 @@
 use crate::config::check::check_keys;
 use crate::config::raw::RawOperator;
 use crate::ids::BoxName;
+use crate::replication::ReplicaConfig;
 
 /// The settings file before it is checked.
 #[derive(Debug, Deserialize)]
@@ -63,6 +64,8 @@
     pub bootstrap: bool,
     /// Replicas that the core keeps; further ones are removed once they are silent.
     pub core_size: usize,
+    /// Periods of the replicated log.
+    pub replica: ReplicaConfig,
     /// Keys shared by the boxes.
     pub box_keys: KeyRing,
     /// Operators that are known before the first fleet file.
@@ -103,6 +106,7 @@
             peers,
             data_folder: raw.data_folder,
             bootstrap: true,
+            replica: ReplicaConfig::default(),
             box_keys,
             operators,
             log_level,
