--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -112,6 +112,24 @@
         Ok(Some(Permit::new(self, spec, want.clone(), cost)))
     }
 
+    /// Returns the load of the runner that a request would get at once, if it would get any.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] if no runner takes work.
+    pub fn quote(&self, want: &Want) -> Result<Option<f64>, Refusal> {
+        let now = Instant::now();
+        let inner = self.0.borrow();
+        if !inner.table.any_serving(now) {
+            return Err(inner.no_runner(now));
+        }
+        if !inner.queue.is_empty() {
+            return Ok(None);
+        }
+        let asked = Asked { id: &want.id, avoid: &want.avoid, near: want.near.as_deref() };
+        Ok(inner.table.quote(&asked, &want.candidate(), &inner.lengths, now))
+    }
+
     /// Waits for a slot on a runner.
     ///
     /// # Errors
--- a/crates/hatchpitch/src/grants/messages.rs
+++ b/crates/hatchpitch/src/grants/messages.rs
@@ -18,8 +18,19 @@
     pub pool: PoolName,
     /// What is wanted.
     pub want: Want,
-    /// Whether the owner may let the request wait.
-    pub wait: bool,
+    /// What is asked for.
+    pub ask: Ask,
+}
+
+/// What an owner is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// The load of the engine that the request would get; nothing is taken.
+    Quote,
+    /// A slot at once.
+    Now,
+    /// A slot, after a wait if it must be.
+    Wait,
 }
 
 /// The owner's answer.
@@ -34,6 +45,11 @@
         /// Where it stands.
         failure_domain: FailureDomainName,
     },
+    /// The request would get a slot on an engine with this load.
+    Quoted {
+        /// Share of slots and memory in use, and seconds of prompts to be read.
+        load: f64,
+    },
     /// The request would wait about this long.
     Busy {
         /// Expected wait.
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -7,7 +7,7 @@
 
 use hatchpitch_net::Stop;
 
-use super::messages::{GrantAnswer, GrantRequest, GrantSync, ReleaseRequest};
+use super::messages::{Ask, GrantAnswer, GrantRequest, GrantSync, ReleaseRequest};
 use crate::admission::{Gate, Permit, Placement, Refusal, Want};
 use crate::entry::EntryCx;
 use crate::ids::{AttemptId, FailureDomainName, RunnerName};
@@ -24,6 +24,10 @@
 pub const SYNC_PATH: &str = "/box/grant-sync";
 /// Owners that are asked whether they have room at once.
 const ASKED: usize = 3;
+/// Owners that are asked for quotes: two choices take most of the gain, more cost little.
+const QUOTED: usize = 4;
+/// Time for a quote; a box that takes longer is passed over.
+const QUOTE_LIMIT: Duration = Duration::from_millis(150);
 /// Time for a call that does not wait.
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time allowed beyond the longest wait.
@@ -126,6 +130,7 @@
 
 /// What one owner said.
 enum Said {
+    Quoted(f64),
     Slot(Box<Slot>),
     Busy(Duration),
     Refused(Refusal),
@@ -134,15 +139,18 @@
 
 impl Asking {
     async fn ask(self) -> Result<Slot, Refusal> {
-        let owners = self.owners();
+        let mut owners = self.owners();
+        let rest = owners.split_off(owners.len().min(QUOTED));
+        let mut quoted = self.quotes(owners).await;
+        quoted.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut busy: Vec<(Duration, SocketAddr)> = Vec::new();
         let mut refused = None;
-        for owner in &owners {
-            match self.ask_owner(*owner, false).await {
+        for owner in quoted.into_iter().map(|(_, owner)| owner).chain(rest) {
+            match self.ask_owner(owner, Ask::Now).await {
                 Said::Slot(slot) => return Ok(*slot),
-                Said::Busy(wait) => busy.push((wait, *owner)),
+                Said::Busy(wait) => busy.push((wait, owner)),
                 Said::Refused(refusal) => refused = Some(refusal),
-                Said::Away => {}
+                Said::Quoted(_) | Said::Away => {}
             }
             if busy.len() == ASKED {
                 break;
@@ -150,10 +158,10 @@
         }
         busy.sort();
         for (_, owner) in busy {
-            match self.ask_owner(owner, true).await {
+            match self.ask_owner(owner, Ask::Wait).await {
                 Said::Slot(slot) => return Ok(*slot),
                 Said::Refused(refusal) => return Err(refusal),
-                Said::Busy(_) | Said::Away => {}
+                Said::Quoted(_) | Said::Busy(_) | Said::Away => {}
             }
         }
         if let Some(refusal) = refused {
@@ -167,6 +175,20 @@
         permit.map(|permit| Slot::own(&self.cx, id, permit)).ok_or_else(none)
     }
 
+    /// Asks owners for quotes, all at once. An owner without room comes last, and one that does
+    /// not answer is left out.
+    async fn quotes(&self, owners: Vec<SocketAddr>) -> Vec<(f64, SocketAddr)> {
+        let asked = owners.into_iter().map(|owner| async move {
+            match self.ask_owner(owner, Ask::Quote).await {
+                Said::Quoted(load) => Some((load, owner)),
+                Said::Busy(_) => Some((f64::INFINITY, owner)),
+                Said::Slot(_) | Said::Refused(_) | Said::Away => None,
+            }
+        });
+        let answers = futures_util::future::join_all(asked).await;
+        answers.into_iter().flatten().collect()
+    }
+
     /// Returns the owners of the pool's engines, those of near engines first, in an order drawn
     /// anew each time; an owner of more engines comes earlier as often as it has more.
     fn owners(&self) -> Vec<SocketAddr> {
@@ -181,25 +203,27 @@
         order.into_iter().map(|(.., addr)| addr).collect()
     }
 
-    async fn ask_owner(&self, owner: SocketAddr, wait: bool) -> Said {
+    async fn ask_owner(&self, owner: SocketAddr, ask: Ask) -> Said {
         if owner == self.cx.settings.boxes_addr {
-            return self.ask_self(wait).await;
+            return self.ask_self(ask).await;
         }
         let req = GrantRequest {
             holder: self.cx.settings.name.clone(),
             pool: self.pool.clone(),
             want: self.want.clone(),
-            wait,
+            ask,
         };
-        let limit = match wait {
-            true => self.cx.settings.timing.max_wait + WAIT_MARGIN,
-            false => CALL_LIMIT,
+        let limit = match ask {
+            Ask::Wait => self.cx.settings.timing.max_wait + WAIT_MARGIN,
+            Ask::Now => CALL_LIMIT,
+            Ask::Quote => QUOTE_LIMIT,
         };
         let answer = self.cx.boxes.call::<_, GrantAnswer>(owner, GRANT_PATH, &req, limit).await;
         match answer {
             Ok(GrantAnswer::Granted { runner, addr, failure_domain }) => {
                 Said::Slot(Box::new(self.granted(owner, runner, addr, failure_domain)))
             }
+            Ok(GrantAnswer::Quoted { load }) => Said::Quoted(load),
             Ok(GrantAnswer::Busy { wait }) => Said::Busy(wait),
             Ok(GrantAnswer::Refused(refusal)) => Said::Refused(refusal),
             Ok(GrantAnswer::NotOwner) => Said::Away,
@@ -230,8 +254,9 @@
         }
     }
 
-    async fn ask_self(&self, wait: bool) -> Said {
-        match decide(&self.cx.gate(&self.pool), &self.want, wait).await {
+    async fn ask_self(&self, ask: Ask) -> Said {
+        match decide(&self.cx.gate(&self.pool), &self.want, ask).await {
+            Decided::Quote(load) => Said::Quoted(load),
             Decided::Permit(permit) => {
                 Said::Slot(Box::new(Slot::own(&self.cx, self.want.id.clone(), *permit)))
             }
@@ -244,16 +269,24 @@
 
 /// What an owner decides, whether for itself or for another box.
 enum Decided {
+    Quote(f64),
     Permit(Box<Permit>),
     Busy(Duration),
     Refused(Refusal),
     NotOwner,
 }
 
-async fn decide(gate: &Gate, want: &Want, wait: bool) -> Decided {
+async fn decide(gate: &Gate, want: &Want, ask: Ask) -> Decided {
+    if ask == Ask::Quote {
+        return match gate.quote(want) {
+            Ok(Some(load)) => Decided::Quote(load),
+            Ok(None) => Decided::Busy(gate.expected_wait(want.priority)),
+            Err(_) => Decided::NotOwner,
+        };
+    }
     match gate.try_admit(want) {
         Ok(Some(permit)) => Decided::Permit(Box::new(permit)),
-        Ok(None) if !wait => Decided::Busy(gate.expected_wait(want.priority)),
+        Ok(None) if ask != Ask::Wait => Decided::Busy(gate.expected_wait(want.priority)),
         Ok(None) => match gate.admit(want.clone()).await {
             Ok(permit) => Decided::Permit(Box::new(permit)),
             Err(refusal) => Decided::Refused(refusal),
@@ -265,7 +298,8 @@
 /// Answers a box that asks for a slot.
 pub async fn answer(cx: &Rc<EntryCx>, req: GrantRequest) -> GrantAnswer {
     cx.sync_gates();
-    let permit = match decide(&cx.gate(&req.pool), &req.want, req.wait).await {
+    let permit = match decide(&cx.gate(&req.pool), &req.want, req.ask).await {
+        Decided::Quote(load) => return GrantAnswer::Quoted { load },
         Decided::Permit(permit) => *permit,
         Decided::Busy(wait) => return GrantAnswer::Busy { wait },
         Decided::Refused(refusal) => return GrantAnswer::Refused(refusal),
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -67,6 +67,31 @@
     pub(super) ejected_until: Option<Instant>,
     pub(super) load: Option<EngineLoad>,
     pub(super) memory: EngineMemory,
+    pub(super) prefill: Prefill,
+}
+
+/// Prompts that a runner has still to read, worked down by the clock.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Prefill {
+    tokens: f64,
+    at: Option<Instant>,
+}
+
+/// Prompt tokens that an engine reads in a second beside its other work; engines in use read one
+/// and a half to two and a half times as many when idle. It only ranks runners.
+const PREFILL_RATE: f64 = 7_000.0;
+
+impl Prefill {
+    fn add(&mut self, tokens: u64, now: Instant) {
+        self.tokens = self.left(now) + tokens as f64;
+        self.at = Some(now);
+    }
+
+    /// Returns the tokens that are still to be read.
+    fn left(&self, now: Instant) -> f64 {
+        let passed = self.at.map_or(0.0, |at| now.duration_since(at).as_secs_f64());
+        (self.tokens - passed * PREFILL_RATE).max(0.0)
+    }
 }
 
 /// What a run says about its runner.
@@ -131,6 +156,7 @@
                 ejected_until: None,
                 load: None,
                 memory: EngineMemory::default(),
+                prefill: Prefill::default(),
             });
             runner.configured = true;
             if let Some(tokens) = spec.memory {
@@ -151,6 +177,33 @@
         now: Instant,
     ) -> Option<RunnerSpec> {
         self.picks += 1;
+        let (_, name) = self.best(asked, candidate, lengths, now)?;
+        let best = self.runners.get_mut(&name)?;
+        best.running += 1;
+        best.prefill.add(candidate.prompt, now);
+        best.memory.take(asked.id.clone(), candidate.clone(), now);
+        Some(best.spec.clone())
+    }
+
+    /// Returns the load of the runner that would be picked, if any has room.
+    pub fn quote(
+        &self,
+        asked: &Asked<'_>,
+        candidate: &Candidate,
+        lengths: &LengthModel,
+        now: Instant,
+    ) -> Option<f64> {
+        self.best(asked, candidate, lengths, now).map(|(load, _)| load)
+    }
+
+    /// Finds the least loaded runner that takes the request, and its load.
+    fn best(
+        &self,
+        asked: &Asked<'_>,
+        candidate: &Candidate,
+        lengths: &LengthModel,
+        now: Instant,
+    ) -> Option<(f64, RunnerName)> {
         let (cfg, turn, count) = (self.cfg, self.picks, self.runners.len().max(1));
         let open = self.runners.values().enumerate();
         let open = open.filter(|(_, r)| r.has_slot(now) && !asked.avoid.contains(&r.spec.name));
@@ -167,11 +220,8 @@
         // Whether a request fits costs far more than the order, so it is asked one by one.
         let fits =
             |name: &RunnerName| self.runners[name].memory.fits(cfg.memory, candidate, lengths, now);
-        let name = open.into_iter().map(|(.., name)| name).find(|name| fits(name))?.clone();
-        let best = self.runners.get_mut(&name)?;
-        best.running += 1;
-        best.memory.take(asked.id.clone(), candidate.clone(), now);
-        Some(best.spec.clone())
+        let found = open.into_iter().find(|(.., name)| fits(name));
+        found.map(|(load, _, name)| (load, name.clone()))
     }
 
     /// Returns whether any runner could take new work now or after others finish.
@@ -244,10 +294,12 @@
         self.takes_work(now) && self.running < slots
     }
 
-    /// Share of slots and memory in use; what other boxes have waiting there counts too.
+    /// Share of slots and memory in use, and seconds of prompts to be read; what other boxes have
+    /// waiting there counts too.
     fn load_share(&self, now: Instant) -> f64 {
         let slots = self.spec.slots.max(1) as f64;
         let waiting = self.load.as_ref().map_or(0.0, |load| load.waiting as f64);
-        (self.running as f64 + waiting) / slots + self.memory.share(now)
+        let prefill = self.prefill.left(now) / PREFILL_RATE;
+        (self.running as f64 + waiting) / slots + self.memory.share(now) + prefill
     }
 }
