--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -35,6 +35,9 @@
     /// Failure domain whose runners are preferred while they are not much busier.
     #[serde(default)]
     pub near: Option<FailureDomainName>,
+    /// Tokens that are copied from another runner first; 0 for a run that begins.
+    #[serde(default)]
+    pub copied: u64,
     /// Longest wait, if it is shorter than the pool's.
     #[serde(default)]
     pub max_wait: Option<Duration>,
@@ -57,6 +60,11 @@
 }
 
 impl Want {
+    fn asked(&self) -> Asked<'_> {
+        let near = self.near.as_deref();
+        Asked { id: &self.id, avoid: &self.avoid, near, copied: self.copied }
+    }
+
     fn candidate(&self) -> Candidate {
         Candidate { kind: self.kind.clone(), prompt: self.prompt, max_output: self.max_tokens }
     }
@@ -126,8 +134,7 @@
         if !inner.queue.is_empty() {
             return Ok(None);
         }
-        let asked = Asked { id: &want.id, avoid: &want.avoid, near: want.near.as_deref() };
-        Ok(inner.table.quote(&asked, &want.candidate(), &inner.lengths, now))
+        Ok(inner.table.quote(&want.asked(), &want.candidate(), &inner.lengths, now))
     }
 
     /// Waits for a slot on a runner.
@@ -197,8 +204,7 @@
 
 impl Inner {
     fn pick(&mut self, want: &Want, now: Instant) -> Option<RunnerSpec> {
-        let asked = Asked { id: &want.id, avoid: &want.avoid, near: want.near.as_deref() };
-        self.table.pick(&asked, &want.candidate(), &self.lengths, now)
+        self.table.pick(&want.asked(), &want.candidate(), &self.lengths, now)
     }
 
     fn cost(&self, want: &Want) -> u64 {
--- a/crates/hatchpitch/src/config/hosted.rs
+++ b/crates/hatchpitch/src/config/hosted.rs
@@ -85,6 +85,14 @@
 
 impl Eq for EngineSpec {}
 
+impl EngineSpec {
+    /// Returns how many tokens of memory an engine's link takes in a second.
+    pub fn copy_rate(&self) -> f64 {
+        let bits = self.token_bytes as f64 * 8.0;
+        if bits > 0.0 { self.link_mbps * 1e6 / bits } else { f64::INFINITY }
+    }
+}
+
 /// A service whose upstreams announce themselves.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostedService {
--- a/crates/hatchpitch/src/config/view.rs
+++ b/crates/hatchpitch/src/config/view.rs
@@ -30,12 +30,14 @@
 }
 
 /// A pool whose runners announce themselves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct HostedPool {
     /// Who decides for its runners.
     pub placement: Placement,
     /// Size of a runner's memory in tokens; `None` for plain services.
     pub memory: Option<u64>,
+    /// Tokens of copied memory that a runner's link takes in a second.
+    pub copy_rate: f64,
 }
 
 /// A service and its runners.
@@ -208,9 +210,10 @@
     };
     let hosted = match &service.engine {
         Some(engine) => {
-            HostedPool { placement: Placement::Owner, memory: Some(engine.memory_tokens) }
+            let memory = Some(engine.memory_tokens);
+            HostedPool { placement: Placement::Owner, memory, copy_rate: engine.copy_rate() }
         }
-        None => HostedPool { placement: Placement::Local, memory: None },
+        None => HostedPool { placement: Placement::Local, memory: None, copy_rate: f64::INFINITY },
     };
     PoolView { pool, runners, hosted: Some(hosted) }
 }
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -108,7 +108,15 @@
     }
     let own_addr = cx.settings.own.boxes_addr;
     let client = cx.boxes.clone();
-    let log = task::start(disk, cx.id, cx.settings.replica, cx.applier(), client, own_addr, stop.clone())?;
+    let log = task::start(
+        disk,
+        cx.id,
+        cx.settings.replica,
+        cx.applier(),
+        client,
+        own_addr,
+        stop.clone(),
+    )?;
     cx.begin_log(log);
     log::info!("the log goes on; identity {:016x}", cx.id);
     compio::runtime::spawn(commands::run(cx.clone(), stop.clone())).detach();
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -341,6 +341,7 @@
         failure_domain: runner.failure_domain.clone(),
         slots: runner.max_batch,
         memory: pool.hosted.and_then(|hosted| hosted.memory),
+        copy_rate: pool.hosted.map_or(f64::INFINITY, |hosted| hosted.copy_rate),
     }
 }
 
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -433,6 +433,7 @@
         max_tokens: job.max_tokens,
         avoid: avoid.to_vec(),
         near: None,
+        copied: 0,
         max_wait: None,
     };
     grants::task::obtain(cx, &job.pool, want).await
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -199,6 +199,7 @@
             max_tokens: self.at_stake,
             avoid,
             near: Some(self.leaver.failure_domain.clone()),
+            copied: self.in_memory,
             max_wait: Some(SLOT_WAIT),
         };
         let slot = obtain(cx, &self.leaver.service, want).await;
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -178,6 +178,7 @@
             max_tokens: needs.map_or(u64::MAX, |needs| needs.max_output),
             avoid: self.tried.borrow().clone(),
             near: Some(self.relay.cx.settings.failure_domain.clone()),
+            copied: 0,
             max_wait: None,
         };
         let started = Instant::now();
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -41,7 +41,7 @@
 }
 
 /// A runner as the fleet file defines it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RunnerSpec {
     /// Its name.
     pub name: RunnerName,
@@ -53,6 +53,8 @@
     pub slots: u64,
     /// Size of its memory in tokens, where it is known without a report.
     pub memory: Option<u64>,
+    /// Tokens of copied memory that its link takes in a second; infinite if none are copied.
+    pub copy_rate: f64,
 }
 
 #[derive(Debug, Clone)]
@@ -67,12 +69,15 @@
     pub(super) ejected_until: Option<Instant>,
     pub(super) load: Option<EngineLoad>,
     pub(super) memory: EngineMemory,
-    pub(super) prefill: Prefill,
+    /// Prompts to be read.
+    pub(super) prefill: Backlog,
+    /// Copies on their way here.
+    pub(super) copies: Backlog,
 }
 
-/// Prompts that a runner has still to read, worked down by the clock.
+/// Tokens that a runner has still to take in, worked down by the clock.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Prefill {
+pub(super) struct Backlog {
     tokens: f64,
     at: Option<Instant>,
 }
@@ -81,16 +86,17 @@
 /// and a half to two and a half times as many when idle. It only ranks runners.
 const PREFILL_RATE: f64 = 7_000.0;
 
-impl Prefill {
-    fn add(&mut self, tokens: u64, now: Instant) {
-        self.tokens = self.left(now) + tokens as f64;
+impl Backlog {
+    /// Adds tokens; `rate` is how many are taken in a second.
+    fn add(&mut self, tokens: f64, rate: f64, now: Instant) {
+        self.tokens = self.left(rate, now) + tokens;
         self.at = Some(now);
     }
 
-    /// Returns the tokens that are still to be read.
-    fn left(&self, now: Instant) -> f64 {
+    /// Returns the tokens that are left.
+    fn left(&self, rate: f64, now: Instant) -> f64 {
         let passed = self.at.map_or(0.0, |at| now.duration_since(at).as_secs_f64());
-        (self.tokens - passed * PREFILL_RATE).max(0.0)
+        (self.tokens - passed * rate).max(0.0)
     }
 }
 
@@ -114,16 +120,38 @@
     pub avoid: &'a [RunnerName],
     /// Failure domain whose runners are preferred.
     pub near: Option<&'a str>,
+    /// Tokens that are copied there first; 0 for a run that begins.
+    pub copied: u64,
 }
 
 /// Load by which a runner of another failure domain has to be less busy to be picked: the share
 /// of a runner that a few requests make.
 const DISTANCE: f64 = 0.15;
 
+/// Weight of a second that a copy takes, in load: a runner that leaves has two seconds for all.
+const COPY_WEIGHT: f64 = 3.0;
+/// How much longer a copy to another failure domain takes.
+const FAR_COPY_FACTOR: f64 = 2.0;
+
 impl Asked<'_> {
-    fn distance(&self, spec: &RunnerSpec) -> f64 {
-        let far = self.near.is_some_and(|near| near != spec.failure_domain);
-        if far { DISTANCE } else { 0.0 }
+    fn is_far(&self, spec: &RunnerSpec) -> bool {
+        self.near.is_some_and(|near| near != spec.failure_domain)
+    }
+
+    fn copy_factor(&self, spec: &RunnerSpec) -> f64 {
+        if self.is_far(spec) { FAR_COPY_FACTOR } else { 1.0 }
+    }
+
+    /// Returns what it costs, in load, to bring the request to a runner.
+    fn distance(&self, runner: &RunnerState, now: Instant) -> f64 {
+        let spec = &runner.spec;
+        let far = if self.is_far(spec) { DISTANCE } else { 0.0 };
+        if self.copied == 0 {
+            return far;
+        }
+        let own = self.copied as f64 * self.copy_factor(spec);
+        let seconds = (runner.copies.left(spec.copy_rate, now) + own) / spec.copy_rate;
+        far + seconds * COPY_WEIGHT
     }
 }
 
@@ -156,7 +184,8 @@
                 ejected_until: None,
                 load: None,
                 memory: EngineMemory::default(),
-                prefill: Prefill::default(),
+                prefill: Backlog::default(),
+                copies: Backlog::default(),
             });
             runner.configured = true;
             if let Some(tokens) = spec.memory {
@@ -180,7 +209,13 @@
         let (_, name) = self.best(asked, candidate, lengths, now)?;
         let best = self.runners.get_mut(&name)?;
         best.running += 1;
-        best.prefill.add(candidate.prompt, now);
+        match asked.copied {
+            0 => best.prefill.add(candidate.prompt as f64, PREFILL_RATE, now),
+            copied => {
+                let tokens = copied as f64 * asked.copy_factor(&best.spec);
+                best.copies.add(tokens, best.spec.copy_rate, now);
+            }
+        }
         best.memory.take(asked.id.clone(), candidate.clone(), now);
         Some(best.spec.clone())
     }
@@ -211,7 +246,7 @@
             .map(|(i, r)| {
                 let share = match cfg.pick {
                     Pick::RoundRobin => 0.0,
-                    Pick::LeastLoaded => r.load_share(now) + asked.distance(&r.spec),
+                    Pick::LeastLoaded => r.load_share(now) + asked.distance(r, now),
                 };
                 (share, (i + turn) % count, &r.spec.name)
             })
@@ -299,7 +334,7 @@
     fn load_share(&self, now: Instant) -> f64 {
         let slots = self.spec.slots.max(1) as f64;
         let waiting = self.load.as_ref().map_or(0.0, |load| load.waiting as f64);
-        let prefill = self.prefill.left(now) / PREFILL_RATE;
+        let prefill = self.prefill.left(PREFILL_RATE, now) / PREFILL_RATE;
         (self.running as f64 + waiting) / slots + self.memory.share(now) + prefill
     }
 }
