Test the platform's translation and daemon, and keep a floor under ejection

A test with two upstreams that spoil single answers was red: both were ejected after one spoilt answer each, and the next request was refused although they served. A spoilt answer now counts from the second in a row, and with every upstream ejected all of them are tried.

--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -55,7 +55,7 @@
         let child = Command::new(&self.bin)
             .args(&self.args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()
             .with_context(|| format!("start {}", self.bin.display()))?;
--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -108,7 +108,7 @@
     pub fn try_admit(&self, want: &Want) -> Result<Option<Permit>, Refusal> {
         let now = Instant::now();
         let mut inner = self.0.borrow_mut();
-        if !inner.table.any_serving(now) {
+        if !inner.table.any_serving() {
             return Err(inner.no_runner(now));
         }
         if !inner.queue.is_empty() {
@@ -128,7 +128,7 @@
     pub fn quote(&self, want: &Want) -> Result<Option<f64>, Refusal> {
         let now = Instant::now();
         let inner = self.0.borrow();
-        if !inner.table.any_serving(now) {
+        if !inner.table.any_serving() {
             return Err(inner.no_runner(now));
         }
         if !inner.queue.is_empty() {
@@ -189,7 +189,7 @@
         for ticket in inner.queue.expire(now) {
             inner.refuse(ticket, "waited as long as the pool allows");
         }
-        if !inner.table.any_serving(now) {
+        if !inner.table.any_serving() {
             let refusal = inner.no_runner(now);
             inner.refuse_all(&refusal);
         }
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -210,7 +210,8 @@
         self.offered.set(true);
         let sent = self.relay.cx.upstream(slot.addr).send(message, left).await;
         let res = sent.map_err(|err| {
-            slot.finish(Verdict::Failed, None);
+            let verdict = if err.is_not_run() { Verdict::Failed } else { Verdict::Faulty };
+            slot.finish(verdict, None);
             self.send_failure(&err)
         })?;
         let (parts, body) = res.into_parts();
@@ -223,7 +224,7 @@
                 return Err(Failure::NotRun { cause, arrived: true });
             }
             Reading::Foreign(cause) => {
-                slot.finish(Verdict::Failed, None);
+                slot.finish(Verdict::Faulty, None);
                 return Err(Failure::MayHaveRun { cause });
             }
         }
@@ -264,7 +265,7 @@
                 Ok(Some(piece)) => buf.extend_from_slice(&piece),
                 Ok(None) => break,
                 Err(err) => {
-                    slot.finish(Verdict::Failed, None);
+                    slot.finish(Verdict::Faulty, None);
                     let cause = format!("{}: {err}", slot.runner);
                     return Err(Failure::MayHaveRun { cause });
                 }
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -66,6 +66,8 @@
     /// Whether membership lets it take new work.
     pub(super) serving: bool,
     pub(super) failures: u32,
+    /// Faulty answers since the last good one, none of which led to an ejection.
+    pub(super) faults: u32,
     pub(super) ejected_until: Option<Instant>,
     pub(super) load: Option<EngineLoad>,
     pub(super) memory: EngineMemory,
@@ -107,6 +109,8 @@
     Released,
     /// It works.
     Succeeded,
+    /// It gave an answer that is none, or broke one off: counts from the second in a row.
+    Faulty,
     /// It failed.
     Failed,
 }
@@ -181,6 +185,7 @@
                 configured: true,
                 serving: true,
                 failures: 0,
+                faults: 0,
                 ejected_until: None,
                 load: None,
                 memory: EngineMemory::default(),
@@ -240,8 +245,10 @@
         now: Instant,
     ) -> Option<(f64, RunnerName)> {
         let (cfg, turn, count) = (self.cfg, self.picks, self.runners.len().max(1));
+        let floor = !self.runners.values().any(|r| r.takes_work(now));
         let open = self.runners.values().enumerate();
-        let open = open.filter(|(_, r)| r.has_slot(now) && !asked.avoid.contains(&r.spec.name));
+        let open =
+            open.filter(|(_, r)| r.has_slot(now, floor) && !asked.avoid.contains(&r.spec.name));
         let mut open: Vec<(f64, usize, &RunnerName)> = open
             .map(|(i, r)| {
                 let share = match cfg.pick {
@@ -259,9 +266,10 @@
         found.map(|(load, _, name)| (load, name.clone()))
     }
 
-    /// Returns whether any runner could take new work now or after others finish.
-    pub fn any_serving(&self, now: Instant) -> bool {
-        self.runners.values().any(|r| r.takes_work(now))
+    /// Returns whether any runner could take new work now or after others finish. With every
+    /// runner ejected all of them can: one that may fail is better than none.
+    pub fn any_serving(&self) -> bool {
+        self.runners.values().any(|r| r.configured && r.serving)
     }
 
     /// Returns when the first ejected runner comes back, if none serves.
@@ -287,9 +295,11 @@
             Verdict::Released => {}
             Verdict::Succeeded => {
                 runner.failures = 0;
+                runner.faults = 0;
                 runner.ejected_until = None;
             }
-            Verdict::Failed => {
+            Verdict::Faulty if runner.faults == 0 => runner.faults = 1,
+            Verdict::Faulty | Verdict::Failed => {
                 let doubled = cfg.eject_min.saturating_mul(1 << runner.failures.min(16));
                 runner.failures += 1;
                 runner.ejected_until = Some(now + doubled.min(cfg.eject_max));
@@ -324,9 +334,11 @@
         self.configured && self.serving && self.ejected_until.is_none_or(|until| now >= until)
     }
 
-    fn has_slot(&self, now: Instant) -> bool {
-        let slots = if self.failures > 0 { 1 } else { self.spec.slots };
-        self.takes_work(now) && self.running < slots
+    /// Returns whether it has room; `floor` lets ejected runners take work as well.
+    fn has_slot(&self, now: Instant, floor: bool) -> bool {
+        let slots = if self.failures > 0 && !floor { 1 } else { self.spec.slots };
+        let open = if floor { self.configured && self.serving } else { self.takes_work(now) };
+        open && self.running < slots
     }
 
     /// Share of slots and memory in use, and seconds of prompts to be read; what other boxes have
