Keep the floor among runners that were not tried, and test the picks

A repeatable request whose first upstream failed was not repeated while the only other one was ejected. The floor now leaves out what was tried, and a request that has tried every upstream ends at once.

--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -150,16 +150,25 @@
 
     /// Returns whether a request that was not run may go to another upstream.
     fn may_go_on(&self, arrived: bool) -> bool {
-        self.tried.borrow().len() < MAX_TURNED_AWAY && (!arrived || self.take_budget())
+        self.tried.borrow().len() < MAX_TURNED_AWAY
+            && self.has_untried()
+            && (!arrived || self.take_budget())
     }
 
     /// Returns whether a request that may have run may run again.
     fn may_repeat(&self) -> bool {
         self.req.route.runs == RunPolicy::Repeatable
             && self.ran_at.get() < self.req.route.max_upstreams
+            && self.has_untried()
             && self.take_budget()
     }
 
+    fn has_untried(&self) -> bool {
+        let (roster, tried) = (self.relay.cx.upstreams.roster.borrow(), self.tried.borrow());
+        let mut serving = roster.serving().filter(|record| record.service == self.service);
+        serving.any(|record| !tried.contains(&record.id))
+    }
+
     fn take_budget(&self) -> bool {
         let boxes = self.relay.cx.membership.borrow().serving_boxes().count();
         let mut budgets = self.relay.budgets.borrow_mut();
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -245,7 +245,8 @@
         now: Instant,
     ) -> Option<(f64, RunnerName)> {
         let (cfg, turn, count) = (self.cfg, self.picks, self.runners.len().max(1));
-        let floor = !self.runners.values().any(|r| r.takes_work(now));
+        let wanted = |r: &&RunnerState| !asked.avoid.contains(&r.spec.name);
+        let floor = !self.runners.values().filter(wanted).any(|r| r.takes_work(now));
         let open = self.runners.values().enumerate();
         let open =
             open.filter(|(_, r)| r.has_slot(now, floor) && !asked.avoid.contains(&r.spec.name));
--- /dev/null
+++ b/crates/hatchpitch/tests/routing.rs
@@ -0,0 +1,99 @@
+//! Which runner is picked: ejection and its floor, prompts to be read, copies on their way.
+
+use std::time::{Duration, Instant};
+
+use hatchpitch::admission::LengthModel;
+use hatchpitch::admission::memory::{Candidate, MemoryPolicy};
+use hatchpitch::routing::state::{Asked, RunnerSpec};
+use hatchpitch::routing::{RoutingConfig, RunnerTable, Verdict};
+
+fn spec(name: &str, domain: &str) -> RunnerSpec {
+    RunnerSpec {
+        name: name.to_owned(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: domain.to_owned(),
+        slots: 8,
+        memory: Some(100_000),
+        copy_rate: 10_000.0,
+    }
+}
+
+fn table(specs: &[(&str, &str)]) -> RunnerTable {
+    let cfg = RoutingConfig { memory: MemoryPolicy::Watermark(1.0), ..RoutingConfig::default() };
+    let mut table = RunnerTable::new(cfg);
+    table.sync(specs.iter().map(|(name, domain)| spec(name, domain)));
+    table
+}
+
+/// Picks a runner for a prompt, or for a copy of so many tokens.
+fn pick(
+    table: &mut RunnerTable,
+    avoid: &[&str],
+    near: &str,
+    tokens: u64,
+    copy: bool,
+    now: Instant,
+) -> Option<String> {
+    let avoid: Vec<String> = avoid.iter().map(|name| (*name).to_owned()).collect();
+    let id = format!("{tokens}-{copy}");
+    let asked =
+        Asked { id: &id, avoid: &avoid, near: Some(near), copied: if copy { tokens } else { 0 } };
+    let candidate = Candidate { kind: "k".to_owned(), prompt: tokens, max_output: 100 };
+    let picked = table.pick(&asked, &candidate, &LengthModel::default(), now);
+    picked.map(|spec| spec.name)
+}
+
+#[test]
+fn one_spoilt_answer_does_not_eject_and_two_in_a_row_do() {
+    let now = Instant::now();
+    let mut table = table(&[("a", "d"), ("b", "d")]);
+    table.give_back("a", "", Verdict::Faulty, None, now);
+    table.give_back("a", "", Verdict::Succeeded, None, now);
+    table.give_back("a", "", Verdict::Faulty, None, now);
+    assert_eq!(pick(&mut table, &["b"], "d", 1, false, now).as_deref(), Some("a"));
+    table.give_back("a", "", Verdict::Faulty, None, now);
+    for _ in 0..4 {
+        assert_eq!(pick(&mut table, &[], "d", 1, false, now).as_deref(), Some("b"));
+    }
+}
+
+#[test]
+fn an_ejected_runner_is_better_than_none() {
+    let now = Instant::now();
+    let mut table = table(&[("a", "d"), ("b", "d")]);
+    table.give_back("a", "", Verdict::Failed, None, now);
+    assert_eq!(pick(&mut table, &["b"], "d", 1, false, now).as_deref(), Some("a"));
+    table.give_back("b", "", Verdict::Failed, None, now);
+    assert!(table.any_serving());
+    assert!(pick(&mut table, &[], "d", 1, false, now).is_some());
+    table.set_serving(|_| false);
+    assert!(!table.any_serving());
+    assert_eq!(pick(&mut table, &[], "d", 1, false, now), None, "a leaver gets nothing");
+}
+
+#[test]
+fn prompts_to_be_read_count_until_they_are_read() {
+    let now = Instant::now();
+    let mut table = table(&[("a", "d"), ("b", "d")]);
+    let first = pick(&mut table, &[], "d", 9_000, false, now).unwrap();
+    for _ in 0..3 {
+        let next = pick(&mut table, &[], "d", 100, false, now).unwrap();
+        assert_ne!(next, first, "the long prompt is still being read");
+    }
+    let later = now + Duration::from_secs(10);
+    let names: Vec<String> =
+        (0..4).map(|_| pick(&mut table, &[], "d", 100, false, later).unwrap()).collect();
+    assert!(names.contains(&first), "{names:?}");
+}
+
+#[test]
+fn copies_stay_near_and_go_to_links_that_are_free() {
+    let now = Instant::now();
+    let mut table = table(&[("near", "d"), ("near-too", "d"), ("far", "e")]);
+    let first = pick(&mut table, &[], "d", 5_000, true, now).unwrap();
+    let second = pick(&mut table, &[], "d", 5_000, true, now).unwrap();
+    assert_ne!(first, second, "half a second of copying is on its way to {first}");
+    assert!(first.starts_with("near") && second.starts_with("near"));
+    let third = pick(&mut table, &[], "d", 2_000, true, now).unwrap();
+    assert_eq!(third, "far", "both near links are taken for longer than the far copy takes");
+}
