Let control boxes without a disk serve, and tell each other of the core

Cause: the grown fleets have to bear the loss of two boxes with a disk, for which three replicas are too few; two control boxes a zone give six, and on fleets with one disk a zone three of them have none.

--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -73,7 +73,9 @@
                 Ok(rmp_response(&self.cx.registry.answer(&req, config, control).await))
             }
             NEWS_PATH => {
-                self.cx.registry.take(self.open::<RegistryNews>()?);
+                let news = self.open::<RegistryNews>()?;
+                self.cx.note_control(news.from, &news.control);
+                self.cx.registry.take(news);
                 Ok(rmp_response(&()))
             }
             JOIN_PATH => {
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -1,9 +1,10 @@
 //! What the tasks of one control process share.
 
 use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hatchpitch_net::BoxClient;
 
@@ -11,10 +12,10 @@
 use crate::config::feed::ConfigCell;
 use crate::logging::unix_ms;
 use crate::metrics::Metrics;
-use crate::registry::RegistryCell;
+use crate::registry::{RegistryCell, RegistryNews};
 use crate::replication::bootstrap::Hello;
 use crate::replication::task::{Applier, ProposeFailure, ReplicaHandle};
-use crate::replication::{NodeId, Peer};
+use crate::replication::{Members, NodeId, Peer};
 use crate::settings::ControlSettings;
 
 /// Why an order was not carried out here.
@@ -26,6 +27,9 @@
     Unknown(String),
 }
 
+/// Time after which a control box that says nothing is no longer called.
+const FORGET_CONTROL: Duration = Duration::from_secs(20);
+
 /// Shared state of a control process.
 pub struct ControlCx {
     /// Settings.
@@ -44,6 +48,10 @@
     pub joining: Cell<bool>,
     /// Upstreams that announce themselves.
     pub registry: Rc<RegistryCell>,
+    /// What a box that takes part told last; only kept by a box without a disk.
+    core: RefCell<Option<Hello>>,
+    /// Control boxes that were heard of, with when they were heard from or named last.
+    known: RefCell<BTreeMap<SocketAddr, Instant>>,
     machine: RefCell<Machine>,
     log: OnceCell<ReplicaHandle>,
 }
@@ -60,6 +68,8 @@
             invited: Cell::new(false),
             joining: Cell::new(false),
             registry: Rc::new(RegistryCell::new(rand::random())),
+            core: RefCell::default(),
+            known: RefCell::default(),
             machine: RefCell::new(Machine::new()),
             log: OnceCell::new(),
         })
@@ -81,12 +91,27 @@
         self.log.get()
     }
 
+    /// Returns who takes part in the log, as far as is known here.
+    pub fn members(&self) -> Option<Members> {
+        match self.log() {
+            Some(log) => Some(log.with(|replica| replica.members().clone())),
+            None => self.core.borrow().as_ref().and_then(|hello| hello.members.clone()),
+        }
+    }
+
+    /// Notes what a box that takes part told, for a box that has no disk.
+    pub fn note_core(&self, hello: Hello) {
+        *self.core.borrow_mut() = Some(hello);
+    }
+
     /// Returns how this box introduces itself to its peers.
     pub fn hello(&self) -> Hello {
         Hello {
             name: self.settings.own.name.clone(),
             id: self.id,
             members: self.log().map(|log| log.with(|replica| replica.members().clone())),
+            leader: self.leader(),
+            without_disk: self.settings.data_folder.is_none(),
         }
     }
 
@@ -138,6 +163,9 @@
 
     /// Returns the leader, as far as it is known here.
     pub fn leader(&self) -> Option<Peer> {
+        if self.settings.data_folder.is_none() {
+            return self.core.borrow().as_ref().and_then(|hello| hello.leader.clone());
+        }
         self.log()?.with(|replica| replica.members().get(replica.leader()?).cloned())
     }
 
@@ -145,10 +173,12 @@
     /// part, and those of the settings.
     pub fn peer_addrs(&self) -> Vec<SocketAddr> {
         let own = self.settings.own.boxes_addr;
-        let members = self.hello().members.unwrap_or_default();
+        let members = self.members().unwrap_or_default();
         let members = members.all().map(|(_, peer)| peer.boxes_addr).collect::<Vec<_>>();
         let settings = self.settings.peers.iter().map(|peer| peer.boxes_addr);
-        let mut addrs: Vec<SocketAddr> = members.into_iter().chain(settings).collect();
+        let known: Vec<SocketAddr> = self.known.borrow().keys().copied().collect();
+        let mut addrs: Vec<SocketAddr> =
+            members.into_iter().chain(settings).chain(known).collect();
         addrs.retain(|addr| *addr != own);
         addrs.sort_unstable();
         addrs.dedup();
@@ -157,12 +187,34 @@
 
     /// Returns where other boxes reach the replicas that take part, this one included.
     pub fn core_addrs(&self) -> Vec<SocketAddr> {
-        match self.hello().members {
+        match self.members() {
             Some(members) => members.all().map(|(_, peer)| peer.boxes_addr).collect(),
-            None => self.settings.peers.iter().map(|peer| peer.boxes_addr).collect(),
+            None => self.peer_addrs(),
         }
     }
 
+    /// Takes in who sent news, and the control boxes that it knows.
+    pub fn note_control(&self, from: Option<SocketAddr>, named: &[SocketAddr]) {
+        let now = Instant::now();
+        let mut known = self.known.borrow_mut();
+        known.retain(|_, heard| now.duration_since(*heard) < FORGET_CONTROL);
+        if let Some(from) = from {
+            known.insert(from, now);
+        }
+        for addr in named.iter().filter(|addr| **addr != self.settings.own.boxes_addr) {
+            // Only what a box says itself keeps it known; being named makes it heard of once.
+            known.entry(*addr).or_insert(now);
+        }
+    }
+
+    /// Adds to news who sends it and which control boxes it knows.
+    pub fn signed_news(&self, news: RegistryNews) -> RegistryNews {
+        let own = self.settings.own.boxes_addr;
+        let mut control = self.peer_addrs();
+        control.push(own);
+        RegistryNews { from: Some(own), control, ..news }
+    }
+
     /// Returns where to follow the configuration: the leader, unless this box leads itself.
     pub fn config_parents(&self) -> Vec<SocketAddr> {
         let others =
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -15,7 +15,7 @@
 use crate::listener::ExtraListener;
 use crate::registry::peers;
 use crate::replication::disk::Disk;
-use crate::replication::{Storage, bootstrap, task};
+use crate::replication::{NodeId, Storage, bootstrap, task};
 use crate::settings::ControlSettings;
 use crate::signals;
 
@@ -26,6 +26,11 @@
 /// Time between confirmations of the configuration while this box leads.
 const CONFIRM_PERIOD: Duration = Duration::from_millis(100);
 
+/// Time between looks of a box without a disk at the core.
+const WATCH_PERIOD: Duration = Duration::from_millis(300);
+/// Identity of a box without a disk; no replica has it.
+const NO_IDENTITY: NodeId = 0;
+
 /// Runs a control process until it is asked to stop.
 ///
 /// # Errors
@@ -47,9 +52,14 @@
     extra: impl FnOnce(&Rc<ControlCx>) -> Vec<ExtraListener>,
     reloaded: impl Fn(&Rc<ControlCx>) + 'static,
 ) -> anyhow::Result<()> {
-    let disk = Disk::folder(&settings.data_folder)
-        .with_context(|| format!("data folder {}", settings.data_folder.display()))?;
-    let id = bootstrap::identity(&disk)?;
+    let disk = match &settings.data_folder {
+        Some(folder) => {
+            let disk = Disk::folder(folder);
+            Some(disk.with_context(|| format!("data folder {}", folder.display()))?)
+        }
+        None => None,
+    };
+    let id = disk.as_ref().map_or(Ok(NO_IDENTITY), bootstrap::identity)?;
     let operators = bind(settings.own.operators_addr).await.context("operators' listener")?;
     let boxes = bind(settings.own.boxes_addr).await.context("boxes' listener")?;
     let client = BoxClient::new(settings.box_keys.clone())?;
@@ -69,8 +79,11 @@
     spawn_tasks(&cx, &stop);
     let reload_cx = cx.clone();
     signals::on_hangup(move || reloaded(&reload_cx), stop.clone());
-    let ended =
-        select(Box::pin(run_log(&cx, disk, stop.clone())), Box::pin(signals::stop_requested()));
+    let work = match disk {
+        Some(disk) => run_log(&cx, disk, stop.clone()).boxed_local(),
+        None => watch_core(&cx, stop.clone()).boxed_local(),
+    };
+    let ended = select(work, Box::pin(signals::stop_requested()));
     match ended.await {
         Either::Left((failed, _)) => failed?,
         Either::Right((asked, _)) => asked?,
@@ -83,10 +96,18 @@
 }
 
 fn spawn_tasks(cx: &Rc<ControlCx>, stop: &Stop) {
-    compio::runtime::spawn(join::run(cx.clone(), stop.clone())).detach();
-    let find = cx.clone();
-    let renew =
-        peers::run(cx.registry.clone(), cx.boxes.clone(), move || find.peer_addrs(), stop.clone());
+    if cx.settings.data_folder.is_some() {
+        compio::runtime::spawn(join::run(cx.clone(), stop.clone())).detach();
+    }
+    let (find, sign, look) = (cx.clone(), cx.clone(), cx.clone());
+    let renew = peers::run(
+        cx.registry.clone(),
+        cx.boxes.clone(),
+        move || find.peer_addrs(),
+        move |news| sign.signed_news(news),
+        move || look.leader().is_none(),
+        stop.clone(),
+    );
     compio::runtime::spawn(renew).detach();
 }
 
@@ -120,6 +141,15 @@
     cx.begin_log(log);
     log::info!("the log goes on; identity {:016x}", cx.id);
     compio::runtime::spawn(commands::run(cx.clone(), stop.clone())).detach();
+    follow_leader(cx, stop);
+    loop {
+        cx.confirm_config();
+        compio::time::sleep(CONFIRM_PERIOD).await;
+    }
+}
+
+/// Follows the leader's configuration, so that boxes that ask here get the newest.
+fn follow_leader(cx: &Rc<ControlCx>, stop: Stop) {
     let follower = cx.clone();
     compio::runtime::spawn(async move {
         let find = || follower.config_parents();
@@ -127,9 +157,24 @@
         feed::follow(name, &follower.config, &follower.boxes, find, stop).await;
     })
     .detach();
+}
+
+/// On a box without a disk: keeps up with who takes part and who leads.
+async fn watch_core(cx: &Rc<ControlCx>, stop: Stop) -> anyhow::Result<()> {
+    log::info!("no data folder: this box takes no part in the log");
+    follow_leader(cx, stop);
     loop {
-        cx.confirm_config();
-        compio::time::sleep(CONFIRM_PERIOD).await;
+        for addr in cx.peer_addrs() {
+            match bootstrap::hello(&cx.boxes, addr, &cx.hello()).await {
+                Ok(hello) if hello.members.is_some() && hello.leader.is_some() => {
+                    cx.note_core(hello);
+                    break;
+                }
+                Ok(_) => {}
+                Err(err) => log::debug!("introduction: {err}"),
+            }
+        }
+        compio::time::sleep(WATCH_PERIOD).await;
     }
 }
 
--- a/crates/hatchpitch/src/control/registrations.rs
+++ b/crates/hatchpitch/src/control/registrations.rs
@@ -33,7 +33,7 @@
     if announced != Announced::News && !leaves {
         return Ok(());
     }
-    let news = RegistryNews { records: vec![record], ended: Vec::new() };
+    let news = RegistryNews { records: vec![record], ..RegistryNews::default() };
     hold(cx, news, leaves).await
 }
 
@@ -46,12 +46,13 @@
     if cx.registry.change(|table| table.end(id, Instant::now())) {
         log::info!("upstream {id}: its life ended");
     }
-    let news = RegistryNews { records: Vec::new(), ended: vec![id.to_owned()] };
+    let news = RegistryNews { ended: vec![id.to_owned()], ..RegistryNews::default() };
     hold(cx, news, true).await
 }
 
 async fn hold(cx: &ControlCx, news: RegistryNews, needed: bool) -> Result<(), NotHeld> {
     let wanted = if needed { cx.core_addrs().len() / 2 } else { 0 };
+    let news = cx.signed_news(news);
     let held = spread(&cx.boxes, &cx.peer_addrs(), &news, wanted).await;
     if !held {
         log::warn!("news about upstreams is not held by a majority of the control boxes");
--- a/crates/hatchpitch/src/registry/messages.rs
+++ b/crates/hatchpitch/src/registry/messages.rs
@@ -58,6 +58,10 @@
     pub records: Vec<UpstreamRecord>,
     /// Lives that ended.
     pub ended: Vec<RunnerName>,
+    /// Where other boxes reach the sender.
+    pub from: Option<SocketAddr>,
+    /// Where other boxes reach the control boxes that the sender knows.
+    pub control: Vec<SocketAddr>,
 }
 
 /// Asks a control box for changes of its table; the answer may be held back for `hold`.
--- a/crates/hatchpitch/src/registry/peers.rs
+++ b/crates/hatchpitch/src/registry/peers.rs
@@ -19,6 +19,9 @@
 /// Time between renewals of all leases at the other control boxes; a lease outlasts several.
 const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// Time between renewals while this box does not know the core: others learn of it by them.
+const LONELY_PERIOD: Duration = Duration::from_millis(150);
+
 /// Passes news on and waits until `wanted` of the peers hold it; returns whether they do.
 ///
 /// The calls to the remaining peers go on in tasks of their own.
@@ -64,18 +67,22 @@
 }
 
 /// Renews the leases at the other control boxes and lets leases here run out, until `stop`.
+/// `complete` adds who sends and whom it knows; `lonely` tells whether the core is unknown.
 pub async fn run(
     cell: Rc<RegistryCell>,
     client: BoxClient,
     find_peers: impl Fn() -> Vec<SocketAddr>,
+    complete: impl Fn(RegistryNews) -> RegistryNews,
+    lonely: impl Fn() -> bool,
     stop: Stop,
 ) {
     while !stop.is_set() {
-        compio::time::sleep(RENEW_PERIOD).await;
         for id in cell.change(|table| table.expire(Instant::now())) {
             log::info!("upstream {id}: its lease ran out");
         }
-        let renewals = cell.with(super::table::Table::renewals);
+        let renewals = complete(cell.with(super::table::Table::renewals));
         spread(&client, &find_peers(), &renewals, 0).await;
+        let rest = if lonely() { LONELY_PERIOD } else { RENEW_PERIOD };
+        compio::time::sleep(rest).await;
     }
 }
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -135,6 +135,7 @@
         RegistryNews {
             records: alive.map(|held| held.record.clone()).collect(),
             ended: self.ended.keys().cloned().collect(),
+            ..RegistryNews::default()
         }
     }
 
--- a/crates/hatchpitch/src/replication/bootstrap.rs
+++ b/crates/hatchpitch/src/replication/bootstrap.rs
@@ -36,6 +36,12 @@
     pub id: NodeId,
     /// Who takes part in its log, if it has one.
     pub members: Option<Members>,
+    /// Who leads, as far as it knows.
+    #[serde(default)]
+    pub leader: Option<Peer>,
+    /// Whether it has no disk, so that it takes no part.
+    #[serde(default)]
+    pub without_disk: bool,
 }
 
 /// What a round of introductions led to.
@@ -77,7 +83,9 @@
         let Some(hello) = answers.iter().find(|hello| hello.name == peer.name) else {
             return Introduced::Wait;
         };
-        voters.insert(hello.id, as_peer(peer));
+        if !hello.without_disk {
+            voters.insert(hello.id, as_peer(peer));
+        }
     }
     Introduced::Begin(Members { voters, learners: BTreeMap::new() })
 }
--- a/crates/hatchpitch/src/settings/control.rs
+++ b/crates/hatchpitch/src/settings/control.rs
@@ -58,8 +58,9 @@
     pub own: ControlPeer,
     /// All control boxes of the first configuration, the box itself included.
     pub peers: Vec<ControlPeer>,
-    /// Folder for all that must survive.
-    pub data_folder: PathBuf,
+    /// Folder for all that must survive; a box without a disk has none and takes no part in the
+    /// log, but knows the upstreams and sends operators to the leader.
+    pub data_folder: Option<PathBuf>,
     /// Whether this may be the first start of the whole system, so that a log may begin.
     pub bootstrap: bool,
     /// Replicas that the core keeps; further ones are removed once they are silent.
@@ -104,7 +105,7 @@
             own,
             core_size: peers.len(),
             peers,
-            data_folder: raw.data_folder,
+            data_folder: Some(raw.data_folder),
             bootstrap: true,
             replica: ReplicaConfig::default(),
             box_keys,
