--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -146,7 +146,7 @@
     ///
     /// Returns a [`ProposeError`] if this box does not lead or lost the lead meanwhile.
     pub async fn propose(&self, order: Order) -> Result<Reply, ProposeError> {
-        let Some(log) = self.log() else { return Err(ProposeError::NotLeader(None)) };
+        let Some(log) = self.log() else { return Err(ProposeError::NotLeader(self.leader())) };
         let command = encode(&Command { at: unix_ms(), order });
         match log.propose(command).await {
             Ok(reply) => rmp_serde::from_slice(&reply)
@@ -177,8 +177,7 @@
         let members = members.all().map(|(_, peer)| peer.boxes_addr).collect::<Vec<_>>();
         let settings = self.settings.peers.iter().map(|peer| peer.boxes_addr);
         let known: Vec<SocketAddr> = self.known.borrow().keys().copied().collect();
-        let mut addrs: Vec<SocketAddr> =
-            members.into_iter().chain(settings).chain(known).collect();
+        let mut addrs: Vec<SocketAddr> = members.into_iter().chain(settings).chain(known).collect();
         addrs.retain(|addr| *addr != own);
         addrs.sort_unstable();
         addrs.dedup();
