Read back and compare configurations only where the newest is known

A test failed once and was traced: diff, get and accepted were answered by whichever control box was asked first, also by one that had not applied the newest configuration; the test had passed as entry boxes used to learn of a configuration later than all control boxes. They now go through the log, so only the leader answers.

--- a/crates/e2e/tests/control.rs
+++ b/crates/e2e/tests/control.rs
@@ -201,3 +201,22 @@
     fleet.wait_in_force(200).await?;
     Ok(())
 }
+
+#[compio::test]
+async fn only_a_box_that_is_sure_of_the_newest_configuration_reads_it_back() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(small()).await?;
+    let leader = wait_leader(&fleet, |_| true).await?;
+    let file = Bytes::from(fleet.fleet_file(2));
+    for (i, at) in fleet.control_addrs.iter().enumerate() {
+        for (method, path, body) in [
+            (Method::GET, "/ops/config", Bytes::new()),
+            (Method::GET, "/ops/accepted?number=1", Bytes::new()),
+            (Method::POST, "/ops/diff", file.clone()),
+        ] {
+            let (status, answer) = fleet.operator_call(*at, method, path, body).await?;
+            let expected = if i == leader { 200 } else { 421 };
+            assert_eq!(status, expected, "{path} at box {i}: {answer}");
+        }
+    }
+    Ok(())
+}
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -10,6 +10,7 @@
 
 use super::context::{ControlCx, ProposeError};
 use super::daemon::BODY_LIMIT;
+use super::machine::Order;
 use super::repair;
 use super::submit::{SubmitError, submit};
 use crate::config::check::MAX_FLEET_FILE;
@@ -93,8 +94,12 @@
         (Method::GET, "/ops/status") => {
             Ok(json_response(StatusCode::OK, &status(cx), Outcome::Done))
         }
-        (Method::GET, "/ops/accepted") => accepted(cx, &req),
+        (Method::GET, "/ops/accepted") => {
+            be_newest(cx).await?;
+            accepted(cx, &req)
+        }
         (Method::GET, "/ops/config") => {
+            be_newest(cx).await?;
             let entities: Vec<Entity> = cx.with_machine(|m| m.config.entities().cloned().collect());
             Ok(json_response(StatusCode::OK, &entities, Outcome::Done))
         }
@@ -181,11 +186,18 @@
     }
 }
 
+/// Makes sure that the state here holds everything that was acknowledged before; only the leader
+/// can be.
+async fn be_newest(cx: &ControlCx) -> Result<(), Problem> {
+    cx.propose(Order::Read).await.map(|_| ()).map_err(propose_problem)
+}
+
 async fn diff(cx: &Rc<ControlCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
     let fleet = match fleet_file(req).await? {
         Ok(fleet) => fleet,
         Err(refused) => return Ok(refused),
     };
+    be_newest(cx).await?;
     let answer = cx.with_machine(|m| {
         let have: std::collections::BTreeMap<EntityKey, &Entity> =
             m.config.entities().map(|e| (e.key(), e)).collect();
