Follow at most six control boxes from an entry box

The cost of following grew with the core: 22 control boxes would take most of the bytes that a box may spend for control. Six cover the majority that holds an acknowledged leaving for up to ten control boxes; beyond that the news reaches all within a second.

--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hatchpitch_net::{BoxClient, Stop};
+use twox_hash::XxHash64;
 
 use super::messages::{FollowAnswer, FollowRequest};
 use super::roster::Roster;
@@ -22,6 +23,11 @@
 const RETRY_REST: Duration = Duration::from_millis(200);
 /// Time between looks for control boxes that nobody follows yet.
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
+/// Control boxes that one entry box follows. What an upstream announces is at a majority of up
+/// to ten of them when it is acknowledged, so one of six has it; at all of them within a second.
+const MAX_FOLLOWED: usize = 6;
+/// Failures in a row from which on another control box is followed as well.
+const AWAY: u32 = 3;
 /// Failures in a row after which a control box that no other names is no longer followed.
 const MAX_FAILURES: u32 = 50;
 
@@ -33,6 +39,8 @@
     pub control: RefCell<BTreeSet<SocketAddr>>,
     from_settings: RefCell<BTreeSet<SocketAddr>>,
     running: RefCell<BTreeSet<SocketAddr>>,
+    /// Those of `running` that do not answer.
+    away: RefCell<BTreeSet<SocketAddr>>,
 }
 
 impl Followed {
@@ -44,6 +52,7 @@
             control: RefCell::new(control.clone()),
             from_settings: RefCell::new(control),
             running: RefCell::default(),
+            away: RefCell::default(),
         })
     }
 
@@ -53,6 +62,20 @@
         self.control.borrow_mut().extend(control);
     }
 
+    /// Returns the control boxes to begin to follow: each entry box prefers others.
+    fn candidates(&self, own: &str) -> Vec<SocketAddr> {
+        let running = self.running.borrow();
+        let answering = running.len() - self.away.borrow().len();
+        let weight = |addr: &SocketAddr| {
+            XxHash64::oneshot(0, [own.as_bytes(), addr.to_string().as_bytes()].concat().as_slice())
+        };
+        let mut left = self.control();
+        left.retain(|addr| !running.contains(addr));
+        left.sort_by_key(weight);
+        left.truncate(MAX_FOLLOWED.saturating_sub(answering));
+        left
+    }
+
     /// Returns the control boxes that are known.
     pub fn control(&self) -> Vec<SocketAddr> {
         self.control.borrow().iter().copied().collect()
@@ -77,7 +100,7 @@
     stop: Stop,
 ) {
     while !stop.is_set() {
-        for source in followed.control() {
+        for source in followed.candidates(&own) {
             if followed.running.borrow_mut().insert(source) {
                 let (own, followed, client) = (own.clone(), followed.clone(), client.clone());
                 let task = follow(own, source, followed, client, hints.clone(), stop.clone());
@@ -105,6 +128,7 @@
         match call.await {
             Ok(answer) => {
                 failures = 0;
+                followed.away.borrow_mut().remove(&source);
                 followed.control.borrow_mut().extend(&answer.control);
                 if answer.config > (hints.number)() {
                     (hints.newer_at)(source);
@@ -116,6 +140,9 @@
                     log::info!("control box {source} is out of reach: {err}");
                 }
                 failures += 1;
+                if failures >= AWAY {
+                    followed.away.borrow_mut().insert(source);
+                }
                 compio::time::sleep(RETRY_REST).await;
             }
         }
@@ -125,6 +152,7 @@
         }
     }
     followed.running.borrow_mut().remove(&source);
+    followed.away.borrow_mut().remove(&source);
     followed.control.borrow_mut().remove(&source);
 }
 
