--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -54,7 +54,7 @@
 
 enum Source {
     /// This box let the request in.
-    Own(Permit),
+    Own(Box<Permit>),
     /// The owner at this address did.
     Owner(SocketAddr),
 }
@@ -73,7 +73,7 @@
             addr: permit.runner.addr,
             failure_domain: permit.runner.failure_domain.clone(),
             id,
-            from: Source::Own(permit),
+            from: Source::Own(Box::new(permit)),
             verdict: Verdict::Released,
             tokens: None,
         }
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -37,7 +37,7 @@
 /// Where a generation goes on.
 pub struct Moved {
     /// The slot there; `None` if it goes on where it was.
-    pub slot: Option<Slot>,
+    pub slot: Option<Box<Slot>>,
     /// Where the source listens, and the name of the copy there.
     pub source: SocketAddr,
     /// Name of the copy at the source.
@@ -149,7 +149,7 @@
         *self.stopping.borrow_mut() = true;
         let source = self.leaver.addr;
         match self.copy(slot.addr, true).await {
-            Ok(CopyAnswer { handle }) => MoveEnd::Moved(Moved { slot: Some(slot), source, handle }),
+            Ok(CopyAnswer { handle }) => MoveEnd::Moved(Moved { slot: Some(Box::new(slot)), source, handle }),
             Err(CopyFailure::NoRoom { handle: Some(handle), .. }) => {
                 MoveEnd::Moved(Moved { slot: None, source, handle })
             }
--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -63,7 +63,7 @@
     }
 
     /// Returns the control boxes to begin to follow: each entry box prefers others.
-    fn candidates(&self, own: &str) -> Vec<SocketAddr> {
+    pub fn candidates(&self, own: &str) -> Vec<SocketAddr> {
         let running = self.running.borrow();
         let answering = running.len() - self.away.borrow().len();
         let weight = |addr: &SocketAddr| {
--- a/crates/hatchpitch/src/relay/dialect.rs
+++ b/crates/hatchpitch/src/relay/dialect.rs
@@ -100,13 +100,20 @@
     Foreign(String),
 }
 
+/// Makes the message for one attempt.
+pub type EncodeRequest = dyn Fn(&HostedRequest, &Attempt) -> Request<Body>;
+/// Reads the head of an answer.
+pub type ReadHead = dyn Fn(&HostedRequest, &Parts) -> Reading;
+/// Has a runner copy a run.
+pub type CopyRun = dyn Fn(Upstream, CopyOrder) -> Copied;
+
 /// Turns requests into messages of the upstreams' protocol and reads the heads of answers.
 #[derive(Clone)]
 pub struct RunnerDialect {
     /// Makes the message for one attempt.
-    pub request: Rc<dyn Fn(&HostedRequest, &Attempt) -> Request<Body>>,
+    pub request: Rc<EncodeRequest>,
     /// Reads the head of an answer.
-    pub read: Rc<dyn Fn(&HostedRequest, &Parts) -> Reading>,
+    pub read: Rc<ReadHead>,
     /// Has a runner copy a run.
-    pub copy: Rc<dyn Fn(Upstream, CopyOrder) -> Copied>,
+    pub copy: Rc<CopyRun>,
 }
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -144,7 +144,7 @@
                     return Ok(res);
                 }
             };
-            return last.map_or(Err(problem), Ok);
+            return last.ok_or(problem);
         }
     }
 
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -243,7 +243,7 @@
 
     async fn resume(&mut self, moved: Moved) -> Result<Incoming, String> {
         if let Some(slot) = moved.slot {
-            self.slot = slot;
+            self.slot = *slot;
         }
         self.seen_roster = 0;
         self.next_move = Instant::now() + MOVE_REST;
--- a/crates/hatchpitch/tests/registry.rs
+++ b/crates/hatchpitch/tests/registry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use hatchpitch::registry::follow::Followed;
 use hatchpitch::registry::table::LEASE;
 use hatchpitch::registry::verify::{verify_roster, verify_table};
 use hatchpitch::registry::{Announced, Phase, Roster, Table, UpstreamRecord};
@@ -142,6 +143,17 @@
     assert_eq!(ids(&roster), Vec::<&str>::new());
 }
 
+#[test]
+fn an_entry_box_follows_some_of_many_control_boxes_and_others_follow_others() {
+    let control: Vec<SocketAddr> = (1..=22).map(source).collect();
+    let followed = Followed::new(&control);
+    let chosen = followed.candidates("box-1");
+    assert_eq!(chosen.len(), 6);
+    assert_eq!(followed.candidates("box-1"), chosen);
+    assert_ne!(followed.candidates("box-2"), chosen);
+    assert_eq!(Followed::new(&control[..3]).candidates("box-1").len(), 3);
+}
+
 #[test]
 fn tables_and_rosters_stay_sound_whatever_arrives() {
     for seed in 0..50_u64 {
