Leave log lines out where their reader is behind

Writing to a pipe that nobody reads would have stopped the one loop of a process. Lines are now written whole, and only if there is room at once; those left out are counted.

--- a/crates/hatchpitch/src/logging.rs
+++ b/crates/hatchpitch/src/logging.rs
@@ -2,9 +2,14 @@
 //!
 //! Key-value pairs of a record become fields of its line. Under load, lines
 //! beyond the bound are left out and counted; warnings and errors have a bound
-//! of their own, so that a flood of routine lines does not hide them.
+//! of their own, so that a flood of routine lines does not hide them. A reader
+//! that is behind never holds the process up: lines it has no room for are left
+//! out as well.
 
 use std::cell::Cell;
+use std::io::{self, Write};
+use std::os::fd::AsFd;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use log::LevelFilter;
@@ -37,7 +42,7 @@
             }
             out.finish(format_args!("{}", serde_json::Value::Object(line)));
         })
-        .chain(std::io::stdout())
+        .chain(Box::new(PatientWriter::new(io::stdout())) as Box<dyn Write + Send>)
         .apply()?;
     Ok(())
 }
@@ -61,6 +66,50 @@
     }
 }
 
+/// Lines that found no room since the last note of lines left out.
+static NO_ROOM: AtomicU32 = AtomicU32::new(0);
+/// Bytes that a pipe takes without blocking once it is ready; a longer line is left out.
+const MAX_LINE: usize = 4_096;
+
+/// Writes whole lines to a file, pipe or terminal, and leaves out those that would block.
+pub struct PatientWriter<W> {
+    out: W,
+    line: Vec<u8>,
+}
+
+impl<W: Write + AsFd> PatientWriter<W> {
+    /// Creates a writer.
+    pub fn new(out: W) -> Self {
+        Self { out, line: Vec::new() }
+    }
+
+    fn has_room(&self) -> bool {
+        use rustix::event::{PollFd, PollFlags, Timespec, poll};
+        let mut fds = [PollFd::new(&self.out, PollFlags::OUT)];
+        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+        poll(&mut fds, Some(&now)).is_ok_and(|ready| ready > 0)
+            && fds[0].revents().contains(PollFlags::OUT)
+    }
+}
+
+impl<W: Write + AsFd> Write for PatientWriter<W> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    /// Writes what was gathered if there is room for it now.
+    fn flush(&mut self) -> io::Result<()> {
+        let line = std::mem::take(&mut self.line);
+        if line.len() > MAX_LINE || !self.has_room() {
+            NO_ROOM.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        self.out.write_all(&line)?;
+        self.out.flush()
+    }
+}
+
 /// Routine lines a second: about ten times what a box writes at its usual load.
 const LINES_PER_SECOND: u32 = 200;
 /// Warnings and errors a second.
@@ -85,7 +134,7 @@
 fn allowed(level: log::Level) -> bool {
     let mut written = WRITTEN.get();
     if written.since.is_none_or(|since| since.elapsed() >= SECOND) {
-        let left_out = written.left_out;
+        let left_out = written.left_out + NO_ROOM.swap(0, Ordering::Relaxed);
         written = Written { since: Some(Instant::now()), lines: 0, warnings: 0, left_out: 0 };
         WRITTEN.set(written);
         if left_out > 0 {
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -149,7 +149,9 @@
         *self.stopping.borrow_mut() = true;
         let source = self.leaver.addr;
         match self.copy(slot.addr, true).await {
-            Ok(CopyAnswer { handle }) => MoveEnd::Moved(Moved { slot: Some(Box::new(slot)), source, handle }),
+            Ok(CopyAnswer { handle }) => {
+                MoveEnd::Moved(Moved { slot: Some(Box::new(slot)), source, handle })
+            }
             Err(CopyFailure::NoRoom { handle: Some(handle), .. }) => {
                 MoveEnd::Moved(Moved { slot: None, source, handle })
             }
