--- a/crates/hatchpitch/src/control/registrations.rs
+++ b/crates/hatchpitch/src/control/registrations.rs
@@ -18,7 +18,7 @@
 ///
 /// Returns [`NotHeld`] if no majority can be reached; the upstream should announce itself again.
 pub async fn announce(cx: &ControlCx, record: UpstreamRecord) -> Result<(), NotHeld> {
-    let announced = cx.registry.change(|table| table.announce(record.clone(), Instant::now()));
+    let announced = cx.registry.change(|table| table.announce_here(record.clone(), Instant::now()));
     let leaves = record.phase == Phase::Leaving;
     if announced == Announced::News {
         log::info!(
--- a/crates/hatchpitch/src/registry/peers.rs
+++ b/crates/hatchpitch/src/registry/peers.rs
@@ -80,7 +80,7 @@
         for id in cell.change(|table| table.expire(Instant::now())) {
             log::info!("upstream {id}: its lease ran out");
         }
-        let renewals = complete(cell.with(super::table::Table::renewals));
+        let renewals = complete(cell.change(|table| table.take_renewals(Instant::now())));
         spread(&client, &find_peers(), &renewals, 0).await;
         let rest = if lonely() { LONELY_PERIOD } else { RENEW_PERIOD };
         compio::time::sleep(rest).await;
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -1,7 +1,7 @@
 //! A control box's table of upstreams, without I/O, and the cell that wakes its followers.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,8 @@
 pub const LEASE: Duration = Duration::from_secs(6);
 /// Time for which ended lives are remembered, so that a late announcement does not revive one.
 const REMEMBER_ENDED: Duration = Duration::from_secs(120);
+/// Time for which the end of a life is passed on with each renewal, in case a call was lost.
+const RESEND_ENDED: Duration = Duration::from_secs(5);
 /// Longest time that an answer to a follower is held back.
 const MAX_HOLD: Duration = Duration::from_secs(5);
 
@@ -46,15 +48,34 @@
     pub(super) held: BTreeMap<RunnerName, Held>,
     /// Version and time at which lives ended.
     pub(super) ended: BTreeMap<RunnerName, (Version, Instant)>,
+    /// Upstreams that announced themselves to this box since the last renewals.
+    announced_here: BTreeSet<RunnerName>,
 }
 
 impl Table {
     /// Creates an empty table for one life of a control process.
     pub fn new(epoch: Epoch, now: Instant) -> Self {
-        Self { epoch, version: 0, started: now, held: BTreeMap::new(), ended: BTreeMap::new() }
+        Self {
+            epoch,
+            version: 0,
+            started: now,
+            held: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            announced_here: BTreeSet::new(),
+        }
     }
 
-    /// Takes an announcement in.
+    /// Takes in what an upstream announces to this box.
+    pub fn announce_here(&mut self, record: UpstreamRecord, now: Instant) -> Announced {
+        let id = record.id.clone();
+        let announced = self.announce(record, now);
+        if announced != Announced::Stale {
+            self.announced_here.insert(id);
+        }
+        announced
+    }
+
+    /// Takes an announcement in, whoever passes it on.
     pub fn announce(&mut self, record: UpstreamRecord, now: Instant) -> Announced {
         if self.ended.contains_key(&record.id) {
             return Announced::Stale;
@@ -129,12 +150,16 @@
         }
     }
 
-    /// Returns everything that other control boxes need to keep the leases alive.
-    pub fn renewals(&self) -> RegistryNews {
-        let alive = self.held.values().filter(|held| !held.lapsed);
+    /// Takes what keeps the leases alive at other control boxes: the upstreams that announced
+    /// themselves here since the last time, and the lives that ended lately.
+    pub fn take_renewals(&mut self, now: Instant) -> RegistryNews {
+        let here = std::mem::take(&mut self.announced_here);
+        let held = here.iter().filter_map(|id| self.held.get(id));
+        let lately = |at: &Instant| now.duration_since(*at) < RESEND_ENDED;
+        let ended = self.ended.iter().filter(|(_, (_, at))| lately(at));
         RegistryNews {
-            records: alive.map(|held| held.record.clone()).collect(),
-            ended: self.ended.keys().cloned().collect(),
+            records: held.map(|held| held.record.clone()).collect(),
+            ended: ended.map(|(id, _)| id.clone()).collect(),
             ..RegistryNews::default()
         }
     }
--- a/crates/hatchpitch/tests/registry.rs
+++ b/crates/hatchpitch/tests/registry.rs
@@ -143,6 +143,30 @@
     assert_eq!(ids(&roster), Vec::<&str>::new());
 }
 
+#[test]
+fn renewals_hold_what_was_announced_here_since_the_last_ones() {
+    let now = Instant::now();
+    let (mut here, mut there) = (Table::new(1, now), Table::new(2, now));
+    here.announce_here(record("a", 1, Phase::Serving, 1), now);
+    here.announce(record("b", 2, Phase::Serving, 1), now);
+    here.end("c", now);
+    let renewals = here.take_renewals(now);
+    let named: Vec<&str> = renewals.records.iter().map(|record| record.id.as_str()).collect();
+    assert_eq!((named, renewals.ended.len()), (vec!["a"], 1));
+    assert!(here.take_renewals(now).records.is_empty());
+    // Each heartbeat renews the lease at the other box as well.
+    for beat in 2..12 {
+        let at = now + LEASE / 4 * beat;
+        here.announce_here(record("a", 1, Phase::Serving, u64::from(beat)), at);
+        for record in here.take_renewals(at).records {
+            there.announce(record, at);
+        }
+        assert!(there.expire(at).is_empty());
+        assert_eq!(there.alive().count(), 1);
+    }
+    assert!(here.take_renewals(now + LEASE * 4).ended.is_empty());
+}
+
 #[test]
 fn an_entry_box_follows_some_of_many_control_boxes_and_others_follow_others() {
     let control: Vec<SocketAddr> = (1..=22).map(source).collect();
