End a stream whole that ended by itself while its move was under way

Cause: the stream had ended while its move waited for the turn; the wait for the move ran out and the whole answer was broken off. A stream whose message is complete was not stopped, so it is whole whatever comes of the move. The new test was seen red; another shows a whole move with scripted runners.

--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -75,6 +75,12 @@
 }
 
 impl Moving {
+    /// Returns whether the runner was asked to stop the run, so that its stream may end
+    /// unfinished.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
     /// Returns the end of the move if it came to nothing; one that stopped the run is left to be
     /// waited for, as the stream will close.
     pub fn came_to_nothing(&mut self) -> bool {
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -142,7 +142,7 @@
                 LinkEnd::Over(end) => return end,
                 LinkEnd::Closed(end) => end,
             };
-            body = match self.go_on().await {
+            body = match self.go_on(&closed).await {
                 Ok(Some(next)) => next,
                 Ok(None) => return self.finish_link(closed, tx).await,
                 Err(cause) => return End::Broken(cause),
@@ -228,12 +228,18 @@
     }
 
     /// Waits for the move that closed the link, and opens the link to the copy. `None` means
-    /// that there was none.
-    async fn go_on(&mut self) -> Result<Option<Incoming>, String> {
+    /// that there was none, or that the stream had ended before it.
+    async fn go_on(&mut self, closed: &End) -> Result<Option<Incoming>, String> {
         let Some(moving) = self.moving.take() else { return Ok(None) };
+        if *closed == End::Whole && !moving.is_stopping() {
+            // A run that nobody has stopped ended by itself; its move comes to nothing.
+            return Ok(None);
+        }
         let moved = match compio::time::timeout(MOVE_WAIT, moving.end).await {
             Ok(Ok(MoveEnd::Moved(moved))) => moved,
             Ok(Ok(MoveEnd::Stays(_))) => return Ok(None),
+            // A stopped run's stream is closed without its end, so this one was not stopped.
+            _ if *closed == End::Whole => return Ok(None),
             Ok(Ok(MoveEnd::Lost(cause))) => return Err(cause),
             Ok(Err(_)) | Err(_) => return Err("the move did not end in time".to_owned()),
         };
