--- a/crates/e2e/tests/control.rs
+++ b/crates/e2e/tests/control.rs
@@ -5,10 +5,12 @@
 
 use bytes::Bytes;
 use hatchpitch::config::ApplyOutcome;
+use hatchpitch::config::view::key_digest;
 use hatchpitch::control::operators::ControlStatus;
 use hatchpitch::control::repair::Repaired;
 use hatchpitch_e2e::fleet::PATIENCE;
 use hatchpitch_e2e::{Shape, TestFleet};
+use hatchpitch_net::keys::to_hex;
 use http::Method;
 
 async fn control_status(fleet: &TestFleet, i: usize) -> anyhow::Result<ControlStatus> {
@@ -220,3 +222,34 @@
     }
     Ok(())
 }
+
+/// Returns the bytes that an entry box has exchanged with other boxes.
+async fn box_bytes(fleet: &TestFleet, entry: usize) -> anyhow::Result<f64> {
+    let at = fleet.entry_addrs[entry];
+    let (_, text) = fleet.operator_call(at, Method::GET, "/metrics", Bytes::new()).await?;
+    let line = text.lines().find_map(|line| line.strip_prefix("hatchpitch_box_body_bytes "));
+    Ok(line.ok_or_else(|| anyhow::anyhow!("no count of bytes"))?.parse()?)
+}
+
+#[compio::test]
+async fn a_large_change_is_brought_to_a_box_once() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(small()).await?;
+    let mut file = fleet.fleet_file(2);
+    for i in 0..2_000 {
+        file.push_str(&format!(
+            "\n[[workspace]]\nname = \"w{i}\"\npriority = 1\npools = [\"explain\"]\n\
+             keys = [{{ id = \"k1\", sha256 = \"{}\" }}]\n",
+            to_hex(&key_digest(&format!("key-{i}")))
+        ));
+    }
+    let before = box_bytes(&fleet, 0).await?;
+    let (status, answer) = fleet.submit(&file).await?;
+    assert_eq!(status, 200, "{answer}");
+    fleet.wait_in_force(2).await?;
+    // Later deliveries of the same would follow within the time that a fetch waits for the feed.
+    compio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+    let brought = box_bytes(&fleet, 0).await? - before;
+    let change = 2_000.0 * 200.0;
+    assert!(brought > change / 2.0 && brought < change * 1.8, "{brought} bytes for {change}");
+    Ok(())
+}
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -16,7 +16,7 @@
 use crate::config::{FleetView, Runner};
 use crate::grants::GrantTable;
 use crate::grants::ownership::OwnerMap;
-use crate::ids::{AttemptId, PoolName, WorkspaceName};
+use crate::ids::{AttemptId, ConfigNumber, PoolName, WorkspaceName};
 use crate::limits::RetryBudgets;
 use crate::membership::MemberRecord;
 use crate::membership::task::SharedMembership;
@@ -71,6 +71,9 @@
     fallback: RefCell<HashMap<PoolName, Gate>>,
     /// Upstreams that announce themselves, and the control boxes that tell of them.
     pub upstreams: Rc<Followed>,
+    /// Highest configuration number that a control box was seen to have and that is being
+    /// fetched.
+    pub config_seen: Cell<ConfigNumber>,
     /// The configuration in force with the upstreams that serve.
     view: RefCell<Rc<FleetView>>,
     /// Versions of configuration, members and roster that the gates were made from.
@@ -106,6 +109,7 @@
             gates: RefCell::default(),
             fallback: RefCell::default(),
             upstreams,
+            config_seen: Cell::new(0),
             view: RefCell::default(),
             synced: Cell::default(),
             owners: RefCell::default(),
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -13,6 +13,7 @@
 use super::{boxes, callers};
 use crate::config::feed;
 use crate::grants::task as grants;
+use crate::ids::ConfigNumber;
 use crate::listener::ExtraListener;
 use crate::logging::unix_ms;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
@@ -23,6 +24,9 @@
 use crate::settings::EntrySettings;
 use crate::signals;
 
+/// Time for the feed to bring a configuration that a control box tells of: it is far below the
+/// second within which a change has to be in force, and above a usual delivery.
+const FEED_PATIENCE: Duration = Duration::from_millis(400);
 /// How often the planned stop looks whether requests are still in progress.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -122,8 +126,8 @@
     let followed = cx.upstreams.clone();
     let (numbered, fetching) = (cx.clone(), cx.clone());
     let hints = ConfigHints {
-        number: Rc::new(move || numbered.config.number()),
-        newer_at: Rc::new(move |source| fetch_config(&fetching, source)),
+        number: Rc::new(move || numbered.config.number().max(numbered.config_seen.get())),
+        newer_at: Rc::new(move |source, number| fetch_config(&fetching, source, number)),
     };
     let name = cx.settings.name.clone();
     let upstreams = follow::run(name, followed, cx.boxes.clone(), hints, stop.clone());
@@ -133,13 +137,25 @@
     compio::runtime::spawn(grants::run(cx.clone(), stop.clone())).detach();
 }
 
-/// Fetches the configuration from a control box that was seen to have a newer one.
-fn fetch_config(cx: &Rc<EntryCx>, source: SocketAddr) {
+/// Fetches a configuration from a control box that was seen to have it, unless the feed brings
+/// it first: it is brought once, whichever control boxes tell of it.
+fn fetch_config(cx: &Rc<EntryCx>, source: SocketAddr, number: ConfigNumber) {
+    if cx.config_seen.get() >= number {
+        return;
+    }
+    cx.config_seen.set(number);
     let cx = cx.clone();
     compio::runtime::spawn(async move {
-        let name = &cx.settings.name;
-        if !feed::fetch(name, &cx.config, &cx.boxes, source, Duration::ZERO).await {
-            log::info!("configuration not fetched from {source}");
+        if cx.config.number() > 0 {
+            compio::time::sleep(FEED_PATIENCE).await;
+        }
+        if cx.config.number() < number {
+            feed::fetch(&cx.settings.name, &cx.config, &cx.boxes, source, Duration::ZERO).await;
+        }
+        if cx.config.number() < number {
+            log::info!("configuration {number} was not fetched from {source}");
+            // The next control box that tells of it is asked.
+            cx.config_seen.set(0);
         }
     })
     .detach();
--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -85,10 +85,10 @@
 /// What a follower does beside keeping the roster.
 #[derive(Clone)]
 pub struct ConfigHints {
-    /// Returns the configuration number in force here.
+    /// Returns the highest configuration number that is in force here or being fetched.
     pub number: Rc<dyn Fn() -> ConfigNumber>,
-    /// Called when a control box has a newer one.
-    pub newer_at: Rc<dyn Fn(SocketAddr)>,
+    /// Called when a control box has a newer one, with its address and that number.
+    pub newer_at: Rc<dyn Fn(SocketAddr, ConfigNumber)>,
 }
 
 /// Follows every control box that is or becomes known, until `stop`.
@@ -131,7 +131,7 @@
                 followed.away.borrow_mut().remove(&source);
                 followed.control.borrow_mut().extend(&answer.control);
                 if answer.config > (hints.number)() {
-                    (hints.newer_at)(source);
+                    (hints.newer_at)(source, answer.config);
                 }
                 take(&followed, source, answer);
             }
