--- /dev/null
+++ b/crates/hatchpitch/src/relay/answer.rs
@@ -0,0 +1,81 @@
+//! Answers that are passed on without a look at what is in them: whole, or as they come.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hatchpitch_net::{Body, BodyError, BodySender, read_stream};
+use http::response::Parts;
+use http::{Response, Version, header};
+use hyper::body::Incoming;
+
+use super::request::HostedRequest;
+use super::run::Relay;
+use super::stream::BUFFERED_PIECES;
+use crate::grants::Slot;
+use crate::routing::Verdict;
+
+/// Makes the caller's answer out of an upstream's, with the length known.
+pub(super) fn with_length(mut parts: Parts, body: Bytes) -> Response<Body> {
+    strip_connection_headers(&mut parts);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    Response::from_parts(parts, Body::from(body))
+}
+
+/// Removes the headers that concern one connection only.
+pub(super) fn strip_connection_headers(parts: &mut Parts) {
+    let named: Vec<String> = parts
+        .headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_owned()))
+        .collect();
+    for name in named {
+        parts.headers.remove(name);
+    }
+    for name in ["connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade"] {
+        parts.headers.remove(name);
+    }
+    parts.version = Version::HTTP_11;
+}
+
+/// Passes on an answer that is too large to be held.
+pub(super) fn pass_on(
+    relay: &Rc<Relay>,
+    req: &Rc<HostedRequest>,
+    mut slot: Slot,
+    mut parts: Parts,
+    first: Bytes,
+    mut body: Incoming,
+) -> Response<Body> {
+    strip_connection_headers(&mut parts);
+    let (mut tx, out) = Body::stream(BUFFERED_PIECES);
+    let (active, end) = (relay.cx.begin(), req.end());
+    compio::runtime::spawn(async move {
+        let left = end.saturating_duration_since(Instant::now());
+        match compio::time::timeout(left, pass_pieces(first, &mut body, &mut tx)).await {
+            Ok(Ok(())) => slot.finish(Verdict::Succeeded, None),
+            Ok(Err(err)) => {
+                log::info!(upstream = slot.runner.as_str(); "large answer not passed on: {err}");
+                tx.abort();
+            }
+            Err(_) => tx.abort(),
+        }
+        drop(active);
+    })
+    .detach();
+    Response::from_parts(parts, out)
+}
+
+async fn pass_pieces(
+    first: Bytes,
+    body: &mut Incoming,
+    tx: &mut BodySender,
+) -> Result<(), BodyError> {
+    tx.send(first).await?;
+    while let Some(piece) = read_stream(body).await? {
+        tx.send(piece).await?;
+    }
+    Ok(())
+}
--- a/crates/hatchpitch/src/relay/mod.rs
+++ b/crates/hatchpitch/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! share. A stream is passed on event by event, and one that cannot go on ends
 //! without the end of its message.
 
+pub mod answer;
 pub mod budget;
 pub mod dialect;
 pub mod events;
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -4,17 +4,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use hatchpitch_net::{Body, SendError, SendStep, read_stream};
 use http::response::Parts;
-use http::{Response, StatusCode, header};
+use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use rand::Rng;
 
 use super::budget::SharedBudgets;
 use super::dialect::{Attempt, Reading, RunnerDialect};
 use super::request::HostedRequest;
-use super::stream;
+use super::{answer, stream};
 use crate::admission::{Refusal, Want};
 use crate::config::hosted::{HostedRoute, RunPolicy};
 use crate::entry::EntryCx;
@@ -281,12 +281,12 @@
             }
             if buf.len() > MAX_HELD_ANSWER {
                 let first = buf.freeze();
-                return Ok(stream::pass_rest(&self.relay, &self.req, slot, parts, first, body));
+                return Ok(answer::pass_on(&self.relay, &self.req, slot, parts, first, body));
             }
         }
         let failed = parts.status.is_server_error();
         slot.finish(if failed { Verdict::Released } else { Verdict::Succeeded }, None);
-        let res = answer_with(parts, buf.freeze());
+        let res = answer::with_length(parts, buf.freeze());
         if failed { Err(Failure::Ran(res)) } else { Ok(res) }
     }
 
@@ -351,28 +351,3 @@
     }
     route.targets.last().map_or("", |target| &target.service)
 }
-
-/// Makes the caller's answer out of an upstream's, with the length known.
-fn answer_with(mut parts: Parts, body: Bytes) -> Response<Body> {
-    strip_connection_headers(&mut parts);
-    parts.headers.remove(header::CONTENT_LENGTH);
-    Response::from_parts(parts, Body::from(body))
-}
-
-/// Removes the headers that concern one connection only.
-pub(super) fn strip_connection_headers(parts: &mut Parts) {
-    let named: Vec<String> = parts
-        .headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(',').map(|name| name.trim().to_owned()))
-        .collect();
-    for name in named {
-        parts.headers.remove(name);
-    }
-    for name in ["connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade"] {
-        parts.headers.remove(name);
-    }
-    parts.version = http::Version::HTTP_11;
-}
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -1,18 +1,19 @@
-//! Passes an answer on while it is made.
+//! Passes a stream of events on while it is made, from one runner after another if it is moved.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodyError, BodySender, read_stream};
+use hatchpitch_net::{Body, BodySender, read_stream};
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
 
+use super::answer::strip_connection_headers;
 use super::dialect::{Attempt, Reading, Resume};
 use super::events::EventSplitter;
 use super::request::HostedRequest;
-use super::run::{Relay, strip_connection_headers};
+use super::run::Relay;
 use crate::config::hosted::EngineSpec;
 use crate::entry::context::ActiveGuard;
 use crate::grants::Slot;
@@ -24,7 +25,7 @@
 use crate::routing::Verdict;
 
 /// Pieces buffered between upstream and caller.
-const BUFFERED_PIECES: usize = 32;
+pub(super) const BUFFERED_PIECES: usize = 32;
 /// Longest time until a caller that left is noticed while the upstream says nothing.
 const CALLER_LOOK: Duration = Duration::from_millis(100);
 
@@ -330,43 +331,3 @@
         );
     }
 }
-
-/// Passes on an answer that is too large to be held.
-pub(super) fn pass_rest(
-    relay: &Rc<Relay>,
-    req: &Rc<HostedRequest>,
-    mut slot: Slot,
-    mut parts: Parts,
-    first: Bytes,
-    mut body: Incoming,
-) -> Response<Body> {
-    strip_connection_headers(&mut parts);
-    let (mut tx, out) = Body::stream(BUFFERED_PIECES);
-    let (active, end) = (relay.cx.begin(), req.end());
-    compio::runtime::spawn(async move {
-        let left = end.saturating_duration_since(Instant::now());
-        match compio::time::timeout(left, pass_pieces(first, &mut body, &mut tx)).await {
-            Ok(Ok(())) => slot.finish(Verdict::Succeeded, None),
-            Ok(Err(err)) => {
-                log::info!(upstream = slot.runner.as_str(); "large answer not passed on: {err}");
-                tx.abort();
-            }
-            Err(_) => tx.abort(),
-        }
-        drop(active);
-    })
-    .detach();
-    Response::from_parts(parts, out)
-}
-
-async fn pass_pieces(
-    first: Bytes,
-    body: &mut Incoming,
-    tx: &mut BodySender,
-) -> Result<(), BodyError> {
-    tx.send(first).await?;
-    while let Some(piece) = read_stream(body).await? {
-        tx.send(piece).await?;
-    }
-    Ok(())
-}
