--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -14,7 +14,7 @@
 use crate::grants::task::{self as grants, GRANT_PATH, RELEASE_PATH, SYNC_PATH};
 use crate::membership::messages::{Gossip, ProbeRequest};
 use crate::membership::task::{self, GOSSIP_PATH, PING_PATH, PROBE_PATH};
-use crate::moves::mover::{self, TURN_DONE_PATH, TURN_PATH};
+use crate::moves::ask::{self, TURN_DONE_PATH, TURN_PATH};
 use crate::moves::{TurnDone, TurnRequest};
 use crate::outcome::text_response;
 
@@ -53,9 +53,9 @@
         RELEASE_PATH => open_message::<ReleaseRequest>(keys, path, &parts.headers, &body)
             .map(|req| rmp_response(&grants::release(&cx, &req))),
         TURN_PATH => open_message::<TurnRequest>(keys, path, &parts.headers, &body)
-            .map(|req| rmp_response(&mover::answer_turn(&cx, &req))),
+            .map(|req| rmp_response(&ask::answer_turn(&cx, &req))),
         TURN_DONE_PATH => open_message::<TurnDone>(keys, path, &parts.headers, &body)
-            .map(|done| rmp_response(&mover::take_turn_done(&cx, &done))),
+            .map(|done| rmp_response(&ask::take_turn_done(&cx, &done))),
         SYNC_PATH => open_message::<GrantSync>(keys, path, &parts.headers, &body)
             .map(|req| rmp_response(&grants::sync(&cx, &req))),
         _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
--- a/crates/hatchpitch/src/moves/mod.rs
+++ b/crates/hatchpitch/src/moves/mod.rs
@@ -5,6 +5,7 @@
 //! other copies, the stream would pause for all of them. So the runner's owner
 //! gives out turns: one generation is moved from its first copy to its last.
 
+pub mod ask;
 pub mod messages;
 pub mod mover;
 pub mod turns;
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -7,30 +7,20 @@
 
 use futures_channel::oneshot;
 
-use super::messages::{TurnAnswer, TurnDone, TurnRequest};
+use super::ask::Turn;
 use crate::admission::Want;
-use crate::entry::EntryCx;
 use crate::grants::Slot;
-use crate::grants::ownership::owner_of;
 use crate::grants::task::obtain;
 use crate::ids::{FailureDomainName, RunnerName, ServiceName};
 use crate::relay::dialect::{CopyAnswer, CopyFailure, CopyOrder};
 use crate::relay::{HostedRequest, Relay};
 
-/// Path on which turns are asked for.
-pub const TURN_PATH: &str = "/box/move-turn";
-/// Path on which turns are given back.
-pub const TURN_DONE_PATH: &str = "/box/move-done";
-/// Time for a call about a turn.
-const TURN_CALL_LIMIT: Duration = Duration::from_millis(300);
-/// Time between two questions whether the turn has come: a tenth of what one move takes.
-const TURN_LOOK: Duration = Duration::from_millis(20);
-/// Time after which a move that got no turn is given up: the runner is gone by then.
-const TURN_PATIENCE: Duration = Duration::from_secs(6);
 /// Time for one copy; a large generation takes a third of it on an idle link.
 const COPY_LIMIT: Duration = Duration::from_millis(1_500);
 /// Time until a run that has made nothing yet, or whose copy is under way, is asked for again.
 const AGAIN: Duration = Duration::from_millis(60);
+/// Longest wait for a slot elsewhere: the runner is gone soon after.
+const SLOT_WAIT: Duration = Duration::from_millis(500);
 /// Tries of a first copy.
 const MAX_TRIES: usize = 6;
 
@@ -128,16 +118,21 @@
 
 impl Mover {
     async fn run(&self) -> MoveEnd {
-        let owner = self.owner();
-        if !self.await_turn(owner).await {
-            self.turn_done(owner);
+        let turn = self.turn();
+        if !turn.wait().await {
+            turn.give_back();
             return MoveEnd::Stays("the turn did not come".to_owned());
         }
         let ended = self.copy_and_stop().await;
-        self.turn_done(owner);
+        turn.give_back();
         ended
     }
 
+    fn turn(&self) -> Turn {
+        let (cx, runner) = (self.relay.cx.clone(), self.leaver.runner.clone());
+        Turn::new(cx, runner, self.id.clone(), self.at_stake)
+    }
+
     async fn copy_and_stop(&self) -> MoveEnd {
         let slot = match self.slot().await {
             Ok(slot) => slot,
@@ -208,65 +203,6 @@
         slot.map_err(|refusal| refusal.cause)
     }
 
-    /// Returns the box that gives out the turns at the runner.
-    fn owner(&self) -> SocketAddr {
-        let cx = &self.relay.cx;
-        let membership = cx.membership.borrow();
-        let owner = owner_of(&self.leaver.runner, membership.serving_boxes());
-        owner.map_or(cx.settings.boxes_addr, |record| record.box_addr)
-    }
-
-    /// Waits for the turn. An owner that does not answer is passed over after some tries.
-    async fn await_turn(&self, owner: SocketAddr) -> bool {
-        let started = Instant::now();
-        let mut failures = 0;
-        while started.elapsed() < TURN_PATIENCE && failures < 3 {
-            match self.ask_turn(owner).await {
-                Some(TurnAnswer::Yours) => return true,
-                Some(TurnAnswer::NotYet) => compio::time::sleep(TURN_LOOK).await,
-                None => failures += 1,
-            }
-        }
-        // Without its owner, moves of this runner may stand in each other's way, and still help.
-        failures > 0
-    }
-
-    async fn ask_turn(&self, owner: SocketAddr) -> Option<TurnAnswer> {
-        let cx = &self.relay.cx;
-        let req = TurnRequest {
-            runner: self.leaver.runner.clone(),
-            holder: cx.settings.name.clone(),
-            id: self.id.clone(),
-            at_stake: self.at_stake,
-        };
-        if owner == cx.settings.boxes_addr {
-            return Some(answer_turn(cx, &req));
-        }
-        match cx.boxes.call(owner, TURN_PATH, &req, TURN_CALL_LIMIT).await {
-            Ok(answer) => Some(answer),
-            Err(err) => {
-                log::debug!("turn to move: {err}");
-                None
-            }
-        }
-    }
-
-    fn turn_done(&self, owner: SocketAddr) {
-        let cx = self.relay.cx.clone();
-        let done = TurnDone { runner: self.leaver.runner.clone(), id: self.id.clone() };
-        if owner == cx.settings.boxes_addr {
-            take_turn_done(&cx, &done);
-            return;
-        }
-        compio::runtime::spawn(async move {
-            let call = cx.boxes.call::<_, ()>(owner, TURN_DONE_PATH, &done, TURN_CALL_LIMIT);
-            if let Err(err) = call.await {
-                log::debug!("turn to move not given back, it ends by itself: {err}");
-            }
-        })
-        .detach();
-    }
-
     fn log(&self, ended: &MoveEnd, started: Instant) {
         let (outcome, to, cause) = match ended {
             MoveEnd::Moved(Moved { slot: Some(slot), .. }) => ("moved", slot.runner.as_str(), ""),
@@ -283,20 +219,3 @@
         );
     }
 }
-
-/// Longest wait for a slot elsewhere: the runner is gone soon after.
-const SLOT_WAIT: Duration = Duration::from_millis(500);
-
-/// Answers a box that asks for a turn at a runner.
-pub fn answer_turn(cx: &EntryCx, req: &TurnRequest) -> TurnAnswer {
-    let mut turns = cx.turns.borrow_mut();
-    match turns.ask(&req.runner, &req.id, req.at_stake, Instant::now()) {
-        true => TurnAnswer::Yours,
-        false => TurnAnswer::NotYet,
-    }
-}
-
-/// Takes a turn back.
-pub fn take_turn_done(cx: &EntryCx, done: &TurnDone) {
-    cx.turns.borrow_mut().done(&done.runner, &done.id, Instant::now());
-}
