--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -1,5 +1,6 @@
 //! One request: upstreams are tried until there is a final answer.
 
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -58,6 +59,26 @@
     Ran(Response<Body>),
 }
 
+impl Failure {
+    /// Returns the outcome and its cause, for the log.
+    fn describe(&self) -> (&'static str, Cow<'_, str>) {
+        match self {
+            Self::NotRun { cause, .. } => ("not_run", Cow::Borrowed(cause)),
+            Self::MayHaveRun { cause } => ("may_have_run", Cow::Borrowed(cause)),
+            Self::Ran(res) => ("failed", Cow::Owned(res.status().as_str().to_owned())),
+        }
+    }
+}
+
+/// What follows a try that ended without the final answer.
+enum Next {
+    /// Another upstream is tried. Holds the answer of one that ran the request and failed, for
+    /// the case that no other gives a better one.
+    Another(Option<Response<Body>>),
+    /// The request ends, unless with a problem although an earlier upstream has answered.
+    End(Result<Response<Body>, Problem>),
+}
+
 /// Gives a request its final answer.
 ///
 /// # Errors
@@ -116,35 +137,39 @@
                 Ok(res) => return Ok(res),
                 Err(failure) => failure,
             };
-            self.tried.borrow_mut().push(runner.clone());
-            let problem = match failure {
-                Failure::NotRun { cause, arrived } => {
-                    self.log_try(&runner, "not_run", &cause, started);
-                    if self.may_go_on(arrived) {
-                        continue;
-                    }
-                    let refusal = Refusal::new(&cause, SOON);
-                    self.refused(refusal)
+            self.log_try(&runner, &failure, started);
+            self.tried.borrow_mut().push(runner);
+            match self.after(failure) {
+                Next::Another(failed) => last = failed.or(last),
+                Next::End(Ok(res)) => return Ok(res),
+                Next::End(Err(problem)) => return last.ok_or(problem),
+            }
+        }
+    }
+
+    /// Decides what follows a try without the final answer.
+    fn after(&self, failure: Failure) -> Next {
+        match failure {
+            Failure::NotRun { cause, arrived } => {
+                if self.may_go_on(arrived) {
+                    return Next::Another(None);
                 }
-                Failure::MayHaveRun { cause } => {
-                    self.log_try(&runner, "may_have_run", &cause, started);
-                    self.ran_at.set(self.ran_at.get() + 1);
-                    if self.may_repeat() {
-                        continue;
-                    }
-                    Problem::unknown(StatusCode::BAD_GATEWAY, "upstream_lost", cause)
+                Next::End(Err(self.refused(Refusal::new(&cause, SOON))))
+            }
+            Failure::MayHaveRun { cause } => {
+                self.ran_at.set(self.ran_at.get() + 1);
+                if self.may_repeat() {
+                    return Next::Another(None);
                 }
-                Failure::Ran(res) => {
-                    self.log_try(&runner, "failed", res.status().as_str(), started);
-                    self.ran_at.set(self.ran_at.get() + 1);
-                    if self.may_repeat() {
-                        last = Some(res);
-                        continue;
-                    }
-                    return Ok(res);
+                Next::End(Err(Problem::unknown(StatusCode::BAD_GATEWAY, "upstream_lost", cause)))
+            }
+            Failure::Ran(res) => {
+                self.ran_at.set(self.ran_at.get() + 1);
+                if self.may_repeat() {
+                    return Next::Another(Some(res));
                 }
-            };
-            return last.ok_or(problem);
+                Next::End(Ok(res))
+            }
         }
     }
 
@@ -308,10 +333,11 @@
         self.refused(Refusal::new(message, SOON))
     }
 
-    fn log_try(&self, runner: &str, outcome: &str, cause: &str, started: Instant) {
+    fn log_try(&self, runner: &str, failure: &Failure, started: Instant) {
+        let (outcome, cause) = failure.describe();
         log::info!(
             request = self.req.id.as_str(), route = self.req.route.name.as_str(),
-            service = self.service.as_str(), upstream = runner, outcome = outcome, cause = cause,
+            service = self.service.as_str(), upstream = runner, outcome = outcome, cause = &*cause,
             took_ms = started.elapsed().as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "an upstream did not answer the request"
