--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -136,7 +136,7 @@
 }
 
 /// Returns the refusal for a body that could not be read.
-pub(super) fn body_problem(err: BodyError) -> Problem {
+pub fn body_problem(err: BodyError) -> Problem {
     let status = match err {
         BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
         BodyError::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
--- a/crates/hatchpitch/src/relay/answer.rs
+++ b/crates/hatchpitch/src/relay/answer.rs
@@ -9,6 +9,7 @@
 use http::{Response, Version, header};
 use hyper::body::Incoming;
 
+use super::headers::strip_connection_headers;
 use super::request::HostedRequest;
 use super::run::Relay;
 use super::stream::BUFFERED_PIECES;
@@ -17,26 +18,14 @@
 
 /// Makes the caller's answer out of an upstream's, with the length known.
 pub(super) fn with_length(mut parts: Parts, body: Bytes) -> Response<Body> {
-    strip_connection_headers(&mut parts);
+    for_caller(&mut parts);
     parts.headers.remove(header::CONTENT_LENGTH);
     Response::from_parts(parts, Body::from(body))
 }
 
-/// Removes the headers that concern one connection only.
-pub(super) fn strip_connection_headers(parts: &mut Parts) {
-    let named: Vec<String> = parts
-        .headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(',').map(|name| name.trim().to_owned()))
-        .collect();
-    for name in named {
-        parts.headers.remove(name);
-    }
-    for name in ["connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade"] {
-        parts.headers.remove(name);
-    }
+/// Makes the head of an upstream's answer fit for the caller's connection.
+pub(super) fn for_caller(parts: &mut Parts) {
+    strip_connection_headers(&mut parts.headers);
     parts.version = Version::HTTP_11;
 }
 
@@ -49,7 +38,7 @@
     first: Bytes,
     mut body: Incoming,
 ) -> Response<Body> {
-    strip_connection_headers(&mut parts);
+    for_caller(&mut parts);
     let (mut tx, out) = Body::stream(BUFFERED_PIECES);
     let (active, end) = (relay.cx.begin(), req.end());
     compio::runtime::spawn(async move {
--- a/crates/hatchpitch/src/relay/mod.rs
+++ b/crates/hatchpitch/src/relay/mod.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod dialect;
 pub mod events;
+pub mod headers;
 pub mod request;
 pub mod run;
 pub mod stream;
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -9,7 +9,7 @@
 use http::response::Parts;
 use hyper::body::Incoming;
 
-use super::answer::strip_connection_headers;
+use super::answer::for_caller;
 use super::dialect::{Attempt, Reading, Resume};
 use super::events::EventSplitter;
 use super::request::HostedRequest;
@@ -61,7 +61,7 @@
     mut parts: Parts,
     body: Incoming,
 ) -> Response<Body> {
-    strip_connection_headers(&mut parts);
+    for_caller(&mut parts);
     let (tx, out) = Body::stream(BUFFERED_PIECES);
     let stream = EventStream::new(relay.clone(), req, service.to_owned(), slot);
     compio::runtime::spawn(stream.run(body, tx)).detach();
