--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -1,5 +1,6 @@
 //! Wires a control process: listeners, the log, and the feed of configuration.
 
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use super::{boxes, join, operators};
 use crate::commands::task as commands;
 use crate::config::feed;
-use crate::listener::ExtraListener;
+use crate::listener::{self, ExtraListener};
 use crate::registry::peers;
 use crate::replication::disk::Disk;
 use crate::replication::{NodeId, Storage, bootstrap, task};
@@ -52,13 +53,7 @@
     extra: impl FnOnce(&Rc<ControlCx>) -> Vec<ExtraListener>,
     reloaded: impl Fn(&Rc<ControlCx>) + 'static,
 ) -> anyhow::Result<()> {
-    let disk = match &settings.data_folder {
-        Some(folder) => {
-            let disk = Disk::folder(folder);
-            Some(disk.with_context(|| format!("data folder {}", folder.display()))?)
-        }
-        None => None,
-    };
+    let disk = settings.data_folder.as_deref().map(open_disk).transpose()?;
     let id = disk.as_ref().map_or(Ok(NO_IDENTITY), bootstrap::identity)?;
     let operators = bind(settings.own.operators_addr).await.context("operators' listener")?;
     let boxes = bind(settings.own.boxes_addr).await.context("boxes' listener")?;
@@ -72,10 +67,7 @@
         compio::runtime::spawn(serve(operators, limits, operators_handler(&cx), stop.clone())),
         compio::runtime::spawn(serve(boxes, limits, boxes_handler(&cx), stop.clone())),
     ];
-    for ExtraListener { addr, limits, handler } in extra(&cx) {
-        let listener = bind(addr).await.context("further listener")?;
-        listeners.push(compio::runtime::spawn(serve(listener, limits, handler, stop.clone())));
-    }
+    listeners.extend(listener::open(extra(&cx), &stop).await?);
     spawn_tasks(&cx, &stop);
     let reload_cx = cx.clone();
     signals::on_hangup(move || reloaded(&reload_cx), stop.clone());
@@ -89,12 +81,14 @@
         Either::Right((asked, _)) => asked?,
     }
     drop(stop_handle);
-    for listener in listeners {
-        let _ = compio::time::timeout(Duration::from_secs(1), listener).await;
-    }
+    listener::ended(listeners).await;
     Ok(())
 }
 
+fn open_disk(folder: &Path) -> anyhow::Result<Disk> {
+    Disk::folder(folder).with_context(|| format!("data folder {}", folder.display()))
+}
+
 fn spawn_tasks(cx: &Rc<ControlCx>, stop: &Stop) {
     if cx.settings.data_folder.is_some() {
         compio::runtime::spawn(join::run(cx.clone(), stop.clone())).detach();
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -13,7 +13,7 @@
 use super::{boxes, callers};
 use crate::config::feed;
 use crate::grants::task as grants;
-use crate::listener::ExtraListener;
+use crate::listener::{self, ExtraListener};
 use crate::logging::unix_ms;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::state::{Membership, MembershipConfig};
@@ -58,10 +58,7 @@
         compio::runtime::spawn(serve(callers, limits(&cx), callers_handler(&cx), stop.clone())),
         compio::runtime::spawn(serve(boxes, limits(&cx), boxes_handler(&cx), stop.clone())),
     ];
-    for ExtraListener { addr, limits, handler } in extra(&cx) {
-        let listener = bind(addr).await.context("further listener")?;
-        listeners.push(compio::runtime::spawn(serve(listener, limits, handler, stop.clone())));
-    }
+    listeners.extend(listener::open(extra(&cx), &stop).await?);
     spawn_tasks(&cx, &stop);
     let reload_cx = cx.clone();
     signals::on_hangup(move || reloaded(&reload_cx), stop.clone());
@@ -76,9 +73,7 @@
         _ = cut_short => log::warn!("cut short with {} requests in progress", cx.active()),
     }
     drop(stop_handle);
-    for listener in listeners {
-        let _ = compio::time::timeout(Duration::from_secs(1), listener).await;
-    }
+    listener::ended(listeners).await;
     Ok(())
 }
 
