--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -76,6 +76,13 @@
         left
     }
 
+    /// Forgets a control box that is followed no more; it may be named again.
+    fn forget(&self, source: SocketAddr) {
+        self.running.borrow_mut().remove(&source);
+        self.away.borrow_mut().remove(&source);
+        self.control.borrow_mut().remove(&source);
+    }
+
     /// Returns the control boxes that are known.
     pub fn control(&self) -> Vec<SocketAddr> {
         self.control.borrow().iter().copied().collect()
@@ -128,12 +135,7 @@
         match call.await {
             Ok(answer) => {
                 failures = 0;
-                followed.away.borrow_mut().remove(&source);
-                followed.control.borrow_mut().extend(&answer.control);
-                if answer.config > (hints.number)() {
-                    (hints.newer_at)(source);
-                }
-                take(&followed, source, answer);
+                take(&followed, source, answer, &hints);
             }
             Err(err) => {
                 if failures == 0 {
@@ -146,17 +148,20 @@
                 compio::time::sleep(RETRY_REST).await;
             }
         }
-        let in_settings = followed.from_settings.borrow().contains(&source);
-        if in_settings {
+        if followed.from_settings.borrow().contains(&source) {
             failures = failures.min(MAX_FAILURES - 1);
         }
     }
-    followed.running.borrow_mut().remove(&source);
-    followed.away.borrow_mut().remove(&source);
-    followed.control.borrow_mut().remove(&source);
+    followed.forget(source);
 }
 
-fn take(followed: &Followed, source: SocketAddr, answer: FollowAnswer) {
+/// Takes an answer of a control box that is followed.
+fn take(followed: &Followed, source: SocketAddr, answer: FollowAnswer, hints: &ConfigHints) {
+    followed.away.borrow_mut().remove(&source);
+    followed.control.borrow_mut().extend(&answer.control);
+    if answer.config > (hints.number)() {
+        (hints.newer_at)(source);
+    }
     let (epoch, version) = (answer.epoch, answer.version);
     let mut roster = followed.roster.borrow_mut();
     if roster.take(source, answer) {
