--- a/crates/hatchpitch/src/relay/budget.rs
+++ b/crates/hatchpitch/src/relay/budget.rs
@@ -16,7 +16,7 @@
     pub ratio: f64,
     /// Repeats that are allowed beyond it in each window.
     pub slack: f64,
-    /// The window.
+    /// The window. Nothing reads it, as a box's budget never refills with time.
     pub window: Duration,
 }
 
