--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -1,6 +1,6 @@
 //! Moves one generation: a turn, a slot elsewhere, a first copy, the last part.
 
-use std::cell::RefCell;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -61,14 +61,14 @@
 pub struct Moving {
     /// Resolves with the end of the move.
     pub end: oneshot::Receiver<MoveEnd>,
-    stopping: Rc<RefCell<bool>>,
+    stopping: Rc<Cell<bool>>,
 }
 
 impl Moving {
     /// Returns the end of the move if it came to nothing; one that stopped the run is left to be
     /// waited for, as the stream will close.
     pub fn came_to_nothing(&mut self) -> bool {
-        if *self.stopping.borrow() {
+        if self.stopping.get() {
             return false;
         }
         matches!(self.end.try_recv(), Ok(Some(MoveEnd::Stays(_))) | Err(_))
@@ -84,7 +84,7 @@
     in_memory: u64,
 ) -> Moving {
     let (tx, end) = oneshot::channel();
-    let stopping = Rc::new(RefCell::new(false));
+    let stopping = Rc::new(Cell::new(false));
     let mover = Mover {
         relay: relay.clone(),
         req: req.clone(),
@@ -112,7 +112,7 @@
     at_stake: u64,
     /// Tokens that the generation holds, for the room that it needs elsewhere.
     in_memory: u64,
-    stopping: Rc<RefCell<bool>>,
+    stopping: Rc<Cell<bool>>,
     id: String,
 }
 
@@ -141,7 +141,7 @@
         if let Err(cause) = self.first_copy(slot.addr).await {
             return MoveEnd::Stays(cause);
         }
-        *self.stopping.borrow_mut() = true;
+        self.stopping.set(true);
         let source = self.leaver.addr;
         match self.copy(slot.addr, true).await {
             Ok(CopyAnswer { handle }) => {
--- a/crates/hatchpitch/src/registry/peers.rs
+++ b/crates/hatchpitch/src/registry/peers.rs
@@ -18,7 +18,6 @@
 const NEWS_LIMIT: Duration = Duration::from_millis(400);
 /// Time between renewals of all leases at the other control boxes; a lease outlasts several.
 const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
-
 /// Time between renewals while this box does not know the core: others learn of it by them.
 const LONELY_PERIOD: Duration = Duration::from_millis(150);
 
@@ -31,7 +30,7 @@
     news: &RegistryNews,
     wanted: usize,
 ) -> bool {
-    let calls: FuturesUnordered<_> = peers
+    let mut calls: FuturesUnordered<_> = peers
         .iter()
         .map(|peer| {
             let (client, news, peer) = (client.clone(), news.clone(), *peer);
@@ -44,7 +43,6 @@
             rx
         })
         .collect();
-    let mut calls = calls;
     let mut held = 0;
     while held < wanted {
         match calls.next().await {
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -33,7 +33,6 @@
 const MAX_TURNED_AWAY: usize = 4;
 /// When a caller may come back after a failure that passes in moments.
 const SOON: Duration = Duration::from_millis(250);
-
 /// Time within which every upstream announces itself again: one heartbeat and its travel.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(1_400);
 /// Time between looks for an upstream that announced itself.
@@ -75,7 +74,7 @@
     /// Another upstream is tried. Holds the answer of one that ran the request and failed, for
     /// the case that no other gives a better one.
     Another(Option<Response<Body>>),
-    /// The request ends, unless with a problem although an earlier upstream has answered.
+    /// The request ends with this; before a problem goes the answer of an earlier upstream.
     End(Result<Response<Body>, Problem>),
 }
 
