--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -1,20 +1,21 @@
 //! One request: upstreams are tried until there is a final answer.
 
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use hatchpitch_net::{Body, SendError, SendStep, read_stream};
 use http::response::Parts;
-use http::{Response, StatusCode, header};
+use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use rand::Rng;
 
 use super::budget::SharedBudgets;
 use super::dialect::{Attempt, Reading, RunnerDialect};
 use super::request::HostedRequest;
-use super::stream;
+use super::{answer, stream};
 use crate::admission::{Refusal, Want};
 use crate::config::hosted::{HostedRoute, RunPolicy};
 use crate::entry::EntryCx;
@@ -32,7 +33,6 @@
 const MAX_TURNED_AWAY: usize = 4;
 /// When a caller may come back after a failure that passes in moments.
 const SOON: Duration = Duration::from_millis(250);
-
 /// Time within which every upstream announces itself again: one heartbeat and its travel.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(1_400);
 /// Time between looks for an upstream that announced itself.
@@ -58,6 +58,26 @@
     Ran(Response<Body>),
 }
 
+impl Failure {
+    /// Returns the outcome and its cause, for the log.
+    fn describe(&self) -> (&'static str, Cow<'_, str>) {
+        match self {
+            Self::NotRun { cause, .. } => ("not_run", Cow::Borrowed(cause)),
+            Self::MayHaveRun { cause } => ("may_have_run", Cow::Borrowed(cause)),
+            Self::Ran(res) => ("failed", Cow::Owned(res.status().as_str().to_owned())),
+        }
+    }
+}
+
+/// What follows a try that ended without the final answer.
+enum Next {
+    /// Another upstream is tried. Holds the answer of one that ran the request and failed, for
+    /// the case that no other gives a better one.
+    Another(Option<Response<Body>>),
+    /// The request ends with this; before a problem goes the answer of an earlier upstream.
+    End(Result<Response<Body>, Problem>),
+}
+
 /// Gives a request its final answer.
 ///
 /// # Errors
@@ -116,35 +136,39 @@
                 Ok(res) => return Ok(res),
                 Err(failure) => failure,
             };
-            self.tried.borrow_mut().push(runner.clone());
-            let problem = match failure {
-                Failure::NotRun { cause, arrived } => {
-                    self.log_try(&runner, "not_run", &cause, started);
-                    if self.may_go_on(arrived) {
-                        continue;
-                    }
-                    let refusal = Refusal::new(&cause, SOON);
-                    self.refused(refusal)
+            self.log_try(&runner, &failure, started);
+            self.tried.borrow_mut().push(runner);
+            match self.after(failure) {
+                Next::Another(failed) => last = failed.or(last),
+                Next::End(Ok(res)) => return Ok(res),
+                Next::End(Err(problem)) => return last.ok_or(problem),
+            }
+        }
+    }
+
+    /// Decides what follows a try without the final answer.
+    fn after(&self, failure: Failure) -> Next {
+        match failure {
+            Failure::NotRun { cause, arrived } => {
+                if self.may_go_on(arrived) {
+                    return Next::Another(None);
                 }
-                Failure::MayHaveRun { cause } => {
-                    self.log_try(&runner, "may_have_run", &cause, started);
-                    self.ran_at.set(self.ran_at.get() + 1);
-                    if self.may_repeat() {
-                        continue;
-                    }
-                    Problem::unknown(StatusCode::BAD_GATEWAY, "upstream_lost", cause)
+                Next::End(Err(self.refused(Refusal::new(&cause, SOON))))
+            }
+            Failure::MayHaveRun { cause } => {
+                self.ran_at.set(self.ran_at.get() + 1);
+                if self.may_repeat() {
+                    return Next::Another(None);
                 }
-                Failure::Ran(res) => {
-                    self.log_try(&runner, "failed", res.status().as_str(), started);
-                    self.ran_at.set(self.ran_at.get() + 1);
-                    if self.may_repeat() {
-                        last = Some(res);
-                        continue;
-                    }
-                    return Ok(res);
+                Next::End(Err(Problem::unknown(StatusCode::BAD_GATEWAY, "upstream_lost", cause)))
+            }
+            Failure::Ran(res) => {
+                self.ran_at.set(self.ran_at.get() + 1);
+                if self.may_repeat() {
+                    return Next::Another(Some(res));
                 }
-            };
-            return last.ok_or(problem);
+                Next::End(Ok(res))
+            }
         }
     }
 
@@ -281,12 +305,12 @@
             }
             if buf.len() > MAX_HELD_ANSWER {
                 let first = buf.freeze();
-                return Ok(stream::pass_rest(&self.relay, &self.req, slot, parts, first, body));
+                return Ok(answer::pass_on(&self.relay, &self.req, slot, parts, first, body));
             }
         }
         let failed = parts.status.is_server_error();
         slot.finish(if failed { Verdict::Released } else { Verdict::Succeeded }, None);
-        let res = answer_with(parts, buf.freeze());
+        let res = answer::with_length(parts, buf.freeze());
         if failed { Err(Failure::Ran(res)) } else { Ok(res) }
     }
 
@@ -308,10 +332,11 @@
         self.refused(Refusal::new(message, SOON))
     }
 
-    fn log_try(&self, runner: &str, outcome: &str, cause: &str, started: Instant) {
+    fn log_try(&self, runner: &str, failure: &Failure, started: Instant) {
+        let (outcome, cause) = failure.describe();
         log::info!(
             request = self.req.id.as_str(), route = self.req.route.name.as_str(),
-            service = self.service.as_str(), upstream = runner, outcome = outcome, cause = cause,
+            service = self.service.as_str(), upstream = runner, outcome = outcome, cause = &*cause,
             took_ms = started.elapsed().as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "an upstream did not answer the request"
@@ -351,28 +376,3 @@
     }
     route.targets.last().map_or("", |target| &target.service)
 }
-
-/// Makes the caller's answer out of an upstream's, with the length known.
-fn answer_with(mut parts: Parts, body: Bytes) -> Response<Body> {
-    strip_connection_headers(&mut parts);
-    parts.headers.remove(header::CONTENT_LENGTH);
-    Response::from_parts(parts, Body::from(body))
-}
-
-/// Removes the headers that concern one connection only.
-pub(super) fn strip_connection_headers(parts: &mut Parts) {
-    let named: Vec<String> = parts
-        .headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(',').map(|name| name.trim().to_owned()))
-        .collect();
-    for name in named {
-        parts.headers.remove(name);
-    }
-    for name in ["connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade"] {
-        parts.headers.remove(name);
-    }
-    parts.version = http::Version::HTTP_11;
-}
