--- a/crates/hatchpitch/src/relay/budget.rs
+++ b/crates/hatchpitch/src/relay/budget.rs
@@ -5,7 +5,6 @@
 //! before keeps the smaller part, so losing touch never spends more.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use crate::ids::ServiceName;
 
@@ -14,16 +13,15 @@
 pub struct RetryLimits {
     /// Repeats that each request earns.
     pub ratio: f64,
-    /// Repeats that are allowed beyond it in each window.
+    /// Repeats that are allowed beyond it. A box's part of them never refills with time, so the
+    /// bound holds for windows of any length.
     pub slack: f64,
-    /// The window. Nothing reads it, as a box's budget never refills with time.
-    pub window: Duration,
 }
 
 impl Default for RetryLimits {
     fn default() -> Self {
         // A tenth is the usual figure for retry budgets; the slack lets a small fleet retry at all.
-        Self { ratio: 0.1, slack: 20.0, window: Duration::from_secs(10) }
+        Self { ratio: 0.1, slack: 20.0 }
     }
 }
 
--- a/crates/hatchpitch/tests/relay.rs
+++ b/crates/hatchpitch/tests/relay.rs
@@ -70,8 +70,7 @@
 
 #[test]
 fn all_boxes_together_stay_inside_the_budget() {
-    let limits =
-        RetryLimits { ratio: 0.2, slack: 64.0, window: std::time::Duration::from_secs(10) };
+    let limits = RetryLimits { ratio: 0.2, slack: 64.0 };
     for boxes in [4_usize, 9, 12, 90] {
         let requests = 40;
         let each = || {
@@ -87,7 +86,7 @@
 
 #[test]
 fn losing_sight_of_boxes_never_raises_a_part() {
-    let limits = RetryLimits { ratio: 0.0, slack: 64.0, ..RetryLimits::default() };
+    let limits = RetryLimits { ratio: 0.0, slack: 64.0 };
     let mut budgets = SharedBudgets::new(limits);
     budgets.set_boxes(16);
     budgets.set_boxes(1);
@@ -96,7 +95,7 @@
 
 #[test]
 fn what_cannot_be_held_back_leaves_less_for_others() {
-    let limits = RetryLimits { ratio: 0.0, slack: 64.0, ..RetryLimits::default() };
+    let limits = RetryLimits { ratio: 0.0, slack: 64.0 };
     let mut budgets = SharedBudgets::new(limits);
     budgets.set_boxes(8);
     budgets.spend("s");
