Call what was there instead of writing it again

as_peer for a box's own introduction, one look at the log's members, one look for untried upstreams, one task for a call between control boxes where two handed its answer on. new_id moves to the ids, below the relay and the moves, which reached up to the entry for it. The holder in a turn's question was never read, and comments said that every control box is followed, which ended with the cap of six. No behaviour changes.

--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -56,7 +56,7 @@
     times: &mut Times,
 ) -> anyhow::Result<()> {
     let upstream = Upstream { addr, connect_timeout: Duration::from_secs(1) };
-    let id = hatchpitch::entry::generation::new_id();
+    let id = hatchpitch::ids::new_id();
     let req = GenerateRequest {
         generation: id.clone(),
         attempt: id,
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -93,10 +93,12 @@
 
     /// Returns who takes part in the log, as far as is known here.
     pub fn members(&self) -> Option<Members> {
-        match self.log() {
-            Some(log) => Some(log.with(|replica| replica.members().clone())),
-            None => self.core.borrow().as_ref().and_then(|hello| hello.members.clone()),
-        }
+        let told = || self.core.borrow().as_ref().and_then(|hello| hello.members.clone());
+        self.log_members().or_else(told)
+    }
+
+    fn log_members(&self) -> Option<Members> {
+        self.log().map(|log| log.with(|replica| replica.members().clone()))
     }
 
     /// Notes what a box that takes part told, for a box that has no disk.
@@ -109,7 +111,7 @@
         Hello {
             name: self.settings.own.name.clone(),
             id: self.id,
-            members: self.log().map(|log| log.with(|replica| replica.members().clone())),
+            members: self.log_members(),
             leader: self.leader(),
             without_disk: self.settings.data_folder.is_none(),
         }
--- a/crates/hatchpitch/src/control/join.rs
+++ b/crates/hatchpitch/src/control/join.rs
@@ -6,7 +6,6 @@
 //! one that has been silent while there are more replicas than the core needs.
 //! A box never votes before it was promoted, and each change moves one replica.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,6 +15,7 @@
 
 use super::context::ControlCx;
 use super::repair::{self, RepairError};
+use crate::replication::bootstrap::as_peer;
 use crate::replication::change::MemberChange;
 use crate::replication::task::ReplicaHandle;
 use crate::replication::{NodeId, Peer};
@@ -113,7 +113,7 @@
 
 /// Asks for a place while this box has none, and keeps the core at its size while it leads.
 pub async fn run(cx: Rc<ControlCx>, stop: Stop) {
-    let led_by = Cell::new(Instant::now());
+    let mut led_at = Instant::now();
     while !stop.is_set() {
         compio::time::sleep(LOOK_PERIOD).await;
         let Some(log) = cx.log() else {
@@ -121,7 +121,7 @@
             continue;
         };
         if log.with(|replica| replica.leads()) {
-            led_by.set(Instant::now());
+            led_at = Instant::now();
             if !cx.joining.replace(true) {
                 if let Err(err) = remove_silent(&cx, log).await {
                     log::warn!("a silent control replica is not removed yet: {err}");
@@ -132,9 +132,9 @@
         }
         let no_place = log.with(|replica| replica.members().get(cx.id).is_none());
         if log.with(|replica| replica.leader().is_some()) && !no_place {
-            led_by.set(Instant::now());
+            led_at = Instant::now();
         }
-        if no_place || led_by.get().elapsed() > NO_LEADER {
+        if no_place || led_at.elapsed() > NO_LEADER {
             ask(&cx).await;
         }
     }
@@ -142,13 +142,7 @@
 
 /// Asks every control box that is known until one that leads answers.
 async fn ask(cx: &ControlCx) {
-    let own = &cx.settings.own;
-    let peer = Peer {
-        name: own.name.clone(),
-        boxes_addr: own.boxes_addr,
-        operators_addr: own.operators_addr,
-    };
-    let req = JoinRequest { id: cx.id, peer };
+    let req = JoinRequest { id: cx.id, peer: as_peer(&cx.settings.own) };
     let mut targets = cx.peer_addrs();
     let mut asked = 0;
     while asked < targets.len() {
--- a/crates/hatchpitch/src/control/registrations.rs
+++ b/crates/hatchpitch/src/control/registrations.rs
@@ -11,7 +11,7 @@
 pub struct NotHeld;
 
 /// Takes an announcement in. That an upstream leaves is held by a majority of the control boxes
-/// when this returns, and entry boxes follow all of them, so it comes into force although this
+/// when this returns, and entry boxes follow several of them, so it comes into force although this
 /// box may be lost at once.
 ///
 /// # Errors
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -14,11 +14,10 @@
 use sha2::{Digest as _, Sha256};
 
 use super::context::EntryCx;
-use super::generation::new_id;
 use crate::claims::{ClaimId, ClaimOutcome, ClaimRequest, KeptAnswer, SettleRequest, Settlement};
 use crate::config::view::{FleetView, ServiceView};
 use crate::config::{ServiceUpstream, Workspace};
-use crate::ids::Digest;
+use crate::ids::{Digest, new_id};
 use crate::metrics::Count;
 use crate::outcome::{OUTCOME_HEADER, Outcome, Problem};
 use crate::trace::{Span, TRACEPARENT};
--- a/crates/hatchpitch/src/entry/completions.rs
+++ b/crates/hatchpitch/src/entry/completions.rs
@@ -191,7 +191,7 @@
 
 fn shape(job: &Job, chat: bool) -> ChunkShape {
     ChunkShape {
-        id: format!("resp-{}", super::generation::new_id()),
+        id: format!("resp-{}", crate::ids::new_id()),
         model: job.model.clone(),
         created: unix_ms() / 1_000,
         chat,
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -3,14 +3,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use rand::Rng;
-
 use super::context::{EntryCx, StreamGuard};
 use crate::admission::{Refusal, Want};
 use crate::engine::adapter::{self, EngineError};
 use crate::engine::{EventReader, GenerateRequest};
 use crate::grants::{self, Slot};
-use crate::ids::{AttemptId, GenerationId, PoolName, Priority, RunnerName, WorkspaceName};
+use crate::ids::{GenerationId, PoolName, Priority, RunnerName, WorkspaceName, new_id};
 use crate::metrics::{Count, STALL_THRESHOLD, Timing};
 use crate::routing::Verdict;
 use crate::streams::{Phase, StreamLimits, StreamState, StreamStep};
@@ -438,8 +436,3 @@
     };
     grants::task::obtain(cx, &job.pool, want).await
 }
-
-/// Makes an id that no other process will make.
-pub fn new_id() -> AttemptId {
-    format!("{:032x}", rand::rng().random::<u128>())
-}
--- a/crates/hatchpitch/src/ids.rs
+++ b/crates/hatchpitch/src/ids.rs
@@ -3,6 +3,8 @@
 //! Names come from operators' files and are checked by
 //! [`crate::settings::diagnostic::Checker::name`]; numbers are made by the system.
 
+use rand::Rng;
+
 /// Name of a box, unique in the fleet.
 pub type BoxName = String;
 /// Name of a failure domain.
@@ -31,3 +33,8 @@
 pub type AttemptId = String;
 /// SHA-256 digest.
 pub type Digest = [u8; 32];
+
+/// Makes an id that no other process will make.
+pub fn new_id() -> AttemptId {
+    format!("{:032x}", rand::rng().random::<u128>())
+}
--- a/crates/hatchpitch/src/moves/ask.rs
+++ b/crates/hatchpitch/src/moves/ask.rs
@@ -64,7 +64,6 @@
         let cx = &self.cx;
         let req = TurnRequest {
             runner: self.runner.clone(),
-            holder: cx.settings.name.clone(),
             id: self.id.clone(),
             at_stake: self.at_stake,
         };
--- a/crates/hatchpitch/src/moves/messages.rs
+++ b/crates/hatchpitch/src/moves/messages.rs
@@ -2,15 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AttemptId, BoxName, RunnerName};
+use crate::ids::{AttemptId, RunnerName};
 
-/// Asks for the turn to move one generation off a runner; the answer is held until it comes.
+/// Asks for the turn to move one generation off a runner; asked again until it comes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TurnRequest {
     /// The runner that leaves.
     pub runner: RunnerName,
-    /// The box that asks.
-    pub holder: BoxName,
     /// Names the move.
     pub id: AttemptId,
     /// Tokens that the generation may still make: who has more to lose goes first.
@@ -22,7 +20,7 @@
 pub enum TurnAnswer {
     /// The turn is the asker's until it says that it is done.
     Yours,
-    /// It did not come in time.
+    /// Another move has it.
     NotYet,
 }
 
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -11,7 +11,7 @@
 use crate::admission::Want;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
-use crate::ids::{FailureDomainName, RunnerName, ServiceName};
+use crate::ids::{FailureDomainName, RunnerName, ServiceName, new_id};
 use crate::relay::dialect::{CopyAnswer, CopyFailure, CopyOrder};
 use crate::relay::{HostedRequest, Relay};
 
@@ -98,7 +98,7 @@
         at_stake,
         in_memory,
         stopping: stopping.clone(),
-        id: crate::entry::generation::new_id(),
+        id: new_id(),
     };
     compio::runtime::spawn(async move {
         let started = Instant::now();
@@ -153,7 +153,7 @@
             Ok(CopyAnswer { handle }) => {
                 MoveEnd::Moved(Moved { slot: Some(Box::new(slot)), source, handle })
             }
-            Err(CopyFailure::NoRoom { handle: Some(handle), .. }) => {
+            Err(CopyFailure::NoRoom { handle: Some(handle) }) => {
                 MoveEnd::Moved(Moved { slot: None, source, handle })
             }
             Err(CopyFailure::NoSuchRun) => {
@@ -194,7 +194,7 @@
         };
         avoid.push(self.leaver.runner.clone());
         let want = Want {
-            id: crate::entry::generation::new_id(),
+            id: new_id(),
             workspace: self.req.workspace.clone().unwrap_or_default(),
             priority: self.req.priority(),
             kind: self.req.route.name.clone(),
--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the tables of all control boxes from an entry box.
+//! Follows the tables of control boxes from an entry box.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -98,7 +98,7 @@
     pub newer_at: Rc<dyn Fn(SocketAddr, ConfigNumber)>,
 }
 
-/// Follows every control box that is or becomes known, until `stop`.
+/// Follows control boxes, as many as are wanted and answer, until `stop`.
 pub async fn run(
     own: BoxName,
     followed: Rc<Followed>,
--- a/crates/hatchpitch/src/registry/mod.rs
+++ b/crates/hatchpitch/src/registry/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Each control box keeps a table of announcements under leases, in memory
 //! only. It passes news to the other control boxes, and an upstream's leaving
-//! is acknowledged once a majority of them holds it. Entry boxes follow every
-//! control box with held requests and keep the union, so no single control
+//! is acknowledged once a majority of them holds it. Entry boxes follow several
+//! control boxes with held requests and keep the union, so no single control
 //! box stands between a leaving upstream and the boxes that send it work.
 
 pub mod follow;
--- a/crates/hatchpitch/src/registry/peers.rs
+++ b/crates/hatchpitch/src/registry/peers.rs
@@ -34,10 +34,9 @@
         .iter()
         .map(|peer| {
             let (client, news, peer) = (client.clone(), news.clone(), *peer);
-            let call = compio::runtime::spawn(async move { send(&client, peer, &news).await });
             let (tx, rx) = futures_channel::oneshot::channel();
             compio::runtime::spawn(async move {
-                let _ = tx.send(call.await.unwrap_or(false));
+                let _ = tx.send(send(&client, peer, &news).await);
             })
             .detach();
             rx
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -21,7 +21,7 @@
 use crate::entry::EntryCx;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
-use crate::ids::{RunnerName, ServiceName};
+use crate::ids::{RunnerName, ServiceName, new_id};
 use crate::metrics::{Count, Timing};
 use crate::outcome::{Outcome, Problem};
 use crate::routing::Verdict;
@@ -203,7 +203,7 @@
     async fn slot(&self) -> Result<Slot, Refusal> {
         let needs = self.req.generation;
         let want = Want {
-            id: crate::entry::generation::new_id(),
+            id: new_id(),
             workspace: self.req.workspace.clone().unwrap_or_default(),
             priority: self.req.priority(),
             kind: self.req.route.name.clone(),
@@ -226,11 +226,7 @@
     /// Waits a little while no upstream of the service has announced itself: after a restart of
     /// the control boxes they all do within one heartbeat.
     async fn await_upstreams(&self, started: Instant) {
-        let any = || {
-            let roster = self.relay.cx.upstreams.roster.borrow();
-            roster.serving().any(|record| record.service == self.service)
-        };
-        while !any() && started.elapsed() < HEARTBEAT_WAIT {
+        while !self.has_untried() && started.elapsed() < HEARTBEAT_WAIT {
             compio::time::sleep(UPSTREAM_LOOK).await;
         }
     }
