Bind listeners at another address than the one that others use

A box that others reach through forwarded ports, or through a proxy of the fault soak, announces one address and listens at another: listen_ip in the settings of both daemons. Without it nothing changes.

Ruled out: two addresses for each listener, which would double the settings for a case where only the host part differs.

--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -13,7 +13,7 @@
 use super::{boxes, join, operators};
 use crate::commands::task as commands;
 use crate::config::feed;
-use crate::listener::{self, ExtraListener};
+use crate::listener::{self, ExtraListener, bound_at};
 use crate::registry::peers;
 use crate::replication::disk::Disk;
 use crate::replication::{NodeId, Storage, bootstrap, task};
@@ -55,8 +55,10 @@
 ) -> anyhow::Result<()> {
     let disk = settings.data_folder.as_deref().map(open_disk).transpose()?;
     let id = disk.as_ref().map_or(Ok(NO_IDENTITY), bootstrap::identity)?;
-    let operators = bind(settings.own.operators_addr).await.context("operators' listener")?;
-    let boxes = bind(settings.own.boxes_addr).await.context("boxes' listener")?;
+    let (own, listen_ip) = (&settings.own, settings.listen_ip);
+    let operators = bind(bound_at(own.operators_addr, listen_ip)).await;
+    let operators = operators.context("operators' listener")?;
+    let boxes = bind(bound_at(own.boxes_addr, listen_ip)).await.context("boxes' listener")?;
     let client = BoxClient::new(settings.box_keys.clone())?;
     let cx = ControlCx::new(settings, id, client);
     let own = &cx.settings.own;
@@ -67,7 +69,7 @@
         compio::runtime::spawn(serve(operators, limits, operators_handler(&cx), stop.clone())),
         compio::runtime::spawn(serve(boxes, limits, boxes_handler(&cx), stop.clone())),
     ];
-    listeners.extend(listener::open(extra(&cx), &stop).await?);
+    listeners.extend(listener::open(extra(&cx), listen_ip, &stop).await?);
     spawn_tasks(&cx, &stop);
     let reload_cx = cx.clone();
     signals::on_hangup(move || reloaded(&reload_cx), stop.clone());
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -14,7 +14,7 @@
 use crate::config::feed;
 use crate::grants::task as grants;
 use crate::ids::ConfigNumber;
-use crate::listener::{self, ExtraListener};
+use crate::listener::{self, ExtraListener, bound_at};
 use crate::logging::unix_ms;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::state::{Membership, MembershipConfig};
@@ -50,8 +50,10 @@
     extra: impl FnOnce(&Rc<EntryCx>) -> Vec<ExtraListener>,
     reloaded: impl Fn(&Rc<EntryCx>) + 'static,
 ) -> anyhow::Result<()> {
-    let callers = bind(settings.callers_addr).await.context("callers' listener")?;
-    let boxes = bind(settings.boxes_addr).await.context("boxes' listener")?;
+    let listen_ip = settings.listen_ip;
+    let callers = bind(bound_at(settings.callers_addr, listen_ip)).await;
+    let callers = callers.context("callers' listener")?;
+    let boxes = bind(bound_at(settings.boxes_addr, listen_ip)).await.context("boxes' listener")?;
     let client = BoxClient::new(settings.box_keys.clone())?;
     let membership = Rc::new(RefCell::new(new_membership(&settings)));
     let cx = EntryCx::new(settings, membership, client);
@@ -62,7 +64,7 @@
         compio::runtime::spawn(serve(callers, limits(&cx), callers_handler(&cx), stop.clone())),
         compio::runtime::spawn(serve(boxes, limits(&cx), boxes_handler(&cx), stop.clone())),
     ];
-    listeners.extend(listener::open(extra(&cx), &stop).await?);
+    listeners.extend(listener::open(extra(&cx), listen_ip, &stop).await?);
     spawn_tasks(&cx, &stop);
     let reload_cx = cx.clone();
     signals::on_hangup(move || reloaded(&reload_cx), stop.clone());
--- a/crates/hatchpitch/src/listener.rs
+++ b/crates/hatchpitch/src/listener.rs
@@ -1,6 +1,6 @@
 //! Listeners that a daemon serves beside those of the product's own interface.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use anyhow::Context as _;
@@ -20,15 +20,24 @@
     pub handler: Handler,
 }
 
+/// Returns where a listener is bound whose address others know as `addr`.
+pub fn bound_at(addr: SocketAddr, listen_ip: Option<IpAddr>) -> SocketAddr {
+    SocketAddr::new(listen_ip.unwrap_or(addr.ip()), addr.port())
+}
+
 /// Begins to serve further listeners.
 ///
 /// # Errors
 ///
 /// Returns an error if one of them can't be opened.
-pub async fn open(extra: Vec<ExtraListener>, stop: &Stop) -> anyhow::Result<Vec<JoinHandle<()>>> {
+pub async fn open(
+    extra: Vec<ExtraListener>,
+    listen_ip: Option<IpAddr>,
+    stop: &Stop,
+) -> anyhow::Result<Vec<JoinHandle<()>>> {
     let mut listeners = Vec::with_capacity(extra.len());
     for ExtraListener { addr, limits, handler } in extra {
-        let listener = bind(addr).await.context("further listener")?;
+        let listener = bind(bound_at(addr, listen_ip)).await.context("further listener")?;
         listeners.push(compio::runtime::spawn(serve(listener, limits, handler, stop.clone())));
     }
     Ok(listeners)
--- a/crates/hatchpitch/src/settings/control.rs
+++ b/crates/hatchpitch/src/settings/control.rs
@@ -1,6 +1,6 @@
 //! Settings of a control process.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 use hatchpitch_net::KeyRing;
@@ -23,6 +23,7 @@
     name: Spanned<String>,
     boxes_addr: Spanned<String>,
     operators_addr: Spanned<String>,
+    listen_ip: Option<Spanned<String>>,
     data_folder: PathBuf,
     #[serde(default)]
     peer: Vec<RawPeer>,
@@ -56,6 +57,8 @@
 pub struct ControlSettings {
     /// The box itself.
     pub own: ControlPeer,
+    /// Where the listeners are bound, if others reach the box at an address that is forwarded.
+    pub listen_ip: Option<IpAddr>,
     /// All control boxes of the first configuration, the box itself included.
     pub peers: Vec<ControlPeer>,
     /// Folder for all that must survive; a box without a disk has none and takes no part in the
@@ -86,6 +89,7 @@
             .iter()
             .map(|p| peer(&mut check, "peer.", &p.name, &p.boxes_addr, &p.operators_addr))
             .collect();
+        let listen_ip = shared::listen_ip(&mut check, &raw.listen_ip);
         let box_keys = shared::key_ring(&mut check, &raw.box_keys);
         let operators = raw.operator.iter().map(|op| operator(&mut check, op)).collect();
         let log_level = shared::log_level(&mut check, &raw.log_level);
@@ -103,6 +107,7 @@
         }
         check.finish(Self {
             own,
+            listen_ip,
             core_size: peers.len(),
             peers,
             data_folder: Some(raw.data_folder),
--- a/crates/hatchpitch/src/settings/entry.rs
+++ b/crates/hatchpitch/src/settings/entry.rs
@@ -1,6 +1,6 @@
 //! Settings of an entry process.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use hatchpitch_net::KeyRing;
@@ -21,6 +21,7 @@
     failure_domain: Spanned<String>,
     callers_addr: Spanned<String>,
     boxes_addr: Spanned<String>,
+    listen_ip: Option<Spanned<String>>,
     control: Spanned<Vec<Spanned<String>>>,
     #[serde(default)]
     seeds: Vec<Spanned<String>>,
@@ -135,6 +136,8 @@
     pub advertised_addr: Option<SocketAddr>,
     /// Listener for other boxes.
     pub boxes_addr: SocketAddr,
+    /// Where the listeners are bound, if others reach the box at an address that is forwarded.
+    pub listen_ip: Option<IpAddr>,
     /// The control boxes.
     pub control: Vec<SocketAddr>,
     /// Other entry boxes to join through.
@@ -160,6 +163,7 @@
         let failure_domain = check.name("failure_domain", &raw.failure_domain);
         let callers_addr = check.parse("callers_addr", &raw.callers_addr, shared::ADDR);
         let boxes_addr = check.parse("boxes_addr", &raw.boxes_addr, shared::ADDR);
+        let listen_ip = shared::listen_ip(&mut check, &raw.listen_ip);
         let control = shared::addrs(&mut check, "control", raw.control.get_ref());
         if raw.control.get_ref().is_empty() {
             check.note(raw.control.span(), "control", "no address", "one address or more");
@@ -181,6 +185,7 @@
             callers_addr,
             advertised_addr: None,
             boxes_addr,
+            listen_ip,
             control,
             seeds,
             box_keys,
--- a/crates/hatchpitch/src/settings/shared.rs
+++ b/crates/hatchpitch/src/settings/shared.rs
@@ -1,6 +1,6 @@
 //! Parts that the settings of both daemons share.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 use hatchpitch_net::{KeyRing, SigningKey};
@@ -51,6 +51,11 @@
     raw.iter().filter_map(|addr| check.parse(key, addr, ADDR)).collect()
 }
 
+/// Parses the address at which listeners are bound, if it differs from the one that others use.
+pub(super) fn listen_ip(check: &mut Checker, raw: &Option<Spanned<String>>) -> Option<IpAddr> {
+    check.parse("listen_ip", raw.as_ref()?, "an IP address such as \"10.0.0.7\"")
+}
+
 /// Parses the level of the logs; `info` if none is given.
 pub(super) fn log_level(check: &mut Checker, raw: &Option<Spanned<String>>) -> LevelFilter {
     let Some(raw) = raw else { return LevelFilter::Info };
