Soak real processes with faults from outside, and check what callers see

Ruled out: proxies named in the settings of each process, which the addresses that boxes tell each other would pass by; a lookup of who opened each connection at its arrival, which cost 10 ms each with thousands of sockets and stopped the run.

--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -71,6 +71,30 @@
         }
     }
 
+    /// Returns the id of the running process.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Bounds the size of the files that the process writes; `None` takes the bound away. A
+    /// write beyond it fails as on a full disk, as long as the process ignores `SIGXFSZ`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn bound_files(&self, bytes: Option<u64>) -> std::io::Result<()> {
+        let Some(pid) = self.id().and_then(|id| i32::try_from(id).ok()) else { return Ok(()) };
+        let limit = libc::rlimit {
+            rlim_cur: bytes.unwrap_or(libc::RLIM_INFINITY),
+            rlim_max: libc::RLIM_INFINITY,
+        };
+        // SAFETY: the limit outlives the call; the id is that of a child not yet waited for.
+        let set = unsafe {
+            libc::prlimit(pid, libc::RLIMIT_FSIZE, &raw const limit, std::ptr::null_mut())
+        };
+        if set == 0 { Ok(()) } else { Err(std::io::Error::last_os_error()) }
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: i32) {
         if let Some(child) = &self.child
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,195 @@
+//! A proxy before one listener, through which everything that is sent to it passes.
+
+use std::cell::Cell;
+use std::net::{Shutdown, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use compio::net::{TcpListener, TcpStream};
+use futures_util::future::{Either, join, select};
+use hatchpitch_net::{Stop, bind};
+
+use crate::condition::{Condition, Links, Party};
+use crate::sources::Sources;
+
+/// Bytes that are read at once.
+const PIECE: usize = 16 * 1024;
+/// Time between two looks at a link that is not clear, and at resets.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Time for a broken connection to end.
+const BREAK_LIMIT: Duration = Duration::from_secs(1);
+
+/// What all proxies of a run share.
+pub struct ProxyCx {
+    /// Conditions of the links.
+    pub links: Links,
+    /// Whose processes open connections.
+    pub sources: Sources,
+    /// Ends all proxies.
+    pub stop: Stop,
+}
+
+/// Opens a proxy at `addr` that passes connections on to `target`, which belongs to `party`.
+/// Where `by_box` is set, the box that opened a connection is looked up.
+///
+/// # Errors
+///
+/// Returns an error that names the address if it can't be bound.
+pub async fn open(
+    cx: Rc<ProxyCx>,
+    addr: SocketAddr,
+    target: SocketAddr,
+    party: Party,
+    by_box: bool,
+) -> anyhow::Result<()> {
+    let listener = bind(addr).await.context("proxy")?;
+    compio::runtime::spawn(async move {
+        let stop = cx.stop.clone();
+        let accepting = Box::pin(accept(cx, listener, target, party, by_box));
+        select(accepting, Box::pin(stop.wait())).await;
+    })
+    .detach();
+    Ok(())
+}
+
+async fn accept(
+    cx: Rc<ProxyCx>,
+    listener: TcpListener,
+    target: SocketAddr,
+    party: Party,
+    by_box: bool,
+) {
+    loop {
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(err) => {
+                log::warn!("proxy to {target}: {err}");
+                compio::time::sleep(LOOK).await;
+                continue;
+            }
+        };
+        if cx.links.refuses(party) {
+            reset(&stream);
+            continue;
+        }
+        let passing = Passing {
+            cx: cx.clone(),
+            party,
+            peer,
+            source: Cell::new((!by_box).then_some(Party::Outside)),
+            broken: Cell::new(false),
+        };
+        compio::runtime::spawn(async move { passing.run(stream, target).await }).detach();
+    }
+}
+
+/// One connection that is passed on.
+struct Passing {
+    cx: Rc<ProxyCx>,
+    /// To whom it goes.
+    party: Party,
+    /// Where it comes from.
+    peer: SocketAddr,
+    /// Who opened it, once that was asked for.
+    source: Cell<Option<Party>>,
+    broken: Cell<bool>,
+}
+
+/// Which way bytes go.
+#[derive(Clone, Copy)]
+enum Way {
+    There,
+    Back,
+}
+
+impl Passing {
+    /// Passes bytes on until the connection ends or is reset.
+    async fn run(&self, near: TcpStream, target: SocketAddr) {
+        let resets = self.cx.links.resets(self.party);
+        // The bytes that open a connection are held as others are.
+        self.wait_clear(Way::There).await;
+        let Ok(far) = TcpStream::connect(target).await else { return reset(&near) };
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let there = self.pump(near.clone(), far.clone(), Way::There);
+        let back = self.pump(far.clone(), near.clone(), Way::Back);
+        let watched = Box::pin(async {
+            let is_reset = || self.cx.links.resets(self.party) != resets;
+            while !self.broken.get() && !is_reset() && !self.cx.stop.is_set() {
+                compio::time::sleep(LOOK).await;
+            }
+        });
+        if let Either::Right(((), passing)) = select(Box::pin(join(there, back)), watched).await {
+            self.broken.set(true);
+            reset(&near);
+            reset(&far);
+            // Reads end now; a write may still wait for a peer that does not read.
+            let _ = compio::time::timeout(BREAK_LIMIT, passing).await;
+        }
+    }
+
+    /// Moves bytes one way, as the link lets them, until the sender ends or the connection is
+    /// broken.
+    async fn pump(&self, mut from: TcpStream, mut to: TcpStream, way: Way) {
+        let mut buf = Vec::with_capacity(PIECE);
+        loop {
+            buf.clear();
+            let BufResult(read, piece) = from.read(buf).await;
+            self.wait_clear(way).await;
+            if self.broken.get() {
+                return;
+            }
+            let written = match read {
+                Ok(0) => {
+                    let _ = to.shutdown().await;
+                    return;
+                }
+                Ok(_) => to.write_all(piece).await,
+                Err(_) => return self.broken.set(true),
+            };
+            buf = written.1;
+            if written.0.is_err() {
+                return self.broken.set(true);
+            }
+        }
+    }
+
+    async fn wait_clear(&self, way: Way) {
+        if let Condition::Delayed(time) = self.condition(way) {
+            compio::time::sleep(time).await;
+        }
+        while self.condition(way) == Condition::Silent && !self.cx.stop.is_set() {
+            compio::time::sleep(LOOK).await;
+        }
+    }
+
+    fn condition(&self, way: Way) -> Condition {
+        if self.cx.links.all_clear() {
+            return Condition::Clear;
+        }
+        let source = self.source.get().unwrap_or_else(|| {
+            let found = self.cx.sources.box_of(self.peer);
+            let source = found.map_or(Party::Outside, Party::Box);
+            self.source.set(Some(source));
+            source
+        });
+        match way {
+            Way::There => self.cx.links.get(source, self.party),
+            Way::Back => self.cx.links.get(self.party, source),
+        }
+    }
+}
+
+/// Has a connection end with a reset once it is dropped, and ends the reads from it.
+fn reset(stream: &TcpStream) {
+    if let Err(err) = stream.set_zero_linger() {
+        log::debug!("proxy: no reset: {err}");
+    }
+    // A read that is only dropped keeps the socket open in the runtime.
+    if let Err(err) = socket2::SockRef::from(stream).shutdown(Shutdown::Read) {
+        log::debug!("proxy: reads do not end: {err}");
+    }
+}
