Keep a log line that can't be written from ending the task that logs

The bound on a box's files also held for its log; the log's writer returned the error, the log library's last resort printed to standard error, which failed as well and panicked. The panic ended the driver of the replicated log, and the process went on without it: a core whose disks had room again stayed without a leader for good. Ruled out: the storage (its files were whole) and the elections (a core of boxes whose logs could be written came back).

Change: a line that can't be written is left out and counted, as one that finds no room.

--- a/crates/hatchpitch/src/logging.rs
+++ b/crates/hatchpitch/src/logging.rs
@@ -66,7 +66,7 @@
     }
 }
 
-/// Lines that found no room since the last note of lines left out.
+/// Lines that found no room, or could not be written, since the last note of lines left out.
 static NO_ROOM: AtomicU32 = AtomicU32::new(0);
 /// Bytes that a pipe takes without blocking once it is ready; a longer line is left out.
 const MAX_LINE: usize = 4_096;
@@ -98,15 +98,15 @@
         Ok(buf.len())
     }
 
-    /// Writes what was gathered if there is room for it now.
+    /// Writes what was gathered if there is room for it now. A line that can't be written, as on
+    /// a full disk, counts as left out: reported as an error, it would end the task that logs.
     fn flush(&mut self) -> io::Result<()> {
         let line = std::mem::take(&mut self.line);
-        if line.len() > MAX_LINE || !self.has_room() {
+        let fits = line.len() <= MAX_LINE && self.has_room();
+        if !fits || self.out.write_all(&line).and_then(|()| self.out.flush()).is_err() {
             NO_ROOM.fetch_add(1, Ordering::Relaxed);
-            return Ok(());
         }
-        self.out.write_all(&line)?;
-        self.out.flush()
+        Ok(())
     }
 }
 
--- a/crates/hatchpitch/tests/logging.rs
+++ b/crates/hatchpitch/tests/logging.rs
@@ -39,3 +39,15 @@
     drop(writer);
     assert_eq!(reading.join().unwrap().lines().count(), 10);
 }
+
+#[test]
+fn a_disk_that_is_full_costs_lines_and_no_error() {
+    // Every write to this device fails for want of room. An error would come back to the caller
+    // of the log, whose last resort is to panic.
+    let out = std::fs::OpenOptions::new().write(true).open("/dev/full").unwrap();
+    let mut writer = PatientWriter::new(out);
+    for _ in 0..3 {
+        writer.write_all(b"a line\n").unwrap();
+        writer.flush().unwrap();
+    }
+}
