End a process whose log, membership or configuration task panicked

Ruled out: ending the process at any panic, which would cut all streams of a box for a panic in one request; panic = abort, which does the same.

Change: tasks that last as long as the process are begun with spawn_essential, which ends the process with an error line; whoever runs it starts it again.

--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -13,6 +13,7 @@
 use super::{boxes, join, operators};
 use crate::commands::task as commands;
 use crate::config::feed;
+use crate::essential::spawn_essential;
 use crate::listener::{self, ExtraListener, bound_at};
 use crate::registry::peers;
 use crate::replication::disk::Disk;
@@ -93,7 +94,7 @@
 
 fn spawn_tasks(cx: &Rc<ControlCx>, stop: &Stop) {
     if cx.settings.data_folder.is_some() {
-        compio::runtime::spawn(join::run(cx.clone(), stop.clone())).detach();
+        spawn_essential("members", join::run(cx.clone(), stop.clone()));
     }
     let (find, sign, look) = (cx.clone(), cx.clone(), cx.clone());
     let renew = peers::run(
@@ -104,7 +105,7 @@
         move || look.leader().is_none(),
         stop.clone(),
     );
-    compio::runtime::spawn(renew).detach();
+    spawn_essential("upstreams", renew);
 }
 
 /// Begins the log, then confirms the configuration for as long as the process runs.
@@ -136,7 +137,7 @@
     )?;
     cx.begin_log(log);
     log::info!("the log goes on; identity {:016x}", cx.id);
-    compio::runtime::spawn(commands::run(cx.clone(), stop.clone())).detach();
+    spawn_essential("commands", commands::run(cx.clone(), stop.clone()));
     follow_leader(cx, stop);
     loop {
         cx.confirm_config();
@@ -147,12 +148,11 @@
 /// Follows the leader's configuration, so that boxes that ask here get the newest.
 fn follow_leader(cx: &Rc<ControlCx>, stop: Stop) {
     let follower = cx.clone();
-    compio::runtime::spawn(async move {
+    spawn_essential("configuration", async move {
         let find = || follower.config_parents();
         let name = follower.settings.own.name.clone();
         feed::follow(name, &follower.config, &follower.boxes, find, stop).await;
-    })
-    .detach();
+    });
 }
 
 /// On a box without a disk: keeps up with who takes part and who leads.
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -12,6 +12,7 @@
 use super::context::{EntryCx, Intake};
 use super::{boxes, callers};
 use crate::config::feed;
+use crate::essential::spawn_essential;
 use crate::grants::task as grants;
 use crate::ids::ConfigNumber;
 use crate::listener::{self, ExtraListener, bound_at};
@@ -112,14 +113,13 @@
     let membership = cx.membership.clone();
     let seeds = cx.settings.seeds.clone();
     let (joining, client, membership_stop) = (cx.clone(), cx.boxes.clone(), stop.clone());
-    compio::runtime::spawn(async move {
+    spawn_essential("membership", async move {
         // Others send callers to every box that they know, so one joins once it can serve.
         while joining.config.confirmed_age().is_none() && !membership_stop.is_set() {
             compio::time::sleep(DRAIN_POLL).await;
         }
         task::run(membership, client, seeds, membership_stop).await;
-    })
-    .detach();
+    });
     let followed = cx.upstreams.clone();
     let (numbered, fetching) = (cx.clone(), cx.clone());
     let hints = ConfigHints {
@@ -128,10 +128,10 @@
     };
     let name = cx.settings.name.clone();
     let upstreams = follow::run(name, followed, cx.boxes.clone(), hints, stop.clone());
-    compio::runtime::spawn(upstreams).detach();
-    compio::runtime::spawn(follow_config(cx.clone(), stop.clone())).detach();
-    compio::runtime::spawn(routing::run(cx.clone(), stop.clone())).detach();
-    compio::runtime::spawn(grants::run(cx.clone(), stop.clone())).detach();
+    spawn_essential("upstreams", upstreams);
+    spawn_essential("configuration", follow_config(cx.clone(), stop.clone()));
+    spawn_essential("routing", routing::run(cx.clone(), stop.clone()));
+    spawn_essential("grants", grants::run(cx.clone(), stop.clone()));
 }
 
 /// Fetches a configuration from a control box that was seen to have it, unless the feed brings
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod discovery;
 pub mod engine;
 pub mod entry;
+pub mod essential;
 pub mod grants;
 pub mod ids;
 pub mod limits;
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -17,6 +17,7 @@
 use super::messages::{Entry, Envelope, Index, LogBatch, Message, NodeId, Payload, Term};
 use super::state::{Ready, Replica, ReplicaConfig, Snapshot};
 use super::storage::{Storage, StorageError};
+use crate::essential::spawn_essential;
 
 /// Path of messages between replicas.
 pub const LOG_PATH: &str = "/box/log";
@@ -178,7 +179,7 @@
         client,
         own_addr,
     };
-    compio::runtime::spawn(driver.run(rx, stop)).detach();
+    spawn_essential("log", driver.run(rx, stop));
     Ok(handle)
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -89,7 +89,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the fleet can't be started, or does not serve again after it was mended.
+/// Returns an error if the fleet can't be started.
 pub async fn run(wire: Wire, opts: Options) -> anyhow::Result<Report> {
     // SAFETY: no handler is installed. Processes started from here inherit that the signal is
     // ignored, so that a write beyond a bound fails as on a full disk.
@@ -100,12 +100,16 @@
     soak.operator.put(1, 0).await;
     soak.serves_again().await.context("the first start")?;
     soak.begin_callers(wire);
+    let mut rounds = Ok(());
     for round in 0..soak.opts.rounds {
-        soak.round(round).await.with_context(|| format!("round {round}"))?;
+        rounds = soak.round(round).await.with_context(|| format!("round {round}"));
+        if rounds.is_err() {
+            break;
+        }
     }
     drop(handle);
     compio::time::sleep(END_PATIENCE).await;
-    Ok(soak.report())
+    Ok(soak.report(rounds))
 }
 
 impl Soak {
@@ -344,8 +348,12 @@
         self.done.borrow_mut().push(format!("{at}: {what}"));
     }
 
-    fn report(&self) -> Report {
+    fn report(&self, rounds: anyhow::Result<()>) -> Report {
         let mut broken = verify(&self.record);
+        broken.extend(rounds.err().map(|err| Broken {
+            promise: "a fleet that was mended serves again",
+            seen: format!("{err:#}"),
+        }));
         let refused = self.operator.refused.borrow();
         broken.extend(refused.iter().map(|number| Broken {
             promise: "a valid configuration is not refused",
