Tell the story of a request from the logs of all boxes

Cause: from an id to its cause took one search for the id and one for each upstream and box that the lines name, by hand. Ruled out: ordering by clocks alone, which a clock that jumps turns round; the lines of a file keep their order.

hatchpitch explain ID LOGS prints the request's lines, those about its upstreams at other boxes, starts and stops of its box, and its end, as text or JSON.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -98,6 +98,14 @@
         /// Trace id, 32 hexadecimal digits.
         id: String,
     },
+    /// Tell what the logs of all boxes say of one request. Needs no fleet.
+    Explain {
+        /// The caller's id of the request.
+        request: String,
+        /// Log files, one or more a box.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Print a completion script.
     Completions {
         /// Shell.
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod drain;
+mod explain;
 mod status;
 mod trace;
 
@@ -34,6 +35,7 @@
         Command::Drain { name, wait } => drain::run(&args, name, *wait).await,
         Command::Repair { replace } => repair(&args, replace).await,
         Command::Trace { id } => trace::run(&args, id).await,
+        Command::Explain { request, logs } => explain::run(args.output, request, logs),
         Command::Completions { shell } => {
             let mut command = Args::command();
             clap_complete::generate(*shell, &mut command, "hatchpitch", &mut std::io::stdout());
--- a/crates/e2e/tests/cli.rs
+++ b/crates/e2e/tests/cli.rs
@@ -16,6 +16,22 @@
     run("hatchpitch", &all).unwrap()
 }
 
+#[test]
+fn explain_reads_logs_and_needs_no_fleet() -> anyhow::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let log = folder.path().join("entry.log");
+    let line = r#"{"time_ms":1,"level":"INFO","box":"e1","target":"t","message":"refused","request":"r-1","outcome":"not_run","cause":"stopping"}"#;
+    std::fs::write(&log, format!("{line}\n"))?;
+    let log = log.display().to_string();
+    let told = run("hatchpitch", &["explain", "r-1", &log])?;
+    assert_eq!(told.0, 0, "{}", told.1);
+    assert!(told.1.ends_with("end: refused at box e1, not_run: stopping\n"), "{}", told.1);
+    let told = run("hatchpitch", &["--output", "json", "explain", "r-2", &log])?;
+    assert_eq!((told.0, json(&told)["lines"].as_array().map(Vec::len)), (1, Some(0)));
+    assert_eq!(run("hatchpitch", &["explain", "r-1", "/nowhere/at/all"])?.0, 1);
+    Ok(())
+}
+
 fn json(output: &(i32, String)) -> Value {
     serde_json::from_str(&output.1).unwrap_or_else(|err| panic!("{err}: {}", output.1))
 }
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod entry;
 pub mod essential;
+pub mod explain;
 pub mod grants;
 pub mod ids;
 pub mod limits;
--- /dev/null
+++ b/crates/hatchpitch/tests/explain.rs
@@ -0,0 +1,91 @@
+//! The story of a request from the logs of several boxes.
+
+use hatchpitch::explain::{LogFile, explain};
+use serde_json::json;
+
+/// Renders a line as the daemons write it.
+fn line(time_ms: u64, box_name: &str, message: &str, fields: serde_json::Value) -> String {
+    let mut line = json!({
+        "time_ms": time_ms, "level": "INFO", "box": box_name, "target": "t", "message": message,
+    });
+    for (key, value) in fields.as_object().unwrap() {
+        line[key] = value.clone();
+    }
+    line.to_string() + "\n"
+}
+
+fn messages(files: &[String], request: &str) -> (Vec<String>, String) {
+    let files: Vec<LogFile> = files.iter().map(|text| LogFile::parse(text)).collect();
+    let story = explain(request, &files);
+    let lines = story.lines.iter();
+    let told = lines.map(|line| format!("{} {}", line.box_name, line.message)).collect();
+    (told, story.end)
+}
+
+#[test]
+fn a_broken_stream_is_told_with_what_happened_to_its_upstream() {
+    let entry = [
+        line(1_000, "e1", "answered", json!({"request": "r", "outcome": "done"})),
+        line(1_100, "e1", "answered", json!({"request": "another", "outcome": "done"})),
+        line(
+            4_000,
+            "e1",
+            "stream ended",
+            json!({"request": "r", "upstream": "i-7", "outcome": "broken", "cause": "closed"}),
+        ),
+    ]
+    .concat();
+    let control = [
+        line(500, "c1", "upstream i-7 of s at 1.2.3.4:5: Serving, sequence 1", json!({})),
+        line(3_900, "c1", "upstream i-70: its lease ran out", json!({})),
+        line(5_000, "c1", "upstream i-7: its lease ran out", json!({})),
+        line(90_000, "c1", "upstream i-7: its life ended", json!({})),
+    ]
+    .concat();
+    let (told, end) = messages(&[entry, control], "r");
+    assert_eq!(
+        told,
+        [
+            "c1 upstream i-7 of s at 1.2.3.4:5: Serving, sequence 1",
+            "e1 answered",
+            "e1 stream ended",
+            "c1 upstream i-7: its lease ran out",
+        ]
+    );
+    assert_eq!(end, "stream ended at box e1, broken: closed");
+}
+
+#[test]
+fn a_box_that_ended_before_it_answered_is_told() {
+    let entry = [
+        line(2_000, "e1", "move of a generation", json!({"request": "r", "upstream": "i-7"})),
+        line(6_500, "e1", "entry box e1 serves callers at 1.1.1.1:1", json!({})),
+    ]
+    .concat();
+    let (_, end) = messages(&[entry], "r");
+    assert_eq!(
+        end,
+        "box e1 ended before it answered; it started again 4500 ms after the last line"
+    );
+}
+
+#[test]
+fn a_clock_that_was_set_back_does_not_change_the_order_of_a_file() {
+    let entry = [
+        line(9_000, "e1", "an upstream did not answer the request", json!({"request": "r"})),
+        line(2_000, "e1", "answered", json!({"request": "r", "outcome": "unknown"})),
+    ]
+    .concat();
+    let (told, end) = messages(&[entry], "r");
+    assert_eq!(told, ["e1 an upstream did not answer the request", "e1 answered"]);
+    assert_eq!(end, "answered at box e1, unknown");
+}
+
+#[test]
+fn noise_in_the_files_is_counted_and_an_unknown_request_is_said_so() {
+    let files = [LogFile::parse("not JSON\n{\"message\": \"no time\"}\n")];
+    let story = explain("r", &files);
+    assert_eq!((story.lines.len(), story.unreadable), (0, 2));
+    assert_eq!(story.end, "no line of the logs names it");
+    assert!(story.text().ends_with("2 lines of the files could not be read"));
+}
