Hand the lead of the core over before a planned stop, and log who leads

Cause: a leader that was asked to stop ended, and the others waited out its silence: 0.45 to 0.9 s in which no change and no read is carried out. Ruled out: stopping later, which only moves the gap; a pre-vote by the successor, which the others refuse within the lease.

Change: the leader gives up its lead, and with it its lease, and asks the voter with the whole log to take over; the vote that this one asks for says so and is granted within the old lease. Each replica logs a line when the leader that it knows changes.

--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -163,6 +163,14 @@
         self.log().is_some_and(ReplicaHandle::holds_lease)
     }
 
+    /// Gives the lead to another control box, if this one leads; returns whether one was asked.
+    pub async fn hand_over(&self) -> bool {
+        match self.log() {
+            Some(log) => log.hand_over().await,
+            None => false,
+        }
+    }
+
     /// Returns the leader, as far as it is known here.
     pub fn leader(&self) -> Option<Peer> {
         if self.settings.data_folder.is_none() {
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context as _;
 use futures_util::FutureExt;
@@ -30,6 +30,11 @@
 
 /// Time between looks of a box without a disk at the core.
 const WATCH_PERIOD: Duration = Duration::from_millis(300);
+/// Longest wait for the next leader: some round trips and syncs of slow disks. Without one the
+/// others elect a leader by themselves.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(300);
+/// Time between looks for the next leader.
+const HAND_OVER_LOOK: Duration = Duration::from_millis(10);
 /// Identity of a box without a disk; no replica has it.
 const NO_IDENTITY: NodeId = 0;
 
@@ -81,7 +86,10 @@
     let ended = select(work, Box::pin(signals::stop_requested()));
     match ended.await {
         Either::Left((failed, _)) => failed?,
-        Either::Right((asked, _)) => asked?,
+        Either::Right((asked, _)) => {
+            asked?;
+            hand_over(&cx).await;
+        }
     }
     drop(stop_handle);
     listener::ended(listeners).await;
@@ -145,6 +153,21 @@
     }
 }
 
+/// Gives the lead to another control box before this one ends, so that the core is not without a
+/// leader for as long as an election takes.
+async fn hand_over(cx: &ControlCx) {
+    if !cx.hand_over().await {
+        return;
+    }
+    let asked = Instant::now();
+    while cx.leader().is_none() && asked.elapsed() < HAND_OVER_LIMIT {
+        compio::time::sleep(HAND_OVER_LOOK).await;
+    }
+    let next = cx.leader().map_or_else(String::new, |leader| leader.name);
+    let took_ms = asked.elapsed().as_millis();
+    log::info!(next = next.as_str(), took_ms = took_ms; "the lead was handed over");
+}
+
 /// Follows the leader's configuration, so that boxes that ask here get the newest.
 fn follow_leader(cx: &Rc<ControlCx>, stop: Stop) {
     let follower = cx.clone();
--- a/crates/hatchpitch/src/replication/election.rs
+++ b/crates/hatchpitch/src/replication/election.rs
@@ -24,13 +24,14 @@
             }
             Message::PreVoteReply { .. }
             | Message::VoteReply { .. }
+            | Message::HandOver { .. }
             | Message::AppendReply { .. } => {}
         }
         true
     }
 
     /// Moves on to a newer term. Pre-votes move nobody, and a vote asked for
-    /// within a leader's lease is not listened to.
+    /// within a leader's lease is not listened to, unless that leader gave it up.
     pub(super) fn follow_newer_term(&mut self, from: NodeId, message: &Message, now: Instant) {
         let term = message.term();
         if term <= self.hard.term {
@@ -38,7 +39,7 @@
         }
         let leader = match message {
             Message::PreVote { .. } | Message::PreVoteReply { granted: true, .. } => return,
-            Message::Vote { .. } if self.may_have_leader(now) => return,
+            Message::Vote { handed_over: false, .. } if self.may_have_leader(now) => return,
             Message::Append { .. } | Message::Install { .. } => Some(from),
             _ => None,
         };
@@ -92,23 +93,54 @@
         if let Role::PreCandidate { granted } = &self.role
             && self.is_majority(granted)
         {
-            self.ask_votes(now);
+            self.ask_votes(false, now);
         }
     }
 
-    fn ask_votes(&mut self, now: Instant) {
+    /// Gives the lead to a voter that holds the whole log; returns whether there is one.
+    ///
+    /// This replica follows from here on, so its lease is over before anybody else can lead.
+    pub fn hand_over(&mut self, now: Instant) -> bool {
+        let Role::Leader(leadership) = &self.role else { return false };
+        let end = self.log.end().index;
+        let whole = leadership.progress.iter().filter(|(id, progress)| {
+            self.members.voters.contains_key(id) && progress.matched == end
+        });
+        // Of those that hold everything, the one that was heard from last.
+        let next = whole.max_by_key(|(_, progress)| progress.heard).map(|(id, _)| *id);
+        let Some(next) = next else { return false };
+        self.send(next, Message::HandOver { term: self.hard.term });
+        self.become_follower(None, now);
+        true
+    }
+
+    /// Takes over from the leader of the present term, which has given up its lease.
+    pub(super) fn on_hand_over(&mut self, now: Instant) {
+        if self.is_voter() && !self.leads() {
+            self.ask_votes(true, now);
+        }
+    }
+
+    fn ask_votes(&mut self, handed_over: bool, now: Instant) {
         let term = self.hard.term + 1;
         self.set_hard(HardState { term, voted_for: Some(self.id) });
         self.role = Role::Candidate { granted: BTreeSet::from([self.id]) };
-        let message = Message::Vote { term, end: self.log.end() };
+        let message = Message::Vote { term, end: self.log.end(), handed_over };
         self.send_to_voters(&message);
         self.count_votes(now);
     }
 
-    pub(super) fn on_vote(&mut self, from: NodeId, term: Term, end: LogEnd, now: Instant) {
+    pub(super) fn on_vote(
+        &mut self,
+        from: NodeId,
+        term: Term,
+        end: LogEnd,
+        handed_over: bool,
+        now: Instant,
+    ) {
         let free = self.hard.voted_for.is_none_or(|voted| voted == from);
-        let granted =
-            term == self.hard.term && free && end >= self.log.end() && !self.may_have_leader(now);
+        let allowed = handed_over || !self.may_have_leader(now);
+        let granted = term == self.hard.term && free && end >= self.log.end() && allowed;
         if granted {
             self.set_hard(HardState { term, voted_for: Some(from) });
             self.reset_election(now);
--- a/crates/hatchpitch/src/replication/messages.rs
+++ b/crates/hatchpitch/src/replication/messages.rs
@@ -107,6 +107,14 @@
         term: Term,
         /// End of the candidate's log.
         end: LogEnd,
+        /// Whether the leader before gave its lead, and its lease, to the candidate.
+        #[serde(default)]
+        handed_over: bool,
+    },
+    /// Asks a replica that holds everything to take the lead over. The sender leads no longer.
+    HandOver {
+        /// The term that the sender led.
+        term: Term,
     },
     /// Answers a [`Message::Vote`].
     VoteReply {
@@ -163,6 +171,7 @@
             | Self::PreVoteReply { term, .. }
             | Self::Vote { term, .. }
             | Self::VoteReply { term, .. }
+            | Self::HandOver { term }
             | Self::Append { term, .. }
             | Self::Install { term, .. }
             | Self::AppendReply { term, .. } => *term,
--- a/crates/hatchpitch/src/replication/state.rs
+++ b/crates/hatchpitch/src/replication/state.rs
@@ -274,7 +274,10 @@
             Message::PreVoteReply { term, granted } => {
                 self.on_pre_vote_reply(from, term, granted, now);
             }
-            Message::Vote { term, end } => self.on_vote(from, term, end, now),
+            Message::Vote { term, end, handed_over } => {
+                self.on_vote(from, term, end, handed_over, now);
+            }
+            Message::HandOver { .. } => self.on_hand_over(now),
             Message::VoteReply { granted, .. } => self.on_vote_reply(from, granted, now),
             Message::Append { prev, entries, commit, round, .. } => {
                 self.on_append(from, prev, entries, commit, round, now);
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -70,6 +70,8 @@
     Received(Envelope, SocketAddr),
     /// A command.
     Propose(Vec<u8>, oneshot::Sender<ProposeReply>),
+    /// The wish to lead no longer; the answer tells whether another replica was asked to lead.
+    HandOver(oneshot::Sender<bool>),
     /// A change of who takes part.
     Change(MemberChange, oneshot::Sender<Result<(), ChangeError>>),
 }
@@ -106,6 +108,13 @@
         rx.await.unwrap_or(Err(ChangeError::NotLeader))
     }
 
+    /// Gives the lead to another replica, if this one leads; returns whether one was asked.
+    pub async fn hand_over(&self) -> bool {
+        let (tx, rx) = oneshot::channel();
+        let sent = self.tx.unbounded_send(Input::HandOver(tx));
+        sent.is_ok() && rx.await.unwrap_or(false)
+    }
+
     /// Passes on messages of another box.
     pub fn receive(&self, batch: LogBatch) {
         for envelope in batch.envelopes {
@@ -140,6 +149,8 @@
     applied: Index,
     waiting: BTreeMap<Index, Waiting>,
     senders: BTreeMap<NodeId, mpsc::Sender<Envelope>>,
+    /// Term and leader that were logged last.
+    logged: Option<(Term, Option<NodeId>)>,
     /// Where replicas took answers last, for those that the members do not name.
     heard_from: BTreeMap<NodeId, SocketAddr>,
     client: BoxClient,
@@ -175,6 +186,7 @@
         applied,
         waiting: BTreeMap::new(),
         senders: BTreeMap::new(),
+        logged: None,
         heard_from: BTreeMap::new(),
         client,
         own_addr,
@@ -218,9 +230,29 @@
                 log::error!("{err}; the replica starts anew");
                 self.start_anew().await;
             }
+            self.log_lead();
         }
     }
 
+    /// Writes a line when this replica learns of another leader, or of none.
+    fn log_lead(&mut self) {
+        let (lead, leads) = {
+            let replica = self.replica.borrow();
+            ((replica.term(), replica.leader()), replica.leads())
+        };
+        if self.logged == Some(lead) {
+            return;
+        }
+        self.logged = Some(lead);
+        let (term, leader) = lead;
+        let leader = leader.map_or_else(String::new, |id| format!("{id:016x}"));
+        let commit = self.replica.borrow().commit();
+        log::info!(
+            term = term, leader = leader.as_str(), leads = leads, commit = commit;
+            "leader of the core"
+        );
+    }
+
     fn take(&mut self, input: Input) {
         let now = Instant::now();
         match input {
@@ -232,6 +264,10 @@
                 log::debug!("a message for identity {to} is dropped");
             }
             Input::Propose(command, reply) => self.propose(command, reply, now),
+            Input::HandOver(reply) => {
+                let handed = self.replica.borrow_mut().hand_over(now);
+                let _ = reply.send(handed);
+            }
             Input::Change(change, reply) => {
                 let begun = self.replica.borrow_mut().change(&change, now);
                 let _ = reply.send(begun);
--- a/crates/hatchpitch/tests/replication/group.rs
+++ b/crates/hatchpitch/tests/replication/group.rs
@@ -169,6 +169,13 @@
         });
     }
 
+    /// Lets a box hand its lead over, if it leads.
+    pub fn hand_over(&mut self, id: NodeId) {
+        self.step(id, |replica, now| {
+            replica.hand_over(now);
+        });
+    }
+
     /// Takes a snapshot of everything committed at a box.
     pub fn compact(&mut self, id: NodeId) {
         let node = self.nodes.get_mut(&id).unwrap();
--- a/crates/hatchpitch/tests/replication/schedules.rs
+++ b/crates/hatchpitch/tests/replication/schedules.rs
@@ -33,6 +33,15 @@
     Ok(())
 }
 
+/// Now and then any replica hands its lead over, if it has it.
+fn random_hand_over(group: &mut Group, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+    let size = group.nodes.len() as u64;
+    if u.ratio(1, 8)? {
+        group.hand_over(u.int_in_range(1..=size)?);
+    }
+    Ok(())
+}
+
 fn random_step(group: &mut Group, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
     let size = group.nodes.len() as u64;
     let (id, other) = (u.int_in_range(1..=size)?, u.int_in_range(1..=size)?);
@@ -62,7 +71,12 @@
 }
 
 /// Runs one schedule and returns how many commands were acknowledged before the end.
-fn run_schedule(u: &mut Unstructured<'_>, size: u64, drift: bool) -> arbitrary::Result<usize> {
+fn run_schedule(
+    u: &mut Unstructured<'_>,
+    size: u64,
+    drift: bool,
+    hands_over: bool,
+) -> arbitrary::Result<usize> {
     let mut group = Group::new(size);
     // Small messages let an old entry reach a majority before the leader's own does.
     group.set_max_entries(u.int_in_range(1..=3)?);
@@ -73,6 +87,9 @@
     }
     for _ in 0..STEPS {
         random_step(&mut group, u)?;
+        if hands_over {
+            random_hand_over(&mut group, u)?;
+        }
         if let Err(err) = group.verify() {
             panic!("{err}");
         }
@@ -84,11 +101,11 @@
     Ok(acknowledged)
 }
 
-fn run_schedules(seeds: u64, size: u64, drift: bool) {
+fn run_schedules(seeds: u64, size: u64, drift: bool, hands_over: bool) {
     let mut acknowledged = 0;
     for seed in 0..seeds {
         let run = |u: &mut Unstructured<'_>| {
-            acknowledged += run_schedule(u, size, drift)?;
+            acknowledged += run_schedule(u, size, drift, hands_over)?;
             Ok(())
         };
         arbtest::arbtest(run).seed(seed << 32 | BYTES).run();
@@ -99,12 +116,47 @@
 
 #[test]
 fn three_replicas_keep_what_they_acknowledged() {
-    run_schedules(300, 3, false);
+    run_schedules(300, 3, false, false);
 }
 
 #[test]
 fn five_replicas_with_drifting_clocks_keep_what_they_acknowledged() {
-    run_schedules(60, 5, true);
+    run_schedules(60, 5, true, false);
+}
+
+#[test]
+fn leaders_that_hand_over_at_any_moment_keep_what_they_acknowledged() {
+    run_schedules(200, 3, true, true);
+    run_schedules(40, 5, true, true);
+}
+
+#[test]
+fn a_leader_that_stops_is_replaced_without_waiting_for_its_silence() {
+    let mut group = Group::new(3);
+    group.run(5_000).unwrap();
+    let old = group.leader().unwrap();
+    group.propose(old);
+    group.run(200).unwrap();
+    group.hand_over(old);
+    assert!(group.replica(old).lease_until().is_none(), "the lease ends with the lead");
+    // Far less than the shortest time without a leader until an election.
+    group.run(100).unwrap();
+    let new = group.leader().unwrap();
+    assert_ne!(new, old);
+    assert_eq!(group.replica(old).leader(), Some(new));
+}
+
+#[test]
+fn a_leader_keeps_its_lead_while_nobody_holds_its_whole_log() {
+    let mut group = Group::new(3);
+    group.run(5_000).unwrap();
+    let leader = group.leader().unwrap();
+    for other in (1..=3).filter(|id| *id != leader) {
+        group.cut.insert((leader, other));
+    }
+    group.propose(leader);
+    group.hand_over(leader);
+    assert!(group.replica(leader).leads());
 }
 
 #[test]
