Go on where a run was stopped if the runner with its copy does not take it

Ruled out: another copy first, which takes longer than a stream may pause.

Change: the slot that was left is kept until the copy is taken; if it was certainly not, the request goes back there with the same handle. Where it may have been taken, the stream still ends broken: two runs of one generation must not be joined.

--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -1,10 +1,11 @@
 //! Passes a stream of events on while it is made, from one runner after another if it is moved.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodySender, read_stream};
+use hatchpitch_net::{Body, BodySender, SendError, read_stream};
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
@@ -96,6 +97,27 @@
     Closed(End),
 }
 
+/// Why a run did not go on from a copy.
+enum ResumeFailure {
+    /// The runner did not take it, and the copy was not used.
+    NotRun(String),
+    /// It may go on there.
+    MayHaveRun(String),
+}
+
+impl ResumeFailure {
+    fn from_send(err: SendError) -> Self {
+        let cause = err.to_string();
+        if err.is_not_run() { Self::NotRun(cause) } else { Self::MayHaveRun(cause) }
+    }
+
+    fn cause(self) -> String {
+        match self {
+            Self::NotRun(cause) | Self::MayHaveRun(cause) => cause,
+        }
+    }
+}
+
 impl EventStream {
     fn new(relay: Rc<Relay>, req: Rc<HostedRequest>, service: ServiceName, slot: Slot) -> Self {
         let active = relay.cx.begin();
@@ -248,35 +270,58 @@
         self.resume(moved).await.map(Some)
     }
 
+    /// Goes on from the copy where it was sent, or, if that runner did not take it, where the
+    /// run was stopped: the memory stays there until the copy is used.
     async fn resume(&mut self, moved: Moved) -> Result<Incoming, String> {
-        if let Some(slot) = moved.slot {
-            self.slot = *slot;
-        }
         self.seen_roster = 0;
         self.next_move = Instant::now() + MOVE_REST;
+        let Moved { slot, source, handle } = moved;
+        let left = slot.map(|slot| std::mem::replace(&mut self.slot, *slot));
+        let failure = match self.send_resume(source, handle.clone()).await {
+            Ok(body) => return Ok(body),
+            Err(failure) => failure,
+        };
+        match (failure, left) {
+            (ResumeFailure::NotRun(cause), Some(left)) => {
+                log::info!(
+                    request = self.req.id.as_str(), upstream = self.slot.runner.as_str(),
+                    back_at = left.runner.as_str(), cause = cause.as_str();
+                    "copy not taken; the run goes on where it was stopped"
+                );
+                self.slot = left;
+                self.send_resume(source, handle).await.map_err(ResumeFailure::cause)
+            }
+            (failure, _) => Err(failure.cause()),
+        }
+    }
+
+    /// Sends the request to the runner of the slot, to go on from a copy.
+    async fn send_resume(
+        &self,
+        source: SocketAddr,
+        handle: String,
+    ) -> Result<Incoming, ResumeFailure> {
         let left = self.req.time_left(Instant::now());
+        let after = self.splitter.last_id().map(str::to_owned);
         let attempt = Attempt {
             upstream: self.slot.runner.clone(),
             time_left: left,
-            resume: Some(Resume {
-                source: moved.source,
-                handle: moved.handle,
-                after: self.splitter.last_id().map(str::to_owned),
-            }),
+            resume: Some(Resume { source, handle, after }),
         };
         self.relay.budgets.borrow_mut().spend(&self.service);
         let message = (self.relay.dialect.request)(&self.req, &attempt);
         let sent = self.relay.cx.upstream(self.slot.addr).send(message, left).await;
-        let (parts, body) = sent.map_err(|err| err.to_string())?.into_parts();
+        let (parts, body) = sent.map_err(ResumeFailure::from_send)?.into_parts();
         match (self.relay.dialect.read)(&self.req, &parts) {
             Reading::Answer if parts.status.is_success() => {
                 self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
                 Ok(body)
             }
-            Reading::Answer => Err(format!("resume answered with {}", parts.status)),
-            Reading::NotRun { cause, .. } | Reading::Foreign(cause) => {
-                Err(format!("resume: {cause}"))
+            Reading::Answer => {
+                Err(ResumeFailure::MayHaveRun(format!("resume answered with {}", parts.status)))
             }
+            Reading::NotRun { cause, .. } => Err(ResumeFailure::NotRun(format!("resume: {cause}"))),
+            Reading::Foreign(cause) => Err(ResumeFailure::MayHaveRun(format!("resume: {cause}"))),
         }
     }
 
