Refuse at once a generation that would wait too long for its slot

Cause: at three times the usual load generations waited up to 20 s for a slot; callers left after four times their aim without any answer (121 tries ended at their deadline), which nobody is served by. Ruled out: the bound on the queue's length (256, never reached), and the pool's longest wait of 20 s as the only bound, which is above what any caller waits.

Change: a request says the expected wait beyond which it is refused at once with when to come back, half of its route's time to the first event; one that is let in waits two such times at most. A move refuses to wait longer than the notice leaves, too.

--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -41,6 +41,10 @@
     /// Longest wait, if it is shorter than the pool's.
     #[serde(default)]
     pub max_wait: Option<Duration>,
+    /// Expected wait beyond which the request is refused at once, if it is shorter than the
+    /// pool's.
+    #[serde(default)]
+    pub accepts: Option<Duration>,
 }
 
 /// A request that was given up on before it ran.
@@ -217,8 +221,13 @@
         cost: u64,
         now: Instant,
     ) -> Result<(Ticket, oneshot::Receiver<Result<RunnerSpec, Refusal>>), Refusal> {
-        let waiter =
-            Waiter { workspace: want.workspace.clone(), priority: want.priority, cost, since: now };
+        let waiter = Waiter {
+            workspace: want.workspace.clone(),
+            priority: want.priority,
+            cost,
+            since: now,
+            accepts: want.accepts.unwrap_or(Duration::MAX),
+        };
         let ticket = match self.queue.enqueue(waiter) {
             Enqueued::Waiting(ticket) => ticket,
             Enqueued::Displaced { ticket, refused } => {
@@ -227,7 +236,7 @@
             }
             Enqueued::Refused => {
                 let retry_after = self.queue.retry_after(want.priority);
-                return Err(Refusal::new("too many requests wait", retry_after));
+                return Err(Refusal::new("more wait than can be served in time", retry_after));
             }
         };
         let (tx, rx) = oneshot::channel();
--- a/crates/hatchpitch/src/admission/state.rs
+++ b/crates/hatchpitch/src/admission/state.rs
@@ -52,6 +52,8 @@
     pub cost: u64,
     /// When it came.
     pub since: Instant,
+    /// Expected wait beyond which it is refused at once instead of waiting.
+    pub accepts: Duration,
 }
 
 /// What became of a request that came.
@@ -126,7 +128,7 @@
 
     /// Puts a request into the queue, or refuses it or the one that would be served last.
     pub fn enqueue(&mut self, waiter: Waiter) -> Enqueued {
-        if self.expected_wait(waiter.priority) > self.cfg.max_wait {
+        if self.expected_wait(waiter.priority) > self.cfg.max_wait.min(waiter.accepts) {
             return Enqueued::Refused;
         }
         if self.queued.len() < self.cfg.max_waiting {
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -433,6 +433,7 @@
         near: None,
         copied: 0,
         max_wait: None,
+        accepts: None,
     };
     grants::task::obtain(cx, &job.pool, want).await
 }
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -204,6 +204,7 @@
             near: Some(self.leaver.failure_domain.clone()),
             copied: self.in_memory,
             max_wait: Some(SLOT_WAIT),
+            accepts: Some(SLOT_WAIT),
         };
         let slot = obtain(cx, &self.leaver.service, want).await;
         slot.map_err(|refusal| refusal.cause)
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -31,6 +31,11 @@
 /// Upstreams that turn a request away before it is refused: enough to pass over a few that are
 /// full or gone, few enough to stay far inside the time to an answer.
 const MAX_TURNED_AWAY: usize = 4;
+/// Part of the time to its first event that a generation may be expected to wait for a slot: the
+/// rest goes to reading its prompt. One that would wait longer is refused at once.
+const EXPECTED_WAIT: f64 = 0.5;
+/// Longest wait of a generation, in times to its first event: callers leave after four.
+const LONGEST_WAIT: f64 = 2.0;
 /// When a caller may come back after a failure that passes in moments.
 const SOON: Duration = Duration::from_millis(250);
 /// Time within which every upstream announces itself again: one heartbeat and its travel.
@@ -201,7 +206,7 @@
     }
 
     async fn slot(&self) -> Result<Slot, Refusal> {
-        let needs = self.req.generation;
+        let (needs, aim) = (self.req.generation, self.req.route.answer_aim);
         let want = Want {
             id: new_id(),
             workspace: self.req.workspace.clone().unwrap_or_default(),
@@ -212,7 +217,8 @@
             avoid: self.tried.borrow().clone(),
             near: Some(self.relay.cx.settings.failure_domain.clone()),
             copied: 0,
-            max_wait: None,
+            max_wait: needs.map(|_| aim.mul_f64(LONGEST_WAIT)),
+            accepts: needs.map(|_| aim.mul_f64(EXPECTED_WAIT)),
         };
         let started = Instant::now();
         self.await_upstreams(started).await;
--- a/crates/hatchpitch/tests/admission.rs
+++ b/crates/hatchpitch/tests/admission.rs
@@ -10,7 +10,7 @@
 use hatchpitch::engine::EngineLoad;
 
 fn waiter(workspace: &str, priority: u8, cost: u64, since: Instant) -> Waiter {
-    Waiter { workspace: workspace.to_owned(), priority, cost, since }
+    Waiter { workspace: workspace.to_owned(), priority, cost, since, accepts: Duration::MAX }
 }
 
 fn no_aging() -> AdmissionConfig {
@@ -52,6 +52,28 @@
     assert!((0.9..1.1).contains(&(large / small)), "{served:?}");
 }
 
+#[test]
+fn who_would_wait_longer_than_it_accepts_is_refused_at_once() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::new(no_aging());
+    // Grants come every 200 ms, and four wait.
+    for i in 0..8 {
+        queue.enqueue(waiter("a", 5, 10, now));
+        queue.grant(now + Duration::from_millis(200 * i));
+    }
+    for _ in 0..4 {
+        queue.enqueue(waiter("a", 5, 10, now));
+    }
+    let accepts = |ms| Waiter { accepts: Duration::from_millis(ms), ..waiter("b", 5, 10, now) };
+    assert_eq!(queue.enqueue(accepts(700)), Enqueued::Refused);
+    assert!(queue.retry_after(5) >= Duration::from_millis(800));
+    // Who pays more waits for nobody here.
+    let urgent = Waiter { priority: 9, ..accepts(100) };
+    assert!(matches!(queue.enqueue(urgent), Enqueued::Waiting(_)));
+    assert!(matches!(queue.enqueue(accepts(1_500)), Enqueued::Waiting(_)));
+    verify(&queue).unwrap();
+}
+
 #[test]
 fn the_lowest_priority_is_served_in_the_end() {
     let now = Instant::now();
