Split the soak by what its parts do

One context holds what all parts share. Faults, the plan of the boxes and what upstreams do with requests have modules of their own; proxies and pools are begun from small structs. No behaviour changes.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -15,11 +15,12 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::context::RunCx;
 use crate::fleet::Fleet;
-use crate::proxy::ProxyCx;
-use crate::record::{End, Kind, Record};
-use crate::upstreams::EVENTS;
-use crate::wire::{AnswerHead, CallerRequest, Wire};
+use crate::plan::DOMAINS;
+use crate::record::{End, Kind};
+use crate::upstreams::runs::EVENTS;
+use crate::wire::{AnswerHead, CallerRequest};
 
 /// How long a caller waits for an answer, or for the next event of a stream.
 const PATIENCE: Duration = Duration::from_secs(8);
@@ -41,14 +42,10 @@
 
 /// What all callers of a run share.
 pub struct CallerCx {
-    /// The protocol.
-    pub wire: Wire,
-    /// Ends the callers.
-    pub proxies: Rc<ProxyCx>,
+    /// What the parts of the run share.
+    pub run: Rc<RunCx>,
     /// Where to go.
     pub fleet: Rc<Fleet>,
-    /// What is seen.
-    pub record: Rc<Record>,
     /// Newest configuration that was sent, whose route may be there.
     pub newest_config: Rc<Cell<u64>>,
     /// Counts requests.
@@ -81,7 +78,7 @@
     /// Sends requests until the run ends.
     pub async fn run(self) {
         let mut kept: Option<Connection> = None;
-        while !self.cx.proxies.stop.is_set() {
+        while !self.cx.run.stop.is_set() {
             let rest = self.rng.borrow_mut().random_range(REST_MS);
             compio::time::sleep(Duration::from_millis(rest)).await;
             let connection = match kept.take().filter(|kept| !kept.tx.is_closed()) {
@@ -115,14 +112,14 @@
     async fn choose_addr(&self) -> Option<SocketAddr> {
         let (at, known) = self.listed.borrow().clone();
         if known.is_empty() || at.elapsed() > LIST_AGE {
-            let boxes = self.cx.fleet.plans.borrow().len();
+            let boxes = self.cx.fleet.boxes();
             let asked = self.rng.borrow_mut().random_range(0..boxes);
             let addr = self.cx.fleet.addr(asked, |ports| ports.directory);
-            let message = (self.cx.wire.addresses)("domain-a");
+            let message = (self.cx.run.wire.addresses)(DOMAINS[0]);
             let upstream = Upstream { addr, connect_timeout: CONNECT_LIMIT };
             let answer = upstream.send(message, CONNECT_LIMIT).await.ok()?;
             let body = read_body(answer.into_body(), MAX_ANSWER, CONNECT_LIMIT).await.ok()?;
-            *self.listed.borrow_mut() = (Instant::now(), (self.cx.wire.read_addresses)(&body));
+            *self.listed.borrow_mut() = (Instant::now(), (self.cx.run.wire.read_addresses)(&body));
         }
         let known = &self.listed.borrow().1;
         let at = self.rng.borrow_mut().random_range(0..known.len().max(1));
@@ -147,10 +144,10 @@
         let id = format!("r{:06}", cx.sent.get());
         let kind = self.choose_kind();
         let req = CallerRequest { id: id.clone(), kind, patience: PATIENCE };
-        cx.record.begin(&id, kind, (connection.place, connection.life));
+        cx.run.record.begin(&id, kind, (connection.place, connection.life));
         let end = self.exchange(&mut connection, &req).await;
         let again = matches!(end, End::Answered | End::Refused | End::Failed(_));
-        cx.record.end(&id, end);
+        cx.run.record.end(&id, end);
         again.then_some(connection)
     }
 
@@ -158,7 +155,7 @@
         if connection.tx.ready().await.is_err() {
             return End::NotConnected;
         }
-        let message: Request<Body> = (self.cx.wire.request)(req);
+        let message: Request<Body> = (self.cx.run.wire.request)(req);
         let sent = connection.tx.send_request(message);
         let answer = match compio::time::timeout(PATIENCE, sent).await {
             Ok(Ok(answer)) => answer,
@@ -166,7 +163,7 @@
             Err(_) => return End::Unanswered,
         };
         let (head, body) = Response::into_parts(answer);
-        match (self.cx.wire.read_head)(&head) {
+        match (self.cx.run.wire.read_head)(&head) {
             AnswerHead::Signed if req.kind == Kind::Stream => self.read_stream(body, req).await,
             AnswerHead::Signed => read_plain(body, req).await,
             AnswerHead::Unsigned => End::Wrong("a success that no upstream signed".to_owned()),
--- a/crates/soak/src/condition.rs
+++ b/crates/soak/src/condition.rs
@@ -1,7 +1,7 @@
 //! What the links between the parties of a run do to bytes, as the schedule sets it.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// Who speaks over a link.
@@ -33,8 +33,8 @@
     directions: RefCell<HashMap<(Party, Party), Condition>>,
     /// Counts resets of all connections of a party.
     resets: RefCell<HashMap<Party, u64>>,
-    /// Whether new connections to a party are reset.
-    refusing: RefCell<HashMap<Party, bool>>,
+    /// Parties to which new connections are reset.
+    refusing: RefCell<HashSet<Party>>,
 }
 
 impl Links {
@@ -75,11 +75,16 @@
 
     /// Sets whether new connections to a party are reset.
     pub fn refuse(&self, party: Party, refuses: bool) {
-        self.refusing.borrow_mut().insert(party, refuses);
+        let mut refusing = self.refusing.borrow_mut();
+        if refuses {
+            refusing.insert(party);
+        } else {
+            refusing.remove(&party);
+        }
     }
 
     /// Returns whether new connections to a party are reset.
     pub fn refuses(&self, party: Party) -> bool {
-        self.refusing.borrow().get(&party).copied().unwrap_or_default()
+        self.refusing.borrow().contains(&party)
     }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -2,18 +2,17 @@
 
 use std::cell::RefCell;
 use std::io::Write as _;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use anyhow::Context as _;
 use hatchpitch_e2e::Process;
 
 use crate::condition::Party;
-use crate::proxy::{self, ProxyCx};
-use crate::record::Record;
-use crate::wire::{BoxPlan, Ports, Role, Wire};
+use crate::context::RunCx;
+use crate::proxy::Proxy;
+use crate::wire::{BoxPlan, Ports, Role};
 
 /// Time after a SIGTERM at which a process is killed, as a platform would.
 const GRACE: Duration = Duration::from_secs(8);
@@ -21,11 +20,12 @@
 const RESTART_AFTER: Duration = Duration::from_millis(300);
 /// Time between two looks at the processes.
 const LOOK: Duration = Duration::from_millis(50);
-/// Failure domains, to which boxes go in turn.
-const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
+/// Both roles of processes.
+pub const BOTH: [Role; 2] = [Role::Control, Role::Entry];
 /// Bytes of a record that was torn off: its head, and not all of its payload.
 const TORN: [u8; 21] = [0xab; 21];
 
+/// A process that is started again when it ends by itself.
 struct Managed {
     role: Role,
     process: Process,
@@ -37,57 +37,36 @@
 
 /// All boxes.
 pub struct Fleet {
-    wire: Wire,
-    cx: Rc<ProxyCx>,
-    record: Rc<Record>,
+    cx: Rc<RunCx>,
     /// How each box is set up.
-    pub plans: RefCell<Vec<BoxPlan>>,
+    plans: RefCell<Vec<BoxPlan>>,
     processes: RefCell<Vec<Vec<Managed>>>,
     folder: PathBuf,
 }
 
-/// Finds ports in a row that are free at every address, the kernel naming the first.
-fn free_ports(ips: &[Ipv4Addr], count: u16) -> anyhow::Result<Vec<u16>> {
-    let at = ips.first().context("no address")?;
-    loop {
-        let first = TcpListener::bind((*at, 0))?.local_addr()?.port();
-        let ports: Vec<u16> = (first..first.saturating_add(count)).collect();
-        let free = |port: &u16| ips.iter().all(|ip| TcpListener::bind((*ip, *port)).is_ok());
-        if ports.len() == usize::from(count) && ports.iter().all(free) {
-            return Ok(ports);
-        }
-    }
-}
-
 impl Fleet {
-    /// Sets up `boxes` boxes, of which the first `core` have a disk, and starts them.
+    /// Starts boxes that keep their files in `folder`.
     ///
     /// # Errors
     ///
     /// Returns an error if a listener can't be bound or a process does not start.
     pub async fn start(
-        wire: Wire,
-        cx: Rc<ProxyCx>,
-        record: Rc<Record>,
+        cx: Rc<RunCx>,
         folder: &Path,
-        net: [u8; 3],
-        shape: crate::schedule::Shape,
+        plans: Vec<BoxPlan>,
     ) -> anyhow::Result<Rc<Self>> {
-        let plans = plans(folder, net, shape)?;
+        let boxes = plans.len();
         let fleet = Rc::new(Self {
-            wire,
             cx,
-            record,
             processes: RefCell::default(),
             plans: RefCell::new(plans),
             folder: folder.to_owned(),
         });
-        for place in 0..shape.boxes {
+        for place in 0..boxes {
             fleet.open_proxies(place).await?;
         }
-        for place in 0..shape.boxes {
-            let roles = [Role::Control, Role::Entry];
-            let started = roles.into_iter().map(|role| fleet.first_start(place, role));
+        for place in 0..boxes {
+            let started = BOTH.into_iter().map(|role| fleet.first_start(place, role));
             let started = started.collect::<anyhow::Result<Vec<Managed>>>()?;
             fleet.processes.borrow_mut().push(started);
         }
@@ -111,7 +90,8 @@
         for (port, by_box) in listeners {
             let addr = SocketAddr::from((plan.ip, port));
             let target = SocketAddr::from((plan.listen_ip, port));
-            proxy::open(self.cx.clone(), addr, target, Party::Box(place), by_box).await?;
+            let proxy = Proxy { addr, target, party: Party::Box(place), by_box };
+            proxy.open(self.cx.clone()).await?;
         }
         Ok(())
     }
@@ -119,9 +99,9 @@
     fn first_start(&self, place: usize, role: Role) -> anyhow::Result<Managed> {
         let name = format!("box-{place}-{role:?}").to_lowercase();
         let file = self.write_settings(place)?;
-        let args = (self.wire.arguments)(role, &file);
+        let args = (self.cx.wire.arguments)(role, &file);
         let log = self.folder.join(format!("{name}.log"));
-        let process = Process::start(&name, self.wire.program, args, log)?;
+        let process = Process::start(&name, self.cx.wire.program, args, log)?;
         self.note_start(place, &process);
         Ok(Managed { role, process, life: 1, wanted: true })
     }
@@ -134,11 +114,16 @@
 
     fn write_settings(&self, place: usize) -> anyhow::Result<PathBuf> {
         let file = self.folder.join(format!("box-{place}.settings"));
-        let text = (self.wire.settings)(&self.plans.borrow()[place]);
+        let text = (self.cx.wire.settings)(&self.plans.borrow()[place]);
         std::fs::write(&file, text)?;
         Ok(file)
     }
 
+    /// Returns how many boxes there are.
+    pub fn boxes(&self) -> usize {
+        self.plans.borrow().len()
+    }
+
     /// Returns an address of a box that everybody uses.
     pub fn addr(&self, place: usize, port: impl Fn(&Ports) -> u16) -> SocketAddr {
         let plans = self.plans.borrow();
@@ -253,8 +238,7 @@
     pub async fn supervise(self: Rc<Self>) {
         while !self.cx.stop.is_set() {
             compio::time::sleep(LOOK).await;
-            let boxes = self.plans.borrow().len();
-            for place in 0..boxes {
+            for place in 0..self.boxes() {
                 if self.ended_by_itself(place) {
                     compio::time::sleep(RESTART_AFTER).await;
                     self.restart_ended(place);
@@ -264,10 +248,14 @@
     }
 
     fn ended_by_itself(&self, place: usize) -> bool {
-        let mut processes = self.processes.borrow_mut();
-        let ended = |managed: &mut Managed| managed.wanted && managed.process.has_ended();
-        let count = processes[place].iter_mut().filter_map(|m| ended(m).then_some(())).count();
-        self.record.own_ends.set(self.record.own_ends.get() + count as u64);
+        let mut count = 0;
+        self.each(place, &BOTH, |managed| {
+            if managed.wanted && managed.process.has_ended() {
+                count += 1;
+            }
+        });
+        let own_ends = &self.cx.record.own_ends;
+        own_ends.set(own_ends.get() + count);
         count > 0
     }
 
@@ -286,47 +274,6 @@
     }
 }
 
-/// Every role.
-pub const BOTH: [Role; 2] = [Role::Control, Role::Entry];
-
-fn plans(
-    folder: &Path,
-    [a, b, c]: [u8; 3],
-    shape: crate::schedule::Shape,
-) -> anyhow::Result<Vec<BoxPlan>> {
-    let ip = |place: usize, base: u8| {
-        let last = base.saturating_add(u8::try_from(place).unwrap_or(u8::MAX));
-        Ipv4Addr::new(a, b, c, last)
-    };
-    let used: Vec<Ipv4Addr> =
-        (0..shape.boxes).flat_map(|place| [ip(place, ANNOUNCED), ip(place, BOUND)]).collect();
-    let ports = free_ports(&used, 8)?;
-    let ports = Ports {
-        boxes: [ports[0], ports[1]],
-        own: [ports[2], ports[3]],
-        front: ports[4],
-        ready: ports[5],
-        directory: ports[6],
-        control: ports[7],
-    };
-    let control = |place| SocketAddr::from((ip(place, ANNOUNCED), ports.control));
-    let seeds: Vec<SocketAddr> = (0..shape.core).map(control).collect();
-    let plan = |place: usize| BoxPlan {
-        domain: DOMAINS[place % DOMAINS.len()].to_owned(),
-        ip: ip(place, ANNOUNCED),
-        listen_ip: ip(place, BOUND),
-        ports,
-        data: (place < shape.core).then(|| folder.join(format!("data-{place}"))),
-        first_start: true,
-        seeds: seeds.clone(),
-    };
-    Ok((0..shape.boxes).map(plan).collect())
-}
-
-/// Last parts of the addresses that everybody uses, and of those where processes listen.
-const ANNOUNCED: u8 = 10;
-const BOUND: u8 = 110;
-
 fn log_files(data: &Path) -> Vec<PathBuf> {
     let Ok(entries) = std::fs::read_dir(data) else { return Vec::new() };
     let is_log = |path: &PathBuf| {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,8 +13,11 @@
 
 pub mod callers;
 pub mod condition;
+pub mod context;
+pub mod faults;
 pub mod fleet;
 pub mod operator;
+pub mod plan;
 pub mod proxy;
 pub mod record;
 pub mod run;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::join;
 use hatchpitch_net::{Body, Upstream, read_body};
 use http::{Request, StatusCode, header};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::proxy::ProxyCx;
-use crate::record::{ConfigSeen, Record};
-use crate::wire::Wire;
+use crate::context::RunCx;
+use crate::record::ConfigSeen;
 
 /// Time for one call, after which another box is called.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
@@ -34,12 +34,8 @@
 
 /// What the operator's tasks share.
 pub struct OperatorCx {
-    /// The protocol.
-    pub wire: Wire,
-    /// Ends the tasks.
-    pub proxies: Rc<ProxyCx>,
-    /// What is seen.
-    pub record: Rc<Record>,
+    /// What the parts of the run share.
+    pub run: Rc<RunCx>,
     /// Where control boxes take calls.
     pub control: Vec<SocketAddr>,
     /// Newest number that was sent.
@@ -60,11 +56,10 @@
     /// Changes the configuration until the run ends.
     pub async fn change(self: Rc<Self>, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
-        while !self.proxies.stop.is_set() {
+        while !self.run.stop.is_set() {
             let number = self.newest.get() + rng.random_range(1..4);
             if rng.random_bool(RACES) {
-                let pair = (self.put(number, 0), self.put(number, 1));
-                futures_util::future::join(pair.0, pair.1).await;
+                join(self.put(number, 0), self.put(number, 1)).await;
             } else {
                 self.put(number, 0).await;
             }
@@ -79,15 +74,15 @@
     /// Sends a configuration until it has a clear answer.
     pub async fn put(&self, number: u64, content: u64) {
         self.newest.set(self.newest.get().max(number));
-        let text = (self.wire.config)(number, content);
+        let text = (self.run.wire.config)(number, content);
         self.texts.borrow_mut().push((number, text.clone()));
-        while !self.proxies.stop.is_set() {
+        while !self.run.stop.is_set() {
             let addr = self.any_control();
-            match self.call(addr, || (self.wire.put_config)(text.clone())).await {
+            match self.call(addr, || (self.run.wire.put_config)(text.clone())).await {
                 Some(answer) if answer.status.is_success() => {
-                    let at = self.record.tick();
+                    let at = self.run.record.tick();
                     let seen = ConfigSeen::Acknowledged { number, at };
-                    return self.record.configs.borrow_mut().push(seen);
+                    return self.run.record.configs.borrow_mut().push(seen);
                 }
                 Some(answer) if answer.status.is_client_error() => {
                     return self.refused.borrow_mut().push(number);
@@ -99,19 +94,20 @@
 
     /// Sends a configuration whose end is missing; no number is used up by it.
     async fn put_cut_short(&self, number: u64) {
-        let text = (self.wire.config)(number, 2);
+        let text = (self.run.wire.config)(number, 2);
         let part = text[..text.len() / 2].to_owned();
-        let answer = self.call(self.any_control(), || (self.wire.put_config)(part.clone())).await;
+        let answer =
+            self.call(self.any_control(), || (self.run.wire.put_config)(part.clone())).await;
         if answer.is_some_and(|answer| answer.status.is_success()) {
             let seen = ConfigSeen::Read { number: 0, text: "a part".into(), asked: u64::MAX };
-            self.record.configs.borrow_mut().push(seen);
+            self.run.record.configs.borrow_mut().push(seen);
         }
     }
 
     /// Reads the configuration from any box until the run ends.
     pub async fn read_all(self: Rc<Self>, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
-        while !self.proxies.stop.is_set() {
+        while !self.run.stop.is_set() {
             self.read().await;
             let rest = rng.random_range(READ_REST_MS);
             compio::time::sleep(Duration::from_millis(rest)).await;
@@ -120,8 +116,8 @@
 
     /// Reads the configuration from any box; returns its number if the box was sure of it.
     pub async fn read(&self) -> Option<u64> {
-        let asked = self.record.tick();
-        let answer = self.call(self.any_control(), || (self.wire.get_config)()).await?;
+        let asked = self.run.record.tick();
+        let answer = self.call(self.any_control(), || (self.run.wire.get_config)()).await?;
         if !answer.status.is_success() {
             return None;
         }
@@ -129,7 +125,7 @@
         let sent = self.texts.borrow();
         // A text that nobody sent counts as one of number 0, which is older than any.
         let number = sent.iter().find(|(_, sent)| *sent == text).map_or(0, |(number, _)| *number);
-        self.record.configs.borrow_mut().push(ConfigSeen::Read { number, text, asked });
+        self.run.record.configs.borrow_mut().push(ConfigSeen::Read { number, text, asked });
         Some(number)
     }
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -10,86 +10,78 @@
 use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::{Either, join, select};
-use hatchpitch_net::{Stop, bind};
+use hatchpitch_net::bind;
 
-use crate::condition::{Condition, Links, Party};
-use crate::sources::Sources;
+use crate::condition::{Condition, Party};
+use crate::context::RunCx;
 
 /// Bytes that are read at once.
 const PIECE: usize = 16 * 1024;
 /// Time between two looks at a link that is not clear, and at resets.
 const LOOK: Duration = Duration::from_millis(10);
-
 /// Time for a broken connection to end.
 const BREAK_LIMIT: Duration = Duration::from_secs(1);
 
-/// What all proxies of a run share.
-pub struct ProxyCx {
-    /// Conditions of the links.
-    pub links: Links,
-    /// Whose processes open connections.
-    pub sources: Sources,
-    /// Ends all proxies.
-    pub stop: Stop,
+/// A proxy before one listener.
+#[derive(Debug, Clone, Copy)]
+pub struct Proxy {
+    /// Where it takes connections.
+    pub addr: SocketAddr,
+    /// Where it passes them on to.
+    pub target: SocketAddr,
+    /// Whom the target belongs to.
+    pub party: Party,
+    /// Whether the box that opened a connection is looked up.
+    pub by_box: bool,
 }
 
-/// Opens a proxy at `addr` that passes connections on to `target`, which belongs to `party`.
-/// Where `by_box` is set, the box that opened a connection is looked up.
-///
-/// # Errors
-///
-/// Returns an error that names the address if it can't be bound.
-pub async fn open(
-    cx: Rc<ProxyCx>,
-    addr: SocketAddr,
-    target: SocketAddr,
-    party: Party,
-    by_box: bool,
-) -> anyhow::Result<()> {
-    let listener = bind(addr).await.context("proxy")?;
-    compio::runtime::spawn(async move {
-        let stop = cx.stop.clone();
-        let accepting = Box::pin(accept(cx, listener, target, party, by_box));
-        select(accepting, Box::pin(stop.wait())).await;
-    })
-    .detach();
-    Ok(())
-}
+impl Proxy {
+    /// Passes connections on until the run ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the address if it can't be bound.
+    pub async fn open(self, cx: Rc<RunCx>) -> anyhow::Result<()> {
+        let listener = bind(self.addr).await.context("proxy")?;
+        compio::runtime::spawn(async move {
+            let stop = cx.stop.clone();
+            let accepting = Box::pin(self.accept(cx, listener));
+            select(accepting, Box::pin(stop.wait())).await;
+        })
+        .detach();
+        Ok(())
+    }
 
-async fn accept(
-    cx: Rc<ProxyCx>,
-    listener: TcpListener,
-    target: SocketAddr,
-    party: Party,
-    by_box: bool,
-) {
-    loop {
-        let (stream, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(err) => {
-                log::warn!("proxy to {target}: {err}");
-                compio::time::sleep(LOOK).await;
+    async fn accept(self, cx: Rc<RunCx>, listener: TcpListener) {
+        let target = self.target;
+        loop {
+            let (stream, peer) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(err) => {
+                    log::warn!("proxy to {target}: {err}");
+                    compio::time::sleep(LOOK).await;
+                    continue;
+                }
+            };
+            if cx.links.refuses(self.party) {
+                reset(&stream);
                 continue;
             }
-        };
-        if cx.links.refuses(party) {
-            reset(&stream);
-            continue;
+            let passing = Passing {
+                cx: cx.clone(),
+                party: self.party,
+                peer,
+                source: Cell::new((!self.by_box).then_some(Party::Outside)),
+                broken: Cell::new(false),
+            };
+            compio::runtime::spawn(async move { passing.run(stream, target).await }).detach();
         }
-        let passing = Passing {
-            cx: cx.clone(),
-            party,
-            peer,
-            source: Cell::new((!by_box).then_some(Party::Outside)),
-            broken: Cell::new(false),
-        };
-        compio::runtime::spawn(async move { passing.run(stream, target).await }).detach();
     }
 }
 
 /// One connection that is passed on.
 struct Passing {
-    cx: Rc<ProxyCx>,
+    cx: Rc<RunCx>,
     /// To whom it goes.
     party: Party,
     /// Where it comes from.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,19 +8,22 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context as _, ensure};
+use futures_util::future::{join, join_all};
 use hatchpitch_net::{Upstream, stop_pair};
 
 use crate::callers::{Caller, CallerCx};
-use crate::condition::{Condition, Links, Party};
-use crate::fleet::{BOTH, Fleet};
+use crate::condition::Links;
+use crate::context::RunCx;
+use crate::faults::Faults;
+use crate::fleet::Fleet;
 use crate::operator::OperatorCx;
-use crate::proxy::ProxyCx;
+use crate::plan::plan_boxes;
 use crate::record::Record;
-use crate::schedule::{self, Fault, Shape, Step};
+use crate::schedule::{self, Shape, Step};
 use crate::sources::Sources;
-use crate::upstreams::{Pool, Trouble};
+use crate::upstreams::{Pool, PoolPlan};
 use crate::verify::{Broken, verify};
-use crate::wire::{Role, Wire};
+use crate::wire::Wire;
 
 /// Time in which a mended fleet has to serve again. Machines that run tests may be busy.
 const MEND_PATIENCE: Duration = Duration::from_secs(60);
@@ -32,8 +35,8 @@
 const END_PATIENCE: Duration = Duration::from_secs(10);
 /// Last parts of the addresses of upstreams: of their proxies, and where they listen.
 const UPSTREAM_IPS: [u8; 2] = [200, 201];
-/// Time that a killed process stays down, at least.
-const DOWN: Duration = Duration::from_millis(300);
+/// Boxes that hold the log: three bear the loss of one disk.
+const CORE: usize = 3;
 
 /// What a run is like.
 #[derive(Debug, Clone)]
@@ -42,8 +45,10 @@
     pub seed: u64,
     /// Boxes, of which the first three hold the log.
     pub boxes: usize,
-    /// Engines, and upstreams of all kinds.
-    pub upstreams: [usize; 2],
+    /// Engines.
+    pub engines: usize,
+    /// Plain upstreams.
+    pub plain: usize,
     /// Callers.
     pub callers: usize,
     /// Rounds of a storm and a calm part.
@@ -76,11 +81,10 @@
 
 struct Soak {
     opts: Options,
+    cx: Rc<RunCx>,
     shape: Shape,
-    links: Rc<ProxyCx>,
     fleet: Rc<Fleet>,
-    pool: Rc<Pool>,
-    record: Rc<Record>,
+    faults: Faults,
     operator: Rc<OperatorCx>,
     done: RefCell<Vec<String>>,
 }
@@ -95,11 +99,17 @@
     // ignored, so that a write beyond a bound fails as on a full disk.
     unsafe { libc::signal(libc::SIGXFSZ, libc::SIG_IGN) };
     let (handle, stop) = stop_pair();
-    let links = Rc::new(ProxyCx { links: Links::default(), sources: Sources::default(), stop });
-    let soak = Soak::start(wire, opts, links).await?;
+    let cx = Rc::new(RunCx {
+        wire,
+        links: Links::default(),
+        sources: Sources::default(),
+        record: Record::default(),
+        stop,
+    });
+    let soak = Soak::start(cx, opts).await?;
     soak.operator.put(1, 0).await;
     soak.serves_again().await.context("the first start")?;
-    soak.begin_callers(wire);
+    soak.begin_callers();
     let mut rounds = Ok(());
     for round in 0..soak.opts.rounds {
         rounds = soak.round(round).await.with_context(|| format!("round {round}"));
@@ -113,45 +123,41 @@
 }
 
 impl Soak {
-    async fn start(wire: Wire, opts: Options, links: Rc<ProxyCx>) -> anyhow::Result<Self> {
-        let shape = Shape { boxes: opts.boxes, core: 3, upstreams: opts.upstreams[1] };
+    async fn start(cx: Rc<RunCx>, opts: Options) -> anyhow::Result<Self> {
+        let upstreams = opts.engines + opts.plain;
+        let shape = Shape { boxes: opts.boxes, core: CORE, upstreams };
         let net = net_of(opts.seed);
-        let record = Rc::new(Record::default());
-        let folder = opts.folder.clone();
-        let fleet = Fleet::start(wire, links.clone(), record.clone(), &folder, net, shape).await?;
+        let plans = plan_boxes(&opts.folder, net, shape)?;
+        let fleet = Fleet::start(cx.clone(), &opts.folder, plans).await?;
+        let boxes = shape.all_boxes().into_iter();
         let control: Vec<SocketAddr> =
-            (0..shape.boxes).map(|place| fleet.addr(place, |ports| ports.control)).collect();
-        let ips = UPSTREAM_IPS.map(|last| Ipv4Addr::new(net[0], net[1], net[2], last));
-        let pool = Pool::start(
-            wire,
-            links.clone(),
-            record.clone(),
-            ips,
-            opts.upstreams,
-            control.clone(),
-            opts.timed,
-        )
-        .await?;
+            boxes.map(|place| fleet.addr(place, |ports| ports.control)).collect();
+        let [ip, listen_ip] = UPSTREAM_IPS.map(|last| Ipv4Addr::new(net[0], net[1], net[2], last));
+        let plan = PoolPlan {
+            engines: opts.engines,
+            plain: opts.plain,
+            ip,
+            listen_ip,
+            control: control.clone(),
+            notes_late_work: opts.timed,
+        };
+        let pool = Pool::start(cx.clone(), plan).await?;
         let operator = Rc::new(OperatorCx {
-            wire,
-            proxies: links.clone(),
-            record: record.clone(),
+            run: cx.clone(),
             control,
             newest: Rc::new(Cell::new(1)),
             texts: RefCell::default(),
             refused: RefCell::default(),
         });
         compio::runtime::spawn(fleet.clone().supervise()).detach();
-        let done = RefCell::default();
-        Ok(Self { opts, shape, links, fleet, pool, record, operator, done })
+        let faults = Faults { cx: cx.clone(), shape, fleet: fleet.clone(), pool };
+        Ok(Self { opts, cx, shape, fleet, faults, operator, done: RefCell::default() })
     }
 
-    fn begin_callers(&self, wire: Wire) {
+    fn begin_callers(&self) {
         let cx = Rc::new(CallerCx {
-            wire,
-            proxies: self.links.clone(),
+            run: self.cx.clone(),
             fleet: self.fleet.clone(),
-            record: self.record.clone(),
             newest_config: self.operator.newest.clone(),
             sent: Cell::new(0),
         });
@@ -167,16 +173,16 @@
         let seed = self.opts.seed.wrapping_mul(100) + u64::from(round);
         let faults = schedule::storm(seed, self.shape, self.opts.storm);
         self.play(&faults, self.opts.storm).await;
-        self.mend().await;
+        self.faults.mend();
         self.serves_again().await?;
-        self.record.set_calm(Some(round));
+        self.cx.record.set_calm(Some(round));
         self.note(format!("round {round}: calm"));
-        let before = self.record.answered();
+        let before = self.cx.record.answered();
         let work = schedule::calm(seed, self.shape, self.opts.calm);
         self.play(&work, self.opts.calm).await;
         self.serves_again().await?;
-        self.record.set_calm(None);
-        let answered = self.record.answered().saturating_sub(before);
+        self.cx.record.set_calm(None);
+        let answered = self.cx.record.answered().saturating_sub(before);
         ensure!(answered >= self.opts.callers, "{answered} requests answered in a calm part");
         Ok(())
     }
@@ -184,134 +190,13 @@
     /// Plays steps, each beside the others, until all are over.
     async fn play(&self, steps: &[Step], length: Duration) {
         let all = steps.iter().map(|step| self.step(step));
-        let (_, ()) = futures_util::future::join(
-            futures_util::future::join_all(all),
-            compio::time::sleep(length),
-        )
-        .await;
+        join(join_all(all), compio::time::sleep(length)).await;
     }
 
     async fn step(&self, step: &Step) {
         compio::time::sleep(step.at).await;
         self.note(format!("{:?} for {:?}", step.fault, step.lasts));
-        self.carry_out(step.fault, step.lasts).await;
-    }
-
-    async fn carry_out(&self, fault: Fault, lasts: Duration) {
-        let last = compio::time::sleep(lasts);
-        match fault {
-            Fault::KillBox(at) => self.kill(&[at], &BOTH, lasts).await,
-            Fault::KillCore => self.kill(&self.all_boxes(), &[Role::Control], DOWN).await,
-            Fault::KillAll => self.kill(&self.all_boxes(), &BOTH, DOWN).await,
-            Fault::Freeze(at) => {
-                self.fleet.freeze(at, true);
-                last.await;
-                self.fleet.freeze(at, false);
-            }
-            Fault::StopBox(at) => self.fleet.stop_and_start(at).await,
-            Fault::HangUp(at) => self.fleet.signal(at, libc::SIGHUP),
-            Fault::LoseDisk(at) => {
-                self.fleet.kill(at, &[Role::Control]);
-                self.fleet.lose_disk(at);
-                last.await;
-                self.fleet.start_again(at);
-            }
-            Fault::TornWrite(at) => {
-                self.fleet.kill(at, &[Role::Control]);
-                self.fleet.tear_log(at);
-                last.await;
-                self.fleet.start_again(at);
-            }
-            Fault::FullDisk(at) => {
-                self.fleet.fill_disk(at, true);
-                last.await;
-                self.fleet.fill_disk(at, false);
-            }
-            Fault::CutOneWay(from, to) => {
-                let (from, to) = (Party::Box(from), Party::Box(to));
-                self.links.links.set(from, to, Condition::Silent);
-                last.await;
-                self.links.links.set(from, to, Condition::Clear);
-            }
-            Fault::CutOff(at) => {
-                self.cut_off(at, Condition::Silent);
-                last.await;
-                self.cut_off(at, Condition::Clear);
-            }
-            Fault::Slow(at, ms) => {
-                self.cut_off(at, Condition::Delayed(Duration::from_millis(ms)));
-                last.await;
-                self.cut_off(at, Condition::Clear);
-            }
-            Fault::ResetBox(at) => self.links.links.reset(Party::Box(at)),
-            upstream => self.carry_out_upstream(upstream, lasts).await,
-        }
-    }
-
-    async fn carry_out_upstream(&self, fault: Fault, lasts: Duration) {
-        let last = compio::time::sleep(lasts);
-        match fault {
-            Fault::CrashUpstream(at) => {
-                self.pool.crash(at);
-                last.await;
-                self.pool.revive(at);
-            }
-            Fault::SilenceUpstream(at) => {
-                let party = Party::Upstream(at);
-                self.links.links.set(party, Party::Outside, Condition::Silent);
-                last.await;
-                self.links.links.set(party, Party::Outside, Condition::Clear);
-            }
-            Fault::ResetUpstream(at) => self.links.links.reset(Party::Upstream(at)),
-            Fault::LoseAnswers(at) | Fault::SpoilAnswers(at) => {
-                let trouble = match fault {
-                    Fault::LoseAnswers(_) => Trouble::LosesAnswers,
-                    _ => Trouble::SpoilsAnswers,
-                };
-                self.pool.trouble(at, trouble);
-                last.await;
-                self.pool.trouble(at, Trouble::None);
-            }
-            Fault::Reclaim(at) => self.pool.reclaim(at).await,
-            Fault::Leave(at) => self.pool.leave(at).await,
-            _ => {}
-        }
-    }
-
-    async fn kill(&self, boxes: &[usize], roles: &[Role], down: Duration) {
-        for at in boxes {
-            self.fleet.kill(*at, roles);
-        }
-        compio::time::sleep(down).await;
-        for at in boxes {
-            self.fleet.start_again(*at);
-        }
-    }
-
-    /// Sets the links between a box and all others, both ways.
-    fn cut_off(&self, at: usize, condition: Condition) {
-        for other in self.all_boxes().into_iter().filter(|other| *other != at) {
-            self.links.links.set(Party::Box(at), Party::Box(other), condition);
-            self.links.links.set(Party::Box(other), Party::Box(at), condition);
-        }
-    }
-
-    fn all_boxes(&self) -> Vec<usize> {
-        (0..self.shape.boxes).collect()
-    }
-
-    /// Ends everything that may still be wrong.
-    async fn mend(&self) {
-        self.links.links.clear();
-        for at in self.all_boxes() {
-            self.fleet.freeze(at, false);
-            self.fleet.fill_disk(at, false);
-            self.fleet.start_again(at);
-        }
-        for at in 0..self.shape.upstreams {
-            self.pool.trouble(at, Trouble::None);
-            self.pool.revive(at);
-        }
+        self.faults.inject(step.fault, step.lasts).await;
     }
 
     /// Waits until every box takes requests and the newest acknowledged configuration is read.
@@ -329,10 +214,10 @@
 
     async fn missing(&self) -> Vec<String> {
         let mut missing = Vec::new();
-        for at in self.all_boxes() {
+        for at in self.shape.all_boxes() {
             let addr = self.fleet.addr(at, |ports| ports.ready);
             let asked = Upstream { addr, connect_timeout: LOOK_LIMIT };
-            let answer = asked.send((self.operator.wire.ready)(), LOOK_LIMIT).await;
+            let answer = asked.send((self.cx.wire.ready)(), LOOK_LIMIT).await;
             if !answer.is_ok_and(|answer| answer.status().is_success()) {
                 missing.push(format!("box {at} is not ready"));
             }
@@ -344,12 +229,12 @@
     }
 
     fn note(&self, what: String) {
-        let at = self.record.tick();
+        let at = self.cx.record.tick();
         self.done.borrow_mut().push(format!("{at}: {what}"));
     }
 
     fn report(&self, rounds: anyhow::Result<()>) -> Report {
-        let mut broken = verify(&self.record);
+        let mut broken = verify(&self.cx.record);
         broken.extend(rounds.err().map(|err| Broken {
             promise: "a fleet that was mended serves again",
             seen: format!("{err:#}"),
@@ -361,9 +246,9 @@
         }));
         Report {
             broken,
-            ends: self.record.counts(),
-            configs: self.record.configs.borrow().len(),
-            own_ends: self.record.own_ends.get(),
+            ends: self.cx.record.counts(),
+            configs: self.cx.record.configs.borrow().len(),
+            own_ends: self.cx.record.own_ends.get(),
             done: self.done.borrow().clone(),
         }
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -24,6 +24,13 @@
     pub upstreams: usize,
 }
 
+impl Shape {
+    /// Returns the places of all boxes.
+    pub fn all_boxes(&self) -> Vec<usize> {
+        (0..self.boxes).collect()
+    }
+}
+
 /// One thing that goes wrong, or that is done to the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -26,7 +26,7 @@
         broken.extend(check_call(id, call, begun));
     }
     broken.extend(check_unasked(&calls, &runs));
-    broken.extend(check_reads(&record.configs.borrow(), record));
+    broken.extend(check_reads(record));
     broken.extend(check_markers(&calls));
     let late = record.late_work.borrow();
     broken.extend(late.iter().map(|seen| Broken {
@@ -77,10 +77,11 @@
 
 /// Reads show what was acknowledged before they were asked for, or something newer, and one
 /// content under each number.
-fn check_reads(configs: &[ConfigSeen], record: &Record) -> Vec<Broken> {
+fn check_reads(record: &Record) -> Vec<Broken> {
+    let configs = record.configs.borrow();
     let mut broken = Vec::new();
     let mut texts: HashMap<u64, &str> = HashMap::new();
-    for seen in configs {
+    for seen in configs.iter() {
         let ConfigSeen::Read { number, text, asked } = seen else { continue };
         let floor = record.acknowledged_before(*asked);
         if *number < floor {
