--- a/crates/hatchpitch/src/explain.rs
+++ b/crates/hatchpitch/src/explain.rs
@@ -84,18 +84,21 @@
 fn parse_line(line: &str) -> Option<Line> {
     let mut fields: Map<String, Value> = serde_json::from_str(line).ok()?;
     let time_ms = fields.get("time_ms")?.as_u64()?;
-    let text = |fields: &Map<String, Value>, key: &str| {
-        fields.get(key).and_then(Value::as_str).unwrap_or_default().to_owned()
-    };
-    let (box_name, message) = (text(&fields, "box"), text(&fields, "message"));
-    let request = text(&fields, "request");
+    let box_name = text(&fields, "box").to_owned();
+    let message = text(&fields, "message").to_owned();
+    let request = text(&fields, "request").to_owned();
     fields.retain(|key, _| !COMMON_FIELDS.contains(&key.as_str()));
     Some(Line { time_ms, box_name, message, fields, request })
 }
 
+/// Returns the text of a field; an empty one if there is none.
+fn text<'a>(fields: &'a Map<String, Value>, key: &str) -> &'a str {
+    fields.get(key).and_then(Value::as_str).unwrap_or_default()
+}
+
 impl Line {
     fn text(&self, key: &str) -> &str {
-        self.fields.get(key).and_then(Value::as_str).unwrap_or_default()
+        text(&self.fields, key)
     }
 
     fn is_about(&self, upstream: &str) -> bool {
@@ -176,8 +179,10 @@
         text.extend(self.lines.iter().map(|line| {
             let fields = line.fields.iter().filter(|(_, value)| **value != "");
             let fields: Vec<String> = fields.map(|(key, value)| format!("{key}={value}")).collect();
-            let (at, own) = (line.time_ms - first, if line.request.is_empty() { ' ' } else { '*' });
-            format!("{at:>8} ms {own} {}  {}  {}", line.box_name, line.message, fields.join(" "))
+            let at = line.time_ms - first;
+            // Marks the lines that name a request, which is this one.
+            let mark = if line.request.is_empty() { ' ' } else { '*' };
+            format!("{at:>8} ms {mark} {}  {}  {}", line.box_name, line.message, fields.join(" "))
         }));
         text.push(format!("end: {}", self.end));
         if self.unreadable > 0 {
