--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -236,19 +236,16 @@
 
     /// Writes a line when this replica learns of another leader, or of none.
     fn log_lead(&mut self) {
-        let (lead, leads) = {
-            let replica = self.replica.borrow();
-            ((replica.term(), replica.leader()), replica.leads())
-        };
-        if self.logged == Some(lead) {
+        let replica = self.replica.borrow();
+        let (term, leader) = (replica.term(), replica.leader());
+        if self.logged == Some((term, leader)) {
             return;
         }
-        self.logged = Some(lead);
-        let (term, leader) = lead;
+        self.logged = Some((term, leader));
         let leader = leader.map_or_else(String::new, |id| format!("{id:016x}"));
-        let commit = self.replica.borrow().commit();
         log::info!(
-            term = term, leader = leader.as_str(), leads = leads, commit = commit;
+            term = term, leader = leader.as_str(), leads = replica.leads(),
+            commit = replica.commit();
             "leader of the core"
         );
     }
