--- a/crates/hatchpitch/tests/replication/schedules.rs
+++ b/crates/hatchpitch/tests/replication/schedules.rs
@@ -15,6 +15,17 @@
 /// Seeds carry the number of random bytes in their low half.
 const BYTES: u64 = 1 << 20;
 
+/// What all schedules of a test have in common.
+#[derive(Clone, Copy)]
+struct Setting {
+    /// Replicas.
+    size: u64,
+    /// Whether their clocks drift.
+    drift: bool,
+    /// Whether leaders hand their lead over.
+    hands_over: bool,
+}
+
 /// Time passes, and each message on its way arrives, is lost, doubled or late, in any order.
 fn round(group: &mut Group, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
     group.advance(Duration::from_millis(u.int_in_range(5..=120)?));
@@ -71,23 +82,18 @@
 }
 
 /// Runs one schedule and returns how many commands were acknowledged before the end.
-fn run_schedule(
-    u: &mut Unstructured<'_>,
-    size: u64,
-    drift: bool,
-    hands_over: bool,
-) -> arbitrary::Result<usize> {
-    let mut group = Group::new(size);
+fn run_schedule(u: &mut Unstructured<'_>, setting: Setting) -> arbitrary::Result<usize> {
+    let mut group = Group::new(setting.size);
     // Small messages let an old entry reach a majority before the leader's own does.
     group.set_max_entries(u.int_in_range(1..=3)?);
-    if drift {
+    if setting.drift {
         for node in group.nodes.values_mut() {
             node.drift = u.int_in_range(-10..=10)?;
         }
     }
     for _ in 0..STEPS {
         random_step(&mut group, u)?;
-        if hands_over {
+        if setting.hands_over {
             random_hand_over(&mut group, u)?;
         }
         if let Err(err) = group.verify() {
@@ -101,33 +107,36 @@
     Ok(acknowledged)
 }
 
-fn run_schedules(seeds: u64, size: u64, drift: bool, hands_over: bool) {
+fn run_schedules(seeds: u64, setting: Setting) {
     let mut acknowledged = 0;
     for seed in 0..seeds {
         let run = |u: &mut Unstructured<'_>| {
-            acknowledged += run_schedule(u, size, drift, hands_over)?;
+            acknowledged += run_schedule(u, setting)?;
             Ok(())
         };
         arbtest::arbtest(run).seed(seed << 32 | BYTES).run();
     }
-    println!("{seeds} schedules of {size} replicas, {acknowledged} commands acknowledged");
+    println!(
+        "{seeds} schedules of {} replicas, {acknowledged} commands acknowledged",
+        setting.size
+    );
     assert!(acknowledged as u64 > seeds * 5, "the schedules get something done");
 }
 
 #[test]
 fn three_replicas_keep_what_they_acknowledged() {
-    run_schedules(300, 3, false, false);
+    run_schedules(300, Setting { size: 3, drift: false, hands_over: false });
 }
 
 #[test]
 fn five_replicas_with_drifting_clocks_keep_what_they_acknowledged() {
-    run_schedules(60, 5, true, false);
+    run_schedules(60, Setting { size: 5, drift: true, hands_over: false });
 }
 
 #[test]
 fn leaders_that_hand_over_at_any_moment_keep_what_they_acknowledged() {
-    run_schedules(200, 3, true, true);
-    run_schedules(40, 5, true, true);
+    run_schedules(200, Setting { size: 3, drift: true, hands_over: true });
+    run_schedules(40, Setting { size: 5, drift: true, hands_over: true });
 }
 
 #[test]
