--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -76,6 +76,11 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Returns the id of the running process as system calls take it.
+    fn pid(&self) -> Option<libc::pid_t> {
+        libc::pid_t::try_from(self.id()?).ok()
+    }
+
     /// Bounds the size of the files that the process writes; `None` takes the bound away. A
     /// write beyond it fails as on a full disk, as long as the process ignores `SIGXFSZ`.
     ///
@@ -83,7 +88,7 @@
     ///
     /// Returns the system's error.
     pub fn bound_files(&self, bytes: Option<u64>) -> std::io::Result<()> {
-        let Some(pid) = self.id().and_then(|id| i32::try_from(id).ok()) else { return Ok(()) };
+        let Some(pid) = self.pid() else { return Ok(()) };
         let limit = libc::rlimit {
             rlim_cur: bytes.unwrap_or(libc::RLIM_INFINITY),
             rlim_max: libc::RLIM_INFINITY,
@@ -97,9 +102,7 @@
 
     /// Sends a signal.
     pub fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child
-            && let Ok(pid) = i32::try_from(child.id())
-        {
+        if let Some(pid) = self.pid() {
             // SAFETY: `kill` has no memory effects; the id is that of a child not yet waited for.
             unsafe { libc::kill(pid, signal) };
         }
@@ -138,7 +141,7 @@
     ///
     /// Returns an error if the process has ended.
     pub fn usage(&self) -> anyhow::Result<Usage> {
-        let pid = self.child.as_ref().context("the process has ended")?.id();
+        let pid = self.id().context("the process has ended")?;
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
         // The name in brackets may hold blanks; what follows it does not.
         let rest = stat.rsplit_once(')').context("stat")?.1;
