--- a/crates/hatchpitch/src/explain.rs
+++ b/crates/hatchpitch/src/explain.rs
@@ -6,6 +6,7 @@
 //! and stops of the boxes that had the request.
 
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 
 use serde::Serialize;
 use serde_json::{Map, Value};
@@ -112,34 +113,57 @@
     }
 }
 
+/// What belongs to the story of a request.
+struct Scope<'a> {
+    request: &'a str,
+    /// Upstreams that its lines name.
+    upstreams: BTreeSet<&'a str>,
+    /// Boxes that wrote its lines.
+    boxes: BTreeSet<&'a str>,
+    /// Times in which lines of these upstreams and boxes belong to it, in milliseconds.
+    times_ms: RangeInclusive<u64>,
+}
+
+impl<'a> Scope<'a> {
+    /// Finds the scope of a request from its own lines.
+    fn new(request: &'a str, own: &[&'a Line]) -> Self {
+        let upstreams = own
+            .iter()
+            .flat_map(|line| [line.text("upstream"), line.text("to")])
+            .filter(|upstream| !upstream.is_empty())
+            .collect();
+        let boxes = own.iter().map(|line| line.box_name.as_str()).collect();
+        let times = own.iter().map(|line| line.time_ms);
+        let from = times.clone().min().unwrap_or(0).saturating_sub(AROUND_MS);
+        let to = times.max().unwrap_or(0) + AROUND_MS;
+        Self { request, upstreams, boxes, times_ms: from..=to }
+    }
+
+    fn holds(&self, line: &Line) -> bool {
+        if line.request == self.request {
+            return true;
+        }
+        if !self.times_ms.contains(&line.time_ms) {
+            return false;
+        }
+        let about_box = self.boxes.contains(line.box_name.as_str()) && line.is_about_its_box();
+        about_box || self.upstreams.iter().any(|upstream| line.is_about(upstream))
+    }
+}
+
 /// Assembles the story of a request.
 pub fn explain(request: &str, files: &[LogFile]) -> Story {
-    let own: Vec<&Line> =
-        files.iter().flat_map(|f| &f.lines).filter(|line| line.request == request).collect();
-    let upstreams: BTreeSet<&str> = own
-        .iter()
-        .flat_map(|line| [line.text("upstream"), line.text("to")])
-        .filter(|upstream| !upstream.is_empty())
-        .collect();
-    let boxes: BTreeSet<&str> = own.iter().map(|line| line.box_name.as_str()).collect();
-    let times = own.iter().map(|line| line.time_ms);
-    let from = times.clone().min().unwrap_or(0).saturating_sub(AROUND_MS);
-    let to = times.max().unwrap_or(0) + AROUND_MS;
-    let belongs = |line: &&Line| {
-        let near = (from..=to).contains(&line.time_ms);
-        let about_upstream = || upstreams.iter().any(|upstream| line.is_about(upstream));
-        let about_box = || boxes.contains(line.box_name.as_str()) && line.is_about_its_box();
-        line.request == request || (near && (about_upstream() || about_box()))
-    };
-    let mut lines: Vec<Line> =
-        files.iter().flat_map(|f| f.lines.iter().filter(belongs).cloned()).collect();
+    let all = || files.iter().flat_map(|file| &file.lines);
+    let own: Vec<&Line> = all().filter(|line| line.request == request).collect();
+    let scope = Scope::new(request, &own);
+    let mut lines: Vec<Line> = all().filter(|line| scope.holds(line)).cloned().collect();
     // Stable, and times never fall within a file: the order of each file stays.
     lines.sort_by_key(|line| line.time_ms);
     Story {
         request: request.to_owned(),
         end: end_of(&own, &lines),
         lines,
-        unreadable: files.iter().map(|f| f.unreadable).sum(),
+        unreadable: files.iter().map(|file| file.unreadable).sum(),
     }
 }
 
