--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -92,6 +92,7 @@
         }
     }
 
+    /// Connects to a box that takes callers' requests.
     async fn connect(&self) -> Option<Connection> {
         let addr = self.choose_addr().await?;
         let place = self.cx.fleet.place_of(addr)?;
@@ -126,6 +127,7 @@
         known.get(at).copied()
     }
 
+    /// Draws what to ask for.
     fn choose_kind(&self) -> Kind {
         let newest = self.cx.newest_config.get();
         let mut rng = self.rng.borrow_mut();
@@ -151,6 +153,7 @@
         again.then_some(connection)
     }
 
+    /// Sends a request and reads the answer.
     async fn exchange(&self, connection: &mut Connection, req: &CallerRequest) -> End {
         if connection.tx.ready().await.is_err() {
             return End::NotConnected;
@@ -172,6 +175,7 @@
         }
     }
 
+    /// Reads a stream of events; a part of the callers leaves before its end.
     async fn read_stream(&self, mut body: Incoming, req: &CallerRequest) -> End {
         let early = self.rng.borrow_mut().random_bool(LEAVES_EARLY);
         let mut text = String::new();
@@ -192,6 +196,7 @@
     }
 }
 
+/// Reads the answer to a plain request.
 async fn read_plain(body: Incoming, req: &CallerRequest) -> End {
     match read_body(body, MAX_ANSWER, PATIENCE).await {
         Ok(text) => {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -76,6 +76,8 @@
         Ok(fleet)
     }
 
+    /// Opens a proxy before every listener of a box but those of the product's own interfaces,
+    /// which nobody calls in a run.
     async fn open_proxies(&self, place: usize) -> anyhow::Result<()> {
         let plan = self.plans.borrow()[place].clone();
         let Ports { boxes, own: _, front, ready, directory, control } = plan.ports;
@@ -96,6 +98,7 @@
         Ok(())
     }
 
+    /// Starts a process for the first time.
     fn first_start(&self, place: usize, role: Role) -> anyhow::Result<Managed> {
         let name = format!("box-{place}-{role:?}").to_lowercase();
         let file = self.write_settings(place)?;
@@ -106,12 +109,14 @@
         Ok(Managed { role, process, life: 1, wanted: true })
     }
 
+    /// Notes which box a process belongs to.
     fn note_start(&self, place: usize, process: &Process) {
         if let Some(id) = process.id() {
             self.cx.sources.add(id, place);
         }
     }
 
+    /// Writes the settings of a box as they are now.
     fn write_settings(&self, place: usize) -> anyhow::Result<PathBuf> {
         let file = self.folder.join(format!("box-{place}.settings"));
         let text = (self.cx.wire.settings)(&self.plans.borrow()[place]);
@@ -167,6 +172,7 @@
         });
     }
 
+    /// Starts a process that has ended.
     fn restart(&self, place: usize, managed: &mut Managed) {
         managed.life += 1;
         match managed.process.restart() {
@@ -202,6 +208,7 @@
         self.start_again(place);
     }
 
+    /// Returns whether all processes of a box have ended.
     fn has_ended(&self, place: usize) -> bool {
         self.processes.borrow_mut()[place].iter_mut().all(|managed| managed.process.has_ended())
     }
@@ -247,6 +254,7 @@
         }
     }
 
+    /// Counts the processes of a box that ended by themselves; returns whether any did.
     fn ended_by_itself(&self, place: usize) -> bool {
         let mut count = 0;
         self.each(place, &BOTH, |managed| {
@@ -259,6 +267,7 @@
         count > 0
     }
 
+    /// Starts the processes of a box that ended by themselves.
     fn restart_ended(&self, place: usize) {
         self.each(place, &BOTH, |managed| {
             if managed.wanted && managed.process.has_ended() {
@@ -267,6 +276,7 @@
         });
     }
 
+    /// Acts on the processes of a box that have one of the roles.
     fn each(&self, place: usize, roles: &[Role], mut act: impl FnMut(&mut Managed)) {
         let mut processes = self.processes.borrow_mut();
         let Some(of_box) = processes.get_mut(place) else { return };
@@ -274,6 +284,7 @@
     }
 }
 
+/// Returns the files that hold a box's log.
 fn log_files(data: &Path) -> Vec<PathBuf> {
     let Ok(entries) = std::fs::read_dir(data) else { return Vec::new() };
     let is_log = |path: &PathBuf| {
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -129,6 +129,7 @@
         Some(number)
     }
 
+    /// Returns the address of any control box.
     fn any_control(&self) -> SocketAddr {
         self.control[rand::random_range(0..self.control.len())]
     }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -52,6 +52,7 @@
         Ok(())
     }
 
+    /// Accepts connections and passes each on.
     async fn accept(self, cx: Rc<RunCx>, listener: TcpListener) {
         let target = self.target;
         loop {
@@ -149,6 +150,7 @@
         }
     }
 
+    /// Waits as long as the link holds bytes that go this way.
     async fn wait_clear(&self, way: Way) {
         if let Condition::Delayed(time) = self.condition(way) {
             compio::time::sleep(time).await;
@@ -158,6 +160,7 @@
         }
     }
 
+    /// Returns what the link does to bytes that go this way.
     fn condition(&self, way: Way) -> Condition {
         if self.cx.links.all_clear() {
             return Condition::Clear;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -79,6 +79,7 @@
     pub done: Vec<String>,
 }
 
+/// A run that goes on.
 struct Soak {
     opts: Options,
     cx: Rc<RunCx>,
@@ -154,6 +155,7 @@
         Ok(Self { opts, cx, shape, fleet, faults, operator, done: RefCell::default() })
     }
 
+    /// Begins the callers and the operator's tasks.
     fn begin_callers(&self) {
         let cx = Rc::new(CallerCx {
             run: self.cx.clone(),
@@ -169,6 +171,7 @@
         compio::runtime::spawn(self.operator.clone().read_all(self.opts.seed + 1)).detach();
     }
 
+    /// Plays a storm, mends, and plays a calm part.
     async fn round(&self, round: u32) -> anyhow::Result<()> {
         let seed = self.opts.seed.wrapping_mul(100) + u64::from(round);
         let faults = schedule::storm(seed, self.shape, self.opts.storm);
@@ -193,6 +196,7 @@
         join(join_all(all), compio::time::sleep(length)).await;
     }
 
+    /// Waits for the time of a step, notes it, and carries it out.
     async fn step(&self, step: &Step) {
         compio::time::sleep(step.at).await;
         self.note(format!("{:?} for {:?}", step.fault, step.lasts));
@@ -212,6 +216,7 @@
         Ok(())
     }
 
+    /// Returns what keeps the fleet from serving.
     async fn missing(&self) -> Vec<String> {
         let mut missing = Vec::new();
         for at in self.shape.all_boxes() {
@@ -228,11 +233,13 @@
         missing
     }
 
+    /// Notes something that was done.
     fn note(&self, what: String) {
         let at = self.cx.record.tick();
         self.done.borrow_mut().push(format!("{at}: {what}"));
     }
 
+    /// Composes the report, the end of the rounds included.
     fn report(&self, rounds: anyhow::Result<()>) -> Report {
         let mut broken = verify(&self.cx.record);
         broken.extend(rounds.err().map(|err| Broken {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -96,8 +96,11 @@
         .map(|_| {
             let mut fault = any_fault(&mut rng, shape);
             // Two lost disks at once are more than such a fleet bears.
-            if matches!(fault, Fault::LoseDisk(_)) && std::mem::replace(&mut disk_lost, true) {
-                fault = Fault::KillCore;
+            if matches!(fault, Fault::LoseDisk(_)) {
+                if disk_lost {
+                    fault = Fault::KillCore;
+                }
+                disk_lost = true;
             }
             step(&mut rng, fault, length)
         })
@@ -118,12 +121,14 @@
     steps
 }
 
+/// Draws when a fault of a part of this length begins, and how long it lasts.
 fn step(rng: &mut SmallRng, fault: Fault, length: Duration) -> Step {
     let at = rng.random_range(0..length.as_millis().max(1)) as u64;
     let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
     Step { at: Duration::from_millis(at), lasts, fault }
 }
 
+/// Draws a fault, each entry of the list as likely as the others.
 fn any_fault(rng: &mut SmallRng, shape: Shape) -> Fault {
     let any_box = rng.random_range(0..shape.boxes);
     let other = (any_box + rng.random_range(1..shape.boxes)) % shape.boxes;
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -133,6 +133,7 @@
         Ok(pool)
     }
 
+    /// Serves the requests that reach a place.
     fn serve(self: &Rc<Self>, place: Rc<Place>, listener: TcpListener, stop: Stop) {
         let pool = self.clone();
         let handler = Rc::new(move |req, _| {
@@ -142,11 +143,13 @@
         compio::runtime::spawn(serve(listener, ServerLimits::default(), handler, stop)).detach();
     }
 
+    /// Returns a number that nothing else in the pool has.
     fn next_name(&self) -> u64 {
         self.names.set(self.names.get() + 1);
         self.names.get()
     }
 
+    /// Lets a new life begin at a place, and announce itself.
     fn begin_life(self: &Rc<Self>, place: &Rc<Place>) {
         let life = Rc::new(Life {
             id: format!("u{}-{}", place.at, self.next_name()),
@@ -160,6 +163,7 @@
         compio::runtime::spawn(self.clone().announce_regularly(place.clone(), life)).detach();
     }
 
+    /// Announces a life until it ends, and at once when it begins to leave.
     async fn announce_regularly(self: Rc<Self>, place: Rc<Place>, life: Rc<Life>) {
         while !life.dead.get() && !self.cx.stop.is_set() {
             self.announce(&place, &life).await;
@@ -253,6 +257,7 @@
         self.places[at].trouble.set(trouble);
     }
 
+    /// Returns the life at a place, if there is one.
     fn current(&self, at: usize) -> Option<Rc<Life>> {
         self.places[at].life.borrow().clone()
     }
--- a/crates/soak/src/upstreams/runs.rs
+++ b/crates/soak/src/upstreams/runs.rs
@@ -49,11 +49,7 @@
 
 impl Pool {
     /// Answers a request that reached a place.
-    pub(super) async fn answer(
-        self: Rc<Self>,
-        place: &Place,
-        req: Request<Incoming>,
-    ) -> Response<Body> {
+    pub(super) async fn answer(&self, place: &Place, req: Request<Incoming>) -> Response<Body> {
         let (parts, body) = req.into_parts();
         let reply = |reply: Reply| (self.cx.wire.reply)(&reply);
         let Ok(body) = read_body(body, MAX_REQUEST, ACK_LIMIT).await else {
@@ -76,6 +72,7 @@
         }
     }
 
+    /// Notes a request that came long after the leaving was acknowledged.
     fn note_late_work(&self, life: &Life, id: &str, resumed: bool) {
         let Some((at, calm)) = life.leaving_acked.get() else { return };
         let late = at.elapsed() >= LATE_AFTER && calm.is_some() && calm == self.cx.record.calm();
@@ -85,13 +82,8 @@
         }
     }
 
-    async fn run(
-        self: &Rc<Self>,
-        place: &Place,
-        life: &Rc<Life>,
-        id: &str,
-        stream: bool,
-    ) -> Response<Body> {
+    /// Runs a request from its beginning.
+    async fn run(&self, place: &Place, life: &Rc<Life>, id: &str, stream: bool) -> Response<Body> {
         self.cx.record.runs.borrow_mut().push(Begun {
             id: id.to_owned(),
             life: life.id.clone(),
@@ -116,8 +108,9 @@
         }
     }
 
+    /// Goes on with a run from its copy, after the last event that was delivered.
     fn go_on(
-        self: &Rc<Self>,
+        &self,
         place: &Place,
         life: &Rc<Life>,
         id: &str,
@@ -140,8 +133,9 @@
         self.stream(place, life, id, next)
     }
 
+    /// Begins to make the events of a run, and answers with them.
     fn stream(
-        self: &Rc<Self>,
+        &self,
         place: &Place,
         life: &Rc<Life>,
         id: &str,
@@ -154,6 +148,7 @@
         (self.cx.wire.answer)(id, true, body)
     }
 
+    /// Copies a run to another upstream; the copy is kept here under its name.
     async fn copy(&self, life: &Life, id: &str, to: SocketAddr, stop: bool) -> Response<Body> {
         let reply = |reply: Reply| (self.cx.wire.reply)(&reply);
         let run = life.runs.borrow().get(id).cloned();
@@ -200,6 +195,7 @@
     run.over.set(true);
 }
 
+/// Returns a body that breaks off.
 fn broken_body() -> Body {
     let (tx, body) = Body::stream(1);
     tx.abort();
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -37,6 +37,7 @@
     broken
 }
 
+/// Checks what one caller got against what upstreams ran for it.
 fn check_call(id: &str, call: &Call, runs: &[Begun]) -> Vec<Broken> {
     let mut broken = Vec::new();
     let mut note = |promise, seen: String| broken.push(Broken { promise, seen });
