Mend what a reading of the soak and the hand-over found

A process that has ended is forgotten, as its id may be another's by the next signal. Runs of an upstream that crashes are over at once: within an event's time a run that went on from a copy counted as one beside another, which would have been a false finding. The line about a lead that was handed over is written only if somebody has it. A soak with fewer boxes than the core is refused. Control processes run on six boxes at most: with 40 of them the proxies needed more descriptors than a process may have. The queue of the capacity measurement states that it waits for any time.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -61,6 +61,7 @@
             priority: (i % 9) as u8 + 1,
             cost: u64::from(i % 700) + 20,
             since: now,
+            accepts: Duration::MAX,
         };
         for i in 0..waiting {
             queue.enqueue(waiter(i));
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -120,7 +120,12 @@
 
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
+        let ended = self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
+        if ended {
+            // Its id may be given to another process from now on.
+            self.child = None;
+        }
+        ended
     }
 
     /// Waits until the process ends; returns whether it did within `limit`.
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -163,9 +163,13 @@
     while cx.leader().is_none() && asked.elapsed() < HAND_OVER_LIMIT {
         compio::time::sleep(HAND_OVER_LOOK).await;
     }
-    let next = cx.leader().map_or_else(String::new, |leader| leader.name);
     let took_ms = asked.elapsed().as_millis();
-    log::info!(next = next.as_str(), took_ms = took_ms; "the lead was handed over");
+    match cx.leader() {
+        Some(next) => {
+            log::info!(next = next.name.as_str(), took_ms = took_ms; "the lead was handed over");
+        }
+        None => log::warn!(took_ms = took_ms; "the lead was given up and nobody has taken it yet"),
+    }
 }
 
 /// Follows the leader's configuration, so that boxes that ask here get the newest.
--- a/crates/hatchpitch/src/explain.rs
+++ b/crates/hatchpitch/src/explain.rs
@@ -135,7 +135,7 @@
         let boxes = own.iter().map(|line| line.box_name.as_str()).collect();
         let times = own.iter().map(|line| line.time_ms);
         let from = times.clone().min().unwrap_or(0).saturating_sub(AROUND_MS);
-        let to = times.max().unwrap_or(0) + AROUND_MS;
+        let to = times.max().unwrap_or(0).saturating_add(AROUND_MS);
         Self { request, upstreams, boxes, times_ms: from..=to }
     }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -66,7 +66,9 @@
             fleet.open_proxies(place).await?;
         }
         for place in 0..boxes {
-            let started = BOTH.into_iter().map(|role| fleet.first_start(place, role));
+            let has_control = fleet.plans.borrow()[place].control;
+            let roles = BOTH.into_iter().filter(|role| has_control || *role == Role::Entry);
+            let started = roles.map(|role| fleet.first_start(place, role));
             let started = started.collect::<anyhow::Result<Vec<Managed>>>()?;
             fleet.processes.borrow_mut().push(started);
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -34,6 +34,7 @@
         ip: ips[place],
         listen_ip: listen_ips[place],
         ports,
+        control: shape.control_boxes().contains(&place),
         data: (place < shape.core).then(|| folder.join(format!("data-{place}"))),
         first_start: true,
         seeds: seeds.clone(),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -107,6 +107,7 @@
         record: Record::default(),
         stop,
     });
+    ensure!(opts.boxes >= CORE, "{} boxes: expected {CORE} or more", opts.boxes);
     let soak = Soak::start(cx, opts).await?;
     soak.operator.put(1, 0).await;
     soak.serves_again().await.context("the first start")?;
@@ -130,9 +131,8 @@
         let net = net_of(opts.seed);
         let plans = plan_boxes(&opts.folder, net, shape)?;
         let fleet = Fleet::start(cx.clone(), &opts.folder, plans).await?;
-        let boxes = shape.all_boxes().into_iter();
         let control: Vec<SocketAddr> =
-            boxes.map(|place| fleet.addr(place, |ports| ports.control)).collect();
+            shape.control_boxes().map(|place| fleet.addr(place, |ports| ports.control)).collect();
         let [ip, listen_ip] = UPSTREAM_IPS.map(|last| Ipv4Addr::new(net[0], net[1], net[2], last));
         let plan = PoolPlan {
             engines: opts.engines,
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -24,7 +24,16 @@
     pub upstreams: usize,
 }
 
+/// Boxes with a control process: three that hold the log and three without a disk, as where
+/// each of three failure domains has two. More of them would only call each other.
+const CONTROL_BOXES: usize = 6;
+
 impl Shape {
+    /// Returns the places of the boxes that have a control process.
+    pub fn control_boxes(&self) -> std::ops::Range<usize> {
+        0..self.boxes.min(CONTROL_BOXES)
+    }
+
     /// Returns the places of all boxes.
     pub fn all_boxes(&self) -> Vec<usize> {
         (0..self.boxes).collect()
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -209,6 +209,8 @@
         self.cx.links.reset(Party::Upstream(at));
         if let Some(life) = place.life.borrow_mut().take() {
             life.dead.set(true);
+            // What it ran is over at once, not when its next event would be due.
+            life.runs.borrow().values().for_each(|run| run.over.set(true));
         }
     }
 
--- a/crates/soak/src/wire.rs
+++ b/crates/soak/src/wire.rs
@@ -48,6 +48,8 @@
     pub listen_ip: Ipv4Addr,
     /// Ports.
     pub ports: Ports,
+    /// Whether the box has a control process.
+    pub control: bool,
     /// Folder for what must outlive the control process; `None` for a box without a disk.
     pub data: Option<PathBuf>,
     /// Whether the whole system starts for the first time.
