Write the key file of the parsers' tests once

Three tests that run side by side wrote the same file before each read; one read it between another's truncation and its write. Two runs on one machine shared it as well. Ruled out: the settings (the text is the same each time).

Change: the file is written once a process, under a name of its own. The checks are the same. Six runs of the file passed afterwards; the race was found by reading, and was not brought about on purpose.

--- a/crates/hatchpitch/tests/parsers.rs
+++ b/crates/hatchpitch/tests/parsers.rs
@@ -1,6 +1,7 @@
 //! Files and messages: examples are valid, errors name the place, noise never panics.
 
 use std::path::PathBuf;
+use std::sync::LazyLock;
 
 use hatchpitch::config::{Fleet, load_fleet};
 use hatchpitch::engine::EngineEvent;
@@ -21,10 +22,17 @@
     load_fleet("fleet.toml", &text).unwrap_or_else(|problems| panic!("{problems}"))
 }
 
-/// Loads settings with the key file replaced by one that exists here.
+/// A key file that is written once: a test that reads it must not meet another one that writes.
+static KEY_FILE: LazyLock<PathBuf> = LazyLock::new(|| {
+    let name = format!("hatchpitch-parsers-test-{}.key", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, "a secret for the parsers' test").unwrap();
+    file
+});
+
+/// Returns settings with the key file replaced by one that exists here.
 fn with_key(text: &str) -> String {
-    let key = std::env::temp_dir().join("hatchpitch-parsers-test.key");
-    std::fs::write(&key, "a secret for the parsers' test").unwrap();
+    let key = &*KEY_FILE;
     let line = format!("box_keys = [{{ id = \"k1\", file = {key:?} }}]");
     let lines = text.lines().map(|l| if l.starts_with("box_keys") { line.as_str() } else { l });
     lines.collect::<Vec<_>>().join("\n")
