Count a test fleet as started once every process answers

Cause: a fleet counted as started when its entry boxes had the configuration; nobody waited for engines and services to listen, nor noticed one that ended at its start. Brought about with an engine that listens 4 s late: set_fault gave 'Connection refused', the failure that was seen once on a machine where everything was built anew; and with an engine that ends at once: the fleet started without it. Both seen red before the change. Ruled out: ports given twice, they are held until all are known, on an address of the fleet's own. Change: TestFleet::start waits until each process answers HTTP, and fails with the name and log of one that ended, also where another process holds its port and answers in its place. The soak starts processes that end again and counts them, and its upstreams and proxies listen in its own process; the platform's tests wait for what they ask.

--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -104,7 +104,8 @@
     ///
     /// Returns an error if a process does not start or the fleet does not become ready.
     pub async fn start(shape: Shape) -> anyhow::Result<Self> {
-        let fleet = Self::launch(shape)?;
+        let mut fleet = Self::launch(shape)?;
+        fleet.wait_answers().await?;
         fleet.apply(1).await?;
         fleet.wait_in_force(1).await?;
         Ok(fleet)
@@ -137,6 +138,22 @@
         Ok(fleet)
     }
 
+    /// Waits until every process answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names a process which ended or does not answer, with its log.
+    async fn wait_answers(&mut self) -> anyhow::Result<()> {
+        let engines = self.engines.iter_mut().zip(&self.engine_addrs);
+        let apps = self.apps.iter_mut().zip(&self.app_addrs);
+        let control = self.control.iter_mut().zip(&self.control_addrs);
+        let entry = self.entry.iter_mut().zip(&self.entry_addrs);
+        for (process, addr) in engines.chain(apps).chain(control).chain(entry) {
+            process.wait_answer(*addr, PATIENCE).await?;
+        }
+        Ok(())
+    }
+
     fn start_standins(&mut self, plan: &Plan) -> anyhow::Result<()> {
         for (i, addr) in plan.engines.iter().enumerate() {
             let mut args =
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod fleet;
 pub mod process;
+mod ready;
 
 pub use fleet::{Shape, TestFleet};
 pub use process::Process;
--- a/crates/standins/src/bin/engine.rs
+++ b/crates/standins/src/bin/engine.rs
@@ -32,6 +32,9 @@
     /// Accepts orders of any term.
     #[arg(long)]
     no_fence: bool,
+    /// Time for which it does not listen yet, in milliseconds: a machine that starts late.
+    #[arg(long, default_value_t = 0)]
+    start_after_ms: u64,
 }
 
 #[compio::main]
@@ -45,6 +48,7 @@
         checks_fence: !args.no_fence,
         ..EngineConfig::default()
     };
+    compio::time::sleep(Duration::from_millis(args.start_after_ms)).await;
     let listener = bind(args.listen).await?;
     let lag = Duration::from_millis(args.report_lag_ms);
     let engine = EngineServer::new(cfg, &args.model, lag);
