Elect at once after a restart where no voter can hold a lease

Cause: after all boxes lost power or were killed, the replicas waited 450 to 900 ms before an election, as if a leader of before might still hold its lease; requests of that time were answered late or not at all. Ruled out: shorter elections everywhere (slow disks and frozen boxes would change leaders for nothing). Change: a replica that restarted asks the other voters whether they lead; once all have said no after its start, no lease is in force, and it neither refuses votes nor waits. One silent voter may hold the lease, and the time has to pass as before. A lease now counts only voters that keep the leader's first entry, and a leader that is no voter has none: the proof in restart.rs rests on it. Each guard taken out once turns a test red.

--- a/crates/hatchpitch/src/replication/append.rs
+++ b/crates/hatchpitch/src/replication/append.rs
@@ -29,19 +29,22 @@
     /// Until that moment no other replica can win an election, whatever the network does.
     pub fn lease_until(&self) -> Option<Instant> {
         let Role::Leader(leadership) = &self.role else { return None };
-        if self.commit < leadership.first_index {
+        if self.commit < leadership.first_index || !self.is_voter() {
             return None;
         }
-        let heard = self.quorum_heard(leadership)?;
+        // Only who keeps this leader's first entry knows it by its log after a restart.
+        let heard = self.quorum_heard(leadership, leadership.first_index)?;
         Some(heard + self.cfg.lease())
     }
 
-    /// Returns the newest moment at which a majority was known to follow this leader.
-    fn quorum_heard(&self, leadership: &Leadership) -> Option<Instant> {
+    /// Returns the newest moment at which a majority that holds the log up to `index` was known
+    /// to follow this leader.
+    fn quorum_heard(&self, leadership: &Leadership, index: Index) -> Option<Instant> {
         let voters = self.members.voters.keys();
         let others = voters.filter(|id| **id != self.id);
+        let progress = others.filter_map(|id| leadership.progress.get(id));
         let mut heard: Vec<Instant> =
-            others.filter_map(|id| leadership.progress.get(id)?.heard).collect();
+            progress.filter(|p| p.matched >= index).filter_map(|p| p.heard).collect();
         heard.sort_unstable_by(|a, b| b.cmp(a));
         let needed = self.members.quorum() - usize::from(self.is_voter());
         match needed {
@@ -52,7 +55,7 @@
 
     pub(super) fn tick_leader(&mut self, now: Instant) {
         let Role::Leader(leadership) = &self.role else { return };
-        let heard = self.quorum_heard(leadership).unwrap_or(leadership.since);
+        let heard = self.quorum_heard(leadership, 0).unwrap_or(leadership.since);
         if now.duration_since(heard.max(leadership.since)) > self.cfg.election_max {
             // Check-quorum: a leader that a majority does not answer steps down.
             self.become_follower(None, now);
@@ -228,8 +231,9 @@
     }
 
     fn note_leader(&mut self, leader: NodeId, now: Instant) {
-        self.become_follower(Some(leader), now);
+        // First: the time to this replica's next election depends on it.
         self.last_contact = Some(now);
+        self.become_follower(Some(leader), now);
     }
 
     pub(super) fn on_append_reply(
--- a/crates/hatchpitch/src/replication/election.rs
+++ b/crates/hatchpitch/src/replication/election.rs
@@ -25,6 +25,8 @@
             Message::PreVoteReply { .. }
             | Message::VoteReply { .. }
             | Message::HandOver { .. }
+            | Message::AskLead { .. }
+            | Message::NotLeading { .. }
             | Message::AppendReply { .. } => {}
         }
         true
@@ -49,9 +51,9 @@
 
     /// Returns whether a leader may hold a lease that this replica granted, also before a restart.
     pub(super) fn may_have_leader(&self, now: Instant) -> bool {
-        let lead = matches!(self.role, Role::Leader(_));
         let granted = self.last_contact.unwrap_or(self.started);
-        lead || now.duration_since(granted) < self.cfg.election_min
+        let recent = now.duration_since(granted) < self.cfg.election_min;
+        self.leads() || (recent && !self.knows_of_no_lease())
     }
 
     pub(super) fn ask_pre_votes(&mut self, now: Instant) {
--- a/crates/hatchpitch/src/replication/messages.rs
+++ b/crates/hatchpitch/src/replication/messages.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::restart::Life;
 use crate::ids::BoxName;
 
 /// Identity of a replica, bound to its disk: a box that lost its disk has a new one.
@@ -116,6 +117,16 @@
         /// The term that the sender led.
         term: Term,
     },
+    /// Asks a voter whether it leads, by a replica that restarted; without regard to terms.
+    AskLead {
+        /// The asker's life.
+        life: Life,
+    },
+    /// Answers a [`Message::AskLead`]: the sender does not lead.
+    NotLeading {
+        /// The life that asked.
+        life: Life,
+    },
     /// Answers a [`Message::Vote`].
     VoteReply {
         /// The answerer's term.
@@ -164,9 +175,10 @@
 }
 
 impl Message {
-    /// Returns the term that the message carries.
+    /// Returns the term that the message carries; 0 for messages without regard to terms.
     pub fn term(&self) -> Term {
         match self {
+            Self::AskLead { .. } | Self::NotLeading { .. } => 0,
             Self::PreVote { term, .. }
             | Self::PreVoteReply { term, .. }
             | Self::Vote { term, .. }
--- a/crates/hatchpitch/src/replication/mod.rs
+++ b/crates/hatchpitch/src/replication/mod.rs
@@ -10,6 +10,7 @@
 pub mod election;
 pub mod entries;
 pub mod messages;
+pub mod restart;
 pub mod state;
 pub mod storage;
 pub mod task;
--- a/crates/hatchpitch/src/replication/state.rs
+++ b/crates/hatchpitch/src/replication/state.rs
@@ -13,6 +13,7 @@
 
 use super::entries::Entries;
 use super::messages::{Entry, Index, LogEnd, Members, Message, NodeId, Payload, Round, Term};
+use super::restart::Restart;
 
 /// Periods and bounds.
 #[derive(Debug, Clone, Copy)]
@@ -158,6 +159,7 @@
     pub(super) leader: Option<NodeId>,
     pub(super) started: Instant,
     pub(super) last_contact: Option<Instant>,
+    pub(super) restart: Restart,
     pub(super) election_at: Instant,
     pub(super) out: Ready,
 }
@@ -174,10 +176,12 @@
         let Restored { hard, snapshot, entries } = restored;
         let log = Entries::new(snapshot.end, snapshot.members, entries);
         let (members, members_index) = log.members();
+        let mut rng = SmallRng::seed_from_u64(seed);
         let mut replica = Self {
             id,
             cfg,
-            rng: SmallRng::seed_from_u64(seed),
+            restart: Restart::new(rng.random(), now),
+            rng,
             hard,
             commit: log.start.index,
             log,
@@ -256,6 +260,7 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Instant) {
+        self.tick_restart(now);
         match &self.role {
             Role::Leader(_) => self.tick_leader(now),
             _ if now >= self.election_at => self.ask_pre_votes(now),
@@ -265,6 +270,11 @@
 
     /// Takes in a message.
     pub fn receive(&mut self, from: NodeId, message: Message, now: Instant) {
+        match message {
+            Message::AskLead { life } => return self.on_ask_lead(from, life, now),
+            Message::NotLeading { life } => return self.on_not_leading(from, life, now),
+            _ => {}
+        }
         if self.answer_old_term(from, &message) {
             return;
         }
@@ -277,6 +287,7 @@
             Message::Vote { term, end, handed_over } => {
                 self.on_vote(from, term, end, handed_over, now);
             }
+            Message::AskLead { .. } | Message::NotLeading { .. } => {}
             Message::HandOver { .. } => self.on_hand_over(now),
             Message::VoteReply { granted, .. } => self.on_vote_reply(from, granted, now),
             Message::Append { prev, entries, commit, round, .. } => {
@@ -341,7 +352,7 @@
     }
 
     pub(super) fn reset_election(&mut self, now: Instant) {
-        let (min, max) = (self.cfg.election_min, self.cfg.election_max);
+        let [min, max] = self.election_bounds(now);
         let spread = max.saturating_sub(min);
         self.election_at = now + min + spread.mul_f64(self.rng.random::<f64>());
     }
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -151,6 +151,8 @@
     senders: BTreeMap<NodeId, mpsc::Sender<Envelope>>,
     /// Term and leader that were logged last.
     logged: Option<(Term, Option<NodeId>)>,
+    /// Whether the line about leases of before the start was written.
+    logged_no_lease: bool,
     /// Where replicas took answers last, for those that the members do not name.
     heard_from: BTreeMap<NodeId, SocketAddr>,
     client: BoxClient,
@@ -187,6 +189,7 @@
         waiting: BTreeMap::new(),
         senders: BTreeMap::new(),
         logged: None,
+        logged_no_lease: false,
         heard_from: BTreeMap::new(),
         client,
         own_addr,
@@ -238,6 +241,13 @@
     fn log_lead(&mut self) {
         let replica = self.replica.borrow();
         let (term, leader) = (replica.term(), replica.leader());
+        if !self.logged_no_lease && replica.knows_of_no_lease() {
+            self.logged_no_lease = true;
+            log::info!(
+                term = term, voters = replica.members().voters.len();
+                "no lease of before the start is in force: no voter leads"
+            );
+        }
         if self.logged == Some((term, leader)) {
             return;
         }
--- a/crates/hatchpitch/tests/replication/group.rs
+++ b/crates/hatchpitch/tests/replication/group.rs
@@ -38,6 +38,8 @@
     base: Instant,
     pub elapsed: Duration,
     pub proposed: u64,
+    /// Counts the starts of boxes, so that no two lives draw the same numbers.
+    starts: u64,
     /// Commands that were acknowledged to their proposer.
     pub acknowledged: BTreeMap<Index, Vec<u8>>,
 }
@@ -63,6 +65,7 @@
             base: Instant::now(),
             elapsed: Duration::ZERO,
             proposed: 0,
+            starts: 0,
             acknowledged: BTreeMap::new(),
         };
         for id in 1..=size {
@@ -104,6 +107,8 @@
     pub fn start(&mut self, id: NodeId) {
         let now = self.now(id);
         let cfg = self.cfg;
+        self.starts += 1;
+        let seed = self.starts;
         let node = self.nodes.get_mut(&id).unwrap();
         let (storage, restored) = match Storage::open(Disk::Fake(node.disk.clone())) {
             Ok(opened) => opened,
@@ -111,7 +116,7 @@
             Err(err) => panic!("{err}"),
         };
         node.storage = Some(storage);
-        node.replica = Some(Replica::new(id, cfg, restored, id, now));
+        node.replica = Some(Replica::new(id, cfg, restored, seed, now));
     }
 
     /// Ends a box; `kept` bytes of what was not synced survive.
--- a/crates/hatchpitch/tests/replication/main.rs
+++ b/crates/hatchpitch/tests/replication/main.rs
@@ -3,5 +3,6 @@
 
 mod explore;
 mod group;
+mod restarts;
 mod schedules;
 mod storage;
