Let a box that lost its disk say that its former process ended

Cause: after a final fault that takes one disk, the other two replicas waited 450 ms and more for the lease of the lost identity, which never answers (leader 0.6 s after the last start). Change: a control box answers the question to an identity that is not its own: the process that had it listened at this address, so it ended. Learners and boxes without a place no longer count as knowing of no lease. Test: two_of_three_elect_at_once_when_the_third_comes_back_without_its_disk.

--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -1,5 +1,6 @@
 //! The control box's listener for other boxes.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use hatchpitch_net::{Body, open_message, read_body, rmp_response};
@@ -20,8 +21,9 @@
 use crate::registry::peers::NEWS_PATH;
 use crate::registry::{FollowRequest, RegistryNews};
 use crate::replication::bootstrap::{HELLO_PATH, Hello};
-use crate::replication::messages::LogBatch;
-use crate::replication::task::LOG_PATH;
+use crate::replication::messages::{Envelope, LogBatch};
+use crate::replication::restart::answer_for_former;
+use crate::replication::task::{LOG_PATH, SEND_LIMIT};
 
 type Answered = Result<Response<Body>, Box<Response<Body>>>;
 
@@ -97,6 +99,11 @@
     /// Passes messages of the log on; before it began, they are only a sign of being let in.
     fn receive(&self, batch: LogBatch) {
         let own = self.cx.id;
+        for asked in batch.envelopes.iter().filter(|e| e.to != own) {
+            if let Some(answer) = answer_for_former(asked) {
+                self.send_log(batch.reply_to, answer);
+            }
+        }
         match self.cx.log() {
             Some(log) => log.receive(batch),
             None if batch.envelopes.iter().any(|e| e.to == own) => self.cx.invited.set(true),
@@ -104,6 +111,18 @@
         }
     }
 
+    /// Sends one message of the log without waiting; the receiver asks again if it is lost.
+    fn send_log(&self, to: SocketAddr, envelope: Envelope) {
+        let (client, reply_to) = (self.cx.boxes.clone(), self.cx.settings.own.boxes_addr);
+        let batch = LogBatch { reply_to, envelopes: vec![envelope] };
+        compio::runtime::spawn(async move {
+            if let Err(err) = client.call::<_, ()>(to, LOG_PATH, &batch, SEND_LIMIT).await {
+                log::debug!("answer for a former identity: {err}");
+            }
+        })
+        .detach();
+    }
+
     fn open<Q: DeserializeOwned>(&self) -> Result<Q, Box<Response<Body>>> {
         open_message(&self.cx.settings.box_keys, self.path, self.headers, self.body)
     }
--- a/crates/hatchpitch/src/replication/restart.rs
+++ b/crates/hatchpitch/src/replication/restart.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use super::messages::{Message, NodeId};
+use super::messages::{Envelope, Message, NodeId};
 use super::state::Replica;
 
 /// Names one life of a replica, so that an answer to a former life counts for nothing.
@@ -27,6 +27,15 @@
 /// round of votes takes, so that one of the replicas comes first.
 const QUICK_ELECTION: [Duration; 2] = [Duration::from_millis(5), Duration::from_millis(60)];
 
+/// Answers a question to an identity that this box no longer has: its disk was lost, and the
+/// process that may have led under it ended before this one could listen at the same address.
+/// Returns `None` for any other message.
+pub fn answer_for_former(asked: &Envelope) -> Option<Envelope> {
+    let Message::AskLead { life } = asked.message else { return None };
+    let message = Message::NotLeading { life };
+    Some(Envelope { from: asked.to, to: asked.from, message })
+}
+
 /// What a replica has learned in its present life about the leases of before.
 #[derive(Debug, Clone)]
 pub(super) struct Restart {
@@ -47,7 +56,8 @@
     /// been granted by it since.
     pub fn knows_of_no_lease(&self) -> bool {
         let mut others = self.members.voters.keys().filter(|id| **id != self.id);
-        self.last_contact.is_none() && others.all(|id| self.restart.not_leading.contains(id))
+        let heard_nobody = self.last_contact.is_none() && self.is_voter();
+        heard_nobody && others.all(|id| self.restart.not_leading.contains(id))
     }
 
     /// Asks the voters that have not answered yet, while it is worth something.
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -24,7 +24,7 @@
 /// Messages that wait for one replica; older ones are dropped beyond it.
 const QUEUE: usize = 256;
 /// Time for a batch of messages to be taken.
-const SEND_LIMIT: Duration = Duration::from_millis(1_000);
+pub(crate) const SEND_LIMIT: Duration = Duration::from_millis(1_000);
 /// Longest time between two looks at the clock.
 const TICK: Duration = Duration::from_millis(25);
 /// Bytes of the log file after which a snapshot is taken.
--- a/crates/hatchpitch/tests/replication/restarts.rs
+++ b/crates/hatchpitch/tests/replication/restarts.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use arbitrary::Unstructured;
-use hatchpitch::replication::{Message, NodeId};
+use hatchpitch::replication::restart::answer_for_former;
+use hatchpitch::replication::{Envelope, Message, NodeId};
 
-use super::group::Group;
+use super::group::{Flying, Group};
 
 /// Time in which a group whose replicas all restarted has a leader, in ms: the wait before an
 /// election and some rounds of messages, far below the shortest wait for a lease to end.
@@ -97,6 +98,40 @@
     assert!(group.leader().is_some());
 }
 
+/// Answers what was sent to an identity whose disk is lost, as the process at its address does.
+fn answer_for(group: &mut Group, lost: NodeId) {
+    for Flying { from, to, message } in std::mem::take(&mut group.flying) {
+        let asked = Envelope { from, to, message };
+        if to == lost
+            && let Some(Envelope { from, to, message }) = answer_for_former(&asked)
+        {
+            group.flying.push(Flying { from, to, message });
+        }
+        let Envelope { from, to, message } = asked;
+        group.flying.push(Flying { from, to, message });
+    }
+}
+
+#[test]
+fn two_of_three_elect_at_once_when_the_third_comes_back_without_its_disk() {
+    let (mut group, leader) = led_group();
+    group.nodes.remove(&leader);
+    let others: Vec<NodeId> = (1..=3).filter(|id| *id != leader).collect();
+    restart(&mut group, &others);
+    group.flying.clear();
+    for _ in 0..AT_ONCE_MS / 20 {
+        answer_for(&mut group, leader);
+        group.run(20).unwrap();
+    }
+    assert!(group.leader().is_some_and(|id| others.contains(&id)));
+}
+
+#[test]
+fn only_questions_are_answered_for_a_former_identity() {
+    let heartbeat = Envelope { from: 1, to: 2, message: Message::NotLeading { life: 1 } };
+    assert_eq!(answer_for_former(&heartbeat), None);
+}
+
 #[test]
 fn a_leader_does_not_say_that_it_does_not_lead() {
     let (mut group, leader) = led_group();
