Ask several boxes at one time for a first confirmation

Cause: after a restart of everything, 0.02 to 0.42 s passed between the election and the first answer. Boxes asked one control box after the other, each of which held the request for 250 ms if it had no confirmation itself, and rested 200 ms after one that was not up yet. Change: a box without a confirmation asks three parents at one time and takes the first that has one; rests after failures begin at 25 ms and double up to the 200 ms of before, for the feed and for the lists of upstreams alike.

--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -12,12 +12,15 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hatchpitch_net::{BoxClient, Stop};
 
 use super::messages::{FeedAnswer, FeedRequest};
 use super::state::ConfigState;
 use super::view::FleetView;
 use crate::ids::{BoxName, ConfigNumber};
+use crate::limits::backoff;
 
 /// Path of the feed at every box.
 pub const FEED_PATH: &str = "/box/feed";
@@ -33,8 +36,9 @@
 /// How long a parent may hold the request of a box without a confirmation: it is short, so that
 /// one parent that has none either does not keep the box from asking the others.
 const UNCONFIRMED_HOLD: Duration = Duration::from_millis(250);
-/// Rest after a failed round, so that an unreachable parent is not hammered.
-const RETRY_REST: Duration = Duration::from_millis(200);
+/// Parents that a box without a confirmation asks at one time: some may not be up yet, or have
+/// none themselves.
+const ASKED_AT_ONCE: usize = 3;
 
 /// The configuration in force at this box, shared by its tasks on one thread.
 pub struct ConfigCell {
@@ -188,23 +192,33 @@
     find_parents: impl Fn() -> Vec<SocketAddr>,
     stop: Stop,
 ) {
+    let mut failures = 0;
     while !stop.is_set() {
-        if !follow_once(&own, cell, client, find_parents()).await {
-            compio::time::sleep(RETRY_REST).await;
+        if follow_once(&own, cell, client, find_parents()).await {
+            failures = 0;
+            continue;
         }
+        failures += 1;
+        compio::time::sleep(backoff::rest(failures)).await;
     }
 }
 
-/// Asks the parents in turn until one answers that is not behind.
+/// Asks the parents in turn, or a few at one time while there is no confirmation, until one
+/// answers that is not behind.
 async fn follow_once(
     own: &BoxName,
     cell: &ConfigCell,
     client: &BoxClient,
     parents: Vec<SocketAddr>,
 ) -> bool {
-    for parent in parents {
-        if fetch(own, cell, client, parent, HOLD).await {
-            return true;
+    let at_once = if cell.is_confirmed() { 1 } else { ASKED_AT_ONCE };
+    for group in parents.chunks(at_once) {
+        let asked = group.iter().map(|parent| fetch(own, cell, client, *parent, HOLD));
+        let mut asked: FuturesUnordered<_> = asked.collect();
+        while let Some(is_fresh) = asked.next().await {
+            if is_fresh {
+                return true;
+            }
         }
     }
     false
--- a/crates/hatchpitch/src/limits/mod.rs
+++ b/crates/hatchpitch/src/limits/mod.rs
@@ -1,5 +1,7 @@
 //! Budgets that keep retries from making an overload worse.
 
+pub mod backoff;
+
 use std::collections::HashMap;
 
 use crate::ids::{PoolName, WorkspaceName};
--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -12,6 +12,7 @@
 use super::messages::{FollowAnswer, FollowRequest};
 use super::roster::Roster;
 use crate::ids::{BoxName, ConfigNumber};
+use crate::limits::backoff;
 
 /// Path of the held requests.
 pub const FOLLOW_PATH: &str = "/box/upstreams";
@@ -19,8 +20,6 @@
 const HOLD: Duration = Duration::from_millis(1_000);
 /// Time allowed for an answer beyond the hold.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1_000);
-/// Rest after a failure, so that a control box that is away is not hammered.
-const RETRY_REST: Duration = Duration::from_millis(200);
 /// Time between looks for control boxes that nobody follows yet.
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
 /// Control boxes that one entry box follows. What an upstream announces is at a majority of up
@@ -145,7 +144,7 @@
                 if failures >= AWAY {
                     followed.away.borrow_mut().insert(source);
                 }
-                compio::time::sleep(RETRY_REST).await;
+                compio::time::sleep(backoff::rest(failures)).await;
             }
         }
         if followed.from_settings.borrow().contains(&source) {
