Have a first member hear who takes part before it joins a log

Cause, from the state of the replicas in the log: two of the three had a log with no members. A box that begins with the others took the first message of the log for an invitation, and began a log without members, as boxes do that are let in later and learn them from the log; the first members do not stand in it. Change: at its first start a box asks its peers until the log begins with it or goes on without it, and only then waits to be let in; and only messages that a leader sends are a sign of that.

--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -106,8 +106,12 @@
         }
         match self.cx.log() {
             Some(log) => log.receive(batch),
-            None if batch.envelopes.iter().any(|e| e.to == own) => self.cx.invited.set(true),
-            None => {}
+            None => {
+                let mut to_own = batch.envelopes.iter().filter(|e| e.to == own);
+                if to_own.any(|e| e.message.is_from_leader()) {
+                    self.cx.invited.set(true);
+                }
+            }
         }
     }
 
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -16,6 +16,7 @@
 use crate::essential::spawn_essential;
 use crate::listener::{self, ExtraListener, bound_at};
 use crate::registry::peers;
+use crate::replication::bootstrap::Begun;
 use crate::replication::disk::Disk;
 use crate::replication::{NodeId, Storage, bootstrap, task};
 use crate::settings::ControlSettings;
@@ -119,15 +120,11 @@
 /// Begins the log, then confirms the configuration for as long as the process runs.
 async fn run_log(cx: &Rc<ControlCx>, disk: Disk, stop: Stop) -> anyhow::Result<()> {
     if !Storage::has_log(&disk)? {
-        let hello = cx.hello();
-        if cx.settings.bootstrap {
-            let begun = bootstrap::bootstrap(&disk, &hello, &cx.settings.peers, &cx.boxes);
-            let joined = select(Box::pin(begun), Box::pin(joined(cx, &disk)));
-            match joined.await {
-                Either::Left((begun, _)) => begun?,
-                Either::Right((joined, _)) => joined?,
-            }
-        } else {
+        let begun = match cx.settings.bootstrap {
+            true => bootstrap::bootstrap(&disk, &cx.hello(), &cx.settings.peers, &cx.boxes).await?,
+            false => Begun::Elsewhere,
+        };
+        if begun == Begun::Elsewhere {
             log::info!("no log here; asks for a place in the one that goes on");
             joined(cx, &disk).await?;
         }
--- a/crates/hatchpitch/src/replication/bootstrap.rs
+++ b/crates/hatchpitch/src/replication/bootstrap.rs
@@ -55,6 +55,15 @@
     Outside,
 }
 
+/// Where the log is that a box asked for at its first start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Begun {
+    /// It begins, or began, with this box, whose disk now holds its members.
+    Here,
+    /// It goes on without this identity, which has to be let in.
+    Elsewhere,
+}
+
 /// Returns this disk's identity, making one at the first start.
 ///
 /// # Errors
@@ -90,7 +99,9 @@
     Introduced::Begin(Members { voters, learners: BTreeMap::new() })
 }
 
-/// Asks the peers until a log may begin; makes it durable and returns.
+/// Asks the peers until a log may begin, and makes it durable, or until one goes on without this
+/// box. Messages of its leader are no sign of the latter: one of the first members may get them
+/// before it has heard who the others are, and the log does not tell.
 ///
 /// # Errors
 ///
@@ -100,20 +111,24 @@
     own: &Hello,
     peers: &[ControlPeer],
     client: &BoxClient,
-) -> Result<(), StorageError> {
+) -> Result<Begun, StorageError> {
     let mut rounds = 0_u32;
     loop {
         let answers = introductions(own, peers, client).await;
         match decide(own.id, peers, &answers) {
-            Introduced::Begin(members) => return Storage::create(disk, members),
-            state if rounds.is_multiple_of(NOTE_EVERY) => {
+            Introduced::Begin(members) => {
+                Storage::create(disk, members)?;
+                return Ok(Begun::Here);
+            }
+            Introduced::Outside => return Ok(Begun::Elsewhere),
+            state @ Introduced::Wait if rounds.is_multiple_of(NOTE_EVERY) => {
                 log::warn!(
                     "no log here yet: {state:?}; {} of {} peers answered",
                     answers.len(),
                     peers.len()
                 );
             }
-            _ => {}
+            Introduced::Wait => {}
         }
         rounds += 1;
         compio::time::sleep(RETRY_REST).await;
--- a/crates/hatchpitch/src/replication/messages.rs
+++ b/crates/hatchpitch/src/replication/messages.rs
@@ -175,6 +175,11 @@
 }
 
 impl Message {
+    /// Returns whether only a leader sends such a message, and only to who takes part.
+    pub fn is_from_leader(&self) -> bool {
+        matches!(self, Self::Append { .. } | Self::Install { .. })
+    }
+
     /// Returns the term that the message carries; 0 for messages without regard to terms.
     pub fn term(&self) -> Term {
         match self {
