Probe connections on which nothing arrives

Cause: connections may go silent for good without a reset. The bound on unacknowledged bytes does not see it where this side only waits, as for the events of a stream. Change: keep-alive probes after 2 s of rest, each second; the bound of 5 s ends the connection. Ruled out: a time limit on a runner's silence in the relay; a slow runner would be cut off.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -15,6 +15,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
+use socket2::{SockRef, TcpKeepalive};
+
 use crate::{Body, Stop};
 
 /// Answers one request; the address is the caller's.
@@ -42,6 +44,14 @@
 /// Twice the time after which a cut of a network link is usually noticed by heartbeats.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
 
+/// How long a connection may rest before the kernel asks the peer whether it is still there: a
+/// stream of events rests for tens of ms at most, and idle connections cost little by it.
+const PROBE_AFTER: Duration = Duration::from_secs(2);
+
+/// Time between two such questions. The connection counts as broken once the peer has left them
+/// unanswered for [`UNACKNOWLEDGED_LIMIT`].
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
 /// How long the accept loop rests after a failure such as too many open files.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -51,13 +61,17 @@
     pairs.find(|(name, _)| *name == key).map(|(_, value)| value)
 }
 
-/// Ends a connection whose peer acknowledges nothing for a while, such as one behind a cut.
+/// Ends a connection whose peer acknowledges nothing for a while, such as one behind a cut, also
+/// where this side only waits and sends nothing itself.
 ///
 /// # Errors
 ///
-/// Returns the system's error if the socket does not take the option.
+/// Returns the system's error if the socket does not take an option.
 pub(crate) fn bound_silence(stream: &TcpStream) -> io::Result<()> {
-    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    let probes = TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_PERIOD);
+    socket.set_tcp_keepalive(&probes)
 }
 
 /// Binds a listener.
