Switch each mechanism of policy off by a setting

Change: moves, second tries, early refusal, nearness, quotes and ejection join the table [policy], which has a file of its own now; elects_at_once belongs to the log.

--- a/crates/hatchpitch/src/admission/policy.rs
+++ b/crates/hatchpitch/src/admission/policy.rs
@@ -43,6 +43,18 @@
     pub pick: Pick,
     /// When an engine's memory is full.
     pub memory: MemoryPolicy,
+    /// Whether running generations are moved off runners that leave.
+    pub moves: bool,
+    /// Whether a repeatable call that failed goes to a second upstream.
+    pub second_tries: bool,
+    /// Whether a generation that would wait too long is refused at once.
+    pub early_refusal: bool,
+    /// Whether upstreams of the box's own failure domain are preferred.
+    pub near: bool,
+    /// Whether several owners are asked how busy their engines are.
+    pub quotes: bool,
+    /// Whether upstreams that fail get no work for a while.
+    pub ejection: bool,
 }
 
 impl Policy {
@@ -52,6 +64,12 @@
         order: Order::Arrival,
         pick: Pick::RoundRobin,
         memory: MemoryPolicy::Unlimited,
+        moves: false,
+        second_tries: false,
+        early_refusal: false,
+        near: false,
+        quotes: false,
+        ejection: false,
     };
 }
 
@@ -62,6 +80,12 @@
             order: Order::default(),
             pick: Pick::default(),
             memory: MemoryPolicy::Survival(1.0),
+            moves: true,
+            second_tries: true,
+            early_refusal: true,
+            near: true,
+            quotes: true,
+            ejection: true,
         }
     }
 }
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -140,8 +140,12 @@
     fn new_gate(&self) -> Gate {
         let policy = self.settings.policy;
         let admission = AdmissionConfig { order: policy.order, ..AdmissionConfig::default() };
-        let routing =
-            RoutingConfig { pick: policy.pick, memory: policy.memory, ..RoutingConfig::default() };
+        let routing = RoutingConfig {
+            ejects: policy.ejection,
+            pick: policy.pick,
+            memory: policy.memory,
+            ..RoutingConfig::default()
+        };
         Gate::new(admission, routing)
     }
 
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -140,7 +140,8 @@
 impl Asking {
     async fn ask(self) -> Result<Slot, Refusal> {
         let mut owners = self.owners();
-        let rest = owners.split_off(owners.len().min(QUOTED));
+        let quoted = if self.cx.settings.policy.quotes { QUOTED } else { 0 };
+        let rest = owners.split_off(owners.len().min(quoted));
         let mut quoted = self.quotes(owners).await;
         quoted.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut busy: Vec<(Duration, SocketAddr)> = Vec::new();
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -186,7 +186,8 @@
 
     /// Returns whether a request that may have run may run again.
     fn may_repeat(&self) -> bool {
-        self.req.route.runs == RunPolicy::Repeatable
+        self.relay.cx.settings.policy.second_tries
+            && self.req.route.runs == RunPolicy::Repeatable
             && self.ran_at.get() < self.req.route.max_upstreams
             && self.has_untried()
             && self.take_budget()
@@ -207,6 +208,8 @@
 
     async fn slot(&self) -> Result<Slot, Refusal> {
         let (needs, aim) = (self.req.generation, self.req.route.answer_aim);
+        let settings = &self.relay.cx.settings;
+        let refuses_early = needs.is_some() && settings.policy.early_refusal;
         let want = Want {
             id: new_id(),
             workspace: self.req.workspace.clone().unwrap_or_default(),
@@ -215,10 +218,10 @@
             prompt: needs.map_or(0, |needs| needs.prompt),
             max_tokens: needs.map_or(u64::MAX, |needs| needs.max_output),
             avoid: self.tried.borrow().clone(),
-            near: Some(self.relay.cx.settings.failure_domain.clone()),
+            near: settings.policy.near.then(|| settings.failure_domain.clone()),
             copied: 0,
             max_wait: needs.map(|_| aim.mul_f64(LONGEST_WAIT)),
-            accepts: needs.map(|_| aim.mul_f64(EXPECTED_WAIT)),
+            accepts: refuses_early.then(|| aim.mul_f64(EXPECTED_WAIT)),
         };
         let started = Instant::now();
         self.await_upstreams(started).await;
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -220,6 +220,9 @@
             return;
         }
         self.look_at_roster();
+        if !self.relay.cx.settings.policy.moves {
+            return;
+        }
         if !self.leaving || self.moves >= MAX_MOVES || Instant::now() < self.next_move {
             return;
         }
--- a/crates/hatchpitch/src/replication/restart.rs
+++ b/crates/hatchpitch/src/replication/restart.rs
@@ -57,7 +57,9 @@
     pub fn knows_of_no_lease(&self) -> bool {
         let mut others = self.members.voters.keys().filter(|id| **id != self.id);
         let heard_nobody = self.last_contact.is_none() && self.is_voter();
-        heard_nobody && others.all(|id| self.restart.not_leading.contains(id))
+        self.cfg.elects_at_once
+            && heard_nobody
+            && others.all(|id| self.restart.not_leading.contains(id))
     }
 
     /// Asks the voters that have not answered yet, while it is worth something.
--- a/crates/hatchpitch/src/replication/state.rs
+++ b/crates/hatchpitch/src/replication/state.rs
@@ -24,6 +24,8 @@
     pub election_min: Duration,
     /// Longest time without a leader before this replica asks for votes.
     pub election_max: Duration,
+    /// Whether a group in which no lease can be in force after a restart elects at once.
+    pub elects_at_once: bool,
     /// Entries that one message carries at most.
     pub max_entries: usize,
     /// Bytes of entries that one message carries, roughly.
@@ -36,6 +38,7 @@
             heartbeat: Duration::from_millis(100),
             election_min: Duration::from_millis(800),
             election_max: Duration::from_millis(1_600),
+            elects_at_once: true,
             max_entries: 512,
             max_bytes: 1024 * 1024,
         }
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -23,6 +23,8 @@
     pub eject_min: Duration,
     /// Longest time of ejection.
     pub eject_max: Duration,
+    /// Whether runners that fail are ejected at all.
+    pub ejects: bool,
     /// Which of the fitting runners is taken.
     pub pick: Pick,
     /// When a runner's memory is full.
@@ -34,6 +36,7 @@
         Self {
             eject_min: Duration::from_millis(500),
             eject_max: Duration::from_secs(30),
+            ejects: true,
             pick: Pick::LeastLoaded,
             memory: MemoryPolicy::Unlimited,
         }
@@ -299,6 +302,7 @@
                 runner.faults = 0;
                 runner.ejected_until = None;
             }
+            Verdict::Faulty | Verdict::Failed if !cfg.ejects => {}
             Verdict::Faulty if runner.faults == 0 => runner.faults = 1,
             Verdict::Faulty | Verdict::Failed => {
                 let doubled = cfg.eject_min.saturating_mul(1 << runner.failures.min(16));
--- a/crates/hatchpitch/src/settings/control.rs
+++ b/crates/hatchpitch/src/settings/control.rs
@@ -31,6 +31,7 @@
     #[serde(default)]
     operator: Vec<RawOperator>,
     log_level: Option<Spanned<String>>,
+    elects_at_once: Option<bool>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -105,6 +106,9 @@
             let found = format!("{:?} twice", pair[0].name);
             check.note(raw.name.span(), "peer.name", found, "each control box once");
         }
+        let default = ReplicaConfig::default();
+        let elects_at_once = raw.elects_at_once.unwrap_or(default.elects_at_once);
+        let replica = ReplicaConfig { elects_at_once, ..default };
         check.finish(Self {
             own,
             listen_ip,
@@ -112,7 +116,7 @@
             peers,
             data_folder: Some(raw.data_folder),
             bootstrap: true,
-            replica: ReplicaConfig::default(),
+            replica,
             box_keys,
             operators,
             log_level,
--- a/crates/hatchpitch/src/settings/diagnostic.rs
+++ b/crates/hatchpitch/src/settings/diagnostic.rs
@@ -40,6 +40,13 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Problems(pub Vec<Problem>);
 
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { key, found, expected, .. } = self;
+        write!(f, "{key}: found {found}, expected {expected}")
+    }
+}
+
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { file, line, key, found, expected } = self;
--- a/crates/hatchpitch/src/settings/entry.rs
+++ b/crates/hatchpitch/src/settings/entry.rs
@@ -9,8 +9,9 @@
 use toml::Spanned;
 
 use super::diagnostic::{Checker, Finding};
+use super::policy::{self, RawPolicy};
 use super::shared::{self, RawBoxKey};
-use crate::admission::{MemoryPolicy, Order, Pick, Placement, Policy};
+use crate::admission::Policy;
 use crate::ids::{BoxName, FailureDomainName};
 
 /// The settings file before it is checked.
@@ -35,16 +36,6 @@
     policy: RawPolicy,
 }
 
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct RawPolicy {
-    placement: Option<Spanned<String>>,
-    order: Option<Spanned<String>>,
-    pick: Option<Spanned<String>>,
-    memory: Option<Spanned<String>>,
-    memory_bound: Option<Spanned<f64>>,
-}
-
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawLimits {
@@ -173,7 +164,7 @@
         let log_level = shared::log_level(&mut check, &raw.log_level);
         let limits = limits(&mut check, &raw.limits);
         let timing = timing(&mut check, &raw.timing);
-        let policy = policy(&mut check, &raw.policy);
+        let policy = policy::check(&mut check, &raw.policy);
         let (Some(callers_addr), Some(boxes_addr), Some(box_keys)) =
             (callers_addr, boxes_addr, box_keys)
         else {
@@ -288,56 +279,3 @@
     }
     timing
 }
-
-/// Finds the value that a word stands for, or notes the words that would be right.
-fn choice<T: Copy>(
-    check: &mut Checker,
-    key: &str,
-    raw: &Option<Spanned<String>>,
-    choices: &[(&str, T)],
-    default: T,
-) -> T {
-    let Some(raw) = raw else { return default };
-    if let Some((_, value)) = choices.iter().find(|(word, _)| word == raw.get_ref()) {
-        return *value;
-    }
-    let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
-    check.note(raw.span(), key, format!("{:?}", raw.get_ref()), &words.join(", "));
-    default
-}
-
-fn policy(check: &mut Checker, raw: &RawPolicy) -> Policy {
-    let default = Policy::default();
-    let placements = [("owner", Placement::Owner), ("local", Placement::Local)];
-    let orders = [("fair", Order::Fair), ("arrival", Order::Arrival)];
-    let picks = [("least-loaded", Pick::LeastLoaded), ("round-robin", Pick::RoundRobin)];
-    Policy {
-        placement: choice(
-            check,
-            "policy.placement",
-            &raw.placement,
-            &placements,
-            default.placement,
-        ),
-        order: choice(check, "policy.order", &raw.order, &orders, default.order),
-        pick: choice(check, "policy.pick", &raw.pick, &picks, default.pick),
-        memory: memory_policy(check, raw),
-    }
-}
-
-fn memory_policy(check: &mut Checker, raw: &RawPolicy) -> MemoryPolicy {
-    type Make = fn(f64) -> MemoryPolicy;
-    let makes: [(&str, (Make, f64, f64)); 4] = [
-        ("unlimited", (|_| MemoryPolicy::Unlimited, 0.0, 0.0)),
-        ("watermark", (MemoryPolicy::Watermark, 0.8, 1.0)),
-        ("quantile", (MemoryPolicy::Quantile, 0.8, 0.999)),
-        ("survival", (MemoryPolicy::Survival, 1.0, 6.0)),
-    ];
-    let (make, bound, max) = choice(check, "policy.memory", &raw.memory, &makes, makes[3].1);
-    let Some(given) = &raw.memory_bound else { return make(bound) };
-    if !(0.0..=max).contains(given.get_ref()) {
-        let expected = format!("0 to {max} for this policy");
-        check.note(given.span(), "policy.memory_bound", given.get_ref(), &expected);
-    }
-    make(*given.get_ref())
-}
--- a/crates/hatchpitch/src/settings/mod.rs
+++ b/crates/hatchpitch/src/settings/mod.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod diagnostic;
 pub mod entry;
+pub mod policy;
 pub(crate) mod shared;
 
 pub use control::{ControlPeer, ControlSettings};
--- a/crates/hatchpitch/tests/replication/restarts.rs
+++ b/crates/hatchpitch/tests/replication/restarts.rs
@@ -48,6 +48,18 @@
     group.heal_and_check().unwrap();
 }
 
+#[test]
+fn a_group_for_which_it_is_switched_off_waits_as_long_as_a_lease() {
+    let (mut group, _) = led_group();
+    group.cfg.elects_at_once = false;
+    restart(&mut group, &[1, 2, 3]);
+    group.flying.clear();
+    group.run(AT_ONCE_MS).unwrap();
+    assert!(group.leader().is_none());
+    group.run(5_000).unwrap();
+    assert!(group.leader().is_some());
+}
+
 #[test]
 fn a_group_elects_at_once_after_the_last_of_its_replicas_is_back() {
     let (mut group, leader) = led_group();
