--- a/crates/hatchpitch/tests/switches.rs
+++ b/crates/hatchpitch/tests/switches.rs
@@ -57,7 +57,7 @@
     let candidate = Candidate { kind: "k".to_owned(), prompt: 1, max_output: 1 };
     let (id, lengths) = ("run".to_owned(), LengthModel::default());
     let asked = Asked { id: &id, avoid: &[], near: None, copied: 0 };
-    let mut pick =
+    let pick =
         |table: &mut RunnerTable| table.pick(&asked, &candidate, &lengths, now).unwrap().name;
     let failed = pick(&mut table);
     table.give_back(&failed, &id, Verdict::Failed, None, now);
