Leave a link alone until the last part of a copy is over

Hypothesis: the pauses of moved streams that are too long come from last parts that wait behind another copy to the same runner: its backlog was taken as done when the first copy was. Change: a move books the link for 80 ms more than its copy takes, and a link with a copy on it counts as 0.3 more busy. Test: a_link_is_left_alone_until_the_last_part_of_a_copy_is_over, red before.

--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -137,6 +137,11 @@
 
 /// Weight of a second that a copy takes, in load: a runner that leaves has two seconds for all.
 const COPY_WEIGHT: f64 = 3.0;
+/// Load that another copy on a runner's link counts as: the last part of a copy, for which its
+/// stream stands still, would wait behind it.
+const SHARED_LINK: f64 = 0.3;
+/// Time that a move takes beside its copy: asking, and the last part.
+const LAST_PART: Duration = Duration::from_millis(80);
 /// How much longer a copy to another failure domain takes.
 const FAR_COPY_FACTOR: f64 = 2.0;
 
@@ -156,9 +161,11 @@
         if self.copied == 0 {
             return far;
         }
+        let left = runner.copies.left(spec.copy_rate, now);
+        let shared = if left > 0.0 { SHARED_LINK } else { 0.0 };
         let own = self.copied as f64 * self.copy_factor(spec);
-        let seconds = (runner.copies.left(spec.copy_rate, now) + own) / spec.copy_rate;
-        far + seconds * COPY_WEIGHT
+        let seconds = (left + own) / spec.copy_rate;
+        far + shared + seconds * COPY_WEIGHT
     }
 }
 
@@ -221,7 +228,8 @@
             0 => best.prefill.add(candidate.prompt as f64, PREFILL_RATE, now),
             copied => {
                 let tokens = copied as f64 * asked.copy_factor(&best.spec);
-                best.copies.add(tokens, best.spec.copy_rate, now);
+                let rest = best.spec.copy_rate * LAST_PART.as_secs_f64();
+                best.copies.add(tokens + rest, best.spec.copy_rate, now);
             }
         }
         best.memory.take(asked.id.clone(), candidate.clone(), now);
--- a/crates/hatchpitch/tests/routing.rs
+++ b/crates/hatchpitch/tests/routing.rs
@@ -97,3 +97,18 @@
     let third = pick(&mut table, &[], "d", 2_000, true, now).unwrap();
     assert_eq!(third, "far", "both near links are taken for longer than the far copy takes");
 }
+
+#[test]
+fn a_link_is_left_alone_until_the_last_part_of_a_copy_is_over() {
+    let now = Instant::now();
+    let mut table = table(&[("a", "d"), ("b", "d")]);
+    for _ in 0..2 {
+        assert_eq!(pick(&mut table, &["a"], "d", 1, false, now).as_deref(), Some("b"));
+    }
+    assert_eq!(pick(&mut table, &["b"], "d", 1_000, true, now).as_deref(), Some("a"));
+    // The copy took 100 ms, and its stream stands still for what it made meanwhile.
+    let stopped = now + Duration::from_millis(120);
+    assert_eq!(pick(&mut table, &[], "d", 1_000, true, stopped).as_deref(), Some("b"));
+    let over = now + Duration::from_millis(400);
+    assert_eq!(pick(&mut table, &[], "d", 1_000, true, over).as_deref(), Some("a"));
+}
