--- a/crates/hatchpitch/src/replication/state.rs
+++ b/crates/hatchpitch/src/replication/state.rs
@@ -273,6 +273,7 @@
 
     /// Takes in a message.
     pub fn receive(&mut self, from: NodeId, message: Message, now: Instant) {
+        // Terms say nothing about leases of before a restart.
         match message {
             Message::AskLead { life } => return self.on_ask_lead(from, life, now),
             Message::NotLeading { life } => return self.on_not_leading(from, life, now),
@@ -290,7 +291,7 @@
             Message::Vote { term, end, handed_over } => {
                 self.on_vote(from, term, end, handed_over, now);
             }
-            Message::AskLead { .. } | Message::NotLeading { .. } => {}
+            Message::AskLead { .. } | Message::NotLeading { .. } => unreachable!("taken above"),
             Message::HandOver { .. } => self.on_hand_over(now),
             Message::VoteReply { granted, .. } => self.on_vote_reply(from, granted, now),
             Message::Append { prev, entries, commit, round, .. } => {
