Show what waits to be sent to other boxes, and why the feed of configuration fails

Cause: a control process whose memory passed its limit left no trace of which buffer held it, and failed calls of the feed were logged below the level that is written; a reader that takes the first 4 KB of an entry box's metrics did not get the gauges.

Change: messages between boxes count from their encoding until their connection has taken them (gauges, and a line each time that the peak doubles); memory of the process as a gauge; lines for a configuration that is sent and for a failed call of the feed; gauges come first.

--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -113,6 +113,13 @@
         let mut inner = self.inner.borrow_mut();
         inner.waiting.retain(|tx| !tx.is_canceled());
         let (snapshot, delta) = inner.state.delta_since(req.have);
+        if !delta.upserts.is_empty() {
+            log::info!(
+                to = req.from.as_str(), have = req.have, number = inner.state.number(),
+                entities = delta.upserts.len(), held_ms = started.elapsed().as_millis();
+                "configuration sent to a box"
+            );
+        }
         FeedAnswer {
             number: inner.state.number(),
             digest: inner.state.digest(),
@@ -248,7 +255,14 @@
         Ok((true, true)) => return true,
         Ok((false, _)) => log::debug!("feed: box {parent} is behind"),
         Ok((_, false)) => log::debug!("feed: box {parent} has lost touch with the leader"),
-        Err(err) => log::debug!("feed from box {parent}: {err:#}"),
+        Err(err) => {
+            let (have, took_ms) = (cell.number(), sent.elapsed().as_millis());
+            let (peer, cause) = (parent.to_string(), format!("{err:#}"));
+            log::info!(
+                peer = peer.as_str(), have = have, took_ms = took_ms, cause = cause.as_str();
+                "configuration not brought up to date"
+            );
+        }
     }
     false
 }
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hatchpitch_net::{Body, open_message, read_body, rmp_response};
+use hatchpitch_net::{Body, open_message, read_body};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
@@ -53,7 +53,7 @@
         match self.path {
             FEED_PATH => {
                 let req = self.open::<FeedRequest>()?;
-                Ok(rmp_response(&self.cx.config.answer(&req).await))
+                Ok(self.cx.boxes.respond(&self.cx.config.answer(&req).await))
             }
             CLAIM_PATH => {
                 let req = self.open::<ClaimRequest>()?;
@@ -66,27 +66,27 @@
             LOG_PATH => {
                 let batch = self.open::<LogBatch>()?;
                 self.receive(batch);
-                Ok(rmp_response(&()))
+                Ok(self.cx.boxes.respond(&()))
             }
             FOLLOW_PATH => {
                 let req = self.open::<FollowRequest>()?;
                 let control = self.cx.core_addrs();
                 let config = || self.cx.config.number();
-                Ok(rmp_response(&self.cx.registry.answer(&req, config, control).await))
+                Ok(self.cx.boxes.respond(&self.cx.registry.answer(&req, config, control).await))
             }
             NEWS_PATH => {
                 let news = self.open::<RegistryNews>()?;
                 self.cx.note_control(news.from, &news.control);
                 self.cx.registry.take(news);
-                Ok(rmp_response(&()))
+                Ok(self.cx.boxes.respond(&()))
             }
             JOIN_PATH => {
                 let req = self.open::<JoinRequest>()?;
-                Ok(rmp_response(&join::answer(self.cx, req)))
+                Ok(self.cx.boxes.respond(&join::answer(self.cx, req)))
             }
             HELLO_PATH => {
                 self.open::<Hello>()?;
-                Ok(rmp_response(&self.cx.hello()))
+                Ok(self.cx.boxes.respond(&self.cx.hello()))
             }
             SETTLE_PATH => {
                 let req = self.open::<SettleRequest>()?;
@@ -137,10 +137,10 @@
         answer: impl FnOnce(Reply) -> A,
     ) -> Answered {
         match self.cx.propose(order).await {
-            Ok(reply) => Ok(rmp_response(&LeaderAnswer::Served(answer(reply)))),
+            Ok(reply) => Ok(self.cx.boxes.respond(&LeaderAnswer::Served(answer(reply)))),
             Err(ProposeError::NotLeader(leader)) => {
                 let leader = leader.map(|leader| leader.boxes_addr);
-                Ok(rmp_response(&LeaderAnswer::<A>::NotLeader(leader)))
+                Ok(self.cx.boxes.respond(&LeaderAnswer::<A>::NotLeader(leader)))
             }
             Err(ProposeError::Unknown(cause)) => {
                 Err(Box::new(text_response(StatusCode::SERVICE_UNAVAILABLE, cause)))
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -15,6 +15,7 @@
 use crate::config::feed;
 use crate::essential::spawn_essential;
 use crate::listener::{self, ExtraListener, bound_at};
+use crate::pressure;
 use crate::registry::peers;
 use crate::replication::bootstrap::Begun;
 use crate::replication::disk::Disk;
@@ -105,6 +106,7 @@
     if cx.settings.data_folder.is_some() {
         spawn_essential("members", join::run(cx.clone(), stop.clone()));
     }
+    spawn_essential("pressure", pressure::run(cx.boxes.clone(), stop.clone()));
     let (find, sign, look) = (cx.clone(), cx.clone(), cx.clone());
     let renew = peers::run(
         cx.registry.clone(),
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -111,7 +111,7 @@
 }
 
 fn metrics(cx: &ControlCx) -> Response<Body> {
-    cx.metrics.traffic(cx.boxes.traffic());
+    cx.metrics.process(&cx.boxes);
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
     cx.metrics.gauge("hatchpitch_leads", if cx.leads() { 1.0 } else { 0.0 });
     text_response(StatusCode::OK, cx.metrics.render())
--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use hatchpitch_net::{Body, open_message, read_body, rmp_response};
+use hatchpitch_net::{Body, open_message, read_body};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -34,30 +34,30 @@
     let keys = &cx.settings.box_keys;
     let answered = match path {
         GOSSIP_PATH => open_message::<Gossip>(keys, path, &parts.headers, &body)
-            .map(|gossip| rmp_response(&task::answer(&cx.membership, &cx.boxes, gossip))),
+            .map(|gossip| cx.boxes.respond(&task::answer(&cx.membership, &cx.boxes, gossip))),
         PING_PATH => {
-            open_message::<()>(keys, path, &parts.headers, &body).map(|()| rmp_response(&()))
+            open_message::<()>(keys, path, &parts.headers, &body).map(|()| cx.boxes.respond(&()))
         }
         PROBE_PATH => match open_message::<ProbeRequest>(keys, path, &parts.headers, &body) {
-            Ok(req) => Ok(rmp_response(&task::probe(&cx.boxes, req).await)),
+            Ok(req) => Ok(cx.boxes.respond(&task::probe(&cx.boxes, req).await)),
             Err(refusal) => Err(refusal),
         },
         FEED_PATH => match open_message::<FeedRequest>(keys, path, &parts.headers, &body) {
-            Ok(req) => Ok(rmp_response(&cx.config.answer(&req).await)),
+            Ok(req) => Ok(cx.boxes.respond(&cx.config.answer(&req).await)),
             Err(refusal) => Err(refusal),
         },
         GRANT_PATH => match open_message::<GrantRequest>(keys, path, &parts.headers, &body) {
-            Ok(req) => Ok(rmp_response(&grants::answer(&cx, req).await)),
+            Ok(req) => Ok(cx.boxes.respond(&grants::answer(&cx, req).await)),
             Err(refusal) => Err(refusal),
         },
         RELEASE_PATH => open_message::<ReleaseRequest>(keys, path, &parts.headers, &body)
-            .map(|req| rmp_response(&grants::release(&cx, &req))),
+            .map(|req| cx.boxes.respond(&grants::release(&cx, &req))),
         TURN_PATH => open_message::<TurnRequest>(keys, path, &parts.headers, &body)
-            .map(|req| rmp_response(&ask::answer_turn(&cx, &req))),
+            .map(|req| cx.boxes.respond(&ask::answer_turn(&cx, &req))),
         TURN_DONE_PATH => open_message::<TurnDone>(keys, path, &parts.headers, &body)
-            .map(|done| rmp_response(&ask::take_turn_done(&cx, &done))),
+            .map(|done| cx.boxes.respond(&ask::take_turn_done(&cx, &done))),
         SYNC_PATH => open_message::<GrantSync>(keys, path, &parts.headers, &body)
-            .map(|req| rmp_response(&grants::sync(&cx, &req))),
+            .map(|req| cx.boxes.respond(&grants::sync(&cx, &req))),
         _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
     };
     answered.unwrap_or_else(|refusal| *refusal)
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -168,7 +168,7 @@
 fn metrics(cx: &EntryCx) -> Response<Body> {
     cx.metrics.gauge("hatchpitch_active_requests", cx.active() as f64);
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
-    cx.metrics.traffic(cx.boxes.traffic());
+    cx.metrics.process(&cx.boxes);
     let age = cx.config.confirmed_age().map_or(f64::INFINITY, |age| age.as_secs_f64());
     cx.metrics.gauge("hatchpitch_config_confirmed_age_seconds", age);
     text_response(StatusCode::OK, cx.metrics.render())
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -20,6 +20,7 @@
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::state::{Membership, MembershipConfig};
 use crate::membership::task;
+use crate::pressure;
 use crate::registry::follow::{self, ConfigHints};
 use crate::routing::task as routing;
 use crate::settings::EntrySettings;
@@ -129,6 +130,7 @@
     let name = cx.settings.name.clone();
     let upstreams = follow::run(name, followed, cx.boxes.clone(), hints, stop.clone());
     spawn_essential("upstreams", upstreams);
+    spawn_essential("pressure", pressure::run(cx.boxes.clone(), stop.clone()));
     spawn_essential("configuration", follow_config(cx.clone(), stop.clone()));
     spawn_essential("routing", routing::run(cx.clone(), stop.clone()));
     spawn_essential("grants", grants::run(cx.clone(), stop.clone()));
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod moves;
 pub mod outcome;
+pub mod pressure;
 pub mod registry;
 pub mod relay;
 pub mod replication;
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::Traffic;
+use hatchpitch_net::BoxClient;
 use hdrhistogram::Histogram;
 
 use crate::ids::{PoolName, Priority};
@@ -96,10 +96,18 @@
         self.0.borrow_mut().gauges.insert(name, value);
     }
 
-    /// Shows what was exchanged with other boxes.
-    pub fn traffic(&self, traffic: Traffic) {
+    /// Shows what was exchanged with other boxes, what waits to be sent to them, and the memory
+    /// of the process.
+    pub fn process(&self, boxes: &BoxClient) {
+        let (traffic, waiting) = (boxes.traffic(), boxes.backlog().waiting());
         self.gauge("hatchpitch_box_calls", traffic.calls as f64);
         self.gauge("hatchpitch_box_body_bytes", traffic.body_bytes as f64);
+        self.gauge("hatchpitch_box_messages_waiting", waiting.messages as f64);
+        self.gauge("hatchpitch_box_bytes_waiting", waiting.bytes as f64);
+        self.gauge("hatchpitch_box_bytes_waiting_peak", waiting.peak_bytes as f64);
+        if let Some(bytes) = resident_bytes() {
+            self.gauge("hatchpitch_resident_bytes", bytes as f64);
+        }
     }
 
     /// Returns a count over all pools.
@@ -107,10 +115,14 @@
         self.0.borrow().counts.iter().filter(|((c, _), _)| *c == count).map(|(_, n)| n).sum()
     }
 
-    /// Writes everything in the Prometheus text format.
+    /// Writes everything in the Prometheus text format: gauges first, which tell of the process,
+    /// as a reader may take no more than the beginning.
     pub fn render(&self) -> String {
         let inner = self.0.borrow();
         let mut out = String::new();
+        for (name, value) in &inner.gauges {
+            let _ = writeln!(out, "# TYPE {name} gauge\n{name} {value}");
+        }
         let mut last = "";
         for ((timing, pool, priority), histogram) in &inner.timings {
             let name = timing_name(*timing);
@@ -135,13 +147,18 @@
             }
             let _ = writeln!(out, "{name}{{pool=\"{pool}\"}} {value}");
         }
-        for (name, value) in &inner.gauges {
-            let _ = writeln!(out, "# TYPE {name} gauge\n{name} {value}");
-        }
         out
     }
 }
 
+/// Returns the memory of this process that is in use, as the system counts it; `None` where the
+/// system does not tell.
+pub fn resident_bytes() -> Option<usize> {
+    let pages = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let resident: usize = pages.split_whitespace().nth(1)?.parse().ok()?;
+    Some(resident * rustix::param::page_size())
+}
+
 fn timing_name(timing: Timing) -> &'static str {
     match timing {
         Timing::FirstToken => "hatchpitch_first_token_seconds",
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 //! a request can have reached the peer ([`Upstream`]), and signed messages
 //! between boxes ([`BoxClient`]).
 
+pub mod backlog;
 pub mod body;
 pub mod client;
 pub mod keys;
@@ -13,6 +14,7 @@
 pub mod server;
 pub mod stop;
 
+pub use backlog::{Backlog, Waiting};
 pub use body::{Body, BodyError, BodySender, read_body, read_stream};
 pub use client::{SendError, SendStep, Upstream};
 pub use keys::{KeyId, KeyRing, SigningKey};
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{Body, KeyRing};
+use crate::{Backlog, Body, KeyRing};
 
 /// Header that carries the signature of a message between boxes.
 pub const SIGNATURE_HEADER: &str = "x-hatchpitch-signature";
@@ -59,6 +59,7 @@
     http: cyper::Client,
     keys: KeyRing,
     traffic: Rc<Cell<Traffic>>,
+    backlog: Backlog,
 }
 
 /// What a [`BoxClient`] has exchanged; heads of messages are not counted.
@@ -78,7 +79,7 @@
     /// Returns the HTTP library's error if its client cannot be built.
     pub fn new(keys: KeyRing) -> anyhow::Result<Self> {
         let http = cyper::Client::builder().no_proxy().build()?;
-        Ok(Self { http, keys, traffic: Rc::default() })
+        Ok(Self { http, keys, traffic: Rc::default(), backlog: Backlog::default() })
     }
 
     /// Returns the keys that this client signs with.
@@ -91,6 +92,19 @@
         self.traffic.get()
     }
 
+    /// Returns the count of what this process has to send to other boxes.
+    pub fn backlog(&self) -> &Backlog {
+        &self.backlog
+    }
+
+    /// Answers another box with an `rmp-serde` body, which counts as waiting until it is sent.
+    pub fn respond<A: Serialize>(&self, answer: &A) -> Response<Body> {
+        match rmp_serde::to_vec_named(answer) {
+            Ok(bytes) => message_response(self.backlog.count(bytes)),
+            Err(err) => plain(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()),
+        }
+    }
+
     fn count(&self, calls: u64, bytes: usize) {
         let mut traffic = self.traffic.get();
         traffic.calls += calls;
@@ -136,7 +150,7 @@
             .and_then(|req| req.header(header::CONTENT_TYPE, CONTENT_TYPE))
             .and_then(|req| req.header(SIGNATURE_HEADER, signature))
             .map_err(send_failed)?;
-        let res = req.body(body).send().await.map_err(send_failed)?;
+        let res = req.body(self.backlog.count(body)).send().await.map_err(send_failed)?;
         let status = res.status();
         if res.content_length().is_some_and(|len| len > MAX_ANSWER as u64) {
             return Err(fail(CallStep::Decode, format!("answer larger than {MAX_ANSWER} bytes")));
@@ -189,16 +203,18 @@
 /// Answers another box with an `rmp-serde` body.
 pub fn rmp_response<A: Serialize>(answer: &A) -> Response<Body> {
     match rmp_serde::to_vec_named(answer) {
-        Ok(bytes) => {
-            let mut res = Response::new(Body::from(Bytes::from(bytes)));
-            let value = HeaderValue::from_static(CONTENT_TYPE);
-            res.headers_mut().insert(header::CONTENT_TYPE, value);
-            res
-        }
+        Ok(bytes) => message_response(Bytes::from(bytes)),
         Err(err) => plain(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()),
     }
 }
 
+fn message_response(bytes: Bytes) -> Response<Body> {
+    let mut res = Response::new(Body::from(bytes));
+    let value = HeaderValue::from_static(CONTENT_TYPE);
+    res.headers_mut().insert(header::CONTENT_TYPE, value);
+    res
+}
+
 fn plain(status: StatusCode, text: &str) -> Response<Body> {
     let mut res = Response::new(Body::from(text.to_owned()));
     *res.status_mut() = status;
