Bound what waits for the socket of a connection

Cause: the adapter between the runtime and the HTTP library takes all that is written to a connection, up to 64 MiB each way, so a peer that reads slowly holds nobody up: its answer moves into memory that nothing counts or bounds. This held for every listener and every call to an upstream; the bound of 64 KiB that listeners set is the HTTP library's own.

Not mended: calls between boxes go through another library's client, whose connections keep the large buffer; what waits there is bounded by what is sent.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod rpc;
 pub mod server;
 pub mod stop;
+mod stream;
 
 pub use backlog::{Backlog, Waiting};
 pub use body::{Body, BodyError, BodySender, read_body, read_stream};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use http::{Request, Response, Uri};
 use hyper::body::Incoming;
@@ -17,6 +17,7 @@
 
 use socket2::{SockRef, TcpKeepalive};
 
+use crate::stream::Stream;
 use crate::{Body, Stop};
 
 /// Answers one request; the address is the caller's.
@@ -140,7 +141,7 @@
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.buffer)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(Stream::new(stream), service);
     let mut conn = Box::pin(conn);
     let ended = match select(conn.as_mut(), Box::pin(stop.wait())).await {
         Either::Left((ended, _)) => ended,
