Bring a large configuration to a box in parts, and withhold parts while much waits

Cause: a box without a configuration got all of it in one answer, from three parents at one time, and each answer was encoded and kept for as long as the asker's link took. After a loss of all boxes that is 90 x 3 answers of 2 MB over six control boxes of 88 MB. The time for an answer (1.5 s) did not know its size: behind 10 Mbit/s, 2 MB take 1.6 s alone and 4.8 s for three copies, so that every call failed, and the next one began anew.

Change: an answer holds about 64 KiB of the changes, in order of entities, and says after which entity the rest begins. The box keeps what arrived, goes on at another parent where one fails, and asks in a further pass for what changed meanwhile. One task of a box asks for part after part, whichever parents are asked for a confirmation. A parent keeps nothing of who asks, and withholds parts while over 1 MiB waits to be sent to other boxes.

Left of this class: the log's messages, and the state that a box with an empty disk gets.

--- a/crates/hatchpitch/src/config/entity.rs
+++ b/crates/hatchpitch/src/config/entity.rs
@@ -1,6 +1,7 @@
 //! The checked entities of a fleet.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -169,6 +170,17 @@
         }
     }
 
+    /// Returns the length of the entity's encoding, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the entity does not encode, which its types rule out.
+    pub fn encoded_len(&self) -> usize {
+        let mut count = ByteCount(0);
+        rmp_serde::encode::write_named(&mut count, self).expect("entities always encode");
+        count.0
+    }
+
     /// Returns the digest of the entity's encoding.
     ///
     /// # Panics
@@ -180,6 +192,20 @@
     }
 }
 
+/// Counts the bytes that are written to it.
+struct ByteCount(usize);
+
+impl io::Write for ByteCount {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0 += buf.len();
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Names the kind of an entity for operators.
 pub fn kind_name(kind: u8) -> &'static str {
     const NAMES: [&str; 10] = [
--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -5,8 +5,12 @@
 //! no confirmation, or when the hold ends, and says how long ago the control
 //! leader confirmed its number. The root of the tree is the
 //! control boxes. Cost a box: one small request a hold, plus what changed.
+//!
+//! A large change comes in parts, one request each, from one parent at a time. A parent makes a
+//! part when it is asked for, keeps nothing of who asks, and withholds parts while much waits to
+//! be sent; what has arrived is kept when a parent fails, and the next one goes on from there.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,10 +18,11 @@
 use futures_channel::oneshot;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hatchpitch_net::{BoxClient, Stop};
+use hatchpitch_net::{Backlog, BoxClient, Stop};
 
-use super::messages::{FeedAnswer, FeedRequest};
-use super::state::ConfigState;
+use super::arriving::{Arriving, Taken};
+use super::messages::{FeedAnswer, FeedRequest, Rest};
+use super::state::{ConfigState, InstallError, Part};
 use super::view::FleetView;
 use crate::ids::{BoxName, ConfigNumber};
 use crate::limits::backoff;
@@ -40,31 +45,90 @@
 /// none themselves.
 const ASKED_AT_ONCE: usize = 3;
 
+/// Bytes of a part: a link of 10 Mbit/s passes it in 52 ms, far within the time for an answer.
+const PART_BYTES: usize = 64 * 1024;
+/// Bytes that wait to be sent to other boxes from which on parts are withheld. A link of
+/// 100 Mbit/s passes them in 84 ms, so that heartbeats behind them arrive in time; and however
+/// many boxes ask, they take no more memory than this and a part.
+const MAX_WAITING: usize = 1024 * 1024;
+
 /// The configuration in force at this box, shared by its tasks on one thread.
 pub struct ConfigCell {
     inner: RefCell<Inner>,
+    /// What this process has to send to other boxes.
+    backlog: Backlog,
+    /// Whether a task asks a parent for one part after the other.
+    pulls: Cell<bool>,
 }
 
 struct Inner {
     state: ConfigState,
+    /// What has arrived of a newer configuration.
+    arriving: Option<Arriving>,
     view: Rc<FleetView>,
     confirmed_at: Option<Instant>,
     waiting: Vec<oneshot::Sender<()>>,
 }
 
+/// What a task learned from a parent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Learned {
+    /// The parent is behind, or has no room for a part now.
+    Nothing,
+    /// What is in force here is what the parent has; whether that was confirmed of late.
+    Newest { confirmed: bool },
+    /// A part; more is to be asked for.
+    Part,
+}
+
+/// The right to ask for one part after the other; only one task of a process has it.
+struct Pull<'a>(&'a ConfigCell);
+
+impl Drop for Pull<'_> {
+    fn drop(&mut self) {
+        self.0.pulls.set(false);
+    }
+}
+
 impl Default for ConfigCell {
     fn default() -> Self {
+        Self::new(Backlog::default())
+    }
+}
+
+impl ConfigCell {
+    /// Creates the cell of a process that has no configuration yet; `backlog` counts what it has
+    /// to send to other boxes.
+    pub fn new(backlog: Backlog) -> Self {
         let inner = Inner {
             state: ConfigState::default(),
+            arriving: None,
             view: Rc::default(),
             confirmed_at: None,
             waiting: Vec::new(),
         };
-        Self { inner: RefCell::new(inner) }
+        Self { inner: RefCell::new(inner), backlog, pulls: Cell::new(false) }
+    }
+
+    /// Returns whether a configuration is arriving in parts.
+    pub fn is_arriving(&self) -> bool {
+        self.pulls.get()
+    }
+
+    fn begin_pull(&self) -> Option<Pull<'_>> {
+        (!self.pulls.replace(true)).then(|| Pull(self))
+    }
+
+    /// Composes the request for what is lacking here.
+    fn request(&self, own: &BoxName, hold: Duration) -> FeedRequest {
+        let unconfirmed = !self.is_confirmed();
+        let hold = if unconfirmed { hold.min(UNCONFIRMED_HOLD) } else { hold };
+        let inner = self.inner.borrow();
+        let (have, after) =
+            inner.arriving.as_ref().map_or((inner.state.number(), None), Arriving::next);
+        FeedRequest { from: own.clone(), have, hold, unconfirmed, after: after.cloned() }
     }
-}
 
-impl ConfigCell {
     /// Returns the view of the configuration in force.
     pub fn view(&self) -> Rc<FleetView> {
         self.inner.borrow().view.clone()
@@ -89,6 +153,7 @@
     pub fn replace(&self, state: &ConfigState) {
         let mut inner = self.inner.borrow_mut();
         if state.number() > inner.state.number() {
+            inner.arriving = None;
             inner.state = state.clone();
             inner.publish();
         }
@@ -104,7 +169,8 @@
     pub async fn answer(&self, req: &FeedRequest) -> FeedAnswer {
         let started = Instant::now();
         let hold = req.hold.min(MAX_HOLD);
-        let news = self.number() > req.have || (req.unconfirmed && self.is_confirmed());
+        let goes_on = req.after.is_some();
+        let news = goes_on || self.number() > req.have || (req.unconfirmed && self.is_confirmed());
         if !news && !hold.is_zero() {
             let (tx, rx) = oneshot::channel();
             self.inner.borrow_mut().waiting.push(tx);
@@ -112,41 +178,80 @@
         }
         let mut inner = self.inner.borrow_mut();
         inner.waiting.retain(|tx| !tx.is_canceled());
-        let (snapshot, delta) = inner.state.delta_since(req.have);
-        if !delta.upserts.is_empty() {
-            log::info!(
-                to = req.from.as_str(), have = req.have, number = inner.state.number(),
-                entities = delta.upserts.len(), held_ms = started.elapsed().as_millis();
-                "configuration sent to a box"
-            );
-        }
+        let lacks = inner.state.number() > req.have;
+        let withheld = lacks && self.backlog.waiting().bytes > MAX_WAITING;
+        let part = if lacks && !withheld {
+            inner.state.part_since(req.have, req.after.as_ref(), PART_BYTES)
+        } else {
+            Part::default()
+        };
+        log_part(req, inner.state.number(), &part, withheld);
         FeedAnswer {
             number: inner.state.number(),
             digest: inner.state.digest(),
-            snapshot,
-            delta,
+            snapshot: part.snapshot,
+            delta: part.delta,
+            rest: match part.end {
+                _ if withheld => Rest::Withheld,
+                Some(key) => Rest::After(key),
+                None => Rest::Nothing,
+            },
             confirmed_age: inner.confirmed_at.map(|at| at.elapsed()),
             held: started.elapsed(),
         }
     }
 
     /// Takes a parent's answer in; `round_trip` is the whole time since the request was sent.
-    fn take(&self, answer: &FeedAnswer, round_trip: Duration) -> anyhow::Result<()> {
+    fn take(
+        &self,
+        req: &FeedRequest,
+        answer: FeedAnswer,
+        round_trip: Duration,
+    ) -> anyhow::Result<Learned> {
         let mut inner = self.inner.borrow_mut();
         if answer.number < inner.state.number() {
             // The parent is behind. What is in force stays; the parent confirms nothing.
-            return Ok(());
-        }
-        let changed = answer.number > inner.state.number();
-        inner.state.install(answer.number, answer.digest, answer.snapshot, &answer.delta)?;
-        if changed {
-            inner.publish();
+            return Ok(Learned::Nothing);
         }
         // The answer left the parent at most `round_trip - held` ago.
         let transit = round_trip.saturating_sub(answer.held);
         let age = answer.confirmed_age.map(|age| age + transit);
+        let (number, digest) = (answer.number, answer.digest);
+        if number > inner.state.number() {
+            let have = inner.state.number();
+            let arriving = inner.arriving.get_or_insert_with(|| Arriving::new(have));
+            let (snapshot, delta) = match arriving.take(req, answer) {
+                Taken::Nothing => return Ok(Learned::Nothing),
+                Taken::Unfit => {
+                    inner.arriving = None;
+                    return Ok(Learned::Nothing);
+                }
+                Taken::Duplicate | Taken::More => return Ok(Learned::Part),
+                Taken::Whole { snapshot, delta } => (snapshot, delta),
+            };
+            inner.arriving = None;
+            inner.state.install(number, digest, snapshot, &delta)?;
+            inner.publish();
+        } else if digest != inner.state.digest() {
+            return Err(InstallError::DigestDiffers.into());
+        }
         inner.confirm(age.and_then(|age| Instant::now().checked_sub(age)));
-        Ok(())
+        let confirmed = age.is_some_and(|age| age <= PARENT_MAX_AGE);
+        Ok(Learned::Newest { confirmed })
+    }
+}
+
+/// Writes a line about a part that is sent, if it holds anything.
+fn log_part(req: &FeedRequest, number: ConfigNumber, part: &Part, withheld: bool) {
+    let entities = part.delta.upserts.len() + part.delta.removals.len();
+    let begins = req.after.is_none();
+    // One line for each transfer, and for each time that it is held up.
+    if withheld || (begins && entities > 0) {
+        log::info!(
+            to = req.from.as_str(), have = req.have, number = number, entities = entities,
+            more = part.end.is_some(), withheld = withheld;
+            "configuration sent to a box"
+        );
     }
 }
 
@@ -231,7 +336,8 @@
     false
 }
 
-/// Asks one box for what is newer there; returns whether it answered and is not behind.
+/// Asks one box for what is newer there, part by part unless another task already does so;
+/// returns whether what is in force here is what that box has, and was confirmed of late.
 pub async fn fetch(
     own: &BoxName,
     cell: &ConfigCell,
@@ -239,23 +345,43 @@
     parent: SocketAddr,
     hold: Duration,
 ) -> bool {
-    let unconfirmed = !cell.is_confirmed();
-    let hold = if unconfirmed { hold.min(UNCONFIRMED_HOLD) } else { hold };
-    let req = FeedRequest { from: own.clone(), have: cell.number(), hold, unconfirmed };
+    let (mut hold, mut pull) = (hold, None);
+    loop {
+        match ask(own, cell, client, parent, hold).await {
+            Learned::Newest { confirmed } => return confirmed,
+            Learned::Nothing => return false,
+            Learned::Part => {}
+        }
+        pull = pull.or_else(|| cell.begin_pull());
+        if pull.is_none() {
+            return false;
+        }
+        hold = Duration::ZERO;
+    }
+}
+
+/// Asks one box once.
+async fn ask(
+    own: &BoxName,
+    cell: &ConfigCell,
+    client: &BoxClient,
+    parent: SocketAddr,
+    hold: Duration,
+) -> Learned {
+    let req = cell.request(own, hold);
     let sent = Instant::now();
-    let answer = client.call::<_, FeedAnswer>(parent, FEED_PATH, &req, hold + ANSWER_MARGIN);
-    let taken = match answer.await {
-        Ok(answer) => cell.take(&answer, sent.elapsed()).map(|()| {
-            let confirmed = answer.confirmed_age.is_some_and(|age| age <= PARENT_MAX_AGE);
-            (answer.number >= req.have, confirmed)
-        }),
+    let answer = client.call::<_, FeedAnswer>(parent, FEED_PATH, &req, req.hold + ANSWER_MARGIN);
+    let learned = match answer.await {
+        Ok(answer) => cell.take(&req, answer, sent.elapsed()),
         Err(err) => Err(err.into()),
     };
-    match taken {
-        Ok((true, true)) => return true,
-        Ok((false, _)) => log::debug!("feed: box {parent} is behind"),
-        Ok((_, false)) => log::debug!("feed: box {parent} has lost touch with the leader"),
-        Err(err) => {
+    match learned {
+        Ok(Learned::Nothing) => log::debug!("feed: box {parent} is behind or has no room"),
+        Ok(Learned::Newest { confirmed: false }) => {
+            log::debug!("feed: box {parent} has lost touch with the leader");
+        }
+        Ok(_) => {}
+        Err(ref err) => {
             let (have, took_ms) = (cell.number(), sent.elapsed().as_millis());
             let (peer, cause) = (parent.to_string(), format!("{err:#}"));
             log::info!(
@@ -264,5 +390,5 @@
             );
         }
     }
-    false
+    learned.unwrap_or(Learned::Nothing)
 }
--- a/crates/hatchpitch/src/config/messages.rs
+++ b/crates/hatchpitch/src/config/messages.rs
@@ -58,6 +58,21 @@
     /// news to it.
     #[serde(default)]
     pub unconfirmed: bool,
+    /// The last entity of the part that came before, if this request goes on with a transfer.
+    #[serde(default)]
+    pub after: Option<EntityKey>,
+}
+
+/// What follows the part of a configuration that an answer holds.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Rest {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// What comes after this entity.
+    After(EntityKey),
+    /// Everything: the parent has too much to send at this moment.
+    Withheld,
 }
 
 /// The parent's answer to a [`FeedRequest`].
@@ -69,8 +84,11 @@
     pub digest: Digest,
     /// Whether `delta` starts from nothing instead of from the number asked with.
     pub snapshot: bool,
-    /// What changed.
+    /// What changed, or a part of it.
     pub delta: Delta,
+    /// What of the changes is not in `delta`.
+    #[serde(default)]
+    pub rest: Rest,
     /// Time since the control leader confirmed that `number` is the newest; `None` if never.
     pub confirmed_age: Option<Duration>,
     /// How long the parent held the request.
--- a/crates/hatchpitch/src/config/mod.rs
+++ b/crates/hatchpitch/src/config/mod.rs
@@ -4,6 +4,7 @@
 //! fleets, and the digest of a whole one, cheap to work out from what changed,
 //! so the cost of a change does not depend on the size of the file.
 
+pub mod arriving;
 pub mod check;
 pub mod entity;
 pub mod feed;
@@ -19,6 +20,6 @@
     Entity, EntityKey, FailureDomain, Fleet, KeyHash, Operator, Pool, Route, Runner, Service,
     ServiceUpstream, Workspace,
 };
-pub use messages::{ApplyOutcome, Delta, FeedAnswer, FeedRequest};
-pub use state::{ConfigChange, ConfigState};
+pub use messages::{ApplyOutcome, Delta, FeedAnswer, FeedRequest, Rest};
+pub use state::{ConfigChange, ConfigState, Part};
 pub use view::FleetView;
--- a/crates/hatchpitch/src/config/state.rs
+++ b/crates/hatchpitch/src/config/state.rs
@@ -7,6 +7,7 @@
 //!   [`KEPT_NUMBERS`]; an older number is refused as stale).
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use hatchpitch_net::keys::to_hex;
 use serde::{Deserialize, Serialize};
@@ -20,6 +21,20 @@
 /// Removed entities that are remembered; a box that is further behind gets a snapshot.
 pub const KEPT_REMOVALS: usize = 16_384;
 
+/// Bytes of an encoded key beside its name.
+const KEY_BYTES: usize = 4;
+
+/// A part of what changed since a number.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Part {
+    /// Whether the changes start from nothing instead of from the number asked with.
+    pub snapshot: bool,
+    /// The changes.
+    pub delta: Delta,
+    /// The last entity of this part; `None` if nothing follows.
+    pub end: Option<EntityKey>,
+}
+
 /// A change as the replicated log carries it: only what differs from `base`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigChange {
@@ -158,15 +173,52 @@
 
     /// Returns what bringing a box from `have` to the number in force takes; `true` means a snapshot.
     pub fn delta_since(&self, have: ConfigNumber) -> (bool, Delta) {
+        let part = self.part_since(have, None, usize::MAX);
+        (part.snapshot, part.delta)
+    }
+
+    /// Returns the first changes since `have` of the entities after `after`, in order of their
+    /// keys: at least one, and no more than about `max_bytes` of them.
+    pub fn part_since(
+        &self,
+        have: ConfigNumber,
+        after: Option<&EntityKey>,
+        max_bytes: usize,
+    ) -> Part {
         let snapshot = have < self.delta_floor || have > self.number;
         let since = if snapshot { 0 } else { have };
-        let upserts = self.entities.values().filter(|v| v.changed_at > since);
-        let removals = self.removed.iter().filter(|(_, at)| !snapshot && **at > since);
-        let delta = Delta {
-            upserts: upserts.map(|v| v.entity.clone()).collect(),
-            removals: removals.map(|(key, _)| key.clone()).collect(),
-        };
-        (snapshot, delta)
+        let range = (after.map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded);
+        let upserts = self.entities.range::<EntityKey, _>(range);
+        let upserts = upserts.filter(|(_, v)| v.changed_at > since);
+        let removals = self.removed.range::<EntityKey, _>(range);
+        let removals = removals.filter(|(_, at)| !snapshot && **at > since);
+        let (mut upserts, mut removals) = (upserts.peekable(), removals.peekable());
+        let (mut part, mut bytes) = (Part { snapshot, ..Part::default() }, 0);
+        let mut last: Option<&EntityKey> = None;
+        loop {
+            let (upsert, removal) = (upserts.peek().map(|u| u.0), removals.peek().map(|r| r.0));
+            // No key is in both tables.
+            let upsert_is_next = match (upsert, removal) {
+                (None, None) => return part,
+                (Some(upsert), Some(removal)) => upsert < removal,
+                (upsert, _) => upsert.is_some(),
+            };
+            if let Some(last) = last.filter(|_| bytes >= max_bytes) {
+                part.end = Some(last.clone());
+                return part;
+            }
+            if upsert_is_next {
+                let Some((key, versioned)) = upserts.next() else { return part };
+                bytes += versioned.entity.encoded_len();
+                part.delta.upserts.push(versioned.entity.clone());
+                last = Some(key);
+            } else {
+                let Some((key, _)) = removals.next() else { return part };
+                bytes += key.1.len() + KEY_BYTES;
+                part.delta.removals.push(key.clone());
+                last = Some(key);
+            }
+        }
     }
 
     /// Puts a delta or snapshot from another box in force here; nothing changes on an error.
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -62,7 +62,7 @@
         Rc::new(Self {
             settings,
             id,
-            config: ConfigCell::default(),
+            config: ConfigCell::new(boxes.backlog().clone()),
             metrics: Metrics::default(),
             boxes,
             invited: Cell::new(false),
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -96,7 +96,7 @@
         Rc::new(Self {
             tracer: Tracer::new(settings.name.clone()),
             settings,
-            config: ConfigCell::default(),
+            config: ConfigCell::new(boxes.backlog().clone()),
             membership,
             metrics: Metrics::default(),
             boxes,
--- a/crates/hatchpitch/tests/feed.rs
+++ b/crates/hatchpitch/tests/feed.rs
@@ -18,7 +18,7 @@
 const HOLD: Duration = Duration::from_secs(5);
 
 fn request(unconfirmed: bool) -> FeedRequest {
-    FeedRequest { from: "box".to_owned(), have: 0, hold: HOLD, unconfirmed }
+    FeedRequest { from: "box".to_owned(), have: 0, hold: HOLD, unconfirmed, after: None }
 }
 
 #[test]
--- /dev/null
+++ b/crates/hatchpitch/tests/feed_parts.rs
@@ -0,0 +1,185 @@
+//! A configuration that arrives in parts, from parents that change and fall behind meanwhile.
+
+use arbitrary::Unstructured;
+use futures_util::FutureExt;
+use hatchpitch::config::arriving::{Arriving, Taken};
+use hatchpitch::config::feed::ConfigCell;
+use hatchpitch::config::{
+    ConfigState, Entity, FailureDomain, FeedAnswer, FeedRequest, Fleet, Rest, verify,
+};
+use hatchpitch::ids::ConfigNumber;
+use hatchpitch_net::{BoxClient, KeyRing, SigningKey};
+
+/// Boxes that ask at one time.
+const ASKERS: usize = 120;
+/// Bytes that may wait for them, however many they are: one mebibyte and a last part.
+const MAX_WAITING: usize = 1024 * 1024 + 80 * 1024;
+/// Entities of a large configuration, and the length of each one's text: 2 MB in all.
+const ENTITIES: usize = 2_000;
+const TEXT: usize = 1_000;
+/// Steps after which a transfer whose parent no longer changes must be over.
+const MAX_STEPS: usize = 2_000;
+
+fn domain(n: usize, region: String) -> Entity {
+    Entity::FailureDomain(FailureDomain { name: format!("domain-{n:04}"), region })
+}
+
+fn put(state: &mut ConfigState, number: ConfigNumber, entities: Vec<Entity>) {
+    let change = state.prepare(&Fleet::new(number, entities), "operator").unwrap();
+    state.apply(change).unwrap();
+}
+
+fn request(have: ConfigNumber, after: Option<&hatchpitch::config::EntityKey>) -> FeedRequest {
+    FeedRequest {
+        from: "box".to_owned(),
+        have,
+        hold: Default::default(),
+        unconfirmed: false,
+        after: after.cloned(),
+    }
+}
+
+fn answer(parent: &ConfigState, req: &FeedRequest, max_bytes: usize) -> FeedAnswer {
+    let part = parent.part_since(req.have, req.after.as_ref(), max_bytes);
+    FeedAnswer {
+        number: parent.number(),
+        digest: parent.digest(),
+        snapshot: part.snapshot,
+        delta: part.delta,
+        rest: part.end.map_or(Rest::Nothing, Rest::After),
+        confirmed_age: None,
+        held: Default::default(),
+    }
+}
+
+/// Puts a random fleet in force.
+fn change(u: &mut Unstructured<'_>, state: &mut ConfigState) -> arbitrary::Result<()> {
+    let number = state.number() + u.int_in_range(1..=3)?;
+    let count = u.int_in_range(0..=30)?;
+    let mut entities = Vec::new();
+    for _ in 0..count {
+        let region = "r".repeat(u.int_in_range(1..=60)?);
+        entities.push(domain(u.int_in_range(0..=40)?, region));
+    }
+    put(state, number, entities);
+    Ok(())
+}
+
+/// Brings a parent that is behind up to the leader.
+fn catch_up(parent: &mut ConfigState, leader: &ConfigState) {
+    let (snapshot, delta) = leader.delta_since(parent.number());
+    parent.install(leader.number(), leader.digest(), snapshot, &delta).unwrap();
+}
+
+/// A box that takes parts.
+#[derive(Default)]
+struct Child {
+    state: ConfigState,
+    arriving: Option<Arriving>,
+}
+
+impl Child {
+    fn ask(&mut self, parent: &ConfigState, max_bytes: usize) {
+        let have = self.state.number();
+        let arriving = self.arriving.get_or_insert_with(|| Arriving::new(have));
+        let (since, after) = arriving.next();
+        let req = request(since, after);
+        let answer = answer(parent, &req, max_bytes);
+        if answer.number <= have {
+            return;
+        }
+        let (number, digest) = (answer.number, answer.digest);
+        match arriving.take(&req, answer) {
+            Taken::Whole { snapshot, delta } => {
+                self.arriving = None;
+                // What mixes parts of two contents is found by its digest, and asked for anew.
+                let before = self.state.clone();
+                if self.state.install(number, digest, snapshot, &delta).is_ok() {
+                    verify::verify_step(&before, &self.state).unwrap();
+                } else {
+                    assert_eq!(before, self.state, "nothing changes on an error");
+                }
+            }
+            Taken::Unfit => self.arriving = None,
+            Taken::Duplicate => panic!("only one request is under way"),
+            Taken::Nothing | Taken::More => {}
+        }
+    }
+}
+
+#[test]
+fn a_transfer_ends_with_what_the_leader_has() {
+    arbtest::arbtest(|u| {
+        let (mut leader, mut behind, mut child) =
+            (ConfigState::default(), ConfigState::default(), Child::default());
+        change(u, &mut leader)?;
+        for _ in 0..u.int_in_range(0..=60)? {
+            match u.int_in_range(0..=9)? {
+                0 => change(u, &mut leader)?,
+                1 => catch_up(&mut behind, &leader),
+                2..=4 => child.ask(&behind, u.int_in_range(1..=200)?),
+                _ => child.ask(&leader, u.int_in_range(1..=200)?),
+            }
+        }
+        let mut steps = 0;
+        while child.state.number() < leader.number() {
+            child.ask(&leader, 100);
+            steps += 1;
+            assert!(steps < MAX_STEPS, "the transfer does not end");
+        }
+        assert_eq!(child.state.digest(), leader.digest());
+        Ok(())
+    })
+    .size_max(4_096);
+}
+
+#[test]
+fn a_transfer_ends_although_each_part_finds_another_number() {
+    let entities = |marked: usize| (0..200).map(move |n| domain(n, format!("{}", n == marked)));
+    let (mut leader, mut child) = (ConfigState::default(), Child::default());
+    put(&mut leader, 1, entities(0).collect());
+    for number in 2..40 {
+        child.ask(&leader, 1_000);
+        put(&mut leader, number, entities(number as usize).collect());
+    }
+    assert!(child.state.number() > 0, "changes faster than a transfer hold it up for ever");
+}
+
+#[test]
+fn parts_are_bounded_and_hold_everything_once() {
+    let mut state = ConfigState::default();
+    put(&mut state, 1, (0..50).map(|n| domain(n, "a".repeat(20))).collect());
+    put(&mut state, 2, (20..70).map(|n| domain(n, "b".repeat(20))).collect());
+    let (_, whole) = state.delta_since(1);
+    let (mut upserts, mut removals, mut after) = (Vec::new(), Vec::new(), None);
+    loop {
+        let part = state.part_since(1, after.as_ref(), 300);
+        let bytes: usize = part.delta.upserts.iter().map(Entity::encoded_len).sum();
+        assert!(bytes < 300 + 100, "{bytes} bytes in a part");
+        upserts.extend(part.delta.upserts);
+        removals.extend(part.delta.removals);
+        match part.end {
+            Some(key) => after = Some(key),
+            None => break,
+        }
+    }
+    assert_eq!((upserts, removals), (whole.upserts, whole.removals));
+}
+
+#[test]
+fn what_waits_for_boxes_that_ask_is_bounded() {
+    let key = SigningKey::new("k".into(), vec![3; 32]).unwrap();
+    let client = BoxClient::new(KeyRing::new(vec![key]).unwrap()).unwrap();
+    let mut state = ConfigState::default();
+    put(&mut state, 1, (0..ENTITIES).map(|n| domain(n, "x".repeat(TEXT))).collect());
+    let cell = ConfigCell::new(client.backlog().clone());
+    cell.replace(&state);
+    let req = request(0, None);
+    // None of them is sent while the others are made.
+    let held: Vec<_> = (0..ASKERS)
+        .map(|_| client.respond(&cell.answer(&req).now_or_never().expect("nothing to wait for")))
+        .collect();
+    assert_eq!(held.len(), ASKERS);
+    let waiting = client.backlog().waiting();
+    assert!(waiting.bytes <= MAX_WAITING, "{waiting:?}");
+}
