Send large messages of the log in parts, one at a time to each replica

Cause: a change with its text (1.2 MB at 4,200 routes) or a whole state went to each replica in one call of one second, in the queue that heartbeats wait in. On a link that does not take all copies within that second every call failed, the leader made the same copies again for each answer that showed a gap, and lost its lead for want of heartbeats; so did its successor.

Ruled out: the feed as the only cause: before the change is committed no box is sent it, and the leader had 6.1 MB waiting for five replicas at that moment.

Change: a message of more than 16 KiB of entries or state counts as large. A replica is sent one such message at a time, in parts of 64 KiB with a second each, put together at the other end; beside it go heartbeats about what the replica is known to hold. What is lost shows as a gap once the transfer has ended. What waits for a replica is thereby bounded: small messages as before, and two large ones.

Random schedules with every message large keep what they acknowledged; a leader keeps its lead for 10 s while its large messages travel.

Left: a wiped box still gets its state in one message put together in memory; the text of a configuration travels and is kept beside what was decoded from it.

--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use hatchpitch_net::{Body, open_message, read_body};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -24,6 +25,7 @@
 use crate::replication::messages::{Envelope, LogBatch};
 use crate::replication::restart::answer_for_former;
 use crate::replication::task::{LOG_PATH, SEND_LIMIT};
+use crate::replication::transfer::{LogPart, PART_PATH};
 
 type Answered = Result<Response<Body>, Box<Response<Body>>>;
 
@@ -68,6 +70,14 @@
                 self.receive(batch);
                 Ok(self.cx.boxes.respond(&()))
             }
+            PART_PATH => {
+                let part = self.open::<LogPart>()?;
+                let (answer, whole) = self.cx.log_parts.borrow_mut().take(part, Instant::now());
+                if let Some(message) = whole {
+                    self.receive(decode(&message)?);
+                }
+                Ok(self.cx.boxes.respond(&answer))
+            }
             FOLLOW_PATH => {
                 let req = self.open::<FollowRequest>()?;
                 let control = self.cx.core_addrs();
@@ -148,3 +158,11 @@
         }
     }
 }
+
+/// Decodes a message of the log that came in parts, each of which was signed.
+fn decode(message: &[u8]) -> Result<LogBatch, Box<Response<Body>>> {
+    rmp_serde::from_slice(message).map_err(|err| {
+        let text = format!("{PART_PATH}: message does not decode: {err}");
+        Box::new(text_response(StatusCode::BAD_REQUEST, text))
+    })
+}
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -15,6 +15,7 @@
 use crate::registry::{RegistryCell, RegistryNews};
 use crate::replication::bootstrap::Hello;
 use crate::replication::task::{Applier, ProposeFailure, ReplicaHandle};
+use crate::replication::transfer::Assembly;
 use crate::replication::{Members, NodeId, Peer};
 use crate::settings::ControlSettings;
 
@@ -48,6 +49,8 @@
     pub joining: Cell<bool>,
     /// Upstreams that announce themselves.
     pub registry: Rc<RegistryCell>,
+    /// Large messages of the log that arrive in parts.
+    pub log_parts: RefCell<Assembly>,
     /// What a box that takes part told last; only kept by a box without a disk.
     core: RefCell<Option<Hello>>,
     /// Control boxes that were heard of, with when they were heard from or named last.
@@ -68,6 +71,7 @@
             invited: Cell::new(false),
             joining: Cell::new(false),
             registry: Rc::new(RegistryCell::new(rand::random())),
+            log_parts: RefCell::default(),
             core: RefCell::default(),
             known: RefCell::default(),
             machine: RefCell::new(Machine::new()),
--- a/crates/hatchpitch/src/replication/append.rs
+++ b/crates/hatchpitch/src/replication/append.rs
@@ -10,7 +10,7 @@
 
 impl Progress {
     pub(super) fn new(next: Index) -> Self {
-        Self { next, matched: 0, heard: None, installing: None }
+        Self { next, matched: 0, heard: None, installing: None, large_on_its_way: false }
     }
 }
 
@@ -89,12 +89,46 @@
         let ids: Vec<NodeId> = leadership.progress.keys().copied().collect();
         for id in ids {
             self.replicate(id, now);
+            self.heartbeat_beside_large(id);
         }
     }
 
+    /// Notes that a large message to a replica has arrived, or was lost on its way.
+    pub fn large_ended(&mut self, to: NodeId) {
+        if let Role::Leader(leadership) = &mut self.role
+            && let Some(progress) = leadership.progress.get_mut(&to)
+        {
+            // A message that was lost shows as a gap at the next heartbeat.
+            progress.large_on_its_way = false;
+        }
+    }
+
+    /// Keeps a replica that waits for a large message from counting this leader as silent: it is
+    /// told of nothing beyond what it is known to hold.
+    fn heartbeat_beside_large(&mut self, to: NodeId) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let Some(progress) = leadership.progress.get(&to).filter(|p| p.large_on_its_way) else {
+            return;
+        };
+        let known = self.log.term_at(progress.matched);
+        let known = known.map(|term| LogEnd { term, index: progress.matched });
+        let message = Message::Append {
+            term: self.hard.term,
+            prev: known.unwrap_or(self.log.start),
+            entries: Vec::new(),
+            commit: self.commit,
+            round: leadership.round,
+        };
+        self.send(to, message);
+    }
+
+    /// Sends what a replica lacks, or a heartbeat, unless a large message is on its way to it.
     fn replicate(&mut self, to: NodeId, now: Instant) {
         let Role::Leader(leadership) = &self.role else { return };
         let (round, progress) = (leadership.round, &leadership.progress[&to]);
+        if progress.large_on_its_way {
+            return;
+        }
         let prev = progress.next - 1;
         let Some(prev_term) = self.log.term_at(prev) else {
             self.install(to, round, now);
@@ -114,6 +148,7 @@
         {
             // Optimistic; a lost message shows as a gap at the next heartbeat.
             progress.next += sent;
+            progress.large_on_its_way = message.payload_len() > self.cfg.large_bytes;
         }
         self.send(to, message);
     }
@@ -121,7 +156,7 @@
     fn batch(&self, from: Index) -> Vec<Entry> {
         let mut bytes = 0;
         let within = |entry: &&Entry| {
-            bytes += payload_len(&entry.payload);
+            bytes += entry.payload.encoded_len();
             bytes <= self.cfg.max_bytes
         };
         let available = self.log.from(from);
@@ -141,6 +176,7 @@
             return;
         }
         progress.installing = Some(now);
+        progress.large_on_its_way = self.snapshot_data.len() > self.cfg.large_bytes;
         let message = Message::Install {
             term: self.hard.term,
             end: self.log.start,
@@ -296,11 +332,3 @@
         self.commit = index;
     }
 }
-
-fn payload_len(payload: &Payload) -> usize {
-    const SMALL: usize = 64;
-    match payload {
-        Payload::Command(bytes) => bytes.len() + SMALL,
-        Payload::Noop | Payload::Members(_) => SMALL,
-    }
-}
--- a/crates/hatchpitch/src/replication/messages.rs
+++ b/crates/hatchpitch/src/replication/messages.rs
@@ -65,6 +65,17 @@
     Members(Members),
 }
 
+impl Payload {
+    /// Returns the length of the encoding in bytes, roughly.
+    pub fn encoded_len(&self) -> usize {
+        const SMALL: usize = 64;
+        match self {
+            Self::Command(bytes) => bytes.len() + SMALL,
+            Self::Noop | Self::Members(_) => SMALL,
+        }
+    }
+}
+
 /// An entry of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -180,6 +191,15 @@
         matches!(self, Self::Append { .. } | Self::Install { .. })
     }
 
+    /// Returns how many bytes of commands or state the message carries, roughly.
+    pub fn payload_len(&self) -> usize {
+        match self {
+            Self::Append { entries, .. } => entries.iter().map(|e| e.payload.encoded_len()).sum(),
+            Self::Install { data, .. } => data.len(),
+            _ => 0,
+        }
+    }
+
     /// Returns the term that the message carries; 0 for messages without regard to terms.
     pub fn term(&self) -> Term {
         match self {
--- a/crates/hatchpitch/src/replication/mod.rs
+++ b/crates/hatchpitch/src/replication/mod.rs
@@ -14,6 +14,7 @@
 pub mod state;
 pub mod storage;
 pub mod task;
+pub mod transfer;
 pub mod verify;
 
 pub use messages::{Entry, Envelope, Index, Members, Message, NodeId, Payload, Peer, Term};
--- a/crates/hatchpitch/src/replication/state.rs
+++ b/crates/hatchpitch/src/replication/state.rs
@@ -30,6 +30,9 @@
     pub max_entries: usize,
     /// Bytes of entries that one message carries, roughly.
     pub max_bytes: usize,
+    /// Bytes of entries or state from which on a message is large: a replica is sent one such
+    /// message at a time, and only heartbeats beside it.
+    pub large_bytes: usize,
 }
 
 impl Default for ReplicaConfig {
@@ -41,6 +44,7 @@
             elects_at_once: true,
             max_entries: 512,
             max_bytes: 1024 * 1024,
+            large_bytes: 16 * 1024,
         }
     }
 }
@@ -129,6 +133,8 @@
     pub(super) heard: Option<Instant>,
     /// When a snapshot was last sent to it.
     pub(super) installing: Option<Instant>,
+    /// Whether a large message is on its way to it.
+    pub(super) large_on_its_way: bool,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -17,12 +17,16 @@
 use super::messages::{Entry, Envelope, Index, LogBatch, Message, NodeId, Payload, Term};
 use super::state::{Ready, Replica, ReplicaConfig, Snapshot};
 use super::storage::{Storage, StorageError};
+use super::transfer;
 use crate::essential::spawn_essential;
 
 /// Path of messages between replicas.
 pub const LOG_PATH: &str = "/box/log";
-/// Messages that wait for one replica; older ones are dropped beyond it.
+/// Messages that wait for one replica, none of them large; further ones are dropped.
 const QUEUE: usize = 256;
+/// Large messages that wait for one replica, beside the one that is on its way: only a leader
+/// that lost and won its lead meanwhile asks for another.
+const LARGE_QUEUE: usize = 0;
 /// Time for a batch of messages to be taken.
 pub(crate) const SEND_LIMIT: Duration = Duration::from_millis(1_000);
 /// Longest time between two looks at the clock.
@@ -139,6 +143,12 @@
     reply: oneshot::Sender<ProposeReply>,
 }
 
+/// The channels of the tasks that send to one replica.
+struct Senders {
+    small: mpsc::Sender<Envelope>,
+    large: mpsc::Sender<Envelope>,
+}
+
 struct Driver {
     id: NodeId,
     disk: Disk,
@@ -148,7 +158,10 @@
     applier: Applier,
     applied: Index,
     waiting: BTreeMap<Index, Waiting>,
-    senders: BTreeMap<NodeId, mpsc::Sender<Envelope>>,
+    senders: BTreeMap<NodeId, Senders>,
+    /// Tells of large messages that arrived or were lost.
+    large_ended: mpsc::UnboundedReceiver<NodeId>,
+    large_ended_tx: mpsc::UnboundedSender<NodeId>,
     /// Term and leader that were logged last.
     logged: Option<(Term, Option<NodeId>)>,
     /// Whether the line about leases of before the start was written.
@@ -177,6 +190,7 @@
     let (storage, replica, applied) = open(&disk, id, cfg, &mut applier)?;
     let replica = Rc::new(RefCell::new(replica));
     let (tx, rx) = mpsc::unbounded();
+    let (large_ended_tx, large_ended) = mpsc::unbounded();
     let handle = ReplicaHandle { tx, shared: replica.clone() };
     let driver = Driver {
         id,
@@ -188,6 +202,8 @@
         applied,
         waiting: BTreeMap::new(),
         senders: BTreeMap::new(),
+        large_ended,
+        large_ended_tx,
         logged: None,
         logged_no_lease: false,
         heard_from: BTreeMap::new(),
@@ -228,6 +244,9 @@
                     Err(_) => break,
                 }
             }
+            while let Ok(id) = self.large_ended.try_recv() {
+                self.replica.borrow_mut().large_ended(id);
+            }
             self.replica.borrow_mut().tick(Instant::now());
             if let Err(err) = self.settle() {
                 log::error!("{err}; the replica starts anew");
@@ -402,22 +421,62 @@
         let envelope = Envelope { from: self.id, to, message };
         let member = self.replica.borrow().members().get(to).map(|peer| peer.boxes_addr);
         let Some(addr) = member.or_else(|| self.heard_from.get(&to).copied()) else { return };
-        let (client, own_addr) = (self.client.clone(), self.own_addr);
-        let sender = self.senders.entry(to).or_insert_with(|| {
-            let (tx, rx) = mpsc::channel(QUEUE);
-            compio::runtime::spawn(send_all(client, own_addr, addr, rx)).detach();
-            tx
+        let is_large = envelope.message.payload_len() > self.cfg.large_bytes;
+        let senders = self.senders.entry(to).or_insert_with(|| {
+            let (client, reply_to) = (self.client.clone(), self.own_addr);
+            let (small, small_rx) = mpsc::channel(QUEUE);
+            let (large, large_rx) = mpsc::channel(LARGE_QUEUE);
+            let sending = send_small(client.clone(), reply_to, addr, small_rx);
+            compio::runtime::spawn(sending).detach();
+            let sending = send_large(client, reply_to, addr, large_rx, self.large_ended_tx.clone());
+            compio::runtime::spawn(sending).detach();
+            Senders { small, large }
         });
+        let sender = if is_large { &mut senders.large } else { &mut senders.small };
         if let Err(err) = sender.try_send(envelope)
             && err.is_full()
         {
             log::debug!("messages to {to} are dropped: its box does not keep up");
+            if is_large {
+                // The driver that would receive it is this one.
+                let _ = self.large_ended_tx.unbounded_send(to);
+            }
+        }
+    }
+}
+
+/// Sends the large messages for one replica, one after the other, and tells `ended` when each has
+/// arrived or was lost; ends with its channel.
+async fn send_large(
+    client: BoxClient,
+    reply_to: SocketAddr,
+    addr: SocketAddr,
+    mut rx: mpsc::Receiver<Envelope>,
+    ended: mpsc::UnboundedSender<NodeId>,
+) {
+    while let Some(envelope) = rx.next().await {
+        let (from, to, begun) = (envelope.from, envelope.to, Instant::now());
+        let bytes = envelope.message.payload_len();
+        let batch = LogBatch { reply_to, envelopes: vec![envelope] };
+        let sent = transfer::send(&client, addr, from, rand::random(), batch).await;
+        let (peer, took_ms) = (addr.to_string(), begun.elapsed().as_millis());
+        match sent {
+            Ok(arrived) => log::info!(
+                peer = peer.as_str(), bytes = bytes, took_ms = took_ms, arrived = arrived;
+                "large message of the log"
+            ),
+            Err(err) => log::info!(
+                peer = peer.as_str(), bytes = bytes, took_ms = took_ms, arrived = false;
+                "large message of the log: {err}"
+            ),
         }
+        // A closed channel means that the log stops.
+        let _ = ended.unbounded_send(to);
     }
 }
 
-/// Sends the messages for one replica in batches, one call at a time; ends with its channel.
-async fn send_all(
+/// Sends the small messages for one replica in batches, one call at a time; ends with its channel.
+async fn send_small(
     client: BoxClient,
     reply_to: SocketAddr,
     addr: SocketAddr,
--- a/crates/hatchpitch/tests/replication/group.rs
+++ b/crates/hatchpitch/tests/replication/group.rs
@@ -77,6 +77,16 @@
     /// Starts all boxes anew with messages of so many entries.
     pub fn set_max_entries(&mut self, count: usize) {
         self.cfg.max_entries = count;
+        self.start_all();
+    }
+
+    /// Starts all boxes anew; every message that carries anything counts as large from then on.
+    pub fn set_all_large(&mut self) {
+        self.cfg.large_bytes = 0;
+        self.start_all();
+    }
+
+    fn start_all(&mut self) {
         let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
         for id in ids {
             self.start(id);
@@ -205,8 +215,21 @@
         self.step(to, |replica, now| replica.receive(from, message, now));
     }
 
+    /// Tells each box which of its large messages are no longer on their way.
+    fn end_large(&mut self) {
+        let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
+        for (from, to) in ids.iter().flat_map(|from| ids.iter().map(move |to| (*from, *to))) {
+            let is_large = |m: &Message| m.payload_len() > self.cfg.large_bytes;
+            let flies = |f: &Flying| f.from == from && f.to == to && is_large(&f.message);
+            if !self.flying.iter().any(flies) {
+                self.step(from, |replica, _| replica.large_ended(to));
+            }
+        }
+    }
+
     pub fn advance(&mut self, by: Duration) {
         self.elapsed += by;
+        self.end_large();
         let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
         for id in ids {
             self.step(id, |replica, now| replica.tick(now));
--- a/crates/hatchpitch/tests/replication/main.rs
+++ b/crates/hatchpitch/tests/replication/main.rs
@@ -6,3 +6,4 @@
 mod restarts;
 mod schedules;
 mod storage;
+mod transfer;
--- a/crates/hatchpitch/tests/replication/schedules.rs
+++ b/crates/hatchpitch/tests/replication/schedules.rs
@@ -9,7 +9,7 @@
     Entry, HardState, Message, Payload, Replica, ReplicaConfig, Restored, Snapshot,
 };
 
-use super::group::{Group, peer, voters};
+use super::group::{Flying, Group, peer, voters};
 
 const STEPS: usize = 300;
 /// Seeds carry the number of random bytes in their low half.
@@ -24,6 +24,8 @@
     drift: bool,
     /// Whether leaders hand their lead over.
     hands_over: bool,
+    /// Whether all messages that carry anything are large.
+    all_large: bool,
 }
 
 /// Time passes, and each message on its way arrives, is lost, doubled or late, in any order.
@@ -86,6 +88,9 @@
     let mut group = Group::new(setting.size);
     // Small messages let an old entry reach a majority before the leader's own does.
     group.set_max_entries(u.int_in_range(1..=3)?);
+    if setting.all_large {
+        group.set_all_large();
+    }
     if setting.drift {
         for node in group.nodes.values_mut() {
             node.drift = u.int_in_range(-10..=10)?;
@@ -125,18 +130,51 @@
 
 #[test]
 fn three_replicas_keep_what_they_acknowledged() {
-    run_schedules(300, Setting { size: 3, drift: false, hands_over: false });
+    run_schedules(300, Setting { size: 3, drift: false, hands_over: false, all_large: false });
 }
 
 #[test]
 fn five_replicas_with_drifting_clocks_keep_what_they_acknowledged() {
-    run_schedules(60, Setting { size: 5, drift: true, hands_over: false });
+    run_schedules(60, Setting { size: 5, drift: true, hands_over: false, all_large: false });
 }
 
 #[test]
 fn leaders_that_hand_over_at_any_moment_keep_what_they_acknowledged() {
-    run_schedules(200, Setting { size: 3, drift: true, hands_over: true });
-    run_schedules(40, Setting { size: 5, drift: true, hands_over: true });
+    run_schedules(200, Setting { size: 3, drift: true, hands_over: true, all_large: false });
+    run_schedules(40, Setting { size: 5, drift: true, hands_over: true, all_large: false });
+}
+
+#[test]
+fn replicas_whose_messages_are_all_large_keep_what_they_acknowledged() {
+    run_schedules(200, Setting { size: 3, drift: true, hands_over: true, all_large: true });
+    run_schedules(40, Setting { size: 5, drift: true, hands_over: false, all_large: true });
+}
+
+#[test]
+fn a_leader_keeps_its_lead_while_large_messages_are_on_their_way() {
+    let mut group = Group::new(3);
+    group.set_all_large();
+    group.run(5_000).unwrap();
+    let leader = group.leader().unwrap();
+    group.propose(leader);
+    // The large messages travel far longer than followers wait for a leader that is silent.
+    for _ in 0..500 {
+        let all = std::mem::take(&mut group.flying);
+        let (large, small): (Vec<_>, Vec<_>) =
+            all.into_iter().partition(|f| f.message.payload_len() > 0);
+        assert!(large.len() <= 2, "one large message for each replica: {}", large.len());
+        group.flying = small;
+        while !group.flying.is_empty() {
+            let Flying { message, .. } = &group.flying[0];
+            assert_eq!(message.payload_len(), 0, "nothing large is sent beside another");
+            group.deliver(0);
+        }
+        group.flying = large;
+        group.advance(Duration::from_millis(20));
+    }
+    assert_eq!(group.leader(), Some(leader));
+    group.run(200).unwrap();
+    assert_eq!(group.acknowledged.len(), 1);
 }
 
 #[test]
