Make answers to boxes that begin to follow the upstreams while there is room

Change: such an answer is made only while less than 1 MiB waits to be sent to other boxes; a follower waits for that up to half a second and is then refused, so that it asks another control box. The bound is the feed's, kept with the count.

Measured: 60 boxes that follow 4,600 upstreams, none of them sent: at most 3 MiB wait (registry.rs); without the wait 60 tables. Left: a table of that size in one answer takes a second behind 10 Mbit/s, as long as its call.

--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -47,10 +47,6 @@
 
 /// Bytes of a part: a link of 10 Mbit/s passes it in 52 ms, far within the time for an answer.
 const PART_BYTES: usize = 64 * 1024;
-/// Bytes that wait to be sent to other boxes from which on parts are withheld. A link of
-/// 100 Mbit/s passes them in 84 ms, so that heartbeats behind them arrive in time; and however
-/// many boxes ask, they take no more memory than this and a part.
-const MAX_WAITING: usize = 1024 * 1024;
 
 /// The configuration in force at this box, shared by its tasks on one thread.
 pub struct ConfigCell {
@@ -179,7 +175,7 @@
         let mut inner = self.inner.borrow_mut();
         inner.waiting.retain(|tx| !tx.is_canceled());
         let lacks = inner.state.number() > req.have;
-        let withheld = lacks && self.backlog.waiting().bytes > MAX_WAITING;
+        let withheld = lacks && !self.backlog.has_room();
         let part = if lacks && !withheld {
             inner.state.part_since(req.have, req.after.as_ref(), PART_BYTES)
         } else {
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -82,7 +82,13 @@
                 let req = self.open::<FollowRequest>()?;
                 let control = self.cx.core_addrs();
                 let config = || self.cx.config.number();
-                Ok(self.cx.boxes.respond(&self.cx.registry.answer(&req, config, control).await))
+                let has_room = || self.cx.boxes.backlog().has_room();
+                let answer = self.cx.registry.answer(&req, config, control, has_room).await;
+                let answer = answer.ok_or_else(|| {
+                    let text = "too much waits to be sent to other boxes";
+                    Box::new(text_response(StatusCode::SERVICE_UNAVAILABLE, text))
+                })?;
+                Ok(self.cx.boxes.respond(&answer))
             }
             NEWS_PATH => {
                 let news = self.open::<RegistryNews>()?;
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -22,6 +22,10 @@
 const HOLDER_SILENT: Duration = Duration::from_secs(2);
 /// Longest time that an answer to a follower is held back.
 const MAX_HOLD: Duration = Duration::from_secs(5);
+/// Longest wait until there is room for an answer: half of what followers allow beyond the hold.
+const ROOM_WAIT: Duration = Duration::from_millis(500);
+/// Time between looks for room: a link of 100 Mbit/s passes a quarter of what may wait.
+const ROOM_LOOK: Duration = Duration::from_millis(20);
 
 /// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -248,14 +252,16 @@
         self.waiting.borrow_mut().clear();
     }
 
-    /// Answers a follower, waiting for a change up to the hold that it asked for. `config`
-    /// tells the configuration number in force.
+    /// Answers a follower, waiting for a change up to the hold that it asked for, and then for
+    /// `has_room` up to [`ROOM_WAIT`]; `None` if there is none. `config` tells the configuration
+    /// number in force.
     pub async fn answer(
         &self,
         req: &FollowRequest,
         config: impl Fn() -> ConfigNumber,
         control: Vec<SocketAddr>,
-    ) -> FollowAnswer {
+        has_room: impl Fn() -> bool,
+    ) -> Option<FollowAnswer> {
         let current = self.with(|table| table.epoch == req.epoch && table.version <= req.have)
             && config() <= req.config;
         if current && !req.hold.is_zero() {
@@ -264,9 +270,16 @@
             let _ = compio::time::timeout(req.hold.min(MAX_HOLD), rx).await;
             self.waiting.borrow_mut().retain(|tx| !tx.is_canceled());
         }
+        let held = Instant::now();
+        while !has_room() {
+            if held.elapsed() > ROOM_WAIT {
+                return None;
+            }
+            compio::time::sleep(ROOM_LOOK).await;
+        }
         let mut answer = self.with(|table| table.changes(req.epoch, req.have, Instant::now()));
         answer.config = config();
         answer.control = control;
-        answer
+        Some(answer)
     }
 }
--- a/crates/hatchpitch/tests/registry.rs
+++ b/crates/hatchpitch/tests/registry.rs
@@ -3,10 +3,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use futures_util::FutureExt;
 use hatchpitch::registry::follow::Followed;
 use hatchpitch::registry::table::LEASE;
 use hatchpitch::registry::verify::{verify_roster, verify_table};
-use hatchpitch::registry::{Announced, Phase, Roster, Table, UpstreamRecord};
+use hatchpitch::registry::{
+    Announced, FollowRequest, Phase, RegistryCell, Roster, Table, UpstreamRecord,
+};
+use hatchpitch_net::{BoxClient, KeyRing, SigningKey};
 
 fn record(id: &str, port: u16, phase: Phase, sequence: u64) -> UpstreamRecord {
     UpstreamRecord {
@@ -262,3 +266,39 @@
         .run();
     }
 }
+
+/// Upstreams of a large table, some 1 MB as it is sent.
+const UPSTREAMS: u16 = 4_600;
+/// Boxes that begin to follow it at one time.
+const FOLLOWERS: usize = 60;
+/// Bytes that may wait for them: one mebibyte and the last table.
+const MAX_WAITING: usize = 3 * 1024 * 1024;
+
+#[test]
+fn what_waits_for_boxes_that_begin_to_follow_is_bounded() {
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let key = SigningKey::new("k".into(), vec![3; 32]).unwrap();
+        let client = BoxClient::new(KeyRing::new(vec![key]).unwrap()).unwrap();
+        let cell = RegistryCell::new(1);
+        let now = Instant::now();
+        for n in 1..=UPSTREAMS {
+            let announced = record(&format!("i-{n:010}"), n, Phase::Serving, 1);
+            cell.change(|table| table.announce(announced, now));
+        }
+        let req =
+            FollowRequest { from: "b".into(), epoch: 0, have: 0, config: 0, hold: Duration::ZERO };
+        let has_room = || client.backlog().has_room();
+        // None of them is sent while the others are made.
+        let held: Vec<_> = (0..FOLLOWERS)
+            .filter_map(|_| cell.answer(&req, || 0, Vec::new(), has_room).now_or_never())
+            .map(|answer| client.respond(&answer.expect("there is room")))
+            .collect();
+        let waiting = client.backlog().waiting();
+        assert!(waiting.bytes <= MAX_WAITING, "{waiting:?}");
+        // Those that had to wait get theirs once the others have gone.
+        drop(held);
+        let answer = cell.answer(&req, || 0, Vec::new(), has_room).await.unwrap();
+        assert_eq!(answer.records.len(), usize::from(UPSTREAMS));
+    });
+}
--- a/crates/net/src/backlog.rs
+++ b/crates/net/src/backlog.rs
@@ -9,6 +9,11 @@
 
 use bytes::Bytes;
 
+/// Bytes that wait from which on nothing large is to be added. A link of 100 Mbit/s passes them in
+/// 84 ms, so that heartbeats behind them arrive in time; and however many boxes ask, what is made
+/// for them takes no more memory than this and one message.
+const ROOM: usize = 1024 * 1024;
+
 /// What waits at one moment.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Waiting {
@@ -61,6 +66,11 @@
         }
     }
 
+    /// Returns whether a large message may be added now.
+    pub fn has_room(&self) -> bool {
+        self.waiting().bytes <= ROOM
+    }
+
     /// Counts a message until its bytes are dropped.
     pub fn count(&self, message: Vec<u8>) -> Bytes {
         self.0.messages.fetch_add(1, Ordering::Relaxed);
