--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::lock::Mutex;
 use hatchpitch_net::BoxClient;
 
 use super::machine::{Command, Machine, Order, Reply};
@@ -47,6 +48,9 @@
     pub invited: Cell<bool>,
     /// Whether a change of who takes part is under way here.
     pub joining: Cell<bool>,
+    /// Held while a configuration is decoded and submitted: each takes several times its size in
+    /// memory, so they go one after the other.
+    pub submitting: Mutex<()>,
     /// Upstreams that announce themselves.
     pub registry: Rc<RegistryCell>,
     /// Large messages of the log that arrive in parts.
@@ -70,6 +74,7 @@
             boxes,
             invited: Cell::new(false),
             joining: Cell::new(false),
+            submitting: Mutex::new(()),
             registry: Rc::new(RegistryCell::new(rand::random())),
             log_parts: RefCell::default(),
             core: RefCell::default(),
@@ -162,6 +167,11 @@
         }
     }
 
+    /// Returns whether this box was elected to lead; it may not hold the lease yet, or any more.
+    pub fn is_elected(&self) -> bool {
+        self.log().is_some_and(|log| log.with(|replica| replica.leads()))
+    }
+
     /// Returns whether this box leads.
     pub fn leads(&self) -> bool {
         self.log().is_some_and(ReplicaHandle::holds_lease)
--- a/crates/hatchpitch/src/control/join.rs
+++ b/crates/hatchpitch/src/control/join.rs
@@ -53,8 +53,7 @@
 
 /// Answers a box that asks for a place; the leader begins to let it in.
 pub fn answer(cx: &Rc<ControlCx>, req: JoinRequest) -> JoinAnswer {
-    let leads = cx.log().is_some_and(|log| log.with(|replica| replica.leads()));
-    if !leads {
+    if !cx.is_elected() {
         return JoinAnswer::NotLeader(cx.leader().map(|leader| leader.boxes_addr));
     }
     if !cx.joining.replace(true) {
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -128,17 +128,28 @@
     })
 }
 
-/// Reads and checks a submitted file; a file with problems is answered with all of them.
-async fn fleet_file(req: Request<Incoming>) -> Result<Result<Fleet, Response<Body>>, Problem> {
-    let file = query_value(req.uri(), "file").unwrap_or("fleet").to_owned();
+/// A submitted file that was not checked yet.
+struct FleetText {
+    name: String,
+    text: String,
+}
+
+/// Reads a submitted file.
+async fn fleet_text(req: Request<Incoming>) -> Result<FleetText, Problem> {
+    let name = query_value(req.uri(), "file").unwrap_or("fleet").to_owned();
     let body = read_body(req.into_body(), MAX_FLEET_FILE, BODY_LIMIT).await;
     let body = body.map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
     let text = String::from_utf8(body.to_vec())
         .map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
-    Ok(load_fleet(&file, &text).map_err(|problems| {
+    Ok(FleetText { name, text })
+}
+
+/// Checks a file; one with problems is answered with all of them.
+fn check_fleet(file: &FleetText) -> Result<Fleet, Box<Response<Body>>> {
+    load_fleet(&file.name, &file.text).map_err(|problems| {
         let body = FileProblems { problems: problems.0 };
-        json_response(StatusCode::UNPROCESSABLE_ENTITY, &body, Outcome::NotRun)
-    }))
+        Box::new(json_response(StatusCode::UNPROCESSABLE_ENTITY, &body, Outcome::NotRun))
+    })
 }
 
 async fn apply(
@@ -146,9 +157,11 @@
     req: Request<Incoming>,
     operator: &str,
 ) -> Result<Response<Body>, Problem> {
-    let fleet = match fleet_file(req).await? {
+    let text = fleet_text(req).await?;
+    let _turn = cx.submitting.lock().await;
+    let fleet = match check_fleet(&text) {
         Ok(fleet) => fleet,
-        Err(refused) => return Ok(refused),
+        Err(refused) => return Ok(*refused),
     };
     match submit(cx, &fleet, operator).await {
         Ok(outcome) => Ok(outcome_response(&outcome)),
@@ -193,9 +206,9 @@
 }
 
 async fn diff(cx: &Rc<ControlCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
-    let fleet = match fleet_file(req).await? {
+    let fleet = match check_fleet(&fleet_text(req).await?) {
         Ok(fleet) => fleet,
-        Err(refused) => return Ok(refused),
+        Err(refused) => return Ok(*refused),
     };
     be_newest(cx).await?;
     let answer = cx.with_machine(|m| {
