Split how parts are made, and take each message of the log in one place

Left by earlier work: two kinds of messages were taken before all others and stood once more in an arm that was never reached; a needless conversion in the check of a roster.

--- a/crates/hatchpitch/src/config/state.rs
+++ b/crates/hatchpitch/src/config/state.rs
@@ -187,38 +187,53 @@
     ) -> Part {
         let snapshot = have < self.delta_floor || have > self.number;
         let since = if snapshot { 0 } else { have };
+        let mut part = Part { snapshot, ..Part::default() };
+        let (mut bytes, mut last) = (0, None::<&EntityKey>);
+        for (key, change) in self.changes(since, !snapshot, after) {
+            if last.is_some() && bytes >= max_bytes {
+                part.end = last.cloned();
+                break;
+            }
+            match change {
+                Some(entity) => {
+                    bytes += entity.encoded_len();
+                    part.delta.upserts.push(entity.clone());
+                }
+                None => {
+                    bytes += key.1.len() + KEY_BYTES;
+                    part.delta.removals.push(key.clone());
+                }
+            }
+            last = Some(key);
+        }
+        part
+    }
+
+    /// Iterates over what changed since a number after an entity, in order of keys; `None` stands
+    /// for an entity that is gone.
+    fn changes<'a>(
+        &'a self,
+        since: ConfigNumber,
+        with_removals: bool,
+        after: Option<&EntityKey>,
+    ) -> impl Iterator<Item = (&'a EntityKey, Option<&'a Entity>)> {
         let range = (after.map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded);
         let upserts = self.entities.range::<EntityKey, _>(range);
-        let upserts = upserts.filter(|(_, v)| v.changed_at > since);
+        let mut upserts = upserts.filter(move |(_, v)| v.changed_at > since).peekable();
         let removals = self.removed.range::<EntityKey, _>(range);
-        let removals = removals.filter(|(_, at)| !snapshot && **at > since);
-        let (mut upserts, mut removals) = (upserts.peekable(), removals.peekable());
-        let (mut part, mut bytes) = (Part { snapshot, ..Part::default() }, 0);
-        let mut last: Option<&EntityKey> = None;
-        loop {
-            let (upsert, removal) = (upserts.peek().map(|u| u.0), removals.peek().map(|r| r.0));
-            // No key is in both tables.
-            let upsert_is_next = match (upsert, removal) {
-                (None, None) => return part,
-                (Some(upsert), Some(removal)) => upsert < removal,
-                (upsert, _) => upsert.is_some(),
+        let mut removals = removals.filter(move |(_, at)| with_removals && **at > since).peekable();
+        std::iter::from_fn(move || {
+            let removal_is_next = match (upserts.peek(), removals.peek()) {
+                // No key is in both tables.
+                (Some((upsert, _)), Some((removal, _))) => removal < upsert,
+                (upsert, _) => upsert.is_none(),
             };
-            if let Some(last) = last.filter(|_| bytes >= max_bytes) {
-                part.end = Some(last.clone());
-                return part;
-            }
-            if upsert_is_next {
-                let Some((key, versioned)) = upserts.next() else { return part };
-                bytes += versioned.entity.encoded_len();
-                part.delta.upserts.push(versioned.entity.clone());
-                last = Some(key);
+            if removal_is_next {
+                removals.next().map(|(key, _)| (key, None))
             } else {
-                let Some((key, _)) = removals.next() else { return part };
-                bytes += key.1.len() + KEY_BYTES;
-                part.delta.removals.push(key.clone());
-                last = Some(key);
+                upserts.next().map(|(key, v)| (key, Some(&v.entity)))
             }
-        }
+        })
     }
 
     /// Puts a delta or snapshot from another box in force here; nothing changes on an error.
--- a/crates/hatchpitch/src/registry/verify.rs
+++ b/crates/hatchpitch/src/registry/verify.rs
@@ -40,8 +40,9 @@
             return Err(format!("{id} is named by no control box"));
         }
         let (version, is_new) = known.named;
-        let others = roster.known.values().filter(|other| other.record.addr == known.record.addr);
-        if is_new && others.into_iter().any(|other| other.named.0 < version) {
+        let mut others =
+            roster.known.values().filter(|other| other.record.addr == known.record.addr);
+        if is_new && others.any(|other| other.named.0 < version) {
             return Err(format!("{} is held by a life before the new one", known.record.addr));
         }
     }
--- a/crates/hatchpitch/src/replication/messages.rs
+++ b/crates/hatchpitch/src/replication/messages.rs
@@ -191,6 +191,12 @@
         matches!(self, Self::Append { .. } | Self::Install { .. })
     }
 
+    /// Returns whether the message belongs to a term. Questions about leases of before a restart
+    /// do not: terms say nothing about those.
+    pub fn is_of_a_term(&self) -> bool {
+        !matches!(self, Self::AskLead { .. } | Self::NotLeading { .. })
+    }
+
     /// Returns how many bytes of commands or state the message carries, roughly.
     pub fn payload_len(&self) -> usize {
         match self {
--- a/crates/hatchpitch/src/replication/state.rs
+++ b/crates/hatchpitch/src/replication/state.rs
@@ -279,17 +279,15 @@
 
     /// Takes in a message.
     pub fn receive(&mut self, from: NodeId, message: Message, now: Instant) {
-        // Terms say nothing about leases of before a restart.
-        match message {
-            Message::AskLead { life } => return self.on_ask_lead(from, life, now),
-            Message::NotLeading { life } => return self.on_not_leading(from, life, now),
-            _ => {}
-        }
-        if self.answer_old_term(from, &message) {
-            return;
+        if message.is_of_a_term() {
+            if self.answer_old_term(from, &message) {
+                return;
+            }
+            self.follow_newer_term(from, &message, now);
         }
-        self.follow_newer_term(from, &message, now);
         match message {
+            Message::AskLead { life } => self.on_ask_lead(from, life, now),
+            Message::NotLeading { life } => self.on_not_leading(from, life, now),
             Message::PreVote { term, end } => self.on_pre_vote(from, term, end, now),
             Message::PreVoteReply { term, granted } => {
                 self.on_pre_vote_reply(from, term, granted, now);
@@ -297,7 +295,6 @@
             Message::Vote { term, end, handed_over } => {
                 self.on_vote(from, term, end, handed_over, now);
             }
-            Message::AskLead { .. } | Message::NotLeading { .. } => unreachable!("taken above"),
             Message::HandOver { .. } => self.on_hand_over(now),
             Message::VoteReply { granted, .. } => self.on_vote_reply(from, granted, now),
             Message::Append { prev, entries, commit, round, .. } => {
