--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -253,7 +253,7 @@
     }
 
     /// Answers a follower, waiting for a change up to the hold that it asked for, and then for
-    /// `has_room` up to [`ROOM_WAIT`]; `None` if there is none. `config` tells the configuration
+    /// `has_room` for half a second; `None` if there is none. `config` tells the configuration
     /// number in force.
     pub async fn answer(
         &self,
