Let a learner ask for its vote until it has one

Seen in the logs of the five control boxes: at the first start, 1.7 s in, the leader lost the lead between the two changes that let a box in, and logged that the box is not let in yet. So the group had four voters of five boxes; when two disks were lost with all other processes down, two of four were left and nobody could be elected.

Ruled out: the disk lost 7 s before (its box took part again after 0.5 s), the leases (no voter led), anything in entry boxes.

Change: a box asks while it has no vote.

--- a/crates/hatchpitch/src/control/join.rs
+++ b/crates/hatchpitch/src/control/join.rs
@@ -18,7 +18,7 @@
 use crate::replication::bootstrap::as_peer;
 use crate::replication::change::MemberChange;
 use crate::replication::task::ReplicaHandle;
-use crate::replication::{NodeId, Peer};
+use crate::replication::{Members, NodeId, Peer};
 
 /// Path on which a box asks for a place.
 pub const JOIN_PATH: &str = "/box/join";
@@ -129,16 +129,22 @@
             }
             continue;
         }
-        let no_place = log.with(|replica| replica.members().get(cx.id).is_none());
-        if log.with(|replica| replica.leader().is_some()) && !no_place {
+        if log.with(|replica| replica.leader().is_some()) {
             led_at = Instant::now();
         }
-        if no_place || led_at.elapsed() > NO_LEADER {
+        if log.with(|replica| asks(replica.members(), cx.id, led_at.elapsed())) {
             ask(&cx).await;
         }
     }
 }
 
+/// Returns whether a box asks for a place: while it has no vote, and when it has heard of no
+/// leader for so long that it may have lost it. A learner asks as well: the leader that let it in
+/// may have lost the lead before it gave it a vote, and no other one would.
+pub fn asks(members: &Members, own: NodeId, leaderless: Duration) -> bool {
+    !members.voters.contains_key(&own) || leaderless > NO_LEADER
+}
+
 /// Asks every control box that is known until one that leads answers.
 async fn ask(cx: &ControlCx) {
     let req = JoinRequest { id: cx.id, peer: as_peer(&cx.settings.own) };
