Follow one control box closely, and the others at a slower pace

Cause: each entry box holds a request at each of up to six control boxes, and each change of an upstream ends all of them.

Change: the one that the entry box prefers is asked again at once, as before; the others rest for half a second, so that their changes come together. What only one of them has still comes within a quarter of the two seconds after which an upstream that leaves gets no new work.

tests/registry.rs: entry boxes spread evenly, and another one takes over.

--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -25,6 +25,10 @@
 /// Control boxes that one entry box follows. What an upstream announces is at a majority of up
 /// to ten of them when it is acknowledged, so one of six has it; at all of them within a second.
 const MAX_FOLLOWED: usize = 6;
+/// Rest between two requests to a control box, but for the one that is asked again at once. All
+/// tell the same changes; what only one of them has comes within a quarter of the two seconds
+/// after which an upstream that leaves gets no new work.
+const REST: Duration = Duration::from_millis(500);
 /// Failures in a row from which on another control box is followed as well.
 const AWAY: u32 = 3;
 /// Failures in a row after which a control box that no other names is no longer followed.
@@ -65,16 +69,20 @@
     pub fn candidates(&self, own: &str) -> Vec<SocketAddr> {
         let running = self.running.borrow();
         let answering = running.len() - self.away.borrow().len();
-        let weight = |addr: &SocketAddr| {
-            XxHash64::oneshot(0, [own.as_bytes(), addr.to_string().as_bytes()].concat().as_slice())
-        };
         let mut left = self.control();
         left.retain(|addr| !running.contains(addr));
-        left.sort_by_key(weight);
+        left.sort_by_key(|addr| weight(own, *addr));
         left.truncate(MAX_FOLLOWED.saturating_sub(answering));
         left
     }
 
+    /// Returns whether this is the control box that is asked again at once: each entry box prefers
+    /// another one of those that answer.
+    pub fn is_first(&self, own: &str, source: SocketAddr) -> bool {
+        let (running, away) = (self.running.borrow(), self.away.borrow());
+        first_of(own, running.difference(&away).copied()) == Some(source)
+    }
+
     /// Forgets a control box that is followed no more; it may be named again.
     fn forget(&self, source: SocketAddr) {
         self.running.borrow_mut().remove(&source);
@@ -88,6 +96,15 @@
     }
 }
 
+/// Returns the control box of some that an entry box asks again at once.
+pub fn first_of(own: &str, control: impl Iterator<Item = SocketAddr>) -> Option<SocketAddr> {
+    control.min_by_key(|addr| weight(own, *addr))
+}
+
+fn weight(own: &str, addr: SocketAddr) -> u64 {
+    XxHash64::oneshot(0, [own.as_bytes(), addr.to_string().as_bytes()].concat().as_slice())
+}
+
 /// What a follower does beside keeping the roster.
 #[derive(Clone)]
 pub struct ConfigHints {
@@ -135,6 +152,9 @@
             Ok(answer) => {
                 failures = 0;
                 take(&followed, source, answer, &hints);
+                if !followed.is_first(&own, source) {
+                    compio::time::sleep(REST).await;
+                }
             }
             Err(err) => {
                 if failures == 0 {
--- a/crates/hatchpitch/tests/registry.rs
+++ b/crates/hatchpitch/tests/registry.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
-use hatchpitch::registry::follow::Followed;
+use hatchpitch::registry::follow::{Followed, first_of};
 use hatchpitch::registry::table::LEASE;
 use hatchpitch::registry::verify::{verify_roster, verify_table};
 use hatchpitch::registry::{
@@ -302,3 +302,20 @@
         assert_eq!(answer.records.len(), usize::from(UPSTREAMS));
     });
 }
+
+#[test]
+fn entry_boxes_spread_over_the_control_boxes_that_they_follow_closely() {
+    let control = || (1..=5).map(source);
+    let mut followers = [0_u32; 6];
+    for i in 0..300 {
+        let own = format!("entry-{i}");
+        let first = first_of(&own, control()).unwrap();
+        followers[usize::from(first.port())] += 1;
+        // Without it, another one takes its place; without another one, it stays.
+        let rest: Vec<SocketAddr> = control().filter(|addr| *addr != first).collect();
+        assert_ne!(first_of(&own, rest.iter().copied()), Some(first));
+        assert_eq!(first_of(&own, control().filter(|addr| *addr != rest[0])), Some(first));
+    }
+    assert!(followers[1..].iter().all(|count| (35..90).contains(count)), "{followers:?}");
+    assert_eq!(first_of("entry", std::iter::empty()), None);
+}
