Count calls and bytes between boxes by path

The totals did not say which of the calls make up what a box says to others. Shown as hatchpitch_box_path_calls and hatchpitch_box_path_body_bytes; tested on a fleet in e2e/tests/control.rs.

--- a/crates/e2e/tests/control.rs
+++ b/crates/e2e/tests/control.rs
@@ -227,6 +227,9 @@
 async fn box_bytes(fleet: &TestFleet, entry: usize) -> anyhow::Result<f64> {
     let at = fleet.entry_addrs[entry];
     let (_, text) = fleet.operator_call(at, Method::GET, "/metrics", Bytes::new()).await?;
+    let calls = text.lines().any(|line| line.starts_with("hatchpitch_box_path_calls{path=\"/box/"));
+    let bytes = text.lines().filter(|line| line.starts_with("hatchpitch_box_path_body_bytes{"));
+    anyhow::ensure!(calls && bytes.count() > 1, "no counts by path");
     let line = text.lines().find_map(|line| line.strip_prefix("hatchpitch_box_body_bytes "));
     Ok(line.ok_or_else(|| anyhow::anyhow!("no count of bytes"))?.parse()?)
 }
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::BoxClient;
+use hatchpitch_net::{BoxClient, Traffic};
 use hdrhistogram::Histogram;
 
 use crate::ids::{PoolName, Priority};
@@ -66,6 +66,8 @@
     timings: BTreeMap<TimingKey, Histogram<u64>>,
     counts: BTreeMap<(Count, PoolName), u64>,
     gauges: BTreeMap<&'static str, f64>,
+    /// What was exchanged with other boxes, by path.
+    traffic: BTreeMap<String, Traffic>,
 }
 
 /// The metrics of one process, shared by its tasks.
@@ -100,8 +102,10 @@
     /// of the process.
     pub fn process(&self, boxes: &BoxClient) {
         let (traffic, waiting) = (boxes.traffic(), boxes.backlog().waiting());
-        self.gauge("hatchpitch_box_calls", traffic.calls as f64);
-        self.gauge("hatchpitch_box_body_bytes", traffic.body_bytes as f64);
+        let sum = |of: fn(&Traffic) -> u64| traffic.values().map(of).sum::<u64>() as f64;
+        self.gauge("hatchpitch_box_calls", sum(|traffic| traffic.calls));
+        self.gauge("hatchpitch_box_body_bytes", sum(|traffic| traffic.body_bytes));
+        self.0.borrow_mut().traffic = traffic;
         self.gauge("hatchpitch_box_messages_waiting", waiting.messages as f64);
         self.gauge("hatchpitch_box_bytes_waiting", waiting.bytes as f64);
         self.gauge("hatchpitch_box_bytes_waiting_peak", waiting.peak_bytes as f64);
@@ -123,6 +127,12 @@
         for (name, value) in &inner.gauges {
             let _ = writeln!(out, "# TYPE {name} gauge\n{name} {value}");
         }
+        for (path, traffic) in &inner.traffic {
+            let label = format!("path=\"{path}\"");
+            let _ = writeln!(out, "hatchpitch_box_path_calls{{{label}}} {}", traffic.calls);
+            let bytes = traffic.body_bytes;
+            let _ = writeln!(out, "hatchpitch_box_path_body_bytes{{{label}}} {bytes}");
+        }
         let mut last = "";
         for ((timing, pool, priority), histogram) in &inner.timings {
             let name = timing_name(*timing);
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -1,6 +1,7 @@
 //! Signed calls between boxes: HTTP `POST` with an `rmp-serde` body.
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -58,11 +59,11 @@
 pub struct BoxClient {
     http: cyper::Client,
     keys: KeyRing,
-    traffic: Rc<Cell<Traffic>>,
+    traffic: Rc<RefCell<BTreeMap<String, Traffic>>>,
     backlog: Backlog,
 }
 
-/// What a [`BoxClient`] has exchanged; heads of messages are not counted.
+/// What a [`BoxClient`] has exchanged on one path; heads of messages are not counted.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Traffic {
     /// Calls begun.
@@ -87,9 +88,9 @@
         &self.keys
     }
 
-    /// Returns what was exchanged so far.
-    pub fn traffic(&self) -> Traffic {
-        self.traffic.get()
+    /// Returns what was exchanged so far, by the path of the calls.
+    pub fn traffic(&self) -> BTreeMap<String, Traffic> {
+        self.traffic.borrow().clone()
     }
 
     /// Returns the count of what this process has to send to other boxes.
@@ -105,11 +106,15 @@
         }
     }
 
-    fn count(&self, calls: u64, bytes: usize) {
-        let mut traffic = self.traffic.get();
-        traffic.calls += calls;
-        traffic.body_bytes += bytes as u64;
-        self.traffic.set(traffic);
+    fn count(&self, path: &str, calls: u64, bytes: usize) {
+        let mut traffic = self.traffic.borrow_mut();
+        if !traffic.contains_key(path) {
+            traffic.insert(path.to_owned(), Traffic::default());
+        }
+        if let Some(own) = traffic.get_mut(path) {
+            own.calls += calls;
+            own.body_bytes += bytes as u64;
+        }
     }
 
     /// Sends `message` to `path` at `peer` and decodes the answer.
@@ -142,7 +147,7 @@
     ) -> Result<Bytes, CallError> {
         let fail = |step, cause: String| CallError { step, peer, cause };
         let send_failed = |err: cyper::Error| fail(CallStep::Send, error_chain(&err));
-        self.count(1, body.len());
+        self.count(path, 1, body.len());
         let signature = self.keys.sign(PURPOSE, &[path.as_bytes(), &body]);
         let req = self
             .http
@@ -156,7 +161,7 @@
             return Err(fail(CallStep::Decode, format!("answer larger than {MAX_ANSWER} bytes")));
         }
         let bytes = res.bytes().await.map_err(send_failed)?;
-        self.count(0, bytes.len());
+        self.count(path, 0, bytes.len());
         if status != StatusCode::OK {
             let text = String::from_utf8_lossy(&bytes).into_owned();
             return Err(fail(CallStep::Refused, format!("{status}: {text}")));
