Keep two standard deviations of memory free instead of one

Cause: a generation that is pushed out of a full engine pauses while its prompt is read again, beyond what its caller allows, and costs the prompt twice. With one deviation that is one moment in six at the bound.

The default stands in one place now, which settings and code share.

--- a/crates/hatchpitch/src/admission/policy.rs
+++ b/crates/hatchpitch/src/admission/policy.rs
@@ -2,6 +2,11 @@
 
 use super::memory::MemoryPolicy;
 
+/// Standard deviations that memory keeps free above the mean of what will be held. A generation
+/// that is pushed out of a full memory pauses for the time in which its prompt is read again;
+/// with two deviations next to none is, and first tokens come no later.
+pub const DEFAULT_DEVIATIONS: f64 = 2.0;
+
 /// Who decides where a request runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Placement {
@@ -79,7 +84,7 @@
             placement: Placement::default(),
             order: Order::default(),
             pick: Pick::default(),
-            memory: MemoryPolicy::Survival(1.0),
+            memory: MemoryPolicy::Survival(DEFAULT_DEVIATIONS),
             moves: true,
             second_tries: true,
             early_refusal: true,
--- a/crates/hatchpitch/src/settings/policy.rs
+++ b/crates/hatchpitch/src/settings/policy.rs
@@ -4,6 +4,7 @@
 use toml::Spanned;
 
 use super::diagnostic::{Checker, Finding};
+use crate::admission::policy::DEFAULT_DEVIATIONS;
 use crate::admission::{MemoryPolicy, Order, Pick, Placement, Policy};
 
 /// The table before it is checked.
@@ -82,7 +83,7 @@
         ("unlimited", (|_| MemoryPolicy::Unlimited, 0.0, 0.0)),
         ("watermark", (MemoryPolicy::Watermark, 0.8, 1.0)),
         ("quantile", (MemoryPolicy::Quantile, 0.8, 0.999)),
-        ("survival", (MemoryPolicy::Survival, 1.0, 6.0)),
+        ("survival", (MemoryPolicy::Survival, DEFAULT_DEVIATIONS, 6.0)),
     ];
     let (make, bound, max) = choice(check, "policy.memory", &raw.memory, &makes, makes[3].1);
     let Some(given) = &raw.memory_bound else { return make(bound) };
