--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -7,8 +7,8 @@
 use hatchpitch::admission::state::Waiter;
 use hatchpitch::admission::{AdmissionConfig, AdmissionQueue, LengthModel};
 use hatchpitch::config::{ConfigState, FleetView, load_fleet};
+use hatchpitch::dispatch::owners::OwnerMap;
 use hatchpitch::engine::EngineLoad;
-use hatchpitch::grants::ownership::OwnerMap;
 use hatchpitch::membership::{MemberRecord, MemberStatus, Subject};
 use hatchpitch_e2e::fleet::MODEL;
 use hatchpitch_e2e::process::Usage;
@@ -124,7 +124,8 @@
         let mut times = Vec::new();
         for serving in [&all[..boxes], &all[..], &all[1..]] {
             let started = Instant::now();
-            map.update(&view, serving, &records[1]);
+            map.set_engines(&view);
+            map.update(serving, &records[1]);
             times.push(started.elapsed().as_micros().to_string());
         }
         let mut row = vec![boxes.to_string(), engines.to_string()];
--- a/crates/hatchpitch/src/admission/memory.rs
+++ b/crates/hatchpitch/src/admission/memory.rs
@@ -83,6 +83,17 @@
 }
 
 impl EngineMemory {
+    /// Creates the empty memory of an engine whose generations are expected to make `rate` tokens
+    /// a second each, until some have ended.
+    pub fn at_rate(rate: f64) -> Self {
+        Self { rate, ..Self::default() }
+    }
+
+    /// Returns the tokens a second of one generation, smoothed.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// Notes that a generation runs.
     pub fn take(&mut self, id: AttemptId, candidate: Candidate, now: Instant) {
         self.held.insert(id, Held { candidate, since: now });
--- a/crates/hatchpitch/src/admission/mod.rs
+++ b/crates/hatchpitch/src/admission/mod.rs
@@ -7,7 +7,7 @@
 pub mod state;
 pub mod verify;
 
-pub use gate::{Gate, Permit, Refusal, Want};
+pub use gate::{Gate, Permit};
 pub use lengths::LengthModel;
 pub use memory::{Candidate, MemoryPolicy};
 pub use policy::{Order, Pick, Placement, Policy};
--- a/crates/hatchpitch/src/admission/state.rs
+++ b/crates/hatchpitch/src/admission/state.rs
@@ -126,9 +126,15 @@
         self.queued.is_empty()
     }
 
+    /// Returns the tickets of the requests that wait, oldest first.
+    pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.queued.keys().copied()
+    }
+
     /// Puts a request into the queue, or refuses it or the one that would be served last.
     pub fn enqueue(&mut self, waiter: Waiter) -> Enqueued {
-        if self.expected_wait(waiter.priority) > self.cfg.max_wait.min(waiter.accepts) {
+        let wait = self.expected_wait(&waiter.workspace, waiter.priority);
+        if wait > self.cfg.max_wait.min(waiter.accepts) {
             return Enqueued::Refused;
         }
         if self.queued.len() < self.cfg.max_waiting {
@@ -191,21 +197,18 @@
         }
     }
 
-    /// Returns how long a request of `priority` would wait.
-    pub fn expected_wait(&self, priority: Priority) -> Duration {
+    /// Returns how long a request would wait: those before it in the order count, so that a
+    /// workspace behind its share of the service is not turned away for the line of another one.
+    pub fn expected_wait(&self, workspace: &str, priority: Priority) -> Duration {
         let Some(gap) = self.grant_gap else { return Duration::ZERO };
-        let lowest = (Reverse(priority), ServiceTag::MAX, Ticket::MAX);
-        let ahead = if self.queued.len() <= EXACT_UP_TO {
-            self.order.range(..=lowest).count()
-        } else {
-            self.queued.len()
-        };
+        let place = self.order_key(workspace, priority, Ticket::MAX);
+        let ahead = self.order.range(..place).take(COUNTED_UP_TO).count();
         gap.saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX))
     }
 
     /// Returns when a refused caller may come back.
-    pub fn retry_after(&self, priority: Priority) -> Duration {
-        self.expected_wait(priority).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    pub fn retry_after(&self, workspace: &str, priority: Priority) -> Duration {
+        self.expected_wait(workspace, priority).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
     /// Returns the request that is served next.
@@ -219,12 +222,8 @@
     fn insert(&mut self, waiter: Waiter) -> Ticket {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let start = self.start_tag(&waiter.workspace);
+        let order = self.order_key(&waiter.workspace, waiter.priority, ticket);
         self.charge(&waiter.workspace, waiter.cost);
-        let order = match self.cfg.order {
-            Order::Fair => (Reverse(waiter.priority), start, ticket),
-            Order::Arrival => (Reverse(Priority::MIN), 0, ticket),
-        };
         self.order.insert(order);
         self.queued.insert(ticket, Queued { waiter, order });
         ticket
@@ -236,6 +235,13 @@
         Some(queued)
     }
 
+    fn order_key(&self, workspace: &str, priority: Priority, ticket: Ticket) -> OrderKey {
+        match self.cfg.order {
+            Order::Fair => (Reverse(priority), self.start_tag(workspace), ticket),
+            Order::Arrival => (Reverse(Priority::MIN), 0, ticket),
+        }
+    }
+
     fn start_tag(&self, workspace: &str) -> ServiceTag {
         self.tags.get(workspace).copied().unwrap_or(0).max(self.virtual_time)
     }
@@ -252,8 +258,8 @@
 
 /// Workspaces whose service is remembered beyond the present virtual time.
 const MAX_TAGS: usize = 16_384;
-/// Queue length up to which waits are counted exactly; beyond it the whole queue counts.
-const EXACT_UP_TO: usize = 512;
+/// Requests ahead that are counted: more of them never make a wait that is accepted.
+const COUNTED_UP_TO: usize = 512;
 /// Longest gap between grants taken into the estimate: idle time is not waiting time.
 const MAX_GAP: Duration = Duration::from_secs(1);
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -0,0 +1,321 @@
+//! The engines that one box decides for, and the requests that wait for them.
+//!
+//! Load pattern answered: more work than the engines take at once. Who pays more goes first,
+//! workspaces that pay the same get the same service, a request that would wait longer than it
+//! accepts is turned away on arrival, and a request that fits goes past one that does not.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::search::Quote;
+use crate::admission::lengths::LengthModel;
+use crate::admission::memory::Candidate;
+use crate::admission::state::{AdmissionConfig, AdmissionQueue, Enqueued, Ticket, Waiter};
+use crate::ids::{AttemptId, FailureDomainName, Priority, RequestKind, RunnerName, WorkspaceName};
+use crate::routing::state::{Asked, RunnerSpec};
+use crate::routing::{RoutingConfig, RunReport, RunnerTable};
+
+/// Output expected of a pool of which nothing is known, in tokens.
+const EXPECTED_OUTPUT: u64 = 256;
+/// When to come back while no runner takes work and none is known to return: announcements come
+/// about once a second, and a runner starts within a few.
+const NO_RUNNER_RETRY: Duration = Duration::from_secs(5);
+/// Shortest time to come back after: an earlier return finds the same runners away.
+const MIN_RETRY: Duration = Duration::from_secs(1);
+
+/// A request for a slot on an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// Names the run.
+    pub id: AttemptId,
+    /// Who asks.
+    pub workspace: WorkspaceName,
+    /// What it pays for.
+    pub priority: Priority,
+    /// Requests of one kind have outputs of like length.
+    pub kind: RequestKind,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Bound on the output, in tokens.
+    pub max_tokens: u64,
+    /// Runners that failed this request before.
+    pub avoid: Vec<RunnerName>,
+    /// Failure domain whose runners are preferred while they are not much busier.
+    #[serde(default)]
+    pub near: Option<FailureDomainName>,
+    /// Tokens that are copied from another runner first; 0 for a run that begins.
+    #[serde(default)]
+    pub copied: u64,
+    /// Longest wait, if it is shorter than the pool's.
+    #[serde(default)]
+    pub max_wait: Option<Duration>,
+    /// Expected wait beyond which the request is refused at once, if it is shorter than the
+    /// pool's.
+    #[serde(default)]
+    pub accepts: Option<Duration>,
+}
+
+impl Want {
+    fn asked(&self) -> Asked<'_> {
+        let near = self.near.as_deref();
+        Asked { id: &self.id, avoid: &self.avoid, near, copied: self.copied }
+    }
+
+    fn candidate(&self) -> Candidate {
+        Candidate { kind: self.kind.clone(), prompt: self.prompt, max_output: self.max_tokens }
+    }
+}
+
+/// A request that was given up on before it ran.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub cause: String,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+impl Refusal {
+    /// Creates a refusal.
+    pub fn new(cause: &str, retry_after: Duration) -> Self {
+        Self { cause: cause.to_owned(), retry_after }
+    }
+}
+
+/// What becomes of a request that comes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decision {
+    /// It runs here, and a slot is taken.
+    Run(RunnerSpec),
+    /// It waits; an [`Answer`] with this ticket follows.
+    Wait(Ticket),
+    /// It is turned away.
+    Refuse(Refusal),
+}
+
+/// What became of a request that waited.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    /// The request's place in the line.
+    pub ticket: Ticket,
+    /// Names the run.
+    pub id: AttemptId,
+    /// The engine on which a slot was taken, or why there is none.
+    pub slot: Result<RunnerSpec, Refusal>,
+}
+
+/// The engines of one pool at one owner, and the requests that wait for them.
+#[derive(Debug, Clone)]
+pub struct Line {
+    pub(super) table: RunnerTable,
+    pub(super) queue: AdmissionQueue,
+    pub(super) waiting: BTreeMap<Ticket, Want>,
+    lengths: LengthModel,
+    answers: Vec<Answer>,
+}
+
+impl Line {
+    /// Creates a line without engines.
+    pub fn new(admission: AdmissionConfig, routing: RoutingConfig) -> Self {
+        Self {
+            table: RunnerTable::new(routing),
+            queue: AdmissionQueue::new(admission),
+            waiting: BTreeMap::new(),
+            lengths: LengthModel::default(),
+            answers: Vec::new(),
+        }
+    }
+
+    /// Takes the answers to requests that waited, which the last calls gave.
+    pub fn take_answers(&mut self) -> Vec<Answer> {
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Takes a slot if one is free and nobody waits for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] if no runner takes work; `Ok(None)` means that the request would wait.
+    pub fn place(&mut self, want: &Want, now: Instant) -> Result<Option<RunnerSpec>, Refusal> {
+        if !self.table.any_serving() {
+            return Err(self.no_runner(now));
+        }
+        if self.waits_in_line(want) {
+            return Ok(None);
+        }
+        let Some(spec) = self.pick(want, now) else { return Ok(None) };
+        self.queue.charge(&want.workspace, self.cost(want));
+        Ok(Some(spec))
+    }
+
+    /// Takes a slot, or a place in the line, or turns the request away.
+    pub fn decide(&mut self, want: &Want, now: Instant) -> Decision {
+        match self.place(want, now) {
+            Ok(Some(spec)) => return Decision::Run(spec),
+            Ok(None) => {}
+            Err(refusal) => return Decision::Refuse(refusal),
+        }
+        let waiter = Waiter {
+            workspace: want.workspace.clone(),
+            priority: want.priority,
+            cost: self.cost(want),
+            since: now,
+            accepts: want.accepts.unwrap_or(Duration::MAX),
+        };
+        let ticket = match self.queue.enqueue(waiter) {
+            Enqueued::Waiting(ticket) => ticket,
+            Enqueued::Displaced { ticket, refused } => {
+                self.refuse(refused, "displaced by a higher priority");
+                ticket
+            }
+            Enqueued::Refused => {
+                let retry_after = self.retry_after(want);
+                let cause = "more wait than can be served in time";
+                return Decision::Refuse(Refusal::new(cause, retry_after));
+            }
+        };
+        self.waiting.insert(ticket, want.clone());
+        Decision::Wait(ticket)
+    }
+
+    /// Returns what the request would get at once; nothing is taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] if no runner takes work.
+    pub fn quote(&self, want: &Want, now: Instant) -> Result<Quote, Refusal> {
+        if !self.table.any_serving() {
+            return Err(self.no_runner(now));
+        }
+        let busy = Quote::Busy(self.expected_wait(want));
+        if self.waits_in_line(want) {
+            return Ok(busy);
+        }
+        let load = self.table.quote(&want.asked(), &want.candidate(), &self.lengths, now);
+        Ok(load.map_or(busy, Quote::Room))
+    }
+
+    /// Counts a slot that another owner granted, `since` when; returns the engine, unless it
+    /// belongs to another owner.
+    pub fn adopt(&mut self, runner: &str, want: &Want, since: Instant) -> Option<RunnerSpec> {
+        let spec = self.table.adopt(runner, &want.asked(), &want.candidate(), since)?;
+        self.queue.charge(&want.workspace, self.cost(want));
+        Some(spec)
+    }
+
+    /// Gives a slot back.
+    pub fn give_back(
+        &mut self,
+        runner: &str,
+        want: &Want,
+        cost: u64,
+        report: RunReport,
+        now: Instant,
+    ) {
+        self.table.give_back(runner, &want.id, report, now);
+        if let Some(tokens) = report.tokens {
+            self.lengths.observe(&want.kind, tokens);
+            self.queue.correct(&want.workspace, cost, want.prompt + tokens);
+        }
+        self.pump(now);
+    }
+
+    /// Gives back a slot whose request left before it had it.
+    pub fn give_up(&mut self, runner: &str, id: &str, now: Instant) {
+        self.table.give_back(runner, id, RunReport::RELEASED, now);
+        self.pump(now);
+    }
+
+    /// Takes a request that stopped waiting out of the line.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.queue.cancel(ticket);
+        self.waiting.remove(&ticket);
+    }
+
+    /// Changes the engines, then lets in whoever can run now.
+    pub fn update<T>(&mut self, now: Instant, change: impl FnOnce(&mut RunnerTable) -> T) -> T {
+        let changed = change(&mut self.table);
+        self.pump(now);
+        changed
+    }
+
+    /// Changes the bounds of the line.
+    pub fn configure(&mut self, cfg: AdmissionConfig) {
+        self.queue.configure(cfg);
+    }
+
+    /// Refuses who waited too long and lets in who can run; call it a few times a second.
+    pub fn tick(&mut self, now: Instant) {
+        for ticket in self.queue.expire(now) {
+            self.refuse(ticket, "waited as long as the pool allows");
+        }
+        if !self.table.any_serving() {
+            let refusal = self.no_runner(now);
+            for (ticket, want) in std::mem::take(&mut self.waiting) {
+                self.queue.cancel(ticket);
+                self.answers.push(Answer { ticket, id: want.id, slot: Err(refusal.clone()) });
+            }
+        }
+        self.pump(now);
+    }
+
+    /// Returns how long a request would wait.
+    pub fn expected_wait(&self, want: &Want) -> Duration {
+        self.queue.expected_wait(&want.workspace, want.priority)
+    }
+
+    /// Returns when a refused caller may come back.
+    pub fn retry_after(&self, want: &Want) -> Duration {
+        self.queue.retry_after(&want.workspace, want.priority)
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the tokens that a request is expected to cost.
+    pub fn cost(&self, want: &Want) -> u64 {
+        want.prompt + self.lengths.mean(EXPECTED_OUTPUT).min(want.max_tokens)
+    }
+
+    /// Returns whether others go first. A running generation that is moved goes past the line: its
+    /// stream would stand still, and its engine is gone within seconds.
+    fn waits_in_line(&self, want: &Want) -> bool {
+        want.copied == 0 && !self.queue.is_empty()
+    }
+
+    fn pick(&mut self, want: &Want, now: Instant) -> Option<RunnerSpec> {
+        self.table.pick(&want.asked(), &want.candidate(), &self.lengths, now)
+    }
+
+    /// Lets in whoever is next for as long as there is room.
+    fn pump(&mut self, now: Instant) {
+        while let Some(ticket) = self.queue.next_ticket_served() {
+            let Some(want) = self.waiting.get(&ticket).cloned() else {
+                self.queue.cancel(ticket);
+                continue;
+            };
+            let Some(spec) = self.pick(&want, now) else { return };
+            self.queue.grant(now);
+            self.waiting.remove(&ticket);
+            self.answers.push(Answer { ticket, id: want.id, slot: Ok(spec) });
+        }
+    }
+
+    fn refuse(&mut self, ticket: Ticket, cause: &str) {
+        if let Some(want) = self.waiting.remove(&ticket) {
+            let retry_after = self.retry_after(&want);
+            let slot = Err(Refusal::new(cause, retry_after));
+            self.answers.push(Answer { ticket, id: want.id, slot });
+        }
+    }
+
+    fn no_runner(&self, now: Instant) -> Refusal {
+        let until = self.table.next_return().map(|at| at.saturating_duration_since(now));
+        let retry_after = until.unwrap_or(NO_RUNNER_RETRY).max(MIN_RETRY);
+        Refusal::new("no runner of the pool takes work", retry_after)
+    }
+}
--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -10,8 +10,8 @@
 use super::context::EntryCx;
 use crate::config::FeedRequest;
 use crate::config::feed::FEED_PATH;
-use crate::grants::messages::{GrantRequest, GrantSync, ReleaseRequest};
-use crate::grants::task::{self as grants, GRANT_PATH, RELEASE_PATH, SYNC_PATH};
+use crate::grants::messages::{AdoptRequest, GrantRequest, GrantSync, ReleaseRequest};
+use crate::grants::task::{self as grants, ADOPT_PATH, GRANT_PATH, RELEASE_PATH, SYNC_PATH};
 use crate::membership::messages::{Gossip, ProbeRequest};
 use crate::membership::task::{self, GOSSIP_PATH, PING_PATH, PROBE_PATH};
 use crate::moves::ask::{self, TURN_DONE_PATH, TURN_PATH};
@@ -56,6 +56,8 @@
             .map(|req| cx.boxes.respond(&ask::answer_turn(&cx, &req))),
         TURN_DONE_PATH => open_message::<TurnDone>(keys, path, &parts.headers, &body)
             .map(|done| cx.boxes.respond(&ask::take_turn_done(&cx, &done))),
+        ADOPT_PATH => open_message::<AdoptRequest>(keys, path, &parts.headers, &body)
+            .map(|req| cx.boxes.respond(&grants::adopt(&cx, req))),
         SYNC_PATH => open_message::<GrantSync>(keys, path, &parts.headers, &body)
             .map(|req| cx.boxes.respond(&grants::sync(&cx, &req))),
         _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -14,9 +14,9 @@
 use crate::config::feed::ConfigCell;
 use crate::config::view::PoolView;
 use crate::config::{FleetView, Runner};
-use crate::grants::GrantTable;
-use crate::grants::ownership::OwnerMap;
-use crate::ids::{AttemptId, ConfigNumber, PoolName, WorkspaceName};
+use crate::dispatch::owners::OwnerMap;
+use crate::grants::{GrantTable, HeldSlots};
+use crate::ids::{ConfigNumber, PoolName, WorkspaceName};
 use crate::limits::RetryBudgets;
 use crate::membership::MemberRecord;
 use crate::membership::task::SharedMembership;
@@ -64,8 +64,8 @@
     pub turns: RefCell<Turns>,
     /// Slots given out to other boxes.
     pub grants: RefCell<GrantTable>,
-    /// Slots held from other boxes, by run.
-    pub held: RefCell<HashMap<AttemptId, SocketAddr>>,
+    /// Slots held, by run.
+    pub held: RefCell<HeldSlots>,
     gates: RefCell<HashMap<PoolName, Gate>>,
     /// Gates over all engines, for when no owner is in reach.
     fallback: RefCell<HashMap<PoolName, Gate>>,
@@ -160,6 +160,11 @@
         self.owners.borrow().owns_in(domain, addr)
     }
 
+    /// Returns the address of the box that decides for an engine, if any box serves.
+    pub fn owner_addr(&self, runner: &str) -> Option<SocketAddr> {
+        self.owners.borrow().owner_addr(runner)
+    }
+
     /// Returns whether this box decides for an engine of a pool.
     pub fn owns(&self, pool: &PoolView, runner: &str) -> bool {
         let local = self.placement(pool) == Placement::Local;
@@ -195,7 +200,11 @@
         let owners_changed = {
             let membership = self.membership.borrow();
             let boxes: Vec<&MemberRecord> = membership.serving_boxes().collect();
-            self.owners.borrow_mut().update(&view, &boxes, membership.own_record())
+            let mut owners = self.owners.borrow_mut();
+            if new_view {
+                owners.set_engines(&view);
+            }
+            owners.update(&boxes, membership.own_record())
         };
         if owners_changed || new_view {
             self.remake_gates(&view);
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -134,6 +134,7 @@
     spawn_essential("configuration", follow_config(cx.clone(), stop.clone()));
     spawn_essential("routing", routing::run(cx.clone(), stop.clone()));
     spawn_essential("grants", grants::run(cx.clone(), stop.clone()));
+    spawn_essential("hand-over", grants::hand_over(cx.clone(), stop.clone()));
 }
 
 /// Fetches a configuration from a control box that was seen to have it, unless the feed brings
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::context::{EntryCx, StreamGuard};
-use crate::admission::{Refusal, Want};
+use crate::dispatch::{Refusal, Want};
 use crate::engine::adapter::{self, EngineError};
 use crate::engine::{EventReader, GenerateRequest};
 use crate::grants::{self, Slot};
@@ -368,6 +368,9 @@
         let (pool, priority) = (&self.job.pool, self.job.priority);
         let gap = self.last_progress.elapsed();
         if self.state.next_index() == 1 {
+            if let Some(slot) = self.slot.as_mut() {
+                slot.begun();
+            }
             self.cx.metrics.time(Timing::FirstToken, pool, priority, self.started.elapsed());
             self.span.note("first_token_us", self.started.elapsed().as_micros());
         } else {
--- a/crates/hatchpitch/src/grants/messages.rs
+++ b/crates/hatchpitch/src/grants/messages.rs
@@ -5,9 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::admission::{Refusal, Want};
+use crate::dispatch::{Refusal, Want};
 use crate::ids::{AttemptId, BoxName, FailureDomainName, PoolName, RunnerName};
-use crate::routing::Verdict;
+use crate::routing::RunReport;
 
 /// Asks an owner for a slot on one of its engines.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -66,10 +66,8 @@
 pub struct ReleaseRequest {
     /// The run.
     pub id: AttemptId,
-    /// What it says about its engine.
-    pub verdict: Verdict,
-    /// Length of its output, if it is known.
-    pub tokens: Option<u64>,
+    /// What is known of it.
+    pub report: RunReport,
 }
 
 /// Names all slots that a box holds from an owner; the owner drops what it does not name.
@@ -80,3 +78,32 @@
     /// Its runs.
     pub ids: Vec<AttemptId>,
 }
+
+/// A slot whose engine has another owner than when it was granted.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct AdoptedSlot {
+    /// The pool.
+    pub pool: PoolName,
+    /// The engine.
+    pub runner: RunnerName,
+    /// What was asked for.
+    pub want: Want,
+    /// How long it has been held.
+    pub age: Duration,
+}
+
+/// Tells the new owner of engines which slots the sender holds there.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct AdoptRequest {
+    /// The box that holds them.
+    pub holder: BoxName,
+    /// The slots.
+    pub slots: Vec<AdoptedSlot>,
+}
+
+/// Which of the slots the box counts from now on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct AdoptAnswer {
+    /// Their runs; the box does not own the engines of the others.
+    pub adopted: Vec<AttemptId>,
+}
--- a/crates/hatchpitch/src/grants/state.rs
+++ b/crates/hatchpitch/src/grants/state.rs
@@ -5,7 +5,7 @@
 
 use crate::admission::Permit;
 use crate::ids::{AttemptId, BoxName};
-use crate::routing::Verdict;
+use crate::routing::RunReport;
 
 /// Age from which on a slot has to be named by its holder to stay.
 const SYNC_GRACE: Duration = Duration::from_secs(4);
@@ -28,10 +28,15 @@
         self.grants.insert(id, Grant { holder, since: now, permit });
     }
 
+    /// Returns whether a slot is known.
+    pub fn contains(&self, id: &str) -> bool {
+        self.grants.contains_key(id)
+    }
+
     /// Takes a slot back. Nothing happens if it is not known.
-    pub fn release(&mut self, id: &str, verdict: Verdict, tokens: Option<u64>) {
+    pub fn release(&mut self, id: &str, report: RunReport) {
         if let Some(mut grant) = self.grants.remove(id) {
-            grant.permit.finish(verdict, tokens);
+            grant.permit.finish(report);
         }
     }
 
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -7,14 +7,20 @@
 
 use hatchpitch_net::Stop;
 
-use super::messages::{Ask, GrantAnswer, GrantRequest, GrantSync, ReleaseRequest};
-use crate::admission::{Gate, Permit, Placement, Refusal, Want};
+use super::held::HeldSlot;
+use super::messages::{
+    AdoptAnswer, AdoptRequest, AdoptedSlot, Ask, GrantAnswer, GrantRequest, GrantSync,
+    ReleaseRequest,
+};
+use crate::admission::{Gate, Permit, Placement};
+use crate::dispatch::search::Search;
+use crate::dispatch::{OwnerChoice, Quote, Refusal, Step, Want};
 use crate::entry::EntryCx;
 use crate::ids::{AttemptId, FailureDomainName, RunnerName};
 use crate::membership::MemberStatus;
 use crate::membership::messages::Subject;
-use crate::routing::Verdict;
 use crate::routing::state::RunnerSpec;
+use crate::routing::{RunReport, Verdict};
 
 /// Path for slots.
 pub const GRANT_PATH: &str = "/box/grant";
@@ -22,10 +28,11 @@
 pub const RELEASE_PATH: &str = "/box/release";
 /// Path for naming the slots held.
 pub const SYNC_PATH: &str = "/box/grant-sync";
-/// Owners that are asked whether they have room at once.
-const ASKED: usize = 3;
-/// Owners that are asked for quotes: two choices take most of the gain, more cost little.
-const QUOTED: usize = 4;
+/// Path for telling the new owner of engines which slots are held there.
+pub const ADOPT_PATH: &str = "/box/grant-adopt";
+/// Time between two looks whether engines changed owners: a tenth of the time in which a new
+/// owner fills an engine that it takes for empty.
+const HAND_OVER_LOOK: Duration = Duration::from_millis(200);
 /// Time for a quote; a box that takes longer is passed over.
 const QUOTE_LIMIT: Duration = Duration::from_millis(150);
 /// Time for a call that does not wait.
@@ -48,22 +55,28 @@
     pub failure_domain: FailureDomainName,
     id: AttemptId,
     from: Source,
-    verdict: Verdict,
-    tokens: Option<u64>,
+    /// When it was granted.
+    since: Instant,
+    report: RunReport,
 }
 
 enum Source {
     /// This box let the request in.
     Own(Box<Permit>),
-    /// The owner at this address did.
-    Owner(SocketAddr),
+    /// Another box did.
+    Owner,
 }
 
 impl Slot {
     /// Notes what the run says about its engine, and the length of its output.
     pub fn finish(&mut self, verdict: Verdict, tokens: Option<u64>) {
-        self.verdict = verdict;
-        self.tokens = tokens;
+        self.report.verdict = verdict;
+        self.report.tokens = tokens;
+    }
+
+    /// Notes that the run made its first token.
+    pub fn begun(&mut self) {
+        self.report.first.get_or_insert(self.since.elapsed());
     }
 
     fn own(cx: &Rc<EntryCx>, id: AttemptId, permit: Permit) -> Self {
@@ -74,34 +87,30 @@
             failure_domain: permit.runner.failure_domain.clone(),
             id,
             from: Source::Own(Box::new(permit)),
-            verdict: Verdict::Released,
-            tokens: None,
+            since: Instant::now(),
+            report: RunReport::RELEASED,
         }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        match &mut self.from {
-            Source::Own(permit) => permit.finish(self.verdict, self.tokens),
-            Source::Owner(owner) => {
-                let owner = *owner;
-                self.cx.held.borrow_mut().remove(&self.id);
-                let release = ReleaseRequest {
-                    id: self.id.clone(),
-                    verdict: self.verdict,
-                    tokens: self.tokens,
-                };
-                let client = self.cx.boxes.clone();
-                compio::runtime::spawn(async move {
-                    let call = client.call::<_, ()>(owner, RELEASE_PATH, &release, CALL_LIMIT);
-                    if let Err(err) = call.await {
-                        log::debug!("release: {err}; the next sync makes up for it");
-                    }
-                })
-                .detach();
-            }
+        if let Source::Own(permit) = &mut self.from {
+            permit.finish(self.report);
         }
+        let Some(held) = self.cx.held.borrow_mut().remove(&self.id) else { return };
+        let release = ReleaseRequest { id: self.id.clone(), report: self.report };
+        if held.owner == self.cx.settings.boxes_addr {
+            return self::release(&self.cx, &release);
+        }
+        let client = self.cx.boxes.clone();
+        compio::runtime::spawn(async move {
+            let call = client.call::<_, ()>(held.owner, RELEASE_PATH, &release, CALL_LIMIT);
+            if let Err(err) = call.await {
+                log::debug!("release: {err}; the next sync makes up for it");
+            }
+        })
+        .detach();
     }
 }
 
@@ -130,7 +139,7 @@
 
 /// What one owner said.
 enum Said {
-    Quoted(f64),
+    Quoted(Quote),
     Slot(Box<Slot>),
     Busy(Duration),
     Refused(Refusal),
@@ -139,36 +148,41 @@
 
 impl Asking {
     async fn ask(self) -> Result<Slot, Refusal> {
-        let mut owners = self.owners();
-        let quoted = if self.cx.settings.policy.quotes { QUOTED } else { 0 };
-        let rest = owners.split_off(owners.len().min(quoted));
-        let mut quoted = self.quotes(owners).await;
-        quoted.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut busy: Vec<(Duration, SocketAddr)> = Vec::new();
-        let mut refused = None;
-        for owner in quoted.into_iter().map(|(_, owner)| owner).chain(rest) {
-            match self.ask_owner(owner, Ask::Now).await {
+        let mut search = self.search();
+        loop {
+            let (owner, ask) = match search.step() {
+                Step::Quote(owners) => {
+                    search.heard_quotes(self.quotes(owners).await);
+                    continue;
+                }
+                Step::Take(owner) => (owner, Ask::Now),
+                Step::Wait(owner) => (owner, Ask::Wait),
+                Step::Refuse(refusal) => return Err(refusal),
+                Step::Alone => return self.alone(),
+            };
+            match self.ask_owner(owner, ask).await {
                 Said::Slot(slot) => return Ok(*slot),
-                Said::Busy(wait) => busy.push((wait, owner)),
-                Said::Refused(refusal) => refused = Some(refusal),
+                Said::Busy(wait) => search.heard_busy(owner, wait),
+                Said::Refused(refusal) => search.heard_refusal(refusal),
                 Said::Quoted(_) | Said::Away => {}
             }
-            if busy.len() == ASKED {
-                break;
-            }
-        }
-        busy.sort();
-        for (_, owner) in busy {
-            match self.ask_owner(owner, Ask::Wait).await {
-                Said::Slot(slot) => return Ok(*slot),
-                Said::Refused(refusal) => return Err(refusal),
-                Said::Quoted(_) | Said::Busy(_) | Said::Away => {}
-            }
-        }
-        if let Some(refusal) = refused {
-            return Err(refusal);
         }
-        log::debug!("no owner in reach; this box decides for itself");
+    }
+
+    fn search(&self) -> Search {
+        let near = self.want.near.as_deref();
+        let owners = self.cx.owners_of(&self.pool).into_iter().map(|(addr, engines)| {
+            let near = near.is_some_and(|near| self.cx.owns_in(near, addr));
+            OwnerChoice { addr, engines, near }
+        });
+        let accepts = self.want.accepts.unwrap_or(Duration::MAX);
+        let quotes = self.cx.settings.policy.quotes;
+        Search::new(owners, accepts, quotes, rand::random::<u64>)
+    }
+
+    /// Decides for itself, with no owner in reach.
+    fn alone(&self) -> Result<Slot, Refusal> {
+        log::info!(run = self.want.id.as_str(), pool = self.pool.as_str(); "no owner in reach; this box decides");
         let gate = self.cx.fallback_gate(&self.pool);
         let id = self.want.id.clone();
         let permit = gate.try_admit(&self.want)?;
@@ -176,13 +190,12 @@
         permit.map(|permit| Slot::own(&self.cx, id, permit)).ok_or_else(none)
     }
 
-    /// Asks owners for quotes, all at once. An owner without room comes last, and one that does
-    /// not answer is left out.
-    async fn quotes(&self, owners: Vec<SocketAddr>) -> Vec<(f64, SocketAddr)> {
+    /// Asks owners for quotes, all at once. One that does not answer is left out.
+    async fn quotes(&self, owners: Vec<SocketAddr>) -> Vec<(SocketAddr, Quote)> {
         let asked = owners.into_iter().map(|owner| async move {
             match self.ask_owner(owner, Ask::Quote).await {
-                Said::Quoted(load) => Some((load, owner)),
-                Said::Busy(_) => Some((f64::INFINITY, owner)),
+                Said::Quoted(quote) => Some((owner, quote)),
+                Said::Busy(wait) => Some((owner, Quote::Busy(wait))),
                 Said::Slot(_) | Said::Refused(_) | Said::Away => None,
             }
         });
@@ -190,20 +203,6 @@
         answers.into_iter().flatten().collect()
     }
 
-    /// Returns the owners of the pool's engines, those of near engines first, in an order drawn
-    /// anew each time; an owner of more engines comes earlier as often as it has more.
-    fn owners(&self) -> Vec<SocketAddr> {
-        let owners = self.cx.owners_of(&self.pool);
-        let mut order: Vec<(bool, u64, SocketAddr)> = Vec::with_capacity(owners.len());
-        for (addr, engines) in owners {
-            let draws = (0..engines).map(|_| rand::random::<u64>());
-            let near = self.want.near.as_deref().is_some_and(|near| self.cx.owns_in(near, addr));
-            order.extend(draws.max().map(|best| (near, best, addr)));
-        }
-        order.sort_unstable_by(|a, b| b.cmp(a));
-        order.into_iter().map(|(.., addr)| addr).collect()
-    }
-
     async fn ask_owner(&self, owner: SocketAddr, ask: Ask) -> Said {
         if owner == self.cx.settings.boxes_addr {
             return self.ask_self(ask).await;
@@ -224,7 +223,7 @@
             Ok(GrantAnswer::Granted { runner, addr, failure_domain }) => {
                 Said::Slot(Box::new(self.granted(owner, runner, addr, failure_domain)))
             }
-            Ok(GrantAnswer::Quoted { load }) => Said::Quoted(load),
+            Ok(GrantAnswer::Quoted { load }) => Said::Quoted(Quote::Room(load)),
             Ok(GrantAnswer::Busy { wait }) => Said::Busy(wait),
             Ok(GrantAnswer::Refused(refusal)) => Said::Refused(refusal),
             Ok(GrantAnswer::NotOwner) => Said::Away,
@@ -242,23 +241,24 @@
         addr: SocketAddr,
         failure_domain: FailureDomainName,
     ) -> Slot {
-        self.cx.held.borrow_mut().insert(self.want.id.clone(), owner);
+        self.note_held(owner, &runner);
         Slot {
             cx: self.cx.clone(),
             runner,
             addr,
             failure_domain,
             id: self.want.id.clone(),
-            from: Source::Owner(owner),
-            verdict: Verdict::Released,
-            tokens: None,
+            from: Source::Owner,
+            since: Instant::now(),
+            report: RunReport::RELEASED,
         }
     }
 
     async fn ask_self(&self, ask: Ask) -> Said {
         match decide(&self.cx.gate(&self.pool), &self.want, ask).await {
-            Decided::Quote(load) => Said::Quoted(load),
+            Decided::Quote(load) => Said::Quoted(Quote::Room(load)),
             Decided::Permit(permit) => {
+                self.note_held(self.cx.settings.boxes_addr, &permit.runner.name);
                 Said::Slot(Box::new(Slot::own(&self.cx, self.want.id.clone(), *permit)))
             }
             Decided::Busy(wait) => Said::Busy(wait),
@@ -266,6 +266,18 @@
             Decided::NotOwner => Said::Away,
         }
     }
+
+    fn note_held(&self, owner: SocketAddr, runner: &str) {
+        let held = HeldSlot {
+            owner,
+            pool: self.pool.clone(),
+            runner: runner.to_owned(),
+            want: self.want.clone(),
+            since: Instant::now(),
+            granted_here: owner == self.cx.settings.boxes_addr,
+        };
+        self.cx.held.borrow_mut().put(self.want.id.clone(), held);
+    }
 }
 
 /// What an owner decides, whether for itself or for another box.
@@ -280,14 +292,14 @@
 async fn decide(gate: &Gate, want: &Want, ask: Ask) -> Decided {
     if ask == Ask::Quote {
         return match gate.quote(want) {
-            Ok(Some(load)) => Decided::Quote(load),
-            Ok(None) => Decided::Busy(gate.expected_wait(want.priority)),
+            Ok(Quote::Room(load)) => Decided::Quote(load),
+            Ok(Quote::Busy(wait)) => Decided::Busy(wait),
             Err(_) => Decided::NotOwner,
         };
     }
     match gate.try_admit(want) {
         Ok(Some(permit)) => Decided::Permit(Box::new(permit)),
-        Ok(None) if ask != Ask::Wait => Decided::Busy(gate.expected_wait(want.priority)),
+        Ok(None) if ask != Ask::Wait => Decided::Busy(gate.expected_wait(want)),
         Ok(None) => match gate.admit(want.clone()).await {
             Ok(permit) => Decided::Permit(Box::new(permit)),
             Err(refusal) => Decided::Refused(refusal),
@@ -313,7 +325,7 @@
 
 /// Takes a slot back.
 pub fn release(cx: &EntryCx, req: &ReleaseRequest) {
-    cx.grants.borrow_mut().release(&req.id, req.verdict, req.tokens);
+    cx.grants.borrow_mut().release(&req.id, req.report);
 }
 
 /// Drops what a holder does not name.
@@ -321,6 +333,55 @@
     cx.grants.borrow_mut().sync(&req.holder, &req.ids, Instant::now());
 }
 
+/// Counts slots that other owners granted.
+pub fn adopt(cx: &EntryCx, req: AdoptRequest) -> AdoptAnswer {
+    cx.sync_gates();
+    let mut adopted = Vec::new();
+    for AdoptedSlot { pool, runner, want, age } in req.slots {
+        let id = want.id.clone();
+        if cx.grants.borrow().contains(&id) {
+            adopted.push(id);
+            continue;
+        }
+        if let Some(permit) = cx.gate(&pool).adopt(&runner, want, age) {
+            let holder = req.holder.clone();
+            cx.grants.borrow_mut().put(id.clone(), holder, permit, Instant::now());
+            adopted.push(id);
+        }
+    }
+    AdoptAnswer { adopted }
+}
+
+/// Tells new owners of engines which slots this box holds there, as soon as owners change.
+pub async fn hand_over(cx: Rc<EntryCx>, stop: Stop) {
+    while !stop.is_set() {
+        compio::time::sleep(HAND_OVER_LOOK).await;
+        cx.sync_gates();
+        let own = cx.settings.boxes_addr;
+        let owner_of = |runner: &str| cx.owner_addr(runner);
+        let strays = cx.held.borrow_mut().strays(own, owner_of, Instant::now());
+        for (owner, slots) in strays {
+            let (count, holder) = (slots.len(), cx.settings.name.clone());
+            let req = AdoptRequest { holder, slots };
+            let answer = if owner == own {
+                Ok(adopt(&cx, req))
+            } else {
+                cx.boxes.call::<_, AdoptAnswer>(owner, ADOPT_PATH, &req, CALL_LIMIT).await
+            };
+            match answer {
+                Ok(AdoptAnswer { adopted }) if adopted.is_empty() => {
+                    log::debug!("hand over: {owner} does not own the engines yet");
+                }
+                Ok(AdoptAnswer { adopted }) => {
+                    log::info!(owner:%, slots = count, adopted = adopted.len(); "slots handed over");
+                    cx.held.borrow_mut().adopted(owner, &adopted);
+                }
+                Err(err) => log::debug!("hand over: {err}; tried again at the next look"),
+            }
+        }
+    }
+}
+
 /// Names the slots held to their owners, and drops the slots of boxes that are gone.
 pub async fn run(cx: Rc<EntryCx>, stop: Stop) {
     // Owners that had slots at the last round hear once more when they have none.
@@ -330,9 +391,8 @@
         drop_lost_holders(&cx);
         let mut held: BTreeMap<SocketAddr, Vec<AttemptId>> =
             last.into_keys().map(|owner| (owner, Vec::new())).collect();
-        for (id, owner) in cx.held.borrow().iter() {
-            held.entry(*owner).or_default().push(id.clone());
-        }
+        held.extend(cx.held.borrow().by_owner());
+        held.remove(&cx.settings.boxes_addr);
         for (owner, ids) in &held {
             let req = GrantSync { holder: cx.settings.name.clone(), ids: ids.clone() };
             if let Err(err) = cx.boxes.call::<_, ()>(*owner, SYNC_PATH, &req, CALL_LIMIT).await {
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod control;
 pub mod discovery;
+pub mod dispatch;
 pub mod engine;
 pub mod entry;
 pub mod essential;
--- a/crates/hatchpitch/src/moves/ask.rs
+++ b/crates/hatchpitch/src/moves/ask.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use super::messages::{TurnAnswer, TurnDone, TurnRequest};
+use crate::dispatch::owners::owner_of;
 use crate::entry::EntryCx;
-use crate::grants::ownership::owner_of;
 use crate::ids::RunnerName;
 
 /// Path on which turns are asked for.
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -8,7 +8,7 @@
 use futures_channel::oneshot;
 
 use super::ask::Turn;
-use crate::admission::Want;
+use crate::dispatch::Want;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
 use crate::ids::{FailureDomainName, RunnerName, ServiceName, new_id};
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -346,6 +346,7 @@
         let gap = self.last_progress.elapsed();
         if self.first_event.is_none() {
             self.first_event = Some(self.req.received.elapsed());
+            self.slot.begun();
             metrics.time(Timing::FirstToken, route, priority, self.req.received.elapsed());
         } else {
             metrics.time(Timing::TokenGap, route, priority, gap);
--- a/crates/hatchpitch/src/routing/mod.rs
+++ b/crates/hatchpitch/src/routing/mod.rs
@@ -1,7 +1,8 @@
 //! Where a request runs: the state of each runner as one box sees it.
 
+pub mod reading;
 pub mod state;
 pub mod task;
 pub mod verify;
 
-pub use state::{RoutingConfig, RunnerTable, Verdict};
+pub use state::{RoutingConfig, RunReport, RunnerTable, Verdict};
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::reading::Reading;
 use crate::admission::lengths::LengthModel;
 use crate::admission::memory::{Candidate, EngineMemory, MemoryPolicy};
 use crate::admission::policy::Pick;
@@ -75,7 +76,7 @@
     pub(super) load: Option<EngineLoad>,
     pub(super) memory: EngineMemory,
     /// Prompts to be read.
-    pub(super) prefill: Backlog,
+    pub(super) reading: Reading,
     /// Copies on their way here.
     pub(super) copies: Backlog,
 }
@@ -87,9 +88,10 @@
     at: Option<Instant>,
 }
 
-/// Prompt tokens that an engine reads in a second beside its other work; engines in use read one
-/// and a half to two and a half times as many when idle. It only ranks runners.
-const PREFILL_RATE: f64 = 7_000.0;
+/// Time for which an engine may have prompts to read and still get more. What waits in an engine
+/// is read in the order of its arrival; what waits here goes by what was paid and by fair
+/// service. This long keeps engines busy, and leaves half of the usual time to a first token.
+const MAX_READING: f64 = 0.8;
 
 impl Backlog {
     /// Adds tokens; `rate` is how many are taken in a second.
@@ -105,6 +107,13 @@
     }
 }
 
+/// Tokens a second that a runner makes for one generation, and that it reads of prompts.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    made: f64,
+    read: f64,
+}
+
 /// What a run says about its runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
@@ -118,6 +127,23 @@
     Failed,
 }
 
+/// What is known of a run when its slot is given back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// What it says about its runner.
+    pub verdict: Verdict,
+    /// Length of its output, if it is known.
+    pub tokens: Option<u64>,
+    /// Time from its slot to its first token, if it made one where it began.
+    #[serde(default)]
+    pub first: Option<Duration>,
+}
+
+impl RunReport {
+    /// A run that says nothing.
+    pub const RELEASED: Self = Self { verdict: Verdict::Released, tokens: None, first: None };
+}
+
 /// Which runners a request asks for.
 #[derive(Debug, Clone, Copy)]
 pub struct Asked<'a> {
@@ -188,6 +214,7 @@
         for runner in self.runners.values_mut() {
             runner.configured = false;
         }
+        let pace = self.pace();
         for spec in specs {
             let runner = self.runners.entry(spec.name.clone()).or_insert_with(|| RunnerState {
                 spec: spec.clone(),
@@ -198,8 +225,8 @@
                 faults: 0,
                 ejected_until: None,
                 load: None,
-                memory: EngineMemory::default(),
-                prefill: Backlog::default(),
+                memory: pace.map(|pace| EngineMemory::at_rate(pace.made)).unwrap_or_default(),
+                reading: pace.map(|pace| Reading::at_rate(pace.read)).unwrap_or_default(),
                 copies: Backlog::default(),
             });
             runner.configured = true;
@@ -211,6 +238,17 @@
         self.runners.retain(|_, runner| runner.configured || runner.running > 0);
     }
 
+    /// Returns the mean pace of the runners: what a new one is taken to have, so that neither the
+    /// memory that it needs nor its prompts are misjudged until its first generations have ended.
+    fn pace(&self) -> Option<Pace> {
+        let count = self.runners.len() as f64;
+        let sum = |of: fn(&RunnerState) -> f64| self.runners.values().map(of).sum::<f64>();
+        (count > 0.0).then(|| Pace {
+            made: sum(|runner| runner.memory.rate()) / count,
+            read: sum(|runner| runner.reading.rate()) / count,
+        })
+    }
+
     /// Picks a runner that takes new work, has room and is not to be avoided, and takes a slot
     /// on it.
     pub fn pick(
@@ -225,7 +263,7 @@
         let best = self.runners.get_mut(&name)?;
         best.running += 1;
         match asked.copied {
-            0 => best.prefill.add(candidate.prompt as f64, PREFILL_RATE, now),
+            0 => best.reading.add(asked.id.clone(), candidate.prompt, now),
             copied => {
                 let tokens = copied as f64 * asked.copy_factor(&best.spec);
                 let rest = best.spec.copy_rate * LAST_PART.as_secs_f64();
@@ -236,6 +274,20 @@
         Some(best.spec.clone())
     }
 
+    /// Counts a request that runs on a runner `since` then; returns the runner if it is known.
+    pub fn adopt(
+        &mut self,
+        name: &str,
+        asked: &Asked<'_>,
+        candidate: &Candidate,
+        since: Instant,
+    ) -> Option<RunnerSpec> {
+        let runner = self.runners.get_mut(name).filter(|runner| runner.configured)?;
+        runner.running += 1;
+        runner.memory.take(asked.id.clone(), candidate.clone(), since);
+        Some(runner.spec.clone())
+    }
+
     /// Returns the load of the runner that would be picked, if any has room.
     pub fn quote(
         &self,
@@ -259,8 +311,12 @@
         let wanted = |r: &&RunnerState| !asked.avoid.contains(&r.spec.name);
         let floor = !self.runners.values().filter(wanted).any(|r| r.takes_work(now));
         let open = self.runners.values().enumerate();
-        let open =
-            open.filter(|(_, r)| r.has_slot(now, floor) && !asked.avoid.contains(&r.spec.name));
+        let open = open.filter(|(_, r)| {
+            let reads = asked.copied == 0;
+            r.has_slot(now, floor)
+                && !asked.avoid.contains(&r.spec.name)
+                && !(reads && r.reading.seconds(now) > MAX_READING)
+        });
         let mut open: Vec<(f64, usize, &RunnerName)> = open
             .map(|(i, r)| {
                 let share = match cfg.pick {
@@ -290,20 +346,14 @@
         back.filter_map(|r| r.ejected_until).min()
     }
 
-    /// Gives a slot back; `tokens` is the length of the output if it is known.
-    pub fn give_back(
-        &mut self,
-        name: &str,
-        id: &str,
-        verdict: Verdict,
-        tokens: Option<u64>,
-        now: Instant,
-    ) {
+    /// Gives a slot back.
+    pub fn give_back(&mut self, name: &str, id: &str, report: RunReport, now: Instant) {
         let cfg = self.cfg;
         let Some(runner) = self.runners.get_mut(name) else { return };
         runner.running = runner.running.saturating_sub(1);
-        runner.memory.give_back(id, tokens, now);
-        match verdict {
+        runner.memory.give_back(id, report.tokens, now);
+        runner.reading.give_back(id, report.first);
+        match report.verdict {
             Verdict::Released => {}
             Verdict::Succeeded => {
                 runner.failures = 0;
@@ -359,7 +409,7 @@
     fn load_share(&self, now: Instant) -> f64 {
         let slots = self.spec.slots.max(1) as f64;
         let waiting = self.load.as_ref().map_or(0.0, |load| load.waiting as f64);
-        let prefill = self.prefill.left(PREFILL_RATE, now) / PREFILL_RATE;
-        (self.running as f64 + waiting) / slots + self.memory.share(now) + prefill
+        let reading = self.reading.seconds(now);
+        (self.running as f64 + waiting) / slots + self.memory.share(now) + reading
     }
 }
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -29,7 +29,7 @@
                 compio::runtime::spawn(async move { read_report(&cx, &runner).await }).detach();
             }
             cx.apply_membership(&pool.pool.name);
-            cx.gate(&pool.pool.name).tick(Instant::now());
+            cx.gate(&pool.pool.name).tick();
         }
         compio::time::sleep(REPORT_PERIOD).await;
     }
--- a/crates/hatchpitch/tests/admission.rs
+++ b/crates/hatchpitch/tests/admission.rs
@@ -64,9 +64,13 @@
     for _ in 0..4 {
         queue.enqueue(waiter("a", 5, 10, now));
     }
-    let accepts = |ms| Waiter { accepts: Duration::from_millis(ms), ..waiter("b", 5, 10, now) };
+    let accepts = |ms| Waiter { accepts: Duration::from_millis(ms), ..waiter("a", 5, 10, now) };
     assert_eq!(queue.enqueue(accepts(700)), Enqueued::Refused);
-    assert!(queue.retry_after(5) >= Duration::from_millis(800));
+    assert!(queue.retry_after("a", 5) >= Duration::from_millis(800));
+    // Another workspace has had no service yet, and is next.
+    let other = Waiter { workspace: "b".to_owned(), ..accepts(700) };
+    assert_eq!(queue.expected_wait("b", 5), Duration::ZERO);
+    assert!(matches!(queue.enqueue(other), Enqueued::Waiting(_)));
     // Who pays more waits for nobody here.
     let urgent = Waiter { priority: 9, ..accepts(100) };
     assert!(matches!(queue.enqueue(urgent), Enqueued::Waiting(_)));
@@ -110,8 +114,9 @@
         now += Duration::from_millis(900);
         queue.grant(now);
     }
-    assert_eq!(queue.enqueue(waiter("b", 5, 10, now)), Enqueued::Refused);
-    assert!(queue.retry_after(5) >= Duration::from_secs(1));
+    assert_eq!(queue.enqueue(waiter("a", 5, 10, now)), Enqueued::Refused);
+    assert!(queue.retry_after("a", 5) >= Duration::from_secs(1));
+    assert!(matches!(queue.enqueue(waiter("b", 5, 10, now)), Enqueued::Waiting(_)));
     assert!(matches!(queue.enqueue(waiter("c", 9, 10, now)), Enqueued::Waiting(_)));
 }
 
--- a/crates/hatchpitch/tests/ownership.rs
+++ b/crates/hatchpitch/tests/ownership.rs
@@ -1,7 +1,7 @@
 //! Owners that are mended by what changed, against owners worked out anew.
 
 use hatchpitch::config::{ConfigState, FleetView, load_fleet};
-use hatchpitch::grants::ownership::{OwnerMap, owner_of};
+use hatchpitch::dispatch::owners::{OwnerMap, owner_of, shard_of, shards};
 use hatchpitch::membership::{MemberRecord, MemberStatus, Subject};
 
 fn member(i: u16) -> MemberRecord {
@@ -12,10 +12,22 @@
         status: MemberStatus::Alive,
         addr,
         box_addr: addr,
-        failure_domain: "d".to_owned(),
+        failure_domain: if i % 4 == 3 { "far" } else { "d" }.to_owned(),
     }
 }
 
+/// Works out the owner of an engine anew: that of its shard, among the boxes of its failure
+/// domain, or among all boxes while none serves there.
+fn expected_owner<'a>(
+    runner: &str,
+    engines: usize,
+    boxes: &[&'a MemberRecord],
+) -> Option<&'a MemberRecord> {
+    let key = format!("p/d/{}", shard_of(runner, shards(engines)));
+    let near = boxes.iter().copied().filter(|record| record.failure_domain == "d");
+    owner_of(&key, near).or_else(|| owner_of(&key, boxes.iter().copied()))
+}
+
 /// A view with the engines of `mask`.
 fn view(mask: u32) -> FleetView {
     let mut text = String::from(
@@ -48,10 +60,12 @@
                     .filter(|i| serving & (1 << i) != 0)
                     .map(|i| &members[i])
                     .collect();
-                map.update(&view, &boxes, &members[3]);
+                map.set_engines(&view);
+                map.update(&boxes, &members[3]);
                 let mut counted = 0;
-                for runner in &view.pools[0].runners {
-                    let expected = owner_of(&runner.name, boxes.iter().copied());
+                let runners = &view.pools[0].runners;
+                for runner in runners {
+                    let expected = expected_owner(&runner.name, runners.len(), &boxes);
                     let name = expected.map(|record| match &record.subject {
                         Subject::Box(name) | Subject::Upstream(name) => name,
                     });
@@ -62,7 +76,7 @@
                 }
                 assert_eq!(map.owners_of("p").values().sum::<usize>(), counted);
                 assert!(!map.owns("nobody"));
-                assert!(!map.update(&view, &boxes, &members[3]), "the same again changes nothing");
+                assert!(!map.update(&boxes, &members[3]), "the same again changes nothing");
             }
             Ok(())
         })
@@ -77,10 +91,40 @@
     let all: Vec<&MemberRecord> = members.iter().collect();
     let view = view(u32::MAX);
     let mut map = OwnerMap::default();
-    map.update(&view, &all, &members[0]);
+    map.set_engines(&view);
+    map.update(&all, &members[0]);
     let before: Vec<_> = (0..32).map(|i| map.owner(&format!("e{i}")).cloned().unwrap()).collect();
-    map.update(&view, &all[1..], &members[1]);
+    map.update(&all[1..], &members[1]);
     for (i, owner) in before.iter().enumerate().filter(|(_, owner)| *owner != "box-0") {
         assert_eq!(map.owner(&format!("e{i}")), Some(owner));
     }
 }
+
+#[test]
+fn a_shard_holds_few_engines_and_doubling_leaves_half_of_them_in_place() {
+    for engines in 1..200_usize {
+        let count = shards(engines);
+        assert!(engines.div_ceil(count) <= 8, "{engines} engines, {count} shards");
+        assert!(count == 1 || engines > 4 * count, "{engines} engines, {count} shards");
+    }
+    let names: Vec<String> = (0..256).map(|i| format!("e{i}")).collect();
+    let stay = names.iter().filter(|name| shard_of(name, 16) == shard_of(name, 32)).count();
+    assert!((96..160).contains(&stay), "{stay} of 256 stay");
+}
+
+#[test]
+fn owners_stand_in_the_failure_domain_of_their_engines_while_a_box_serves_there() {
+    let members: Vec<MemberRecord> = (0..8).map(member).collect();
+    let all: Vec<&MemberRecord> = members.iter().collect();
+    let far: Vec<&MemberRecord> = vec![&members[3], &members[7]];
+    let view = view(u32::MAX);
+    let mut map = OwnerMap::default();
+    map.set_engines(&view);
+    map.update(&all, &members[0]);
+    let owners = map.owners_of("p");
+    assert!(owners.keys().all(|addr| far.iter().all(|record| record.box_addr != *addr)));
+    map.update(&far, &members[3]);
+    assert_eq!(map.owners_of("p").values().sum::<usize>(), 32);
+    let addr = map.owner_addr("e0");
+    assert!(far.iter().any(|record| Some(record.box_addr) == addr), "{addr:?}");
+}
--- a/crates/hatchpitch/tests/routing.rs
+++ b/crates/hatchpitch/tests/routing.rs
@@ -5,7 +5,7 @@
 use hatchpitch::admission::LengthModel;
 use hatchpitch::admission::memory::{Candidate, MemoryPolicy};
 use hatchpitch::routing::state::{Asked, RunnerSpec};
-use hatchpitch::routing::{RoutingConfig, RunnerTable, Verdict};
+use hatchpitch::routing::{RoutingConfig, RunReport, RunnerTable, Verdict};
 
 fn spec(name: &str, domain: &str) -> RunnerSpec {
     RunnerSpec {
@@ -18,6 +18,10 @@
     }
 }
 
+fn says(verdict: Verdict) -> RunReport {
+    RunReport { verdict, ..RunReport::RELEASED }
+}
+
 fn table(specs: &[(&str, &str)]) -> RunnerTable {
     let cfg = RoutingConfig { memory: MemoryPolicy::Watermark(1.0), ..RoutingConfig::default() };
     let mut table = RunnerTable::new(cfg);
@@ -47,11 +51,11 @@
 fn one_spoilt_answer_does_not_eject_and_two_in_a_row_do() {
     let now = Instant::now();
     let mut table = table(&[("a", "d"), ("b", "d")]);
-    table.give_back("a", "", Verdict::Faulty, None, now);
-    table.give_back("a", "", Verdict::Succeeded, None, now);
-    table.give_back("a", "", Verdict::Faulty, None, now);
+    table.give_back("a", "", says(Verdict::Faulty), now);
+    table.give_back("a", "", says(Verdict::Succeeded), now);
+    table.give_back("a", "", says(Verdict::Faulty), now);
     assert_eq!(pick(&mut table, &["b"], "d", 1, false, now).as_deref(), Some("a"));
-    table.give_back("a", "", Verdict::Faulty, None, now);
+    table.give_back("a", "", says(Verdict::Faulty), now);
     for _ in 0..4 {
         assert_eq!(pick(&mut table, &[], "d", 1, false, now).as_deref(), Some("b"));
     }
@@ -61,9 +65,9 @@
 fn an_ejected_runner_is_better_than_none() {
     let now = Instant::now();
     let mut table = table(&[("a", "d"), ("b", "d")]);
-    table.give_back("a", "", Verdict::Failed, None, now);
+    table.give_back("a", "", says(Verdict::Failed), now);
     assert_eq!(pick(&mut table, &["b"], "d", 1, false, now).as_deref(), Some("a"));
-    table.give_back("b", "", Verdict::Failed, None, now);
+    table.give_back("b", "", says(Verdict::Failed), now);
     assert!(table.any_serving());
     assert!(pick(&mut table, &[], "d", 1, false, now).is_some());
     table.set_serving(|_| false);
--- a/crates/hatchpitch/tests/switches.rs
+++ b/crates/hatchpitch/tests/switches.rs
@@ -4,7 +4,7 @@
 
 use hatchpitch::admission::{Candidate, LengthModel, MemoryPolicy, Policy};
 use hatchpitch::routing::state::{Asked, RunnerSpec};
-use hatchpitch::routing::{RoutingConfig, RunnerTable, Verdict};
+use hatchpitch::routing::{RoutingConfig, RunReport, RunnerTable, Verdict};
 use hatchpitch::settings::diagnostic::{Problems, load_toml};
 use hatchpitch::settings::policy::RawPolicy;
 
@@ -60,7 +60,8 @@
     let pick =
         |table: &mut RunnerTable| table.pick(&asked, &candidate, &lengths, now).unwrap().name;
     let failed = pick(&mut table);
-    table.give_back(&failed, &id, Verdict::Failed, None, now);
+    let report = RunReport { verdict: Verdict::Failed, ..RunReport::RELEASED };
+    table.give_back(&failed, &id, report, now);
     // Equal loads are taken in turn, so two picks would see both.
     [pick(&mut table), pick(&mut table)].contains(&failed)
 }
