--- a/crates/hatchpitch/src/dispatch/mod.rs
+++ b/crates/hatchpitch/src/dispatch/mod.rs
@@ -5,7 +5,7 @@
 //!
 //! 1. [`owners`] says which box decides for which engines;
 //! 2. [`search`] says which owners a request asks, and what follows from their quotes;
-//! 3. [`line`] lets requests onto the engines of one owner, in the order of its waiting line.
+//! 3. [`mod@line`] lets requests onto the engines of one owner, in the order of its line.
 //!
 //! `grants` and [`Gate`](crate::admission::Gate) carry the decisions out.
 
