Give back a slot that ended while it was handed over

Found by reading: a run that ends between the hand-over and its answer tells the former owner; the new one counted the slot until its engine's life ended, as no naming of slots reaches an owner at which a box holds nothing. The holder now gives such slots back when the answer comes. tests/hand_over.rs.

--- a/crates/hatchpitch/src/dispatch/line.rs
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -2,7 +2,9 @@
 //!
 //! Load pattern answered: more work than the engines take at once. Who pays more goes first,
 //! workspaces that pay the same get the same service, a request that would wait longer than it
-//! accepts is turned away on arrival, and a request that fits goes past one that does not.
+//! accepts is turned away on arrival, and a running generation that is moved goes past the line.
+//! A request that does not fit holds up those behind it: were smaller ones to go past it, the
+//! longest prompts would wait for ever.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/crates/hatchpitch/src/grants/held.rs
+++ b/crates/hatchpitch/src/grants/held.rs
@@ -80,12 +80,16 @@
         strays
     }
 
-    /// Notes that an owner counts these slots from now on.
-    pub fn adopted(&mut self, owner: SocketAddr, ids: &[AttemptId]) {
+    /// Notes that an owner counts these slots from now on; returns those that were given back
+    /// meanwhile, of which the owner has to be told.
+    pub fn adopted(&mut self, owner: SocketAddr, ids: Vec<AttemptId>) -> Vec<AttemptId> {
+        let mut given_back = Vec::new();
         for id in ids {
-            if let Some(held) = self.0.get_mut(id) {
-                held.owner = owner;
+            match self.0.get_mut(&id) {
+                Some(held) => held.owner = owner,
+                None => given_back.push(id),
             }
         }
+        given_back
     }
 }
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -100,18 +100,23 @@
         }
         let Some(held) = self.cx.held.borrow_mut().remove(&self.id) else { return };
         let release = ReleaseRequest { id: self.id.clone(), report: self.report };
-        if held.owner == self.cx.settings.boxes_addr {
-            return self::release(&self.cx, &release);
-        }
-        let client = self.cx.boxes.clone();
-        compio::runtime::spawn(async move {
-            let call = client.call::<_, ()>(held.owner, RELEASE_PATH, &release, CALL_LIMIT);
-            if let Err(err) = call.await {
-                log::debug!("release: {err}; the next sync makes up for it");
-            }
-        })
-        .detach();
+        send_release(&self.cx, held.owner, release);
+    }
+}
+
+/// Tells an owner that a slot is given back, without waiting for its answer.
+fn send_release(cx: &EntryCx, owner: SocketAddr, req: ReleaseRequest) {
+    if owner == cx.settings.boxes_addr {
+        return release(cx, &req);
     }
+    let client = cx.boxes.clone();
+    compio::runtime::spawn(async move {
+        let call = client.call::<_, ()>(owner, RELEASE_PATH, &req, CALL_LIMIT);
+        if let Err(err) = call.await {
+            log::debug!("release: {err}; the next sync makes up for it");
+        }
+    })
+    .detach();
 }
 
 /// Gets a slot for a request.
@@ -374,7 +379,11 @@
                 }
                 Ok(AdoptAnswer { adopted }) => {
                     log::info!(owner:%, slots = count, adopted = adopted.len(); "slots handed over");
-                    cx.held.borrow_mut().adopted(owner, &adopted);
+                    let given_back = cx.held.borrow_mut().adopted(owner, adopted);
+                    for id in given_back {
+                        let report = RunReport::RELEASED;
+                        send_release(&cx, owner, ReleaseRequest { id, report });
+                    }
                 }
                 Err(err) => log::debug!("hand over: {err}; tried again at the next look"),
             }
--- a/crates/hatchpitch/tests/hand_over.rs
+++ b/crates/hatchpitch/tests/hand_over.rs
@@ -94,7 +94,7 @@
     assert_eq!((moved.len(), moved[0].age), (1, Duration::from_secs(3)));
     // It is told again until the new owner says that it counts the slot.
     assert_eq!(slots.strays(addr(1), owner_of, later).len(), 1);
-    slots.adopted(addr(3), &["e1".to_owned()]);
+    assert!(slots.adopted(addr(3), vec!["e1".to_owned()]).is_empty());
     assert!(slots.strays(addr(1), owner_of, later).is_empty());
     assert_eq!(slots.by_owner()[&addr(3)], ["e1".to_owned()]);
     assert_eq!(slots.remove("e1").unwrap().owner, addr(3));
@@ -106,7 +106,18 @@
     let mut slots = HeldSlots::default();
     slots.put("e".to_owned(), held(1, "e", now));
     assert_eq!(slots.strays(addr(1), |_| Some(addr(2)), now).len(), 1);
-    slots.adopted(addr(2), &["e".to_owned()]);
+    assert!(slots.adopted(addr(2), vec!["e".to_owned()]).is_empty());
     assert!(slots.strays(addr(1), |_| Some(addr(1)), now).is_empty());
     assert_eq!(slots.remove("e").unwrap().owner, addr(1));
 }
+
+#[test]
+fn a_slot_that_was_given_back_while_it_was_handed_over_is_not_counted_for_ever() {
+    let now = Instant::now();
+    let mut slots = HeldSlots::default();
+    slots.put("e".to_owned(), held(2, "e", now));
+    assert_eq!(slots.strays(addr(1), |_| Some(addr(3)), now).len(), 1);
+    // The former owner is told of the end; the new one answers later that it counts the slot.
+    assert_eq!(slots.remove("e").unwrap().owner, addr(2));
+    assert_eq!(slots.adopted(addr(3), vec!["e".to_owned()]), ["e".to_owned()]);
+}
