--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -33,6 +33,9 @@
     life: u64,
     /// Whether it should run.
     wanted: bool,
+    /// Whether it was asked to stop, so that its end is none of its own, whatever other faults
+    /// want of its box meanwhile.
+    asked_to_stop: bool,
 }
 
 /// All boxes.
@@ -108,7 +111,7 @@
         let log = self.folder.join(format!("{name}.log"));
         let process = Process::start(&name, self.cx.wire.program, args, log)?;
         self.note_start(place, &process);
-        Ok(Managed { role, process, life: 1, wanted: true })
+        Ok(Managed { role, process, life: 1, wanted: true, asked_to_stop: false })
     }
 
     /// Notes which box a process belongs to.
@@ -177,6 +180,7 @@
     /// Starts a process that has ended.
     fn restart(&self, place: usize, managed: &mut Managed) {
         managed.life += 1;
+        managed.asked_to_stop = false;
         match managed.process.restart() {
             Ok(()) => self.note_start(place, &managed.process),
             Err(err) => log::error!("start of {}: {err:#}", managed.process.name),
@@ -200,6 +204,7 @@
     pub async fn stop_and_start(&self, place: usize) {
         self.each(place, &BOTH, |managed| {
             managed.wanted = false;
+            managed.asked_to_stop = true;
             managed.process.signal(libc::SIGTERM);
         });
         let started = Instant::now();
@@ -256,17 +261,19 @@
         }
     }
 
-    /// Counts the processes of a box that ended by themselves; returns whether any did.
+    /// Counts the processes of a box that ended by themselves; returns whether any has to be
+    /// started again.
     fn ended_by_itself(&self, place: usize) -> bool {
-        let mut count = 0;
+        let (mut count, mut ended) = (0, false);
         self.each(place, &BOTH, |managed| {
             if managed.wanted && managed.process.has_ended() {
-                count += 1;
+                ended = true;
+                count += u64::from(!managed.asked_to_stop);
             }
         });
         let own_ends = &self.cx.record.own_ends;
         own_ends.set(own_ends.get() + count);
-        count > 0
+        ended
     }
 
     /// Starts the processes of a box that ended by themselves.
