--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -87,6 +87,9 @@
         #[arg(long)]
         wait: bool,
     },
+    /// Begin or end the evacuation of a failure domain, or list the evacuated ones.
+    #[command(subcommand)]
+    Evacuation(Evacuation),
     /// Replace a control box that lost its disk; done means that a second loss costs nothing.
     Repair {
         /// Name of the box, which has to run with an empty data folder.
@@ -113,6 +116,29 @@
     },
 }
 
+/// What is done about evacuations. Each order is safe to give again.
+#[derive(Debug, Subcommand)]
+pub enum Evacuation {
+    /// Send nothing more to the upstreams of a failure domain.
+    Begin {
+        /// Name of the failure domain.
+        domain: String,
+        /// Wait until it is in force at every box, at most so many seconds.
+        #[arg(long, value_name = "SECONDS", num_args = 0..=1, default_missing_value = "10")]
+        wait: Option<u64>,
+    },
+    /// Use them again.
+    End {
+        /// Name of the failure domain.
+        domain: String,
+        /// Wait until it is in force at every box, at most so many seconds.
+        #[arg(long, value_name = "SECONDS", num_args = 0..=1, default_missing_value = "10")]
+        wait: Option<u64>,
+    },
+    /// Print the evacuated failure domains.
+    List,
+}
+
 /// Kinds of files.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum FileKind {
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod drain;
+mod evacuation;
 mod explain;
 mod status;
 mod trace;
@@ -33,6 +34,7 @@
         Command::Get { number: Some(number) } => get_number(&args, *number).await,
         Command::Status => status::run(&args).await,
         Command::Drain { name, wait } => drain::run(&args, name, *wait).await,
+        Command::Evacuation(order) => evacuation::run(&args, order).await,
         Command::Repair { replace } => repair(&args, replace).await,
         Command::Trace { id } => trace::run(&args, id).await,
         Command::Explain { request, logs } => explain::run(args.output, request, logs),
--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -1,12 +1,13 @@
 //! `hatchpitch apply` and `hatchpitch diff`.
 
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::Context as _;
 use hatchpitch::config::ApplyOutcome;
 use hatchpitch::config::entity::{EntityKey, kind_name};
 use hatchpitch::control::operators::{DiffAnswer, FileProblems};
+use hatchpitch::entry::operators::EntryStatus;
 use hatchpitch::settings::diagnostic::Problems;
 use http::{Method, StatusCode};
 use serde::Serialize;
@@ -16,8 +17,6 @@
 use crate::output::show;
 use crate::remote::{Remote, Reply};
 
-const POLL: Duration = Duration::from_millis(50);
-
 #[derive(Serialize)]
 struct Applied {
     #[serde(flatten)]
@@ -43,7 +42,8 @@
         show(args.output, &Applied { outcome, missing: None }, || text);
         return Ok(if accepted { Exit::Done } else { Exit::Refused });
     };
-    let missing = wait_in_force(&remote, *number, Duration::from_secs(seconds)).await?;
+    let in_force = |status: &EntryStatus| status.config_number >= *number;
+    let missing = remote.wait_everywhere(in_force, Duration::from_secs(seconds)).await;
     let mut text = describe(&outcome);
     match missing.is_empty() {
         true => text.push_str("; in force at every box"),
@@ -89,36 +89,6 @@
     Ok(Some(Exit::Invalid))
 }
 
-/// Polls every entry box until the number is in force; returns the boxes where it is not.
-async fn wait_in_force(
-    remote: &Remote,
-    number: u64,
-    limit: Duration,
-) -> anyhow::Result<Vec<String>> {
-    let started = Instant::now();
-    loop {
-        let entries = remote.entries().await.unwrap_or_default();
-        let mut missing = Vec::new();
-        for (name, addr) in &entries {
-            let status = remote.entry_status(*addr).await;
-            if !status.is_ok_and(|status| status.config_number >= number) {
-                missing.push(name.clone());
-            }
-        }
-        let known = !entries.is_empty();
-        if known && missing.is_empty() {
-            return Ok(missing);
-        }
-        if started.elapsed() >= limit {
-            if !known {
-                missing.push("(no entry box answered)".to_owned());
-            }
-            return Ok(missing);
-        }
-        compio::time::sleep(POLL).await;
-    }
-}
-
 fn describe(outcome: &ApplyOutcome) -> String {
     match outcome {
         ApplyOutcome::Accepted { number, content } => {
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -52,13 +52,17 @@
     Ok(Exit::Done)
 }
 
+/// Columns of the table of entry boxes.
+const ENTRY_HEAD: [&str; 8] =
+    ["ENTRY", "INTAKE", "NUMBER", "CONFIRMED", "ACTIVE", "STREAMS", "WAITING", "EVACUATED"];
+
 fn text(fleet: &FleetStatus) -> String {
     let control: Vec<Vec<String>> = fleet.control.iter().map(control_row).collect();
     let entry: Vec<Vec<String>> = fleet.entry.iter().map(entry_row).collect();
     let seen = fleet.entry.iter().filter_map(|row| row.status.as_ref()).collect::<Vec<_>>();
     let mut parts = vec![
-        table(&["CONTROL", "LEADS", "NUMBER", "CLAIMS"], &control),
-        table(&["ENTRY", "INTAKE", "NUMBER", "CONFIRMED", "ACTIVE", "STREAMS", "WAITING"], &entry),
+        table(&["CONTROL", "LEADS", "NUMBER", "CLAIMS", "EVACUATED"], &control),
+        table(&ENTRY_HEAD, &entry),
     ];
     if let Some(first) = seen.first() {
         parts.push(table(
@@ -75,7 +79,7 @@
     };
     let leads = if status.leads { "yes" } else { "no" };
     let (number, claims) = (status.config_number.to_string(), status.claims.to_string());
-    vec![status.name.clone(), leads.to_owned(), number, claims]
+    vec![status.name.clone(), leads.to_owned(), number, claims, status.evacuated.join(",")]
 }
 
 fn entry_row(row: &Row<EntryStatus>) -> Vec<String> {
@@ -93,6 +97,7 @@
         status.active.to_string(),
         streams.to_string(),
         waiting.to_string(),
+        status.evacuated.1.join(","),
     ]
 }
 
--- a/crates/cli/src/remote.rs
+++ b/crates/cli/src/remote.rs
@@ -18,6 +18,8 @@
 const REPAIR_LIMIT: Duration = Duration::from_secs(90);
 /// Time for which a leader is looked for.
 const LEADER_BUDGET: Duration = Duration::from_secs(15);
+/// Time between looks at all entry boxes.
+const POLL: Duration = Duration::from_millis(50);
 const RETRY_REST: Duration = Duration::from_millis(200);
 
 /// A client with an operator's key.
@@ -124,6 +126,36 @@
         self.call(at, Method::GET, "/ops/status", Vec::new()).await?.ok()
     }
 
+    /// Polls every entry box until something is so at all of them; returns the boxes where it is
+    /// not when the time is over.
+    pub async fn wait_everywhere(
+        &self,
+        is_so: impl Fn(&EntryStatus) -> bool,
+        limit: Duration,
+    ) -> Vec<String> {
+        let started = Instant::now();
+        loop {
+            let entries = self.entries().await.unwrap_or_default();
+            let mut missing = Vec::new();
+            for (name, addr) in &entries {
+                if !self.entry_status(*addr).await.is_ok_and(|status| is_so(&status)) {
+                    missing.push(name.clone());
+                }
+            }
+            let known = !entries.is_empty();
+            if known && missing.is_empty() {
+                return missing;
+            }
+            if started.elapsed() >= limit {
+                if !known {
+                    missing.push("(no entry box answered)".to_owned());
+                }
+                return missing;
+            }
+            compio::time::sleep(POLL).await;
+        }
+    }
+
     /// Returns the name and address of every entry box that the given one knows.
     pub async fn entries(&self) -> anyhow::Result<Vec<(String, SocketAddr)>> {
         let entry = self.entry.context("no entry box: give --entry or HATCHPITCH_ENTRY")?;
--- a/crates/e2e/tests/cli.rs
+++ b/crates/e2e/tests/cli.rs
@@ -84,6 +84,39 @@
     Ok(())
 }
 
+#[compio::test]
+async fn evacuations_begin_are_listed_and_end_as_the_page_says() -> anyhow::Result<()> {
+    let fleet = TestFleet::start(Shape { engines: 1, ..Shape::default() }).await?;
+    let order = |args: &[&str]| hatchpitch(&fleet, &[&["evacuation"], args].concat());
+    let domain = json(&hatchpitch(&fleet, &["--output", "json", "get"]));
+    let domains = domain.as_array().unwrap().iter().filter_map(|e| e.get("FailureDomain"));
+    let domains: Vec<&str> = domains.filter_map(|domain| domain["name"].as_str()).collect();
+    let unknown = order(&["begin", "nowhere"]);
+    assert!(unknown.0 == 1 && unknown.1.contains("no failure domain"), "{}", unknown.1);
+    for domain in &domains {
+        let begun = order(&["begin", domain, "--wait"]);
+        assert!(begun.0 == 0 && begun.1.contains("in force at every box"), "{}", begun.1);
+        assert_eq!(order(&["begin", domain]).0, 0, "again is safe");
+    }
+    let listed = order(&["list"]).1;
+    assert!(domains.iter().all(|domain| listed.contains(domain)), "{listed}");
+    let status = hatchpitch(&fleet, &["status"]).1;
+    assert!(status.contains("EVACUATED") && status.contains(&domains.join(",")), "{status}");
+    // With every runner evacuated, a generation is refused at once.
+    let caller = fleet.caller(0);
+    let refused = caller.chat(fleet.entry_addrs[0], MODEL, "note len=3", |_| true).await?;
+    assert!(refused.status == 503 && refused.retry_after.is_some(), "{refused:?}");
+    for domain in &domains {
+        let ended = order(&["end", domain, "--wait"]);
+        assert!(ended.0 == 0, "{}", ended.1);
+    }
+    assert!(order(&["list"]).1.contains("no failure domain is evacuated"));
+    assert_eq!(order(&["end", domains[0]]).0, 0, "ending what is over is safe");
+    let served = caller.chat(fleet.entry_addrs[0], MODEL, "note len=3", |_| true).await?;
+    assert!(served.complete, "{served:?}");
+    Ok(())
+}
+
 #[compio::test]
 async fn trace_shows_each_hop() -> anyhow::Result<()> {
     let fleet = TestFleet::start(Shape { engines: 1, ..Shape::default() }).await?;
--- a/crates/hatchpitch/src/config/check.rs
+++ b/crates/hatchpitch/src/config/check.rs
@@ -200,6 +200,7 @@
             services: raw.services.iter().map(|s| s.get_ref().clone()).collect(),
             max_streams,
             keys: self.keys("workspace.keys", &raw.keys),
+            regions: Vec::new(),
         };
         self.add(raw.name.span(), Entity::Workspace(workspace));
     }
--- a/crates/hatchpitch/src/config/entity.rs
+++ b/crates/hatchpitch/src/config/entity.rs
@@ -10,8 +10,8 @@
 
 use super::hosted::{HostedLimits, HostedRoute, HostedService};
 use crate::ids::{
-    ConfigNumber, Digest, FailureDomainName, PoolName, Priority, RunnerName, ServiceName,
-    WorkspaceName,
+    ConfigNumber, Digest, FailureDomainName, PoolName, Priority, RegionName, RunnerName,
+    ServiceName, WorkspaceName,
 };
 
 /// A failure domain: machines that can fail together.
@@ -114,6 +114,10 @@
     pub max_streams: u64,
     /// Keys that its callers present; any of them is accepted.
     pub keys: Vec<KeyHash>,
+    /// Regions whose upstreams may run its requests; all if there are none.
+    // Left out where it is empty, so that what was accepted before keeps its digest.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub regions: Vec<RegionName>,
 }
 
 /// A person or program that operates the fleet.
--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -1,4 +1,4 @@
-//! Carries configuration down the relay tree, and tells how fresh it is.
+//! Carries configuration and evacuations down the relay tree, and tells how fresh they are.
 //!
 //! Every box asks one parent with a held request. The parent answers when its
 //! number passes the one asked with, when it is confirmed anew and the box has
@@ -24,6 +24,7 @@
 use super::messages::{FeedAnswer, FeedRequest, Rest};
 use super::state::{ConfigState, InstallError, Part};
 use super::view::FleetView;
+use crate::evacuation::Evacuations;
 use crate::ids::{BoxName, ConfigNumber};
 use crate::limits::backoff;
 
@@ -62,6 +63,7 @@
     /// What has arrived of a newer configuration.
     arriving: Option<Arriving>,
     view: Rc<FleetView>,
+    evacuations: Rc<Evacuations>,
     confirmed_at: Option<Instant>,
     waiting: Vec<oneshot::Sender<()>>,
 }
@@ -100,6 +102,7 @@
             state: ConfigState::default(),
             arriving: None,
             view: Rc::default(),
+            evacuations: Rc::default(),
             confirmed_at: None,
             waiting: Vec::new(),
         };
@@ -122,7 +125,15 @@
         let inner = self.inner.borrow();
         let (have, after) =
             inner.arriving.as_ref().map_or((inner.state.number(), None), Arriving::next);
-        FeedRequest { from: own.clone(), have, hold, unconfirmed, after: after.cloned() }
+        let evacuations = inner.evacuations.revision();
+        FeedRequest {
+            from: own.clone(),
+            have,
+            hold,
+            unconfirmed,
+            after: after.cloned(),
+            evacuations,
+        }
     }
 
     /// Returns the view of the configuration in force.
@@ -135,6 +146,16 @@
         self.inner.borrow().state.number()
     }
 
+    /// Returns the evacuations in force.
+    pub fn evacuations(&self) -> Rc<Evacuations> {
+        self.inner.borrow().evacuations.clone()
+    }
+
+    /// Puts evacuations in force, unless newer ones already are; returns whether they were newer.
+    pub fn set_evacuations(&self, evacuations: &Evacuations) -> bool {
+        self.inner.borrow_mut().set_evacuations(evacuations)
+    }
+
     /// Returns how long ago the number was confirmed as the newest; `None` if never.
     pub fn confirmed_age(&self) -> Option<Duration> {
         self.inner.borrow().confirmed_at.map(|at| at.elapsed())
@@ -166,7 +187,10 @@
         let started = Instant::now();
         let hold = req.hold.min(MAX_HOLD);
         let goes_on = req.after.is_some();
-        let news = goes_on || self.number() > req.have || (req.unconfirmed && self.is_confirmed());
+        let news = goes_on
+            || self.number() > req.have
+            || self.evacuations().revision() > req.evacuations
+            || (req.unconfirmed && self.is_confirmed());
         if !news && !hold.is_zero() {
             let (tx, rx) = oneshot::channel();
             self.inner.borrow_mut().waiting.push(tx);
@@ -194,6 +218,9 @@
             },
             confirmed_age: inner.confirmed_at.map(|at| at.elapsed()),
             held: started.elapsed(),
+            evacuated_at: inner.evacuations.revision(),
+            evacuations: (inner.evacuations.revision() > req.evacuations)
+                .then(|| (*inner.evacuations).clone()),
         }
     }
 
@@ -205,7 +232,11 @@
         round_trip: Duration,
     ) -> anyhow::Result<Learned> {
         let mut inner = self.inner.borrow_mut();
-        if answer.number < inner.state.number() {
+        if let Some(evacuations) = &answer.evacuations {
+            inner.set_evacuations(evacuations);
+        }
+        let evacuations_behind = answer.evacuated_at < inner.evacuations.revision();
+        if answer.number < inner.state.number() || evacuations_behind {
             // The parent is behind. What is in force stays; the parent confirms nothing.
             return Ok(Learned::Nothing);
         }
@@ -265,6 +296,20 @@
         }
     }
 
+    fn set_evacuations(&mut self, evacuations: &Evacuations) -> bool {
+        let newer = evacuations.revision() > self.evacuations.revision();
+        if newer {
+            let domains: Vec<&str> = evacuations.domains().map(String::as_str).collect();
+            log::info!(
+                revision = evacuations.revision(), domains = domains.join(",").as_str();
+                "evacuated failure domains changed"
+            );
+            self.evacuations = Rc::new(evacuations.clone());
+            self.waiting.clear();
+        }
+        newer
+    }
+
     fn publish(&mut self) {
         self.view = Rc::new(FleetView::new(&self.state));
         // Closing the channels wakes the children that wait.
--- a/crates/hatchpitch/src/config/hosted.rs
+++ b/crates/hatchpitch/src/config/hosted.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::ServiceName;
+use crate::ids::{RegionName, ServiceName};
 
 /// How urgent a request is; 0 goes first, 9 last.
 pub type Urgency = u8;
@@ -60,6 +60,10 @@
     pub anonymous: bool,
     /// Whether a caller may go on reading after an event that it names.
     pub resumable: bool,
+    /// Regions whose upstreams may run its requests; all if there are none.
+    // Left out where it is empty, so that what was accepted before keeps its digest.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub regions: Vec<RegionName>,
 }
 
 /// What an engine's pool offers.
@@ -102,8 +106,23 @@
     pub max_connections: u64,
     /// What its engines offer; `None` for a plain service.
     pub engine: Option<EngineSpec>,
+    /// What its upstreams bear while they are cold; `None` if as much as ever.
+    // Left out where it is not set, so that what was accepted before keeps its digest.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdStart>,
 }
 
+/// How upstreams of a service behave after a start.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// How long they stay cold.
+    pub lasts: Duration,
+    /// Requests a second that one bears meanwhile.
+    pub rate: f64,
+}
+
+impl Eq for ColdStart {}
+
 /// Bounds on callers of hosted routes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostedLimits {
--- a/crates/hatchpitch/src/config/messages.rs
+++ b/crates/hatchpitch/src/config/messages.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::entity::{Entity, EntityKey};
+use crate::evacuation::{Evacuations, Revision};
 use crate::ids::{BoxName, ConfigNumber, Digest};
 
 /// What became of a submitted fleet file. The same submission always gets the same outcome.
@@ -61,6 +62,9 @@
     /// The last entity of the part that came before, if this request goes on with a transfer.
     #[serde(default)]
     pub after: Option<EntityKey>,
+    /// The revision of the evacuations that the box has, 0 for none.
+    #[serde(default)]
+    pub evacuations: Revision,
 }
 
 /// What follows the part of a configuration that an answer holds.
@@ -89,8 +93,15 @@
     /// What of the changes is not in `delta`.
     #[serde(default)]
     pub rest: Rest,
-    /// Time since the control leader confirmed that `number` is the newest; `None` if never.
+    /// Time since the control leader confirmed that `number` and `evacuated_at` are the newest;
+    /// `None` if never.
     pub confirmed_age: Option<Duration>,
     /// How long the parent held the request.
     pub held: Duration,
+    /// The parent's revision of the evacuations.
+    #[serde(default)]
+    pub evacuated_at: Revision,
+    /// The evacuations, if they are newer than those asked with.
+    #[serde(default)]
+    pub evacuations: Option<Evacuations>,
 }
--- a/crates/hatchpitch/src/config/view.rs
+++ b/crates/hatchpitch/src/config/view.rs
@@ -7,9 +7,10 @@
 use sha2::{Digest as _, Sha256};
 
 use super::entity::{Entity, KeyHash, Pool, Route, Runner, Service, ServiceUpstream, Workspace};
-use super::hosted::{HostedLimits, HostedRoute, HostedService};
+use super::hosted::{ColdStart, EngineSpec, HostedLimits, HostedRoute, HostedService};
 use super::state::ConfigState;
 use crate::admission::Placement;
+use crate::evacuation::Evacuations;
 use crate::ids::{ConfigNumber, Digest, FailureDomainName};
 use crate::registry::UpstreamRecord;
 
@@ -38,6 +39,8 @@
     pub memory: Option<u64>,
     /// Tokens of copied memory that a runner's link takes in a second.
     pub copy_rate: f64,
+    /// What a runner bears while it is cold; `None` if as much as ever.
+    pub cold: Option<ColdStart>,
 }
 
 /// A service and its runners.
@@ -155,6 +158,17 @@
         view
     }
 
+    /// Leaves out the runners of evacuated failure domains.
+    pub fn without_evacuated(mut self, evacuations: &Evacuations) -> Self {
+        for pool in &mut self.pools {
+            pool.runners.retain(|runner| !evacuations.is_evacuated(&runner.failure_domain));
+        }
+        for service in &mut self.services {
+            service.upstreams.retain(|u| !evacuations.is_evacuated(&u.failure_domain));
+        }
+        self
+    }
+
     /// Finds the route of a host with the longest prefix that begins `path`.
     pub fn hosted_route(&self, host: &str, path: &str) -> Option<Rc<HostedRoute>> {
         let routes = self.hosted_routes.get(host)?;
@@ -190,7 +204,7 @@
 
 fn hosted_runner(record: &UpstreamRecord) -> Runner {
     Runner {
-        name: record.id.clone(),
+        name: record.life(),
         pool: record.service.clone(),
         addr: record.addr,
         failure_domain: record.failure_domain.clone(),
@@ -208,12 +222,12 @@
         silence_limit: HOSTED_SILENCE,
         max_waiting: HOSTED_MAX_WAITING,
     };
-    let hosted = match &service.engine {
-        Some(engine) => {
-            let memory = Some(engine.memory_tokens);
-            HostedPool { placement: Placement::Owner, memory, copy_rate: engine.copy_rate() }
-        }
-        None => HostedPool { placement: Placement::Local, memory: None, copy_rate: f64::INFINITY },
+    let engine = service.engine.as_ref();
+    let hosted = HostedPool {
+        placement: engine.map_or(Placement::Local, |_| Placement::Owner),
+        memory: engine.map(|engine| engine.memory_tokens),
+        copy_rate: engine.map_or(f64::INFINITY, EngineSpec::copy_rate),
+        cold: service.cold,
     };
     PoolView { pool, runners, hosted: Some(hosted) }
 }
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -61,7 +61,9 @@
                 let req = self.open::<ClaimRequest>()?;
                 self.ordered(Order::Claim(req), |reply| match reply {
                     Reply::Claim(outcome) => outcome,
-                    Reply::Config(_) | Reply::Settled | Reply::Read => ClaimOutcome::Unknown,
+                    Reply::Config(_) | Reply::Settled | Reply::Read | Reply::Evacuated => {
+                        ClaimOutcome::Unknown
+                    }
                 })
                 .await
             }
@@ -80,19 +82,20 @@
             }
             FOLLOW_PATH => {
                 let req = self.open::<FollowRequest>()?;
-                let control = self.cx.core_addrs();
-                let config = || self.cx.config.number();
+                let in_force = || (self.cx.config.number(), self.cx.config.evacuations());
                 let has_room = || self.cx.boxes.backlog().has_room();
-                let answer = self.cx.registry.answer(&req, config, control, has_room).await;
-                let answer = answer.ok_or_else(|| {
+                let answer = self.cx.registry.answer(&req, in_force, has_room).await;
+                let mut answer = answer.ok_or_else(|| {
                     let text = "too much waits to be sent to other boxes";
                     Box::new(text_response(StatusCode::SERVICE_UNAVAILABLE, text))
                 })?;
+                answer.control = self.cx.core_addrs();
+                answer.out_of_touch = self.cx.is_out_of_touch();
                 Ok(self.cx.boxes.respond(&answer))
             }
             NEWS_PATH => {
                 let news = self.open::<RegistryNews>()?;
-                self.cx.note_control(news.from, &news.control);
+                self.cx.note_control(&news);
                 self.cx.registry.take(news);
                 Ok(self.cx.boxes.respond(&()))
             }
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -11,8 +11,10 @@
 
 use super::machine::{Command, Machine, Order, Reply};
 use crate::config::feed::ConfigCell;
+use crate::ids::RunnerName;
 use crate::logging::unix_ms;
 use crate::metrics::Metrics;
+use crate::registry::peers::{Outbox, Peers};
 use crate::registry::{RegistryCell, RegistryNews};
 use crate::replication::bootstrap::Hello;
 use crate::replication::task::{Applier, ProposeFailure, ReplicaHandle};
@@ -29,9 +31,22 @@
     Unknown(String),
 }
 
+/// Time in which one line is written about refused announcements of one id.
+const REFUSAL_LINE_PERIOD: Duration = Duration::from_secs(60);
+/// Ids about whose refused announcements lines are written in that time.
+const MAX_REFUSED: usize = 256;
 /// Time after which a control box that says nothing is no longer called.
 const FORGET_CONTROL: Duration = Duration::from_secs(20);
 
+/// What is known of another control box.
+#[derive(Debug, Clone, Copy)]
+struct KnownControl {
+    /// When it was heard from or named last.
+    heard: Instant,
+    /// Whether it can unpack records of upstreams.
+    unpacks: bool,
+}
+
 /// Shared state of a control process.
 pub struct ControlCx {
     /// Settings.
@@ -53,12 +68,16 @@
     pub submitting: Mutex<()>,
     /// Upstreams that announce themselves.
     pub registry: Rc<RegistryCell>,
+    /// News about upstreams that wait to be passed on.
+    pub outbox: Rc<Outbox>,
     /// Large messages of the log that arrive in parts.
     pub log_parts: RefCell<Assembly>,
     /// What a box that takes part told last; only kept by a box without a disk.
     core: RefCell<Option<Hello>>,
-    /// Control boxes that were heard of, with when they were heard from or named last.
-    known: RefCell<BTreeMap<SocketAddr, Instant>>,
+    /// Control boxes that were heard of.
+    known: RefCell<BTreeMap<SocketAddr, KnownControl>>,
+    /// Ids whose announcements were refused, and when a line was written about it.
+    refused: RefCell<BTreeMap<RunnerName, Instant>>,
     machine: RefCell<Machine>,
     log: OnceCell<ReplicaHandle>,
 }
@@ -76,9 +95,11 @@
             joining: Cell::new(false),
             submitting: Mutex::new(()),
             registry: Rc::new(RegistryCell::new(rand::random())),
+            outbox: Rc::default(),
             log_parts: RefCell::default(),
             core: RefCell::default(),
             known: RefCell::default(),
+            refused: RefCell::default(),
             machine: RefCell::new(Machine::new()),
             log: OnceCell::new(),
         })
@@ -138,13 +159,17 @@
                     Some(bytes) => rmp_serde::from_slice(bytes)?,
                     None => Machine::new(),
                 };
-                restore.config.replace(&restore.machine.borrow().config);
+                let machine = restore.machine.borrow();
+                restore.config.replace(&machine.config);
+                restore.config.set_evacuations(&machine.evacuations);
                 Ok(())
             }),
             applied: Box::new(move || {
                 let before = applied.config.number();
-                applied.config.replace(&applied.machine.borrow().config);
-                if applied.config.number() != before {
+                let machine = applied.machine.borrow();
+                applied.config.replace(&machine.config);
+                let evacuations_changed = applied.config.set_evacuations(&machine.evacuations);
+                if applied.config.number() != before || evacuations_changed {
                     applied.registry.wake();
                 }
             }),
@@ -217,25 +242,60 @@
     }
 
     /// Takes in who sent news, and the control boxes that it knows.
-    pub fn note_control(&self, from: Option<SocketAddr>, named: &[SocketAddr]) {
-        let now = Instant::now();
+    pub fn note_control(&self, news: &RegistryNews) {
+        let heard = Instant::now();
         let mut known = self.known.borrow_mut();
-        known.retain(|_, heard| now.duration_since(*heard) < FORGET_CONTROL);
-        if let Some(from) = from {
-            known.insert(from, now);
+        known.retain(|_, known| heard.duration_since(known.heard) < FORGET_CONTROL);
+        if let Some(from) = news.from {
+            known.insert(from, KnownControl { heard, unpacks: news.unpacks });
         }
-        for addr in named.iter().filter(|addr| **addr != self.settings.own.boxes_addr) {
+        let own = self.settings.own.boxes_addr;
+        for addr in news.control.iter().filter(|addr| **addr != own) {
             // Only what a box says itself keeps it known; being named makes it heard of once.
-            known.entry(*addr).or_insert(now);
+            known.entry(*addr).or_insert(KnownControl { heard, unpacks: false });
         }
     }
 
-    /// Adds to news who sends it and which control boxes it knows.
-    pub fn signed_news(&self, news: RegistryNews) -> RegistryNews {
+    /// Adds to news who sends it and which control boxes it knows, and packs the records if all
+    /// of these can unpack them.
+    pub fn signed_news(&self, mut news: RegistryNews) -> RegistryNews {
         let own = self.settings.own.boxes_addr;
         let mut control = self.peer_addrs();
+        let known = self.known.borrow();
+        if control.iter().all(|peer| known.get(peer).is_some_and(|known| known.unpacks)) {
+            news.pack();
+        }
         control.push(own);
-        RegistryNews { from: Some(own), control, ..news }
+        RegistryNews { from: Some(own), control, unpacks: true, ..news }
+    }
+
+    /// Returns how news about upstreams reach the other control boxes.
+    pub fn registry_peers(self: &Rc<Self>) -> Rc<Peers> {
+        let (find, complete) = (self.clone(), self.clone());
+        Rc::new(Peers {
+            client: self.boxes.clone(),
+            find: Box::new(move || find.peer_addrs()),
+            complete: Box::new(move |news| complete.signed_news(news)),
+        })
+    }
+
+    /// Returns whether no announcement under this id was refused of late, so that a line about it
+    /// is due: whoever sends what is refused sends it again each second.
+    pub fn is_new_refusal(&self, id: &str) -> bool {
+        let now = Instant::now();
+        let mut refused = self.refused.borrow_mut();
+        refused.retain(|_, at| now.duration_since(*at) < REFUSAL_LINE_PERIOD);
+        if refused.contains_key(id) || refused.len() >= MAX_REFUSED {
+            return false;
+        }
+        refused.insert(id.to_owned(), now);
+        true
+    }
+
+    /// Returns whether this box is out of touch with the core, so that it may not hear of
+    /// upstreams that leave.
+    pub fn is_out_of_touch(&self) -> bool {
+        self.leader().is_none()
     }
 
     /// Returns where to follow the configuration: the leader, unless this box leads itself.
@@ -245,6 +305,14 @@
         others.map(|leader| leader.boxes_addr).into_iter().collect()
     }
 
+    /// Returns whether a failure domain is known: by the settings, the configuration, or an
+    /// upstream that announced itself there.
+    pub fn knows_domain(&self, domain: &str) -> bool {
+        self.settings.failure_domains.contains(domain)
+            || self.config.view().regions.contains_key(domain)
+            || self.registry.with(|table| table.alive().any(|r| r.failure_domain == domain))
+    }
+
     /// While this box holds the lease, notes that its configuration is the newest.
     pub fn confirm_config(&self) {
         let now = Instant::now();
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -61,6 +61,7 @@
     extra: impl FnOnce(&Rc<ControlCx>) -> Vec<ExtraListener>,
     reloaded: impl Fn(&Rc<ControlCx>) + 'static,
 ) -> anyhow::Result<()> {
+    signals::hold_hangups().await;
     let disk = settings.data_folder.as_deref().map(open_disk).transpose()?;
     let id = disk.as_ref().map_or(Ok(NO_IDENTITY), bootstrap::identity)?;
     let (own, listen_ip) = (&settings.own, settings.listen_ip);
@@ -107,15 +108,9 @@
         spawn_essential("members", join::run(cx.clone(), stop.clone()));
     }
     spawn_essential("pressure", pressure::run(cx.boxes.clone(), stop.clone()));
-    let (find, sign, look) = (cx.clone(), cx.clone(), cx.clone());
-    let renew = peers::run(
-        cx.registry.clone(),
-        cx.boxes.clone(),
-        move || find.peer_addrs(),
-        move |news| sign.signed_news(news),
-        move || look.leader().is_none(),
-        stop.clone(),
-    );
+    let look = cx.clone();
+    let lonely = move || look.is_out_of_touch();
+    let renew = peers::run(cx.registry.clone(), cx.registry_peers(), lonely, stop.clone());
     spawn_essential("upstreams", renew);
 }
 
--- a/crates/hatchpitch/src/control/machine.rs
+++ b/crates/hatchpitch/src/control/machine.rs
@@ -1,10 +1,12 @@
-//! What the replicated log drives: configuration and claims, as one deterministic state machine.
+//! What the replicated log drives: configuration, evacuations and claims, as one deterministic
+//! state machine.
 
 use serde::{Deserialize, Serialize};
 
 use crate::claims::state::LogTime;
 use crate::claims::{ClaimOutcome, ClaimRequest, ClaimTable, ClaimsConfig, SettleRequest};
 use crate::config::{ApplyOutcome, ConfigChange, ConfigState};
+use crate::evacuation::{EvacuationOrder, Evacuations};
 use crate::ids::ConfigNumber;
 
 /// What an entry of the log orders.
@@ -18,6 +20,8 @@
     Settle(SettleRequest),
     /// Change nothing; once applied, the state holds all that was committed before.
     Read,
+    /// Begin or end the evacuation of a failure domain.
+    Evacuate(EvacuationOrder),
 }
 
 /// An entry of the log: an order and the leader's clock when it was made.
@@ -40,6 +44,8 @@
     Settled,
     /// Everything committed before is applied.
     Read,
+    /// The evacuation is as ordered.
+    Evacuated,
 }
 
 /// All state of the control boxes.
@@ -52,6 +58,9 @@
     /// The text of the configuration in force, if it came with one.
     #[serde(default)]
     pub document: Option<Document>,
+    /// Failure domains that get no new work.
+    #[serde(default)]
+    pub evacuations: Evacuations,
     now: LogTime,
 }
 
@@ -81,6 +90,10 @@
                 Reply::Settled
             }
             Order::Read => Reply::Read,
+            Order::Evacuate(order) => {
+                self.evacuations.apply(order);
+                Reply::Evacuated
+            }
         }
     }
 
--- a/crates/hatchpitch/src/control/mod.rs
+++ b/crates/hatchpitch/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod boxes;
 pub mod context;
 pub mod daemon;
+pub mod evacuate;
 pub mod join;
 pub mod machine;
 pub mod operators;
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -10,13 +10,15 @@
 
 use super::context::{ControlCx, ProposeError};
 use super::daemon::BODY_LIMIT;
+use super::evacuate::{EvacuateError, evacuate};
 use super::machine::Order;
 use super::repair;
 use super::submit::{SubmitError, submit};
 use crate::config::check::MAX_FLEET_FILE;
 use crate::config::view::find_key;
 use crate::config::{ApplyOutcome, Entity, EntityKey, Fleet, load_fleet};
-use crate::ids::{BoxName, ConfigNumber};
+use crate::evacuation::{EvacuationOrder, Evacuations, Revision};
+use crate::ids::{BoxName, ConfigNumber, FailureDomainName};
 use crate::outcome::{Outcome, Problem, json_response, text_response};
 use crate::security::bearer;
 use crate::settings::diagnostic::Problem as FileProblem;
@@ -40,6 +42,24 @@
     pub config_digest: String,
     /// Claims held.
     pub claims: usize,
+    /// Evacuated failure domains.
+    #[serde(default)]
+    pub evacuated: Vec<FailureDomainName>,
+}
+
+/// The evacuations that hold.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EvacuationList {
+    /// Position among all changes; boxes tell theirs.
+    pub revision: Revision,
+    /// Evacuated failure domains.
+    pub domains: Vec<FailureDomainName>,
+}
+
+impl From<&Evacuations> for EvacuationList {
+    fn from(set: &Evacuations) -> Self {
+        Self { revision: set.revision(), domains: set.domains().cloned().collect() }
+    }
 }
 
 /// Why a fleet file was not taken.
@@ -105,6 +125,17 @@
         }
         (Method::POST, "/ops/config") => apply(cx, req, &operator).await,
         (Method::POST, "/ops/diff") => diff(cx, req).await,
+        (Method::GET, "/ops/evacuations") => {
+            be_newest(cx).await?;
+            let list = EvacuationList::from(&*cx.config.evacuations());
+            Ok(json_response(StatusCode::OK, &list, Outcome::Done))
+        }
+        (Method::POST, "/ops/evacuations/begin") => {
+            order_evacuation(cx, &req, EvacuationOrder::Begin, &operator).await
+        }
+        (Method::POST, "/ops/evacuations/end") => {
+            order_evacuation(cx, &req, EvacuationOrder::End, &operator).await
+        }
         (Method::POST, "/ops/repair") => repair(cx, req, &operator).await,
         _ => Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown_path", "no such path")),
     }
@@ -114,9 +145,29 @@
     cx.metrics.process(&cx.boxes);
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
     cx.metrics.gauge("hatchpitch_leads", if cx.leads() { 1.0 } else { 0.0 });
+    cx.metrics.evacuations(&cx.config.evacuations());
     text_response(StatusCode::OK, cx.metrics.render())
 }
 
+/// Begins or ends the evacuation of the failure domain that a request names.
+async fn order_evacuation(
+    cx: &ControlCx,
+    req: &Request<Incoming>,
+    order: impl FnOnce(FailureDomainName) -> EvacuationOrder,
+    operator: &str,
+) -> Result<Response<Body>, Problem> {
+    let domain = query_value(req.uri(), "domain");
+    let domain = domain.ok_or_else(|| Problem::bad_request("domain: missing"))?.to_owned();
+    match evacuate(cx, order(domain), operator).await {
+        Ok(held) => Ok(json_response(StatusCode::OK, &EvacuationList::from(&*held), Outcome::Done)),
+        Err(EvacuateError::Propose(err)) => Err(propose_problem(err)),
+        Err(EvacuateError::UnknownDomain(domain)) => {
+            let message = format!("no failure domain {domain:?} is known");
+            Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown_domain", message))
+        }
+    }
+}
+
 fn authenticate(cx: &ControlCx, req: &Request<Incoming>) -> Result<String, Problem> {
     let key = bearer(req.headers()).unwrap_or("");
     let first = cx.settings.operators.iter().find(|op| find_key(&op.keys, key).is_some());
@@ -277,5 +328,6 @@
         config_number: m.config.number(),
         config_digest: to_hex(&m.config.digest()),
         claims: m.claims.len(),
+        evacuated: m.evacuations.domains().cloned().collect(),
     })
 }
--- a/crates/hatchpitch/src/control/registrations.rs
+++ b/crates/hatchpitch/src/control/registrations.rs
@@ -1,33 +1,43 @@
 //! Takes the announcements of upstreams in, and says when they hold.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use super::context::ControlCx;
-use crate::registry::peers::spread;
 use crate::registry::{Announced, Phase, RegistryNews, UpstreamRecord};
 
-/// An announcement that too few control boxes hold to be acknowledged.
+/// Why an announcement is not acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NotHeld;
+pub enum Unacknowledged {
+    /// Too few control boxes hold it.
+    NotHeld,
+    /// The configuration in force has no such service, so it names no upstream to use. Nothing is
+    /// noted: it may come from another writer, and must not end who lives at its address.
+    UnknownService,
+}
 
 /// Takes an announcement in. That an upstream leaves is held by a majority of the control boxes
-/// when this returns, and entry boxes follow several of them, so it comes into force although this
-/// box may be lost at once.
+/// when this returns, and entry boxes hear of it from several of them, so it comes into force
+/// although this box may be lost at once.
 ///
 /// # Errors
 ///
-/// Returns [`NotHeld`] if no majority can be reached; the upstream should announce itself again.
-pub async fn announce(cx: &ControlCx, record: UpstreamRecord) -> Result<(), NotHeld> {
+/// Returns why it is not acknowledged; the upstream should announce itself again.
+pub async fn announce(cx: &Rc<ControlCx>, record: UpstreamRecord) -> Result<(), Unacknowledged> {
+    if !knows_service(cx, &record.service) {
+        return Err(Unacknowledged::UnknownService);
+    }
     let announced = cx.registry.change(|table| table.announce_here(record.clone(), Instant::now()));
     let leaves = record.phase == Phase::Leaving;
     if announced == Announced::News {
         log::info!(
-            "upstream {} of {} at {}: {:?}, sequence {}",
-            record.id,
+            "upstream {} of {} at {}: {:?}, sequence {}, warm in {} ms",
+            record.life(),
             record.service,
             record.addr,
             record.phase,
-            record.sequence
+            record.sequence,
+            record.warm_in.as_millis()
         );
     }
     if announced != Announced::News && !leaves {
@@ -37,25 +47,33 @@
     hold(cx, news, leaves).await
 }
 
-/// Ends the life of an upstream, as [`announce`] does for one that leaves.
+/// Ends the life of an upstream that goes by `id`, as [`announce`] does for one that leaves.
 ///
 /// # Errors
 ///
-/// Returns [`NotHeld`] as [`announce`] does.
-pub async fn end(cx: &ControlCx, id: &str) -> Result<(), NotHeld> {
-    if cx.registry.change(|table| table.end(id, Instant::now())) {
-        log::info!("upstream {id}: its life ended");
+/// Returns [`Unacknowledged::NotHeld`] as [`announce`] does.
+pub async fn end(cx: &Rc<ControlCx>, id: &str) -> Result<(), Unacknowledged> {
+    let ended = cx.registry.change(|table| table.end_id(id, Instant::now()));
+    for life in &ended {
+        log::info!("upstream {life}: its life ended");
     }
-    let news = RegistryNews { ended: vec![id.to_owned()], ..RegistryNews::default() };
-    hold(cx, news, true).await
+    // An end that is asked for again has to be held as well before it is acknowledged.
+    let lives =
+        if ended.is_empty() { cx.registry.with(|table| table.ended_lives(id)) } else { ended };
+    hold(cx, RegistryNews::of_ends(lives), true).await
+}
+
+/// Returns whether the configuration in force has a service; before the first one, all may come.
+fn knows_service(cx: &ControlCx, service: &str) -> bool {
+    let view = cx.config.view();
+    view.number == 0 || view.hosted_services.contains_key(service)
 }
 
-async fn hold(cx: &ControlCx, news: RegistryNews, needed: bool) -> Result<(), NotHeld> {
+async fn hold(cx: &Rc<ControlCx>, news: RegistryNews, needed: bool) -> Result<(), Unacknowledged> {
     let wanted = if needed { cx.core_addrs().len() / 2 } else { 0 };
-    let news = cx.signed_news(news);
-    let held = spread(&cx.boxes, &cx.peer_addrs(), &news, wanted).await;
+    let held = cx.outbox.pass_on(&cx.registry_peers(), news, wanted).await;
     if !held {
         log::warn!("news about upstreams is not held by a majority of the control boxes");
     }
-    held.then_some(()).ok_or(NotHeld)
+    held.then_some(()).ok_or(Unacknowledged::NotHeld)
 }
--- a/crates/hatchpitch/src/dispatch/line.rs
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -57,12 +57,15 @@
     /// pool's.
     #[serde(default)]
     pub accepts: Option<Duration>,
+    /// Failure domains whose runners may run it; all if there are none.
+    #[serde(default)]
+    pub within: Vec<FailureDomainName>,
 }
 
 impl Want {
     fn asked(&self) -> Asked<'_> {
         let near = self.near.as_deref();
-        Asked { id: &self.id, avoid: &self.avoid, near, copied: self.copied }
+        Asked { id: &self.id, avoid: &self.avoid, near, copied: self.copied, within: &self.within }
     }
 
     fn candidate(&self) -> Candidate {
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -1,13 +1,14 @@
 //! What the tasks of one entry process share. One thread, so plain cells.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::{BoxClient, Upstream};
 use http::StatusCode;
+use twox_hash::XxHash64;
 
 use crate::admission::{AdmissionConfig, Gate, Placement};
 use crate::claims::ClaimClient;
@@ -15,17 +16,18 @@
 use crate::config::view::PoolView;
 use crate::config::{FleetView, Runner};
 use crate::dispatch::owners::OwnerMap;
+use crate::evacuation::Revision;
 use crate::grants::{GrantTable, HeldSlots};
-use crate::ids::{ConfigNumber, PoolName, WorkspaceName};
+use crate::ids::{ConfigNumber, FailureDomainName, PoolName, RegionName, WorkspaceName};
 use crate::limits::RetryBudgets;
-use crate::membership::MemberRecord;
 use crate::membership::task::SharedMembership;
+use crate::membership::{MemberRecord, Subject};
 use crate::metrics::Metrics;
 use crate::moves::Turns;
 use crate::outcome::Problem;
 use crate::registry::follow::Followed;
-use crate::routing::RoutingConfig;
 use crate::routing::state::RunnerSpec;
+use crate::routing::{ColdLimit, RoutingConfig};
 use crate::settings::EntrySettings;
 use crate::trace::Tracer;
 
@@ -40,6 +42,15 @@
     Closed,
 }
 
+/// Versions of what the gates are made from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct MadeFrom {
+    config: ConfigNumber,
+    members: u64,
+    roster: u64,
+    evacuations: Revision,
+}
+
 /// Shared state of an entry process.
 pub struct EntryCx {
     /// Settings.
@@ -76,8 +87,11 @@
     pub config_seen: Cell<ConfigNumber>,
     /// The configuration in force with the upstreams that serve.
     view: RefCell<Rc<FleetView>>,
-    /// Versions of configuration, members and roster that the gates were made from.
-    synced: Cell<(u64, u64, u64)>,
+    /// What the gates were made from.
+    synced: Cell<MadeFrom>,
+    /// Failure domains whose evacuation ended of late, with when that was heard of.
+    reopened: RefCell<BTreeMap<FailureDomainName, Instant>>,
+    started: Instant,
     owners: RefCell<OwnerMap>,
     streams: RefCell<HashMap<WorkspaceName, u64>>,
     active: Cell<usize>,
@@ -112,6 +126,8 @@
             config_seen: Cell::new(0),
             view: RefCell::default(),
             synced: Cell::default(),
+            reopened: RefCell::default(),
+            started: Instant::now(),
             owners: RefCell::default(),
             streams: RefCell::default(),
             active: Cell::new(0),
@@ -133,6 +149,7 @@
         if let Some(pool) = view.pools.iter().find(|p| p.pool.name == pool) {
             gate.update(|table| table.sync(pool.runners.iter().map(|r| runner_spec(pool, r))));
             self.tell_membership(&gate);
+            self.tell_cold(&gate, pool, Placement::Local);
         }
         gate
     }
@@ -183,18 +200,25 @@
 
     /// Brings the gates up to the configuration in force and the boxes that serve.
     pub fn sync_gates(&self) -> Rc<FleetView> {
-        let number = self.config.number();
-        let roster = self.upstreams.roster.borrow().version();
-        let made_from = (number, self.membership.borrow().version(), roster);
-        let (old_number, _, old_roster) = self.synced.get();
-        if self.synced.replace(made_from) == made_from {
+        let evacuations = self.config.evacuations();
+        let made_from = MadeFrom {
+            config: self.config.number(),
+            members: self.membership.borrow().version(),
+            roster: self.upstreams.roster.borrow().version(),
+            evacuations: evacuations.revision(),
+        };
+        let former = self.synced.replace(made_from);
+        if former == made_from {
             return self.view.borrow().clone();
         }
-        let new_view = (old_number, old_roster) != (number, roster);
+        let new_view = MadeFrom { members: made_from.members, ..former } != made_from;
         if new_view {
+            let ended = evacuations.ended_since(former.evacuations).cloned();
+            let now = Instant::now();
+            self.reopened.borrow_mut().extend(ended.map(|domain| (domain, now)));
             let roster = self.upstreams.roster.borrow();
             let view = self.config.view().with_upstreams(roster.serving());
-            *self.view.borrow_mut() = Rc::new(view);
+            *self.view.borrow_mut() = Rc::new(view.without_evacuated(&evacuations));
         }
         let view = self.view.borrow().clone();
         let owners_changed = {
@@ -234,6 +258,65 @@
         let specs: Vec<RunnerSpec> = owned.map(|runner| runner_spec(pool, runner)).collect();
         gate.update(|table| table.sync(specs));
         self.tell_membership(&gate);
+        self.tell_cold(&gate, pool, self.placement(pool));
+    }
+
+    /// Returns whether the upstreams of a failure domain get no new work.
+    pub fn is_evacuated(&self, domain: &str) -> bool {
+        self.config.evacuations().is_evacuated(domain)
+    }
+
+    /// Returns the failure domains of some regions, as far as the settings and the configuration
+    /// name them.
+    pub fn domains_of(&self, regions: &[RegionName]) -> Vec<FailureDomainName> {
+        let view = self.config.view();
+        let known = self.settings.regions.iter().chain(&view.regions);
+        let within = known.filter(|(_, region)| regions.contains(region));
+        let mut domains: Vec<FailureDomainName> =
+            within.map(|(domain, _)| domain.clone()).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains
+    }
+
+    /// Tells the gate of a pool which of its runners are cold, and what this box may send to them.
+    fn tell_cold(&self, gate: &Gate, pool: &PoolView, placement: Placement) {
+        let Some(cold) = pool.hosted.and_then(|hosted| hosted.cold) else { return };
+        let (roster, reopened) = (self.upstreams.roster.borrow(), self.reopened.borrow());
+        let senders = match placement {
+            Placement::Owner => 1,
+            Placement::Local => self.senders(),
+        };
+        let limit = |runner: &str| {
+            let phase = self.phase_at(runner);
+            ColdLimit { rate: cold.rate, senders, phase }
+        };
+        let until = |spec: &RunnerSpec| {
+            // Its announcements told last what it was before the evacuation ended.
+            let reopened = reopened.get(&spec.failure_domain);
+            let reopened = reopened.map(|at| *at + cold.lasts.max(ANNOUNCEMENT_WAIT));
+            let told = roster.warm_at(&spec.name);
+            told.into_iter().chain(reopened).max()
+        };
+        let now = Instant::now();
+        gate.update(|table| {
+            table.set_cold(|spec| until(spec).map(|until| (until, limit(&spec.name))), now);
+        });
+    }
+
+    /// Returns how many boxes send to an upstream, each by its own decision: all that were known
+    /// of late, as those that cannot be reached may go on sending.
+    fn senders(&self) -> usize {
+        let membership = self.membership.borrow();
+        let boxes = membership.records().filter(|r| matches!(r.subject, Subject::Box(_))).count();
+        let least = if self.started.elapsed() < ACQUAINTED { SENDERS_AT_START } else { 1 };
+        boxes.max(least)
+    }
+
+    /// Returns where this box's turn at a cold runner lies among those of the others.
+    fn phase_at(&self, runner: &str) -> f64 {
+        let bytes = [self.settings.name.as_bytes(), runner.as_bytes()].concat();
+        XxHash64::oneshot(0, &bytes) as f64 / u64::MAX as f64
     }
 
     /// Tells the gate of a pool which of its runners membership lets serve.
@@ -346,6 +429,13 @@
     }
 }
 
+/// Time within which a runner tells that it has become cold: one heartbeat and its travel.
+const ANNOUNCEMENT_WAIT: Duration = Duration::from_millis(1_500);
+/// Time after its start in which a box comes to know the others.
+const ACQUAINTED: Duration = Duration::from_secs(5);
+/// Boxes that a box takes the fleet to have until then: after a loss of all they start together,
+/// and each knows a few of them only.
+const SENDERS_AT_START: usize = 64;
 /// Longest time that a request waits for this box to learn the configuration: a start, an
 /// election and the travel of the answer.
 const CONFIG_WAIT: Duration = Duration::from_millis(2_000);
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -21,7 +21,7 @@
 use crate::membership::state::{Membership, MembershipConfig};
 use crate::membership::task;
 use crate::pressure;
-use crate::registry::follow::{self, ConfigHints};
+use crate::registry::follow::{self, OrderHints};
 use crate::routing::task as routing;
 use crate::settings::EntrySettings;
 use crate::signals;
@@ -52,6 +52,7 @@
     extra: impl FnOnce(&Rc<EntryCx>) -> Vec<ExtraListener>,
     reloaded: impl Fn(&Rc<EntryCx>) + 'static,
 ) -> anyhow::Result<()> {
+    signals::hold_hangups().await;
     let listen_ip = settings.listen_ip;
     let callers = bind(bound_at(settings.callers_addr, listen_ip)).await;
     let callers = callers.context("callers' listener")?;
@@ -123,9 +124,14 @@
     });
     let followed = cx.upstreams.clone();
     let (numbered, fetching) = (cx.clone(), cx.clone());
-    let hints = ConfigHints {
+    let (at_revision, evacuating) = (cx.clone(), cx.clone());
+    let hints = OrderHints {
         number: Rc::new(move || numbered.config.number().max(numbered.config_seen.get())),
         newer_at: Rc::new(move |source, number| fetch_config(&fetching, source, number)),
+        evacuations: Rc::new(move || at_revision.config.evacuations().revision()),
+        evacuated: Rc::new(move |evacuations| {
+            evacuating.config.set_evacuations(evacuations);
+        }),
     };
     let name = cx.settings.name.clone();
     let upstreams = follow::run(name, followed, cx.boxes.clone(), hints, stop.clone());
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -437,6 +437,7 @@
         copied: 0,
         max_wait: None,
         accepts: None,
+        within: Vec::new(),
     };
     grants::task::obtain(cx, &job.pool, want).await
 }
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -12,7 +12,8 @@
 use super::context::{EntryCx, Intake};
 use super::daemon;
 use crate::config::view::PoolView;
-use crate::ids::{BoxName, ConfigNumber, PoolName, RunnerName, WorkspaceName};
+use crate::evacuation::Revision;
+use crate::ids::{BoxName, ConfigNumber, FailureDomainName, PoolName, RunnerName, WorkspaceName};
 use crate::membership::MemberStatus;
 use crate::outcome::{Outcome, Problem, json_response};
 use crate::security::bearer;
@@ -26,6 +27,9 @@
     pub config_number: ConfigNumber,
     /// Milliseconds since that number was confirmed as the newest; `None` if never.
     pub confirmed_age_ms: Option<u64>,
+    /// Evacuated failure domains, and the position of the change that made it so.
+    #[serde(default)]
+    pub evacuated: (Revision, Vec<FailureDomainName>),
     /// `open`, `leaving` or `closed`.
     pub intake: String,
     /// Requests in progress.
@@ -107,12 +111,14 @@
 pub fn status(cx: &Rc<EntryCx>) -> EntryStatus {
     let now = Instant::now();
     let age = cx.config.confirmed_age().map(|age| u64::try_from(age.as_millis()));
+    let evacuations = cx.config.evacuations();
     let view = cx.sync_gates();
     let pools = view.pools.iter().map(|pool| pool_status(cx, pool, now)).collect();
     EntryStatus {
         name: cx.settings.name.clone(),
         config_number: cx.config.number(),
         confirmed_age_ms: age.and_then(Result::ok),
+        evacuated: (evacuations.revision(), evacuations.domains().cloned().collect()),
         intake: intake_name(cx.intake.get()).to_owned(),
         active: cx.active(),
         streams: cx.stream_counts(),
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -176,7 +176,10 @@
 
     fn search(&self) -> Search {
         let near = self.want.near.as_deref();
-        let owners = self.cx.owners_of(&self.pool).into_iter().map(|(addr, engines)| {
+        let within = |addr| self.want.within.iter().any(|domain| self.cx.owns_in(domain, addr));
+        let owners = self.cx.owners_of(&self.pool).into_iter();
+        let owners = owners.filter(|(addr, _)| self.want.within.is_empty() || within(*addr));
+        let owners = owners.map(|(addr, engines)| {
             let near = near.is_some_and(|near| self.cx.owns_in(near, addr));
             OwnerChoice { addr, engines, near }
         });
--- a/crates/hatchpitch/src/ids.rs
+++ b/crates/hatchpitch/src/ids.rs
@@ -9,6 +9,8 @@
 pub type BoxName = String;
 /// Name of a failure domain.
 pub type FailureDomainName = String;
+/// Name of a region, which holds failure domains.
+pub type RegionName = String;
 /// Name of a pool of runners that hold the same model.
 pub type PoolName = String;
 /// Name of a model runner (an engine).
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod engine;
 pub mod entry;
 pub mod essential;
+pub mod evacuation;
 pub mod explain;
 pub mod grants;
 pub mod ids;
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -9,6 +9,7 @@
 use hatchpitch_net::{BoxClient, Traffic};
 use hdrhistogram::Histogram;
 
+use crate::evacuation::Evacuations;
 use crate::ids::{PoolName, Priority};
 
 /// Times that are measured for each pool and priority.
@@ -114,6 +115,12 @@
         }
     }
 
+    /// Shows the evacuations that hold.
+    pub fn evacuations(&self, evacuations: &Evacuations) {
+        self.gauge("hatchpitch_evacuated_domains", evacuations.domains().count() as f64);
+        self.gauge("hatchpitch_evacuations_revision", evacuations.revision() as f64);
+    }
+
     /// Returns a count over all pools.
     pub fn total(&self, count: Count) -> u64 {
         self.0.borrow().counts.iter().filter(|((c, _), _)| *c == count).map(|(_, n)| n).sum()
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -12,6 +12,7 @@
 use crate::grants::Slot;
 use crate::grants::task::obtain;
 use crate::ids::{FailureDomainName, RunnerName, ServiceName, new_id};
+use crate::registry::UpstreamRecord;
 use crate::relay::dialect::{CopyAnswer, CopyFailure, CopyOrder};
 use crate::relay::{HostedRequest, Relay};
 
@@ -190,7 +191,7 @@
         let cx = &self.relay.cx;
         let mut avoid: Vec<RunnerName> = {
             let roster = cx.upstreams.roster.borrow();
-            roster.leaving().map(|record| record.id.clone()).collect()
+            roster.leaving().map(UpstreamRecord::life).collect()
         };
         avoid.push(self.leaver.runner.clone());
         let want = Want {
@@ -205,6 +206,7 @@
             copied: self.in_memory,
             max_wait: Some(SLOT_WAIT),
             accepts: Some(SLOT_WAIT),
+            within: self.relay.domains_for(&self.req).map_err(|refusal| refusal.cause)?,
         };
         let slot = obtain(cx, &self.leaver.service, want).await;
         slot.map_err(|refusal| refusal.cause)
--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -4,33 +4,40 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hatchpitch_net::{BoxClient, Stop};
 use twox_hash::XxHash64;
 
-use super::messages::{FollowAnswer, FollowRequest};
+use super::messages::{Detail, FollowAnswer, FollowRequest};
 use super::roster::Roster;
+use crate::evacuation::{Evacuations, Revision};
 use crate::ids::{BoxName, ConfigNumber};
 use crate::limits::backoff;
 
 /// Path of the held requests.
 pub const FOLLOW_PATH: &str = "/box/upstreams";
-/// How long a control box may hold a request.
-const HOLD: Duration = Duration::from_millis(1_000);
+/// How long a control box may hold a request. With the margin it is the time after which a box
+/// that fell silent is noticed and another one is followed for everything: a second, half of what
+/// an upstream that leaves has.
+const HOLD: Duration = Duration::from_millis(500);
 /// Time allowed for an answer beyond the hold.
-const ANSWER_MARGIN: Duration = Duration::from_millis(1_000);
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 /// Time between looks for control boxes that nobody follows yet.
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
-/// Control boxes that one entry box follows. What an upstream announces is at a majority of up
-/// to ten of them when it is acknowledged, so one of six has it; at all of them within a second.
-const MAX_FOLLOWED: usize = 6;
-/// Rest between two requests to a control box, but for the one that is asked again at once. All
-/// tell the same changes; what only one of them has comes within a quarter of the two seconds
-/// after which an upstream that leaves gets no new work.
-const REST: Duration = Duration::from_millis(500);
-/// Failures in a row from which on another control box is followed as well.
-const AWAY: u32 = 3;
+/// Control boxes that one entry box follows: one for everything, the other for what leaves or
+/// ended, so that it hears of that while the first one falls silent. What an upstream announces is
+/// at a majority of the control boxes when it is acknowledged, and at all of them that are in
+/// touch within a second, whoever is lost meanwhile.
+const MAX_FOLLOWED: usize = 2;
+/// Rest between two questions for departures, half of the time that an upstream that leaves has.
+const DEPARTURES_REST: Duration = Duration::from_millis(1_000);
+/// Shortest time between two questions for everything, for each upstream: of more of them more
+/// changes are to be told together, and each answer costs some 600 bytes beside what it tells.
+const REST_AN_UPSTREAM: Duration = Duration::from_micros(33);
+/// Bounds of that time: what a caller does not notice, and a twentieth of the time that an
+/// upstream that leaves has.
+const REST_BOUNDS: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(100));
 /// Failures in a row after which a control box that no other names is no longer followed.
 const MAX_FAILURES: u32 = 50;
 
@@ -42,8 +49,8 @@
     pub control: RefCell<BTreeSet<SocketAddr>>,
     from_settings: RefCell<BTreeSet<SocketAddr>>,
     running: RefCell<BTreeSet<SocketAddr>>,
-    /// Those of `running` that do not answer.
-    away: RefCell<BTreeSet<SocketAddr>>,
+    /// Those of `running` that do not answer, or are out of touch with the core.
+    doubtful: RefCell<BTreeSet<SocketAddr>>,
 }
 
 impl Followed {
@@ -55,7 +62,7 @@
             control: RefCell::new(control.clone()),
             from_settings: RefCell::new(control),
             running: RefCell::default(),
-            away: RefCell::default(),
+            doubtful: RefCell::default(),
         })
     }
 
@@ -68,25 +75,40 @@
     /// Returns the control boxes to begin to follow: each entry box prefers others.
     pub fn candidates(&self, own: &str) -> Vec<SocketAddr> {
         let running = self.running.borrow();
-        let answering = running.len() - self.away.borrow().len();
+        let sound = running.difference(&self.doubtful.borrow()).count();
         let mut left = self.control();
         left.retain(|addr| !running.contains(addr));
         left.sort_by_key(|addr| weight(own, *addr));
-        left.truncate(MAX_FOLLOWED.saturating_sub(answering));
+        left.truncate(MAX_FOLLOWED.saturating_sub(sound));
         left
     }
 
-    /// Returns whether this is the control box that is asked again at once: each entry box prefers
-    /// another one of those that answer.
+    /// Returns whether this is the control box that is followed for everything: each entry box
+    /// prefers another one of those that answer and are in touch with the core.
     pub fn is_first(&self, own: &str, source: SocketAddr) -> bool {
-        let (running, away) = (self.running.borrow(), self.away.borrow());
-        first_of(own, running.difference(&away).copied()) == Some(source)
+        let (running, doubtful) = (self.running.borrow(), self.doubtful.borrow());
+        let sound = first_of(own, running.difference(&doubtful).copied());
+        sound.or_else(|| first_of(own, running.iter().copied())) == Some(source)
+    }
+
+    /// Returns how much to ask a control box for.
+    fn detail(&self, own: &str, source: SocketAddr) -> Detail {
+        if self.is_first(own, source) { Detail::Whole } else { Detail::Departures }
+    }
+
+    fn set_doubtful(&self, source: SocketAddr, is_doubtful: bool) {
+        let mut doubtful = self.doubtful.borrow_mut();
+        if is_doubtful {
+            doubtful.insert(source);
+        } else {
+            doubtful.remove(&source);
+        }
     }
 
     /// Forgets a control box that is followed no more; it may be named again.
     fn forget(&self, source: SocketAddr) {
         self.running.borrow_mut().remove(&source);
-        self.away.borrow_mut().remove(&source);
+        self.set_doubtful(source, false);
         self.control.borrow_mut().remove(&source);
     }
 
@@ -96,7 +118,7 @@
     }
 }
 
-/// Returns the control box of some that an entry box asks again at once.
+/// Returns the control box of some that an entry box follows for everything.
 pub fn first_of(own: &str, control: impl Iterator<Item = SocketAddr>) -> Option<SocketAddr> {
     control.min_by_key(|addr| weight(own, *addr))
 }
@@ -107,11 +129,15 @@
 
 /// What a follower does beside keeping the roster.
 #[derive(Clone)]
-pub struct ConfigHints {
+pub struct OrderHints {
     /// Returns the highest configuration number that is in force here or being fetched.
     pub number: Rc<dyn Fn() -> ConfigNumber>,
     /// Called when a control box has a newer one, with its address and that number.
     pub newer_at: Rc<dyn Fn(SocketAddr, ConfigNumber)>,
+    /// Returns the revision of the evacuations in force here.
+    pub evacuations: Rc<dyn Fn() -> Revision>,
+    /// Called with newer evacuations.
+    pub evacuated: Rc<dyn Fn(&Evacuations)>,
 }
 
 /// Follows control boxes, as many as are wanted and answer, until `stop`.
@@ -119,7 +145,7 @@
     own: BoxName,
     followed: Rc<Followed>,
     client: BoxClient,
-    hints: ConfigHints,
+    hints: OrderHints,
     stop: Stop,
 ) {
     while !stop.is_set() {
@@ -139,31 +165,45 @@
     source: SocketAddr,
     followed: Rc<Followed>,
     client: BoxClient,
-    hints: ConfigHints,
+    hints: OrderHints,
     stop: Stop,
 ) {
     let mut failures = 0;
     while !stop.is_set() && failures < MAX_FAILURES {
-        let (epoch, have) = followed.roster.borrow().position(source);
-        let config = (hints.number)();
-        let req = FollowRequest { from: own.clone(), epoch, have, config, hold: HOLD };
+        let asked = Instant::now();
+        let detail = followed.detail(&own, source);
+        let (epoch, have) = followed.roster.borrow().position(source, detail);
+        let req = FollowRequest {
+            from: own.clone(),
+            epoch,
+            have,
+            config: (hints.number)(),
+            hold: HOLD,
+            detail,
+            evacuations: (hints.evacuations)(),
+        };
         let call = client.call::<_, FollowAnswer>(source, FOLLOW_PATH, &req, HOLD + ANSWER_MARGIN);
         match call.await {
             Ok(answer) => {
                 failures = 0;
-                take(&followed, source, answer, &hints);
-                if !followed.is_first(&own, source) {
-                    compio::time::sleep(REST).await;
-                }
+                let more = answer.more;
+                take(&followed, source, detail, answer, &hints);
+                let rest = match followed.detail(&own, source) {
+                    _ if more => Duration::ZERO,
+                    Detail::Departures => DEPARTURES_REST,
+                    Detail::Named | Detail::Whole => {
+                        let known = followed.roster.borrow().len();
+                        question_period(known).saturating_sub(asked.elapsed())
+                    }
+                };
+                compio::time::sleep(rest).await;
             }
             Err(err) => {
                 if failures == 0 {
                     log::info!("control box {source} is out of reach: {err}");
                 }
                 failures += 1;
-                if failures >= AWAY {
-                    followed.away.borrow_mut().insert(source);
-                }
+                followed.set_doubtful(source, true);
                 compio::time::sleep(backoff::rest(failures)).await;
             }
         }
@@ -174,20 +214,39 @@
     followed.forget(source);
 }
 
+/// Returns the shortest time between two questions for everything, with so many upstreams.
+pub fn question_period(upstreams: usize) -> Duration {
+    let count = u32::try_from(upstreams).unwrap_or(u32::MAX);
+    REST_AN_UPSTREAM.saturating_mul(count).clamp(REST_BOUNDS.0, REST_BOUNDS.1)
+}
+
 /// Takes an answer of a control box that is followed.
-fn take(followed: &Followed, source: SocketAddr, answer: FollowAnswer, hints: &ConfigHints) {
-    followed.away.borrow_mut().remove(&source);
+fn take(
+    followed: &Followed,
+    source: SocketAddr,
+    asked: Detail,
+    answer: FollowAnswer,
+    hints: &OrderHints,
+) {
+    followed.set_doubtful(source, answer.out_of_touch);
     followed.control.borrow_mut().extend(&answer.control);
     if answer.config > (hints.number)() {
         (hints.newer_at)(source, answer.config);
     }
+    if let Some(evacuations) = &answer.evacuations {
+        (hints.evacuated)(evacuations);
+    }
     let (epoch, version) = (answer.epoch, answer.version);
     let mut roster = followed.roster.borrow_mut();
-    if roster.take(source, answer) {
-        let (serving, leaving) = (roster.serving().count(), roster.leaving().count());
-        log::info!(
-            "upstreams changed: {serving} serve, {leaving} leave; roster {}, from {source} at {epoch:x}/{version}",
-            roster.version()
-        );
+    match roster.take(source, asked, answer, Instant::now()) {
+        Ok(true) => {
+            let (serving, leaving) = (roster.serving().count(), roster.leaving().count());
+            log::info!(
+                "upstreams changed: {serving} serve, {leaving} leave; roster {}, from {source} at {epoch:x}/{version}",
+                roster.version()
+            );
+        }
+        Ok(false) => {}
+        Err(err) => log::warn!("control box {source}: records do not decode: {err}"),
     }
 }
--- a/crates/hatchpitch/src/registry/mod.rs
+++ b/crates/hatchpitch/src/registry/mod.rs
@@ -7,12 +7,16 @@
 //! box stands between a leaving upstream and the boxes that send it work.
 
 pub mod follow;
+pub mod life;
 pub mod messages;
 pub mod peers;
 pub mod roster;
 pub mod table;
 pub mod verify;
 
-pub use messages::{FollowAnswer, FollowRequest, Phase, RegistryNews, UpstreamRecord};
+pub use life::{Birth, LifeName, announced_id, life_name};
+pub use messages::{
+    Detail, FollowAnswer, FollowRequest, PackedRecords, Phase, RegistryNews, UpstreamRecord,
+};
 pub use roster::Roster;
 pub use table::{Announced, RegistryCell, Table};
--- a/crates/hatchpitch/src/registry/peers.rs
+++ b/crates/hatchpitch/src/registry/peers.rs
@@ -1,9 +1,11 @@
 //! Passes news about upstreams between control boxes.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_channel::oneshot;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hatchpitch_net::{BoxClient, Stop};
@@ -20,21 +22,75 @@
 const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time between renewals while this box does not know the core: others learn of it by them.
 const LONELY_PERIOD: Duration = Duration::from_millis(150);
+/// Time for which news are gathered into one message: a tenth of the time until an upstream's
+/// acknowledgement is late. With 77 changes a second at each of six boxes it takes a quarter of
+/// the calls.
+const GATHER_PERIOD: Duration = Duration::from_millis(40);
 
-/// Passes news on and waits until `wanted` of the peers hold it; returns whether they do.
+/// How the control boxes are reached.
+pub struct Peers {
+    /// Client for other boxes.
+    pub client: BoxClient,
+    /// Returns where other boxes reach the other control boxes.
+    pub find: Box<dyn Fn() -> Vec<SocketAddr>>,
+    /// Adds to news who sends them and what the receivers have to know.
+    pub complete: Box<dyn Fn(RegistryNews) -> RegistryNews>,
+}
+
+/// News that wait for the next message to the other control boxes.
+#[derive(Default)]
+pub struct Outbox(RefCell<Gathered>);
+
+#[derive(Default)]
+struct Gathered {
+    news: RegistryNews,
+    /// Who waits until a number of peers hold the news.
+    waiting: Vec<(usize, oneshot::Sender<bool>)>,
+    begun: bool,
+}
+
+impl Outbox {
+    /// Passes news on with the next message, and returns whether `wanted` peers hold them.
+    pub async fn pass_on(
+        self: &Rc<Self>,
+        peers: &Rc<Peers>,
+        news: RegistryNews,
+        wanted: usize,
+    ) -> bool {
+        let (tx, rx) = oneshot::channel();
+        let begun = {
+            let mut gathered = self.0.borrow_mut();
+            gathered.news.merge(news);
+            gathered.waiting.push((wanted, tx));
+            std::mem::replace(&mut gathered.begun, true)
+        };
+        if !begun {
+            let (outbox, peers) = (self.clone(), peers.clone());
+            compio::runtime::spawn(async move {
+                compio::time::sleep(GATHER_PERIOD).await;
+                let gathered = outbox.0.take();
+                spread(&peers, gathered.news, gathered.waiting).await;
+            })
+            .detach();
+        }
+        wanted == 0 || rx.await.unwrap_or(false)
+    }
+}
+
+/// Sends news to all peers, and tells who waits once as many as it wants hold them.
 ///
 /// The calls to the remaining peers go on in tasks of their own.
-pub async fn spread(
-    client: &BoxClient,
-    peers: &[SocketAddr],
-    news: &RegistryNews,
-    wanted: usize,
-) -> bool {
-    let mut calls: FuturesUnordered<_> = peers
-        .iter()
+async fn spread(
+    peers: &Peers,
+    news: RegistryNews,
+    mut waiting: Vec<(usize, oneshot::Sender<bool>)>,
+) {
+    let news = Rc::new((peers.complete)(news));
+    let mut calls: FuturesUnordered<_> = (peers.find)()
+        .into_iter()
         .map(|peer| {
-            let (client, news, peer) = (client.clone(), news.clone(), *peer);
-            let (tx, rx) = futures_channel::oneshot::channel();
+            let (client, news) = (peers.client.clone(), news.clone());
+            let (tx, rx) = oneshot::channel();
             compio::runtime::spawn(async move {
                 let _ = tx.send(send(&client, peer, &news).await);
             })
@@ -43,14 +99,20 @@
         })
         .collect();
     let mut held = 0;
-    while held < wanted {
+    loop {
+        for (_, tx) in waiting.extract_if(.., |(wanted, _)| *wanted <= held) {
+            // Whoever waited may have left.
+            let _ = tx.send(true);
+        }
+        if waiting.is_empty() {
+            return;
+        }
         match calls.next().await {
-            Some(Ok(true)) => held += 1,
-            Some(_) => {}
-            None => return false,
+            Some(answered) => held += usize::from(answered == Ok(true)),
+            // Closing the channels tells the others that too few hold the news.
+            None => return,
         }
     }
-    true
 }
 
 async fn send(client: &BoxClient, peer: SocketAddr, news: &RegistryNews) -> bool {
@@ -64,21 +126,14 @@
 }
 
 /// Renews the leases at the other control boxes and lets leases here run out, until `stop`.
-/// `complete` adds who sends and whom it knows; `lonely` tells whether the core is unknown.
-pub async fn run(
-    cell: Rc<RegistryCell>,
-    client: BoxClient,
-    find_peers: impl Fn() -> Vec<SocketAddr>,
-    complete: impl Fn(RegistryNews) -> RegistryNews,
-    lonely: impl Fn() -> bool,
-    stop: Stop,
-) {
+/// `lonely` tells whether the core is unknown.
+pub async fn run(cell: Rc<RegistryCell>, peers: Rc<Peers>, lonely: impl Fn() -> bool, stop: Stop) {
     while !stop.is_set() {
-        for id in cell.change(|table| table.expire(Instant::now())) {
-            log::info!("upstream {id}: its lease ran out");
+        for life in cell.change(|table| table.expire(Instant::now())) {
+            log::info!("upstream {life}: its lease ran out");
         }
-        let renewals = complete(cell.change(|table| table.take_renewals(Instant::now())));
-        spread(&client, &find_peers(), &renewals, 0).await;
+        let renewals = cell.change(|table| table.take_renewals(Instant::now()));
+        spread(&peers, renewals, Vec::new()).await;
         let rest = if lonely() { LONELY_PERIOD } else { RENEW_PERIOD };
         compio::time::sleep(rest).await;
     }
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -2,12 +2,18 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::ops::Bound;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
 
-use super::messages::{Epoch, FollowAnswer, FollowRequest, RegistryNews, UpstreamRecord, Version};
+use super::life::{Birth, LifeName, announced_id, birth_of};
+use super::messages::{
+    Detail, Epoch, FollowAnswer, FollowRequest, PackedRecords, Phase, RegistryNews, UpstreamRecord,
+    Version,
+};
+use crate::evacuation::Evacuations;
 use crate::ids::{ConfigNumber, RunnerName};
 
 /// Time without an announcement after which an upstream no longer counts: four heartbeats of
@@ -20,10 +26,23 @@
 /// Time without an announcement of the holder of an address after which another life that is not
 /// new may take it: more than one heartbeat of 1.2 s, so that a living holder keeps it.
 const HOLDER_SILENT: Duration = Duration::from_secs(2);
+/// Time for which the leaving of an upstream is passed on with each renewal by every control box
+/// that heard of it: those that the news did not reach have it within a second, although the box
+/// that acknowledged it is gone.
+const RESEND_LEAVING: Duration = Duration::from_secs(2);
+/// Longest time that an announcement is known to be held up on its way; after it, a life that
+/// seems to be an older one has only had its clock set back.
+const LATEST_ANNOUNCEMENT: Duration = Duration::from_secs(10);
+/// Difference of the time until an upstream is warm that is news: below it lie the times that
+/// announcements take.
+const COLD_NEWS: Duration = Duration::from_millis(300);
 /// Longest time that an answer to a follower is held back.
 const MAX_HOLD: Duration = Duration::from_secs(5);
 /// Longest wait until there is room for an answer: half of what followers allow beyond the hold.
-const ROOM_WAIT: Duration = Duration::from_millis(500);
+const ROOM_WAIT: Duration = Duration::from_millis(250);
+/// Changes that one answer tells: about 35 KB of packed records, which a link of 10 Mbit/s passes
+/// in 30 ms, far within the time for an answer.
+const MAX_CHANGES: usize = 512;
 /// Time between looks for room: a link of 100 Mbit/s passes a quarter of what may wait.
 const ROOM_LOOK: Duration = Duration::from_millis(20);
 
@@ -44,6 +63,32 @@
     pub(super) renewed: Instant,
     pub(super) changed: Version,
     pub(super) lapsed: bool,
+    /// When it was first heard that it leaves.
+    leaving_since: Option<Instant>,
+    /// Version from which on followers know all that matters of it but that it leaves.
+    told: Version,
+}
+
+/// A life that ended.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Ended {
+    /// Version at which it did.
+    changed: Version,
+    at: Instant,
+    /// Version at which it had said that it leaves.
+    left: Option<Version>,
+}
+
+impl Held {
+    /// Returns how long the upstream stays cold, as far as it has told.
+    fn warm_in(&self, now: Instant) -> Duration {
+        self.record.warm_in.saturating_sub(now.duration_since(self.renewed))
+    }
+
+    /// Returns the record as it would be announced now.
+    fn record_at(&self, now: Instant) -> UpstreamRecord {
+        UpstreamRecord { warm_in: self.warm_in(now), ..self.record.clone() }
+    }
 }
 
 /// Upstreams under leases.
@@ -52,11 +97,16 @@
     pub(super) epoch: Epoch,
     pub(super) version: Version,
     pub(super) started: Instant,
-    pub(super) held: BTreeMap<RunnerName, Held>,
-    /// Version and time at which lives ended.
-    pub(super) ended: BTreeMap<RunnerName, (Version, Instant)>,
-    /// Upstreams that announced themselves to this box since the last renewals.
-    announced_here: BTreeSet<RunnerName>,
+    /// By name of the life.
+    pub(super) held: BTreeMap<LifeName, Held>,
+    /// Lives that ended; by id where the life was not known.
+    pub(super) ended: BTreeMap<LifeName, Ended>,
+    /// The life that changed with each version, if it has not changed since.
+    pub(super) changes: BTreeMap<Version, LifeName>,
+    /// The youngest life of each id that told its birth, and when it was last seen to live.
+    youngest: BTreeMap<RunnerName, (Birth, Instant)>,
+    /// Lives that announced themselves to this box since the last renewals.
+    announced_here: BTreeSet<LifeName>,
 }
 
 impl Table {
@@ -68,29 +118,32 @@
             started: now,
             held: BTreeMap::new(),
             ended: BTreeMap::new(),
+            changes: BTreeMap::new(),
+            youngest: BTreeMap::new(),
             announced_here: BTreeSet::new(),
         }
     }
 
     /// Takes in what an upstream announces to this box.
     pub fn announce_here(&mut self, record: UpstreamRecord, now: Instant) -> Announced {
-        let id = record.id.clone();
+        let life = record.life();
         let announced = self.announce(record, now);
         if announced != Announced::Stale {
-            self.announced_here.insert(id);
+            self.announced_here.insert(life);
         }
         announced
     }
 
     /// Takes an announcement in, whoever passes it on.
     pub fn announce(&mut self, record: UpstreamRecord, now: Instant) -> Announced {
-        if self.ended.contains_key(&record.id) {
+        let life = record.life();
+        if self.has_ended(&record, &life, now) || self.is_contested(&record, &life, now) {
             return Announced::Stale;
         }
-        if self.is_contested(&record, now) {
-            return Announced::Stale;
+        if let Some(born) = record.born {
+            self.youngest.insert(record.id.clone(), (born, now));
         }
-        let Some(known) = self.held.get_mut(&record.id) else {
+        let Some(known) = self.held.get_mut(&life) else {
             self.end_former_holders(&record, now);
             self.put(record, now);
             return Announced::News;
@@ -101,7 +154,8 @@
         }
         let news = known.lapsed
             || record.phase != known.record.phase
-            || record.slots != known.record.slots;
+            || record.slots != known.record.slots
+            || record.warm_in > known.warm_in(now) + COLD_NEWS;
         if news {
             self.put(record, now);
             return Announced::News;
@@ -111,15 +165,41 @@
         Announced::Renewed
     }
 
+    /// Notes that an upstream ended of which only the id is told: its living life, or, if none is
+    /// known here, the one that may yet be announced late. Returns the names of what ended anew.
+    pub fn end_id(&mut self, id: &str, now: Instant) -> Vec<LifeName> {
+        let of_id = self.held.values().filter(|held| held.record.id == id);
+        let mut lives: Vec<LifeName> = of_id.map(|held| held.record.life()).collect();
+        if lives.is_empty() && self.ended_lives(id).is_empty() {
+            lives.push(id.to_owned());
+        }
+        lives.retain(|life| self.end(life, now));
+        lives
+    }
+
+    /// Returns the remembered lives of an id that ended.
+    pub fn ended_lives(&self, id: &str) -> Vec<LifeName> {
+        let lives = self.ended.range::<str, _>((Bound::Included(id), Bound::Unbounded));
+        let lives = lives.map(|(life, _)| life).take_while(|life| life.starts_with(id));
+        lives.filter(|life| announced_id(life) == id).cloned().collect()
+    }
+
     /// Notes that a life has ended, also one that was never announced here; returns whether
     /// that is news.
-    pub fn end(&mut self, id: &str, now: Instant) -> bool {
-        if self.ended.contains_key(id) {
+    pub fn end(&mut self, life: &str, now: Instant) -> bool {
+        if self.ended.contains_key(life) {
             return false;
         }
-        self.version += 1;
-        self.held.remove(id);
-        self.ended.insert(id.to_owned(), (self.version, now));
+        let former = self.held.remove(life);
+        let changed = self.note_change(life, former.as_ref().map(|held| held.changed));
+        let left = former.filter(|held| held.record.phase == Phase::Leaving && !held.lapsed);
+        let left = left.map(|held| held.changed);
+        self.ended.insert(life.to_owned(), Ended { changed, at: now, left });
+        if let Some(born) = birth_of(life) {
+            let youngest =
+                self.youngest.entry(announced_id(life).to_owned()).or_insert((born, now));
+            *youngest = (*youngest).max((born, now));
+        }
         true
     }
 
@@ -128,50 +208,119 @@
         let late = |held: &Held| !held.lapsed && now.duration_since(held.renewed) >= LEASE;
         let late: Vec<RunnerName> =
             self.held.iter().filter(|(_, held)| late(held)).map(|(id, _)| id.clone()).collect();
-        for id in &late {
-            self.version += 1;
-            if let Some(held) = self.held.get_mut(id) {
+        for life in &late {
+            let version = self.note_change(life, self.held.get(life).map(|held| held.changed));
+            if let Some(held) = self.held.get_mut(life) {
                 held.lapsed = true;
-                held.changed = self.version;
+                held.changed = version;
             }
         }
-        self.ended.retain(|_, (_, at)| now.duration_since(*at) < REMEMBER_ENDED);
-        self.held
-            .retain(|_, held| !held.lapsed || now.duration_since(held.renewed) < REMEMBER_ENDED);
+        self.forget(now);
+        self.youngest.retain(|_, (_, at)| now.duration_since(*at) < REMEMBER_ENDED);
         late
     }
 
-    /// Returns what a follower at `have` of `epoch` lacks.
-    pub fn changes(&self, epoch: Epoch, have: Version, now: Instant) -> FollowAnswer {
+    /// Forgets lives that ended or lapsed long ago.
+    fn forget(&mut self, now: Instant) {
+        let changes = &mut self.changes;
+        self.ended.retain(|_, ended| {
+            let kept = now.duration_since(ended.at) < REMEMBER_ENDED;
+            if !kept {
+                changes.remove(&ended.changed);
+            }
+            kept
+        });
+        self.held.retain(|_, held| {
+            let kept = !held.lapsed || now.duration_since(held.renewed) < REMEMBER_ENDED;
+            if !kept {
+                changes.remove(&held.changed);
+            }
+            kept
+        });
+    }
+
+    /// Returns what a follower at `have` of `epoch` lacks, in the detail that it asks for.
+    pub fn changes(
+        &self,
+        epoch: Epoch,
+        have: Version,
+        detail: Detail,
+        now: Instant,
+    ) -> FollowAnswer {
         let since = if epoch == self.epoch { have } else { 0 };
-        let changed = |held: &&Held| held.changed > since;
-        let (lapsed, alive): (Vec<&Held>, Vec<&Held>) =
-            self.held.values().filter(changed).partition(|held| held.lapsed);
-        let ended = self.ended.iter().filter(|(_, (at, _))| *at > since);
-        FollowAnswer {
+        let newer = || self.changes.range((Bound::Excluded(since), Bound::Unbounded));
+        let end = newer().nth(MAX_CHANGES - 1).map_or(self.version, |(version, _)| *version);
+        let mut answer = FollowAnswer {
             epoch: self.epoch,
-            version: self.version,
-            records: alive.into_iter().map(|held| held.record.clone()).collect(),
-            ended: ended.map(|(id, _)| id.clone()).collect(),
-            lapsed: lapsed.into_iter().map(|held| held.record.id.clone()).collect(),
-            config: 0,
-            settled: now.duration_since(self.started) >= LEASE,
-            control: Vec::new(),
+            version: end,
+            detail,
+            settled: end == self.version && now.duration_since(self.started) >= LEASE,
+            more: end < self.version,
+            ..FollowAnswer::default()
+        };
+        let mut records = Vec::new();
+        for life in newer().take_while(|(version, _)| **version <= end).map(|(_, life)| life) {
+            match self.held.get(life) {
+                Some(held) if held.lapsed => answer.lapsed.push(life.clone()),
+                Some(held) if held.told <= since && detail == Detail::Whole => {
+                    answer.leaving.push(life.clone());
+                }
+                Some(held) => records.push(held.record_at(now)),
+                None if self.is_end_news(life, since, detail, now) => {
+                    answer.ended.push(life.clone());
+                }
+                None => {}
+            }
+        }
+        match detail {
+            Detail::Named => {
+                answer.records = records;
+                answer.ended = self.ended_ids(&answer.ended);
+                answer.lapsed = answer.lapsed.iter().map(|l| announced_id(l).to_owned()).collect();
+            }
+            Detail::Whole => answer.packed = Some(PackedRecords::new(&records)),
+            Detail::Departures => {
+                records.retain(|record| record.phase == Phase::Leaving);
+                answer.leaving = records.iter().map(UpstreamRecord::life).collect();
+                answer.lapsed.clear();
+            }
         }
+        answer
+    }
+
+    /// Returns whether a follower at `since` has to be told that a life ended. Who begins to
+    /// follow knows nobody who ended long ago; who asks for departures only gives a life that is
+    /// known to leave no work anyway.
+    fn is_end_news(&self, life: &str, since: Version, detail: Detail, now: Instant) -> bool {
+        let Some(ended) = self.ended.get(life) else { return false };
+        let recent = now.duration_since(ended.at) < LATEST_ANNOUNCEMENT;
+        let told = detail == Detail::Departures && ended.left.is_some_and(|left| left <= since);
+        (since > 0 || recent) && !told
+    }
+
+    /// Returns the ids of lives that ended for boxes that know one life an id: not of those that
+    /// live again.
+    fn ended_ids(&self, lives: &[LifeName]) -> Vec<RunnerName> {
+        let ids = lives.iter().map(|life| announced_id(life));
+        let again = |id: &&str| self.held.values().any(|held| held.record.id == **id);
+        ids.filter(|id| !again(id)).map(str::to_owned).collect()
     }
 
     /// Takes what keeps the leases alive at other control boxes: the upstreams that announced
-    /// themselves here since the last time, and the lives that ended lately.
+    /// themselves here since the last time, whoever has said of late that it leaves, and the lives
+    /// that ended lately.
     pub fn take_renewals(&mut self, now: Instant) -> RegistryNews {
         let here = std::mem::take(&mut self.announced_here);
-        let held = here.iter().filter_map(|id| self.held.get(id));
+        let leaves_lately = |held: &Held| {
+            held.leaving_since.is_some_and(|at| now.duration_since(at) < RESEND_LEAVING)
+        };
+        let passed_on =
+            self.held.iter().filter(|(life, held)| here.contains(*life) || leaves_lately(held));
+        let records = passed_on.map(|(_, held)| held.record_at(now)).collect();
         let lately = |at: &Instant| now.duration_since(*at) < RESEND_ENDED;
-        let ended = self.ended.iter().filter(|(_, (_, at))| lately(at));
-        RegistryNews {
-            records: held.map(|held| held.record.clone()).collect(),
-            ended: ended.map(|(id, _)| id.clone()).collect(),
-            ..RegistryNews::default()
-        }
+        let ended = self.ended.iter().filter(|(_, ended)| lately(&ended.at));
+        let lives = ended.map(|(life, _)| life.clone()).collect();
+        RegistryNews { records, ..RegistryNews::of_ends(lives) }
     }
 
     /// Iterates over the upstreams whose lease runs.
@@ -180,27 +329,73 @@
     }
 
     fn put(&mut self, record: UpstreamRecord, now: Instant) {
+        let life = record.life();
+        let version = self.note_change(&life, self.held.get(&life).map(|held| held.changed));
+        let known = self.held.get(&life);
+        let leaves = record.phase == Phase::Leaving;
+        let leaving_since = known.and_then(|held| held.leaving_since).or(leaves.then_some(now));
+        // Whoever knew it while it served need only hear that it leaves.
+        let only_leaves = known.filter(|held| leaves && !held.lapsed);
+        let told = only_leaves.map_or(version, |held| held.told);
+        let held =
+            Held { renewed: now, changed: version, lapsed: false, leaving_since, told, record };
+        self.held.insert(life, held);
+    }
+
+    /// Counts a change of a life whose last one was at `former`.
+    fn note_change(&mut self, life: &str, former: Option<Version>) -> Version {
+        if let Some(former) = former {
+            self.changes.remove(&former);
+        }
         self.version += 1;
-        let held = Held { renewed: now, changed: self.version, lapsed: false, record };
-        self.held.insert(held.record.id.clone(), held);
+        self.changes.insert(self.version, life.to_owned());
+        self.version
     }
 
-    /// Returns whether the record is of an unknown life that is not new, at an address whose
-    /// holder announced itself of late: then it may be of the life before the holder, and late.
-    fn is_contested(&self, record: &UpstreamRecord, now: Instant) -> bool {
-        let lives = |held: &Held| now.duration_since(held.renewed) < HOLDER_SILENT;
+    /// Returns whether a record is of a life that is over: one that ended, or one before the
+    /// youngest that is known of its id.
+    fn has_ended(&self, record: &UpstreamRecord, life: &str, now: Instant) -> bool {
+        if self.ended.contains_key(life) {
+            return true;
+        }
+        let Some(born) = record.born else {
+            // A box of before passes on what told its birth elsewhere.
+            return self.youngest.contains_key(&record.id);
+        };
+        let recent = |at: &Instant| now.duration_since(*at) < LATEST_ANNOUNCEMENT;
+        let younger = self.youngest.get(&record.id);
+        if younger.is_some_and(|(youngest, at)| *youngest > born && recent(at)) {
+            return true;
+        }
+        // Of the life that ended only the id is known.
+        let ended = self.ended.get(&record.id);
+        ended.is_some_and(|ended| recent(&ended.at)) && !record.is_new_life()
+    }
+
+    /// Returns whether the record is of an unknown life at an address whose holder announced
+    /// itself of late, and may be of the life before the holder, and late.
+    fn is_contested(&self, record: &UpstreamRecord, life: &str, now: Instant) -> bool {
+        if self.held.contains_key(life) {
+            return false;
+        }
+        let lives = |held: &Held| !held.lapsed && now.duration_since(held.renewed) < HOLDER_SILENT;
+        // One that did not tell its birth before does so now, as its announcements come through
+        // another control box.
+        let same = |held: &Held| held.record.id == record.id && held.record.born.is_none();
         let mut holders = self.held.values().filter(|held| held.record.addr == record.addr);
-        !record.is_new_life()
-            && !self.held.contains_key(&record.id)
-            && holders.any(|held| !held.lapsed && lives(held))
+        holders.any(|held| {
+            let younger = record.is_younger_than(&held.record);
+            lives(held) && !same(held) && !younger.unwrap_or_else(|| record.is_new_life())
+        })
     }
 
-    /// A life that takes an address ends all others there.
+    /// A life that takes an address or an id ends all others there.
     fn end_former_holders(&mut self, record: &UpstreamRecord, now: Instant) {
-        let former = self.held.values().filter(|held| held.record.addr == record.addr);
-        let former: Vec<RunnerName> = former.map(|held| held.record.id.clone()).collect();
-        for id in former {
-            self.end(&id, now);
+        let former = self.held.values().map(|held| &held.record);
+        let former = former.filter(|r| r.addr == record.addr || r.id == record.id);
+        let former: Vec<LifeName> = former.map(UpstreamRecord::life).collect();
+        for life in former {
+            self.end(&life, now);
         }
     }
 }
@@ -235,11 +430,20 @@
     }
 
     /// Takes in what another control box knows.
-    pub fn take(&self, news: RegistryNews) {
+    pub fn take(&self, mut news: RegistryNews) {
         let now = Instant::now();
+        if let Err(err) = news.unpack() {
+            log::warn!("records of another control box do not decode: {err}");
+        }
         self.change(|table| {
-            for id in &news.ended {
-                table.end(id, now);
+            for life in news.ends() {
+                // Who heard of the end did not know the life, or names no lives.
+                let id_only = birth_of(life).is_none();
+                _ = if id_only {
+                    !table.end_id(life, now).is_empty()
+                } else {
+                    table.end(life, now)
+                };
             }
             for record in news.records {
                 table.announce(record, now);
@@ -253,17 +457,18 @@
     }
 
     /// Answers a follower, waiting for a change up to the hold that it asked for, and then for
-    /// `has_room` for half a second; `None` if there is none. `config` tells the configuration
-    /// number in force.
+    /// `has_room` for a quarter of a second; `None` if there is none. `in_force` tells the configuration
+    /// number and the evacuations here.
     pub async fn answer(
         &self,
         req: &FollowRequest,
-        config: impl Fn() -> ConfigNumber,
-        control: Vec<SocketAddr>,
+        in_force: impl Fn() -> (ConfigNumber, Rc<Evacuations>),
         has_room: impl Fn() -> bool,
     ) -> Option<FollowAnswer> {
+        let (config, evacuations) = in_force();
         let current = self.with(|table| table.epoch == req.epoch && table.version <= req.have)
-            && config() <= req.config;
+            && config <= req.config
+            && evacuations.revision() <= req.evacuations;
         if current && !req.hold.is_zero() {
             let (tx, rx) = oneshot::channel();
             self.waiting.borrow_mut().push(tx);
@@ -277,9 +482,12 @@
             }
             compio::time::sleep(ROOM_LOOK).await;
         }
-        let mut answer = self.with(|table| table.changes(req.epoch, req.have, Instant::now()));
-        answer.config = config();
-        answer.control = control;
+        let now = Instant::now();
+        let mut answer = self.with(|table| table.changes(req.epoch, req.have, req.detail, now));
+        let (config, evacuations) = in_force();
+        answer.config = config;
+        let newer = evacuations.revision() > req.evacuations;
+        answer.evacuations = newer.then(|| (*evacuations).clone());
         Some(answer)
     }
 }
--- a/crates/hatchpitch/src/registry/verify.rs
+++ b/crates/hatchpitch/src/registry/verify.rs
@@ -11,7 +11,7 @@
 ///
 /// Returns the invariant that does not hold.
 pub fn verify_table(table: &Table) -> Result<(), String> {
-    let mut addrs = BTreeSet::new();
+    let (mut addrs, mut ids) = (BTreeSet::new(), BTreeSet::new());
     for (id, held) in &table.held {
         if table.ended.contains_key(id) {
             return Err(format!("{id} is held although its life ended"));
@@ -19,6 +19,12 @@
         if held.changed > table.version {
             return Err(format!("{id} changed after the newest version"));
         }
+        if held.record.life() != *id {
+            return Err(format!("{id} holds the record of {}", held.record.life()));
+        }
+        if !ids.insert(&held.record.id) {
+            return Err(format!("{} has two lives", held.record.id));
+        }
         if !addrs.insert(held.record.addr) {
             return Err(format!("{} is held by two lives", held.record.addr));
         }
--- a/crates/hatchpitch/src/relay/request.rs
+++ b/crates/hatchpitch/src/relay/request.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Method};
 
 use crate::config::hosted::{HostedRoute, Urgency};
-use crate::ids::{Priority, WorkspaceName};
+use crate::ids::{Priority, RegionName, WorkspaceName};
 
 /// What a generation needs of an engine, as far as the caller tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +27,8 @@
     pub route: Rc<HostedRoute>,
     /// Whose key it carries, if any.
     pub workspace: Option<WorkspaceName>,
+    /// Regions in which the workspace's requests may run; all if there are none.
+    pub regions: Vec<RegionName>,
     /// Rank: the workspace's if it pays for one, else the route's.
     pub urgency: Urgency,
     /// Method.
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -21,7 +21,7 @@
 use crate::entry::EntryCx;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
-use crate::ids::{RunnerName, ServiceName, new_id};
+use crate::ids::{FailureDomainName, RegionName, RunnerName, ServiceName, new_id};
 use crate::metrics::{Count, Timing};
 use crate::outcome::{Outcome, Problem};
 use crate::routing::Verdict;
@@ -36,6 +36,12 @@
 const EXPECTED_WAIT: f64 = 0.5;
 /// Longest wait of a generation, in times to its first event: callers leave after four.
 const LONGEST_WAIT: f64 = 2.0;
+/// When a caller may come back while all upstreams that could serve it are evacuated: the order
+/// that ends it is in force everywhere within about this time, and its runners are cold then.
+const EVACUATED_RETRY: Duration = Duration::from_secs(2);
+/// When a caller may come back whose route and workspace leave no failure domain: configurations
+/// change a few times an hour.
+const NO_REGION_RETRY: Duration = Duration::from_secs(30);
 /// When a caller may come back after a failure that passes in moments.
 const SOON: Duration = Duration::from_millis(250);
 /// Time within which every upstream announces itself again: one heartbeat and its travel.
@@ -53,6 +59,31 @@
     pub budgets: RefCell<SharedBudgets>,
 }
 
+impl Relay {
+    /// Returns the failure domains whose upstreams may run a request; none means all of them.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if its route and its workspace leave none.
+    pub fn domains_for(&self, req: &HostedRequest) -> Result<Vec<FailureDomainName>, Refusal> {
+        let (of_route, of_workspace) = (&req.route.regions, &req.regions);
+        let allowed: Vec<RegionName> = match (of_route.is_empty(), of_workspace.is_empty()) {
+            (true, true) => return Ok(Vec::new()),
+            (true, false) => of_workspace.clone(),
+            (false, true) => of_route.clone(),
+            (false, false) => {
+                of_route.iter().filter(|region| of_workspace.contains(region)).cloned().collect()
+            }
+        };
+        let domains = self.cx.domains_of(&allowed);
+        if domains.is_empty() {
+            let cause = "no failure domain lies in a region that the request may run in";
+            return Err(Refusal::new(cause, NO_REGION_RETRY));
+        }
+        Ok(domains)
+    }
+}
+
 /// How one try at an upstream ended without the final answer.
 enum Failure {
     /// The upstream did not run it. The flag tells whether the request arrived there.
@@ -74,6 +105,17 @@
     }
 }
 
+/// Which upstreams are left for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Untried {
+    /// Some that may run it.
+    Some,
+    /// Only some in evacuated failure domains.
+    Evacuated,
+    /// None that is known.
+    None,
+}
+
 /// What follows a try that ended without the final answer.
 enum Next {
     /// Another upstream is tried. Holds the answer of one that ran the request and failed, for
@@ -89,13 +131,18 @@
 ///
 /// Returns a [`Problem`] that tells whether the request was run.
 pub async fn serve(relay: &Rc<Relay>, req: HostedRequest) -> Result<Response<Body>, Problem> {
-    let run = Run::new(relay.clone(), Rc::new(req));
+    let within = relay.domains_for(&req);
+    let mut run = Run::new(relay.clone(), Rc::new(req));
     relay.cx.metrics.count(Count::Requests, &run.service);
     relay.budgets.borrow_mut().earn(&run.service);
     let left = run.req.time_left(Instant::now());
-    let answered = match compio::time::timeout(left, run.answer()).await {
-        Ok(answered) => answered,
-        Err(_) => Err(run.out_of_time()),
+    let answered = match within {
+        Err(refusal) => Err(run.refused(refusal)),
+        Ok(within) => {
+            run.within = within;
+            let answered = compio::time::timeout(left, run.answer()).await;
+            answered.unwrap_or_else(|_| Err(run.out_of_time()))
+        }
     };
     run.log(&answered);
     answered
@@ -105,6 +152,8 @@
     relay: Rc<Relay>,
     req: Rc<HostedRequest>,
     service: ServiceName,
+    /// Failure domains whose upstreams may run it; all if there are none.
+    within: Vec<FailureDomainName>,
     /// Upstreams that turned the request away or failed it.
     tried: RefCell<Vec<RunnerName>>,
     /// Upstreams that the request may have run at.
@@ -122,6 +171,7 @@
             relay,
             req,
             service,
+            within: Vec::new(),
             tried: RefCell::default(),
             ran_at: Cell::new(0),
             waited: Cell::new(Duration::ZERO),
@@ -193,10 +243,30 @@
             && self.take_budget()
     }
 
-    fn has_untried(&self) -> bool {
+    /// Returns which upstreams are left that could run the request.
+    fn untried(&self) -> Untried {
         let (roster, tried) = (self.relay.cx.upstreams.roster.borrow(), self.tried.borrow());
-        let mut serving = roster.serving().filter(|record| record.service == self.service);
-        serving.any(|record| !tried.contains(&record.id))
+        let evacuations = self.relay.cx.config.evacuations();
+        let mut untried = Untried::None;
+        for record in roster.serving().filter(|record| record.service == self.service) {
+            let domain = &record.failure_domain;
+            if tried.contains(&record.life()) || !self.may_run_in(domain) {
+                continue;
+            }
+            if !evacuations.is_evacuated(domain) {
+                return Untried::Some;
+            }
+            untried = Untried::Evacuated;
+        }
+        untried
+    }
+
+    fn has_untried(&self) -> bool {
+        self.untried() == Untried::Some
+    }
+
+    fn may_run_in(&self, domain: &FailureDomainName) -> bool {
+        self.within.is_empty() || self.within.contains(domain)
     }
 
     fn take_budget(&self) -> bool {
@@ -206,7 +276,24 @@
         budgets.take(&self.service)
     }
 
+    /// Gets a slot on an upstream. An owner that has not heard yet that a failure domain is
+    /// evacuated may grant one there, which goes back unused.
     async fn slot(&self) -> Result<Slot, Refusal> {
+        loop {
+            let slot = self.granted_slot().await?;
+            if !self.relay.cx.is_evacuated(&slot.failure_domain) {
+                return Ok(slot);
+            }
+            log::info!(
+                request = self.req.id.as_str(), upstream = slot.runner.as_str(),
+                domain = slot.failure_domain.as_str();
+                "slot in an evacuated failure domain given back"
+            );
+            self.tried.borrow_mut().push(slot.runner.clone());
+        }
+    }
+
+    async fn granted_slot(&self) -> Result<Slot, Refusal> {
         let (needs, aim) = (self.req.generation, self.req.route.answer_aim);
         let settings = &self.relay.cx.settings;
         let refuses_early = needs.is_some() && settings.policy.early_refusal;
@@ -222,9 +309,14 @@
             copied: 0,
             max_wait: needs.map(|_| aim.mul_f64(LONGEST_WAIT)),
             accepts: refuses_early.then(|| aim.mul_f64(EXPECTED_WAIT)),
+            within: self.within.clone(),
         };
         let started = Instant::now();
         self.await_upstreams(started).await;
+        if self.untried() == Untried::Evacuated {
+            let cause = "all upstreams of the service are in evacuated failure domains";
+            return Err(Refusal::new(cause, EVACUATED_RETRY));
+        }
         let slot = obtain(&self.relay.cx, &self.service, want).await;
         let (metrics, priority) = (&self.relay.cx.metrics, self.req.priority());
         metrics.time(Timing::Wait, &self.service, priority, started.elapsed());
@@ -235,7 +327,7 @@
     /// Waits a little while no upstream of the service has announced itself: after a restart of
     /// the control boxes they all do within one heartbeat.
     async fn await_upstreams(&self, started: Instant) {
-        while !self.has_untried() && started.elapsed() < HEARTBEAT_WAIT {
+        while self.untried() == Untried::None && started.elapsed() < HEARTBEAT_WAIT {
             compio::time::sleep(UPSTREAM_LOOK).await;
         }
     }
--- a/crates/hatchpitch/src/routing/mod.rs
+++ b/crates/hatchpitch/src/routing/mod.rs
@@ -4,5 +4,7 @@
 pub mod state;
 pub mod task;
 pub mod verify;
+pub mod warming;
 
 pub use state::{RoutingConfig, RunReport, RunnerTable, Verdict};
+pub use warming::ColdLimit;
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::reading::Reading;
+use super::warming::{ColdLimit, Warming};
 use crate::admission::lengths::LengthModel;
 use crate::admission::memory::{Candidate, EngineMemory, MemoryPolicy};
 use crate::admission::policy::Pick;
@@ -79,6 +80,9 @@
     pub(super) reading: Reading,
     /// Copies on their way here.
     pub(super) copies: Backlog,
+    /// Whether it is cold, and what it bears then.
+    pub(super) warming: Warming,
+    pub(super) cold_limit: Option<ColdLimit>,
 }
 
 /// Tokens that a runner has still to take in, worked down by the clock.
@@ -155,6 +159,8 @@
     pub near: Option<&'a str>,
     /// Tokens that are copied there first; 0 for a run that begins.
     pub copied: u64,
+    /// Failure domains whose runners may run it; all if there are none.
+    pub within: &'a [FailureDomainName],
 }
 
 /// Load by which a runner of another failure domain has to be less busy to be picked: the share
@@ -172,6 +178,11 @@
 const FAR_COPY_FACTOR: f64 = 2.0;
 
 impl Asked<'_> {
+    fn allows(&self, spec: &RunnerSpec) -> bool {
+        !self.avoid.contains(&spec.name)
+            && (self.within.is_empty() || self.within.contains(&spec.failure_domain))
+    }
+
     fn is_far(&self, spec: &RunnerSpec) -> bool {
         self.near.is_some_and(|near| near != spec.failure_domain)
     }
@@ -228,6 +239,8 @@
                 memory: pace.map(|pace| EngineMemory::at_rate(pace.made)).unwrap_or_default(),
                 reading: pace.map(|pace| Reading::at_rate(pace.read)).unwrap_or_default(),
                 copies: Backlog::default(),
+                warming: Warming::default(),
+                cold_limit: None,
             });
             runner.configured = true;
             if let Some(tokens) = spec.memory {
@@ -262,6 +275,7 @@
         let (_, name) = self.best(asked, candidate, lengths, now)?;
         let best = self.runners.get_mut(&name)?;
         best.running += 1;
+        best.warming.take(best.cold_limit, now);
         match asked.copied {
             0 => best.reading.add(asked.id.clone(), candidate.prompt, now),
             copied => {
@@ -308,13 +322,14 @@
         now: Instant,
     ) -> Option<(f64, RunnerName)> {
         let (cfg, turn, count) = (self.cfg, self.picks, self.runners.len().max(1));
-        let wanted = |r: &&RunnerState| !asked.avoid.contains(&r.spec.name);
+        let wanted = |r: &&RunnerState| asked.allows(&r.spec);
         let floor = !self.runners.values().filter(wanted).any(|r| r.takes_work(now));
         let open = self.runners.values().enumerate();
         let open = open.filter(|(_, r)| {
             let reads = asked.copied == 0;
             r.has_slot(now, floor)
-                && !asked.avoid.contains(&r.spec.name)
+                && asked.allows(&r.spec)
+                && r.warming.admits(r.cold_limit, now)
                 && !(reads && r.reading.seconds(now) > MAX_READING)
         });
         let mut open: Vec<(f64, usize, &RunnerName)> = open
@@ -377,6 +392,26 @@
         }
     }
 
+    /// Notes until when each runner is cold, and what it bears then.
+    pub fn set_cold(
+        &mut self,
+        cold: impl Fn(&RunnerSpec) -> Option<(Instant, ColdLimit)>,
+        now: Instant,
+    ) {
+        for runner in self.runners.values_mut() {
+            let found = cold(&runner.spec);
+            runner.cold_limit = found.map(|(_, limit)| limit);
+            runner.warming.set_until(found.map_or(now, |(until, _)| until), now);
+        }
+    }
+
+    /// Returns when the first cold runner may get another request; `None` if none is held back
+    /// for being cold.
+    pub fn next_cold_turn(&self, now: Instant) -> Option<Duration> {
+        let open = self.runners.values().filter(|r| r.has_slot(now, false));
+        open.filter_map(|r| r.warming.next_turn(r.cold_limit, now)).min()
+    }
+
     /// Takes in a load report.
     pub fn report(&mut self, name: &str, load: EngineLoad, now: Instant) {
         if let Some(runner) = self.runners.get_mut(name) {
--- a/crates/hatchpitch/src/settings/control.rs
+++ b/crates/hatchpitch/src/settings/control.rs
@@ -1,5 +1,6 @@
 //! Settings of a control process.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
@@ -13,7 +14,7 @@
 use crate::config::Operator;
 use crate::config::check::check_keys;
 use crate::config::raw::RawOperator;
-use crate::ids::BoxName;
+use crate::ids::{BoxName, FailureDomainName};
 use crate::replication::ReplicaConfig;
 
 /// The settings file before it is checked.
@@ -32,6 +33,8 @@
     operator: Vec<RawOperator>,
     log_level: Option<Spanned<String>>,
     elects_at_once: Option<bool>,
+    #[serde(default)]
+    failure_domains: Vec<Spanned<String>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -75,6 +78,8 @@
     pub box_keys: KeyRing,
     /// Operators that are known before the first fleet file.
     pub operators: Vec<Operator>,
+    /// Failure domains that are known beside those of the fleet file.
+    pub failure_domains: BTreeSet<FailureDomainName>,
     /// Level of the logs.
     pub log_level: LevelFilter,
 }
@@ -94,6 +99,8 @@
         let box_keys = shared::key_ring(&mut check, &raw.box_keys);
         let operators = raw.operator.iter().map(|op| operator(&mut check, op)).collect();
         let log_level = shared::log_level(&mut check, &raw.log_level);
+        let failure_domains =
+            raw.failure_domains.iter().map(|name| check.name("failure_domains", name)).collect();
         let (Some(own), Some(box_keys)) = (own, box_keys) else {
             return Err(check.finish(()).expect_err("each missing value was noted"));
         };
@@ -119,6 +126,7 @@
             replica,
             box_keys,
             operators,
+            failure_domains,
             log_level,
         })
     }
--- a/crates/hatchpitch/src/settings/entry.rs
+++ b/crates/hatchpitch/src/settings/entry.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry process.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use super::policy::{self, RawPolicy};
 use super::shared::{self, RawBoxKey};
 use crate::admission::Policy;
-use crate::ids::{BoxName, FailureDomainName};
+use crate::ids::{BoxName, FailureDomainName, RegionName};
 
 /// The settings file before it is checked.
 #[derive(Debug, Deserialize)]
@@ -34,6 +35,8 @@
     timing: RawTiming,
     #[serde(default)]
     policy: RawPolicy,
+    #[serde(default)]
+    regions: BTreeMap<String, Spanned<String>>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -121,6 +124,8 @@
     pub name: BoxName,
     /// Where it stands.
     pub failure_domain: FailureDomainName,
+    /// Region of each failure domain, beside those that the fleet file names.
+    pub regions: BTreeMap<FailureDomainName, RegionName>,
     /// Listener for callers and operators.
     pub callers_addr: SocketAddr,
     /// Where callers are sent, if not to `callers_addr`.
@@ -165,6 +170,10 @@
         let limits = limits(&mut check, &raw.limits);
         let timing = timing(&mut check, &raw.timing);
         let policy = policy::check(&mut check, &raw.policy);
+        let regions = raw.regions.iter();
+        let regions = regions
+            .map(|(domain, region)| (domain.clone(), check.name("regions", region)))
+            .collect();
         let (Some(callers_addr), Some(boxes_addr), Some(box_keys)) =
             (callers_addr, boxes_addr, box_keys)
         else {
@@ -173,6 +182,7 @@
         check.finish(Self {
             name,
             failure_domain,
+            regions,
             callers_addr,
             advertised_addr: None,
             boxes_addr,
--- a/crates/hatchpitch/tests/feed_parts.rs
+++ b/crates/hatchpitch/tests/feed_parts.rs
@@ -36,6 +36,7 @@
         hold: Default::default(),
         unconfirmed: false,
         after: after.cloned(),
+        evacuations: 0,
     }
 }
 
@@ -48,6 +49,8 @@
         delta: part.delta,
         rest: part.end.map_or(Rest::Nothing, Rest::After),
         confirmed_age: None,
+        evacuated_at: 0,
+        evacuations: None,
         held: Default::default(),
     }
 }
--- a/crates/hatchpitch/tests/hand_over.rs
+++ b/crates/hatchpitch/tests/hand_over.rs
@@ -26,6 +26,7 @@
         copied: 0,
         max_wait: None,
         accepts: None,
+        within: Vec::new(),
     }
 }
 
--- a/crates/hatchpitch/tests/overload/fleet.rs
+++ b/crates/hatchpitch/tests/overload/fleet.rs
@@ -402,5 +402,6 @@
         copied: 0,
         max_wait: None,
         accepts: Some(Duration::from_millis(req.aim_ms / 2)),
+        within: Vec::new(),
     }
 }
--- a/crates/hatchpitch/tests/reading.rs
+++ b/crates/hatchpitch/tests/reading.rs
@@ -25,6 +25,7 @@
         copied: 0,
         max_wait: None,
         accepts: None,
+        within: Vec::new(),
     }
 }
 
