Believe no answer that was under way when another control box was believed

Found by reading: a question for everything may be pending at one control box while another one becomes the one that is believed. What only the former named is dropped then, and its pending answer, which tells only what is new, counted as all that it has; believed again later, it would have emptied the list of upstreams for good.

--- a/crates/hatchpitch/src/registry/messages.rs
+++ b/crates/hatchpitch/src/registry/messages.rs
@@ -182,6 +182,9 @@
     /// How much is told.
     #[serde(default)]
     pub detail: Detail,
+    /// The version since which it is told; 0 tells all.
+    #[serde(default)]
+    pub since: Version,
     /// Records that changed since, for [`Detail::Named`].
     pub records: Vec<UpstreamRecord>,
     /// The same for [`Detail::Whole`]: field after field, a third of the size.
--- a/crates/hatchpitch/src/registry/roster.rs
+++ b/crates/hatchpitch/src/registry/roster.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use super::life::LifeName;
-use super::messages::{Detail, Epoch, FollowAnswer, Phase, UpstreamRecord, Version};
+use super::messages::{Detail, Epoch, FollowAnswer, PackedRecords, Phase, UpstreamRecord, Version};
 
 /// Lives that ended or leave and are remembered; beyond it the oldest are forgotten.
 const MAX_DEPARTED: usize = 65_536;
@@ -93,11 +93,9 @@
         now: Instant,
     ) -> Result<bool, rmp_serde::decode::Error> {
         let before = self.version;
-        let mut records = answer.records;
-        if let Some(packed) = &answer.packed {
-            records.extend(packed.records()?);
-        }
-        self.note_position(source, asked, answer.epoch, answer.version);
+        let packed = answer.packed.as_ref().map(PackedRecords::records).transpose()?;
+        let covers_all = self.note_position(source, asked, &answer);
+        let records = answer.records.into_iter().chain(packed.unwrap_or_default());
         for life in answer.ended {
             self.end(life);
         }
@@ -110,7 +108,7 @@
         for record in records {
             self.name(record, source, answer.epoch, now);
         }
-        if asked != Detail::Departures && answer.settled {
+        if covers_all && answer.settled {
             self.forget_former_lives(source, answer.epoch);
             if !answer.out_of_touch {
                 self.trust_only(source, answer.epoch);
@@ -119,21 +117,20 @@
         Ok(before != self.version)
     }
 
-    fn note_position(
-        &mut self,
-        source: SocketAddr,
-        detail: Detail,
-        epoch: Epoch,
-        version: Version,
-    ) {
+    /// Notes what this box has of a control box's table with an answer; returns whether that is all
+    /// up to the answer's version. A question for everything may be under way while another box
+    /// becomes the one that is believed; its answer then lacks what was dropped meanwhile.
+    fn note_position(&mut self, source: SocketAddr, asked: Detail, answer: &FollowAnswer) -> bool {
         let position = self.followed.entry(source).or_default();
-        if position.epoch != epoch {
-            *position = Position { epoch, ..Position::default() };
+        if position.epoch != answer.epoch {
+            *position = Position { epoch: answer.epoch, ..Position::default() };
         }
-        position.departures = version;
-        if detail != Detail::Departures {
-            position.whole = version;
+        position.departures = answer.version;
+        let covers_all = asked != Detail::Departures && answer.since <= position.whole;
+        if covers_all {
+            position.whole = answer.version;
         }
+        covers_all
     }
 
     /// Iterates over the upstreams that take work.
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -269,6 +269,7 @@
             epoch: self.epoch,
             version: end,
             detail,
+            since,
             settled: end == self.version && now.duration_since(self.started) >= LEASE,
             more: end < self.version,
             ..FollowAnswer::default()
--- a/crates/hatchpitch/tests/lives.rs
+++ b/crates/hatchpitch/tests/lives.rs
@@ -303,6 +303,31 @@
     verify_roster(&roster).unwrap();
 }
 
+#[test]
+fn an_answer_that_was_under_way_when_another_box_was_believed_stands_for_no_whole_table() {
+    let now = Instant::now();
+    let later = now + LEASE;
+    let (mut one, mut two) = (Table::new(1, now), Table::new(2, now));
+    for table in [&mut one, &mut two] {
+        table.announce(record("a", 1, 1_000, Phase::Serving, 9), later);
+        table.announce(record("b", 2, 1_000, Phase::Serving, 9), later);
+    }
+    let mut roster = Roster::default();
+    let mut take = |at: u16, answer| {
+        roster.take(source(at), Detail::Whole, answer, later).unwrap();
+        serving(&roster).len()
+    };
+    let first = one.changes(1, 0, Detail::Whole, later);
+    let have = first.version;
+    assert_eq!(take(1, first), 2);
+    // Asked again, the first one has nothing new; before its answer comes, another one is asked.
+    let under_way = one.changes(1, have, Detail::Whole, later);
+    assert_eq!(take(2, two.changes(2, 0, Detail::Whole, later)), 2);
+    assert_eq!(take(1, under_way), 2, "it does not tell of all that it has");
+    assert_eq!(roster.position(source(1), Detail::Whole), (1, 0), "which is to be asked for");
+    verify_roster(&roster).unwrap();
+}
+
 #[test]
 fn packed_records_are_the_same_and_a_third_of_the_size() {
     let records: Vec<UpstreamRecord> = (0..300)
