Read once more: dead code, requests copied on each look, a second look at the upstreams

Found by reading the whole change; behaviour is meant to stay as it is. - RunnerTable::next_cold_turn was called by nothing, Warming::next_turn by it and a test alone: both are gone. The test asked that the told time of the next turn was at most a period away and that the turn was open then; it now looks for the turn itself, and asks that it comes within the period and not at once. - A line copied each waiting request that it tried, up to 32 on each look, every 20 ms while it waits: it borrows them now. - A request asked twice which upstreams are left, once to wait for one and once to tell whether they are evacuated: the wait returns it. - Table::expire forgot the youngest lives beside forget, which forgets the rest. - An end of which only the id is told is a match instead of a nested if. - Want has a Default: a new field went into six lists of fields that say nothing.

--- a/crates/hatchpitch/src/dispatch/line.rs
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -34,7 +34,7 @@
 const MIN_RETRY: Duration = Duration::from_secs(1);
 
 /// A request for a slot on an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Want {
     /// Names the run.
     pub id: AttemptId,
@@ -156,7 +156,7 @@
         if self.waits_in_line(want) {
             return Ok(None);
         }
-        let Some(spec) = self.pick(want, now) else { return Ok(None) };
+        let Some(spec) = pick(&mut self.table, &self.lengths, want, now) else { return Ok(None) };
         self.queue.charge(&want.workspace, self.cost(want));
         Ok(Some(spec))
     }
@@ -298,10 +298,6 @@
         want.copied == 0 && !self.queue.is_empty()
     }
 
-    fn pick(&mut self, want: &Want, now: Instant) -> Option<RunnerSpec> {
-        self.table.pick(&want.asked(), &want.candidate(), &self.lengths, now)
-    }
-
     /// Lets in whoever is next for as long as there is room.
     fn pump(&mut self, now: Instant) {
         self.queue.age(now);
@@ -314,21 +310,21 @@
 
     /// Finds the first request of the order that an engine has room for, and takes a slot for it.
     fn next_fitting(&mut self, now: Instant) -> Option<(Ticket, RunnerSpec)> {
-        // Requests that found no room, and the shortest prompt of each kind among them.
+        // Requests that found no room, and kinds and prompts of those that were tried.
         let mut without_room: Vec<Ticket> = Vec::new();
-        let mut too_long: Vec<(RequestKind, u64)> = Vec::new();
+        let mut too_long: Vec<(&RequestKind, u64)> = Vec::new();
         let candidates: Vec<Ticket> = self.queue.candidates().take(LOOKED_AT).collect();
         for ticket in candidates {
-            let Some(want) = self.waiting.get(&ticket).cloned() else { continue };
+            let Some(want) = self.waiting.get(&ticket) else { continue };
             let hopeless =
-                too_long.iter().any(|(kind, prompt)| *kind == want.kind && *prompt <= want.prompt);
+                too_long.iter().any(|(kind, prompt)| **kind == want.kind && *prompt <= want.prompt);
             if !hopeless {
-                if let Some(spec) = self.pick(&want, now) {
+                if let Some(spec) = pick(&mut self.table, &self.lengths, want, now) {
                     self.queue.note_passed(&without_room);
                     return Some((ticket, spec));
                 }
                 if want.avoid.is_empty() && want.within.is_empty() {
-                    too_long.push((want.kind, want.prompt));
+                    too_long.push((&want.kind, want.prompt));
                 }
             }
             if self.queue.passed(ticket) >= MAX_PASSED {
@@ -353,3 +349,13 @@
         Refusal::new("no runner of the pool takes work", retry_after)
     }
 }
+
+/// Takes a slot on the best of the engines that have room for a request.
+fn pick(
+    table: &mut RunnerTable,
+    lengths: &LengthModel,
+    want: &Want,
+    now: Instant,
+) -> Option<RunnerSpec> {
+    table.pick(&want.asked(), &want.candidate(), lengths, now)
+}
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -433,11 +433,7 @@
         prompt: job.prompt_tokens(),
         max_tokens: job.max_tokens,
         avoid: avoid.to_vec(),
-        near: None,
-        copied: 0,
-        max_wait: None,
-        accepts: None,
-        within: Vec::new(),
+        ..Want::default()
     };
     grants::task::obtain(cx, &job.pool, want).await
 }
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -219,9 +219,9 @@
     }
 
     /// Lets leases run out; returns whose did.
-    pub fn expire(&mut self, now: Instant) -> Vec<RunnerName> {
+    pub fn expire(&mut self, now: Instant) -> Vec<LifeName> {
         let late = |held: &Held| !held.lapsed && now.duration_since(held.renewed) >= LEASE;
-        let late: Vec<RunnerName> =
+        let late: Vec<LifeName> =
             self.held.iter().filter(|(_, held)| late(held)).map(|(id, _)| id.clone()).collect();
         for life in &late {
             let version = self.note_change(life, self.held.get(life).map(|held| held.changed));
@@ -231,12 +231,12 @@
             }
         }
         self.forget(now);
-        self.youngest.retain(|_, (_, at)| now.duration_since(*at) < REMEMBER_ENDED);
         late
     }
 
     /// Forgets lives that ended or lapsed long ago.
     fn forget(&mut self, now: Instant) {
+        self.youngest.retain(|_, (_, at)| now.duration_since(*at) < REMEMBER_ENDED);
         let changes = &mut self.changes;
         self.ended.retain(|_, ended| {
             let kept = now.duration_since(ended.at) < REMEMBER_ENDED;
@@ -474,13 +474,15 @@
         }
         self.change(|table| {
             for life in news.ends() {
-                // Who heard of the end did not know the life, or names no lives.
-                let id_only = birth_of(life).is_none();
-                _ = if id_only {
-                    !table.end_id(life, now).is_empty()
-                } else {
-                    table.end(life, now)
-                };
+                match birth_of(life) {
+                    Some(_) => {
+                        table.end(life, now);
+                    }
+                    // Who heard of the end did not know the life, or names no lives.
+                    None => {
+                        table.end_id(life, now);
+                    }
+                }
             }
             for record in news.records {
                 table.announce(record, now);
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -312,8 +312,7 @@
             within: self.within.clone(),
         };
         let started = Instant::now();
-        self.await_upstreams(started).await;
-        if self.untried() == Untried::Evacuated {
+        if self.await_upstreams(started).await == Untried::Evacuated {
             let cause = "all upstreams of the service are in evacuated failure domains";
             return Err(Refusal::new(cause, EVACUATED_RETRY));
         }
@@ -325,9 +324,13 @@
     }
 
     /// Waits a little while no upstream of the service has announced itself: after a restart of
-    /// the control boxes they all do within one heartbeat.
-    async fn await_upstreams(&self, started: Instant) {
-        while self.untried() == Untried::None && started.elapsed() < HEARTBEAT_WAIT {
+    /// the control boxes they all do within one heartbeat. Returns which are left then.
+    async fn await_upstreams(&self, started: Instant) -> Untried {
+        loop {
+            let untried = self.untried();
+            if untried != Untried::None || started.elapsed() >= HEARTBEAT_WAIT {
+                return untried;
+            }
             compio::time::sleep(UPSTREAM_LOOK).await;
         }
     }
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -405,13 +405,6 @@
         }
     }
 
-    /// Returns when the first cold runner may get another request; `None` if none is held back
-    /// for being cold.
-    pub fn next_cold_turn(&self, now: Instant) -> Option<Duration> {
-        let open = self.runners.values().filter(|r| r.has_slot(now, false));
-        open.filter_map(|r| r.warming.next_turn(r.cold_limit, now)).min()
-    }
-
     /// Takes in a load report.
     pub fn report(&mut self, name: &str, load: EngineLoad, now: Instant) {
         if let Some(runner) = self.runners.get_mut(name) {
--- a/crates/hatchpitch/src/routing/warming.rs
+++ b/crates/hatchpitch/src/routing/warming.rs
@@ -7,7 +7,7 @@
 //! turn of its own in a period that is as long as all turns together take, and a turn that is not
 //! used is lost: turns that could be saved up would come together when callers do.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Longest turn. With turns this long, what all boxes together may send within any second is a
 /// quarter more than the rate, while callers that come at a few requests a second to each box
@@ -80,18 +80,6 @@
             spell.used = turn(spell, &limit, now).or(spell.used);
         }
     }
-
-    /// Returns the time until the next turn; `None` if the runner admits requests now.
-    pub fn next_turn(&self, limit: Option<ColdLimit>, now: Instant) -> Option<Duration> {
-        if self.admits(limit, now) {
-            return None;
-        }
-        let (spell, limit) = (self.spell?, limit?);
-        let at = now.duration_since(spell.began).as_secs_f64() / limit.period() + 1.0 - limit.phase;
-        let left = (1.0 - at.fract()) * limit.period();
-        let warm = spell.until.saturating_duration_since(now);
-        Some(Duration::try_from_secs_f64(left).unwrap_or(warm).min(warm))
-    }
 }
 
 /// Returns the number of this box's turn, if it has one now.
--- a/crates/hatchpitch/tests/hand_over.rs
+++ b/crates/hatchpitch/tests/hand_over.rs
@@ -21,12 +21,7 @@
         kind: "k".to_owned(),
         prompt,
         max_tokens: 500,
-        avoid: Vec::new(),
-        near: None,
-        copied: 0,
-        max_wait: None,
-        accepts: None,
-        within: Vec::new(),
+        ..Want::default()
     }
 }
 
--- a/crates/hatchpitch/tests/line.rs
+++ b/crates/hatchpitch/tests/line.rs
@@ -22,12 +22,8 @@
         kind: "k".to_owned(),
         prompt,
         max_tokens: 500,
-        avoid: Vec::new(),
-        near: None,
-        copied: 0,
-        max_wait: None,
         accepts: Some(900 * MS),
-        within: Vec::new(),
+        ..Want::default()
     }
 }
 
--- a/crates/hatchpitch/tests/overload/fleet.rs
+++ b/crates/hatchpitch/tests/overload/fleet.rs
@@ -397,11 +397,8 @@
         kind: if req.output > 100 { "long" } else { "short" }.to_owned(),
         prompt: req.prompt,
         max_tokens: 1_104,
-        avoid: Vec::new(),
         near: Some(req.domain.to_string()),
-        copied: 0,
-        max_wait: None,
         accepts: Some(Duration::from_millis(req.aim_ms / 2)),
-        within: Vec::new(),
+        ..Want::default()
     }
 }
--- a/crates/hatchpitch/tests/reading.rs
+++ b/crates/hatchpitch/tests/reading.rs
@@ -20,12 +20,7 @@
         kind: "k".to_owned(),
         prompt: 3_000,
         max_tokens: 500,
-        avoid: Vec::new(),
-        near: None,
-        copied: 0,
-        max_wait: None,
-        accepts: None,
-        within: Vec::new(),
+        ..Want::default()
     }
 }
 
--- a/crates/hatchpitch/tests/warming.rs
+++ b/crates/hatchpitch/tests/warming.rs
@@ -91,8 +91,8 @@
         assert!(warming.admits(limit, at));
         warming.take(limit, at);
         assert!(!warming.admits(limit, at + MS));
-        let next = warming.next_turn(limit, at + MS).unwrap();
-        assert!(next <= SECOND / 10 && warming.admits(limit, at + MS + next + MS), "{next:?}");
+        let next = (1..=101).find(|ms| warming.admits(limit, at + MS * *ms));
+        assert!(next.is_some_and(|ms| ms > 1), "{next:?}: a turn comes within each period");
         // Told again that it is cold, it does not begin anew.
         warming.set_until(at + SECOND, at + 2 * MS);
         assert!(!warming.admits(limit, at + 3 * MS));
