Name the content of a request in the lines about it

Cause sought: whether the requests under which runners end are one request that comes again, which no line could tell, as each try has another id. Lines of hosted requests now carry a digest of host, method, path, workspace and body.

--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod moves;
 pub mod outcome;
 pub mod pressure;
+pub mod quarantine;
 pub mod registry;
 pub mod relay;
 pub mod replication;
--- /dev/null
+++ b/crates/hatchpitch/src/quarantine/mod.rs
@@ -0,0 +1,5 @@
+//! Requests that crash what runs them.
+
+pub mod content;
+
+pub use content::ContentId;
--- a/crates/hatchpitch/src/relay/request.rs
+++ b/crates/hatchpitch/src/relay/request.rs
@@ -9,6 +9,7 @@
 
 use crate::config::hosted::{HostedRoute, Urgency};
 use crate::ids::{Priority, RegionName, WorkspaceName};
+use crate::quarantine::ContentId;
 
 /// What a generation needs of an engine, as far as the caller tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,6 +59,19 @@
         self.end().saturating_duration_since(now)
     }
 
+    /// Names what is asked: the same from the same workspace has the same name at every box, and
+    /// under every id.
+    pub fn content(&self) -> ContentId {
+        let workspace = self.workspace.as_deref().unwrap_or_default();
+        ContentId::of(&[
+            self.route.host.as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.target.as_str().as_bytes(),
+            workspace.as_bytes(),
+            &self.body,
+        ])
+    }
+
     /// Returns the rank as admission counts it: a larger one waits less.
     pub fn priority(&self) -> Priority {
         Priority::MAX - self.urgency
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -24,6 +24,7 @@
 use crate::ids::{FailureDomainName, RegionName, RunnerName, ServiceName, new_id};
 use crate::metrics::{Count, Timing};
 use crate::outcome::{Outcome, Problem};
+use crate::quarantine::ContentId;
 use crate::routing::Verdict;
 
 /// Largest answer that is held until it is whole, in bytes; a larger one is passed on as it comes.
@@ -151,6 +152,7 @@
 struct Run {
     relay: Rc<Relay>,
     req: Rc<HostedRequest>,
+    content: ContentId,
     service: ServiceName,
     /// Failure domains whose upstreams may run it; all if there are none.
     within: Vec<FailureDomainName>,
@@ -167,9 +169,11 @@
 impl Run {
     fn new(relay: Rc<Relay>, req: Rc<HostedRequest>) -> Self {
         let service = choose_target(&req.route).to_owned();
+        let content = req.content();
         Self {
             relay,
             req,
+            content,
             service,
             within: Vec::new(),
             tried: RefCell::default(),
@@ -365,6 +369,7 @@
             return Ok(stream::pass_on(
                 &self.relay,
                 self.req.clone(),
+                self.content,
                 &self.service,
                 slot,
                 parts,
@@ -435,8 +440,9 @@
     fn log_try(&self, runner: &str, failure: &Failure, started: Instant) {
         let (outcome, cause) = failure.describe();
         log::info!(
-            request = self.req.id.as_str(), route = self.req.route.name.as_str(),
-            service = self.service.as_str(), upstream = runner, outcome = outcome, cause = &*cause,
+            request = self.req.id.as_str(), content:% = self.content,
+            route = self.req.route.name.as_str(), service = self.service.as_str(),
+            upstream = runner, outcome = outcome, cause = &*cause,
             took_ms = started.elapsed().as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "an upstream did not answer the request"
@@ -449,8 +455,8 @@
             Err(problem) => (problem.status, problem.outcome, problem.message.as_str()),
         };
         log::info!(
-            request = self.req.id.as_str(), route = self.req.route.name.as_str(),
-            service = self.service.as_str(),
+            request = self.req.id.as_str(), content:% = self.content,
+            route = self.req.route.name.as_str(), service = self.service.as_str(),
             workspace = self.req.workspace.as_deref().unwrap_or(""),
             urgency = self.req.urgency, status = status.as_u16(), outcome = outcome.as_str(),
             cause = cause, tries = self.tried.borrow().len(),
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -22,6 +22,7 @@
 use crate::metrics::{Count, STALL_THRESHOLD, Timing};
 use crate::moves::mover::Moving;
 use crate::moves::{self, Leaver, MoveEnd, Moved};
+use crate::quarantine::ContentId;
 use crate::registry::Phase;
 use crate::routing::Verdict;
 
@@ -57,6 +58,7 @@
 pub(super) fn pass_on(
     relay: &Rc<Relay>,
     req: Rc<HostedRequest>,
+    content: ContentId,
     service: &str,
     slot: Slot,
     mut parts: Parts,
@@ -64,7 +66,7 @@
 ) -> Response<Body> {
     for_caller(&mut parts);
     let (tx, out) = Body::stream(BUFFERED_PIECES);
-    let stream = EventStream::new(relay.clone(), req, service.to_owned(), slot);
+    let stream = EventStream::new(relay.clone(), req, content, service.to_owned(), slot);
     compio::runtime::spawn(stream.run(body, tx)).detach();
     Response::from_parts(parts, out)
 }
@@ -72,6 +74,7 @@
 struct EventStream {
     relay: Rc<Relay>,
     req: Rc<HostedRequest>,
+    content: ContentId,
     slot: Slot,
     service: ServiceName,
     splitter: EventSplitter,
@@ -119,12 +122,19 @@
 }
 
 impl EventStream {
-    fn new(relay: Rc<Relay>, req: Rc<HostedRequest>, service: ServiceName, slot: Slot) -> Self {
+    fn new(
+        relay: Rc<Relay>,
+        req: Rc<HostedRequest>,
+        content: ContentId,
+        service: ServiceName,
+        slot: Slot,
+    ) -> Self {
         let active = relay.cx.begin();
         let now = Instant::now();
         Self {
             relay,
             req,
+            content,
             slot,
             service,
             splitter: EventSplitter::default(),
@@ -375,8 +385,8 @@
             End::OutOfTime => ("out_of_time", ""),
         };
         log::info!(
-            request = self.req.id.as_str(), route = self.req.route.name.as_str(),
-            upstream = self.slot.runner.as_str(), outcome = outcome, cause = cause,
+            request = self.req.id.as_str(), content:% = self.content,
+            route = self.req.route.name.as_str(), upstream = self.slot.runner.as_str(), outcome = outcome, cause = cause,
             events = self.splitter.events(), moves = self.moves, leaving = self.leaving,
             first_event_ms = self.first_event.unwrap_or_default().as_millis(),
             longest_gap_ms = self.longest_gap.as_millis(),
