Hold requests that crash what runs them, at every box and over restarts

Cause: nothing knew a request again under which upstreams had ended. Each send of it, under a new id and at any box, was a request like any other, and each of the three paths (relay, generations, calls to applications) passed it on. Ruled out: second tries of ours (each id reached one upstream), and crashes of another cause (a run without an event stands in all 45 breaks of upstreams).

Change: an entry box that sees a run break off finds out whether the upstream still listens, and tells the control leader what ran there; the replicated log adds that up by content (host, method, path, workspace, body). A content that three crashes of three lives speak against is refused at all boxes, with when to come back, for a term that doubles; what began more than a second before the last run there, or before a held one, is not blamed, and an answer to the end clears a content. Bounded: 1,024 crashes for 10 minutes, 256 held contents, a list of at most 12 KB that travels whole as evacuations do. A box that reaches no control box goes by what it saw itself.

--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -27,6 +27,7 @@
 use crate::evacuation::Evacuations;
 use crate::ids::{BoxName, ConfigNumber};
 use crate::limits::backoff;
+use crate::quarantine::QuarantineList;
 
 /// Path of the feed at every box.
 pub const FEED_PATH: &str = "/box/feed";
@@ -58,12 +59,24 @@
     pulls: Cell<bool>,
 }
 
+/// What is in force at a box beside its upstreams.
+#[derive(Debug, Clone, Default)]
+pub struct InForce {
+    /// The number of the configuration.
+    pub config: ConfigNumber,
+    /// The evacuated failure domains.
+    pub evacuations: Rc<Evacuations>,
+    /// The held requests.
+    pub quarantine: Rc<QuarantineList>,
+}
+
 struct Inner {
     state: ConfigState,
     /// What has arrived of a newer configuration.
     arriving: Option<Arriving>,
     view: Rc<FleetView>,
     evacuations: Rc<Evacuations>,
+    quarantine: Rc<QuarantineList>,
     confirmed_at: Option<Instant>,
     waiting: Vec<oneshot::Sender<()>>,
 }
@@ -103,6 +116,7 @@
             arriving: None,
             view: Rc::default(),
             evacuations: Rc::default(),
+            quarantine: Rc::default(),
             confirmed_at: None,
             waiting: Vec::new(),
         };
@@ -126,6 +140,7 @@
         let (have, after) =
             inner.arriving.as_ref().map_or((inner.state.number(), None), Arriving::next);
         let evacuations = inner.evacuations.revision();
+        let quarantine = inner.quarantine.revision;
         FeedRequest {
             from: own.clone(),
             have,
@@ -133,6 +148,7 @@
             unconfirmed,
             after: after.cloned(),
             evacuations,
+            quarantine,
         }
     }
 
@@ -156,6 +172,27 @@
         self.inner.borrow_mut().set_evacuations(evacuations)
     }
 
+    /// Returns the list of held requests in force.
+    pub fn quarantine(&self) -> Rc<QuarantineList> {
+        self.inner.borrow().quarantine.clone()
+    }
+
+    /// Puts a list of held requests in force, unless a newer one already is; returns whether it
+    /// was newer.
+    pub fn set_quarantine(&self, list: &QuarantineList) -> bool {
+        self.inner.borrow_mut().set_quarantine(list)
+    }
+
+    /// Returns what followers of this box are told beside upstreams.
+    pub fn in_force(&self) -> InForce {
+        let inner = self.inner.borrow();
+        InForce {
+            config: inner.state.number(),
+            evacuations: inner.evacuations.clone(),
+            quarantine: inner.quarantine.clone(),
+        }
+    }
+
     /// Returns how long ago the number was confirmed as the newest; `None` if never.
     pub fn confirmed_age(&self) -> Option<Duration> {
         self.inner.borrow().confirmed_at.map(|at| at.elapsed())
@@ -190,6 +227,7 @@
         let news = goes_on
             || self.number() > req.have
             || self.evacuations().revision() > req.evacuations
+            || self.quarantine().revision > req.quarantine
             || (req.unconfirmed && self.is_confirmed());
         if !news && !hold.is_zero() {
             let (tx, rx) = oneshot::channel();
@@ -221,6 +259,8 @@
             evacuated_at: inner.evacuations.revision(),
             evacuations: (inner.evacuations.revision() > req.evacuations)
                 .then(|| (*inner.evacuations).clone()),
+            quarantine: (inner.quarantine.revision > req.quarantine)
+                .then(|| (*inner.quarantine).clone()),
         }
     }
 
@@ -235,6 +275,9 @@
         if let Some(evacuations) = &answer.evacuations {
             inner.set_evacuations(evacuations);
         }
+        if let Some(list) = &answer.quarantine {
+            inner.set_quarantine(list);
+        }
         let evacuations_behind = answer.evacuated_at < inner.evacuations.revision();
         if answer.number < inner.state.number() || evacuations_behind {
             // The parent is behind. What is in force stays; the parent confirms nothing.
@@ -310,6 +353,19 @@
         newer
     }
 
+    fn set_quarantine(&mut self, list: &QuarantineList) -> bool {
+        let newer = list.revision > self.quarantine.revision;
+        if newer {
+            log::info!(
+                revision = list.revision, held = list.held.len(), watched = list.watched.len();
+                "list of held requests changed"
+            );
+            self.quarantine = Rc::new(list.clone());
+            self.waiting.clear();
+        }
+        newer
+    }
+
     fn publish(&mut self) {
         self.view = Rc::new(FleetView::new(&self.state));
         // Closing the channels wakes the children that wait.
--- a/crates/hatchpitch/src/config/messages.rs
+++ b/crates/hatchpitch/src/config/messages.rs
@@ -7,6 +7,7 @@
 use super::entity::{Entity, EntityKey};
 use crate::evacuation::{Evacuations, Revision};
 use crate::ids::{BoxName, ConfigNumber, Digest};
+use crate::quarantine::{self, QuarantineList};
 
 /// What became of a submitted fleet file. The same submission always gets the same outcome.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,6 +66,9 @@
     /// The revision of the evacuations that the box has, 0 for none.
     #[serde(default)]
     pub evacuations: Revision,
+    /// The revision of the list of held requests that the box has, 0 for none.
+    #[serde(default)]
+    pub quarantine: quarantine::Revision,
 }
 
 /// What follows the part of a configuration that an answer holds.
@@ -104,4 +108,7 @@
     /// The evacuations, if they are newer than those asked with.
     #[serde(default)]
     pub evacuations: Option<Evacuations>,
+    /// The list of held requests, if it is newer than the one asked with.
+    #[serde(default)]
+    pub quarantine: Option<QuarantineList>,
 }
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -12,13 +12,16 @@
 use super::context::{ControlCx, ProposeError};
 use super::daemon::{BODY_LIMIT, MAX_BODY};
 use super::join::{self, JOIN_PATH, JoinRequest};
+use super::leader::LeaderAnswer;
 use super::machine::{Order, Reply};
 use super::registrations;
-use crate::claims::client::{CLAIM_PATH, LeaderAnswer, SETTLE_PATH};
+use crate::claims::client::{CLAIM_PATH, SETTLE_PATH};
 use crate::claims::{ClaimOutcome, ClaimRequest, SettleRequest};
 use crate::config::FeedRequest;
 use crate::config::feed::FEED_PATH;
 use crate::outcome::text_response;
+use crate::quarantine::Evidence;
+use crate::quarantine::observer::EVIDENCE_PATH;
 use crate::registry::follow::FOLLOW_PATH;
 use crate::registry::peers::NEWS_PATH;
 use crate::registry::{FollowRequest, RegistryNews};
@@ -62,9 +65,11 @@
                 let req = self.open::<ClaimRequest>()?;
                 self.ordered(Order::Claim(req), |reply| match reply {
                     Reply::Claim(outcome) => outcome,
-                    Reply::Config(_) | Reply::Settled | Reply::Read | Reply::Evacuated => {
-                        ClaimOutcome::Unknown
-                    }
+                    Reply::Config(_)
+                    | Reply::Settled
+                    | Reply::Read
+                    | Reply::Evacuated
+                    | Reply::Noted => ClaimOutcome::Unknown,
                 })
                 .await
             }
@@ -83,7 +88,7 @@
             }
             FOLLOW_PATH => {
                 let req = self.open::<FollowRequest>()?;
-                let in_force = || (self.cx.config.number(), self.cx.config.evacuations());
+                let in_force = || self.cx.config.in_force();
                 let has_room = || self.cx.boxes.backlog().has_room();
                 let answer = self.cx.registry.answer(&req, in_force, has_room).await;
                 let mut answer = answer.ok_or_else(|| {
@@ -115,6 +120,11 @@
                 let req = self.open::<SettleRequest>()?;
                 self.ordered(Order::Settle(req), |_| ()).await
             }
+            EVIDENCE_PATH => {
+                let mut evidence = self.open::<Evidence>()?;
+                evidence.bound();
+                self.ordered(Order::Crashes(evidence), |_| ()).await
+            }
             _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
         }
     }
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -165,6 +165,7 @@
                 let machine = restore.machine.borrow();
                 restore.config.replace(&machine.config);
                 restore.config.set_evacuations(&machine.evacuations);
+                restore.config.set_quarantine(machine.quarantine.list());
                 Ok(())
             }),
             applied: Box::new(move || {
@@ -172,7 +173,8 @@
                 let machine = applied.machine.borrow();
                 applied.config.replace(&machine.config);
                 let evacuations_changed = applied.config.set_evacuations(&machine.evacuations);
-                if applied.config.number() != before || evacuations_changed {
+                let quarantine_changed = applied.config.set_quarantine(machine.quarantine.list());
+                if applied.config.number() != before || evacuations_changed || quarantine_changed {
                     applied.registry.wake();
                 }
             }),
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -10,11 +10,13 @@
 use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, serve, stop_pair};
 
 use super::context::ControlCx;
+use super::machine::Order;
 use super::{boxes, join, operators};
 use crate::commands::task as commands;
 use crate::config::feed;
 use crate::essential::spawn_essential;
 use crate::listener::{self, ExtraListener, bound_at};
+use crate::logging::unix_ms;
 use crate::pressure;
 use crate::registry::peers;
 use crate::replication::bootstrap::Begun;
@@ -143,10 +145,22 @@
     follow_leader(cx, stop);
     loop {
         cx.confirm_config();
+        end_terms(cx).await;
         compio::time::sleep(CONFIRM_PERIOD).await;
     }
 }
 
+/// Has the log note the time if the term of a held request is over, which any order does.
+async fn end_terms(cx: &ControlCx) {
+    let is_due = cx.with_machine(|machine| machine.quarantine.is_due(unix_ms()));
+    if is_due
+        && cx.leads()
+        && let Err(err) = cx.propose(Order::Read).await
+    {
+        log::debug!("terms of held requests: {err:?}");
+    }
+}
+
 /// Gives the lead to another control box before this one ends, so that the core is not without a
 /// leader for as long as an election takes.
 async fn hand_over(cx: &ControlCx) {
--- a/crates/hatchpitch/src/control/machine.rs
+++ b/crates/hatchpitch/src/control/machine.rs
@@ -1,5 +1,5 @@
-//! What the replicated log drives: configuration, evacuations and claims, as one deterministic
-//! state machine.
+//! What the replicated log drives: configuration, evacuations, held requests and claims, as one
+//! deterministic state machine.
 
 use serde::{Deserialize, Serialize};
 
@@ -8,6 +8,7 @@
 use crate::config::{ApplyOutcome, ConfigChange, ConfigState};
 use crate::evacuation::{EvacuationOrder, Evacuations};
 use crate::ids::ConfigNumber;
+use crate::quarantine::{Evidence, Ledger};
 
 /// What an entry of the log orders.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +23,8 @@
     Read,
     /// Begin or end the evacuation of a failure domain.
     Evacuate(EvacuationOrder),
+    /// Note crashes of upstreams and what ran there.
+    Crashes(Evidence),
 }
 
 /// An entry of the log: an order and the leader's clock when it was made.
@@ -46,6 +49,8 @@
     Read,
     /// The evacuation is as ordered.
     Evacuated,
+    /// Crashes are noted.
+    Noted,
 }
 
 /// All state of the control boxes.
@@ -61,6 +66,9 @@
     /// Failure domains that get no new work.
     #[serde(default)]
     pub evacuations: Evacuations,
+    /// Requests that crash upstreams.
+    #[serde(default)]
+    pub quarantine: Ledger,
     now: LogTime,
 }
 
@@ -82,6 +90,7 @@
     /// Applies one committed entry. Time never goes back, whatever the leaders' clocks say.
     pub fn apply(&mut self, command: Command) -> Reply {
         self.now = self.now.max(command.at);
+        self.quarantine.expire(self.now);
         match command.order {
             Order::Config(change) => Reply::Config(self.change(change)),
             Order::Claim(req) => Reply::Claim(self.claims.claim(&req, self.now)),
@@ -94,6 +103,10 @@
                 self.evacuations.apply(order);
                 Reply::Evacuated
             }
+            Order::Crashes(evidence) => {
+                self.quarantine.take(evidence, self.now);
+                Reply::Noted
+            }
         }
     }
 
--- a/crates/hatchpitch/src/control/mod.rs
+++ b/crates/hatchpitch/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod daemon;
 pub mod evacuate;
 pub mod join;
+pub mod leader;
 pub mod machine;
 pub mod operators;
 pub mod registrations;
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -20,6 +20,8 @@
 use crate::ids::{Digest, new_id};
 use crate::metrics::Count;
 use crate::outcome::{OUTCOME_HEADER, Outcome, Problem};
+use crate::quarantine::ContentId;
+use crate::quarantine::observer::{self, RunPlace};
 use crate::trace::{Span, TRACEPARENT};
 
 /// Header that names a request which must not be repeated.
@@ -74,7 +76,16 @@
         let message = format!("the service has no route for {path:?}");
         Problem::not_run(StatusCode::NOT_FOUND, "unknown_route", message)
     })?;
-    let app = App { cx, service, call, span };
+    let content = ContentId::of(&[
+        b"app",
+        service.service.name.as_bytes(),
+        workspace.name.as_bytes(),
+        call.method.as_str().as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ]);
+    observer::check(&cx, &content)?;
+    let app = App { cx, service, call, content, span };
     if route.repeatable {
         return app.repeatable().await;
     }
@@ -85,6 +96,8 @@
     cx: Rc<EntryCx>,
     service: &'a ServiceView,
     call: AppCall,
+    /// Names the call, whatever key it has.
+    content: ContentId,
     span: Span,
 }
 
@@ -100,6 +113,10 @@
                     last = Some(failure.cause);
                 }
             }
+            // Others may have met the same meanwhile.
+            if let Err(held) = observer::check(&self.cx, &self.content) {
+                return Err(if ran { self.problem(Some(held.message), true) } else { held });
+            }
         }
         Err(self.problem(last, ran))
     }
@@ -177,8 +194,15 @@
         let mut span = self.span.child("app.call");
         span.note("upstream", &upstream.name);
         let sent = self.exchange(upstream.addr, &span.traceparent()).await;
-        if let Err(failure) = &sent {
-            span.note("error", &failure.cause);
+        match &sent {
+            Ok(_) => observer::note_answer(&self.cx, self.content),
+            Err(failure) => {
+                span.note("error", &failure.cause);
+                if failure.ran {
+                    let place = RunPlace { upstream: &upstream.name, addr: upstream.addr };
+                    observer::note_break(&self.cx, place, self.content, None);
+                }
+            }
         }
         sent
     }
--- a/crates/hatchpitch/src/entry/completions.rs
+++ b/crates/hatchpitch/src/entry/completions.rs
@@ -213,6 +213,7 @@
             Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_capacity", refusal.cause)
                 .retry_after(refusal.retry_after)
         }
+        StartError::Held(problem) => problem,
         StartError::Failed { cause, ran } => failed_problem(cx, cause, ran),
     }
 }
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -15,6 +15,7 @@
 use crate::config::feed::ConfigCell;
 use crate::config::view::PoolView;
 use crate::config::{FleetView, Runner};
+use crate::control::leader::LeaderClient;
 use crate::dispatch::owners::OwnerMap;
 use crate::evacuation::Revision;
 use crate::grants::{GrantTable, HeldSlots};
@@ -25,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::moves::Turns;
 use crate::outcome::Problem;
+use crate::quarantine::Observer;
 use crate::registry::follow::Followed;
 use crate::routing::state::RunnerSpec;
 use crate::routing::{ColdLimit, RoutingConfig};
@@ -67,6 +69,10 @@
     pub boxes: BoxClient,
     /// Claims.
     pub claims: ClaimClient,
+    /// Client for the control leader.
+    pub leader: LeaderClient,
+    /// Crashes of upstreams that this box saw.
+    pub quarantine: Observer,
     /// Budgets for runs elsewhere.
     pub retries: RefCell<RetryBudgets>,
     /// Whether new work is taken.
@@ -105,8 +111,9 @@
         membership: SharedMembership,
         boxes: BoxClient,
     ) -> Rc<Self> {
-        let claims = ClaimClient::new(boxes.clone(), settings.control.clone());
         let upstreams = Followed::new(&settings.control);
+        let control = upstreams.clone();
+        let leader = LeaderClient::new(boxes.clone(), move || control.control());
         Rc::new(Self {
             tracer: Tracer::new(settings.name.clone()),
             settings,
@@ -114,7 +121,9 @@
             membership,
             metrics: Metrics::default(),
             boxes,
-            claims,
+            claims: ClaimClient::new(leader.clone()),
+            leader,
+            quarantine: Observer::default(),
             retries: RefCell::default(),
             intake: Cell::new(Intake::Open),
             turns: RefCell::default(),
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -125,6 +125,7 @@
     let followed = cx.upstreams.clone();
     let (numbered, fetching) = (cx.clone(), cx.clone());
     let (at_revision, evacuating) = (cx.clone(), cx.clone());
+    let (listed, listing) = (cx.clone(), cx.clone());
     let hints = OrderHints {
         number: Rc::new(move || numbered.config.number().max(numbered.config_seen.get())),
         newer_at: Rc::new(move |source, number| fetch_config(&fetching, source, number)),
@@ -132,6 +133,10 @@
         evacuated: Rc::new(move |evacuations| {
             evacuating.config.set_evacuations(evacuations);
         }),
+        quarantine: Rc::new(move || listed.config.quarantine().revision),
+        quarantined: Rc::new(move |list| {
+            listing.config.set_quarantine(list);
+        }),
     };
     let name = cx.settings.name.clone();
     let upstreams = follow::run(name, followed, cx.boxes.clone(), hints, stop.clone());
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -10,6 +10,9 @@
 use crate::grants::{self, Slot};
 use crate::ids::{GenerationId, PoolName, Priority, RunnerName, WorkspaceName, new_id};
 use crate::metrics::{Count, STALL_THRESHOLD, Timing};
+use crate::outcome::Problem;
+use crate::quarantine::ContentId;
+use crate::quarantine::observer::{self, RunPlace};
 use crate::routing::Verdict;
 use crate::streams::{Phase, StreamLimits, StreamState, StreamStep};
 use crate::trace::Span;
@@ -43,6 +46,19 @@
 }
 
 impl Job {
+    /// Names what is asked, whatever box it is sent to; the priority is not part of it.
+    fn content(&self) -> ContentId {
+        ContentId::of(&[
+            b"generation",
+            self.pool.as_bytes(),
+            self.workspace.as_bytes(),
+            self.model.as_bytes(),
+            self.prompt.as_bytes(),
+            &self.max_tokens.to_be_bytes(),
+            &self.seed.map(u64::to_be_bytes).unwrap_or_default(),
+        ])
+    }
+
     /// Returns the tokens of the prompt, roughly.
     pub fn prompt_tokens(&self) -> u64 {
         self.prompt.chars().count() as u64 / CHARS_PER_TOKEN + 1
@@ -54,6 +70,8 @@
 pub enum StartError {
     /// No runner took the request; it was not run.
     Refused(Refusal),
+    /// It crashes what runs it; it was not run.
+    Held(Problem),
     /// Runners failed before the first token.
     Failed {
         /// Why.
@@ -74,6 +92,10 @@
     runner: RunnerName,
     reader: Option<EventReader>,
     failed_runners: Vec<RunnerName>,
+    /// What is asked; unknown where another box began the answer.
+    content: Option<ContentId>,
+    /// When the runner made its first token, if it did.
+    begun: Option<Instant>,
     relink_rest: Duration,
     ran: bool,
     span: Span,
@@ -95,6 +117,8 @@
         streams: StreamGuard,
     ) -> Result<Self, StartError> {
         cx.retries.borrow_mut().earn(&job.workspace, &job.pool);
+        let content = job.content();
+        observer::check(&cx, &content).map_err(StartError::Held)?;
         let started = Instant::now();
         let slot = admit(&cx, &job, &[], &span).await.map_err(StartError::Refused)?;
         cx.metrics.time(Timing::Wait, &job.pool, job.priority, started.elapsed());
@@ -109,6 +133,8 @@
             slot: Some(slot),
             reader: None,
             failed_runners: Vec::new(),
+            content: Some(content),
+            begun: None,
             relink_rest: RELINK_REST,
             ran: false,
             span,
@@ -142,6 +168,8 @@
             slot: None,
             reader: None,
             failed_runners: Vec::new(),
+            content: None,
+            begun: None,
             relink_rest: RELINK_REST,
             ran: true,
             span,
@@ -227,8 +255,14 @@
         };
         match compio::time::timeout(silence, reader.next()).await {
             Ok(Ok(Some(event))) => self.state.on_event(event),
-            Ok(Ok(None)) => self.state.on_link_lost("the engine closed the stream"),
-            Ok(Err(err)) => self.state.on_link_lost(&err.to_string()),
+            Ok(Ok(None)) => {
+                self.note_break();
+                self.state.on_link_lost("the engine closed the stream")
+            }
+            Ok(Err(err)) => {
+                self.note_break();
+                self.state.on_link_lost(&err.to_string())
+            }
             Err(_) => self.state.on_link_lost("the engine fell silent"),
         }
     }
@@ -276,6 +310,9 @@
                 self.ran |= !err.is_not_run();
                 if matches!(err, EngineError::Send(_)) {
                     self.runner_failed();
+                    if !err.is_not_run() {
+                        self.note_break();
+                    }
                 }
                 Err(err)
             }
@@ -345,19 +382,38 @@
         if !allowed {
             return self.state.fail(&format!("{cause}; the retry budget is used up"));
         }
+        if let Err(held) = self.check_quarantine() {
+            return self.state.fail(&format!("{cause}; {}", held.message));
+        }
         self.cx.metrics.count(Count::Reruns, &self.job.pool);
         let admitted = admit(&self.cx, &self.job, &self.failed_runners, &self.span).await;
         let slot = match admitted {
             Ok(slot) => slot,
             Err(refusal) => return self.state.fail(&format!("{cause}; {}", refusal.cause)),
         };
+        // It may have come to be held while it waited.
+        if let Err(held) = self.check_quarantine() {
+            return self.state.fail(&format!("{cause}; {}", held.message));
+        }
         self.upstream = self.cx.upstream(slot.addr);
         self.runner.clone_from(&slot.runner);
         self.slot = Some(slot);
+        self.begun = None;
         self.state.rerun(new_id(), new_id());
         StreamStep::Nothing
     }
 
+    fn check_quarantine(&self) -> Result<(), Problem> {
+        self.content.map_or(Ok(()), |content| observer::check(&self.cx, &content))
+    }
+
+    /// Notes that the runner broke the answer off.
+    fn note_break(&self) {
+        let Some(content) = self.content else { return };
+        let place = RunPlace { upstream: &self.runner, addr: self.upstream.addr };
+        observer::note_break(&self.cx, place, content, self.begun);
+    }
+
     fn runner_failed(&mut self) {
         if let Some(slot) = self.slot.as_mut() {
             slot.finish(Verdict::Failed, None);
@@ -368,6 +424,7 @@
         let (pool, priority) = (&self.job.pool, self.job.priority);
         let gap = self.last_progress.elapsed();
         if self.state.next_index() == 1 {
+            self.begun = Some(Instant::now());
             if let Some(slot) = self.slot.as_mut() {
                 slot.begun();
             }
@@ -384,6 +441,9 @@
 
     fn note_finish(&mut self, tokens: u64) {
         self.cx.metrics.count(Count::Done, &self.job.pool);
+        if let Some(content) = self.content {
+            observer::note_answer(&self.cx, content);
+        }
         self.span.note("tokens", tokens);
         if let Some(slot) = self.slot.as_mut() {
             slot.finish(Verdict::Succeeded, Some(tokens));
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -52,6 +52,10 @@
     BadInput,
     /// Presented keys that are not known.
     UnknownKey,
+    /// Upstreams that were seen to crash.
+    Crashes,
+    /// Requests refused because they crash upstreams.
+    Quarantined,
 }
 
 /// A gap between tokens from which on a stream counts as stalled.
@@ -199,5 +203,7 @@
         Count::CallerSlow => "hatchpitch_caller_slow_total",
         Count::BadInput => "hatchpitch_bad_input_total",
         Count::UnknownKey => "hatchpitch_unknown_key_total",
+        Count::Crashes => "hatchpitch_upstream_crashes_total",
+        Count::Quarantined => "hatchpitch_quarantined_total",
     }
 }
--- a/crates/hatchpitch/src/outcome.rs
+++ b/crates/hatchpitch/src/outcome.rs
@@ -82,6 +82,12 @@
         Self { status, kind, message, outcome: Outcome::NotRun, retry_after: None }
     }
 
+    /// A request that is not run, as others like it crashed what ran them.
+    pub fn quarantined() -> Self {
+        let message = "requests with this content crashed the upstreams that ran them";
+        Self::not_run(StatusCode::SERVICE_UNAVAILABLE, "quarantined", message)
+    }
+
     /// A request that may have been run.
     pub fn unknown(status: StatusCode, kind: &'static str, message: impl Into<String>) -> Self {
         let message = message.into();
--- a/crates/hatchpitch/src/quarantine/content.rs
+++ b/crates/hatchpitch/src/quarantine/content.rs
@@ -12,7 +12,7 @@
 /// Name of a request's content; two requests that an upstream could not tell apart but by their
 /// ids and times have one.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct ContentId([u8; KEPT]);
+pub struct ContentId(#[serde(with = "serde_bytes")] [u8; KEPT]);
 
 impl ContentId {
     /// Names the content that has these parts, in this order.
--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -14,6 +14,7 @@
 use crate::evacuation::{Evacuations, Revision};
 use crate::ids::{BoxName, ConfigNumber};
 use crate::limits::backoff;
+use crate::quarantine::{self, QuarantineList};
 
 /// Path of the held requests.
 pub const FOLLOW_PATH: &str = "/box/upstreams";
@@ -138,6 +139,10 @@
     pub evacuations: Rc<dyn Fn() -> Revision>,
     /// Called with newer evacuations.
     pub evacuated: Rc<dyn Fn(&Evacuations)>,
+    /// Returns the revision of the list of held requests in force here.
+    pub quarantine: Rc<dyn Fn() -> quarantine::Revision>,
+    /// Called with a newer list of held requests.
+    pub quarantined: Rc<dyn Fn(&QuarantineList)>,
 }
 
 /// Follows control boxes, as many as are wanted and answer, until `stop`.
@@ -181,6 +186,7 @@
             hold: HOLD,
             detail,
             evacuations: (hints.evacuations)(),
+            quarantine: (hints.quarantine)(),
         };
         let call = client.call::<_, FollowAnswer>(source, FOLLOW_PATH, &req, HOLD + ANSWER_MARGIN);
         match call.await {
@@ -236,6 +242,9 @@
     if let Some(evacuations) = &answer.evacuations {
         (hints.evacuated)(evacuations);
     }
+    if let Some(list) = &answer.quarantine {
+        (hints.quarantined)(list);
+    }
     let (epoch, version) = (answer.epoch, answer.version);
     let mut roster = followed.roster.borrow_mut();
     match roster.take(source, asked, answer, Instant::now()) {
--- a/crates/hatchpitch/src/registry/messages.rs
+++ b/crates/hatchpitch/src/registry/messages.rs
@@ -8,6 +8,7 @@
 use super::life::{Birth, LifeName, life_name};
 use crate::evacuation::{Evacuations, Revision};
 use crate::ids::{BoxName, ConfigNumber, FailureDomainName, RunnerName, ServiceName};
+use crate::quarantine::{self, QuarantineList};
 
 /// Life of a control process; a table of another life starts from nothing.
 pub type Epoch = u64;
@@ -170,6 +171,9 @@
     /// The revision of the evacuations that it has.
     #[serde(default)]
     pub evacuations: Revision,
+    /// The revision of the list of held requests that it has.
+    #[serde(default)]
+    pub quarantine: quarantine::Revision,
 }
 
 /// The answer to a [`FollowRequest`].
@@ -214,6 +218,9 @@
     /// The evacuations, if they are newer than those asked with.
     #[serde(default)]
     pub evacuations: Option<Evacuations>,
+    /// The list of held requests, if it is newer than the one asked with.
+    #[serde(default)]
+    pub quarantine: Option<QuarantineList>,
 }
 
 /// Records without the names of their fields.
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
@@ -13,8 +12,8 @@
     Detail, Epoch, FollowAnswer, FollowRequest, PackedRecords, Phase, RegistryNews, UpstreamRecord,
     Version,
 };
-use crate::evacuation::Evacuations;
-use crate::ids::{ConfigNumber, RunnerName};
+use crate::config::feed::InForce;
+use crate::ids::RunnerName;
 
 /// Time without an announcement after which an upstream no longer counts: four heartbeats of
 /// 1.2 s and the lateness that single heartbeats are known to have.
@@ -496,18 +495,19 @@
     }
 
     /// Answers a follower, waiting for a change up to the hold that it asked for, and then for
-    /// `has_room` for a quarter of a second; `None` if there is none. `in_force` tells the configuration
-    /// number and the evacuations here.
+    /// `has_room` for a quarter of a second; `None` if there is none. `in_force` tells what is in
+    /// force here.
     pub async fn answer(
         &self,
         req: &FollowRequest,
-        in_force: impl Fn() -> (ConfigNumber, Rc<Evacuations>),
+        in_force: impl Fn() -> InForce,
         has_room: impl Fn() -> bool,
     ) -> Option<FollowAnswer> {
-        let (config, evacuations) = in_force();
+        let now_in_force = in_force();
         let current = self.with(|table| table.epoch == req.epoch && table.version <= req.have)
-            && config <= req.config
-            && evacuations.revision() <= req.evacuations;
+            && now_in_force.config <= req.config
+            && now_in_force.evacuations.revision() <= req.evacuations
+            && now_in_force.quarantine.revision <= req.quarantine;
         if current && !req.hold.is_zero() {
             let (tx, rx) = oneshot::channel();
             self.waiting.borrow_mut().push(tx);
@@ -523,10 +523,12 @@
         }
         let now = Instant::now();
         let mut answer = self.with(|table| table.changes(req.epoch, req.have, req.detail, now));
-        let (config, evacuations) = in_force();
+        let InForce { config, evacuations, quarantine } = in_force();
         answer.config = config;
         let newer = evacuations.revision() > req.evacuations;
         answer.evacuations = newer.then(|| (*evacuations).clone());
+        let newer = quarantine.revision > req.quarantine;
+        answer.quarantine = newer.then(|| (*quarantine).clone());
         Some(answer)
     }
 }
--- a/crates/hatchpitch/src/relay/answer.rs
+++ b/crates/hatchpitch/src/relay/answer.rs
@@ -14,6 +14,7 @@
 use super::run::Relay;
 use super::stream::BUFFERED_PIECES;
 use crate::grants::Slot;
+use crate::quarantine::observer::{self, RunPlace};
 use crate::routing::Verdict;
 
 /// Makes the caller's answer out of an upstream's, with the length known.
@@ -29,6 +30,13 @@
     parts.version = Version::HTTP_11;
 }
 
+/// Returns whether an upstream tells where its answer ends; one that does not may have crashed
+/// where its answer seems to end.
+pub(super) fn is_framed(parts: &Parts) -> bool {
+    let headers = &parts.headers;
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Passes on an answer that is too large to be held.
 pub(super) fn pass_on(
     relay: &Rc<Relay>,
@@ -38,15 +46,25 @@
     first: Bytes,
     mut body: Incoming,
 ) -> Response<Body> {
+    let is_framed = is_framed(&parts);
     for_caller(&mut parts);
     let (mut tx, out) = Body::stream(BUFFERED_PIECES);
+    let (cx, content) = (relay.cx.clone(), req.content());
     let (active, end) = (relay.cx.begin(), req.end());
     compio::runtime::spawn(async move {
         let left = end.saturating_duration_since(Instant::now());
         match compio::time::timeout(left, pass_pieces(first, &mut body, &mut tx)).await {
-            Ok(Ok(())) => slot.finish(Verdict::Succeeded, None),
+            Ok(Ok(())) => {
+                slot.finish(Verdict::Succeeded, None);
+                if is_framed {
+                    observer::note_answer(&cx, content);
+                }
+            }
             Ok(Err(err)) => {
                 log::info!(upstream = slot.runner.as_str(); "large answer not passed on: {err}");
+                // A caller that left is told apart by the look at the upstream, which then serves.
+                let place = RunPlace { upstream: &slot.runner, addr: slot.addr };
+                observer::note_break(&cx, place, content, None);
                 tx.abort();
             }
             Err(_) => tx.abort(),
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -25,6 +25,7 @@
 use crate::metrics::{Count, Timing};
 use crate::outcome::{Outcome, Problem};
 use crate::quarantine::ContentId;
+use crate::quarantine::observer::{self, RunPlace};
 use crate::routing::Verdict;
 
 /// Largest answer that is held until it is whole, in bytes; a larger one is passed on as it comes.
@@ -186,10 +187,17 @@
     async fn answer(&self) -> Result<Response<Body>, Problem> {
         let mut last: Option<Response<Body>> = None;
         loop {
+            if let Err(problem) = self.check_quarantine() {
+                return last.ok_or(problem);
+            }
             let slot = match self.slot().await {
                 Ok(slot) => slot,
                 Err(refusal) => return last.map_or_else(|| Err(self.refused(refusal)), Ok),
             };
+            // It may have come to be held while it waited.
+            if let Err(problem) = self.check_quarantine() {
+                return last.ok_or(problem);
+            }
             let (runner, started) = (slot.runner.clone(), Instant::now());
             let failure = match self.attempt(slot).await {
                 Ok(res) => return Ok(res),
@@ -205,6 +213,20 @@
         }
     }
 
+    /// Refuses a request that crashes what runs it.
+    fn check_quarantine(&self) -> Result<(), Problem> {
+        observer::check(&self.relay.cx, &self.content).map_err(|problem| match self.ran_at.get() {
+            0 => problem,
+            _ => Problem::unknown(StatusCode::BAD_GATEWAY, "upstream_lost", problem.message),
+        })
+    }
+
+    /// Notes that an upstream broke its run off.
+    fn note_break(&self, slot: &Slot) {
+        let place = RunPlace { upstream: &slot.runner, addr: slot.addr };
+        observer::note_break(&self.relay.cx, place, self.content, None);
+    }
+
     /// Decides what follows a try without the final answer.
     fn after(&self, failure: Failure) -> Next {
         match failure {
@@ -349,6 +371,9 @@
         let res = sent.map_err(|err| {
             let verdict = if err.is_not_run() { Verdict::Failed } else { Verdict::Faulty };
             slot.finish(verdict, None);
+            if !err.is_not_run() && !self.req.time_left(Instant::now()).is_zero() {
+                self.note_break(&slot);
+            }
             self.send_failure(&err)
         })?;
         let (parts, body) = res.into_parts();
@@ -398,12 +423,14 @@
         mut body: Incoming,
     ) -> Result<Response<Body>, Failure> {
         let mut buf = BytesMut::new();
+        let is_framed = answer::is_framed(&parts);
         loop {
             match read_stream(&mut body).await {
                 Ok(Some(piece)) => buf.extend_from_slice(&piece),
                 Ok(None) => break,
                 Err(err) => {
                     slot.finish(Verdict::Faulty, None);
+                    self.note_break(&slot);
                     let cause = format!("{}: {err}", slot.runner);
                     return Err(Failure::MayHaveRun { cause });
                 }
@@ -413,6 +440,9 @@
                 return Ok(answer::pass_on(&self.relay, &self.req, slot, parts, first, body));
             }
         }
+        if is_framed {
+            observer::note_answer(&self.relay.cx, self.content);
+        }
         let failed = parts.status.is_server_error();
         slot.finish(if failed { Verdict::Released } else { Verdict::Succeeded }, None);
         let res = answer::with_length(parts, buf.freeze());
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -10,7 +10,7 @@
 use http::response::Parts;
 use hyper::body::Incoming;
 
-use super::answer::for_caller;
+use super::answer::{for_caller, is_framed};
 use super::dialect::{Attempt, Reading, Resume};
 use super::events::EventSplitter;
 use super::request::HostedRequest;
@@ -23,6 +23,7 @@
 use crate::moves::mover::Moving;
 use crate::moves::{self, Leaver, MoveEnd, Moved};
 use crate::quarantine::ContentId;
+use crate::quarantine::observer::{self, RunPlace};
 use crate::registry::Phase;
 use crate::routing::Verdict;
 
@@ -64,9 +65,11 @@
     mut parts: Parts,
     body: Incoming,
 ) -> Response<Body> {
+    let is_framed = is_framed(&parts);
     for_caller(&mut parts);
     let (tx, out) = Body::stream(BUFFERED_PIECES);
-    let stream = EventStream::new(relay.clone(), req, content, service.to_owned(), slot);
+    let mut stream = EventStream::new(relay.clone(), req, content, service.to_owned(), slot);
+    stream.is_framed = is_framed;
     compio::runtime::spawn(stream.run(body, tx)).detach();
     Response::from_parts(parts, out)
 }
@@ -79,6 +82,10 @@
     service: ServiceName,
     splitter: EventSplitter,
     moving: Option<Moving>,
+    /// Whether the runner of the present link tells where its stream ends.
+    is_framed: bool,
+    /// When the head of the present link came.
+    begun: Instant,
     /// Moves that were begun, and when the next may be.
     moves: u32,
     next_move: Instant,
@@ -139,6 +146,8 @@
             service,
             splitter: EventSplitter::default(),
             moving: None,
+            is_framed: true,
+            begun: now,
             moves: 0,
             next_move: now,
             seen_roster: 0,
@@ -211,6 +220,11 @@
 
     /// Ends the stream as its last link ended.
     async fn finish_link(&mut self, closed: End, tx: &mut BodySender) -> End {
+        match &closed {
+            End::Whole if self.is_framed => observer::note_answer(&self.relay.cx, self.content),
+            End::Broken(_) => self.note_break(Some(self.begun)),
+            _ => {}
+        }
         if closed == End::Whole
             && let Some(rest) = self.splitter.rest()
         {
@@ -220,6 +234,12 @@
         closed
     }
 
+    /// Notes that the runner broke its run off, which began there at `begun` if it gave a sign.
+    fn note_break(&self, begun: Option<Instant>) {
+        let place = RunPlace { upstream: &self.slot.runner, addr: self.slot.addr };
+        observer::note_break(&self.relay.cx, place, self.content, begun);
+    }
+
     /// Begins a move once the runner leaves, and takes note of one that came to nothing.
     fn look_after_move(&mut self) {
         if let Some(moving) = &mut self.moving {
@@ -310,7 +330,7 @@
 
     /// Sends the request to the runner of the slot, to go on from a copy.
     async fn send_resume(
-        &self,
+        &mut self,
         source: SocketAddr,
         handle: String,
     ) -> Result<Incoming, ResumeFailure> {
@@ -324,10 +344,18 @@
         self.relay.budgets.borrow_mut().spend(&self.service);
         let message = (self.relay.dialect.request)(&self.req, &attempt);
         let sent = self.relay.cx.upstream(self.slot.addr).send(message, left).await;
-        let (parts, body) = sent.map_err(ResumeFailure::from_send)?.into_parts();
+        let sent = sent.map_err(|err| {
+            if !err.is_not_run() && !self.req.time_left(Instant::now()).is_zero() {
+                self.note_break(None);
+            }
+            ResumeFailure::from_send(err)
+        });
+        let (parts, body) = sent?.into_parts();
         match (self.relay.dialect.read)(&self.req, &parts) {
             Reading::Answer if parts.status.is_success() => {
                 self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
+                self.is_framed = is_framed(&parts);
+                self.begun = Instant::now();
                 Ok(body)
             }
             Reading::Answer => {
--- a/crates/hatchpitch/tests/evacuation.rs
+++ b/crates/hatchpitch/tests/evacuation.rs
@@ -6,7 +6,7 @@
 use futures_util::FutureExt;
 use futures_util::poll;
 use hatchpitch::claims::{ClaimTable, ClaimsConfig};
-use hatchpitch::config::feed::{self, ConfigCell};
+use hatchpitch::config::feed::{self, ConfigCell, InForce};
 use hatchpitch::config::{ConfigState, Pool, Runner};
 use hatchpitch::config::{Entity, FailureDomain, FeedRequest, Fleet, FleetView};
 use hatchpitch::control::machine::{Command, Machine, Order};
@@ -149,6 +149,7 @@
         unconfirmed: false,
         after: None,
         evacuations,
+        quarantine: 0,
     }
 }
 
@@ -171,6 +172,10 @@
     });
 }
 
+fn in_force(evacuations: &Rc<Evacuations>) -> InForce {
+    InForce { evacuations: evacuations.clone(), ..InForce::default() }
+}
+
 #[test]
 fn a_follower_of_upstreams_hears_of_an_evacuation_too() {
     let cell = RegistryCell::new(1);
@@ -183,18 +188,19 @@
         hold: HOLD,
         detail: Detail::Departures,
         evacuations: 0,
+        quarantine: 0,
     };
     let runtime = compio::runtime::Runtime::new().unwrap();
     runtime.block_on(async {
-        let mut waits = Box::pin(cell.answer(&req, || (0, before.clone()), || true));
+        let mut waits = Box::pin(cell.answer(&req, || in_force(&before), || true));
         assert!(poll!(&mut waits).is_pending(), "nothing is new");
-        let answer = cell.answer(&req, || (0, now.clone()), || true).now_or_never();
+        let answer = cell.answer(&req, || in_force(&now), || true).now_or_never();
         assert_eq!(answer.flatten().unwrap().evacuations.as_ref(), Some(&*now));
     });
     req.evacuations = 1;
     req.hold = Duration::ZERO;
     runtime.block_on(async {
-        let answer = cell.answer(&req, || (0, now.clone()), || true).await.unwrap();
+        let answer = cell.answer(&req, || in_force(&now), || true).await.unwrap();
         assert_eq!(answer.evacuations, None);
     });
 }
--- a/crates/hatchpitch/tests/feed.rs
+++ b/crates/hatchpitch/tests/feed.rs
@@ -25,6 +25,7 @@
         unconfirmed,
         after: None,
         evacuations: 0,
+        quarantine: 0,
     }
 }
 
--- a/crates/hatchpitch/tests/feed_parts.rs
+++ b/crates/hatchpitch/tests/feed_parts.rs
@@ -37,6 +37,7 @@
         unconfirmed: false,
         after: after.cloned(),
         evacuations: 0,
+        quarantine: 0,
     }
 }
 
@@ -51,6 +52,7 @@
         confirmed_age: None,
         evacuated_at: 0,
         evacuations: None,
+        quarantine: None,
         held: Default::default(),
     }
 }
--- a/crates/hatchpitch/tests/registry.rs
+++ b/crates/hatchpitch/tests/registry.rs
@@ -1,7 +1,6 @@
 //! Upstreams that announce themselves: order, leases, and the union at entry boxes.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
@@ -305,8 +304,9 @@
             hold: Duration::ZERO,
             detail: Detail::Named,
             evacuations: 0,
+            quarantine: 0,
         };
-        let in_force = || (0, Rc::default());
+        let in_force = hatchpitch::config::feed::InForce::default;
         let has_room = || client.backlog().has_room();
         // None of them is sent while the others are made.
         let held: Vec<_> = (0..FOLLOWERS)
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -6,6 +6,7 @@
 //! late answer can never be read by the next request.
 
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -55,6 +56,17 @@
 
 impl std::error::Error for SendError {}
 
+/// Whether an upstream takes connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listening {
+    /// It does.
+    Yes,
+    /// Its host says that nobody listens there.
+    No,
+    /// There is no telling: it is silent, or out of reach.
+    Unclear,
+}
+
 /// An upstream's address with the bounds on calls to it.
 #[derive(Debug, Clone, Copy)]
 pub struct Upstream {
@@ -100,6 +112,15 @@
         }
     }
 
+    /// Finds out whether anybody listens at the address, by a connection that is closed at once.
+    pub async fn listening(&self) -> Listening {
+        match compio::time::timeout(self.connect_timeout, TcpStream::connect(self.addr)).await {
+            Ok(Ok(_)) => Listening::Yes,
+            Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Listening::No,
+            Ok(Err(_)) | Err(_) => Listening::Unclear,
+        }
+    }
+
     async fn connect(&self) -> Result<TcpStream, SendError> {
         let fail = |cause: String| SendError { step: SendStep::Connect, peer: self.addr, cause };
         let connected = compio::time::timeout(self.connect_timeout, TcpStream::connect(self.addr));
