--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backlog;
 pub mod body;
 pub mod client;
+pub mod clock;
 pub mod keys;
 pub mod rpc;
 pub mod server;
