--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -1,5 +1,6 @@
 //! Lets requests onto the runners of one pool: a [`Line`] with a channel for each that waits.
 
+use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
@@ -86,7 +87,7 @@
     ///
     /// Returns a [`Refusal`] if no runner takes work.
     pub fn quote(&self, want: &Want) -> Result<Quote, Refusal> {
-        self.0.borrow().line.quote(want, Instant::now())
+        self.0.borrow().line.quote(want, clock::now())
     }
 
     /// Waits for a slot on a runner.
@@ -170,7 +171,7 @@
     }
 
     fn change<T>(&self, change: impl FnOnce(&mut Line, Instant) -> T) -> T {
-        let now = Instant::now();
+        let now = clock::now();
         let mut inner = self.0.borrow_mut();
         let changed = change(&mut inner.line, now);
         inner.deliver(now);
@@ -203,7 +204,7 @@
         inner.waiting.remove(&self.ticket);
         // A slot may have been granted in the moment the caller left.
         if let Ok(Some(Ok(spec))) = self.rx.try_recv() {
-            let now = Instant::now();
+            let now = clock::now();
             inner.line.give_up(&spec.name, &self.id, now);
             inner.deliver(now);
         }
--- a/crates/hatchpitch/src/commands/task.rs
+++ b/crates/hatchpitch/src/commands/task.rs
@@ -1,10 +1,11 @@
 //! Sends the orders while this control box leads.
 
+use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hatchpitch_net::{Stop, Upstream};
 use http::StatusCode;
@@ -43,7 +44,7 @@
 }
 
 fn due(cx: &ControlCx, shared: &Shared) -> Vec<CommandAction> {
-    let now = Instant::now();
+    let now = clock::now();
     let lease =
         cx.log().and_then(|log| log.with(|replica| Some((replica.term(), replica.lease_until()?))));
     let mut leading = shared.borrow_mut();
@@ -93,7 +94,7 @@
                 log::debug!("holdings of {runner}: {err}");
             }
             if let Some(leading) = shared.borrow_mut().as_mut() {
-                leading.commands.on_holdings(&runner, held.ok().as_ref(), Instant::now());
+                leading.commands.on_holdings(&runner, held.ok().as_ref(), clock::now());
             }
         }
         CommandAction::Send { runner, addr, command } => {
@@ -105,7 +106,7 @@
             );
             let outcome = send(addr, &command).await;
             if let Some(leading) = shared.borrow_mut().as_mut() {
-                leading.commands.on_sent(&runner, &outcome, Instant::now());
+                leading.commands.on_sent(&runner, &outcome, clock::now());
             }
         }
     }
--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -10,6 +10,7 @@
 //! part when it is asked for, keeps nothing of who asks, and withholds parts while much waits to
 //! be sent; what has arrived is kept when a parent fails, and the next one goes on from there.
 
+use hatchpitch_net::clock;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -195,7 +196,7 @@
 
     /// Returns how long ago the number was confirmed as the newest; `None` if never.
     pub fn confirmed_age(&self) -> Option<Duration> {
-        self.inner.borrow().confirmed_at.map(|at| at.elapsed())
+        self.inner.borrow().confirmed_at.map(clock::since)
     }
 
     /// Returns whether the number in force was confirmed of late.
@@ -221,7 +222,7 @@
     /// Answers a child, waiting for news up to the hold that it asked for: a change, or a
     /// confirmation where the child has none.
     pub async fn answer(&self, req: &FeedRequest) -> FeedAnswer {
-        let started = Instant::now();
+        let started = clock::now();
         let hold = req.hold.min(MAX_HOLD);
         let goes_on = req.after.is_some();
         let news = goes_on
@@ -254,8 +255,8 @@
                 Some(key) => Rest::After(key),
                 None => Rest::Nothing,
             },
-            confirmed_age: inner.confirmed_at.map(|at| at.elapsed()),
-            held: started.elapsed(),
+            confirmed_age: inner.confirmed_at.map(clock::since),
+            held: clock::since(started),
             evacuated_at: inner.evacuations.revision(),
             evacuations: (inner.evacuations.revision() > req.evacuations)
                 .then(|| (*inner.evacuations).clone()),
@@ -305,7 +306,7 @@
         } else if digest != inner.state.digest() {
             return Err(InstallError::DigestDiffers.into());
         }
-        inner.confirm(age.and_then(|age| Instant::now().checked_sub(age)));
+        inner.confirm(age.and_then(|age| clock::now().checked_sub(age)));
         let confirmed = age.is_some_and(|age| age <= PARENT_MAX_AGE);
         Ok(Learned::Newest { confirmed })
     }
@@ -327,7 +328,7 @@
 
 impl Inner {
     fn is_confirmed(&self) -> bool {
-        self.confirmed_at.is_some_and(|at| at.elapsed() <= PARENT_MAX_AGE)
+        self.confirmed_at.is_some_and(|at| clock::since(at) <= PARENT_MAX_AGE)
     }
 
     /// Notes a confirmation; one that follows none of late wakes the children that wait.
@@ -466,10 +467,10 @@
     hold: Duration,
 ) -> Learned {
     let req = cell.request(own, hold);
-    let sent = Instant::now();
+    let sent = clock::now();
     let answer = client.call::<_, FeedAnswer>(parent, FEED_PATH, &req, req.hold + ANSWER_MARGIN);
     let learned = match answer.await {
-        Ok(answer) => cell.take(&req, answer, sent.elapsed()),
+        Ok(answer) => cell.take(&req, answer, clock::since(sent)),
         Err(err) => Err(err.into()),
     };
     match learned {
@@ -479,7 +480,7 @@
         }
         Ok(_) => {}
         Err(ref err) => {
-            let (have, took_ms) = (cell.number(), sent.elapsed().as_millis());
+            let (have, took_ms) = (cell.number(), clock::since(sent).as_millis());
             let (peer, cause) = (parent.to_string(), format!("{err:#}"));
             log::info!(
                 peer = peer.as_str(), have = have, took_ms = took_ms, cause = cause.as_str();
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -1,8 +1,8 @@
 //! The control box's listener for other boxes.
 
+use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
 
 use hatchpitch_net::{Body, open_message, read_body};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -80,7 +80,7 @@
             }
             PART_PATH => {
                 let part = self.open::<LogPart>()?;
-                let (answer, whole) = self.cx.log_parts.borrow_mut().take(part, Instant::now());
+                let (answer, whole) = self.cx.log_parts.borrow_mut().take(part, clock::now());
                 if let Some(message) = whole {
                     self.receive(decode(&message)?);
                 }
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -1,5 +1,6 @@
 //! What the tasks of one control process share.
 
+use hatchpitch_net::clock;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -249,7 +250,7 @@
     /// Takes in who sent news, and the control boxes that it knows. Returns the sender if its table
     /// is new, so that it lacks what this box knows.
     pub fn note_control(&self, news: &RegistryNews) -> Option<SocketAddr> {
-        let heard = Instant::now();
+        let heard = clock::now();
         let mut known = self.known.borrow_mut();
         known.retain(|_, known| heard.duration_since(known.heard) < FORGET_CONTROL);
         let (unpacks, epoch) = (news.unpacks, news.epoch);
@@ -290,7 +291,7 @@
     /// Returns whether no announcement under this id was refused of late, so that a line about it
     /// is due: whoever sends what is refused sends it again each second.
     pub fn is_new_refusal(&self, id: &str) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         let mut refused = self.refused.borrow_mut();
         refused.retain(|_, at| now.duration_since(*at) < REFUSAL_LINE_PERIOD);
         if refused.contains_key(id) || refused.len() >= MAX_REFUSED {
@@ -323,7 +324,7 @@
 
     /// While this box holds the lease, notes that its configuration is the newest.
     pub fn confirm_config(&self) {
-        let now = Instant::now();
+        let now = clock::now();
         if self.leads() {
             self.config.confirm(now);
         }
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -1,8 +1,9 @@
 //! Wires a control process: listeners, the log, and the feed of configuration.
 
+use hatchpitch_net::clock;
 use std::path::Path;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::Context as _;
 use futures_util::FutureExt;
@@ -167,11 +168,11 @@
     if !cx.hand_over().await {
         return;
     }
-    let asked = Instant::now();
-    while cx.leader().is_none() && asked.elapsed() < HAND_OVER_LIMIT {
+    let asked = clock::now();
+    while cx.leader().is_none() && clock::since(asked) < HAND_OVER_LIMIT {
         compio::time::sleep(HAND_OVER_LOOK).await;
     }
-    let took_ms = asked.elapsed().as_millis();
+    let took_ms = clock::since(asked).as_millis();
     match cx.leader() {
         Some(next) => {
             log::info!(next = next.name.as_str(), took_ms = took_ms; "the lead was handed over");
--- a/crates/hatchpitch/src/control/join.rs
+++ b/crates/hatchpitch/src/control/join.rs
@@ -6,9 +6,10 @@
 //! one that has been silent while there are more replicas than the core needs.
 //! A box never votes before it was promoted, and each change moves one replica.
 
+use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hatchpitch_net::Stop;
 use serde::{Deserialize, Serialize};
@@ -96,7 +97,7 @@
 
 /// Removes the replica that has been silent longest, while the core has more than it needs.
 async fn remove_silent(cx: &ControlCx, log: &ReplicaHandle) -> Result<(), RepairError> {
-    let now = Instant::now();
+    let now = clock::now();
     let silent = log.with(|replica| {
         let voters = replica.members().voters.keys().copied();
         let silent = voters.filter_map(|id| Some((replica.silent_for(id, now)?, id)));
@@ -112,7 +113,7 @@
 
 /// Asks for a place while this box has none, and keeps the core at its size while it leads.
 pub async fn run(cx: Rc<ControlCx>, stop: Stop) {
-    let mut led_at = Instant::now();
+    let mut led_at = clock::now();
     while !stop.is_set() {
         compio::time::sleep(LOOK_PERIOD).await;
         let Some(log) = cx.log() else {
@@ -120,7 +121,7 @@
             continue;
         };
         if log.with(|replica| replica.leads()) {
-            led_at = Instant::now();
+            led_at = clock::now();
             if !cx.joining.replace(true) {
                 if let Err(err) = remove_silent(&cx, log).await {
                     log::warn!("a silent control replica is not removed yet: {err}");
@@ -130,9 +131,9 @@
             continue;
         }
         if log.with(|replica| replica.leader().is_some()) {
-            led_at = Instant::now();
+            led_at = clock::now();
         }
-        if log.with(|replica| asks(replica.members(), cx.id, led_at.elapsed())) {
+        if log.with(|replica| asks(replica.members(), cx.id, clock::since(led_at))) {
             ask(&cx).await;
         }
     }
--- a/crates/hatchpitch/src/control/leader.rs
+++ b/crates/hatchpitch/src/control/leader.rs
@@ -1,9 +1,10 @@
 //! Asks the control leader from an entry box, wherever it is.
 
+use hatchpitch_net::clock;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hatchpitch_net::{BoxClient, CallError};
 use serde::de::DeserializeOwned;
@@ -51,9 +52,9 @@
         Q: Serialize,
         A: DeserializeOwned,
     {
-        let started = Instant::now();
+        let started = clock::now();
         let mut hint = None;
-        while started.elapsed() < budget {
+        while clock::since(started) < budget {
             let Some(peer) = hint.take().or_else(|| self.current()) else {
                 compio::time::sleep(RETRY_REST).await;
                 continue;
--- a/crates/hatchpitch/src/control/registrations.rs
+++ b/crates/hatchpitch/src/control/registrations.rs
@@ -1,8 +1,8 @@
 //! Takes the announcements of upstreams in, and says when they hold.
 
+use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
 
 use super::context::ControlCx;
 use crate::registry::peers;
@@ -33,7 +33,7 @@
     if !knows_service(cx, &record.service) {
         return Err(Unacknowledged::UnknownService);
     }
-    let announced = cx.registry.change(|table| table.announce_here(record.clone(), Instant::now()));
+    let announced = cx.registry.change(|table| table.announce_here(record.clone(), clock::now()));
     let leaves = record.phase == Phase::Leaving;
     if announced == Announced::News {
         log::info!(
@@ -59,7 +59,7 @@
 ///
 /// Returns [`Unacknowledged::NotHeld`] as [`announce`] does.
 pub async fn end(cx: &Rc<ControlCx>, id: &str) -> Result<(), Unacknowledged> {
-    let ended = cx.registry.change(|table| table.end_id(id, Instant::now()));
+    let ended = cx.registry.change(|table| table.end_id(id, clock::now()));
     for life in &ended {
         log::info!("upstream {life}: its life ended");
     }
@@ -73,7 +73,7 @@
 /// that starts after the others misses what upstreams announced to them until their next
 /// heartbeat, 1.2 s later.
 pub fn introduce(cx: &Rc<ControlCx>, peer: SocketAddr) {
-    let records = cx.registry.with(|table| table.records(Instant::now()));
+    let records = cx.registry.with(|table| table.records(clock::now()));
     let cx = cx.clone();
     compio::runtime::spawn(async move {
         for part in records.chunks(INTRODUCED_AT_ONCE) {
--- a/crates/hatchpitch/src/control/repair.rs
+++ b/crates/hatchpitch/src/control/repair.rs
@@ -5,8 +5,9 @@
 //! every committed entry durably, counts, and the last change is committed: a
 //! second loss right then costs nothing.
 
+use hatchpitch_net::clock;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -103,11 +104,11 @@
     step: &'static str,
     change: &MemberChange,
 ) -> Result<(), RepairError> {
-    let started = Instant::now();
+    let started = clock::now();
     loop {
         match log.change(change.clone()).await {
             Ok(()) => break,
-            Err(ChangeError::Busy | ChangeError::Behind) if started.elapsed() < STEP_LIMIT => {
+            Err(ChangeError::Busy | ChangeError::Behind) if clock::since(started) < STEP_LIMIT => {
                 compio::time::sleep(POLL).await;
             }
             Err(err) => return Err(RepairError { step, cause: err.to_string() }),
@@ -121,12 +122,12 @@
     step: &'static str,
     done: impl Fn(&ReplicaHandle) -> bool,
 ) -> Result<(), RepairError> {
-    let started = Instant::now();
+    let started = clock::now();
     while !done(log) {
         if !log.with(|replica| replica.leads()) {
             return Err(RepairError { step, cause: "this box lost the lead".to_owned() });
         }
-        if started.elapsed() > STEP_LIMIT {
+        if clock::since(started) > STEP_LIMIT {
             let cause = format!("not done within {STEP_LIMIT:?}");
             return Err(RepairError { step, cause });
         }
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -4,9 +4,10 @@
 //! Any other call is claimed first, sent at most once, and its answer kept for
 //! callers that ask again.
 
+use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hatchpitch_net::{Body, SendError, read_body};
@@ -129,7 +130,7 @@
             attempt: new_id(),
             run_limit: self.service.service.timeout + CLAIM_MARGIN,
         };
-        let asked = Instant::now();
+        let asked = clock::now();
         let mut claimed = Claimed::new(self.cx.clone(), id, claim.attempt.clone());
         let span = self.span.child("claim");
         let outcome = self.cx.claims.claim(&claim).await;
@@ -148,7 +149,7 @@
                 return held_answer(other, &self.cx);
             }
         }
-        if asked.elapsed() >= self.service.service.timeout + CLAIM_MARGIN / 2 {
+        if clock::since(asked) >= self.service.service.timeout + CLAIM_MARGIN / 2 {
             // This process was frozen; by now the claim may count as unknown.
             let message = "the claim ran out before the call could be sent";
             let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "claim_late", message);
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -1,5 +1,6 @@
 //! What the tasks of one entry process share. One thread, so plain cells.
 
+use hatchpitch_net::clock;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -136,7 +137,7 @@
             view: RefCell::default(),
             synced: Cell::default(),
             reopened: RefCell::default(),
-            started: Instant::now(),
+            started: clock::now(),
             owners: RefCell::default(),
             streams: RefCell::default(),
             active: Cell::new(0),
@@ -223,7 +224,7 @@
         let new_view = MadeFrom { members: made_from.members, ..former } != made_from;
         if new_view {
             let ended = evacuations.ended_since(former.evacuations).cloned();
-            let now = Instant::now();
+            let now = clock::now();
             self.reopened.borrow_mut().extend(ended.map(|domain| (domain, now)));
             let roster = self.upstreams.roster.borrow();
             let view = self.config.view().with_upstreams(roster.serving());
@@ -307,7 +308,7 @@
             let told = roster.warm_at(&spec.name);
             told.into_iter().chain(reopened).max()
         };
-        let now = Instant::now();
+        let now = clock::now();
         gate.update(|table| {
             table.set_cold(|spec| until(spec).map(|until| (until, limit(&spec.name))), now);
         });
@@ -318,7 +319,7 @@
     fn senders(&self) -> usize {
         let membership = self.membership.borrow();
         let boxes = membership.records().filter(|r| matches!(r.subject, Subject::Box(_))).count();
-        let least = if self.started.elapsed() < ACQUAINTED { SENDERS_AT_START } else { 1 };
+        let least = if clock::since(self.started) < ACQUAINTED { SENDERS_AT_START } else { 1 };
         boxes.max(least)
     }
 
@@ -345,7 +346,7 @@
             return true;
         }
         let number = self.config.number();
-        self.membership.borrow().peers_confirm(number, Instant::now(), max_age)
+        self.membership.borrow().peers_confirm(number, clock::now(), max_age)
     }
 
     /// Returns whether callers should be sent here.
@@ -359,8 +360,10 @@
     pub async fn await_config(&self, caller_waits: Option<Duration>) {
         let limit =
             caller_waits.map_or(CONFIG_WAIT, |waits| (waits / CONFIG_WAIT_SHARE).min(CONFIG_WAIT));
-        let started = Instant::now();
-        while (self.config.number() == 0 || !self.config_is_fresh()) && started.elapsed() < limit {
+        let started = clock::now();
+        while (self.config.number() == 0 || !self.config_is_fresh())
+            && clock::since(started) < limit
+        {
             compio::time::sleep(CONFIG_LOOK).await;
         }
     }
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -1,9 +1,10 @@
 //! Wires an entry process: listeners, tasks, and the planned stop.
 
+use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::Context as _;
 use futures_util::FutureExt;
@@ -93,7 +94,7 @@
         return;
     }
     cx.intake.set(Intake::Leaving);
-    let actions = cx.membership.borrow_mut().leave(Instant::now());
+    let actions = cx.membership.borrow_mut().leave(clock::now());
     task::perform(&cx.membership, &cx.boxes, actions);
     let cx = cx.clone();
     compio::runtime::spawn(async move {
@@ -195,7 +196,7 @@
         box_addr: settings.boxes_addr,
         failure_domain: settings.failure_domain.clone(),
     };
-    Membership::new(own, MembershipConfig::default(), rand::random(), Instant::now())
+    Membership::new(own, MembershipConfig::default(), rand::random(), clock::now())
 }
 
 fn limits(cx: &EntryCx) -> ServerLimits {
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -1,5 +1,6 @@
 //! Drives one answer: opens attempts at engines and feeds [`StreamState`].
 
+use hatchpitch_net::clock;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -119,9 +120,9 @@
         cx.retries.borrow_mut().earn(&job.workspace, &job.pool);
         let content = job.content();
         observer::check(&cx, &content).map_err(StartError::Held)?;
-        let started = Instant::now();
+        let started = clock::now();
         let slot = admit(&cx, &job, &[], &span).await.map_err(StartError::Refused)?;
-        cx.metrics.time(Timing::Wait, &job.pool, job.priority, started.elapsed());
+        cx.metrics.time(Timing::Wait, &job.pool, job.priority, clock::since(started));
         let limits = StreamLimits::default();
         let state = StreamState::new(new_id(), new_id(), job.streams, limits);
         let mut generation = Self {
@@ -158,7 +159,7 @@
         span: Span,
         streams: StreamGuard,
     ) -> Result<Self, StartError> {
-        let started = Instant::now();
+        let started = clock::now();
         let mut resumed = Self {
             upstream: cx.upstream(runner.1),
             runner: runner.0,
@@ -422,21 +423,21 @@
 
     fn note_progress(&mut self) {
         let (pool, priority) = (&self.job.pool, self.job.priority);
-        let gap = self.last_progress.elapsed();
+        let gap = clock::since(self.last_progress);
         if self.state.next_index() == 1 {
-            self.begun = Some(Instant::now());
+            self.begun = Some(clock::now());
             if let Some(slot) = self.slot.as_mut() {
                 slot.begun();
             }
-            self.cx.metrics.time(Timing::FirstToken, pool, priority, self.started.elapsed());
-            self.span.note("first_token_us", self.started.elapsed().as_micros());
+            self.cx.metrics.time(Timing::FirstToken, pool, priority, clock::since(self.started));
+            self.span.note("first_token_us", clock::since(self.started).as_micros());
         } else {
             self.cx.metrics.time(Timing::TokenGap, pool, priority, gap);
             if gap > STALL_THRESHOLD {
                 self.cx.metrics.time(Timing::Stall, pool, priority, gap);
             }
         }
-        self.last_progress = Instant::now();
+        self.last_progress = clock::now();
     }
 
     fn note_finish(&mut self, tokens: u64) {
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -1,5 +1,6 @@
 //! What operators ask of an entry box, under `/ops/`.
 
+use hatchpitch_net::clock;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -109,7 +110,7 @@
 
 /// Returns the status of this box.
 pub fn status(cx: &Rc<EntryCx>) -> EntryStatus {
-    let now = Instant::now();
+    let now = clock::now();
     let age = cx.config.confirmed_age().map(|age| u64::try_from(age.as_millis()));
     let evacuations = cx.config.evacuations();
     let view = cx.sync_gates();
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -1,5 +1,6 @@
 //! Asks owners for slots, answers those who ask, and gives slots back.
 
+use hatchpitch_net::clock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -76,7 +77,7 @@
 
     /// Notes that the run made its first token.
     pub fn begun(&mut self) {
-        self.report.first.get_or_insert(self.since.elapsed());
+        self.report.first.get_or_insert(clock::since(self.since));
     }
 
     fn own(cx: &Rc<EntryCx>, id: AttemptId, permit: Permit) -> Self {
@@ -87,7 +88,7 @@
             failure_domain: permit.runner.failure_domain.clone(),
             id,
             from: Source::Own(Box::new(permit)),
-            since: Instant::now(),
+            since: clock::now(),
             report: RunReport::RELEASED,
         }
     }
@@ -257,7 +258,7 @@
             failure_domain,
             id: self.want.id.clone(),
             from: Source::Owner,
-            since: Instant::now(),
+            since: clock::now(),
             report: RunReport::RELEASED,
         }
     }
@@ -281,7 +282,7 @@
             pool: self.pool.clone(),
             runner: runner.to_owned(),
             want: self.want.clone(),
-            since: Instant::now(),
+            since: clock::now(),
             granted_here: owner == self.cx.settings.boxes_addr,
         };
         self.cx.held.borrow_mut().put(self.want.id.clone(), held);
@@ -327,7 +328,7 @@
         Decided::NotOwner => return GrantAnswer::NotOwner,
     };
     let RunnerSpec { name: runner, addr, failure_domain, .. } = permit.runner.clone();
-    cx.grants.borrow_mut().put(req.want.id, req.holder, permit, Instant::now());
+    cx.grants.borrow_mut().put(req.want.id, req.holder, permit, clock::now());
     GrantAnswer::Granted { runner, addr, failure_domain }
 }
 
@@ -338,7 +339,7 @@
 
 /// Drops what a holder does not name.
 pub fn sync(cx: &EntryCx, req: &GrantSync) {
-    cx.grants.borrow_mut().sync(&req.holder, &req.ids, Instant::now());
+    cx.grants.borrow_mut().sync(&req.holder, &req.ids, clock::now());
 }
 
 /// Counts slots that other owners granted.
@@ -353,7 +354,7 @@
         }
         if let Some(permit) = cx.gate(&pool).adopt(&runner, want, age) {
             let holder = req.holder.clone();
-            cx.grants.borrow_mut().put(id.clone(), holder, permit, Instant::now());
+            cx.grants.borrow_mut().put(id.clone(), holder, permit, clock::now());
             adopted.push(id);
         }
     }
@@ -367,7 +368,7 @@
         cx.sync_gates();
         let own = cx.settings.boxes_addr;
         let owner_of = |runner: &str| cx.owner_addr(runner);
-        let strays = cx.held.borrow_mut().strays(own, owner_of, Instant::now());
+        let strays = cx.held.borrow_mut().strays(own, owner_of, clock::now());
         for (owner, slots) in strays {
             let (count, holder) = (slots.len(), cx.settings.name.clone());
             let req = AdoptRequest { holder, slots };
--- a/crates/hatchpitch/src/logging.rs
+++ b/crates/hatchpitch/src/logging.rs
@@ -6,6 +6,7 @@
 //! that is behind never holds the process up: lines it has no room for are left
 //! out as well.
 
+use hatchpitch_net::clock;
 use std::cell::Cell;
 use std::io::{self, Write};
 use std::os::fd::AsFd;
@@ -133,9 +134,9 @@
 /// Returns whether one more line may be written now.
 fn allowed(level: log::Level) -> bool {
     let mut written = WRITTEN.get();
-    if written.since.is_none_or(|since| since.elapsed() >= SECOND) {
+    if written.since.is_none_or(|since| clock::since(since) >= SECOND) {
         let left_out = written.left_out + NO_ROOM.swap(0, Ordering::Relaxed);
-        written = Written { since: Some(Instant::now()), lines: 0, warnings: 0, left_out: 0 };
+        written = Written { since: Some(clock::now()), lines: 0, warnings: 0, left_out: 0 };
         WRITTEN.set(written);
         if left_out > 0 {
             log::warn!(left_out = left_out; "log lines left out in the last second");
--- a/crates/hatchpitch/src/membership/task.rs
+++ b/crates/hatchpitch/src/membership/task.rs
@@ -1,9 +1,10 @@
 //! Drives [`Membership`]: heartbeats over HTTP between boxes.
 
+use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hatchpitch_net::{BoxClient, Stop};
 
@@ -27,9 +28,9 @@
 
 /// Joins through `seeds` and sends heartbeats until `stop`.
 pub async fn run(state: SharedMembership, client: BoxClient, seeds: Vec<SocketAddr>, stop: Stop) {
-    let mut next_join = Instant::now();
+    let mut next_join = clock::now();
     while !stop.is_set() {
-        let now = Instant::now();
+        let now = clock::now();
         if now >= next_join && is_alone(&state) {
             next_join = now + JOIN_REST;
             join(&state, &client, &seeds).await;
@@ -43,7 +44,7 @@
 /// Answers a heartbeat.
 pub fn answer(state: &SharedMembership, client: &BoxClient, gossip: Gossip) -> Gossip {
     let want_all = gossip.want_all;
-    let actions = state.borrow_mut().on_gossip(gossip, Instant::now());
+    let actions = state.borrow_mut().on_gossip(gossip, clock::now());
     perform(state, client, actions);
     state.borrow_mut().compose(false, want_all)
 }
@@ -79,7 +80,7 @@
         let gossip = state.borrow_mut().compose(true, false);
         match client.call::<_, Gossip>(*seed, GOSSIP_PATH, &gossip, CALL_LIMIT).await {
             Ok(answer) => {
-                let actions = state.borrow_mut().on_gossip(answer, Instant::now());
+                let actions = state.borrow_mut().on_gossip(answer, clock::now());
                 perform(state, client, actions);
             }
             Err(err) => log::debug!("join through box {seed}: {err}"),
@@ -91,13 +92,13 @@
     let Some(addr) = box_addr(state, &to) else { return };
     let gossip = state.borrow_mut().compose(want_all, false);
     let actions = match client.call::<_, Gossip>(addr, GOSSIP_PATH, &gossip, CALL_LIMIT).await {
-        Ok(answer) => state.borrow_mut().on_gossip(answer, Instant::now()),
+        Ok(answer) => state.borrow_mut().on_gossip(answer, clock::now()),
         Err(err) => {
             log::debug!("heartbeat to {to}: {err}");
             if probe_through_others(state, client, &to, addr).await {
                 return;
             }
-            state.borrow_mut().on_silence(&to, Instant::now())
+            state.borrow_mut().on_silence(&to, clock::now())
         }
     };
     perform(state, client, actions);
@@ -126,7 +127,7 @@
     let gossip = state.borrow_mut().compose(false, false);
     match client.call::<_, Gossip>(addr, GOSSIP_PATH, &gossip, CALL_LIMIT).await {
         Ok(answer) => {
-            let actions = state.borrow_mut().on_gossip(answer, Instant::now());
+            let actions = state.borrow_mut().on_gossip(answer, clock::now());
             perform(state, client, actions);
         }
         Err(err) => log::debug!("news to {to}: {err}"),
--- a/crates/hatchpitch/src/moves/ask.rs
+++ b/crates/hatchpitch/src/moves/ask.rs
@@ -1,8 +1,9 @@
 //! Asks a runner's owner for the turn to move a generation off it, and answers such questions.
 
+use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::messages::{TurnAnswer, TurnDone, TurnRequest};
 use crate::dispatch::owners::owner_of;
@@ -47,9 +48,9 @@
 
     /// Waits for the turn. An owner that does not answer is passed over after some tries.
     pub async fn wait(&self) -> bool {
-        let started = Instant::now();
+        let started = clock::now();
         let mut failures = 0;
-        while started.elapsed() < TURN_PATIENCE && failures < MAX_FAILURES {
+        while clock::since(started) < TURN_PATIENCE && failures < MAX_FAILURES {
             match self.ask().await {
                 Some(TurnAnswer::Yours) => return true,
                 Some(TurnAnswer::NotYet) => compio::time::sleep(TURN_LOOK).await,
@@ -100,7 +101,7 @@
 /// Answers a box that asks for a turn at a runner.
 pub fn answer_turn(cx: &EntryCx, req: &TurnRequest) -> TurnAnswer {
     let mut turns = cx.turns.borrow_mut();
-    match turns.ask(&req.runner, &req.id, req.at_stake, Instant::now()) {
+    match turns.ask(&req.runner, &req.id, req.at_stake, clock::now()) {
         true => TurnAnswer::Yours,
         false => TurnAnswer::NotYet,
     }
@@ -108,5 +109,5 @@
 
 /// Takes a turn back.
 pub fn take_turn_done(cx: &EntryCx, done: &TurnDone) {
-    cx.turns.borrow_mut().done(&done.runner, &done.id, Instant::now());
+    cx.turns.borrow_mut().done(&done.runner, &done.id, clock::now());
 }
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -1,5 +1,6 @@
 //! Moves one generation: a turn, a slot elsewhere, a first copy, the last part.
 
+use hatchpitch_net::clock;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -102,7 +103,7 @@
         id: new_id(),
     };
     compio::runtime::spawn(async move {
-        let started = Instant::now();
+        let started = clock::now();
         let ended = mover.run().await;
         mover.log(&ended, started);
         // The stream may have ended; its slot elsewhere is given back with the message.
@@ -222,7 +223,7 @@
         log::info!(
             request = self.req.id.as_str(), upstream = self.leaver.runner.as_str(), to = to,
             outcome = outcome, cause = cause, at_stake = self.at_stake,
-            in_memory = self.in_memory, took_ms = started.elapsed().as_millis(),
+            in_memory = self.in_memory, took_ms = clock::since(started).as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "move of a generation"
         );
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -1,5 +1,6 @@
 //! Sees upstreams crash from an entry box, and tells the control leader.
 
+use hatchpitch_net::clock;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -71,7 +72,7 @@
 
 impl Observer {
     fn is_alone(&self) -> bool {
-        self.alone_since.get().is_some_and(|since| since.elapsed() >= ALONE_AFTER)
+        self.alone_since.get().is_some_and(|since| clock::since(since) >= ALONE_AFTER)
     }
 }
 
@@ -104,7 +105,7 @@
         // What it had not ended by then breaks off.
         return;
     }
-    let run = CrashedRun { content, ran_for: begun.map(|at| at.elapsed()).unwrap_or_default() };
+    let run = CrashedRun { content, ran_for: begun.map(clock::since).unwrap_or_default() };
     let mut broken = cx.quarantine.broken.borrow_mut();
     if let Some(runs) = broken.get_mut(place.upstream) {
         if runs.len() < MAX_RUNS {
@@ -177,8 +178,8 @@
 
 /// Returns whether another life takes the place of one that has not said that it leaves.
 async fn is_replaced(cx: &EntryCx, life: &str, addr: SocketAddr) -> bool {
-    let started = Instant::now();
-    while started.elapsed() < NEW_LIFE_WAIT && !is_leaving(cx, life) {
+    let started = clock::now();
+    while clock::since(started) < NEW_LIFE_WAIT && !is_leaving(cx, life) {
         if has_other_life(cx, life, addr) {
             return true;
         }
@@ -214,7 +215,7 @@
         if evidence.is_empty() {
             return;
         }
-        let started = Instant::now();
+        let started = clock::now();
         let told = leader.ask::<_, ()>(EVIDENCE_PATH, &evidence, TELL_LIMIT, TELL_BUDGET).await;
         if told.is_some() {
             observer.alone_since.set(None);
--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -1,10 +1,11 @@
 //! Follows the tables of control boxes from an entry box.
 
+use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hatchpitch_net::{BoxClient, Stop};
 use twox_hash::XxHash64;
@@ -175,7 +176,7 @@
 ) {
     let mut failures = 0;
     while !stop.is_set() && failures < MAX_FAILURES {
-        let asked = Instant::now();
+        let asked = clock::now();
         let detail = followed.detail(&own, source);
         let (epoch, have) = followed.roster.borrow().position(source, detail);
         let req = FollowRequest {
@@ -199,7 +200,7 @@
                     Detail::Departures => DEPARTURES_REST,
                     Detail::Named | Detail::Whole => {
                         let known = followed.roster.borrow().len();
-                        question_period(known).saturating_sub(asked.elapsed())
+                        question_period(known).saturating_sub(clock::since(asked))
                     }
                 };
                 compio::time::sleep(rest).await;
@@ -247,7 +248,7 @@
     }
     let (epoch, version) = (answer.epoch, answer.version);
     let mut roster = followed.roster.borrow_mut();
-    match roster.take(source, asked, answer, Instant::now()) {
+    match roster.take(source, asked, answer, clock::now()) {
         Ok(true) => {
             let (serving, leaving) = (roster.serving().count(), roster.leaving().count());
             log::info!(
--- a/crates/hatchpitch/src/registry/peers.rs
+++ b/crates/hatchpitch/src/registry/peers.rs
@@ -1,9 +1,10 @@
 //! Passes news about upstreams between control boxes.
 
+use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_channel::oneshot;
 use futures_util::StreamExt;
@@ -139,9 +140,9 @@
 /// Renews the leases at the other control boxes and lets leases here run out, until `stop`.
 /// `lonely` tells whether the core is unknown.
 pub async fn run(cell: Rc<RegistryCell>, peers: Rc<Peers>, lonely: impl Fn() -> bool, stop: Stop) {
-    let mut looked = Instant::now();
+    let mut looked = clock::now();
     while !stop.is_set() {
-        let now = Instant::now();
+        let now = clock::now();
         if now.duration_since(looked) > STILL_AFTER {
             log::warn!("stood still for {} ms", now.duration_since(looked).as_millis());
             cell.change(|table| table.stood_still(now));
@@ -150,10 +151,10 @@
         if lonely() {
             cell.change(|table| table.was_out_of_touch(now));
         }
-        for life in cell.change(|table| table.expire(Instant::now())) {
+        for life in cell.change(|table| table.expire(clock::now())) {
             log::info!("upstream {life}: its lease ran out");
         }
-        let renewals = cell.change(|table| table.take_renewals(Instant::now()));
+        let renewals = cell.change(|table| table.take_renewals(clock::now()));
         spread(&peers, renewals, Vec::new()).await;
         let rest = if lonely() { LONELY_PERIOD } else { RENEW_PERIOD };
         compio::time::sleep(rest).await;
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -1,5 +1,6 @@
 //! A control box's table of upstreams, without I/O, and the cell that wakes its followers.
 
+use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
@@ -445,7 +446,7 @@
 impl RegistryCell {
     /// Creates a cell with an empty table.
     pub fn new(epoch: Epoch) -> Self {
-        let table = Table::new(epoch, Instant::now());
+        let table = Table::new(epoch, clock::now());
         Self { table: RefCell::new(table), waiting: RefCell::default() }
     }
 
@@ -467,7 +468,7 @@
 
     /// Takes in what another control box knows.
     pub fn take(&self, mut news: RegistryNews) {
-        let now = Instant::now();
+        let now = clock::now();
         if let Err(err) = news.unpack() {
             log::warn!("records of another control box do not decode: {err}");
         }
@@ -514,14 +515,14 @@
             let _ = compio::time::timeout(req.hold.min(MAX_HOLD), rx).await;
             self.waiting.borrow_mut().retain(|tx| !tx.is_canceled());
         }
-        let held = Instant::now();
+        let held = clock::now();
         while !has_room() {
-            if held.elapsed() > ROOM_WAIT {
+            if clock::since(held) > ROOM_WAIT {
                 return None;
             }
             compio::time::sleep(ROOM_LOOK).await;
         }
-        let now = Instant::now();
+        let now = clock::now();
         let mut answer = self.with(|table| table.changes(req.epoch, req.have, req.detail, now));
         let InForce { config, evacuations, quarantine } = in_force();
         answer.config = config;
--- a/crates/hatchpitch/src/relay/answer.rs
+++ b/crates/hatchpitch/src/relay/answer.rs
@@ -1,7 +1,7 @@
 //! Answers that are passed on without a look at what is in them: whole, or as they come.
 
+use hatchpitch_net::clock;
 use std::rc::Rc;
-use std::time::Instant;
 
 use bytes::Bytes;
 use hatchpitch_net::{Body, BodyError, BodySender, read_stream};
@@ -52,7 +52,7 @@
     let (cx, content) = (relay.cx.clone(), req.content());
     let (active, end) = (relay.cx.begin(), req.end());
     compio::runtime::spawn(async move {
-        let left = end.saturating_duration_since(Instant::now());
+        let left = end.saturating_duration_since(clock::now());
         match compio::time::timeout(left, pass_pieces(first, &mut body, &mut tx)).await {
             Ok(Ok(())) => {
                 slot.finish(Verdict::Succeeded, None);
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -1,5 +1,6 @@
 //! One request: upstreams are tried until there is a final answer.
 
+use hatchpitch_net::clock;
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -137,7 +138,7 @@
     let mut run = Run::new(relay.clone(), Rc::new(req));
     relay.cx.metrics.count(Count::Requests, &run.service);
     relay.budgets.borrow_mut().earn(&run.service);
-    let left = run.req.time_left(Instant::now());
+    let left = run.req.time_left(clock::now());
     let answered = match within {
         Err(refusal) => Err(run.refused(refusal)),
         Ok(within) => {
@@ -198,7 +199,7 @@
             if let Err(problem) = self.check_quarantine() {
                 return last.ok_or(problem);
             }
-            let (runner, started) = (slot.runner.clone(), Instant::now());
+            let (runner, started) = (slot.runner.clone(), clock::now());
             let failure = match self.attempt(slot).await {
                 Ok(res) => return Ok(res),
                 Err(failure) => failure,
@@ -337,15 +338,15 @@
             accepts: refuses_early.then(|| aim.mul_f64(EXPECTED_WAIT)),
             within: self.within.clone(),
         };
-        let started = Instant::now();
+        let started = clock::now();
         if self.await_upstreams(started).await == Untried::Evacuated {
             let cause = "all upstreams of the service are in evacuated failure domains";
             return Err(Refusal::new(cause, EVACUATED_RETRY));
         }
         let slot = obtain(&self.relay.cx, &self.service, want).await;
         let (metrics, priority) = (&self.relay.cx.metrics, self.req.priority());
-        metrics.time(Timing::Wait, &self.service, priority, started.elapsed());
-        self.waited.set(self.waited.get() + started.elapsed());
+        metrics.time(Timing::Wait, &self.service, priority, clock::since(started));
+        self.waited.set(self.waited.get() + clock::since(started));
         slot
     }
 
@@ -354,7 +355,7 @@
     async fn await_upstreams(&self, started: Instant) -> Untried {
         loop {
             let untried = self.untried();
-            if untried != Untried::None || started.elapsed() >= HEARTBEAT_WAIT {
+            if untried != Untried::None || clock::since(started) >= HEARTBEAT_WAIT {
                 return untried;
             }
             compio::time::sleep(UPSTREAM_LOOK).await;
@@ -363,7 +364,7 @@
 
     /// Sends the request to one upstream.
     async fn attempt(&self, mut slot: Slot) -> Result<Response<Body>, Failure> {
-        let left = self.req.time_left(Instant::now());
+        let left = self.req.time_left(clock::now());
         let attempt = Attempt { upstream: slot.runner.clone(), time_left: left, resume: None };
         let message = (self.relay.dialect.request)(&self.req, &attempt);
         self.offered.set(true);
@@ -371,7 +372,7 @@
         let res = sent.map_err(|err| {
             let verdict = if err.is_not_run() { Verdict::Failed } else { Verdict::Faulty };
             slot.finish(verdict, None);
-            if !err.is_not_run() && !self.req.time_left(Instant::now()).is_zero() {
+            if !err.is_not_run() && !self.req.time_left(clock::now()).is_zero() {
                 self.note_break(&slot);
             }
             self.send_failure(&err)
@@ -473,7 +474,7 @@
             request = self.req.id.as_str(), content:% = self.content,
             route = self.req.route.name.as_str(), service = self.service.as_str(),
             upstream = runner, outcome = outcome, cause = &*cause,
-            took_ms = started.elapsed().as_millis(),
+            took_ms = clock::since(started).as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "an upstream did not answer the request"
         );
@@ -491,7 +492,7 @@
             urgency = self.req.urgency, status = status.as_u16(), outcome = outcome.as_str(),
             cause = cause, tries = self.tried.borrow().len(),
             waited_ms = self.waited.get().as_millis(),
-            held_ms = self.req.received.elapsed().as_millis(),
+            held_ms = clock::since(self.req.received).as_millis(),
             config = self.relay.cx.config.number(),
             config_age_ms = self.relay.cx.config.confirmed_age().unwrap_or_default().as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -1,5 +1,6 @@
 //! Passes a stream of events on while it is made, from one runner after another if it is moved.
 
+use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -137,7 +138,7 @@
         slot: Slot,
     ) -> Self {
         let active = relay.cx.begin();
-        let now = Instant::now();
+        let now = clock::now();
         Self {
             relay,
             req,
@@ -197,7 +198,7 @@
             if tx.is_closed() {
                 return LinkEnd::Over(End::CallerLeft);
             }
-            if Instant::now() >= self.req.end() {
+            if clock::now() >= self.req.end() {
                 return LinkEnd::Over(End::OutOfTime);
             }
             self.look_after_move();
@@ -245,7 +246,7 @@
         if let Some(moving) = &mut self.moving {
             if moving.came_to_nothing() {
                 self.moving = None;
-                self.next_move = Instant::now() + MOVE_REST;
+                self.next_move = clock::now() + MOVE_REST;
             }
             return;
         }
@@ -253,7 +254,7 @@
         if !self.relay.cx.settings.policy.moves {
             return;
         }
-        if !self.leaving || self.moves >= MAX_MOVES || Instant::now() < self.next_move {
+        if !self.leaving || self.moves >= MAX_MOVES || clock::now() < self.next_move {
             return;
         }
         let Some(needs) = self.req.generation else { return };
@@ -307,7 +308,7 @@
     /// run was stopped: the memory stays there until the copy is used.
     async fn resume(&mut self, moved: Moved) -> Result<Incoming, String> {
         self.seen_roster = 0;
-        self.next_move = Instant::now() + MOVE_REST;
+        self.next_move = clock::now() + MOVE_REST;
         let Moved { slot, source, handle } = moved;
         let left = slot.map(|slot| std::mem::replace(&mut self.slot, *slot));
         let failure = match self.send_resume(source, handle.clone()).await {
@@ -334,7 +335,7 @@
         source: SocketAddr,
         handle: String,
     ) -> Result<Incoming, ResumeFailure> {
-        let left = self.req.time_left(Instant::now());
+        let left = self.req.time_left(clock::now());
         let after = self.splitter.last_id().map(str::to_owned);
         let attempt = Attempt {
             upstream: self.slot.runner.clone(),
@@ -345,7 +346,7 @@
         let message = (self.relay.dialect.request)(&self.req, &attempt);
         let sent = self.relay.cx.upstream(self.slot.addr).send(message, left).await;
         let sent = sent.map_err(|err| {
-            if !err.is_not_run() && !self.req.time_left(Instant::now()).is_zero() {
+            if !err.is_not_run() && !self.req.time_left(clock::now()).is_zero() {
                 self.note_break(None);
             }
             ResumeFailure::from_send(err)
@@ -355,7 +356,7 @@
             Reading::Answer if parts.status.is_success() => {
                 self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
                 self.is_framed = is_framed(&parts);
-                self.begun = Instant::now();
+                self.begun = clock::now();
                 Ok(body)
             }
             Reading::Answer => {
@@ -381,11 +382,11 @@
     fn note_progress(&mut self) {
         let (metrics, route) = (&self.relay.cx.metrics, &self.req.route.name);
         let priority = self.req.priority();
-        let gap = self.last_progress.elapsed();
+        let gap = clock::since(self.last_progress);
         if self.first_event.is_none() {
-            self.first_event = Some(self.req.received.elapsed());
+            self.first_event = Some(clock::since(self.req.received));
             self.slot.begun();
-            metrics.time(Timing::FirstToken, route, priority, self.req.received.elapsed());
+            metrics.time(Timing::FirstToken, route, priority, clock::since(self.req.received));
         } else {
             metrics.time(Timing::TokenGap, route, priority, gap);
             self.longest_gap = self.longest_gap.max(gap);
@@ -393,7 +394,7 @@
                 metrics.time(Timing::Stall, route, priority, gap);
             }
         }
-        self.last_progress = Instant::now();
+        self.last_progress = clock::now();
     }
 
     fn tokens_made(&self) -> u64 {
@@ -418,7 +419,7 @@
             events = self.splitter.events(), moves = self.moves, leaving = self.leaving,
             first_event_ms = self.first_event.unwrap_or_default().as_millis(),
             longest_gap_ms = self.longest_gap.as_millis(),
-            since_last_ms = self.last_progress.elapsed().as_millis(),
+            since_last_ms = clock::since(self.last_progress).as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "stream ended"
         );
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -2,6 +2,7 @@
 //!
 //! Commands that arrive while a sync is in progress share the next one.
 
+use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -134,7 +135,7 @@
 
     /// Returns whether this replica may act as the only leader now.
     pub fn holds_lease(&self) -> bool {
-        self.with(|replica| replica.lease_until().is_some_and(|until| Instant::now() < until))
+        self.with(|replica| replica.lease_until().is_some_and(|until| clock::now() < until))
     }
 }
 
@@ -225,7 +226,7 @@
     let data = (applied > 0).then_some(restored.snapshot.data.as_slice());
     (applier.restore)(data)?;
     let seed = rand::random();
-    let replica = Replica::new(id, cfg, restored, seed, Instant::now());
+    let replica = Replica::new(id, cfg, restored, seed, clock::now());
     Ok((storage, replica, applied))
 }
 
@@ -247,7 +248,7 @@
             while let Ok(id) = self.large_ended.try_recv() {
                 self.replica.borrow_mut().large_ended(id);
             }
-            self.replica.borrow_mut().tick(Instant::now());
+            self.replica.borrow_mut().tick(clock::now());
             if let Err(err) = self.settle() {
                 log::error!("{err}; the replica starts anew");
                 self.start_anew().await;
@@ -280,7 +281,7 @@
     }
 
     fn take(&mut self, input: Input) {
-        let now = Instant::now();
+        let now = clock::now();
         match input {
             Input::Received(Envelope { from, to, message }, reply_to) if to == self.id => {
                 self.heard_from.insert(from, reply_to);
@@ -324,7 +325,7 @@
                 break;
             }
             self.storage.save(&ready)?;
-            self.replica.borrow_mut().persisted(end, Instant::now());
+            self.replica.borrow_mut().persisted(end, clock::now());
             self.finish(ready);
         }
         self.drop_lost_proposals();
@@ -455,11 +456,11 @@
     ended: mpsc::UnboundedSender<NodeId>,
 ) {
     while let Some(envelope) = rx.next().await {
-        let (from, to, begun) = (envelope.from, envelope.to, Instant::now());
+        let (from, to, begun) = (envelope.from, envelope.to, clock::now());
         let bytes = envelope.message.payload_len();
         let batch = LogBatch { reply_to, envelopes: vec![envelope] };
         let sent = transfer::send(&client, addr, from, rand::random(), batch).await;
-        let (peer, took_ms) = (addr.to_string(), begun.elapsed().as_millis());
+        let (peer, took_ms) = (addr.to_string(), clock::since(begun).as_millis());
         match sent {
             Ok(arrived) => log::info!(
                 peer = peer.as_str(), bytes = bytes, took_ms = took_ms, arrived = arrived;
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -1,7 +1,8 @@
 //! Reads the load reports of upstreams and passes on what they say about leaving.
 
+use hatchpitch_net::clock;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hatchpitch_net::Stop;
 
@@ -44,7 +45,7 @@
         }
     };
     observe(cx, runner, &load);
-    cx.gate(&runner.pool).update(|table| table.report(&runner.name, load, Instant::now()));
+    cx.gate(&runner.pool).update(|table| table.report(&runner.name, load, clock::now()));
 }
 
 /// Notes what the upstream says about its own life; leaving is sticky within it.
@@ -58,6 +59,6 @@
         box_addr: runner.addr,
         failure_domain: runner.failure_domain.clone(),
     };
-    let actions = cx.membership.borrow_mut().observe(record, Instant::now());
+    let actions = cx.membership.borrow_mut().observe(record, clock::now());
     task::perform(&cx.membership, &cx.boxes, actions);
 }
--- a/crates/hatchpitch/src/trace.rs
+++ b/crates/hatchpitch/src/trace.rs
@@ -4,6 +4,7 @@
 //! that `hatchpitch trace` reads from every box. The span libraries at hand
 //! report from a thread of their own, which the one-thread rule excludes.
 
+use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -78,7 +79,7 @@
             micros: 0,
             notes: Vec::new(),
         };
-        Span { tracer: self.clone(), record, started: Instant::now() }
+        Span { tracer: self.clone(), record, started: clock::now() }
     }
 
     fn keep(&self, record: SpanRecord) {
@@ -125,7 +126,7 @@
 impl Drop for Span {
     fn drop(&mut self) {
         let mut record = self.record.clone();
-        record.micros = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        record.micros = u64::try_from(clock::since(self.started).as_micros()).unwrap_or(u64::MAX);
         self.tracer.keep(record);
     }
 }
--- a/crates/hatchpitch/tests/suspension.rs
+++ b/crates/hatchpitch/tests/suspension.rs
@@ -122,3 +122,31 @@
         }
     });
 }
+
+/// Returns the lines of the Rust files of a folder that hold one of `words`.
+fn lines_with(folder: &Path, words: &[&str]) -> Vec<String> {
+    let mut found = Vec::new();
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            found.extend(lines_with(&path, words));
+        } else if path.extension().is_some_and(|ending| ending == "rs") {
+            let text = std::fs::read_to_string(&path).unwrap();
+            let lines = text.lines().filter(|line| words.iter().any(|word| line.contains(word)));
+            found.extend(lines.map(|line| format!("{}: {}", path.display(), line.trim())));
+        }
+    }
+    found
+}
+
+#[test]
+fn no_daemon_reads_the_clock_that_misses_suspensions() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
+    let folders = ["net/src", "hatchpitch/src", "entry/src", "control/src", "../platform/src"];
+    let reads =
+        folders.map(|folder| lines_with(&crates.join(folder), &["Instant::now", ".elapsed("]));
+    let reads: Vec<String> = reads.into_iter().flatten().collect();
+    // The clock itself reads it once, for the instant that it counts from.
+    assert_eq!(reads.len(), 1, "{reads:#?}");
+    assert!(reads[0].contains("net/src/clock.rs"), "{reads:?}");
+}
