--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -90,6 +90,9 @@
     /// Begin or end the evacuation of a failure domain, or list the evacuated ones.
     #[command(subcommand)]
     Evacuation(Evacuation),
+    /// List the requests that are refused for crashing upstreams, or let one go.
+    #[command(subcommand)]
+    Quarantine(Quarantine),
     /// Replace a control box that lost its disk; done means that a second loss costs nothing.
     Repair {
         /// Name of the box, which has to run with an empty data folder.
@@ -139,6 +142,18 @@
     List,
 }
 
+/// What is done about held requests. Each order is safe to give again.
+#[derive(Debug, Subcommand)]
+pub enum Quarantine {
+    /// Print the held requests.
+    List,
+    /// Let a request run again.
+    Release {
+        /// Name of its content, 32 hexadecimal digits.
+        content: String,
+    },
+}
+
 /// Kinds of files.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum FileKind {
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod evacuation;
 mod explain;
+mod quarantine;
 mod status;
 mod trace;
 
@@ -35,6 +36,7 @@
         Command::Status => status::run(&args).await,
         Command::Drain { name, wait } => drain::run(&args, name, *wait).await,
         Command::Evacuation(order) => evacuation::run(&args, order).await,
+        Command::Quarantine(order) => quarantine::run(&args, order).await,
         Command::Repair { replace } => repair(&args, replace).await,
         Command::Trace { id } => trace::run(&args, id).await,
         Command::Explain { request, logs } => explain::run(args.output, request, logs),
--- a/crates/e2e/tests/cli.rs
+++ b/crates/e2e/tests/cli.rs
@@ -1,10 +1,11 @@
 //! The commands of docs/OPERATORS.md, run as an operator runs them.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hatchpitch_e2e::fleet::{MODEL, OPERATOR_KEY, PATIENCE};
 use hatchpitch_e2e::process::run;
 use hatchpitch_e2e::{Shape, TestFleet};
+use hatchpitch_standins::engine::server::Fault;
 use serde_json::Value;
 
 /// Runs `hatchpitch` against a fleet.
@@ -117,6 +118,37 @@
     Ok(())
 }
 
+#[compio::test]
+async fn held_requests_are_listed_and_let_go_as_the_page_says() -> anyhow::Result<()> {
+    let mut fleet = TestFleet::start(Shape { engines: 3, ..Shape::default() }).await?;
+    assert!(hatchpitch(&fleet, &["quarantine", "list"]).1.contains("no request is held"));
+    let wrong = hatchpitch(&fleet, &["quarantine", "release", "something"]);
+    assert!(wrong.0 == 1 && wrong.1.contains("32 hexadecimal digits"), "{}", wrong.1);
+    for engine in 0..3 {
+        fleet.set_fault(engine, Fault::Die { at: 0 }).await?;
+    }
+    let (caller, at) = (fleet.caller(0), fleet.entry_addrs[0]);
+    let started = Instant::now();
+    let content = loop {
+        caller.chat(at, MODEL, "poison len=3", |_| true).await?;
+        let held = json(&hatchpitch(&fleet, &["--output", "json", "quarantine", "list"]));
+        if let Some(content) = held[0]["content"].as_str() {
+            break content.to_owned();
+        }
+        assert!(started.elapsed() < PATIENCE, "it is never held");
+    };
+    for engine in &mut fleet.engines {
+        engine.restart()?;
+    }
+    let released = hatchpitch(&fleet, &["quarantine", "release", &content]);
+    assert!(released.0 == 0 && released.1.contains("no request is held"), "{}", released.1);
+    while !caller.chat(at, MODEL, "poison len=3", |_| true).await?.complete {
+        assert!(started.elapsed() < PATIENCE, "it is never served again");
+        compio::time::sleep(Duration::from_millis(100)).await;
+    }
+    Ok(())
+}
+
 #[compio::test]
 async fn trace_shows_each_hop() -> anyhow::Result<()> {
     let fleet = TestFleet::start(Shape { engines: 1, ..Shape::default() }).await?;
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -30,6 +30,8 @@
 pub const MAX_BODY: usize = 64 * 1024 * 1024;
 /// Time in which a body must arrive.
 pub const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Time between looks for terms of held requests that are over: a thousandth of the shortest.
+const TERMS_LOOK: Duration = Duration::from_millis(600);
 /// Time between confirmations of the configuration while this box leads.
 const CONFIRM_PERIOD: Duration = Duration::from_millis(100);
 
@@ -144,21 +146,25 @@
     log::info!("the log goes on; identity {:016x}", cx.id);
     spawn_essential("commands", commands::run(cx.clone(), stop.clone()));
     follow_leader(cx, stop);
+    let terms = cx.clone();
+    spawn_essential("held requests", async move { end_terms(&terms).await });
     loop {
         cx.confirm_config();
-        end_terms(cx).await;
         compio::time::sleep(CONFIRM_PERIOD).await;
     }
 }
 
-/// Has the log note the time if the term of a held request is over, which any order does.
+/// Has the log note the time once the term of a held request is over, as any order does.
 async fn end_terms(cx: &ControlCx) {
-    let is_due = cx.with_machine(|machine| machine.quarantine.is_due(unix_ms()));
-    if is_due
-        && cx.leads()
-        && let Err(err) = cx.propose(Order::Read).await
-    {
-        log::debug!("terms of held requests: {err:?}");
+    loop {
+        compio::time::sleep(TERMS_LOOK).await;
+        let is_due = cx.with_machine(|machine| machine.quarantine.is_due(unix_ms()));
+        if is_due
+            && cx.leads()
+            && let Err(err) = cx.propose(Order::Read).await
+        {
+            log::debug!("terms of held requests: {err:?}");
+        }
     }
 }
 
--- a/crates/hatchpitch/src/control/mod.rs
+++ b/crates/hatchpitch/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod leader;
 pub mod machine;
 pub mod operators;
+pub mod quarantine;
 pub mod registrations;
 pub mod repair;
 pub mod submit;
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -12,6 +12,7 @@
 use super::daemon::BODY_LIMIT;
 use super::evacuate::{EvacuateError, evacuate};
 use super::machine::Order;
+use super::quarantine;
 use super::repair;
 use super::submit::{SubmitError, submit};
 use crate::config::check::MAX_FLEET_FILE;
@@ -136,6 +137,11 @@
         (Method::POST, "/ops/evacuations/end") => {
             order_evacuation(cx, &req, EvacuationOrder::End, &operator).await
         }
+        (Method::GET, "/ops/quarantine") => {
+            be_newest(cx).await?;
+            Ok(quarantine::listed(cx))
+        }
+        (Method::POST, "/ops/quarantine/release") => quarantine::release(cx, &req, &operator).await,
         (Method::POST, "/ops/repair") => repair(cx, req, &operator).await,
         _ => Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown_path", "no such path")),
     }
@@ -146,6 +152,7 @@
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
     cx.metrics.gauge("hatchpitch_leads", if cx.leads() { 1.0 } else { 0.0 });
     cx.metrics.evacuations(&cx.config.evacuations());
+    cx.metrics.quarantine(&cx.config.quarantine());
     let upstreams = cx.registry.with(|table| table.alive().count());
     cx.metrics.gauge("hatchpitch_upstreams", upstreams as f64);
     text_response(StatusCode::OK, cx.metrics.render())
@@ -234,7 +241,7 @@
     json_response(status, outcome, Outcome::Done)
 }
 
-fn propose_problem(err: ProposeError) -> Problem {
+pub(super) fn propose_problem(err: ProposeError) -> Problem {
     match err {
         ProposeError::NotLeader(leader) => {
             let message = match leader {
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -11,6 +11,7 @@
 
 use crate::evacuation::Evacuations;
 use crate::ids::{PoolName, Priority};
+use crate::quarantine::QuarantineList;
 
 /// Times that are measured for each pool and priority.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -119,6 +120,12 @@
         }
     }
 
+    /// Shows the list of held requests.
+    pub fn quarantine(&self, list: &QuarantineList) {
+        self.gauge("hatchpitch_held_requests", list.held.len() as f64);
+        self.gauge("hatchpitch_quarantine_revision", list.revision as f64);
+    }
+
     /// Shows the evacuations that hold.
     pub fn evacuations(&self, evacuations: &Evacuations) {
         self.gauge("hatchpitch_evacuated_domains", evacuations.domains().count() as f64);
--- a/crates/hatchpitch/src/quarantine/content.rs
+++ b/crates/hatchpitch/src/quarantine/content.rs
@@ -30,6 +30,20 @@
     }
 }
 
+impl TryFrom<&str> for ContentId {
+    type Error = &'static str;
+
+    /// Reads a name as [`fmt::Display`] writes it.
+    fn try_from(text: &str) -> Result<Self, Self::Error> {
+        const EXPECTED: &str = "32 hexadecimal digits";
+        if text.len() != 2 * KEPT || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(EXPECTED);
+        }
+        let number = u128::from_str_radix(text, 16).map_err(|_| EXPECTED)?;
+        Ok(Self(number.to_be_bytes()))
+    }
+}
+
 impl fmt::Display for ContentId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/standins/src/app.rs
+++ b/crates/standins/src/app.rs
@@ -61,6 +61,9 @@
         let path = req.uri().path().to_owned();
         match (req.method().clone(), path.as_str()) {
             (Method::GET, "/rates") => {
+                if self.fault.get() == AppFault::Die {
+                    std::process::exit(9);
+                }
                 let rates = json!({"fixed_30": 6.125, "fixed_15": 5.5});
                 text_response(StatusCode::OK, rates.to_string())
             }
