Never hold what upstreams answered of late

Cause, found by reading: a popular request runs on many upstreams when a failure domain is lost, so three crashes speak against it at once, and once it is refused nothing can clear it. Not measured on its own.

--- a/crates/hatchpitch/src/quarantine/mod.rs
+++ b/crates/hatchpitch/src/quarantine/mod.rs
@@ -9,6 +9,7 @@
 pub mod content;
 pub mod messages;
 pub mod observer;
+pub mod recent;
 pub mod state;
 pub mod verify;
 
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -11,6 +11,7 @@
 
 use super::content::ContentId;
 use super::messages::{Crash, CrashedRun, Evidence, MAX_RUNS, MAX_TOLD};
+use super::recent::RecentAnswers;
 use super::state::Ledger;
 use crate::control::leader::LeaderClient;
 use crate::entry::EntryCx;
@@ -68,6 +69,8 @@
     alone_since: Cell<Option<Instant>>,
     /// What this box saw itself.
     own: RefCell<Ledger>,
+    /// What it answered of late.
+    recent: RefCell<RecentAnswers>,
 }
 
 impl Observer {
@@ -76,17 +79,22 @@
     }
 }
 
-/// Refuses a content that is held.
+/// Refuses a content that is held, unless this box answered it of late: then it is let go
+/// everywhere.
 ///
 /// # Errors
 ///
 /// Returns the refusal, with when to come back.
-pub fn check(cx: &EntryCx, content: &ContentId) -> Result<(), Problem> {
+pub fn check(cx: &Rc<EntryCx>, content: &ContentId) -> Result<(), Problem> {
     let listed = cx.config.quarantine().held_until(content);
     // Without control boxes nobody adds up what all boxes saw; three crashes at one are enough.
     let own = || cx.quarantine.own.borrow().list().held_until(content);
     let held = listed.or_else(|| cx.quarantine.is_alone().then(own).flatten());
     let Some(until) = held else { return Ok(()) };
+    if cx.quarantine.recent.borrow().has(content, clock::now()) {
+        vouch(cx, *content);
+        return Ok(());
+    }
     let left = Duration::from_millis(until.saturating_sub(unix_ms()));
     let left = left.clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1);
     cx.metrics.count(Count::Quarantined, "");
@@ -105,6 +113,9 @@
         // What it had not ended by then breaks off.
         return;
     }
+    if cx.quarantine.recent.borrow().has(&content, clock::now()) {
+        return;
+    }
     let run = CrashedRun { content, ran_for: begun.map(clock::since).unwrap_or_default() };
     let mut broken = cx.quarantine.broken.borrow_mut();
     if let Some(runs) = broken.get_mut(place.upstream) {
@@ -123,11 +134,15 @@
 
 /// Notes that an upstream answered a content to the end.
 pub fn note_answer(cx: &Rc<EntryCx>, content: ContentId) {
-    let observer = &cx.quarantine;
-    let own = observer.own.borrow().list().awaits_answer(&content);
-    if !own && !cx.config.quarantine().awaits_answer(&content) {
-        return;
+    cx.quarantine.recent.borrow_mut().note(content, clock::now());
+    let own = cx.quarantine.own.borrow().list().awaits_answer(&content);
+    if own || cx.config.quarantine().awaits_answer(&content) {
+        vouch(cx, content);
     }
+}
+
+/// Tells that an upstream answered a content that is suspected or held.
+fn vouch(cx: &Rc<EntryCx>, content: ContentId) {
     let answered = Evidence { answered: [content].into(), ..Evidence::default() };
     log::info!(content:% = content; "a request that was suspected is answered");
     take(cx, answered);
--- a/crates/hatchpitch/tests/quarantine.rs
+++ b/crates/hatchpitch/tests/quarantine.rs
@@ -1,10 +1,11 @@
 //! Which requests are held for crashing upstreams: replays of crashes on the state alone, the log's
 //! state, and how boxes learn of the list.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hatchpitch::claims::state::LogTime;
 use hatchpitch::control::machine::{Command, Machine, Order};
+use hatchpitch::quarantine::recent::{MAX_REMEMBERED, RecentAnswers, SPEAKS_FOR};
 use hatchpitch::quarantine::state::{
     CRASH_COUNTS, ENOUGH_CRASHES, FIRST_TERM, LONGEST_TERM, MAX_CRASHES, MAX_KNOWN, MAX_LIST_BYTES,
 };
@@ -276,3 +277,21 @@
     let refused: usize = all.iter().map(|(_, refused)| refused).sum();
     assert!(refused * 100 <= 200 * 40, "{refused} neighbours refused for a moment");
 }
+
+#[test]
+fn answers_speak_for_a_content_for_a_while_and_are_bounded() {
+    let (mut recent, now) = (RecentAnswers::default(), Instant::now());
+    recent.note(content("popular"), now);
+    let later = now + SPEAKS_FOR / 2;
+    recent.note(content("popular"), later);
+    recent.note(content("other"), now + SPEAKS_FOR);
+    assert!(recent.has(&content("popular"), now + SPEAKS_FOR), "answered again meanwhile");
+    assert!(!recent.has(&content("popular"), later + SPEAKS_FOR));
+    assert!(!recent.has(&content("never"), now));
+    for n in 0..3 * MAX_REMEMBERED {
+        recent.note(content(&format!("c-{n}")), now + SPEAKS_FOR);
+    }
+    assert!(recent.len() <= MAX_REMEMBERED && !recent.is_empty());
+    recent.note(content("last"), now + 3 * SPEAKS_FOR);
+    assert_eq!(recent.len(), 1, "time ends them as well");
+}
