--- a/crates/e2e/tests/quarantine.rs
+++ b/crates/e2e/tests/quarantine.rs
@@ -94,27 +94,34 @@
     a_call_is_refused(Method::POST, "/payoff?poison", "/payoff?other").await
 }
 
-#[compio::test]
-async fn a_generation_that_ends_engines_is_refused_at_every_box() -> anyhow::Result<()> {
-    let shape = Shape { entry: 2, engines: UPSTREAMS, apps: 0, ..Shape::default() };
-    let mut fleet = TestFleet::start(shape).await?;
+/// Sends a generation to some boxes in turn until it is refused. Engines end under it before and
+/// after their first token, which decides whether it is run elsewhere, and begin again.
+async fn until_refused(fleet: &mut TestFleet, boxes: &[usize]) -> anyhow::Result<()> {
     let started = Instant::now();
-    // Engines end under it before and after their first token, which decides whether it is run
-    // elsewhere; each that is back ends under it again until it is refused.
     for round in 0.. {
-        let at = round % 2;
+        let at = boxes[round % boxes.len()];
+        let token = (round % 2) as u64 * 3;
         for engine in 0..UPSTREAMS {
-            while fleet.set_fault(engine, Fault::Die { at: at as u64 * 3 }).await.is_err() {
+            while fleet.set_fault(engine, Fault::Die { at: token }).await.is_err() {
                 fleet.engines[engine].restart()?;
                 compio::time::sleep(REST).await;
             }
         }
-        if generate(&fleet, at, "poison len=20").await?.as_deref() == Some(QUARANTINED) {
+        if generate(fleet, at, "poison len=20").await?.as_deref() == Some(QUARANTINED) {
             break;
         }
         assert!(started.elapsed() < PATIENCE, "never refused");
         compio::time::sleep(REST).await;
     }
+    Ok(())
+}
+
+#[compio::test]
+async fn a_generation_that_ends_engines_is_refused_at_every_box() -> anyhow::Result<()> {
+    let shape = Shape { entry: 2, engines: UPSTREAMS, apps: 0, ..Shape::default() };
+    let mut fleet = TestFleet::start(shape).await?;
+    until_refused(&mut fleet, &[0, 1]).await?;
+    let started = Instant::now();
     for engine in &mut fleet.engines {
         engine.restart()?;
     }
@@ -128,3 +135,13 @@
     }
     Ok(())
 }
+
+#[compio::test]
+async fn without_control_boxes_a_box_goes_by_what_it_saw_itself() -> anyhow::Result<()> {
+    let shape = Shape { entry: 2, engines: UPSTREAMS, apps: 0, ..Shape::default() };
+    let mut fleet = TestFleet::start(shape).await?;
+    for control in &mut fleet.control {
+        control.kill();
+    }
+    until_refused(&mut fleet, &[0]).await
+}
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -65,7 +65,7 @@
     broken: RefCell<BTreeMap<RunnerName, Vec<CrashedRun>>>,
     untold: RefCell<Evidence>,
     is_telling: Cell<bool>,
-    /// Since when no control box takes evidence.
+    /// Since when evidence is being told and no control box has taken it.
     alone_since: Cell<Option<Instant>>,
     /// What this box saw itself.
     own: RefCell<Ledger>,
@@ -230,16 +230,15 @@
         if evidence.is_empty() {
             return;
         }
-        let started = clock::now();
+        if observer.alone_since.get().is_none() {
+            observer.alone_since.set(Some(clock::now()));
+        }
         let told = leader.ask::<_, ()>(EVIDENCE_PATH, &evidence, TELL_LIMIT, TELL_BUDGET).await;
         if told.is_some() {
             observer.alone_since.set(None);
             continue;
         }
         log::warn!(crashes = evidence.crashes.len(); "no control box takes evidence of crashes");
-        if observer.alone_since.get().is_none() {
-            observer.alone_since.set(Some(started));
-        }
         let later = observer.untold.replace(evidence);
         observer.untold.borrow_mut().merge(later);
     }
--- a/crates/hatchpitch/src/quarantine/state.rs
+++ b/crates/hatchpitch/src/quarantine/state.rs
@@ -5,9 +5,9 @@
 //! which are lost with the upstream, come again as well, and must be served. Runs of single
 //! upstreams that crash for reasons of their own, a domain at a time included, must not add up.
 //!
-//! A crash speaks against the runs that began last on the upstream. A content that three crashes
-//! speak against, of three lives, and that no upstream has answered meanwhile, is held: refused at
-//! every box for a term. An answer to the end clears a content. What began earlier on the same
+//! A crash speaks against the runs that began last on the upstream, and half as much against those
+//! before. A content that three crashes speak against, of three lives, and that no upstream has
+//! answered meanwhile, is held: refused at every box for a term. An answer to the end clears a content. What began earlier on the same
 //! upstream as a held content is cleared of that crash. A term over, one more crash is enough.
 //!
 //! Invariants, checked by [`super::verify`]:
@@ -30,6 +30,10 @@
 /// takes a request with it, and the second one that its caller's next try meets may do so in the
 /// same failure; a third, without an answer in between, is no chance.
 pub const ENOUGH_CRASHES: usize = 3;
+/// What a crash says against a run that began last, and against any other. Twice as many of the
+/// second kind are enough: what takes long to crash an upstream always has others that began later.
+const CHARGE: usize = 2;
+const LESSER_CHARGE: usize = 1;
 /// Crashes from which on boxes tell of answers to a content, so that one that is popular is
 /// cleared before it could be held.
 pub const WATCHED_CRASHES: usize = 2;
@@ -213,7 +217,7 @@
             Some(_) => 1,
             None => ENOUGH_CRASHES,
         };
-        self.charges(content) >= needed
+        self.charges(content) >= needed * CHARGE
     }
 
     fn hold(&mut self, content: ContentId, now: LogTime) {
@@ -247,26 +251,29 @@
         let is_held = self.known.get(content).is_some_and(|known| known.is_held);
         let crashed = self.suspects.get(content).map_or(0, BTreeSet::len);
         // After a term, or with its crashes forgotten, there is nothing to look at anew.
-        if is_held && crashed >= ENOUGH_CRASHES && self.charges(content) < ENOUGH_CRASHES {
+        if is_held && crashed >= ENOUGH_CRASHES && self.charges(content) < ENOUGH_CRASHES * CHARGE {
             self.known.remove(content);
             self.relist(content);
         }
     }
 
-    /// Returns how many crashes speak against a content.
+    /// Returns how much crashes speak against a content.
     fn charges(&self, content: &ContentId) -> usize {
         let lives = self.suspects.get(content).into_iter().flatten();
         let crashes = lives.filter_map(|life| self.crashes.get(life));
-        crashes.filter(|crash| self.is_charge(crash, content)).count()
+        crashes.map(|crash| self.charge(crash, content)).sum()
     }
 
-    fn is_charge(&self, crash: &KnownCrash, content: &ContentId) -> bool {
-        let Some(ran_for) = crash.runs.get(content).copied() else { return false };
+    fn charge(&self, crash: &KnownCrash, content: &ContentId) -> usize {
+        let Some(ran_for) = crash.runs.get(content).copied() else { return 0 };
         let is_held = |other: &ContentId| self.known.get(other).is_some_and(|known| known.is_held);
         let began_later = |(other, other_ran): (&ContentId, &u64)| {
             other != content && *other_ran < ran_for && is_held(other)
         };
-        crash.speaks_against(ran_for) && !crash.runs.iter().any(began_later)
+        if crash.runs.iter().any(began_later) {
+            return 0;
+        }
+        if crash.speaks_against(ran_for) { CHARGE } else { LESSER_CHARGE }
     }
 
     /// Returns at how many crashes a content was the one that began last.
--- a/crates/hatchpitch/tests/quarantine.rs
+++ b/crates/hatchpitch/tests/quarantine.rs
@@ -102,6 +102,18 @@
     }
 }
 
+#[test]
+fn what_takes_long_to_crash_an_upstream_is_held_after_twice_as_many() {
+    let mut of = Checked::new();
+    for n in 0..6 {
+        assert!(!of.holds("late"), "{n}");
+        // Others begin all the time, each of them once.
+        of.take(crash(&format!("i-{n}"), &[("late", 5_000), (&format!("once-{n}"), 30)]));
+    }
+    assert!(of.holds("late"));
+    assert_eq!(of.ledger.list().held.len(), 1);
+}
+
 #[test]
 fn a_neighbour_told_of_first_is_let_go_once_the_cause_is_known() {
     let mut of = Checked::new();
