One reading of whether an answer tells its end, for applications as well; imports in their groups

An answer of an application service without a length counted as answered to the end, also where the service crashed there; the relay told these apart already, with a function of its own, which serves both now. The clock's imports stand in their groups.

--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -1,12 +1,12 @@
 //! Lets requests onto the runners of one pool: a [`Line`] with a channel for each that waits.
 
-use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
+use hatchpitch_net::clock;
 
 use super::state::{AdmissionConfig, Ticket};
 use crate::dispatch::{Answer, Decision, Line, Quote, Refusal, Want};
--- a/crates/hatchpitch/src/commands/task.rs
+++ b/crates/hatchpitch/src/commands/task.rs
@@ -1,13 +1,12 @@
 //! Sends the orders while this control box leads.
 
-use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::{Stop, Upstream};
+use hatchpitch_net::{Stop, Upstream, clock};
 use http::StatusCode;
 
 use super::state::{CommandAction, CommandConfig, Commands, SendOutcome, Target};
--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -10,7 +10,6 @@
 //! part when it is asked for, keeps nothing of who asks, and withholds parts while much waits to
 //! be sent; what has arrived is kept when a parent fails, and the next one goes on from there.
 
-use hatchpitch_net::clock;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,7 +18,7 @@
 use futures_channel::oneshot;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hatchpitch_net::{Backlog, BoxClient, Stop};
+use hatchpitch_net::{Backlog, BoxClient, Stop, clock};
 
 use super::arriving::{Arriving, Taken};
 use super::messages::{FeedAnswer, FeedRequest, Rest};
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -1,10 +1,9 @@
 //! The control box's listener for other boxes.
 
-use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hatchpitch_net::{Body, open_message, read_body};
+use hatchpitch_net::{Body, clock, open_message, read_body};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -1,6 +1,5 @@
 //! What the tasks of one control process share.
 
-use hatchpitch_net::clock;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -8,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::lock::Mutex;
-use hatchpitch_net::BoxClient;
+use hatchpitch_net::{BoxClient, clock};
 
 use super::machine::{Command, Machine, Order, Reply};
 use crate::config::feed::ConfigCell;
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -1,6 +1,5 @@
 //! Wires a control process: listeners, the log, and the feed of configuration.
 
-use hatchpitch_net::clock;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +7,7 @@
 use anyhow::Context as _;
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
-use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, serve, stop_pair};
+use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, clock, serve, stop_pair};
 
 use super::context::ControlCx;
 use super::machine::Order;
--- a/crates/hatchpitch/src/control/join.rs
+++ b/crates/hatchpitch/src/control/join.rs
@@ -6,12 +6,11 @@
 //! one that has been silent while there are more replicas than the core needs.
 //! A box never votes before it was promoted, and each change moves one replica.
 
-use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::Stop;
+use hatchpitch_net::{Stop, clock};
 use serde::{Deserialize, Serialize};
 
 use super::context::ControlCx;
--- a/crates/hatchpitch/src/control/leader.rs
+++ b/crates/hatchpitch/src/control/leader.rs
@@ -1,12 +1,11 @@
 //! Asks the control leader from an entry box, wherever it is.
 
-use hatchpitch_net::clock;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::{BoxClient, CallError};
+use hatchpitch_net::{BoxClient, CallError, clock};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
--- a/crates/hatchpitch/src/control/registrations.rs
+++ b/crates/hatchpitch/src/control/registrations.rs
@@ -1,9 +1,10 @@
 //! Takes the announcements of upstreams in, and says when they hold.
 
-use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use hatchpitch_net::clock;
+
 use super::context::ControlCx;
 use crate::registry::peers;
 use crate::registry::{Announced, Phase, RegistryNews, UpstreamRecord};
--- a/crates/hatchpitch/src/control/repair.rs
+++ b/crates/hatchpitch/src/control/repair.rs
@@ -5,10 +5,10 @@
 //! every committed entry durably, counts, and the last change is committed: a
 //! second loss right then costs nothing.
 
-use hatchpitch_net::clock;
 use std::rc::Rc;
 use std::time::Duration;
 
+use hatchpitch_net::clock;
 use serde::{Deserialize, Serialize};
 
 use super::context::ControlCx;
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -4,13 +4,12 @@
 //! Any other call is claimed first, sent at most once, and its answer kept for
 //! callers that ask again.
 
-use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, SendError, read_body};
+use hatchpitch_net::{Body, SendError, clock, is_framed, read_body};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use sha2::{Digest as _, Sha256};
 
@@ -55,6 +54,8 @@
     status: StatusCode,
     content_type: HeaderValue,
     body: Bytes,
+    /// Whether its service told where it ends.
+    is_framed: bool,
 }
 
 /// Serves a call to a service.
@@ -196,7 +197,8 @@
         span.note("upstream", &upstream.name);
         let sent = self.exchange(upstream.addr, &span.traceparent()).await;
         match &sent {
-            Ok(_) => observer::note_answer(&self.cx, self.content),
+            Ok(answer) if answer.is_framed => observer::note_answer(&self.cx, self.content),
+            Ok(_) => {}
             Err(failure) => {
                 span.note("error", &failure.cause);
                 if failure.ran {
@@ -220,9 +222,10 @@
         if refused {
             return Err(AppFailure { cause: format!("{addr} refused"), ran: false });
         }
+        let is_framed = is_framed(res.headers());
         let body = read_body(res.into_body(), MAX_ANSWER, timeout).await;
         let body = body.map_err(|err| AppFailure { cause: format!("{addr}: {err}"), ran: true })?;
-        Ok(AppAnswer { status, content_type, body })
+        Ok(AppAnswer { status, content_type, body, is_framed })
     }
 
     fn request(&self, addr: SocketAddr, traceparent: &str) -> Request<Body> {
@@ -398,6 +401,7 @@
         content_type: HeaderValue::from_str(&kept.content_type)
             .unwrap_or_else(|_| HeaderValue::from_static("application/octet-stream")),
         body: Bytes::from(body),
+        is_framed: true,
     })
 }
 
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -1,13 +1,12 @@
 //! What the tasks of one entry process share. One thread, so plain cells.
 
-use hatchpitch_net::clock;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::{BoxClient, Upstream};
+use hatchpitch_net::{BoxClient, Upstream, clock};
 use http::StatusCode;
 use twox_hash::XxHash64;
 
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -1,6 +1,5 @@
 //! Wires an entry process: listeners, tasks, and the planned stop.
 
-use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,7 +7,7 @@
 
 use anyhow::Context as _;
 use futures_util::FutureExt;
-use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, serve, stop_pair};
+use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, clock, serve, stop_pair};
 
 use super::context::{EntryCx, Intake};
 use super::{boxes, callers};
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -1,9 +1,10 @@
 //! Drives one answer: opens attempts at engines and feeds [`StreamState`].
 
-use hatchpitch_net::clock;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hatchpitch_net::clock;
+
 use super::context::{EntryCx, StreamGuard};
 use crate::dispatch::{Refusal, Want};
 use crate::engine::adapter::{self, EngineError};
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -1,10 +1,9 @@
 //! What operators ask of an entry box, under `/ops/`.
 
-use hatchpitch_net::clock;
 use std::rc::Rc;
 use std::time::Instant;
 
-use hatchpitch_net::{Body, read_body};
+use hatchpitch_net::{Body, clock, read_body};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -1,12 +1,11 @@
 //! Asks owners for slots, answers those who ask, and gives slots back.
 
-use hatchpitch_net::clock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::Stop;
+use hatchpitch_net::{Stop, clock};
 
 use super::held::HeldSlot;
 use super::messages::{
--- a/crates/hatchpitch/src/logging.rs
+++ b/crates/hatchpitch/src/logging.rs
@@ -6,13 +6,13 @@
 //! that is behind never holds the process up: lines it has no room for are left
 //! out as well.
 
-use hatchpitch_net::clock;
 use std::cell::Cell;
 use std::io::{self, Write};
 use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use hatchpitch_net::clock;
 use log::LevelFilter;
 
 /// Starts logging at `level` for the process of box `name`.
--- a/crates/hatchpitch/src/membership/task.rs
+++ b/crates/hatchpitch/src/membership/task.rs
@@ -1,12 +1,11 @@
 //! Drives [`Membership`]: heartbeats over HTTP between boxes.
 
-use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::{BoxClient, Stop};
+use hatchpitch_net::{BoxClient, Stop, clock};
 
 use super::messages::{Gossip, ProbeAnswer, ProbeRequest, Subject};
 use super::state::{Membership, MembershipAction};
--- a/crates/hatchpitch/src/moves/ask.rs
+++ b/crates/hatchpitch/src/moves/ask.rs
@@ -1,10 +1,11 @@
 //! Asks a runner's owner for the turn to move a generation off it, and answers such questions.
 
-use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use hatchpitch_net::clock;
+
 use super::messages::{TurnAnswer, TurnDone, TurnRequest};
 use crate::dispatch::owners::owner_of;
 use crate::entry::EntryCx;
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -1,12 +1,12 @@
 //! Moves one generation: a turn, a slot elsewhere, a first copy, the last part.
 
-use hatchpitch_net::clock;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
+use hatchpitch_net::clock;
 
 use super::ask::Turn;
 use crate::dispatch::Want;
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -1,13 +1,12 @@
 //! Sees upstreams crash from an entry box, and tells the control leader.
 
-use hatchpitch_net::clock;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::Listening;
+use hatchpitch_net::{Listening, clock};
 
 use super::content::ContentId;
 use super::messages::{Crash, CrashedRun, Evidence, MAX_RUNS, MAX_TOLD};
--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -1,13 +1,12 @@
 //! Follows the tables of control boxes from an entry box.
 
-use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::{BoxClient, Stop};
+use hatchpitch_net::{BoxClient, Stop, clock};
 use twox_hash::XxHash64;
 
 use super::messages::{Detail, FollowAnswer, FollowRequest};
--- a/crates/hatchpitch/src/registry/peers.rs
+++ b/crates/hatchpitch/src/registry/peers.rs
@@ -1,6 +1,5 @@
 //! Passes news about upstreams between control boxes.
 
-use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,7 +8,7 @@
 use futures_channel::oneshot;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hatchpitch_net::{BoxClient, Stop};
+use hatchpitch_net::{BoxClient, Stop, clock};
 
 use super::messages::RegistryNews;
 use super::table::RegistryCell;
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -1,12 +1,12 @@
 //! A control box's table of upstreams, without I/O, and the cell that wakes its followers.
 
-use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
+use hatchpitch_net::clock;
 
 use super::life::{Birth, LifeName, announced_id, birth_of};
 use super::messages::{
--- a/crates/hatchpitch/src/relay/answer.rs
+++ b/crates/hatchpitch/src/relay/answer.rs
@@ -1,10 +1,9 @@
 //! Answers that are passed on without a look at what is in them: whole, or as they come.
 
-use hatchpitch_net::clock;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodyError, BodySender, read_stream};
+use hatchpitch_net::{Body, BodyError, BodySender, clock, is_framed, read_stream};
 use http::response::Parts;
 use http::{Response, Version, header};
 use hyper::body::Incoming;
@@ -30,13 +29,6 @@
     parts.version = Version::HTTP_11;
 }
 
-/// Returns whether an upstream tells where its answer ends; one that does not may have crashed
-/// where its answer seems to end.
-pub(super) fn is_framed(parts: &Parts) -> bool {
-    let headers = &parts.headers;
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Passes on an answer that is too large to be held.
 pub(super) fn pass_on(
     relay: &Rc<Relay>,
@@ -46,7 +38,7 @@
     first: Bytes,
     mut body: Incoming,
 ) -> Response<Body> {
-    let is_framed = is_framed(&parts);
+    let is_framed = is_framed(&parts.headers);
     for_caller(&mut parts);
     let (mut tx, out) = Body::stream(BUFFERED_PIECES);
     let (cx, content) = (relay.cx.clone(), req.content());
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -1,13 +1,12 @@
 //! One request: upstreams are tried until there is a final answer.
 
-use hatchpitch_net::clock;
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use hatchpitch_net::{Body, SendError, SendStep, read_stream};
+use hatchpitch_net::{Body, SendError, SendStep, clock, is_framed, read_stream};
 use http::response::Parts;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
@@ -424,7 +423,7 @@
         mut body: Incoming,
     ) -> Result<Response<Body>, Failure> {
         let mut buf = BytesMut::new();
-        let is_framed = answer::is_framed(&parts);
+        let is_framed = is_framed(&parts.headers);
         loop {
             match read_stream(&mut body).await {
                 Ok(Some(piece)) => buf.extend_from_slice(&piece),
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -1,17 +1,16 @@
 //! Passes a stream of events on while it is made, from one runner after another if it is moved.
 
-use hatchpitch_net::clock;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodySender, SendError, read_stream};
+use hatchpitch_net::{Body, BodySender, SendError, clock, is_framed, read_stream};
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
 
-use super::answer::{for_caller, is_framed};
+use super::answer::for_caller;
 use super::dialect::{Attempt, Reading, Resume};
 use super::events::EventSplitter;
 use super::request::HostedRequest;
@@ -66,7 +65,7 @@
     mut parts: Parts,
     body: Incoming,
 ) -> Response<Body> {
-    let is_framed = is_framed(&parts);
+    let is_framed = is_framed(&parts.headers);
     for_caller(&mut parts);
     let (tx, out) = Body::stream(BUFFERED_PIECES);
     let mut stream = EventStream::new(relay.clone(), req, content, service.to_owned(), slot);
@@ -355,7 +354,7 @@
         match (self.relay.dialect.read)(&self.req, &parts) {
             Reading::Answer if parts.status.is_success() => {
                 self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
-                self.is_framed = is_framed(&parts);
+                self.is_framed = is_framed(&parts.headers);
                 self.begun = clock::now();
                 Ok(body)
             }
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -2,7 +2,6 @@
 //!
 //! Commands that arrive while a sync is in progress share the next one.
 
-use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,7 +10,7 @@
 
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
-use hatchpitch_net::{BoxClient, Stop};
+use hatchpitch_net::{BoxClient, Stop, clock};
 
 use super::change::{ChangeError, MemberChange};
 use super::disk::Disk;
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -1,10 +1,9 @@
 //! Reads the load reports of upstreams and passes on what they say about leaving.
 
-use hatchpitch_net::clock;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::Stop;
+use hatchpitch_net::{Stop, clock};
 
 use crate::config::Runner;
 use crate::engine::{EngineLoad, adapter};
--- a/crates/hatchpitch/src/trace.rs
+++ b/crates/hatchpitch/src/trace.rs
@@ -4,12 +4,12 @@
 //! that `hatchpitch trace` reads from every box. The span libraries at hand
 //! report from a thread of their own, which the one-thread rule excludes.
 
-use hatchpitch_net::clock;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Instant;
 
+use hatchpitch_net::clock;
 use http::HeaderMap;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -14,6 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_channel::mpsc;
 use futures_util::{SinkExt, StreamExt};
+use http::{HeaderMap, header};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -146,6 +147,12 @@
 
 impl std::error::Error for BodyError {}
 
+/// Returns whether the head of a message tells where its body ends. The sender of one that does
+/// not may have crashed where it seems to end.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Reads a whole body of at most `max` bytes within `limit`.
 ///
 /// # Errors
