Read the limits that upstreams name, and say so in the log

Cause of the want: the logs of the incident name no limit and, for answered requests, no upstream, so they can't tell a limit that is not read from one that each box keeps for itself.

Change: heads of answers are read for a limit, on the relay, on streams that go on elsewhere and for copies; a line tells when a box hears of one, of a change and of its end, and a gauge how many upstreams name one. The line of an answered request names its upstream. Nothing is decided by it.

--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -170,6 +170,7 @@
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
     cx.metrics.process(&cx.boxes);
     cx.metrics.quarantine(&cx.config.quarantine());
+    cx.metrics.gauge("hatchpitch_limited_upstreams", cx.limits.borrow().limited() as f64);
     let age = cx.config.confirmed_age().map_or(f64::INFINITY, |age| age.as_secs_f64());
     cx.metrics.gauge("hatchpitch_config_confirmed_age_seconds", age);
     text_response(StatusCode::OK, cx.metrics.render())
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -32,6 +32,7 @@
 use crate::routing::{ColdLimit, RoutingConfig};
 use crate::settings::EntrySettings;
 use crate::trace::Tracer;
+use crate::upstream_limits::SharedLimits;
 
 /// Whether the process takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,6 +74,8 @@
     pub leader: LeaderClient,
     /// Crashes of upstreams that this box saw.
     pub quarantine: Observer,
+    /// Limits that upstreams name.
+    pub limits: SharedLimits,
     /// Budgets for runs elsewhere.
     pub retries: RefCell<RetryBudgets>,
     /// Whether new work is taken.
@@ -124,6 +127,7 @@
             claims: ClaimClient::new(leader.clone()),
             leader,
             quarantine: Observer::default(),
+            limits: SharedLimits::default(),
             retries: RefCell::default(),
             intake: Cell::new(Intake::Open),
             turns: RefCell::default(),
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod signals;
 pub mod streams;
 pub mod trace;
+pub mod upstream_limits;
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -16,6 +16,7 @@
 use crate::registry::UpstreamRecord;
 use crate::relay::dialect::{CopyAnswer, CopyFailure, CopyOrder};
 use crate::relay::{HostedRequest, Relay};
+use crate::upstream_limits::task as upstream_limits;
 
 /// Time for one copy; a large generation takes a third of it on an idle link.
 const COPY_LIMIT: Duration = Duration::from_millis(1_500);
@@ -182,8 +183,12 @@
         let order = CopyOrder { request: self.req.id.clone(), to, stop };
         let upstream = self.relay.cx.upstream(self.leaver.addr);
         let copied = (self.relay.dialect.copy)(upstream, order);
+        let sent = clock::now();
         match compio::time::timeout(COPY_LIMIT, copied).await {
-            Ok(copied) => copied,
+            Ok(reply) => {
+                upstream_limits::note(&self.relay.cx, &self.leaver.runner, reply.said, sent);
+                reply.outcome
+            }
             Err(_) => Err(CopyFailure::Unclear(format!("no answer within {COPY_LIMIT:?}"))),
         }
     }
--- a/crates/hatchpitch/src/relay/dialect.rs
+++ b/crates/hatchpitch/src/relay/dialect.rs
@@ -11,6 +11,7 @@
 
 use super::request::HostedRequest;
 use crate::ids::RunnerName;
+use crate::upstream_limits::Statement;
 
 /// One sending of a request to an upstream.
 #[derive(Debug, Clone)]
@@ -82,7 +83,15 @@
 impl std::error::Error for CopyFailure {}
 
 /// What comes of a [`CopyOrder`].
-pub type Copied = LocalBoxFuture<'static, Result<CopyAnswer, CopyFailure>>;
+pub struct CopyReply {
+    /// The copy, or why there is none.
+    pub outcome: Result<CopyAnswer, CopyFailure>,
+    /// What the runner's answer says about its limit.
+    pub said: Statement,
+}
+
+/// A [`CopyReply`] that is awaited.
+pub type Copied = LocalBoxFuture<'static, CopyReply>;
 
 /// What the head of an upstream's answer says.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -100,10 +109,23 @@
     Foreign(String),
 }
 
+impl Reading {
+    /// Returns what counts of a statement in a head that reads so.
+    pub fn vouched(&self, said: Statement) -> Statement {
+        match self {
+            Self::Answer => said,
+            Self::NotRun { other_life: false, .. } => said.of_refusal(),
+            Self::NotRun { .. } | Self::Foreign(_) => Statement::Unclear,
+        }
+    }
+}
+
 /// Makes the message for one attempt.
 pub type EncodeRequest = dyn Fn(&HostedRequest, &Attempt) -> Request<Body>;
 /// Reads the head of an answer.
 pub type ReadHead = dyn Fn(&HostedRequest, &Parts) -> Reading;
+/// Reads what a head says about its upstream's limit.
+pub type ReadLimit = dyn Fn(&Parts) -> Statement;
 /// Has a runner copy a run.
 pub type CopyRun = dyn Fn(Upstream, CopyOrder) -> Copied;
 
@@ -114,6 +136,8 @@
     pub request: Rc<EncodeRequest>,
     /// Reads the head of an answer.
     pub read: Rc<ReadHead>,
+    /// Reads what a head says about its upstream's limit.
+    pub limit: Rc<ReadLimit>,
     /// Has a runner copy a run.
     pub copy: Rc<CopyRun>,
 }
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -27,6 +27,7 @@
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunPlace};
 use crate::routing::Verdict;
+use crate::upstream_limits::task as upstream_limits;
 
 /// Largest answer that is held until it is whole, in bytes; a larger one is passed on as it comes.
 const MAX_HELD_ANSWER: usize = 256 * 1024;
@@ -165,6 +166,8 @@
     waited: Cell<Duration>,
     /// Whether an upstream has the request now.
     offered: Cell<bool>,
+    /// The upstream that it was sent to last.
+    sent_to: RefCell<RunnerName>,
 }
 
 impl Run {
@@ -181,6 +184,7 @@
             ran_at: Cell::new(0),
             waited: Cell::new(Duration::ZERO),
             offered: Cell::new(false),
+            sent_to: RefCell::default(),
         }
     }
 
@@ -367,6 +371,8 @@
         let attempt = Attempt { upstream: slot.runner.clone(), time_left: left, resume: None };
         let message = (self.relay.dialect.request)(&self.req, &attempt);
         self.offered.set(true);
+        self.sent_to.borrow_mut().clone_from(&slot.runner);
+        let sent_at = clock::now();
         let sent = self.relay.cx.upstream(slot.addr).send(message, left).await;
         let res = sent.map_err(|err| {
             let verdict = if err.is_not_run() { Verdict::Failed } else { Verdict::Faulty };
@@ -377,7 +383,10 @@
             self.send_failure(&err)
         })?;
         let (parts, body) = res.into_parts();
-        match (self.relay.dialect.read)(&self.req, &parts) {
+        let reading = (self.relay.dialect.read)(&self.req, &parts);
+        let said = reading.vouched((self.relay.dialect.limit)(&parts));
+        upstream_limits::note(&self.relay.cx, &slot.runner, said, sent_at);
+        match reading {
             Reading::Answer => {}
             Reading::NotRun { cause, other_life } => {
                 self.offered.set(false);
@@ -489,7 +498,8 @@
             route = self.req.route.name.as_str(), service = self.service.as_str(),
             workspace = self.req.workspace.as_deref().unwrap_or(""),
             urgency = self.req.urgency, status = status.as_u16(), outcome = outcome.as_str(),
-            cause = cause, tries = self.tried.borrow().len(),
+            cause = cause, upstream = self.sent_to.borrow().as_str(),
+            tries = self.tried.borrow().len(),
             waited_ms = self.waited.get().as_millis(),
             held_ms = clock::since(self.req.received).as_millis(),
             config = self.relay.cx.config.number(),
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -26,6 +26,7 @@
 use crate::quarantine::observer::{self, RunPlace};
 use crate::registry::Phase;
 use crate::routing::Verdict;
+use crate::upstream_limits::task as upstream_limits;
 
 /// Pieces buffered between upstream and caller.
 pub(super) const BUFFERED_PIECES: usize = 32;
@@ -343,6 +344,7 @@
         };
         self.relay.budgets.borrow_mut().spend(&self.service);
         let message = (self.relay.dialect.request)(&self.req, &attempt);
+        let sent_at = clock::now();
         let sent = self.relay.cx.upstream(self.slot.addr).send(message, left).await;
         let sent = sent.map_err(|err| {
             if !err.is_not_run() && !self.req.time_left(clock::now()).is_zero() {
@@ -351,7 +353,10 @@
             ResumeFailure::from_send(err)
         });
         let (parts, body) = sent?.into_parts();
-        match (self.relay.dialect.read)(&self.req, &parts) {
+        let reading = (self.relay.dialect.read)(&self.req, &parts);
+        let said = reading.vouched((self.relay.dialect.limit)(&parts));
+        upstream_limits::note(&self.relay.cx, &self.slot.runner, said, sent_at);
+        match reading {
             Reading::Answer if parts.status.is_success() => {
                 self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
                 self.is_framed = is_framed(&parts.headers);
