--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -67,7 +67,8 @@
         seed: None,
     };
     let sent = Instant::now();
-    let mut reader = adapter::generate(&upstream, &req, "", Duration::from_secs(5)).await?;
+    let mut reader =
+        adapter::generate(&upstream, &req, "", Duration::from_secs(5), &|_| {}).await?;
     let mut came = Vec::new();
     while let Some(event) = reader.next().await? {
         match event {
--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -13,6 +13,7 @@
 use crate::ids::AttemptId;
 use crate::routing::state::RunnerSpec;
 use crate::routing::{RoutingConfig, RunReport, RunnerTable};
+use crate::upstream_limits::SharedLimits;
 
 /// Bound on waits for timers; queues expire their requests far earlier.
 const LONGEST_WAIT: Duration = Duration::from_secs(3_600);
@@ -56,9 +57,9 @@
 pub struct Gate(Rc<RefCell<Inner>>);
 
 impl Gate {
-    /// Creates a gate without runners.
-    pub fn new(admission: AdmissionConfig, routing: RoutingConfig) -> Self {
-        let line = Line::new(admission, routing);
+    /// Creates a gate without runners, whose limits are those of the whole box.
+    pub fn new(admission: AdmissionConfig, routing: RoutingConfig, limits: SharedLimits) -> Self {
+        let line = Line::new(admission, routing).sharing(limits);
         Self(Rc::new(RefCell::new(Inner { line, pumped: false, waiting: HashMap::new() })))
     }
 
@@ -126,7 +127,7 @@
 
     /// Returns how long a request would wait.
     pub fn expected_wait(&self, want: &Want) -> Duration {
-        self.0.borrow().line.expected_wait(want)
+        self.0.borrow().line.expected_wait(want, clock::now())
     }
 
     /// Changes the runner table, then lets in whoever can run now.
@@ -184,7 +185,7 @@
 
     fn permit(&self, runner: RunnerSpec, want: Want, cost: u64) -> Permit {
         let gate = self.clone();
-        Permit { gate, runner, want, cost, report: RunReport::RELEASED }
+        Permit { gate, runner, want, cost, report: RunReport::RELEASED, is_unused: false }
     }
 }
 
@@ -219,9 +220,15 @@
     want: Want,
     cost: u64,
     report: RunReport,
+    is_unused: bool,
 }
 
 impl Permit {
+    /// Gives the slot back; nothing was sent, so it costs its workspace nothing.
+    pub fn give_up(mut self) {
+        self.is_unused = true;
+    }
+
     /// Notes what is known of the run.
     pub fn finish(&mut self, report: RunReport) {
         self.report = report;
@@ -232,6 +239,9 @@
     fn drop(&mut self) {
         let (runner, want) = (&self.runner.name, &self.want);
         self.gate.change(|line, now| {
+            if self.is_unused {
+                return line.give_up_unused(runner, want, self.cost, now);
+            }
             line.give_back(runner, want, self.cost, self.report, now);
         });
     }
--- a/crates/hatchpitch/src/dispatch/line.rs
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -18,6 +18,7 @@
 use crate::ids::{AttemptId, FailureDomainName, Priority, RequestKind, RunnerName, WorkspaceName};
 use crate::routing::state::{Asked, RunnerSpec};
 use crate::routing::{RoutingConfig, RunReport, RunnerTable};
+use crate::upstream_limits::SharedLimits;
 
 /// Requests of the line that are tried for a slot that is free. Those with a prompt as long as one
 /// that found no room are not tried, so that looking costs a few trials.
@@ -30,6 +31,8 @@
 /// When to come back while no runner takes work and none is known to return: announcements come
 /// about once a second, and a runner starts within a few.
 const NO_RUNNER_RETRY: Duration = Duration::from_secs(5);
+/// Why a request is refused that finds every runner at its limit.
+pub const AT_LIMIT: &str = "every upstream that could take it is at the limit that it names";
 /// Shortest time to come back after: an earlier return finds the same runners away.
 const MIN_RETRY: Duration = Duration::from_secs(1);
 
@@ -66,12 +69,26 @@
     /// Failure domains whose runners may run it; all if there are none.
     #[serde(default)]
     pub within: Vec<FailureDomainName>,
+    /// Longest wait for runners that are at their limits, if it is shorter than the pool's.
+    #[serde(default)]
+    pub limit_wait: Option<Duration>,
+    /// Whether it goes to runners only that name no limit.
+    #[serde(default)]
+    pub skips_limited: bool,
 }
 
 impl Want {
     fn asked(&self) -> Asked<'_> {
         let near = self.near.as_deref();
-        Asked { id: &self.id, avoid: &self.avoid, near, copied: self.copied, within: &self.within }
+        Asked {
+            id: &self.id,
+            priority: self.priority,
+            avoid: &self.avoid,
+            near,
+            copied: self.copied,
+            within: &self.within,
+            skips_limited: self.skips_limited,
+        }
     }
 
     fn candidate(&self) -> Candidate {
@@ -139,6 +156,12 @@
         }
     }
 
+    /// Makes the line keep to limits that others know of as well.
+    pub fn sharing(mut self, limits: SharedLimits) -> Self {
+        self.table.share_limits(limits);
+        self
+    }
+
     /// Takes the answers to requests that waited, which the last calls gave.
     pub fn take_answers(&mut self) -> Vec<Answer> {
         std::mem::take(&mut self.answers)
@@ -168,6 +191,11 @@
             Ok(None) => {}
             Err(refusal) => return Decision::Refuse(refusal),
         }
+        if let Some(wait) = self.limit_wait(want, now)
+            && wait > want.limit_wait.unwrap_or(Duration::MAX)
+        {
+            return Decision::Refuse(Refusal::new(AT_LIMIT, wait));
+        }
         let waiter = Waiter {
             workspace: want.workspace.clone(),
             priority: want.priority,
@@ -200,7 +228,7 @@
         if !self.table.any_serving() {
             return Err(self.no_runner(now));
         }
-        let busy = Quote::Busy(self.expected_wait(want));
+        let busy = Quote::Busy(self.expected_wait(want, now));
         if self.waits_in_line(want) {
             return Ok(busy);
         }
@@ -233,6 +261,12 @@
         self.pump(now);
     }
 
+    /// Gives back a slot that was not used, and what it was charged for.
+    pub fn give_up_unused(&mut self, runner: &str, want: &Want, cost: u64, now: Instant) {
+        self.queue.correct(&want.workspace, cost, 0);
+        self.give_up(runner, &want.id, now);
+    }
+
     /// Gives back a slot whose request left before it had it.
     pub fn give_up(&mut self, runner: &str, id: &str, now: Instant) {
         self.table.give_back(runner, id, RunReport::RELEASED, now);
@@ -273,8 +307,16 @@
     }
 
     /// Returns how long a request would wait.
-    pub fn expected_wait(&self, want: &Want) -> Duration {
-        self.queue.expected_wait(&want.workspace, want.priority)
+    pub fn expected_wait(&self, want: &Want, now: Instant) -> Duration {
+        let in_line = self.queue.expected_wait(&want.workspace, want.priority);
+        self.limit_wait(want, now).unwrap_or_default().max(in_line)
+    }
+
+    /// Returns how long a request would wait for runners that are at their limits, if all are that
+    /// could run it.
+    fn limit_wait(&self, want: &Want, now: Instant) -> Option<Duration> {
+        let opens_in = self.table.at_limit(&want.asked(), now)?;
+        Some(opens_in + self.queue.expected_wait(&want.workspace, want.priority))
     }
 
     /// Returns when a refused caller may come back.
--- a/crates/hatchpitch/src/engine/adapter.rs
+++ b/crates/hatchpitch/src/engine/adapter.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use hatchpitch_net::{Body, BodyError, SendError, Upstream, read_body, read_stream};
-use http::{Method, Request, StatusCode, header};
+use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -13,6 +13,7 @@
 use super::messages::{EngineEvent, EngineLoad, EngineRefusal, GenerateRequest};
 use crate::ids::TokenIndex;
 use crate::trace::TRACEPARENT;
+use crate::upstream_limits::Statement;
 
 /// Longest line read from an engine, in bytes.
 const MAX_LINE: usize = 64 * 1024;
@@ -21,6 +22,13 @@
 /// Time for small calls.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
+/// Header of an engine's or a service's answer that names the requests a second that it takes from
+/// all boxes together, for as long as its answers carry it.
+pub const RATE_LIMIT: &str = "hatchpitch-rate-limit";
+
+/// Takes in what the head of an answer says about its upstream's limit.
+pub type OnLimit<'a> = &'a dyn Fn(Statement);
+
 /// A failed call to an engine.
 #[derive(Debug)]
 pub enum EngineError {
@@ -39,6 +47,8 @@
     Body(BodyError),
     /// A line does not decode.
     Decode(String),
+    /// The engine is at the limit that it names; nothing was sent.
+    AtLimit,
 }
 
 impl EngineError {
@@ -47,6 +57,7 @@
         match self {
             Self::Send(err) => err.is_not_run(),
             Self::Refused { not_run, .. } => *not_run,
+            Self::AtLimit => true,
             Self::Body(_) | Self::Decode(_) => false,
         }
     }
@@ -61,6 +72,7 @@
             }
             Self::Body(err) => write!(f, "engine stream: {err}"),
             Self::Decode(err) => write!(f, "engine stream: {err}"),
+            Self::AtLimit => f.write_str("the engine is at its limit"),
         }
     }
 }
@@ -113,28 +125,41 @@
     req: &GenerateRequest,
     traceparent: &str,
     head_timeout: Duration,
+    on_limit: OnLimit<'_>,
 ) -> Result<EventReader, EngineError> {
     let body = encode(req)?;
     let req = request(Method::POST, upstream, "/v1/generate", traceparent, body);
-    open_stream(upstream, req, head_timeout).await
+    open_stream(upstream, req, head_timeout, on_limit).await
 }
 
-/// Reads a generation from token `from` on, taking the place of any other reader.
+/// A reading of a generation that began.
+#[derive(Debug, Clone, Copy)]
+pub struct Link<'a> {
+    /// The generation.
+    pub generation: &'a str,
+    /// Names this reading.
+    pub attempt: &'a str,
+    /// The first token that is read.
+    pub from: TokenIndex,
+    /// Span of the call.
+    pub traceparent: &'a str,
+}
+
+/// Reads a generation from a token on, taking the place of any other reader.
 ///
 /// # Errors
 ///
 /// Returns an [`EngineError`]; a refusal with 404 means that the engine does not hold it.
 pub async fn resume(
     upstream: &Upstream,
-    generation: &str,
-    attempt: &str,
-    from: TokenIndex,
-    traceparent: &str,
+    link: Link<'_>,
     head_timeout: Duration,
+    on_limit: OnLimit<'_>,
 ) -> Result<EventReader, EngineError> {
+    let Link { generation, attempt, from, traceparent } = link;
     let path = format!("/v1/generations/{generation}?attempt={attempt}&from={from}");
     let req = request(Method::GET, upstream, &path, traceparent, Body::empty());
-    open_stream(upstream, req, head_timeout).await
+    open_stream(upstream, req, head_timeout, on_limit).await
 }
 
 /// Cancels a generation unless a reading other than `attempt` has taken over.
@@ -216,14 +241,22 @@
     upstream: &Upstream,
     req: Request<Body>,
     head_timeout: Duration,
+    on_limit: OnLimit<'_>,
 ) -> Result<EventReader, EngineError> {
     let res = upstream.send(req, head_timeout).await.map_err(EngineError::Send)?;
+    on_limit(said(&res));
     if res.status() == StatusCode::OK {
         return Ok(EventReader { body: res.into_body(), buf: BytesMut::new() });
     }
     Err(refusal(res.status(), res.into_body()).await)
 }
 
+/// Returns what the head of an answer says about its upstream's limit.
+pub fn said(res: &Response<Incoming>) -> Statement {
+    let said = Statement::read(res.headers(), RATE_LIMIT);
+    if res.status().is_success() { said } else { said.of_refusal() }
+}
+
 async fn whole(upstream: &Upstream, req: Request<Body>) -> Result<Bytes, EngineError> {
     let res = upstream.send(req, CALL_LIMIT).await.map_err(EngineError::Send)?;
     let status = res.status();
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -17,12 +17,15 @@
 use crate::claims::{ClaimId, ClaimOutcome, ClaimRequest, KeptAnswer, SettleRequest, Settlement};
 use crate::config::view::{FleetView, ServiceView};
 use crate::config::{ServiceUpstream, Workspace};
-use crate::ids::{Digest, new_id};
+use crate::dispatch::line::AT_LIMIT;
+use crate::engine::adapter::said;
+use crate::ids::{Digest, Priority, new_id};
 use crate::metrics::Count;
 use crate::outcome::{OUTCOME_HEADER, Outcome, Problem};
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunPlace};
 use crate::trace::{Span, TRACEPARENT};
+use crate::upstream_limits::task as upstream_limits;
 
 /// Header that names a request which must not be repeated.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -32,6 +35,9 @@
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
 /// Upstreams that a repeatable call is sent to at most.
 const MAX_TRIES: usize = 3;
+/// Permits that are asked for in vain before a call goes to upstreams only that name no limit: each
+/// question takes a round trip between boxes.
+const MAX_DENIED: usize = 3;
 /// Time a claim outlives the call that it is for.
 const CLAIM_MARGIN: Duration = Duration::from_secs(10);
 /// Time in which a settlement is awaited before the caller gets the answer anyway.
@@ -87,7 +93,7 @@
         &call.body,
     ]);
     observer::check(&cx, &content)?;
-    let app = App { cx, service, call, content, span };
+    let app = App { cx, service, call, content, priority: workspace.priority, span };
     if route.repeatable {
         return app.repeatable().await;
     }
@@ -100,15 +106,27 @@
     call: AppCall,
     /// Names the call, whatever key it has.
     content: ContentId,
+    /// What its workspace pays for.
+    priority: Priority,
     span: Span,
 }
 
+/// The upstreams that a call may still go to.
+struct Candidates {
+    left: std::vec::IntoIter<ServiceUpstream>,
+    tries: usize,
+    denied: usize,
+    /// When the first of those that are at their limits has room.
+    opens_in: Option<Duration>,
+}
+
 impl App<'_> {
     async fn repeatable(&self) -> Result<Response<Body>, Problem> {
         let mut last = None;
         let mut ran = false;
-        for upstream in self.upstreams().iter().take(MAX_TRIES) {
-            match self.send(upstream).await {
+        let mut candidates = self.candidates();
+        while let Some(upstream) = self.next(&mut candidates).await {
+            match self.send(&upstream).await {
                 Ok(answer) => return Ok(done_response(answer)),
                 Err(failure) => {
                     ran |= failure.ran;
@@ -120,7 +138,7 @@
                 return Err(if ran { self.problem(Some(held.message), true) } else { held });
             }
         }
-        Err(self.problem(last, ran))
+        Err(self.no_answer(&candidates, last, ran))
     }
 
     async fn once(&self, workspace: &Workspace) -> Result<Response<Body>, Problem> {
@@ -162,9 +180,10 @@
     /// Sends a claimed call; only refused connects go on to the next upstream.
     async fn run_claimed(&self, claimed: &mut Claimed) -> Result<Response<Body>, Problem> {
         let mut last = None;
-        for upstream in self.upstreams().iter().take(MAX_TRIES) {
+        let mut candidates = self.candidates();
+        while let Some(upstream) = self.next(&mut candidates).await {
             claimed.settlement = Settlement::Unknown;
-            match self.send(upstream).await {
+            match self.send(&upstream).await {
                 Ok(answer) => {
                     claimed.settlement = Settlement::Done(kept(&answer));
                     claimed.settle_soon().await;
@@ -178,7 +197,46 @@
             }
         }
         claimed.settle_soon().await;
-        Err(self.problem(last, false))
+        Err(self.no_answer(&candidates, last, false))
+    }
+
+    fn candidates(&self) -> Candidates {
+        let left = self.upstreams().into_iter();
+        Candidates { left, tries: 0, denied: 0, opens_in: None }
+    }
+
+    /// Returns the next upstream that may get the call, with the permit for it.
+    async fn next(&self, candidates: &mut Candidates) -> Option<ServiceUpstream> {
+        if candidates.tries >= MAX_TRIES {
+            return None;
+        }
+        candidates.tries += 1;
+        for upstream in candidates.left.by_ref() {
+            let skips = candidates.denied >= MAX_DENIED
+                && self.cx.limits.borrow().limit(&upstream.name).is_some();
+            if skips {
+                continue;
+            }
+            match upstream_limits::obtain(&self.cx, &upstream.name, self.priority).await {
+                Ok(()) => return Some(upstream),
+                Err(wait) => {
+                    candidates.denied += 1;
+                    candidates.opens_in = Some(candidates.opens_in.map_or(wait, |w| w.min(wait)));
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns what a caller is told whose call no upstream answered.
+    fn no_answer(&self, candidates: &Candidates, last: Option<String>, ran: bool) -> Problem {
+        match candidates.opens_in {
+            Some(wait) if last.is_none() && !ran => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Problem::not_run(status, "no_upstream", AT_LIMIT).retry_after(wait)
+            }
+            _ => self.problem(last, ran),
+        }
     }
 
     /// Returns the upstreams that take new work, beginning at another one each time.
@@ -195,7 +253,7 @@
     async fn send(&self, upstream: &ServiceUpstream) -> Result<AppAnswer, AppFailure> {
         let mut span = self.span.child("app.call");
         span.note("upstream", &upstream.name);
-        let sent = self.exchange(upstream.addr, &span.traceparent()).await;
+        let sent = self.exchange(upstream, &span.traceparent()).await;
         match &sent {
             Ok(answer) if answer.is_framed => observer::note_answer(&self.cx, self.content),
             Ok(_) => {}
@@ -210,10 +268,17 @@
         sent
     }
 
-    async fn exchange(&self, addr: SocketAddr, traceparent: &str) -> Result<AppAnswer, AppFailure> {
+    async fn exchange(
+        &self,
+        upstream: &ServiceUpstream,
+        traceparent: &str,
+    ) -> Result<AppAnswer, AppFailure> {
+        let addr = upstream.addr;
         let req = self.request(addr, traceparent);
         let timeout = self.service.service.timeout;
+        let sent_at = clock::now();
         let res = self.cx.upstream(addr).send(req, timeout).await.map_err(AppFailure::from)?;
+        upstream_limits::note(&self.cx, &upstream.name, said(&res), sent_at);
         let status = res.status();
         let plain = || HeaderValue::from_static("application/octet-stream");
         let content_type = res.headers().get(header::CONTENT_TYPE).cloned().unwrap_or_else(plain);
--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -17,6 +17,8 @@
 use crate::moves::ask::{self, TURN_DONE_PATH, TURN_PATH};
 use crate::moves::{TurnDone, TurnRequest};
 use crate::outcome::text_response;
+use crate::upstream_limits::task::{self as upstream_limits, NEWS_PATH, PERMIT_PATH};
+use crate::upstream_limits::{LimitNews, PermitRequest};
 
 /// Answers one message of another box.
 pub async fn handle(cx: Rc<EntryCx>, req: Request<Incoming>) -> Response<Body> {
@@ -58,6 +60,10 @@
             .map(|done| cx.boxes.respond(&ask::take_turn_done(&cx, &done))),
         ADOPT_PATH => open_message::<AdoptRequest>(keys, path, &parts.headers, &body)
             .map(|req| cx.boxes.respond(&grants::adopt(&cx, req))),
+        PERMIT_PATH => open_message::<PermitRequest>(keys, path, &parts.headers, &body)
+            .map(|req| cx.boxes.respond(&upstream_limits::answer(&cx, &req))),
+        NEWS_PATH => open_message::<Vec<LimitNews>>(keys, path, &parts.headers, &body)
+            .map(|news| cx.boxes.respond(&upstream_limits::take_news(&cx, &news))),
         SYNC_PATH => open_message::<GrantSync>(keys, path, &parts.headers, &body)
             .map(|req| cx.boxes.respond(&grants::sync(&cx, &req))),
         _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -33,6 +33,7 @@
 use crate::settings::EntrySettings;
 use crate::trace::Tracer;
 use crate::upstream_limits::SharedLimits;
+use crate::upstream_limits::task::{self as upstream_limits, NewsQueue};
 
 /// Whether the process takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,6 +77,8 @@
     pub quarantine: Observer,
     /// Limits that upstreams name.
     pub limits: SharedLimits,
+    /// Upstreams whose limits are to be told to other boxes.
+    pub limit_news: NewsQueue,
     /// Budgets for runs elsewhere.
     pub retries: RefCell<RetryBudgets>,
     /// Whether new work is taken.
@@ -128,6 +131,7 @@
             leader,
             quarantine: Observer::default(),
             limits: SharedLimits::default(),
+            limit_news: NewsQueue::default(),
             retries: RefCell::default(),
             intake: Cell::new(Intake::Open),
             turns: RefCell::default(),
@@ -176,7 +180,7 @@
             memory: policy.memory,
             ..RoutingConfig::default()
         };
-        Gate::new(admission, routing)
+        Gate::new(admission, routing, self.limits.clone())
     }
 
     /// Returns how many engines of a pool each box owns, by the address of the box.
@@ -246,6 +250,7 @@
         if owners_changed || new_view {
             self.remake_gates(&view);
         }
+        upstream_limits::place_all(self);
         view
     }
 
@@ -326,6 +331,18 @@
         boxes.max(least)
     }
 
+    /// Returns the part of a limit of an upstream that the boxes in reach may use: boxes that were
+    /// lost of late may be cut off with some callers and upstreams, and keep their part.
+    pub fn part_in_reach(&self) -> f64 {
+        let membership = self.membership.borrow();
+        let serving = membership.serving_boxes().count().max(1);
+        let lost = membership.lost_boxes(clock::now(), MAY_BE_CUT_OFF);
+        // All boxes may have started at once, each without knowing of the others.
+        let is_new = serving == 1 && clock::since(self.started) < ACQUAINTED;
+        let all = if is_new { SENDERS_AT_START } else { serving + lost };
+        serving as f64 / all as f64
+    }
+
     /// Returns where this box's turn at a cold runner lies among those of the others.
     fn phase_at(&self, runner: &str) -> f64 {
         let bytes = [self.settings.name.as_bytes(), runner.as_bytes()].concat();
@@ -446,6 +463,9 @@
 
 /// Time within which a runner tells that it has become cold: one heartbeat and its travel.
 const ANNOUNCEMENT_WAIT: Duration = Duration::from_millis(1_500);
+/// Time for which a lost box may be cut off and at work: a box that was killed is back far sooner,
+/// and one that is gone for good costs its part of limits for so long.
+const MAY_BE_CUT_OFF: Duration = Duration::from_secs(60);
 /// Time after its start in which a box comes to know the others.
 const ACQUAINTED: Duration = Duration::from_secs(5);
 /// Boxes that a box takes the fleet to have until then: after a loss of all they start together,
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -25,6 +25,7 @@
 use crate::routing::task as routing;
 use crate::settings::EntrySettings;
 use crate::signals;
+use crate::upstream_limits::task as upstream_limits;
 
 /// Time for the feed to bring a configuration that a control box tells of: it is far below the
 /// second within which a change has to be in force, and above a usual delivery.
@@ -145,6 +146,7 @@
     spawn_essential("configuration", follow_config(cx.clone(), stop.clone()));
     spawn_essential("routing", routing::run(cx.clone(), stop.clone()));
     spawn_essential("grants", grants::run(cx.clone(), stop.clone()));
+    spawn_essential("limits", upstream_limits::run(cx.clone(), stop.clone()));
     spawn_essential("hand-over", grants::hand_over(cx.clone(), stop.clone()));
 }
 
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -18,9 +18,15 @@
 use crate::routing::Verdict;
 use crate::streams::{Phase, StreamLimits, StreamState, StreamStep};
 use crate::trace::Span;
+use crate::upstream_limits::Statement;
+use crate::upstream_limits::task as upstream_limits;
 
 /// Rest before the second link to an engine; it doubles with each further one.
 const RELINK_REST: Duration = Duration::from_millis(50);
+/// Tries to cancel a generation whose runner is at its limit, and the rest between them: together
+/// about the time that an answer takes which nobody reads.
+const CANCEL_TRIES: usize = 20;
+const CANCEL_REST: Duration = Duration::from_millis(500);
 /// Characters of prompt that count as one token where the engine has not counted yet.
 const CHARS_PER_TOKEN: u64 = 4;
 
@@ -298,8 +304,8 @@
             seed: self.job.seed,
         };
         let head_timeout = self.cx.settings.timing.head_timeout;
-        let opened =
-            adapter::generate(&self.upstream, &req, &span.traceparent(), head_timeout).await;
+        let (trace, on_limit) = (span.traceparent(), self.on_limit());
+        let opened = adapter::generate(&self.upstream, &req, &trace, head_timeout, &on_limit).await;
         match opened {
             Ok(reader) => {
                 self.ran = true;
@@ -333,8 +339,13 @@
             let head_timeout = self.job.silence_limit;
             let (id, attempt) = (self.state.generation(), self.state.attempt());
             let trace = span.traceparent();
-            let opened =
-                adapter::resume(&self.upstream, id, attempt, from, &trace, head_timeout).await;
+            let may_send = upstream_limits::obtain_in_advance(&self.cx, &self.runner).await;
+            let on_limit = self.on_limit();
+            let link = adapter::Link { generation: id, attempt, from, traceparent: &trace };
+            let opened = match may_send {
+                true => adapter::resume(&self.upstream, link, head_timeout, &on_limit).await,
+                false => Err(EngineError::AtLimit),
+            };
             let step = match opened {
                 Ok(reader) => {
                     self.reader = Some(reader);
@@ -453,7 +464,30 @@
     }
 
     fn cancel_now(&self) {
-        spawn_cancel(self.upstream, &self.state, Duration::ZERO);
+        self.spawn_cancel(Duration::ZERO);
+    }
+
+    /// Returns what takes in the limit that the runner names in an answer to a request of now.
+    fn on_limit(&self) -> impl Fn(Statement) + use<> {
+        let (cx, runner, sent) = (self.cx.clone(), self.runner.clone(), clock::now());
+        move |said| upstream_limits::note(&cx, &runner, said, sent)
+    }
+
+    /// Cancels the generation after a while.
+    fn spawn_cancel(&self, after: Duration) {
+        let (cx, runner, upstream) = (self.cx.clone(), self.runner.clone(), self.upstream);
+        let (id, attempt) = (self.state.generation().to_owned(), self.state.attempt().to_owned());
+        compio::runtime::spawn(async move {
+            compio::time::sleep(after).await;
+            if !may_cancel(&cx, &runner).await {
+                log::info!(upstream = runner.as_str(); "a generation runs on, its runner being at its limit");
+                return;
+            }
+            if let Err(err) = adapter::cancel(&upstream, &id, &attempt).await {
+                log::debug!("cancel of {id}: {err}");
+            }
+        })
+        .detach();
     }
 }
 
@@ -465,19 +499,19 @@
             // The caller left; it may come back to any box within the window.
             Phase::Open => self.cx.settings.timing.resume_window,
         };
-        spawn_cancel(self.upstream, &self.state, after);
+        self.spawn_cancel(after);
     }
 }
 
-fn spawn_cancel(upstream: hatchpitch_net::Upstream, state: &StreamState, after: Duration) {
-    let (id, attempt) = (state.generation().to_owned(), state.attempt().to_owned());
-    compio::runtime::spawn(async move {
-        compio::time::sleep(after).await;
-        if let Err(err) = adapter::cancel(&upstream, &id, &attempt).await {
-            log::debug!("cancel of {id}: {err}");
+/// Waits for the permit to cancel a generation; returns whether it came in time to be of use.
+async fn may_cancel(cx: &Rc<EntryCx>, runner: &str) -> bool {
+    for _ in 0..CANCEL_TRIES {
+        if upstream_limits::obtain_in_advance(cx, runner).await {
+            return true;
         }
-    })
-    .detach();
+        compio::time::sleep(CANCEL_REST).await;
+    }
+    false
 }
 
 async fn admit(
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -13,6 +13,7 @@
     ReleaseRequest,
 };
 use crate::admission::{Gate, Permit, Placement};
+use crate::dispatch::line::AT_LIMIT;
 use crate::dispatch::search::Search;
 use crate::dispatch::{OwnerChoice, Quote, Refusal, Step, Want};
 use crate::entry::EntryCx;
@@ -21,6 +22,7 @@
 use crate::membership::messages::Subject;
 use crate::routing::state::RunnerSpec;
 use crate::routing::{RunReport, Verdict};
+use crate::upstream_limits::task as upstream_limits;
 
 /// Path for slots.
 pub const GRANT_PATH: &str = "/box/grant";
@@ -43,6 +45,9 @@
 const SYNC_PERIOD: Duration = Duration::from_secs(2);
 /// When a request for which no owner answers may come back.
 const NO_OWNER_RETRY: Duration = Duration::from_secs(1);
+/// Permits that are asked for in vain before a request goes to upstreams only that name no limit:
+/// each question takes a round trip between boxes.
+const MAX_ASKED: usize = 3;
 
 /// A slot on an engine, wherever it was granted; dropping it gives it back.
 pub struct Slot {
@@ -128,13 +133,40 @@
     let view = cx.sync_gates();
     let placement = view.pools.iter().find(|p| p.pool.name == pool).map(|p| cx.placement(p));
     if placement.unwrap_or(cx.settings.policy.placement) == Placement::Local {
-        let id = want.id.clone();
-        let permit = cx.gate(pool).admit(want).await?;
-        return Ok(Slot::own(cx, id, permit));
+        return obtain_here(cx, pool, want).await;
     }
     Asking { cx: cx.clone(), pool: pool.to_owned(), want }.ask().await
 }
 
+/// Gets a slot for which this box decides. Limits of the upstreams are kept by others as well; one
+/// that turns out to be at its limit is not picked again until it has room.
+async fn obtain_here(cx: &Rc<EntryCx>, pool: &str, mut want: Want) -> Result<Slot, Refusal> {
+    let mut asked = 0;
+    loop {
+        let permit = cx.gate(pool).admit(want.clone()).await?;
+        match confirmed(cx, permit, &want).await {
+            Ok(permit) => return Ok(Slot::own(cx, want.id, permit)),
+            Err(wait) if want.skips_limited => return Err(Refusal::new(AT_LIMIT, wait)),
+            Err(_) => asked += 1,
+        }
+        if asked >= MAX_ASKED {
+            want.skips_limited = true;
+            want.limit_wait = Some(Duration::ZERO);
+        }
+    }
+}
+
+/// Gets what the limit of a runner asks for beside the slot, or gives the slot back.
+async fn confirmed(cx: &Rc<EntryCx>, permit: Permit, want: &Want) -> Result<Permit, Duration> {
+    match upstream_limits::confirm(cx, &permit.runner.name, want.priority).await {
+        Ok(()) => Ok(permit),
+        Err(wait) => {
+            permit.give_up();
+            Err(wait)
+        }
+    }
+}
+
 /// One request that looks for an owner with room.
 struct Asking {
     cx: Rc<EntryCx>,
@@ -163,7 +195,7 @@
                 Step::Take(owner) => (owner, Ask::Now),
                 Step::Wait(owner) => (owner, Ask::Wait),
                 Step::Refuse(refusal) => return Err(refusal),
-                Step::Alone => return self.alone(),
+                Step::Alone => return self.alone().await,
             };
             match self.ask_owner(owner, ask).await {
                 Said::Slot(slot) => return Ok(*slot),
@@ -189,13 +221,15 @@
     }
 
     /// Decides for itself, with no owner in reach.
-    fn alone(&self) -> Result<Slot, Refusal> {
+    async fn alone(&self) -> Result<Slot, Refusal> {
         log::info!(run = self.want.id.as_str(), pool = self.pool.as_str(); "no owner in reach; this box decides");
         let gate = self.cx.fallback_gate(&self.pool);
         let id = self.want.id.clone();
         let permit = gate.try_admit(&self.want)?;
         let none = || Refusal::new("no owner of the pool's engines answers", NO_OWNER_RETRY);
-        permit.map(|permit| Slot::own(&self.cx, id, permit)).ok_or_else(none)
+        let confirmed = confirmed(&self.cx, permit.ok_or_else(none)?, &self.want).await;
+        let permit = confirmed.map_err(|wait| Refusal::new(AT_LIMIT, wait))?;
+        Ok(Slot::own(&self.cx, id, permit))
     }
 
     /// Asks owners for quotes, all at once. One that does not answer is left out.
@@ -263,7 +297,7 @@
     }
 
     async fn ask_self(&self, ask: Ask) -> Said {
-        match decide(&self.cx.gate(&self.pool), &self.want, ask).await {
+        match decide(&self.cx, &self.cx.gate(&self.pool), &self.want, ask).await {
             Decided::Quote(load) => Said::Quoted(Quote::Room(load)),
             Decided::Permit(permit) => {
                 self.note_held(self.cx.settings.boxes_addr, &permit.runner.name);
@@ -297,7 +331,7 @@
     NotOwner,
 }
 
-async fn decide(gate: &Gate, want: &Want, ask: Ask) -> Decided {
+async fn decide(cx: &Rc<EntryCx>, gate: &Gate, want: &Want, ask: Ask) -> Decided {
     if ask == Ask::Quote {
         return match gate.quote(want) {
             Ok(Quote::Room(load)) => Decided::Quote(load),
@@ -305,21 +339,25 @@
             Err(_) => Decided::NotOwner,
         };
     }
-    match gate.try_admit(want) {
-        Ok(Some(permit)) => Decided::Permit(Box::new(permit)),
-        Ok(None) if ask != Ask::Wait => Decided::Busy(gate.expected_wait(want)),
+    let admitted = match gate.try_admit(want) {
+        Ok(Some(permit)) => permit,
+        Ok(None) if ask != Ask::Wait => return Decided::Busy(gate.expected_wait(want)),
         Ok(None) => match gate.admit(want.clone()).await {
-            Ok(permit) => Decided::Permit(Box::new(permit)),
-            Err(refusal) => Decided::Refused(refusal),
+            Ok(permit) => permit,
+            Err(refusal) => return Decided::Refused(refusal),
         },
-        Err(_) => Decided::NotOwner,
+        Err(_) => return Decided::NotOwner,
+    };
+    match confirmed(cx, admitted, want).await {
+        Ok(permit) => Decided::Permit(Box::new(permit)),
+        Err(wait) => Decided::Busy(wait),
     }
 }
 
 /// Answers a box that asks for a slot.
 pub async fn answer(cx: &Rc<EntryCx>, req: GrantRequest) -> GrantAnswer {
     cx.sync_gates();
-    let permit = match decide(&cx.gate(&req.pool), &req.want, req.ask).await {
+    let permit = match decide(cx, &cx.gate(&req.pool), &req.want, req.ask).await {
         Decided::Quote(load) => return GrantAnswer::Quoted { load },
         Decided::Permit(permit) => *permit,
         Decided::Busy(wait) => return GrantAnswer::Busy { wait },
--- a/crates/hatchpitch/src/membership/state.rs
+++ b/crates/hatchpitch/src/membership/state.rs
@@ -1,6 +1,7 @@
 //! Membership as a state machine without I/O, clock or randomness of its own.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
@@ -141,6 +142,24 @@
             .filter(|r| matches!(r.subject, Subject::Box(_)) && r.status <= MemberStatus::Suspect)
     }
 
+    /// Returns how many boxes were lost within `window`: killed, or cut off and perhaps still at
+    /// work. Boxes that left in a planned way are none of them.
+    pub fn lost_boxes(&self, now: Instant, window: Duration) -> usize {
+        let lost = |m: &&Member| {
+            matches!(m.record.subject, Subject::Box(_))
+                && m.record.status == MemberStatus::Dead
+                && now.duration_since(m.since) < window
+        };
+        self.members.values().filter(lost).count()
+    }
+
+    /// Picks up to `count` other boxes that are not known to be gone.
+    pub fn peers(&mut self, count: usize) -> Vec<SocketAddr> {
+        let names = self.random_peers(count);
+        let record = |name| self.get(&Subject::Box(name));
+        names.into_iter().filter_map(record).map(|record| record.box_addr).collect()
+    }
+
     /// Returns whether an upstream takes new work; unknown upstreams do.
     pub fn upstream_serves(&self, name: &str) -> bool {
         let record = self.get(&Subject::Upstream(name.to_owned()));
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -10,6 +10,7 @@
 
 use super::ask::Turn;
 use crate::dispatch::Want;
+use crate::dispatch::line::AT_LIMIT;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
 use crate::ids::{FailureDomainName, RunnerName, ServiceName, new_id};
@@ -150,6 +151,9 @@
         if let Err(cause) = self.first_copy(slot.addr).await {
             return MoveEnd::Stays(cause);
         }
+        if !self.may_send().await {
+            return MoveEnd::Stays(AT_LIMIT.to_owned());
+        }
         self.stopping.set(true);
         let source = self.leaver.addr;
         match self.copy(slot.addr, true).await {
@@ -169,6 +173,9 @@
     async fn first_copy(&self, to: SocketAddr) -> Result<(), String> {
         let mut last = String::new();
         for _ in 0..MAX_TRIES {
+            if !self.may_send().await {
+                return Err(AT_LIMIT.to_owned());
+            }
             match self.copy(to, false).await {
                 Ok(_) => return Ok(()),
                 Err(err @ (CopyFailure::NoSuchRun | CopyFailure::Busy)) => last = err.to_string(),
@@ -179,6 +186,12 @@
         Err(last)
     }
 
+    /// Gets the permit for an order to the leaver, which is not held back while one can be taken in
+    /// advance: its runs are lost with it.
+    async fn may_send(&self) -> bool {
+        upstream_limits::obtain_in_advance(&self.relay.cx, &self.leaver.runner).await
+    }
+
     async fn copy(&self, to: SocketAddr, stop: bool) -> Result<CopyAnswer, CopyFailure> {
         let order = CopyOrder { request: self.req.id.clone(), to, stop };
         let upstream = self.relay.cx.upstream(self.leaver.addr);
@@ -213,6 +226,8 @@
             max_wait: Some(SLOT_WAIT),
             accepts: Some(SLOT_WAIT),
             within: self.relay.domains_for(&self.req).map_err(|refusal| refusal.cause)?,
+            limit_wait: Some(SLOT_WAIT),
+            skips_limited: false,
         };
         let slot = obtain(cx, &self.leaver.service, want).await;
         slot.map_err(|refusal| refusal.cause)
--- a/crates/hatchpitch/src/relay/dialect.rs
+++ b/crates/hatchpitch/src/relay/dialect.rs
@@ -111,10 +111,10 @@
 
 impl Reading {
     /// Returns what counts of a statement in a head that reads so.
-    pub fn vouched(&self, said: Statement) -> Statement {
+    pub fn vouched(&self, head: &Parts, said: Statement) -> Statement {
         match self {
-            Self::Answer => said,
-            Self::NotRun { other_life: false, .. } => said.of_refusal(),
+            Self::Answer if head.status.is_success() => said,
+            Self::Answer | Self::NotRun { other_life: false, .. } => said.of_refusal(),
             Self::NotRun { .. } | Self::Foreign(_) => Statement::Unclear,
         }
     }
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -34,8 +34,9 @@
 /// Upstreams that turn a request away before it is refused: enough to pass over a few that are
 /// full or gone, few enough to stay far inside the time to an answer.
 const MAX_TURNED_AWAY: usize = 4;
-/// Part of the time to its first event that a generation may be expected to wait for a slot: the
-/// rest goes to reading its prompt. One that would wait longer is refused at once.
+/// Part of the time to its answer, or its first event, that a request may be expected to wait for a
+/// slot on an engine, or for upstreams at their limits: the rest goes to its work. One that would
+/// wait longer is refused at once.
 const EXPECTED_WAIT: f64 = 0.5;
 /// Longest wait of a generation, in times to its first event: callers leave after four.
 const LONGEST_WAIT: f64 = 2.0;
@@ -340,6 +341,8 @@
             max_wait: needs.map(|_| aim.mul_f64(LONGEST_WAIT)),
             accepts: refuses_early.then(|| aim.mul_f64(EXPECTED_WAIT)),
             within: self.within.clone(),
+            limit_wait: Some(aim.mul_f64(EXPECTED_WAIT)),
+            skips_limited: false,
         };
         let started = clock::now();
         if self.await_upstreams(started).await == Untried::Evacuated {
@@ -384,7 +387,7 @@
         })?;
         let (parts, body) = res.into_parts();
         let reading = (self.relay.dialect.read)(&self.req, &parts);
-        let said = reading.vouched((self.relay.dialect.limit)(&parts));
+        let said = reading.vouched(&parts, (self.relay.dialect.limit)(&parts));
         upstream_limits::note(&self.relay.cx, &slot.runner, said, sent_at);
         match reading {
             Reading::Answer => {}
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -16,6 +16,7 @@
 use super::request::HostedRequest;
 use super::run::Relay;
 use crate::config::hosted::EngineSpec;
+use crate::dispatch::line::AT_LIMIT;
 use crate::entry::context::ActiveGuard;
 use crate::grants::Slot;
 use crate::ids::ServiceName;
@@ -323,6 +324,9 @@
                     "copy not taken; the run goes on where it was stopped"
                 );
                 self.slot = left;
+                if !upstream_limits::obtain_in_advance(&self.relay.cx, &self.slot.runner).await {
+                    return Err(AT_LIMIT.to_owned());
+                }
                 self.send_resume(source, handle).await.map_err(ResumeFailure::cause)
             }
             (failure, _) => Err(failure.cause()),
@@ -354,7 +358,7 @@
         });
         let (parts, body) = sent?.into_parts();
         let reading = (self.relay.dialect.read)(&self.req, &parts);
-        let said = reading.vouched((self.relay.dialect.limit)(&parts));
+        let said = reading.vouched(&parts, (self.relay.dialect.limit)(&parts));
         upstream_limits::note(&self.relay.cx, &self.slot.runner, said, sent_at);
         match reading {
             Reading::Answer if parts.status.is_success() => {
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -16,7 +16,8 @@
 use crate::admission::memory::{Candidate, EngineMemory, MemoryPolicy};
 use crate::admission::policy::Pick;
 use crate::engine::EngineLoad;
-use crate::ids::{AttemptId, FailureDomainName, RunnerName};
+use crate::ids::{AttemptId, FailureDomainName, Priority, RunnerName};
+use crate::upstream_limits::{LimitBook, SharedLimits};
 
 /// Bounds of ejection.
 #[derive(Debug, Clone, Copy)]
@@ -153,6 +154,8 @@
 pub struct Asked<'a> {
     /// The run.
     pub id: &'a AttemptId,
+    /// What it pays for.
+    pub priority: Priority,
     /// Runners that are not picked.
     pub avoid: &'a [RunnerName],
     /// Failure domain whose runners are preferred.
@@ -161,8 +164,13 @@
     pub copied: u64,
     /// Failure domains whose runners may run it; all if there are none.
     pub within: &'a [FailureDomainName],
+    /// Whether runners that name a limit are not picked.
+    pub skips_limited: bool,
 }
 
+/// When a request may come back that goes to runners without a limit only and finds none: it was
+/// turned away by several that have one, and those open at different times.
+const SKIPPED_RETRY: Duration = Duration::from_millis(250);
 /// Load by which a runner of another failure domain has to be less busy to be picked: the share
 /// of a runner that a few requests make.
 const DISTANCE: f64 = 0.15;
@@ -212,12 +220,18 @@
     cfg: RoutingConfig,
     pub(super) runners: BTreeMap<RunnerName, RunnerState>,
     picks: usize,
+    limits: SharedLimits,
 }
 
 impl RunnerTable {
     /// Creates an empty table.
     pub fn new(cfg: RoutingConfig) -> Self {
-        Self { cfg, runners: BTreeMap::new(), picks: 0 }
+        Self { cfg, runners: BTreeMap::new(), picks: 0, limits: SharedLimits::default() }
+    }
+
+    /// Takes the limits of upstreams from those that the whole box knows.
+    pub fn share_limits(&mut self, limits: SharedLimits) {
+        self.limits = limits;
     }
 
     /// Takes in what the fleet file says; runners that are gone finish what they have.
@@ -272,10 +286,13 @@
         now: Instant,
     ) -> Option<RunnerSpec> {
         self.picks += 1;
+        self.expect(asked, now);
         let (_, name) = self.best(asked, candidate, lengths, now)?;
         let best = self.runners.get_mut(&name)?;
         best.running += 1;
         best.warming.take(best.cold_limit, now);
+        // Where another box gives out the permits, it is asked next.
+        let _ = self.limits.borrow_mut().take(&name, asked.priority, now);
         match asked.copied {
             0 => best.reading.add(asked.id.clone(), candidate.prompt, now),
             copied => {
@@ -322,6 +339,7 @@
         now: Instant,
     ) -> Option<(f64, RunnerName)> {
         let (cfg, turn, count) = (self.cfg, self.picks, self.runners.len().max(1));
+        let limits = self.limits.borrow();
         let wanted = |r: &&RunnerState| asked.allows(&r.spec);
         let floor = !self.runners.values().filter(wanted).any(|r| r.takes_work(now));
         let open = self.runners.values().enumerate();
@@ -330,6 +348,7 @@
             r.has_slot(now, floor)
                 && asked.allows(&r.spec)
                 && r.warming.admits(r.cold_limit, now)
+                && admits(&limits, asked, &r.spec.name, now)
                 && !(reads && r.reading.seconds(now) > MAX_READING)
         });
         let mut open: Vec<(f64, usize, &RunnerName)> = open
@@ -349,6 +368,34 @@
         found.map(|(load, _, name)| (load, name.clone()))
     }
 
+    /// Returns the time until one of the runners that could run a request may get it, if all of
+    /// them are at their limits.
+    pub fn at_limit(&self, asked: &Asked<'_>, now: Instant) -> Option<Duration> {
+        let limits = self.limits.borrow();
+        if limits.limited() == 0 {
+            return None;
+        }
+        let could = self.runners.values().filter(|r| asked.allows(&r.spec) && r.takes_work(now));
+        let names: Vec<&RunnerName> = could.map(|r| &r.spec.name).collect();
+        if names.iter().any(|name| admits(&limits, asked, name, now)) {
+            return None;
+        }
+        let opens_in = names.into_iter().map(|name| limits.opens_in(name, asked.priority, now));
+        let least = if asked.skips_limited { SKIPPED_RETRY } else { Duration::ZERO };
+        opens_in.min().map(|opens_in| opens_in.max(least))
+    }
+
+    /// Notes at the limits of its runners that a request wants to be sent.
+    fn expect(&self, asked: &Asked<'_>, now: Instant) {
+        let mut limits = self.limits.borrow_mut();
+        if limits.limited() == 0 {
+            return;
+        }
+        for runner in self.runners.values().filter(|runner| asked.allows(&runner.spec)) {
+            limits.expect(&runner.spec.name, asked.priority, now);
+        }
+    }
+
     /// Returns whether any runner could take new work now or after others finish. With every
     /// runner ejected all of them can: one that may fail is better than none.
     pub fn any_serving(&self) -> bool {
@@ -420,6 +467,12 @@
     }
 }
 
+/// Returns whether the limit of a runner leaves room for a request.
+fn admits(limits: &LimitBook, asked: &Asked<'_>, runner: &str, now: Instant) -> bool {
+    let skipped = asked.skips_limited && limits.limit(runner).is_some();
+    !skipped && limits.admits(runner, asked.priority, now)
+}
+
 impl RunnerState {
     fn takes_work(&self, now: Instant) -> bool {
         self.configured && self.serving && self.ejected_until.is_none_or(|until| now >= until)
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -10,6 +10,7 @@
 use crate::entry::EntryCx;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::task;
+use crate::upstream_limits::task as upstream_limits;
 
 /// Time between load reports of one runner.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
@@ -36,6 +37,10 @@
 }
 
 async fn read_report(cx: &EntryCx, runner: &Runner) {
+    if !upstream_limits::take_spare(cx, &runner.name) {
+        // Callers' requests go first; what this box runs there it knows without a report.
+        return;
+    }
     let load = match adapter::load(&cx.upstream(runner.addr)).await {
         Ok(load) => load,
         Err(err) => {
--- a/crates/hatchpitch/src/upstream_limits/heard.rs
+++ b/crates/hatchpitch/src/upstream_limits/heard.rs
@@ -71,8 +71,8 @@
         }
     }
 
-    /// Returns what counts of an answer that says that its request was not run. An upstream that
-    /// turns requests away may do so before it comes to name a limit.
+    /// Returns what counts of an answer that is none of success. An upstream that turns a request
+    /// away, or fails it, may do so before it comes to name a limit.
     pub fn of_refusal(self) -> Self {
         if self == Self::NoLimit { Self::Unclear } else { self }
     }
--- a/crates/hatchpitch/src/upstream_limits/task.rs
+++ b/crates/hatchpitch/src/upstream_limits/task.rs
@@ -1,12 +1,44 @@
-//! Takes in what answers say about the limits of their upstreams.
+//! Asks for permits and gives them out, and passes on what answers say about limits.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use hatchpitch_net::clock;
+use hatchpitch_net::{Stop, clock};
+use twox_hash::XxHash64;
 
-use super::heard::{Heard, Statement};
+use super::book::{Change, Decider, Taken};
+use super::heard::{Heard, RateLimit, Statement};
+use super::messages::{HeardAgo, LimitNews, PermitAnswer, PermitKind, PermitRequest};
+use crate::dispatch::owners::owner_of;
 use crate::entry::EntryCx;
+use crate::ids::{Priority, RunnerName};
+
+/// Path for permits.
+pub const PERMIT_PATH: &str = "/box/limit-permit";
+/// Path for news of limits.
+pub const NEWS_PATH: &str = "/box/limit-news";
+/// Time for a permit: a few round trips between failure domains. It holds up a request.
+const PERMIT_LIMIT: Duration = Duration::from_millis(150);
+/// Time for news.
+const NEWS_LIMIT: Duration = Duration::from_millis(500);
+/// Boxes that each box passes news on to. Of few boxes all hear of it; of many about 98 of 100 do,
+/// and the others with their own next answer.
+const FANOUT: usize = 4;
+/// Time in which news are gathered before they are passed on: far below the half second after
+/// which a box is expected to keep to what it was told.
+const GATHER: Duration = Duration::from_millis(20);
+/// Most news in one message, of about 100 bytes each.
+const MAX_NEWS: usize = 128;
+/// Time between two looks whether boxes were lost or are forgotten: the part that this box may give
+/// out follows from it.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// News that this box has to pass on.
+#[derive(Default)]
+pub struct NewsQueue(RefCell<BTreeSet<RunnerName>>);
 
 /// Notes what the head of an answer says, to a request that was sent at `sent`.
 pub fn note(cx: &Rc<EntryCx>, upstream: &str, said: Statement, sent: Instant) {
@@ -15,11 +47,188 @@
         Statement::NoLimit => None,
         Statement::Unclear => return,
     };
-    let heard = Heard { limit, sent, at: clock::now() };
-    let Some(change) = cx.limits.borrow_mut().hear(upstream, heard) else { return };
-    let text = |limit: Option<super::RateLimit>| limit.map_or("none".to_owned(), |l| l.to_string());
+    hear(cx, upstream, Heard { limit, sent, at: clock::now() });
+}
+
+fn hear(cx: &Rc<EntryCx>, upstream: &str, heard: Heard) {
+    let change = cx.limits.borrow_mut().hear(upstream, heard, clock::now());
+    let Some(change) = change else { return };
+    log_change(upstream, change);
+    place(cx, upstream);
+    if change.is_news() {
+        spread(cx, upstream);
+    }
+}
+
+fn log_change(upstream: &str, change: Change) {
+    let text = |limit: Option<RateLimit>| limit.map_or("none".to_owned(), |l| l.to_string());
     log::info!(
         upstream = upstream, from = text(change.from).as_str(), to = text(change.to).as_str();
         "limit of an upstream"
     );
 }
+
+/// Brings the permits of all limited upstreams up to the boxes that serve.
+pub fn place_all(cx: &EntryCx) {
+    let upstreams = cx.limits.borrow().upstreams();
+    for upstream in upstreams {
+        place(cx, &upstream);
+    }
+}
+
+fn place(cx: &EntryCx, upstream: &str) {
+    let (addr, own) = (decider_of(cx, upstream), cx.settings.boxes_addr);
+    let decider = Decider { addr, is_own: addr == own, part: cx.part_in_reach() };
+    cx.limits.borrow_mut().set_decider(upstream, decider, clock::now());
+}
+
+/// Returns the address of the box that decides for an upstream: the owner of an engine, which lets
+/// its requests in, or the one that has the name in rendezvous hashing.
+fn decider_of(cx: &EntryCx, upstream: &str) -> SocketAddr {
+    let by_name = || {
+        let membership = cx.membership.borrow();
+        owner_of(upstream, membership.serving_boxes()).map(|record| record.box_addr)
+    };
+    cx.owner_addr(upstream).or_else(by_name).unwrap_or(cx.settings.boxes_addr)
+}
+
+/// Gets the permit for a request that a gate let in, unless the gate has taken it.
+///
+/// # Errors
+///
+/// Returns when a request may come back, if there is no permit.
+pub async fn confirm(cx: &Rc<EntryCx>, upstream: &str, priority: Priority) -> Result<(), Duration> {
+    let asked = cx.limits.borrow().asks_at(upstream, clock::now());
+    match asked {
+        Some(decider) => ask(cx, decider, upstream, priority, PermitKind::Request).await,
+        None => Ok(()),
+    }
+}
+
+/// Gets the permit for a request that no gate lets in.
+///
+/// # Errors
+///
+/// Returns when a request may come back, if there is no permit.
+pub async fn obtain(cx: &Rc<EntryCx>, upstream: &str, priority: Priority) -> Result<(), Duration> {
+    let taken = cx.limits.borrow_mut().take(upstream, priority, clock::now());
+    match taken {
+        Taken::Free | Taken::Granted => Ok(()),
+        Taken::Ask => confirm(cx, upstream, priority).await,
+        Taken::Denied(wait) => Err(wait),
+    }
+}
+
+/// Gets the permit for something that can't be held back; returns whether there is one.
+pub async fn obtain_in_advance(cx: &Rc<EntryCx>, upstream: &str) -> bool {
+    let now = clock::now();
+    let taken = cx.limits.borrow_mut().take_in_advance(upstream, now);
+    let decider = cx.limits.borrow().asks_at(upstream, now);
+    match (taken, decider) {
+        (Taken::Free | Taken::Granted, _) => true,
+        (Taken::Ask, Some(decider)) => {
+            let asked = ask(cx, decider, upstream, Priority::MAX, PermitKind::InAdvance);
+            asked.await.is_ok()
+        }
+        (Taken::Ask | Taken::Denied(_), _) => false,
+    }
+}
+
+/// Takes the permit for something that nobody waits for; returns whether there is one.
+pub fn take_spare(cx: &EntryCx, upstream: &str) -> bool {
+    cx.limits.borrow_mut().take_spare(upstream, clock::now())
+}
+
+async fn ask(
+    cx: &Rc<EntryCx>,
+    decider: SocketAddr,
+    upstream: &str,
+    priority: Priority,
+    kind: PermitKind,
+) -> Result<(), Duration> {
+    let known = {
+        let mut limits = cx.limits.borrow_mut();
+        let now = clock::now();
+        limits.asking(upstream, now);
+        let Some(heard) = limits.heard(upstream) else { return Ok(()) };
+        HeardAgo::new(heard, now)
+    };
+    let asker = XxHash64::oneshot(0, cx.settings.name.as_bytes());
+    let req = PermitRequest { upstream: upstream.to_owned(), asker, priority, kind, known };
+    let answer = cx.boxes.call::<_, PermitAnswer>(decider, PERMIT_PATH, &req, PERMIT_LIMIT).await;
+    let now = clock::now();
+    let mut limits = cx.limits.borrow_mut();
+    match answer {
+        Ok(answer) => limits.answered(upstream, priority, answer, rand::random::<f64>(), now),
+        Err(err) => {
+            log::info!(upstream = upstream; "permit: {err}");
+            let boxes = cx.membership.borrow().serving_boxes().count();
+            Err(limits.unanswered(upstream, boxes, now))
+        }
+    }
+}
+
+/// Answers a box that asks for a permit.
+pub fn answer(cx: &Rc<EntryCx>, req: &PermitRequest) -> PermitAnswer {
+    cx.sync_gates();
+    let now = clock::now();
+    hear(cx, &req.upstream, req.known.at(now));
+    cx.limits.borrow_mut().answer(req, now)
+}
+
+/// Takes in news of limits.
+pub fn take_news(cx: &Rc<EntryCx>, news: &[LimitNews]) {
+    let now = clock::now();
+    for LimitNews { upstream, heard } in news {
+        hear(cx, upstream, heard.at(now));
+    }
+}
+
+/// Passes news on to a few boxes, which do the same if it is news to them.
+fn spread(cx: &Rc<EntryCx>, upstream: &str) {
+    let is_first = {
+        let mut queue = cx.limit_news.0.borrow_mut();
+        queue.insert(upstream.to_owned());
+        queue.len() == 1
+    };
+    if !is_first {
+        return;
+    }
+    let cx = cx.clone();
+    compio::runtime::spawn(async move {
+        compio::time::sleep(GATHER).await;
+        let upstreams = cx.limit_news.0.take();
+        let news = news_of(&cx, upstreams);
+        let peers = cx.membership.borrow_mut().peers(FANOUT);
+        for part in news.chunks(MAX_NEWS) {
+            for peer in &peers {
+                let (cx, peer, part) = (cx.clone(), *peer, part.to_vec());
+                compio::runtime::spawn(async move { tell(&cx, peer, part).await }).detach();
+            }
+        }
+    })
+    .detach();
+}
+
+fn news_of(cx: &EntryCx, upstreams: BTreeSet<RunnerName>) -> Vec<LimitNews> {
+    let (limits, now) = (cx.limits.borrow(), clock::now());
+    let news = upstreams.into_iter().filter_map(|upstream| {
+        let heard = HeardAgo::new(limits.heard(&upstream)?, now);
+        Some(LimitNews { upstream, heard })
+    });
+    news.collect()
+}
+
+async fn tell(cx: &EntryCx, peer: SocketAddr, news: Vec<LimitNews>) {
+    if let Err(err) = cx.boxes.call::<_, ()>(peer, NEWS_PATH, &news, NEWS_LIMIT).await {
+        log::debug!("news of limits: {err}; the box hears of them with its own next answer");
+    }
+}
+
+/// Follows which boxes were lost, until `stop`.
+pub async fn run(cx: Rc<EntryCx>, stop: Stop) {
+    while !stop.is_set() {
+        compio::time::sleep(LOOK).await;
+        place_all(&cx);
+    }
+}
--- a/crates/hatchpitch/tests/overload/fleet.rs
+++ b/crates/hatchpitch/tests/overload/fleet.rs
@@ -211,7 +211,7 @@
                 match self.lines[owner].place(&want, now) {
                     Ok(Some(spec)) => return self.run(ask.request, req, owner, &spec, ms, running),
                     Ok(None) => {
-                        let wait = self.lines[owner].expected_wait(&want);
+                        let wait = self.lines[owner].expected_wait(&want, now);
                         ask.search.heard_busy(a, wait);
                     }
                     Err(_) => {}
--- a/crates/hatchpitch/tests/reading.rs
+++ b/crates/hatchpitch/tests/reading.rs
@@ -101,7 +101,7 @@
 
 #[compio::test]
 async fn a_request_is_let_in_once_the_engine_has_read() {
-    let gate = Gate::new(AdmissionConfig::default(), RoutingConfig::default());
+    let gate = Gate::new(AdmissionConfig::default(), RoutingConfig::default(), Default::default());
     gate.update(|table| table.sync([spec()]));
     let started = Instant::now();
     let mut slots = Vec::new();
--- a/crates/hatchpitch/tests/routing.rs
+++ b/crates/hatchpitch/tests/routing.rs
@@ -41,6 +41,8 @@
     let avoid: Vec<String> = avoid.iter().map(|name| (*name).to_owned()).collect();
     let id = format!("{tokens}-{copy}");
     let asked = Asked {
+        priority: 0,
+        skips_limited: false,
         id: &id,
         avoid: &avoid,
         near: Some(near),
--- a/crates/hatchpitch/tests/switches.rs
+++ b/crates/hatchpitch/tests/switches.rs
@@ -56,7 +56,15 @@
     table.sync(["a", "b"].map(spec));
     let candidate = Candidate { kind: "k".to_owned(), prompt: 1, max_output: 1 };
     let (id, lengths) = ("run".to_owned(), LengthModel::default());
-    let asked = Asked { id: &id, avoid: &[], near: None, copied: 0, within: &[] };
+    let asked = Asked {
+        id: &id,
+        priority: 0,
+        avoid: &[],
+        near: None,
+        copied: 0,
+        within: &[],
+        skips_limited: false,
+    };
     let pick =
         |table: &mut RunnerTable| table.pick(&asked, &candidate, &lengths, now).unwrap().name;
     let failed = pick(&mut table);
--- a/crates/hatchpitch/tests/warming.rs
+++ b/crates/hatchpitch/tests/warming.rs
@@ -125,7 +125,15 @@
     let mut cold = 0;
     for n in 0..per_second {
         let (id, now) = (n.to_string(), start + SECOND / per_second * n);
-        let asked = Asked { id: &id, avoid: &[], near: None, copied: 0, within: &[] };
+        let asked = Asked {
+            priority: 0,
+            skips_limited: false,
+            id: &id,
+            avoid: &[],
+            near: None,
+            copied: 0,
+            within: &[],
+        };
         let spec = table.pick(&asked, &candidate, &lengths, now).expect("the warm one has room");
         cold += u32::from(spec.name == "cold");
     }
@@ -150,7 +158,15 @@
     let within = ["e".to_owned()];
     for n in 0..20 {
         let id = n.to_string();
-        let asked = Asked { id: &id, avoid: &[], near: Some("d"), copied: 0, within: &within };
+        let asked = Asked {
+            priority: 0,
+            skips_limited: false,
+            id: &id,
+            avoid: &[],
+            near: Some("d"),
+            copied: 0,
+            within: &within,
+        };
         let picked = table.pick(&asked, &candidate, &LengthModel::default(), now).unwrap();
         assert_eq!(picked.name, "there");
     }
