Tests of limits on calls, chat and in the line; stand-ins that name one

The stand-ins of engines and services name a limit on order and tell when requests came. Operators see limits in the status of runners.

--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -66,7 +66,7 @@
     ];
     if let Some(first) = seen.first() {
         parts.push(table(
-            &["POOL", "RUNNER", "OWNER", "TAKES WORK", "RUNNING"],
+            &["POOL", "RUNNER", "OWNER", "TAKES WORK", "RUNNING", "LIMIT"],
             &runner_rows(first, &seen),
         ));
     }
@@ -123,6 +123,7 @@
                 names.join(","),
                 takes.to_owned(),
                 running.to_string(),
+                runner.limit.map_or_else(String::new, |limit| limit.to_string()),
             ]);
         }
     }
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -17,6 +17,7 @@
 use crate::membership::MemberStatus;
 use crate::outcome::{Outcome, Problem, json_response};
 use crate::security::bearer;
+use crate::upstream_limits::RateLimit;
 
 /// What an entry box tells operators about itself.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -64,6 +65,9 @@
     pub running: u64,
     /// Whether it takes new work.
     pub takes_work: bool,
+    /// Requests a second that it takes from all boxes together, if it names a limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<RateLimit>,
 }
 
 /// A box as another one sees it.
@@ -138,6 +142,7 @@
             owned: own.is_some(),
             running: own.map_or(0, |(_, running, _)| *running),
             takes_work: own.map_or_else(|| membership.upstream_serves(&runner.name), |own| own.2),
+            limit: cx.limits.borrow().limit(&runner.name),
         }
     });
     PoolStatus { name: pool.pool.name.clone(), waiting: gate.waiting(), runners: runners.collect() }
--- a/crates/hatchpitch/tests/upstream_limits/main.rs
+++ b/crates/hatchpitch/tests/upstream_limits/main.rs
@@ -1,6 +1,7 @@
 //! What an upstream gets that names a limit, from all boxes together.
 
 mod fleet;
+mod line;
 
 use std::time::{Duration, Instant};
 
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -20,6 +20,8 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 
+use crate::limit::NamedLimit;
+
 use super::model::{EngineConfig, EngineModel, GenerationStatus, Refused};
 
 const MAX_BODY: usize = 4 * 1024 * 1024;
@@ -98,6 +100,7 @@
             let engine = engine.clone();
             async move { engine.handle(req).await }.boxed_local()
         });
+        let handler = NamedLimit::around(handler);
         serve(listener, ServerLimits::default(), handler, stop).await;
     }
 
