--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 /// A caller's id of one request.
 pub type RequestId = String;
@@ -76,6 +77,19 @@
     pub beside_another: bool,
 }
 
+/// A request that reached an upstream which names a limit.
+#[derive(Debug, Clone)]
+pub struct LimitedWork {
+    /// The upstream's life.
+    pub life: LifeId,
+    /// The limit, in requests a second.
+    pub per_second: f64,
+    /// When it came.
+    pub at: Instant,
+    /// The calm part in which it came, if it did.
+    pub calm: Option<u32>,
+}
+
 /// What the operator saw of configurations.
 #[derive(Debug, Clone)]
 pub enum ConfigSeen {
@@ -110,6 +124,8 @@
     pub configs: RefCell<Vec<ConfigSeen>>,
     /// Work that reached an upstream long after its leaving was acknowledged.
     pub late_work: RefCell<Vec<String>>,
+    /// Requests that reached upstreams which name limits, in order.
+    pub limited: RefCell<Vec<LimitedWork>>,
     /// Processes that ended by themselves.
     pub own_ends: Cell<u64>,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -60,6 +60,8 @@
     /// Whether work that comes to leaving upstreams too late is a broken promise: it depends on
     /// the speed of the machine.
     pub timed: bool,
+    /// Whether upstreams name limits, from the start of a storm to the end of its calm part.
+    pub limits: bool,
     /// Where settings, data and logs go.
     pub folder: PathBuf,
 }
@@ -174,6 +176,11 @@
     /// Plays a storm, mends, and plays a calm part.
     async fn round(&self, round: u32) -> anyhow::Result<()> {
         let seed = self.opts.seed.wrapping_mul(100) + u64::from(round);
+        let limits = if self.opts.limits { schedule::limits(seed, self.shape) } else { Vec::new() };
+        for (at, per_second) in &limits {
+            self.note(format!("upstream {at} names a limit of {per_second}"));
+            self.faults.pool.limit(*at, Some(*per_second));
+        }
         let faults = schedule::storm(seed, self.shape, self.opts.storm);
         self.play(&faults, self.opts.storm).await;
         self.faults.mend();
@@ -185,8 +192,13 @@
         self.play(&work, self.opts.calm).await;
         self.serves_again().await?;
         self.cx.record.set_calm(None);
+        for (at, _) in &limits {
+            self.faults.pool.limit(*at, None);
+        }
         let answered = self.cx.record.answered().saturating_sub(before);
-        ensure!(answered >= self.opts.callers, "{answered} requests answered in a calm part");
+        // What limited upstreams do not take is refused.
+        let least = if limits.is_empty() { self.opts.callers } else { 1 };
+        ensure!(answered >= least, "{answered} requests answered in a calm part");
         Ok(())
     }
 
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -85,6 +85,11 @@
     Leave(usize),
 }
 
+/// Tells the chance of limits from that of faults.
+const LIMITS_DRAW: u64 = 0x6c69_6d69_7473;
+/// Limits that upstreams name, in tenths of a request a second: far below what callers send.
+const LIMIT_TENTHS: std::ops::Range<u32> = 5..80;
+
 /// When something goes wrong, and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Step {
@@ -130,6 +135,19 @@
     steps
 }
 
+/// Draws which upstreams name limits in a round, and the limits in requests a second. It has a chance
+/// of its own, so that the faults of a seed stay what they were.
+pub fn limits(seed: u64, shape: Shape) -> Vec<(usize, f64)> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ LIMITS_DRAW);
+    let count = rng.random_range(1..=shape.upstreams);
+    (0..count)
+        .map(|_| {
+            let at = rng.random_range(0..shape.upstreams);
+            (at, f64::from(rng.random_range(LIMIT_TENTHS)) / 10.0)
+        })
+        .collect()
+}
+
 /// Draws when a fault of a part of this length begins, and how long it lasts.
 fn step(rng: &mut SmallRng, fault: Fault, length: Duration) -> Step {
     let at = rng.random_range(0..length.as_millis().max(1)) as u64;
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -69,6 +69,8 @@
     addr: SocketAddr,
     life: RefCell<Option<Rc<Life>>>,
     trouble: Cell<Trouble>,
+    /// Requests a second that it says it takes; `None` for no limit.
+    limit: Cell<Option<f64>>,
 }
 
 /// How a pool is set up.
@@ -121,6 +123,7 @@
                 addr,
                 life: RefCell::default(),
                 trouble: Cell::default(),
+                limit: Cell::default(),
             }));
         }
         let (copies, names) = (RefCell::default(), Cell::new(0));
@@ -138,7 +141,14 @@
         let pool = self.clone();
         let handler = Rc::new(move |req, _| {
             let (pool, place) = (pool.clone(), place.clone());
-            async move { pool.answer(&place, req).await }.boxed_local()
+            async move {
+                let mut res = pool.answer(&place, req).await;
+                if let Some(limit) = place.limit.get() {
+                    (pool.cx.wire.name_limit)(&mut res, limit);
+                }
+                res
+            }
+            .boxed_local()
         });
         compio::runtime::spawn(serve(listener, ServerLimits::default(), handler, stop)).detach();
     }
@@ -259,6 +269,11 @@
         self.places[at].trouble.set(trouble);
     }
 
+    /// Has an upstream name a limit from now on, or none.
+    pub fn limit(&self, at: usize, per_second: Option<f64>) {
+        self.places[at].limit.set(per_second);
+    }
+
     /// Returns the life at a place, if there is one.
     fn current(&self, at: usize) -> Option<Rc<Life>> {
         self.places[at].life.borrow().clone()
--- a/crates/soak/src/upstreams/runs.rs
+++ b/crates/soak/src/upstreams/runs.rs
@@ -4,7 +4,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hatchpitch_net::{Body, BodySender, read_body};
@@ -13,7 +13,7 @@
 
 use super::{ACK_LIMIT, LATE_AFTER, LEAVE_PATIENCE, Life, Place, Pool, Trouble};
 use crate::callers::answer_text;
-use crate::record::{Begun, RequestId};
+use crate::record::{Begun, LimitedWork, RequestId};
 use crate::wire::{Ask, Reply};
 
 /// Events of a whole stream.
@@ -61,17 +61,32 @@
                 if meant != life.id {
                     return reply(Reply::OtherLife);
                 }
+                self.note_limited_work(place, &life);
                 self.note_late_work(&life, &id, resume.is_some());
                 match resume {
                     Some((copy, after)) => self.go_on(place, &life, &id, &copy, after),
                     None => self.run(place, &life, &id, stream).await,
                 }
             }
-            Ask::Copy { id, to, stop } => self.copy(&life, &id, to, stop).await,
+            Ask::Copy { id, to, stop } => {
+                self.note_limited_work(place, &life);
+                self.copy(&life, &id, to, stop).await
+            }
             Ask::Other => reply(Reply::Unknown),
         }
     }
 
+    /// Notes a request that came while the upstream names a limit.
+    fn note_limited_work(&self, place: &Place, life: &Life) {
+        let Some(per_second) = place.limit.get() else { return };
+        self.cx.record.limited.borrow_mut().push(LimitedWork {
+            life: life.id.clone(),
+            per_second,
+            at: Instant::now(),
+            calm: self.cx.record.calm(),
+        });
+    }
+
     /// Notes a request that came long after the leaving was acknowledged.
     fn note_late_work(&self, life: &Life, id: &str, resumed: bool) {
         let Some((at, calm)) = life.leaving_acked.get() else { return };
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -2,7 +2,17 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::record::{Begun, Call, ConfigSeen, End, Kind, Record, RequestId};
+use std::time::Duration;
+
+use crate::record::{Begun, Call, ConfigSeen, End, Kind, LifeId, LimitedWork, Record, RequestId};
+
+/// Time after a life first named a limit from which on it binds, and the time over which requests
+/// are counted: as the platform counts them.
+const LIMIT_BINDS: Duration = Duration::from_secs(3);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Requests within that time: so many times what the limit says, and some.
+const LIMIT_OVER: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
 
 /// A promise that was not kept.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,6 +38,7 @@
     broken.extend(check_unasked(&calls, &runs));
     broken.extend(check_reads(record));
     broken.extend(check_markers(&calls));
+    broken.extend(check_limits(&record.limited.borrow()));
     let late = record.late_work.borrow();
     broken.extend(late.iter().map(|seen| Broken {
         promise: "an upstream that leaves gets no new work after a few seconds",
@@ -63,6 +74,37 @@
     broken
 }
 
+/// All boxes together keep the limits that upstreams name, outside of storms.
+fn check_limits(limited: &[LimitedWork]) -> Vec<Broken> {
+    let mut lives: BTreeMap<&LifeId, Vec<&LimitedWork>> = BTreeMap::new();
+    for work in limited {
+        lives.entry(&work.life).or_default().push(work);
+    }
+    lives.into_iter().filter_map(|(life, works)| check_limit(life, &works)).collect()
+}
+
+fn check_limit(life: &str, works: &[&LimitedWork]) -> Option<Broken> {
+    let first = works.first()?;
+    let per_second = first.per_second;
+    // A life may name another limit in a later round; then each is counted by itself.
+    let bound = works.iter().filter(|work| {
+        work.per_second == per_second && work.calm.is_some() && work.at - first.at >= LIMIT_BINDS
+    });
+    let bound: Vec<&&LimitedWork> = bound.collect();
+    let within = |from: &&&LimitedWork| {
+        let same = |work: &&&&LimitedWork| {
+            work.calm == from.calm && work.at >= from.at && work.at - from.at < LIMIT_WINDOW
+        };
+        bound.iter().filter(same).count()
+    };
+    let most = bound.iter().map(within).max()?;
+    let allowed = per_second * LIMIT_WINDOW.as_secs_f64() * LIMIT_OVER + LIMIT_SLACK;
+    (most as f64 > allowed).then(|| Broken {
+        promise: "all boxes together keep the limit that an upstream names",
+        seen: format!("{life} named {per_second} a second and got {most} within {LIMIT_WINDOW:?}"),
+    })
+}
+
 /// Upstreams run what callers sent, and nothing else.
 fn check_unasked(
     calls: &BTreeMap<RequestId, Call>,
--- a/crates/soak/src/wire.rs
+++ b/crates/soak/src/wire.rs
@@ -173,6 +173,8 @@
     pub reply: fn(&Reply) -> Response<Body>,
     /// An upstream's answer to a request that it ran: id, whether it is a stream, body.
     pub answer: fn(&str, bool, Body) -> Response<Body>,
+    /// Has an upstream's answer name the requests a second that it takes from all boxes together.
+    pub name_limit: fn(&mut Response<Body>, f64),
     /// Announces an upstream.
     pub announce: fn(&Announcement) -> Request<Body>,
     /// Ends the life of an upstream.
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -1,6 +1,8 @@
 //! Each promise that the soak checks is seen broken on a record that shows it broken.
 
-use hatchpitch_soak::record::{Begun, ConfigSeen, End, Kind, Record};
+use std::time::{Duration, Instant};
+
+use hatchpitch_soak::record::{Begun, ConfigSeen, End, Kind, LimitedWork, Record};
 use hatchpitch_soak::verify::verify;
 
 fn begun(id: &str, life: &str) -> Begun {
@@ -123,3 +125,26 @@
     record.late_work.borrow_mut().push("a reached u0".to_owned());
     assert_broken(&record, "leaves gets no new work");
 }
+
+#[test]
+fn requests_beyond_a_limit_are_found() {
+    let per_second = 2.0;
+    let start = Instant::now();
+    // From 3 s after the first one on, within 4 s, so many times what the limit says, and 5.
+    let allowed = 17;
+    for (count, calm, is_broken) in
+        [(allowed, Some(0), false), (allowed + 1, Some(0), true), (allowed + 1, None, false)]
+    {
+        let record = Record::default();
+        let work = |ms: u64, calm| LimitedWork {
+            life: "u0".to_owned(),
+            per_second,
+            at: start + Duration::from_millis(ms),
+            calm,
+        };
+        record.limited.borrow_mut().push(work(0, None));
+        record.limited.borrow_mut().extend((0..count).map(|n| work(3_000 + n * 100, calm)));
+        let broken = verify(&record);
+        assert_eq!(!broken.is_empty(), is_broken, "{count} {calm:?}: {broken:?}");
+    }
+}
