Tell the decider of an upstream what answers say, and ask again where it knows of no limit

Cause: permits of an engine come with its owner's slot, so that its owner was told nothing of what other boxes read in answers; and an owner that has started anew let in whatever came.

Change: what an answer says goes to the decider at most once a second, for ten seconds after an end; a slot of an owner that counted no limit needs the permit beside it where the asker knows of one.

--- a/crates/hatchpitch/src/grants/messages.rs
+++ b/crates/hatchpitch/src/grants/messages.rs
@@ -44,6 +44,9 @@
         addr: SocketAddr,
         /// Where it stands.
         failure_domain: FailureDomainName,
+        /// Whether the owner counted the request by a limit that the engine names.
+        #[serde(default)]
+        counted: bool,
     },
     /// The request would get a slot on an engine with this load.
     Quoted {
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -262,8 +262,9 @@
         };
         let answer = self.cx.boxes.call::<_, GrantAnswer>(owner, GRANT_PATH, &req, limit).await;
         match answer {
-            Ok(GrantAnswer::Granted { runner, addr, failure_domain }) => {
-                Said::Slot(Box::new(self.granted(owner, runner, addr, failure_domain)))
+            Ok(GrantAnswer::Granted { runner, addr, failure_domain, counted }) => {
+                let slot = self.granted(owner, runner, addr, failure_domain);
+                if counted { Said::Slot(Box::new(slot)) } else { self.counted(slot).await }
             }
             Ok(GrantAnswer::Quoted { load }) => Said::Quoted(Quote::Room(load)),
             Ok(GrantAnswer::Busy { wait }) => Said::Busy(wait),
@@ -276,6 +277,15 @@
         }
     }
 
+    /// Gets the permit for an engine whose owner knows of no limit, if this box knows of one: an
+    /// owner that has started anew would let in whatever comes until it is told.
+    async fn counted(&self, slot: Slot) -> Said {
+        match upstream_limits::obtain(&self.cx, &slot.runner, self.want.priority).await {
+            Ok(()) => Said::Slot(Box::new(slot)),
+            Err(wait) => Said::Busy(wait),
+        }
+    }
+
     fn granted(
         &self,
         owner: SocketAddr,
@@ -366,7 +376,8 @@
     };
     let RunnerSpec { name: runner, addr, failure_domain, .. } = permit.runner.clone();
     cx.grants.borrow_mut().put(req.want.id, req.holder, permit, clock::now());
-    GrantAnswer::Granted { runner, addr, failure_domain }
+    let counted = cx.limits.borrow().limit(&runner).is_some();
+    GrantAnswer::Granted { runner, addr, failure_domain, counted }
 }
 
 /// Takes a slot back.
--- a/crates/hatchpitch/src/upstream_limits/book.rs
+++ b/crates/hatchpitch/src/upstream_limits/book.rs
@@ -25,6 +25,11 @@
 /// Time after which a box that does not decide yet, or any more, is asked again: news of boxes
 /// reach all others within a few of these.
 const OTHER_DECIDER: Duration = Duration::from_millis(100);
+/// Time after which a decider is told again what answers say: it may have begun anew meanwhile. All
+/// boxes together get no more answers than the limit allows, so it is told no more often.
+const TELL_AGAIN: Duration = Duration::from_secs(1);
+/// Time for which it is told that a limit has ended.
+const TELL_ENDS_FOR: Duration = Duration::from_secs(10);
 /// Time for which a limit is remembered of which nothing more is heard.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// Part by which a limit has to change to be news for all boxes: the decider gets every value with
@@ -96,6 +101,10 @@
     pub(super) permits: Permits,
     /// When something was heard of the limit last.
     used: Instant,
+    /// When it changed last.
+    changed: Instant,
+    /// When the decider of now was last told what this box heard.
+    told: Option<Instant>,
 }
 
 impl Entry {
@@ -131,7 +140,8 @@
             heard.limit?;
             self.entries.retain(|_, entry| now.duration_since(entry.used) < FORGET_AFTER);
             let permits = Permits::Elsewhere(BTreeMap::new());
-            let entry = Entry { heard, decider: None, permits, used: now };
+            let entry =
+                Entry { heard, decider: None, permits, used: now, changed: now, told: None };
             self.entries.insert(upstream.to_owned(), entry);
             return Some(Change { from: None, to: heard.limit });
         };
@@ -143,6 +153,7 @@
         if from == heard.limit {
             return None;
         }
+        (entry.changed, entry.told) = (now, None);
         let rate = entry.rate();
         match (&mut entry.permits, rate) {
             (Permits::Here(bucket), Some(rate)) if from.is_none() => {
@@ -180,6 +191,9 @@
     pub fn set_decider(&mut self, upstream: &str, decider: Decider, now: Instant) {
         let Some(entry) = self.entries.get_mut(upstream) else { return };
         let former = entry.decider.replace(decider);
+        if former.is_none_or(|former| former.addr != decider.addr) {
+            entry.told = None;
+        }
         let rate = entry.rate().unwrap_or_default();
         match &mut entry.permits {
             Permits::Here(bucket) if decider.is_own => {
@@ -194,6 +208,22 @@
         }
     }
 
+    /// Returns the decider if it is to be told now what this box heard in an answer. The owner of an
+    /// engine is not asked for permits by name, so this is how it learns of a limit and of its end:
+    /// an engine whose limit had ended went on to get as little without it.
+    pub fn tells(&mut self, upstream: &str, now: Instant) -> Option<SocketAddr> {
+        let entry = self.entries.get_mut(upstream)?;
+        let decider = entry.decider.filter(|decider| !decider.is_own)?;
+        let is_settled =
+            entry.heard.limit.is_none() && now.duration_since(entry.changed) >= TELL_ENDS_FOR;
+        let is_due = entry.told.is_none_or(|told| now.duration_since(told) >= TELL_AGAIN);
+        if is_settled || !is_due {
+            return None;
+        }
+        entry.told = Some(now);
+        Some(decider.addr)
+    }
+
     /// Returns where permits of an upstream are to be asked for, if it has to be asked at all.
     pub fn asks_at(&self, upstream: &str, now: Instant) -> Option<SocketAddr> {
         let entry = self.entries.get(upstream)?;
--- a/crates/hatchpitch/src/upstream_limits/task.rs
+++ b/crates/hatchpitch/src/upstream_limits/task.rs
@@ -47,14 +47,20 @@
         Statement::NoLimit => None,
         Statement::Unclear => return,
     };
-    hear(cx, upstream, Heard { limit, sent, at: clock::now() });
+    let now = clock::now();
+    hear(cx, upstream, Heard { limit, sent, at: now });
+    let decider = cx.limits.borrow_mut().tells(upstream, now);
+    if let Some(decider) = decider {
+        let (cx, news) = (cx.clone(), news_of(cx, [upstream.to_owned()]));
+        compio::runtime::spawn(async move { tell(&cx, decider, news).await }).detach();
+    }
 }
 
 fn hear(cx: &Rc<EntryCx>, upstream: &str, heard: Heard) {
     let change = cx.limits.borrow_mut().hear(upstream, heard, clock::now());
     let Some(change) = change else { return };
     log_change(upstream, change);
-    place(cx, upstream);
+    place(cx, upstream, cx.part_in_reach());
     if change.is_news() {
         spread(cx, upstream);
     }
@@ -71,14 +77,18 @@
 /// Brings the permits of all limited upstreams up to the boxes that serve.
 pub fn place_all(cx: &EntryCx) {
     let upstreams = cx.limits.borrow().upstreams();
+    if upstreams.is_empty() {
+        return;
+    }
+    let part = cx.part_in_reach();
     for upstream in upstreams {
-        place(cx, &upstream);
+        place(cx, &upstream, part);
     }
 }
 
-fn place(cx: &EntryCx, upstream: &str) {
+fn place(cx: &EntryCx, upstream: &str, part: f64) {
     let (addr, own) = (decider_of(cx, upstream), cx.settings.boxes_addr);
-    let decider = Decider { addr, is_own: addr == own, part: cx.part_in_reach() };
+    let decider = Decider { addr, is_own: addr == own, part };
     cx.limits.borrow_mut().set_decider(upstream, decider, clock::now());
 }
 
@@ -210,7 +220,7 @@
     .detach();
 }
 
-fn news_of(cx: &EntryCx, upstreams: BTreeSet<RunnerName>) -> Vec<LimitNews> {
+fn news_of(cx: &EntryCx, upstreams: impl IntoIterator<Item = RunnerName>) -> Vec<LimitNews> {
     let (limits, now) = (cx.limits.borrow(), clock::now());
     let news = upstreams.into_iter().filter_map(|upstream| {
         let heard = HeardAgo::new(limits.heard(&upstream)?, now);
