--- a/crates/hatchpitch/tests/upstream_limits/fleet.rs
+++ b/crates/hatchpitch/tests/upstream_limits/fleet.rs
@@ -91,6 +91,8 @@
     pub limit: Option<f64>,
     pub arrivals: Vec<Arrival>,
     pub refused: Vec<(u64, Priority, Duration)>,
+    /// Questions for permits.
+    pub asked: usize,
     /// Pairs of boxes that do not reach each other.
     cut: BTreeSet<(usize, usize)>,
     rng: SmallRng,
@@ -119,6 +121,7 @@
             limit: None,
             arrivals: Vec::new(),
             refused: Vec::new(),
+            asked: 0,
             cut: BTreeSet::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -180,6 +183,7 @@
         let to = usize::from(decider.ip().octets()[3]);
         let known = HeardAgo::new(book.heard(UPSTREAM).unwrap(), now);
         let upstream = UPSTREAM.to_owned();
+        self.asked += 1;
         let asker = at as u64;
         let req = PermitRequest { upstream, asker, priority, kind: PermitKind::Request, known };
         if self.reaches(at, to) && self.boxes[to].frozen_until <= self.ms {
--- a/crates/hatchpitch/tests/upstream_limits/main.rs
+++ b/crates/hatchpitch/tests/upstream_limits/main.rs
@@ -206,6 +206,25 @@
     assert!(longest <= SECOND * 5 && mean <= SECOND * 2, "{longest:?}, mean {mean:?}");
 }
 
+#[test]
+fn each_box_asks_for_permits_about_as_seldom_however_many_there_are() {
+    for (boxes, limit) in [(3, 4.0), (12, 4.0), (60, 4.0), (200, 4.0), (200, 30.0)] {
+        let mut fleet = Fleet::new(boxes, 23);
+        fleet.limit = Some(limit);
+        // Each box has more requests than all of them may send.
+        let load = vec![(limit * 2.0, 3); boxes];
+        fleet.play(SECOND * 5, &load);
+        fleet.asked = 0;
+        let sent = fleet.arrivals.len();
+        fleet.play(SECOND * 10, &load);
+        let a_second = fleet.asked as f64 / 10.0;
+        let used = (fleet.arrivals.len() - sent) as f64 / 10.0;
+        println!("{boxes} boxes, limit {limit}: asked {a_second} times a second, {used} sent");
+        assert!(a_second <= limit * 4.0 + boxes as f64, "{boxes} boxes: {a_second}");
+        assert!(used >= limit * 0.9, "{boxes} boxes: {used} of {limit}");
+    }
+}
+
 fn heard(start: Instant, limit: Option<f64>, sent_ms: u64, at_ms: u64) -> Heard {
     let limit = limit.map(|limit| RateLimit::try_from(limit).unwrap());
     let at = |ms| start + Duration::from_millis(ms);
