--- a/crates/hatchpitch/tests/upstream_limits/line.rs
+++ b/crates/hatchpitch/tests/upstream_limits/line.rs
@@ -97,6 +97,32 @@
     assert_eq!(order, ["2", "1", "3"]);
 }
 
+/// Other boxes took each permit as soon as it was there, between two looks of the line at the box
+/// that gives them out, and a request that was to wait for 100 ms waited for 1.5 s.
+#[test]
+fn who_waits_for_a_limit_in_vain_is_refused_when_it_has_waited_as_long_as_it_may() {
+    let start = Instant::now();
+    let (mut line, limits) = line(&["limited"], &["limited"], start);
+    let soon = start + SECOND * 2 / 5;
+    let decided = line.decide(&want(1, 1, SECOND / 5), soon);
+    assert!(matches!(decided, Decision::Wait(_)), "{decided:?}");
+    let mut ended = None;
+    for tick in 1..100 {
+        let now = soon + SECOND / 50 * tick;
+        // Somebody else is always faster.
+        limits.borrow_mut().take("limited", 1, now);
+        line.tick(now);
+        if let Some(answer) = line.take_answers().pop() {
+            ended = Some((now - soon, answer.slot.unwrap_err()));
+            break;
+        }
+    }
+    let (waited, refusal) = ended.expect("it waits for ever");
+    assert_eq!(waited, SECOND / 5);
+    assert!(!refusal.retry_after.is_zero() && refusal.retry_after <= SECOND, "{refusal:?}");
+    verify::verify(&line).unwrap();
+}
+
 #[test]
 fn a_slot_that_is_given_up_unused_costs_its_workspace_nothing() {
     let start = Instant::now();
