--- a/crates/hatchpitch/src/admission/state.rs
+++ b/crates/hatchpitch/src/admission/state.rs
@@ -265,6 +265,11 @@
         }
     }
 
+    /// Returns how long a request has waited.
+    pub fn waited(&self, ticket: Ticket, now: Instant) -> Option<Duration> {
+        self.queued.get(&ticket).map(|queued| now.duration_since(queued.waiter.since))
+    }
+
     /// Returns how many requests went past one because it found no room.
     pub fn passed(&self, ticket: Ticket) -> u32 {
         self.queued.get(&ticket).map_or(0, |queued| queued.passed)
--- a/crates/hatchpitch/src/dispatch/line.rs
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -304,6 +304,7 @@
             }
         }
         self.pump(now);
+        self.refuse_limited(now);
     }
 
     /// Returns how long a request would wait.
@@ -385,6 +386,26 @@
         }
     }
 
+    /// Refuses who has waited in vain for as long as it may for runners at their limits: other boxes
+    /// may take each permit before this line looks.
+    fn refuse_limited(&mut self, now: Instant) {
+        let has_waited = |(ticket, want): (&Ticket, &Want)| {
+            let waited = self.queue.waited(*ticket, now)?;
+            let is_over =
+                waited >= want.limit_wait? && self.table.at_limit(&want.asked(), now).is_some();
+            is_over.then_some(*ticket)
+        };
+        let over: Vec<Ticket> = self.waiting.iter().filter_map(has_waited).collect();
+        for ticket in over {
+            self.queue.cancel(ticket);
+            if let Some(want) = self.waiting.remove(&ticket) {
+                let wait = self.limit_wait(&want, now).unwrap_or_default();
+                let slot = Err(Refusal::new(AT_LIMIT, wait));
+                self.answers.push(Answer { ticket, id: want.id, slot });
+            }
+        }
+    }
+
     fn no_runner(&self, now: Instant) -> Refusal {
         let until = self.table.next_return().map(|at| at.saturating_duration_since(now));
         let retry_after = until.unwrap_or(NO_RUNNER_RETRY).max(MIN_RETRY);
