Call a replica removed once it does not count

Cause: the line was written before the change was begun. Whoever read it, a test as well as an operator, took it that another box may be lost, while two of four voters would have been gone.

Ruled out: votes or the order of changes. The leader that was killed held the only copy of the change; with four voters of which two are gone no order of the changes lets the others go on.

Change: the line follows the committed change.

--- a/crates/hatchpitch/src/control/join.rs
+++ b/crates/hatchpitch/src/control/join.rs
@@ -104,10 +104,12 @@
         longest.filter(|_| replica.members().voters.len() > cx.settings.core_size)
     });
     let Some((silence, id)) = silent else { return Ok(()) };
+    repair::step(log, "remove", &MemberChange::Remove(id)).await?;
+    // Only now may another replica be lost: before it, two of four would be gone.
     log::info!(
         "control replica {id:016x} is removed: silent for {silence:?}, others took its place"
     );
-    repair::step(log, "remove", &MemberChange::Remove(id)).await
+    Ok(())
 }
 
 /// Asks for a place while this box has none, and keeps the core at its size while it leads.
