Test of large changes: count against the packed size

Cause: the test of a change that is brought to a box once took the encoded size for what travels. Parts are packed, so that 96,951 bytes are one delivery of a change of 400,000.

Change: the size it compares with is that of the packed change, the bounds are the same (half of it, 1.8 times of it); two deliveries fail as before.

--- a/crates/e2e/tests/control.rs
+++ b/crates/e2e/tests/control.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch::config::ApplyOutcome;
+use hatchpitch::config::packed::PackedDelta;
 use hatchpitch::config::view::key_digest;
+use hatchpitch::config::{ApplyOutcome, Delta, load_fleet};
 use hatchpitch::control::operators::ControlStatus;
 use hatchpitch::control::repair::Repaired;
 use hatchpitch_e2e::fleet::PATIENCE;
@@ -252,7 +253,9 @@
     // Later deliveries of the same would follow within the time that a fetch waits for the feed.
     compio::time::sleep(std::time::Duration::from_millis(1_500)).await;
     let brought = box_bytes(&fleet, 0).await? - before;
-    let change = 2_000.0 * 200.0;
+    let upserts = load_fleet("fleet", &file)?.entities.into_values().collect();
+    let change = PackedDelta::new(&Delta { upserts, removals: Vec::new() }).packed_len() as f64;
+    assert!(change > 2_000.0 * 32.0, "the digests of the keys can't be packed");
     assert!(brought > change / 2.0 && brought < change * 1.8, "{brought} bytes for {change}");
     Ok(())
 }
--- a/crates/hatchpitch/src/config/packed.rs
+++ b/crates/hatchpitch/src/config/packed.rs
@@ -39,6 +39,11 @@
         Self(packed.expect("memory takes whatever is written"))
     }
 
+    /// Returns how many bytes it takes.
+    pub fn packed_len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Unpacks the changes.
     ///
     /// # Errors
