--- a/crates/e2e/tests/limits.rs
+++ b/crates/e2e/tests/limits.rs
@@ -112,6 +112,39 @@
     Ok(())
 }
 
+/// Requests that come to a box at one time as soon as it serves, and how many of them a limit of 2 a
+/// second lets through at once, with those that others saved up.
+const BURST: usize = 24;
+const MOST_AT_ONCE: usize = 5;
+/// Time after which a box that has joined must know what the others do.
+const JOINED: Duration = Duration::from_millis(2_500);
+
+/// A box that joins knew of no limit until its first answer: all that callers sent it until then
+/// reached the upstream, 24 of 24 requests where the others together send 2 a second.
+#[compio::test]
+async fn a_box_that_joins_is_told_of_limits_before_it_sends() -> anyhow::Result<()> {
+    let shape = Shape { entry: BOXES, engines: 0, apps: 1, ..Shape::default() };
+    let mut fleet = TestFleet::start(shape).await?;
+    let app = fleet.app_addrs[0];
+    name_limit(&fleet, app, Some(2.0)).await?;
+    load(LOAD / 2, |at| call(&fleet, at, Method::GET, "/rates")).await?;
+    for joining in 0..BOXES {
+        fleet.entry[joining].kill();
+        fleet.entry[joining].restart()?;
+        fleet.wait_in_force(1).await?;
+        compio::time::sleep(JOINED).await;
+        let before: Vec<u64> = fleet.standin_json(app, "/admin/arrivals").await?;
+        let burst = (0..BURST).map(|_| call(&fleet, joining, Method::GET, "/rates"));
+        for status in join_all(burst).await {
+            status?;
+        }
+        let after: Vec<u64> = fleet.standin_json(app, "/admin/arrivals").await?;
+        let sent = after.len() - before.len();
+        assert!(sent <= MOST_AT_ONCE, "box {joining}: {sent} of {BURST} were sent at once");
+    }
+    Ok(())
+}
+
 /// Returns the most requests that reached each engine within the window, since it named a limit.
 async fn most_at_engines(fleet: &TestFleet, since: &[u64]) -> anyhow::Result<Vec<usize>> {
     let mut found = Vec::new();
