--- a/crates/hatchpitch/tests/upstream_limits/fleet.rs
+++ b/crates/hatchpitch/tests/upstream_limits/fleet.rs
@@ -99,7 +99,7 @@
 }
 
 fn addr(at: usize) -> SocketAddr {
-    ([10, 0, 0, at as u8], 1).into()
+    ([10, 0, (at >> 8) as u8, at as u8], 1).into()
 }
 
 impl Fleet {
--- a/crates/hatchpitch/tests/upstream_limits/main.rs
+++ b/crates/hatchpitch/tests/upstream_limits/main.rs
@@ -208,7 +208,9 @@
 
 #[test]
 fn each_box_asks_for_permits_about_as_seldom_however_many_there_are() {
-    for (boxes, limit) in [(3, 4.0), (12, 4.0), (60, 4.0), (200, 4.0), (200, 30.0)] {
+    for (boxes, limit) in
+        [(3, 4.0), (12, 4.0), (60, 4.0), (200, 4.0), (200, 30.0), (300, 4.0), (300, 30.0)]
+    {
         let mut fleet = Fleet::new(boxes, 23);
         fleet.limit = Some(limit);
         // Each box has more requests than all of them may send.
