--- a/crates/hatchpitch/tests/feed_parts.rs
+++ b/crates/hatchpitch/tests/feed_parts/main.rs
@@ -1,5 +1,7 @@
 //! A configuration that arrives in parts, from parents that change and fall behind meanwhile.
 
+mod packed;
+
 use arbitrary::Unstructured;
 use futures_util::FutureExt;
 use hatchpitch::config::arriving::{Arriving, Taken};
@@ -42,6 +44,11 @@
     }
 }
 
+fn client() -> BoxClient {
+    let key = SigningKey::new("k".into(), vec![3; 32]).unwrap();
+    BoxClient::new(KeyRing::new(vec![key]).unwrap()).unwrap()
+}
+
 fn answer(parent: &ConfigState, req: &FeedRequest, max_bytes: usize) -> FeedAnswer {
     let part = parent.part_since(req.have, req.after.as_ref(), max_bytes);
     FeedAnswer {
@@ -175,8 +182,7 @@
 
 #[test]
 fn what_waits_for_boxes_that_ask_is_bounded() {
-    let key = SigningKey::new("k".into(), vec![3; 32]).unwrap();
-    let client = BoxClient::new(KeyRing::new(vec![key]).unwrap()).unwrap();
+    let client = client();
     let mut state = ConfigState::default();
     put(&mut state, 1, (0..ENTITIES).map(|n| domain(n, "x".repeat(TEXT))).collect());
     let cell = ConfigCell::new(client.backlog().clone());
--- a/crates/hatchpitch/tests/feed_packed.rs
+++ b/crates/hatchpitch/tests/feed_parts/packed.rs
@@ -4,10 +4,10 @@
 use futures_util::FutureExt;
 use hatchpitch::config::feed::ConfigCell;
 use hatchpitch::config::packed::PackedDelta;
-use hatchpitch::config::{ConfigState, Delta, Entity, EntityKey, FailureDomain, FeedAnswer};
-use hatchpitch::config::{FeedRequest, Fleet, Rest};
+use hatchpitch::config::{ConfigState, Delta, Entity, EntityKey, FeedAnswer, FeedRequest, Rest};
 use hatchpitch::ids::ConfigNumber;
-use hatchpitch_net::{BoxClient, KeyRing, SigningKey};
+
+use super::{client, domain, put, request};
 
 /// Boxes that ask at one time.
 const ASKERS: usize = 300;
@@ -15,28 +15,6 @@
 /// not be compressed.
 const MAX_WAITING: usize = 1024 * 1024 + 300 * 1024;
 
-fn domain(n: usize, region: String) -> Entity {
-    Entity::FailureDomain(FailureDomain { name: format!("domain-{n:04}"), region })
-}
-
-fn put(state: &mut ConfigState, number: ConfigNumber, entities: Vec<Entity>) {
-    let change = state.prepare(&Fleet::new(number, entities), "operator").unwrap();
-    state.apply(change).unwrap();
-}
-
-fn request(have: ConfigNumber, after: Option<&EntityKey>, unpacks: bool) -> FeedRequest {
-    FeedRequest {
-        from: "box".to_owned(),
-        have,
-        hold: Default::default(),
-        unconfirmed: false,
-        after: after.cloned(),
-        evacuations: 0,
-        quarantine: 0,
-        unpacks,
-    }
-}
-
 fn ask(cell: &ConfigCell, req: &FeedRequest) -> FeedAnswer {
     cell.answer(req).now_or_never().expect("nothing to wait for")
 }
@@ -45,7 +23,8 @@
 fn fetch(cell: &ConfigCell, have: ConfigNumber, unpacks: bool) -> (bool, Delta, usize) {
     let (mut whole, mut after, mut parts) = (Delta::default(), None::<EntityKey>, 0);
     loop {
-        let answer = ask(cell, &request(have, after.as_ref(), unpacks));
+        let req = FeedRequest { unpacks, ..request(have, after.as_ref()) };
+        let answer = ask(cell, &req);
         assert!(answer.packed.is_none() || answer.delta == Delta::default(), "sent twice");
         let delta = answer.packed.map_or(answer.delta, |packed| packed.delta().unwrap());
         whole.upserts.extend(delta.upserts);
@@ -105,9 +84,8 @@
 }
 
 #[test]
-fn what_waits_for_boxes_that_ask_is_bounded() {
-    let key = SigningKey::new("k".into(), vec![3; 32]).unwrap();
-    let client = BoxClient::new(KeyRing::new(vec![key]).unwrap()).unwrap();
+fn what_waits_for_boxes_that_ask_for_packed_parts_is_bounded() {
+    let client = client();
     let mut random = 1_u32;
     let mut letter = || {
         random = random.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
@@ -118,7 +96,7 @@
     put(&mut state, 1, entities.collect());
     cell.replace(&state);
     // None of them is sent while the others are made.
-    let req = request(0, None, true);
+    let req = FeedRequest { unpacks: true, ..request(0, None) };
     let held: Vec<_> = (0..ASKERS).map(|_| client.respond(&ask(&cell, &req))).collect();
     assert_eq!(held.len(), ASKERS);
     let waiting = client.backlog().waiting();
