Read what the head of an answer says in one module, and log rests and why no other upstream is tried

Callers saw 503 beside upstreams with room; the boxes' lines told neither that the upstream had asked for rest nor why no other one was tried, so the hypotheses of the incident could not be told apart.

One module, upstream_heads, now reads limit, rest and leaving from a head, for the relay, moves, chat and calls to applications. Limits are decided on as before; a rest and a leaving are logged, nothing is decided by them yet. The line of a refused request names the reason: as many tried as may be, no other known, or the budget used up. Stand-ins can be told to ask for rest and to say that they leave.

Checks: those of messages read the same values through the new function.

--- a/crates/hatchpitch/src/engine/adapter.rs
+++ b/crates/hatchpitch/src/engine/adapter.rs
@@ -13,7 +13,7 @@
 use super::messages::{EngineEvent, EngineLoad, EngineRefusal, GenerateRequest};
 use crate::ids::TokenIndex;
 use crate::trace::TRACEPARENT;
-use crate::upstream_limits::Statement;
+use crate::upstream_heads::{HeadNames, HeadSignals};
 
 /// Longest line read from an engine, in bytes.
 const MAX_LINE: usize = 64 * 1024;
@@ -22,12 +22,12 @@
 /// Time for small calls.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
-/// Header of an engine's or a service's answer that names the requests a second that it takes from
-/// all boxes together, for as long as its answers carry it.
-pub const RATE_LIMIT: &str = "hatchpitch-rate-limit";
+/// Headers by which engines and services say something of themselves, in any of their answers.
+pub const HEAD_NAMES: HeadNames =
+    HeadNames { limit: "hatchpitch-rate-limit", leaving: "hatchpitch-leaving" };
 
-/// Takes in what the head of an answer says about its upstream's limit.
-pub type OnLimit<'a> = &'a dyn Fn(Statement);
+/// Takes in what the head of an answer says of its upstream.
+pub type OnHead<'a> = &'a dyn Fn(HeadSignals);
 
 /// A failed call to an engine.
 #[derive(Debug)]
@@ -125,11 +125,11 @@
     req: &GenerateRequest,
     traceparent: &str,
     head_timeout: Duration,
-    on_limit: OnLimit<'_>,
+    on_head: OnHead<'_>,
 ) -> Result<EventReader, EngineError> {
     let body = encode(req)?;
     let req = request(Method::POST, upstream, "/v1/generate", traceparent, body);
-    open_stream(upstream, req, head_timeout, on_limit).await
+    open_stream(upstream, req, head_timeout, on_head).await
 }
 
 /// A reading of a generation that began.
@@ -154,12 +154,12 @@
     upstream: &Upstream,
     link: Link<'_>,
     head_timeout: Duration,
-    on_limit: OnLimit<'_>,
+    on_head: OnHead<'_>,
 ) -> Result<EventReader, EngineError> {
     let Link { generation, attempt, from, traceparent } = link;
     let path = format!("/v1/generations/{generation}?attempt={attempt}&from={from}");
     let req = request(Method::GET, upstream, &path, traceparent, Body::empty());
-    open_stream(upstream, req, head_timeout, on_limit).await
+    open_stream(upstream, req, head_timeout, on_head).await
 }
 
 /// Cancels a generation unless a reading other than `attempt` has taken over.
@@ -241,20 +241,19 @@
     upstream: &Upstream,
     req: Request<Body>,
     head_timeout: Duration,
-    on_limit: OnLimit<'_>,
+    on_head: OnHead<'_>,
 ) -> Result<EventReader, EngineError> {
     let res = upstream.send(req, head_timeout).await.map_err(EngineError::Send)?;
-    on_limit(said(&res));
+    on_head(signals(&res));
     if res.status() == StatusCode::OK {
         return Ok(EventReader { body: res.into_body(), buf: BytesMut::new() });
     }
     Err(refusal(res.status(), res.into_body()).await)
 }
 
-/// Returns what the head of an answer says about its upstream's limit.
-pub fn said(res: &Response<Incoming>) -> Statement {
-    let said = Statement::read(res.headers(), RATE_LIMIT);
-    if res.status().is_success() { said } else { said.of_refusal() }
+/// Returns what the head of an answer says of its upstream.
+pub fn signals(res: &Response<Incoming>) -> HeadSignals {
+    HeadSignals::read(&HEAD_NAMES, res.status(), res.headers())
 }
 
 async fn whole(upstream: &Upstream, req: Request<Body>) -> Result<Bytes, EngineError> {
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -18,13 +18,14 @@
 use crate::config::view::{FleetView, ServiceView};
 use crate::config::{ServiceUpstream, Workspace};
 use crate::dispatch::line::AT_LIMIT;
-use crate::engine::adapter::said;
+use crate::engine::adapter::signals;
 use crate::ids::{Digest, Priority, new_id};
 use crate::metrics::Count;
 use crate::outcome::{OUTCOME_HEADER, Outcome, Problem};
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunPlace};
 use crate::trace::{Span, TRACEPARENT};
+use crate::upstream_heads::task as upstream_heads;
 use crate::upstream_limits::task as upstream_limits;
 
 /// Header that names a request which must not be repeated.
@@ -278,7 +279,7 @@
         let timeout = self.service.service.timeout;
         let sent_at = clock::now();
         let res = self.cx.upstream(addr).send(req, timeout).await.map_err(AppFailure::from)?;
-        upstream_limits::note(&self.cx, &upstream.name, said(&res), sent_at);
+        upstream_heads::note(&self.cx, &upstream.name, signals(&res), sent_at);
         let status = res.status();
         let plain = || HeaderValue::from_static("application/octet-stream");
         let content_type = res.headers().get(header::CONTENT_TYPE).cloned().unwrap_or_else(plain);
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -18,7 +18,7 @@
 use crate::routing::Verdict;
 use crate::streams::{Phase, StreamLimits, StreamState, StreamStep};
 use crate::trace::Span;
-use crate::upstream_limits::Statement;
+use crate::upstream_heads::{HeadSignals, task as upstream_heads};
 use crate::upstream_limits::task as upstream_limits;
 
 /// Rest before the second link to an engine; it doubles with each further one.
@@ -304,8 +304,8 @@
             seed: self.job.seed,
         };
         let head_timeout = self.cx.settings.timing.head_timeout;
-        let (trace, on_limit) = (span.traceparent(), self.on_limit());
-        let opened = adapter::generate(&self.upstream, &req, &trace, head_timeout, &on_limit).await;
+        let (trace, on_head) = (span.traceparent(), self.on_head());
+        let opened = adapter::generate(&self.upstream, &req, &trace, head_timeout, &on_head).await;
         match opened {
             Ok(reader) => {
                 self.ran = true;
@@ -340,10 +340,10 @@
             let (id, attempt) = (self.state.generation(), self.state.attempt());
             let trace = span.traceparent();
             let may_send = upstream_limits::obtain_in_advance(&self.cx, &self.runner).await;
-            let on_limit = self.on_limit();
+            let on_head = self.on_head();
             let link = adapter::Link { generation: id, attempt, from, traceparent: &trace };
             let opened = match may_send {
-                true => adapter::resume(&self.upstream, link, head_timeout, &on_limit).await,
+                true => adapter::resume(&self.upstream, link, head_timeout, &on_head).await,
                 false => Err(EngineError::AtLimit),
             };
             let step = match opened {
@@ -467,10 +467,10 @@
         self.spawn_cancel(Duration::ZERO);
     }
 
-    /// Returns what takes in the limit that the runner names in an answer to a request of now.
-    fn on_limit(&self) -> impl Fn(Statement) + use<> {
+    /// Returns what takes in the head of an answer to a request of now.
+    fn on_head(&self) -> impl Fn(HeadSignals) + use<> {
         let (cx, runner, sent) = (self.cx.clone(), self.runner.clone(), clock::now());
-        move |said| upstream_limits::note(&cx, &runner, said, sent)
+        move |signals| upstream_heads::note(&cx, &runner, signals, sent)
     }
 
     /// Cancels the generation after a while.
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -17,6 +17,7 @@
 use crate::registry::UpstreamRecord;
 use crate::relay::dialect::{CopyAnswer, CopyFailure, CopyOrder};
 use crate::relay::{HostedRequest, Relay};
+use crate::upstream_heads::task as upstream_heads;
 use crate::upstream_limits::task as upstream_limits;
 
 /// Time for one copy; a large generation takes a third of it on an idle link.
@@ -199,7 +200,7 @@
         let sent = clock::now();
         match compio::time::timeout(COPY_LIMIT, copied).await {
             Ok(reply) => {
-                upstream_limits::note(&self.relay.cx, &self.leaver.runner, reply.said, sent);
+                upstream_heads::note(&self.relay.cx, &self.leaver.runner, reply.signals, sent);
                 reply.outcome
             }
             Err(_) => Err(CopyFailure::Unclear(format!("no answer within {COPY_LIMIT:?}"))),
--- a/crates/hatchpitch/src/relay/dialect.rs
+++ b/crates/hatchpitch/src/relay/dialect.rs
@@ -11,7 +11,7 @@
 
 use super::request::HostedRequest;
 use crate::ids::RunnerName;
-use crate::upstream_limits::Statement;
+use crate::upstream_heads::{HeadNames, HeadSignals};
 
 /// One sending of a request to an upstream.
 #[derive(Debug, Clone)]
@@ -86,8 +86,8 @@
 pub struct CopyReply {
     /// The copy, or why there is none.
     pub outcome: Result<CopyAnswer, CopyFailure>,
-    /// What the runner's answer says about its limit.
-    pub said: Statement,
+    /// What the head of the runner's answer says of it.
+    pub signals: HeadSignals,
 }
 
 /// A [`CopyReply`] that is awaited.
@@ -110,12 +110,13 @@
 }
 
 impl Reading {
-    /// Returns what counts of a statement in a head that reads so.
-    pub fn vouched(&self, head: &Parts, said: Statement) -> Statement {
+    /// Returns what counts of the signals in a head that reads so.
+    pub fn vouched(&self, signals: HeadSignals) -> HeadSignals {
         match self {
-            Self::Answer if head.status.is_success() => said,
-            Self::Answer | Self::NotRun { other_life: false, .. } => said.of_refusal(),
-            Self::NotRun { .. } | Self::Foreign(_) => Statement::Unclear,
+            Self::Answer => signals,
+            Self::NotRun { other_life: false, .. } => signals.of_refusal(),
+            Self::NotRun { .. } => HeadSignals::NONE,
+            Self::Foreign(_) => signals.of_foreign(),
         }
     }
 }
@@ -124,8 +125,6 @@
 pub type EncodeRequest = dyn Fn(&HostedRequest, &Attempt) -> Request<Body>;
 /// Reads the head of an answer.
 pub type ReadHead = dyn Fn(&HostedRequest, &Parts) -> Reading;
-/// Reads what a head says about its upstream's limit.
-pub type ReadLimit = dyn Fn(&Parts) -> Statement;
 /// Has a runner copy a run.
 pub type CopyRun = dyn Fn(Upstream, CopyOrder) -> Copied;
 
@@ -136,8 +135,15 @@
     pub request: Rc<EncodeRequest>,
     /// Reads the head of an answer.
     pub read: Rc<ReadHead>,
-    /// Reads what a head says about its upstream's limit.
-    pub limit: Rc<ReadLimit>,
+    /// Headers by which upstreams say something of themselves.
+    pub head_names: HeadNames,
     /// Has a runner copy a run.
     pub copy: Rc<CopyRun>,
 }
+
+impl RunnerDialect {
+    /// Reads what a head says of its upstream.
+    pub fn signals(&self, head: &Parts) -> HeadSignals {
+        HeadSignals::read(&self.head_names, head.status, &head.headers)
+    }
+}
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -27,7 +27,7 @@
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunPlace};
 use crate::routing::Verdict;
-use crate::upstream_limits::task as upstream_limits;
+use crate::upstream_heads::task as upstream_heads;
 
 /// Largest answer that is held until it is whole, in bytes; a larger one is passed on as it comes.
 const MAX_HELD_ANSWER: usize = 256 * 1024;
@@ -236,10 +236,8 @@
     fn after(&self, failure: Failure) -> Next {
         match failure {
             Failure::NotRun { cause, arrived } => {
-                if self.may_go_on(arrived) {
-                    return Next::Another(None);
-                }
-                Next::End(Err(self.refused(Refusal::new(&cause, SOON))))
+                let Err(end) = self.check_other(arrived) else { return Next::Another(None) };
+                Next::End(Err(self.refused(Refusal::new(&format!("{cause}; {end}"), SOON))))
             }
             Failure::MayHaveRun { cause } => {
                 self.ran_at.set(self.ran_at.get() + 1);
@@ -258,11 +256,18 @@
         }
     }
 
-    /// Returns whether a request that was not run may go to another upstream.
-    fn may_go_on(&self, arrived: bool) -> bool {
-        self.tried.borrow().len() < MAX_TURNED_AWAY
-            && self.has_untried()
-            && (!arrived || self.take_budget())
+    /// Checks that a request that was not run may go to another upstream, or returns why not.
+    fn check_other(&self, arrived: bool) -> Result<(), &'static str> {
+        if self.tried.borrow().len() >= MAX_TURNED_AWAY {
+            return Err("as many upstreams were tried as may be");
+        }
+        if !self.has_untried() {
+            return Err("no other upstream is known");
+        }
+        if arrived && !self.take_budget() {
+            return Err("the budget for other upstreams is used up");
+        }
+        Ok(())
     }
 
     /// Returns whether a request that may have run may run again.
@@ -387,8 +392,8 @@
         })?;
         let (parts, body) = res.into_parts();
         let reading = (self.relay.dialect.read)(&self.req, &parts);
-        let said = reading.vouched(&parts, (self.relay.dialect.limit)(&parts));
-        upstream_limits::note(&self.relay.cx, &slot.runner, said, sent_at);
+        let signals = reading.vouched(self.relay.dialect.signals(&parts));
+        upstream_heads::note(&self.relay.cx, &slot.runner, signals, sent_at);
         match reading {
             Reading::Answer => {}
             Reading::NotRun { cause, other_life } => {
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -27,6 +27,7 @@
 use crate::quarantine::observer::{self, RunPlace};
 use crate::registry::Phase;
 use crate::routing::Verdict;
+use crate::upstream_heads::task as upstream_heads;
 use crate::upstream_limits::task as upstream_limits;
 
 /// Pieces buffered between upstream and caller.
@@ -358,8 +359,8 @@
         });
         let (parts, body) = sent?.into_parts();
         let reading = (self.relay.dialect.read)(&self.req, &parts);
-        let said = reading.vouched(&parts, (self.relay.dialect.limit)(&parts));
-        upstream_limits::note(&self.relay.cx, &self.slot.runner, said, sent_at);
+        let signals = reading.vouched(self.relay.dialect.signals(&parts));
+        upstream_heads::note(&self.relay.cx, &self.slot.runner, signals, sent_at);
         match reading {
             Reading::Answer if parts.status.is_success() => {
                 self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
--- a/crates/standins/src/app.rs
+++ b/crates/standins/src/app.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::limit::NamedLimit;
+use crate::heads::HeadOrders;
 
 const MAX_BODY: usize = 1024 * 1024;
 const BODY_LIMIT: Duration = Duration::from_secs(5);
@@ -56,7 +56,7 @@
             let app = app.clone();
             async move { app.handle(req).await }.boxed_local()
         });
-        let handler = NamedLimit::around(handler);
+        let handler = HeadOrders::around(handler);
         serve(listener, ServerLimits::default(), handler, stop).await;
     }
 
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -20,7 +20,7 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 
-use crate::limit::NamedLimit;
+use crate::heads::HeadOrders;
 
 use super::model::{EngineConfig, EngineModel, GenerationStatus, Refused};
 
@@ -100,7 +100,7 @@
             let engine = engine.clone();
             async move { engine.handle(req).await }.boxed_local()
         });
-        let handler = NamedLimit::around(handler);
+        let handler = HeadOrders::around(handler);
         serve(listener, ServerLimits::default(), handler, stop).await;
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,4 +6,4 @@
 pub mod app;
 pub mod caller;
 pub mod engine;
-pub mod limit;
+pub mod heads;
