Keep the rests that upstreams ask a box for, on every path

Cause: nothing read the time to come back in the head of a refusal. A request that is turned away at once leaves its upstream idle by the box's own count, so the next one went there again; each cost a repeat, and with the budget for other upstreams used up the rest was refused.

Change: a book of rests, without I/O, toward each life (upstream_heads/rests.rs). Requests in line, slots that owners grant, second tries, moves and orders to copy, links and cancellations of chat, load reports and calls to applications ask it. An owner is told which engines to leave out, as a rest binds the asking box only. Where all upstreams rest, a request is refused at once with the first end, spread over a quarter of a second.

--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -13,7 +13,7 @@
 use crate::ids::AttemptId;
 use crate::routing::state::RunnerSpec;
 use crate::routing::{RoutingConfig, RunReport, RunnerTable};
-use crate::upstream_limits::SharedLimits;
+use crate::upstream_heads::SharedSignals;
 
 /// Bound on waits for timers; queues expire their requests far earlier.
 const LONGEST_WAIT: Duration = Duration::from_secs(3_600);
@@ -57,9 +57,9 @@
 pub struct Gate(Rc<RefCell<Inner>>);
 
 impl Gate {
-    /// Creates a gate without runners, whose limits are those of the whole box.
-    pub fn new(admission: AdmissionConfig, routing: RoutingConfig, limits: SharedLimits) -> Self {
-        let line = Line::new(admission, routing).sharing(limits);
+    /// Creates a gate without runners, that keeps to the limits and rests that the whole box knows.
+    pub fn new(admission: AdmissionConfig, routing: RoutingConfig, signals: SharedSignals) -> Self {
+        let line = Line::new(admission, routing).sharing(signals);
         Self(Rc::new(RefCell::new(Inner { line, pumped: false, waiting: HashMap::new() })))
     }
 
--- a/crates/hatchpitch/src/dispatch/line.rs
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -10,15 +10,16 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use twox_hash::XxHash64;
 
 use super::search::Quote;
 use crate::admission::lengths::LengthModel;
 use crate::admission::memory::Candidate;
 use crate::admission::state::{AdmissionConfig, AdmissionQueue, Enqueued, Ticket, Waiter};
 use crate::ids::{AttemptId, FailureDomainName, Priority, RequestKind, RunnerName, WorkspaceName};
-use crate::routing::state::{Asked, RunnerSpec};
+use crate::routing::state::{Asked, Closed, RunnerSpec};
 use crate::routing::{RoutingConfig, RunReport, RunnerTable};
-use crate::upstream_limits::SharedLimits;
+use crate::upstream_heads::SharedSignals;
 
 /// Requests of the line that are tried for a slot that is free. Those with a prompt as long as one
 /// that found no room are not tried, so that looking costs a few trials.
@@ -33,6 +34,11 @@
 const NO_RUNNER_RETRY: Duration = Duration::from_secs(5);
 /// Why a request is refused that finds every runner at its limit.
 pub const AT_LIMIT: &str = "every upstream that could take it is at the limit that it names";
+/// Why a request is refused that finds every runner resting, or at its limit.
+pub const RESTING: &str = "every upstream that could take it asked for rest or is at its limit";
+/// Time over which those come back that are told the end of the same rest: what an upstream gets
+/// then grows with what it answers.
+const REST_SPREAD: Duration = Duration::from_millis(250);
 /// Shortest time to come back after: an earlier return finds the same runners away.
 const MIN_RETRY: Duration = Duration::from_secs(1);
 
@@ -69,15 +75,24 @@
     /// Failure domains whose runners may run it; all if there are none.
     #[serde(default)]
     pub within: Vec<FailureDomainName>,
-    /// Longest wait for runners that are at their limits, if it is shorter than the pool's.
+    /// Longest wait for runners that are at their limits or rest, if it is shorter than the pool's.
     #[serde(default)]
     pub limit_wait: Option<Duration>,
     /// Whether it goes to runners only that name no limit.
     #[serde(default)]
     pub skips_limited: bool,
+    /// Whether this box sends it, so that it is bound by rests that runners asked this box for; it
+    /// is never so at another box.
+    #[serde(skip)]
+    pub sends_here: bool,
 }
 
 impl Want {
+    /// Returns whether the request may run at a runner, as far as it says itself.
+    pub fn may_run_at(&self, runner: &RunnerName, domain: &FailureDomainName) -> bool {
+        !self.avoid.contains(runner) && (self.within.is_empty() || self.within.contains(domain))
+    }
+
     fn asked(&self) -> Asked<'_> {
         let near = self.near.as_deref();
         Asked {
@@ -88,6 +103,7 @@
             copied: self.copied,
             within: &self.within,
             skips_limited: self.skips_limited,
+            sends_here: self.sends_here,
         }
     }
 
@@ -156,9 +172,9 @@
         }
     }
 
-    /// Makes the line keep to limits that others know of as well.
-    pub fn sharing(mut self, limits: SharedLimits) -> Self {
-        self.table.share_limits(limits);
+    /// Makes the line keep to limits and rests that the whole box knows of.
+    pub fn sharing(mut self, signals: SharedSignals) -> Self {
+        self.table.share_signals(signals);
         self
     }
 
@@ -191,10 +207,10 @@
             Ok(None) => {}
             Err(refusal) => return Decision::Refuse(refusal),
         }
-        if let Some(wait) = self.limit_wait(want, now)
-            && wait > want.limit_wait.unwrap_or(Duration::MAX)
+        if let Some(closed) = self.closed(want, now)
+            && closed.opens_in > want.limit_wait.unwrap_or(Duration::MAX)
         {
-            return Decision::Refuse(Refusal::new(AT_LIMIT, wait));
+            return Decision::Refuse(closed_to(want, closed));
         }
         let waiter = Waiter {
             workspace: want.workspace.clone(),
@@ -304,20 +320,21 @@
             }
         }
         self.pump(now);
-        self.refuse_limited(now);
+        self.refuse_closed(now);
     }
 
     /// Returns how long a request would wait.
     pub fn expected_wait(&self, want: &Want, now: Instant) -> Duration {
         let in_line = self.queue.expected_wait(&want.workspace, want.priority);
-        self.limit_wait(want, now).unwrap_or_default().max(in_line)
+        self.closed(want, now).map_or(in_line, |closed| closed.opens_in.max(in_line))
     }
 
-    /// Returns how long a request would wait for runners that are at their limits, if all are that
-    /// could run it.
-    fn limit_wait(&self, want: &Want, now: Instant) -> Option<Duration> {
-        let opens_in = self.table.at_limit(&want.asked(), now)?;
-        Some(opens_in + self.queue.expected_wait(&want.workspace, want.priority))
+    /// Returns how long a request would wait for runners that are at their limits or rest, if all
+    /// are that could run it.
+    fn closed(&self, want: &Want, now: Instant) -> Option<Closed> {
+        let mut closed = self.table.closed(&want.asked(), now)?;
+        closed.opens_in += self.queue.expected_wait(&want.workspace, want.priority);
+        Some(closed)
     }
 
     /// Returns when a refused caller may come back.
@@ -386,21 +403,20 @@
         }
     }
 
-    /// Refuses who has waited in vain for as long as it may for runners at their limits: other boxes
-    /// may take each permit before this line looks.
-    fn refuse_limited(&mut self, now: Instant) {
+    /// Refuses who has waited in vain for as long as it may for runners at their limits or at rest:
+    /// other boxes may take each permit before this line looks.
+    fn refuse_closed(&mut self, now: Instant) {
         let has_waited = |(ticket, want): (&Ticket, &Want)| {
             let waited = self.queue.waited(*ticket, now)?;
-            let is_over =
-                waited >= want.limit_wait? && self.table.at_limit(&want.asked(), now).is_some();
-            is_over.then_some(*ticket)
+            let longest = want.limit_wait?;
+            let closed = self.closed(want, now).filter(|_| waited >= longest)?;
+            Some((*ticket, closed))
         };
-        let over: Vec<Ticket> = self.waiting.iter().filter_map(has_waited).collect();
-        for ticket in over {
+        let over: Vec<(Ticket, Closed)> = self.waiting.iter().filter_map(has_waited).collect();
+        for (ticket, closed) in over {
             self.queue.cancel(ticket);
             if let Some(want) = self.waiting.remove(&ticket) {
-                let wait = self.limit_wait(&want, now).unwrap_or_default();
-                let slot = Err(Refusal::new(AT_LIMIT, wait));
+                let slot = Err(closed_to(&want, closed));
                 self.answers.push(Answer { ticket, id: want.id, slot });
             }
         }
@@ -413,6 +429,15 @@
     }
 }
 
+/// Refuses a request to which all runners are closed.
+pub fn closed_to(want: &Want, closed: Closed) -> Refusal {
+    if !closed.rests {
+        return Refusal::new(AT_LIMIT, closed.opens_in);
+    }
+    let part = XxHash64::oneshot(0, want.id.as_bytes()) as f64 / u64::MAX as f64;
+    Refusal::new(RESTING, closed.opens_in + REST_SPREAD.mul_f64(part))
+}
+
 /// Takes a slot on the best of the engines that have room for a request.
 fn pick(
     table: &mut RunnerTable,
--- a/crates/hatchpitch/src/engine/adapter.rs
+++ b/crates/hatchpitch/src/engine/adapter.rs
@@ -47,8 +47,8 @@
     Body(BodyError),
     /// A line does not decode.
     Decode(String),
-    /// The engine is at the limit that it names; nothing was sent.
-    AtLimit,
+    /// The engine takes nothing now, for this reason; nothing was sent.
+    Closed(&'static str),
 }
 
 impl EngineError {
@@ -57,7 +57,7 @@
         match self {
             Self::Send(err) => err.is_not_run(),
             Self::Refused { not_run, .. } => *not_run,
-            Self::AtLimit => true,
+            Self::Closed(_) => true,
             Self::Body(_) | Self::Decode(_) => false,
         }
     }
@@ -72,7 +72,7 @@
             }
             Self::Body(err) => write!(f, "engine stream: {err}"),
             Self::Decode(err) => write!(f, "engine stream: {err}"),
-            Self::AtLimit => f.write_str("the engine is at its limit"),
+            Self::Closed(cause) => f.write_str(cause),
         }
     }
 }
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -17,7 +17,7 @@
 use crate::claims::{ClaimId, ClaimOutcome, ClaimRequest, KeptAnswer, SettleRequest, Settlement};
 use crate::config::view::{FleetView, ServiceView};
 use crate::config::{ServiceUpstream, Workspace};
-use crate::dispatch::line::AT_LIMIT;
+use crate::dispatch::line::RESTING;
 use crate::engine::adapter::signals;
 use crate::ids::{Digest, Priority, new_id};
 use crate::metrics::Count;
@@ -117,10 +117,17 @@
     left: std::vec::IntoIter<ServiceUpstream>,
     tries: usize,
     denied: usize,
-    /// When the first of those that are at their limits has room.
+    /// When the first of those has room that are at their limits or rest.
     opens_in: Option<Duration>,
 }
 
+impl Candidates {
+    /// Notes that an upstream is passed over, and for how long it takes nothing.
+    fn closed_for(&mut self, wait: Duration) {
+        self.opens_in = Some(self.opens_in.map_or(wait, |least| least.min(wait)));
+    }
+}
+
 impl App<'_> {
     async fn repeatable(&self) -> Result<Response<Body>, Problem> {
         let mut last = None;
@@ -212,17 +219,25 @@
             return None;
         }
         candidates.tries += 1;
-        for upstream in candidates.left.by_ref() {
+        while let Some(upstream) = candidates.left.next() {
             let skips = candidates.denied >= MAX_DENIED
                 && self.cx.limits.borrow().limit(&upstream.name).is_some();
             if skips {
                 continue;
             }
+            let opens_in = self.opens_in(&upstream);
+            if !opens_in.is_zero() {
+                candidates.closed_for(opens_in);
+                continue;
+            }
             match upstream_limits::obtain(&self.cx, &upstream.name, self.priority).await {
-                Ok(()) => return Some(upstream),
+                Ok(()) if self.cx.rests.borrow_mut().take(&upstream.name, clock::now()) => {
+                    return Some(upstream);
+                }
+                Ok(()) => candidates.closed_for(self.opens_in(&upstream)),
                 Err(wait) => {
                     candidates.denied += 1;
-                    candidates.opens_in = Some(candidates.opens_in.map_or(wait, |w| w.min(wait)));
+                    candidates.closed_for(wait);
                 }
             }
         }
@@ -231,15 +246,27 @@
 
     /// Returns what a caller is told whose call no upstream answered.
     fn no_answer(&self, candidates: &Candidates, last: Option<String>, ran: bool) -> Problem {
-        match candidates.opens_in {
-            Some(wait) if last.is_none() && !ran => {
+        if ran {
+            return self.problem(last, ran);
+        }
+        // Those that turned it away may have asked for rest.
+        let rests = self.upstreams().iter().map(|upstream| self.opens_in(upstream)).min();
+        let rests = rests.filter(|left| !left.is_zero());
+        match candidates.opens_in.into_iter().chain(rests).min() {
+            Some(wait) => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
-                Problem::not_run(status, "no_upstream", AT_LIMIT).retry_after(wait)
+                let cause = last.unwrap_or_else(|| RESTING.to_owned());
+                Problem::not_run(status, "no_upstream", cause).retry_after(wait)
             }
-            _ => self.problem(last, ran),
+            None => self.problem(last, ran),
         }
     }
 
+    /// Returns the time until an upstream wants work of this box again.
+    fn opens_in(&self, upstream: &ServiceUpstream) -> Duration {
+        self.cx.rests.borrow().opens_in(&upstream.name, clock::now())
+    }
+
     /// Returns the upstreams that take new work, beginning at another one each time.
     fn upstreams(&self) -> Vec<ServiceUpstream> {
         let membership = self.cx.membership.borrow();
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -32,6 +32,7 @@
 use crate::routing::{ColdLimit, RoutingConfig};
 use crate::settings::EntrySettings;
 use crate::trace::Tracer;
+use crate::upstream_heads::{SharedRests, SharedSignals};
 use crate::upstream_limits::SharedLimits;
 use crate::upstream_limits::task::{self as upstream_limits, NewsQueue};
 
@@ -77,6 +78,8 @@
     pub quarantine: Observer,
     /// Limits that upstreams name.
     pub limits: SharedLimits,
+    /// Rests that upstreams asked this box for.
+    pub rests: SharedRests,
     /// Upstreams whose limits are to be told to other boxes.
     pub limit_news: NewsQueue,
     /// Budgets for runs elsewhere.
@@ -131,6 +134,7 @@
             leader,
             quarantine: Observer::default(),
             limits: SharedLimits::default(),
+            rests: SharedRests::default(),
             limit_news: NewsQueue::default(),
             retries: RefCell::default(),
             intake: Cell::new(Intake::Open),
@@ -180,7 +184,8 @@
             memory: policy.memory,
             ..RoutingConfig::default()
         };
-        Gate::new(admission, routing, self.limits.clone())
+        let signals = SharedSignals { limits: self.limits.clone(), rests: self.rests.clone() };
+        Gate::new(admission, routing, signals)
     }
 
     /// Returns how many engines of a pool each box owns, by the address of the box.
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -19,11 +19,10 @@
 use crate::streams::{Phase, StreamLimits, StreamState, StreamStep};
 use crate::trace::Span;
 use crate::upstream_heads::{HeadSignals, task as upstream_heads};
-use crate::upstream_limits::task as upstream_limits;
 
 /// Rest before the second link to an engine; it doubles with each further one.
 const RELINK_REST: Duration = Duration::from_millis(50);
-/// Tries to cancel a generation whose runner is at its limit, and the rest between them: together
+/// Tries to cancel a generation whose runner rests or is at its limit, and the rest between them: together
 /// about the time that an answer takes which nobody reads.
 const CANCEL_TRIES: usize = 20;
 const CANCEL_REST: Duration = Duration::from_millis(500);
@@ -339,12 +338,13 @@
             let head_timeout = self.job.silence_limit;
             let (id, attempt) = (self.state.generation(), self.state.attempt());
             let trace = span.traceparent();
-            let may_send = upstream_limits::obtain_in_advance(&self.cx, &self.runner).await;
+            upstream_heads::await_rest(&self.cx, &self.runner, head_timeout).await;
+            let may_send = upstream_heads::obtain_in_advance(&self.cx, &self.runner).await;
             let on_head = self.on_head();
             let link = adapter::Link { generation: id, attempt, from, traceparent: &trace };
             let opened = match may_send {
-                true => adapter::resume(&self.upstream, link, head_timeout, &on_head).await,
-                false => Err(EngineError::AtLimit),
+                Ok(()) => adapter::resume(&self.upstream, link, head_timeout, &on_head).await,
+                Err(cause) => Err(EngineError::Closed(cause)),
             };
             let step = match opened {
                 Ok(reader) => {
@@ -480,7 +480,7 @@
         compio::runtime::spawn(async move {
             compio::time::sleep(after).await;
             if !may_cancel(&cx, &runner).await {
-                log::info!(upstream = runner.as_str(); "a generation runs on, its runner being at its limit");
+                log::info!(upstream = runner.as_str(); "a generation runs on, its runner being at rest or at its limit");
                 return;
             }
             if let Err(err) = adapter::cancel(&upstream, &id, &attempt).await {
@@ -506,7 +506,7 @@
 /// Waits for the permit to cancel a generation; returns whether it came in time to be of use.
 async fn may_cancel(cx: &Rc<EntryCx>, runner: &str) -> bool {
     for _ in 0..CANCEL_TRIES {
-        if upstream_limits::obtain_in_advance(cx, runner).await {
+        if upstream_heads::obtain_in_advance(cx, runner).await.is_ok() {
             return true;
         }
         compio::time::sleep(CANCEL_REST).await;
@@ -529,6 +529,7 @@
         prompt: job.prompt_tokens(),
         max_tokens: job.max_tokens,
         avoid: avoid.to_vec(),
+        sends_here: true,
         ..Want::default()
     };
     grants::task::obtain(cx, &job.pool, want).await
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -13,14 +13,14 @@
     ReleaseRequest,
 };
 use crate::admission::{Gate, Permit, Placement};
-use crate::dispatch::line::AT_LIMIT;
+use crate::dispatch::line::{AT_LIMIT, RESTING, closed_to};
 use crate::dispatch::search::Search;
 use crate::dispatch::{OwnerChoice, Quote, Refusal, Step, Want};
 use crate::entry::EntryCx;
-use crate::ids::{AttemptId, FailureDomainName, RunnerName};
+use crate::ids::{AttemptId, FailureDomainName, RunnerName, new_id};
 use crate::membership::MemberStatus;
 use crate::membership::messages::Subject;
-use crate::routing::state::RunnerSpec;
+use crate::routing::state::{Closed, RunnerSpec};
 use crate::routing::{RunReport, Verdict};
 use crate::upstream_limits::task as upstream_limits;
 
@@ -45,9 +45,11 @@
 const SYNC_PERIOD: Duration = Duration::from_secs(2);
 /// When a request for which no owner answers may come back.
 const NO_OWNER_RETRY: Duration = Duration::from_secs(1);
-/// Permits that are asked for in vain before a request goes to upstreams only that name no limit:
-/// each question takes a round trip between boxes.
+/// Permits or slots that are asked for in vain before a request goes to upstreams only that name no
+/// limit, or is refused: each question takes a round trip between boxes.
 const MAX_ASKED: usize = 3;
+/// When a request may come back whose slots went to upstreams that began to rest meanwhile.
+const RESTED_RETRY: Duration = Duration::from_millis(250);
 
 /// A slot on an engine, wherever it was granted; dropping it gives it back.
 pub struct Slot {
@@ -84,6 +86,16 @@
         self.report.first.get_or_insert(clock::since(self.since));
     }
 
+    /// Returns whether the engine still wants work of this box.
+    fn may_be_used(&self) -> bool {
+        let (mut rests, now) = (self.cx.rests.borrow_mut(), clock::now());
+        match &self.from {
+            // It was taken with the slot.
+            Source::Own(_) => rests.left(&self.runner, now).is_none(),
+            Source::Owner => rests.take(&self.runner, now),
+        }
+    }
+
     fn own(cx: &Rc<EntryCx>, id: AttemptId, permit: Permit) -> Self {
         Self {
             cx: cx.clone(),
@@ -124,12 +136,27 @@
     .detach();
 }
 
-/// Gets a slot for a request.
+/// Gets a slot for a request that this box sends. Whoever grants it knows nothing of the rests that
+/// upstreams asked this box for, and one may begin while the request waits.
 ///
 /// # Errors
 ///
 /// Returns a [`Refusal`] as soon as the request is given up on.
-pub async fn obtain(cx: &Rc<EntryCx>, pool: &str, want: Want) -> Result<Slot, Refusal> {
+pub async fn obtain(cx: &Rc<EntryCx>, pool: &str, mut want: Want) -> Result<Slot, Refusal> {
+    let started = clock::now();
+    for _ in 0..MAX_ASKED {
+        await_rests(cx, pool, &want, started).await?;
+        let slot = obtain_any(cx, pool, want.clone()).await?;
+        if slot.may_be_used() {
+            return Ok(slot);
+        }
+        // The slot that goes back has the former id.
+        want.id = new_id();
+    }
+    Err(Refusal::new(RESTING, RESTED_RETRY))
+}
+
+async fn obtain_any(cx: &Rc<EntryCx>, pool: &str, want: Want) -> Result<Slot, Refusal> {
     let view = cx.sync_gates();
     let placement = view.pools.iter().find(|p| p.pool.name == pool).map(|p| cx.placement(p));
     if placement.unwrap_or(cx.settings.policy.placement) == Placement::Local {
@@ -138,6 +165,41 @@
     Asking { cx: cx.clone(), pool: pool.to_owned(), want }.ask().await
 }
 
+/// Waits until some engine that could take a request wants work of this box; `started` is when the
+/// request came.
+async fn await_rests(
+    cx: &EntryCx,
+    pool: &str,
+    want: &Want,
+    started: Instant,
+) -> Result<(), Refusal> {
+    let longest = want.limit_wait.or(want.max_wait).unwrap_or(cx.settings.timing.max_wait);
+    while let Some(opens_in) = rests_of_all(cx, pool, want) {
+        if clock::since(started) + opens_in > longest {
+            return Err(closed_to(want, Closed { opens_in, rests: true }));
+        }
+        compio::time::sleep(opens_in).await;
+    }
+    Ok(())
+}
+
+/// Returns the time until the first engine that could take a request wants work of this box, if
+/// none does now.
+fn rests_of_all(cx: &EntryCx, pool: &str, want: &Want) -> Option<Duration> {
+    if cx.rests.borrow().is_empty() {
+        return None;
+    }
+    let (view, now) = (cx.sync_gates(), clock::now());
+    let pool = view.pools.iter().find(|p| p.pool.name == pool)?;
+    let (membership, rests) = (cx.membership.borrow(), cx.rests.borrow());
+    let could = pool.runners.iter().filter(|runner| {
+        want.may_run_at(&runner.name, &runner.failure_domain)
+            && membership.upstream_serves(&runner.name)
+    });
+    let opens_in = could.map(|runner| rests.opens_in(&runner.name, now)).min()?;
+    (!opens_in.is_zero()).then_some(opens_in)
+}
+
 /// Gets a slot for which this box decides. Limits of the upstreams are kept by others as well; one
 /// that turns out to be at its limit is not picked again until it has room.
 async fn obtain_here(cx: &Rc<EntryCx>, pool: &str, mut want: Want) -> Result<Slot, Refusal> {
@@ -252,7 +314,7 @@
         let req = GrantRequest {
             holder: self.cx.settings.name.clone(),
             pool: self.pool.clone(),
-            want: self.want.clone(),
+            want: self.want_elsewhere(),
             ask,
         };
         let limit = match ask {
@@ -277,6 +339,13 @@
         }
     }
 
+    /// Returns what another box is asked for: engines that asked this one for rest are left out.
+    fn want_elsewhere(&self) -> Want {
+        let mut want = self.want.clone();
+        want.avoid.extend(self.cx.rests.borrow().closed(clock::now()).cloned());
+        want
+    }
+
     /// Gets the permit for an engine whose owner knows of no limit, if this box knows of one: an
     /// owner that has started anew would let in whatever comes until it is told.
     async fn counted(&self, slot: Slot) -> Said {
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -10,7 +10,6 @@
 
 use super::ask::Turn;
 use crate::dispatch::Want;
-use crate::dispatch::line::AT_LIMIT;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
 use crate::ids::{FailureDomainName, RunnerName, ServiceName, new_id};
@@ -18,7 +17,6 @@
 use crate::relay::dialect::{CopyAnswer, CopyFailure, CopyOrder};
 use crate::relay::{HostedRequest, Relay};
 use crate::upstream_heads::task as upstream_heads;
-use crate::upstream_limits::task as upstream_limits;
 
 /// Time for one copy; a large generation takes a third of it on an idle link.
 const COPY_LIMIT: Duration = Duration::from_millis(1_500);
@@ -152,8 +150,8 @@
         if let Err(cause) = self.first_copy(slot.addr).await {
             return MoveEnd::Stays(cause);
         }
-        if !self.may_send().await {
-            return MoveEnd::Stays(AT_LIMIT.to_owned());
+        if let Err(cause) = self.may_send().await {
+            return MoveEnd::Stays(cause.to_owned());
         }
         self.stopping.set(true);
         let source = self.leaver.addr;
@@ -174,9 +172,7 @@
     async fn first_copy(&self, to: SocketAddr) -> Result<(), String> {
         let mut last = String::new();
         for _ in 0..MAX_TRIES {
-            if !self.may_send().await {
-                return Err(AT_LIMIT.to_owned());
-            }
+            self.may_send().await?;
             match self.copy(to, false).await {
                 Ok(_) => return Ok(()),
                 Err(err @ (CopyFailure::NoSuchRun | CopyFailure::Busy)) => last = err.to_string(),
@@ -189,8 +185,8 @@
 
     /// Gets the permit for an order to the leaver, which is not held back while one can be taken in
     /// advance: its runs are lost with it.
-    async fn may_send(&self) -> bool {
-        upstream_limits::obtain_in_advance(&self.relay.cx, &self.leaver.runner).await
+    async fn may_send(&self) -> Result<(), &'static str> {
+        upstream_heads::obtain_in_advance(&self.relay.cx, &self.leaver.runner).await
     }
 
     async fn copy(&self, to: SocketAddr, stop: bool) -> Result<CopyAnswer, CopyFailure> {
@@ -229,6 +225,7 @@
             within: self.relay.domains_for(&self.req).map_err(|refusal| refusal.cause)?,
             limit_wait: Some(SLOT_WAIT),
             skips_limited: false,
+            sends_here: true,
         };
         let slot = obtain(cx, &self.leaver.service, want).await;
         slot.map_err(|refusal| refusal.cause)
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -197,7 +197,9 @@
             }
             let slot = match self.slot().await {
                 Ok(slot) => slot,
-                Err(refusal) => return last.map_or_else(|| Err(self.refused(refusal)), Ok),
+                Err(refusal) => {
+                    return last.map_or_else(|| Err(self.refused_after_tries(refusal)), Ok);
+                }
             };
             // It may have come to be held while it waited.
             if let Err(problem) = self.check_quarantine() {
@@ -237,7 +239,8 @@
         match failure {
             Failure::NotRun { cause, arrived } => {
                 let Err(end) = self.check_other(arrived) else { return Next::Another(None) };
-                Next::End(Err(self.refused(Refusal::new(&format!("{cause}; {end}"), SOON))))
+                let cause = format!("{cause}; {end}");
+                Next::End(Err(self.refused(Refusal::new(&cause, self.come_back()))))
             }
             Failure::MayHaveRun { cause } => {
                 self.ran_at.set(self.ran_at.get() + 1);
@@ -270,6 +273,18 @@
         Ok(())
     }
 
+    /// Returns when a request may come back that was turned away: soon, or when the first of the
+    /// upstreams wants work again, if all of them asked this box for rest.
+    fn come_back(&self) -> Duration {
+        let (cx, now) = (&self.relay.cx, clock::now());
+        let (roster, rests) = (cx.upstreams.roster.borrow(), cx.rests.borrow());
+        let could = roster.serving().filter(|record| {
+            record.service == self.service && self.may_run_in(&record.failure_domain)
+        });
+        let opens_in = could.map(|record| rests.opens_in(&record.life(), now)).min();
+        opens_in.unwrap_or_default().max(SOON)
+    }
+
     /// Returns whether a request that may have run may run again.
     fn may_repeat(&self) -> bool {
         self.relay.cx.settings.policy.second_tries
@@ -348,6 +363,7 @@
             within: self.within.clone(),
             limit_wait: Some(aim.mul_f64(EXPECTED_WAIT)),
             skips_limited: false,
+            sends_here: true,
         };
         let started = clock::now();
         if self.await_upstreams(started).await == Untried::Evacuated {
@@ -466,6 +482,15 @@
         if failed { Err(Failure::Ran(res)) } else { Ok(res) }
     }
 
+    /// Refuses a request for which there is no other upstream. The caller's next one may go to those
+    /// that this one tried.
+    fn refused_after_tries(&self, mut refusal: Refusal) -> Problem {
+        if !self.tried.borrow().is_empty() {
+            refusal.retry_after = refusal.retry_after.min(self.come_back());
+        }
+        self.refused(refusal)
+    }
+
     /// Says that the request was not run, or that an earlier try of it may have been.
     fn refused(&self, refusal: Refusal) -> Problem {
         if self.ran_at.get() > 0 {
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -16,7 +16,6 @@
 use super::request::HostedRequest;
 use super::run::Relay;
 use crate::config::hosted::EngineSpec;
-use crate::dispatch::line::AT_LIMIT;
 use crate::entry::context::ActiveGuard;
 use crate::grants::Slot;
 use crate::ids::ServiceName;
@@ -28,7 +27,6 @@
 use crate::registry::Phase;
 use crate::routing::Verdict;
 use crate::upstream_heads::task as upstream_heads;
-use crate::upstream_limits::task as upstream_limits;
 
 /// Pieces buffered between upstream and caller.
 pub(super) const BUFFERED_PIECES: usize = 32;
@@ -259,6 +257,10 @@
         if !self.leaving || self.moves >= MAX_MOVES || clock::now() < self.next_move {
             return;
         }
+        if let Some(left) = upstream_heads::rest_left(&self.relay.cx, &self.slot.runner) {
+            self.next_move = clock::now() + left;
+            return;
+        }
         let Some(needs) = self.req.generation else { return };
         let made = self.tokens_made();
         let at_stake = needs.max_output.saturating_sub(made);
@@ -325,9 +327,9 @@
                     "copy not taken; the run goes on where it was stopped"
                 );
                 self.slot = left;
-                if !upstream_limits::obtain_in_advance(&self.relay.cx, &self.slot.runner).await {
-                    return Err(AT_LIMIT.to_owned());
-                }
+                let (cx, runner) = (&self.relay.cx, &self.slot.runner);
+                upstream_heads::await_rest(cx, runner, MOVE_WAIT).await;
+                upstream_heads::obtain_in_advance(cx, runner).await?;
                 self.send_resume(source, handle).await.map_err(ResumeFailure::cause)
             }
             (failure, _) => Err(failure.cause()),
@@ -340,6 +342,9 @@
         source: SocketAddr,
         handle: String,
     ) -> Result<Incoming, ResumeFailure> {
+        if upstream_heads::rest_left(&self.relay.cx, &self.slot.runner).is_some() {
+            return Err(ResumeFailure::NotRun(format!("resume: {}", upstream_heads::RESTS)));
+        }
         let left = self.req.time_left(clock::now());
         let after = self.splitter.last_id().map(str::to_owned);
         let attempt = Attempt {
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -17,7 +17,7 @@
 use crate::admission::policy::Pick;
 use crate::engine::EngineLoad;
 use crate::ids::{AttemptId, FailureDomainName, Priority, RunnerName};
-use crate::upstream_limits::{LimitBook, SharedLimits};
+use crate::upstream_heads::SharedSignals;
 
 /// Bounds of ejection.
 #[derive(Debug, Clone, Copy)]
@@ -166,6 +166,17 @@
     pub within: &'a [FailureDomainName],
     /// Whether runners that name a limit are not picked.
     pub skips_limited: bool,
+    /// Whether this box sends the request, so that it is bound by rests that runners asked it for.
+    pub sends_here: bool,
+}
+
+/// Why no runner that could run a request takes one now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Closed {
+    /// Time until the first one may.
+    pub opens_in: Duration,
+    /// Whether some of them asked for rest; the others are at their limits.
+    pub rests: bool,
 }
 
 /// When a request may come back that goes to runners without a limit only and finds none: it was
@@ -220,18 +231,18 @@
     cfg: RoutingConfig,
     pub(super) runners: BTreeMap<RunnerName, RunnerState>,
     picks: usize,
-    limits: SharedLimits,
+    signals: SharedSignals,
 }
 
 impl RunnerTable {
     /// Creates an empty table.
     pub fn new(cfg: RoutingConfig) -> Self {
-        Self { cfg, runners: BTreeMap::new(), picks: 0, limits: SharedLimits::default() }
+        Self { cfg, runners: BTreeMap::new(), picks: 0, signals: SharedSignals::default() }
     }
 
-    /// Takes the limits of upstreams from those that the whole box knows.
-    pub fn share_limits(&mut self, limits: SharedLimits) {
-        self.limits = limits;
+    /// Takes limits and rests of upstreams from those that the whole box knows.
+    pub fn share_signals(&mut self, signals: SharedSignals) {
+        self.signals = signals;
     }
 
     /// Takes in what the fleet file says; runners that are gone finish what they have.
@@ -292,7 +303,10 @@
         best.running += 1;
         best.warming.take(best.cold_limit, now);
         // Where another box gives out the permits, it is asked next.
-        let _ = self.limits.borrow_mut().take(&name, asked.priority, now);
+        let _ = self.signals.limits.borrow_mut().take(&name, asked.priority, now);
+        if asked.sends_here {
+            self.signals.rests.borrow_mut().take(&name, now);
+        }
         match asked.copied {
             0 => best.reading.add(asked.id.clone(), candidate.prompt, now),
             copied => {
@@ -339,7 +353,6 @@
         now: Instant,
     ) -> Option<(f64, RunnerName)> {
         let (cfg, turn, count) = (self.cfg, self.picks, self.runners.len().max(1));
-        let limits = self.limits.borrow();
         let wanted = |r: &&RunnerState| asked.allows(&r.spec);
         let floor = !self.runners.values().filter(wanted).any(|r| r.takes_work(now));
         let open = self.runners.values().enumerate();
@@ -348,7 +361,7 @@
             r.has_slot(now, floor)
                 && asked.allows(&r.spec)
                 && r.warming.admits(r.cold_limit, now)
-                && admits(&limits, asked, &r.spec.name, now)
+                && self.admits(asked, &r.spec.name, now)
                 && !(reads && r.reading.seconds(now) > MAX_READING)
         });
         let mut open: Vec<(f64, usize, &RunnerName)> = open
@@ -368,26 +381,40 @@
         found.map(|(load, _, name)| (load, name.clone()))
     }
 
-    /// Returns the time until one of the runners that could run a request may get it, if all of
-    /// them are at their limits.
-    pub fn at_limit(&self, asked: &Asked<'_>, now: Instant) -> Option<Duration> {
-        let limits = self.limits.borrow();
-        if limits.limited() == 0 {
+    /// Returns when one of the runners that could run a request may get it, if all of them are at
+    /// their limits or asked for rest.
+    pub fn closed(&self, asked: &Asked<'_>, now: Instant) -> Option<Closed> {
+        let (limits, rests) = (self.signals.limits.borrow(), self.signals.rests.borrow());
+        if limits.limited() == 0 && rests.is_empty() {
             return None;
         }
         let could = self.runners.values().filter(|r| asked.allows(&r.spec) && r.takes_work(now));
         let names: Vec<&RunnerName> = could.map(|r| &r.spec.name).collect();
-        if names.iter().any(|name| admits(&limits, asked, name, now)) {
+        if names.iter().any(|name| self.admits(asked, name, now)) {
             return None;
         }
-        let opens_in = names.into_iter().map(|name| limits.opens_in(name, asked.priority, now));
+        let rests_now = |name: &RunnerName| asked.sends_here && !rests.admits(name, now);
+        let opens_in = |name: &RunnerName| {
+            let limit = limits.opens_in(name, asked.priority, now);
+            if rests_now(name) { limit.max(rests.opens_in(name, now)) } else { limit }
+        };
         let least = if asked.skips_limited { SKIPPED_RETRY } else { Duration::ZERO };
-        opens_in.min().map(|opens_in| opens_in.max(least))
+        let first = names.iter().map(|name| opens_in(name)).min()?;
+        let rests = names.iter().any(|name| rests_now(name));
+        Some(Closed { opens_in: first.max(least), rests })
+    }
+
+    /// Returns whether limit and rest of a runner leave room for a request.
+    fn admits(&self, asked: &Asked<'_>, runner: &str, now: Instant) -> bool {
+        let limits = self.signals.limits.borrow();
+        let skipped = asked.skips_limited && limits.limit(runner).is_some();
+        let rested = asked.sends_here && !self.signals.rests.borrow().admits(runner, now);
+        !skipped && !rested && limits.admits(runner, asked.priority, now)
     }
 
     /// Notes at the limits of its runners that a request wants to be sent.
     fn expect(&self, asked: &Asked<'_>, now: Instant) {
-        let mut limits = self.limits.borrow_mut();
+        let mut limits = self.signals.limits.borrow_mut();
         if limits.limited() == 0 {
             return;
         }
@@ -467,12 +494,6 @@
     }
 }
 
-/// Returns whether the limit of a runner leaves room for a request.
-fn admits(limits: &LimitBook, asked: &Asked<'_>, runner: &str, now: Instant) -> bool {
-    let skipped = asked.skips_limited && limits.limit(runner).is_some();
-    !skipped && limits.admits(runner, asked.priority, now)
-}
-
 impl RunnerState {
     fn takes_work(&self, now: Instant) -> bool {
         self.configured && self.serving && self.ejected_until.is_none_or(|until| now >= until)
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -10,7 +10,7 @@
 use crate::entry::EntryCx;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::task;
-use crate::upstream_limits::task as upstream_limits;
+use crate::upstream_heads::task as upstream_heads;
 
 /// Time between load reports of one runner.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
@@ -37,7 +37,7 @@
 }
 
 async fn read_report(cx: &EntryCx, runner: &Runner) {
-    if !upstream_limits::take_spare(cx, &runner.name) {
+    if !upstream_heads::take_spare(cx, &runner.name) {
         // Callers' requests go first; what this box runs there it knows without a report.
         return;
     }
--- a/crates/hatchpitch/src/upstream_heads/mod.rs
+++ b/crates/hatchpitch/src/upstream_heads/mod.rs
@@ -4,7 +4,21 @@
 //! which reads all of it in one place: a limit for all boxes together, a rest that this box is to
 //! keep, and that the upstream leaves.
 
+use crate::upstream_limits::SharedLimits;
+
+pub mod rests;
 pub mod signals;
 pub mod task;
+pub mod verify;
 
+pub use rests::{RestBook, SharedRests};
 pub use signals::{HeadNames, HeadSignals};
+
+/// What all tasks and decisions of one box know from the heads of answers.
+#[derive(Debug, Clone, Default)]
+pub struct SharedSignals {
+    /// Limits for all boxes together.
+    pub limits: SharedLimits,
+    /// Rests that this box keeps.
+    pub rests: SharedRests,
+}
--- a/crates/hatchpitch/tests/routing.rs
+++ b/crates/hatchpitch/tests/routing.rs
@@ -43,6 +43,7 @@
     let asked = Asked {
         priority: 0,
         skips_limited: false,
+        sends_here: false,
         id: &id,
         avoid: &avoid,
         near: Some(near),
--- a/crates/hatchpitch/tests/switches.rs
+++ b/crates/hatchpitch/tests/switches.rs
@@ -64,6 +64,7 @@
         copied: 0,
         within: &[],
         skips_limited: false,
+        sends_here: false,
     };
     let pick =
         |table: &mut RunnerTable| table.pick(&asked, &candidate, &lengths, now).unwrap().name;
--- a/crates/hatchpitch/tests/upstream_limits/line.rs
+++ b/crates/hatchpitch/tests/upstream_limits/line.rs
@@ -7,6 +7,7 @@
 use hatchpitch::ids::Priority;
 use hatchpitch::routing::RoutingConfig;
 use hatchpitch::routing::state::RunnerSpec;
+use hatchpitch::upstream_heads::SharedSignals;
 use hatchpitch::upstream_limits::{Decider, Heard, RateLimit, SharedLimits};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -17,7 +18,8 @@
 fn line(engines: &[&str], limited: &[&str], now: Instant) -> (Line, SharedLimits) {
     let limits = SharedLimits::default();
     let admission = AdmissionConfig::default();
-    let mut line = Line::new(admission, RoutingConfig::default()).sharing(limits.clone());
+    let mut line = Line::new(admission, RoutingConfig::default())
+        .sharing(SharedSignals { limits: limits.clone(), ..SharedSignals::default() });
     let spec = |name: &&str| RunnerSpec {
         name: (*name).to_owned(),
         addr: ([10, 0, 0, 1], 1).into(),
--- a/crates/hatchpitch/tests/warming.rs
+++ b/crates/hatchpitch/tests/warming.rs
@@ -128,6 +128,7 @@
         let asked = Asked {
             priority: 0,
             skips_limited: false,
+            sends_here: false,
             id: &id,
             avoid: &[],
             near: None,
@@ -161,6 +162,7 @@
         let asked = Asked {
             priority: 0,
             skips_limited: false,
+            sends_here: false,
             id: &id,
             avoid: &[],
             near: Some("d"),
