Do not let a request wait where none of the engines may run it

A box that leaves out the engines that asked it for rest could be quoted a place in the line of an owner that has no others, and waited there for nothing; so could a second try, or a move, that leaves out what turned it away. An owner now says that it has no engine for such a request, and another one is asked.

Evidence: read from the code; the new test fails without the change (a quote is given, the request waits).

--- a/crates/hatchpitch/src/dispatch/line.rs
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -187,9 +187,9 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] if no runner takes work; `Ok(None)` means that the request would wait.
+    /// Returns a [`Refusal`] if no runner that it asks for takes work; `Ok(None)` means that the request would wait.
     pub fn place(&mut self, want: &Want, now: Instant) -> Result<Option<RunnerSpec>, Refusal> {
-        if !self.table.any_serving() {
+        if !self.table.any_serving_for(&want.asked()) {
             return Err(self.no_runner(now));
         }
         if self.waits_in_line(want) {
@@ -239,9 +239,9 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] if no runner takes work.
+    /// Returns a [`Refusal`] if no runner that it asks for takes work.
     pub fn quote(&self, want: &Want, now: Instant) -> Result<Quote, Refusal> {
-        if !self.table.any_serving() {
+        if !self.table.any_serving_for(&want.asked()) {
             return Err(self.no_runner(now));
         }
         let busy = Quote::Busy(self.expected_wait(want, now));
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -429,6 +429,11 @@
         self.runners.values().any(|r| r.configured && r.serving)
     }
 
+    /// Returns whether any runner that a request asks for could take it now or later.
+    pub fn any_serving_for(&self, asked: &Asked<'_>) -> bool {
+        self.runners.values().any(|r| r.configured && r.serving && asked.allows(&r.spec))
+    }
+
     /// Returns when the first ejected runner comes back, if none serves.
     pub fn next_return(&self) -> Option<Instant> {
         let back = self.runners.values().filter(|r| r.configured && r.serving);
--- a/crates/hatchpitch/tests/upstream_heads.rs
+++ b/crates/hatchpitch/tests/upstream_heads.rs
@@ -237,3 +237,15 @@
     let bytes = rmp_serde::to_vec_named(&want(2)).unwrap();
     assert!(!rmp_serde::from_slice::<Want>(&bytes).unwrap().sends_here);
 }
+
+/// An owner whose engines all asked the sending box for rest would hold its request for nothing.
+#[test]
+fn a_request_does_not_wait_where_it_may_not_run() {
+    let (mut line, _) = line(&["u", "v"]);
+    let now = Instant::now();
+    let avoids = Want { avoid: vec!["u".to_owned(), "v".to_owned()], ..want(1) };
+    assert!(line.quote(&avoids, now).is_err());
+    assert!(matches!(line.decide(&avoids, now), Decision::Refuse(_)));
+    let avoids = Want { avoid: vec!["u".to_owned()], ..want(1) };
+    assert!(matches!(line.decide(&avoids, now), Decision::Run(spec) if spec.name == "v"));
+}
