Give upstreams that say in an answer that they leave no more work, from any box

Cause: as with rests, nothing read it. What a box knew of leaving came from announcements alone, which are late, lost, or never say so.

Change: the box that reads it marks the life as leaving in its roster, where no announcement brings it back, and tells four other boxes, which do the same; boxes that join are told as well. Requests in line and slots that owners grant meanwhile are checked against it, and streams begin to move at once. Queue and messages of news are shared with those of limits.

--- a/crates/e2e/tests/rests.rs
+++ b/crates/e2e/tests/rests.rs
@@ -1,5 +1,5 @@
-//! Engines and services of the fleet file that ask a box for rest, on the paths of chat and of calls
-//! to applications.
+//! Engines and services of the fleet file that ask a box for rest, or say that they leave, on the
+//! paths of chat and of calls to applications.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -20,6 +20,8 @@
 const ALLOWED: usize = 2;
 const SETTLED: Duration = Duration::from_millis(900);
 const LOAD: Duration = Duration::from_millis(1_300);
+/// Time within which an upstream that leaves gets no more requests.
+const DRAINED: Duration = Duration::from_secs(2);
 
 /// Gives an order to a stand-in.
 async fn order<T: Serialize>(
@@ -96,6 +98,22 @@
     Ok(statuses)
 }
 
+/// Has the first upstream say that it leaves; returns the statuses under this load.
+async fn check_leaving<F: Future<Output = anyhow::Result<u16>>>(
+    fleet: &TestFleet,
+    leaver: SocketAddr,
+    send: impl Fn() -> F,
+) -> anyhow::Result<Vec<u16>> {
+    order(fleet, leaver, "/admin/say-leaving", true).await?;
+    let mut statuses = load(DRAINED, &send).await?;
+    let before = arrivals(fleet, leaver).await?;
+    statuses.extend(load(LOAD, &send).await?);
+    let sent = arrivals(fleet, leaver).await? - before;
+    println!("{sent} to one that leaves");
+    anyhow::ensure!(sent <= ALLOWED, "{sent} to one that leaves");
+    Ok(statuses)
+}
+
 #[compio::test]
 async fn a_service_that_asked_for_rest_gets_no_calls() -> anyhow::Result<()> {
     let fleet =
@@ -129,3 +147,13 @@
     check_rest(&fleet, fleet.engine_addrs[0], || chat(&fleet)).await?;
     Ok(())
 }
+
+#[compio::test]
+async fn a_service_that_says_it_leaves_gets_no_calls() -> anyhow::Result<()> {
+    let fleet =
+        TestFleet::start(Shape { entry: 1, engines: 0, apps: 2, ..Shape::default() }).await?;
+    let send = || call(&fleet, Method::GET, "/rates");
+    let statuses = check_leaving(&fleet, fleet.app_addrs[0], send).await?;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    Ok(())
+}
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -269,9 +269,8 @@
 
     /// Returns the upstreams that take new work, beginning at another one each time.
     fn upstreams(&self) -> Vec<ServiceUpstream> {
-        let membership = self.cx.membership.borrow();
         let all = &self.service.upstreams;
-        let serving = all.iter().filter(|u| membership.upstream_serves(&u.name));
+        let serving = all.iter().filter(|u| self.cx.upstream_serves(&u.name));
         let mut serving: Vec<ServiceUpstream> = serving.cloned().collect();
         let turn = self.cx.next_turn() % serving.len().max(1);
         serving.rotate_left(turn);
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -32,9 +32,9 @@
 use crate::routing::{ColdLimit, RoutingConfig};
 use crate::settings::EntrySettings;
 use crate::trace::Tracer;
-use crate::upstream_heads::{SharedRests, SharedSignals};
+use crate::upstream_heads::{Leavers, NewsQueue, SharedRests, SharedSignals};
 use crate::upstream_limits::SharedLimits;
-use crate::upstream_limits::task::{self as upstream_limits, NewsQueue};
+use crate::upstream_limits::task as upstream_limits;
 
 /// Whether the process takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,6 +82,10 @@
     pub rests: SharedRests,
     /// Upstreams whose limits are to be told to other boxes.
     pub limit_news: NewsQueue,
+    /// Upstreams that said in an answer that they leave.
+    pub leavers: RefCell<Leavers>,
+    /// Those of which other boxes are to be told.
+    pub leaver_news: NewsQueue,
     /// Budgets for runs elsewhere.
     pub retries: RefCell<RetryBudgets>,
     /// Whether new work is taken.
@@ -136,6 +140,8 @@
             limits: SharedLimits::default(),
             rests: SharedRests::default(),
             limit_news: NewsQueue::default(),
+            leavers: RefCell::default(),
+            leaver_news: NewsQueue::default(),
             retries: RefCell::default(),
             intake: Cell::new(Intake::Open),
             turns: RefCell::default(),
@@ -360,8 +366,21 @@
     }
 
     fn tell_membership(&self, gate: &Gate) {
-        let membership = self.membership.borrow();
-        gate.update(|table| table.set_serving(|runner| membership.upstream_serves(runner)));
+        let serves = |runner: &str| self.upstream_serves(runner);
+        gate.update(|table| table.set_serving(serves));
+    }
+
+    /// Tells the gates of all pools which of their runners leave.
+    pub fn apply_leaving(&self) {
+        for (_, gate) in self.gates() {
+            self.tell_membership(&gate);
+        }
+    }
+
+    /// Returns whether an upstream takes new work, by its membership and its own answers.
+    pub fn upstream_serves(&self, name: &str) -> bool {
+        let leaves = self.leavers.borrow().contains(name, clock::now());
+        !leaves && self.membership.borrow().upstream_serves(name)
     }
 
     /// Returns whether the configuration is fresh enough for new work.
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -134,14 +134,13 @@
 fn pool_status(cx: &EntryCx, pool: &PoolView, now: Instant) -> PoolStatus {
     let gate = cx.gate(&pool.pool.name);
     let owned = gate.update(|table| table.overview(now));
-    let membership = cx.membership.borrow();
     let runners = pool.runners.iter().map(|runner| {
         let own = owned.iter().find(|(name, ..)| *name == runner.name);
         RunnerStatus {
             name: runner.name.clone(),
             owned: own.is_some(),
             running: own.map_or(0, |(_, running, _)| *running),
-            takes_work: own.map_or_else(|| membership.upstream_serves(&runner.name), |own| own.2),
+            takes_work: own.map_or_else(|| cx.upstream_serves(&runner.name), |own| own.2),
             limit: cx.limits.borrow().limit(&runner.name),
         }
     });
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -87,7 +87,7 @@
     }
 
     /// Returns whether the engine still wants work of this box.
-    fn may_be_used(&self) -> bool {
+    fn is_wanted(&self) -> bool {
         let (mut rests, now) = (self.cx.rests.borrow_mut(), clock::now());
         match &self.from {
             // It was taken with the slot.
@@ -147,7 +147,9 @@
     for _ in 0..MAX_ASKED {
         await_rests(cx, pool, &want, started).await?;
         let slot = obtain_any(cx, pool, want.clone()).await?;
-        if slot.may_be_used() {
+        if !cx.upstream_serves(&slot.runner) {
+            want.avoid.push(slot.runner.clone());
+        } else if slot.is_wanted() {
             return Ok(slot);
         }
         // The slot that goes back has the former id.
@@ -191,10 +193,9 @@
     }
     let (view, now) = (cx.sync_gates(), clock::now());
     let pool = view.pools.iter().find(|p| p.pool.name == pool)?;
-    let (membership, rests) = (cx.membership.borrow(), cx.rests.borrow());
+    let rests = cx.rests.borrow();
     let could = pool.runners.iter().filter(|runner| {
-        want.may_run_at(&runner.name, &runner.failure_domain)
-            && membership.upstream_serves(&runner.name)
+        want.may_run_at(&runner.name, &runner.failure_domain) && cx.upstream_serves(&runner.name)
     });
     let opens_in = could.map(|runner| rests.opens_in(&runner.name, now)).min()?;
     (!opens_in.is_zero()).then_some(opens_in)
--- a/crates/hatchpitch/src/registry/roster.rs
+++ b/crates/hatchpitch/src/registry/roster.rs
@@ -44,7 +44,7 @@
     pub(super) known: BTreeMap<LifeName, Known>,
     /// Lives that ended, with the order in which this box heard of it.
     pub(super) ended: BTreeMap<LifeName, Version>,
-    /// Lives that leave and are not known otherwise, with the order in which this box heard of it.
+    /// Lives that leave and are not known otherwise, or said so themselves, with the order in which this box heard of it.
     leaving: BTreeMap<LifeName, Version>,
     followed: BTreeMap<SocketAddr, Position>,
     /// The control box, in one of its lives, that has told all that it has; nobody else's word
@@ -181,6 +181,15 @@
         }
     }
 
+    /// Notes that an upstream said itself that it leaves, which its announcements may never tell.
+    pub fn said_leaving(&mut self, life: &str) {
+        self.leave(life.to_owned());
+        if !self.ended.contains_key(life) {
+            self.leaving.entry(life.to_owned()).or_insert(self.version);
+            trim(&mut self.leaving);
+        }
+    }
+
     fn unname(&mut self, life: &str, source: SocketAddr) {
         let Some(known) = self.known.get_mut(life) else { return };
         known.sources.remove(&source);
@@ -214,7 +223,7 @@
         self.version += 1;
         let mut record = record;
         let is_new = record.is_new_life();
-        if self.leaving.remove(&life).is_some() {
+        if self.leaving.contains_key(&life) {
             record.phase = Phase::Leaving;
         }
         let sources = BTreeMap::from([(source, epoch)]);
--- a/crates/hatchpitch/src/upstream_heads/mod.rs
+++ b/crates/hatchpitch/src/upstream_heads/mod.rs
@@ -6,11 +6,15 @@
 
 use crate::upstream_limits::SharedLimits;
 
+pub mod leavers;
+pub mod news;
 pub mod rests;
 pub mod signals;
 pub mod task;
 pub mod verify;
 
+pub use leavers::Leavers;
+pub use news::NewsQueue;
 pub use rests::{RestBook, SharedRests};
 pub use signals::{HeadNames, HeadSignals};
 
--- a/crates/hatchpitch/src/upstream_heads/task.rs
+++ b/crates/hatchpitch/src/upstream_heads/task.rs
@@ -1,14 +1,19 @@
 //! Passes on what the heads of answers say to whoever decides by it.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::clock;
 
+use super::news;
 use super::signals::HeadSignals;
 use crate::entry::EntryCx;
+use crate::ids::RunnerName;
 use crate::upstream_limits::task as upstream_limits;
 
+/// Path for news of upstreams that leave.
+pub const LEAVING_PATH: &str = "/box/upstreams-leaving";
 /// Why nothing is sent to an upstream that asked for rest.
 pub const RESTS: &str = "the upstream asked for rest";
 /// Why nothing is sent to an upstream of which no permit is to be had.
@@ -25,10 +30,35 @@
         None => cx.rests.borrow_mut().answered(upstream, sent),
     }
     if signals.leaving {
-        log::debug!(upstream = upstream; "an upstream says that it leaves");
+        hear_leaving(cx, upstream);
     }
 }
 
+/// Gives an upstream that leaves no more work, and tells other boxes.
+fn hear_leaving(cx: &Rc<EntryCx>, upstream: &str) {
+    cx.upstreams.roster.borrow_mut().said_leaving(upstream);
+    if !cx.leavers.borrow_mut().note(upstream, clock::now()) {
+        return;
+    }
+    log::info!(upstream = upstream; "an upstream said that it leaves");
+    cx.apply_leaving();
+    let send = |cx: &EntryCx, peer, names: &[RunnerName]| news::send(cx, peer, LEAVING_PATH, names);
+    news::spread(cx, upstream, |cx| &cx.leaver_news, send);
+}
+
+/// Takes in which upstreams leave, from another box.
+pub fn take_leavers(cx: &Rc<EntryCx>, upstreams: &[RunnerName]) {
+    for upstream in upstreams {
+        hear_leaving(cx, upstream);
+    }
+}
+
+/// Tells a box that has joined which upstreams leave.
+pub fn tell_leavers(cx: &EntryCx, peer: SocketAddr) {
+    let names = cx.leavers.borrow().names(clock::now());
+    news::send(cx, peer, LEAVING_PATH, &names);
+}
+
 /// Gets leave to send something that a limit does not hold back, such as the next step of a run.
 ///
 /// # Errors
--- a/crates/hatchpitch/src/upstream_limits/task.rs
+++ b/crates/hatchpitch/src/upstream_limits/task.rs
@@ -1,12 +1,11 @@
 //! Asks for permits and gives them out, and passes on what answers say about limits.
 
-use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::{BoxClient, Stop, clock};
+use hatchpitch_net::{Stop, clock};
 use twox_hash::XxHash64;
 
 use super::book::{Change, Decider, Taken};
@@ -15,6 +14,8 @@
 use crate::dispatch::owners::owner_of;
 use crate::entry::EntryCx;
 use crate::ids::{Incarnation, Priority, RunnerName};
+use crate::upstream_heads::news::{self, FANOUT};
+use crate::upstream_heads::task as upstream_heads;
 
 /// Path for permits.
 pub const PERMIT_PATH: &str = "/box/limit-permit";
@@ -22,24 +23,10 @@
 pub const NEWS_PATH: &str = "/box/limit-news";
 /// Time for a permit: a few round trips between failure domains. It holds up a request.
 const PERMIT_LIMIT: Duration = Duration::from_millis(150);
-/// Time for news.
-const NEWS_LIMIT: Duration = Duration::from_millis(500);
-/// Boxes that each box passes news on to. Of few boxes all hear of it; of many about 98 of 100 do,
-/// and the others with their own next answer.
-const FANOUT: usize = 4;
-/// Time in which news are gathered before they are passed on: far below the half second after
-/// which a box is expected to keep to what it was told.
-const GATHER: Duration = Duration::from_millis(20);
-/// Most news in one message, of about 100 bytes each.
-const MAX_NEWS: usize = 128;
 /// Time between two looks whether boxes were lost or are forgotten, from which the part follows that
 /// this box may give out, and whether others have joined.
 const LOOK: Duration = Duration::from_millis(500);
 
-/// News that this box has to pass on.
-#[derive(Default)]
-pub struct NewsQueue(RefCell<BTreeSet<RunnerName>>);
-
 /// Notes what the head of an answer says, to a request that was sent at `sent`.
 pub fn note(cx: &Rc<EntryCx>, upstream: &str, said: Statement, sent: Instant) {
     let limit = match said {
@@ -51,7 +38,7 @@
     hear(cx, upstream, Heard { limit, sent, at: now });
     let decider = cx.limits.borrow_mut().tells(upstream, now);
     if let Some(decider) = decider {
-        send_news(cx, decider, &news_of(cx, [upstream.to_owned()]));
+        send_news(cx, decider, &[upstream.to_owned()]);
     }
 }
 
@@ -193,44 +180,25 @@
     }
 }
 
-/// Passes news on to a few boxes, which do the same if it is news to them.
 fn spread(cx: &Rc<EntryCx>, upstream: &str) {
-    let is_first = {
-        let mut queue = cx.limit_news.0.borrow_mut();
-        queue.insert(upstream.to_owned());
-        queue.len() == 1
-    };
-    if !is_first {
-        return;
-    }
-    let cx = cx.clone();
-    compio::runtime::spawn(async move {
-        compio::time::sleep(GATHER).await;
-        let upstreams = cx.limit_news.0.take();
-        let news = news_of(&cx, upstreams);
-        let peers = cx.membership.borrow_mut().peers(FANOUT);
-        for peer in peers {
-            send_news(&cx, peer, &news);
-        }
-    })
-    .detach();
+    let send = |cx: &EntryCx, peer, names: &[RunnerName]| send_news(cx, peer, names);
+    news::spread(cx, upstream, |cx| &cx.limit_news, send);
+}
+
+/// Tells a box what is known of some upstreams.
+fn send_news(cx: &EntryCx, peer: SocketAddr, upstreams: &[RunnerName]) {
+    news::send(cx, peer, NEWS_PATH, &news_of(cx, upstreams));
 }
 
-fn news_of(cx: &EntryCx, upstreams: impl IntoIterator<Item = RunnerName>) -> Vec<LimitNews> {
+fn news_of(cx: &EntryCx, upstreams: &[RunnerName]) -> Vec<LimitNews> {
     let (limits, now) = (cx.limits.borrow(), clock::now());
-    let news = upstreams.into_iter().filter_map(|upstream| {
-        let heard = HeardAgo::new(limits.heard(&upstream)?, now);
-        Some(LimitNews { upstream, heard })
+    let news = upstreams.iter().filter_map(|upstream| {
+        let heard = HeardAgo::new(limits.heard(upstream)?, now);
+        Some(LimitNews { upstream: upstream.clone(), heard })
     });
     news.collect()
 }
 
-async fn tell(client: &BoxClient, peer: SocketAddr, news: Vec<LimitNews>) {
-    if let Err(err) = client.call::<_, ()>(peer, NEWS_PATH, &news, NEWS_LIMIT).await {
-        log::debug!("news of limits: {err}; the box hears of them with its own next answer");
-    }
-}
-
 /// The boxes that serve, each in its present life.
 type Serving = BTreeSet<(SocketAddr, Incarnation)>;
 
@@ -250,7 +218,7 @@
 }
 
 /// Tells boxes that have joined of limits: whoever decides on one does, and of those that the new
-/// box decides on itself a few of all do. Of 24 requests at one time, the first ones at such a box,
+/// box decides on itself a few of all do, as of upstreams that leave. Of 24 requests at one time, the first ones at such a box,
 /// 22 to 24 reached an upstream that had named 2 a second, and now 5 at the most.
 fn tell_joined(cx: &EntryCx, known: &Serving, serving: &Serving) {
     let own = cx.settings.boxes_addr;
@@ -258,16 +226,9 @@
     for addr in serving.difference(known).map(|(addr, _)| *addr).filter(|addr| *addr != own) {
         let mut upstreams = cx.limits.borrow().decided_by(own);
         if rand::random::<f64>() < few_of_all {
+            upstream_heads::tell_leavers(cx, addr);
             upstreams.extend(cx.limits.borrow().decided_by(addr));
         }
-        send_news(cx, addr, &news_of(cx, upstreams));
-    }
-}
-
-/// Sends news to a box, in as many messages as they take, without waiting for answers.
-fn send_news(cx: &EntryCx, peer: SocketAddr, news: &[LimitNews]) {
-    for part in news.chunks(MAX_NEWS) {
-        let (client, part) = (cx.boxes.clone(), part.to_vec());
-        compio::runtime::spawn(async move { tell(&client, peer, part).await }).detach();
+        send_news(cx, addr, &upstreams);
     }
 }
--- a/crates/hatchpitch/tests/upstream_heads.rs
+++ b/crates/hatchpitch/tests/upstream_heads.rs
@@ -1,5 +1,5 @@
-//! Signals in the heads of answers, the rests that follow from them, and requests in line for
-//! upstreams that rest.
+//! Signals in the heads of answers, and what follows from them: rests, upstreams that leave, and
+//! requests that wait for either to end.
 
 use std::time::{Duration, Instant};
 
@@ -7,10 +7,15 @@
 use hatchpitch::admission::AdmissionConfig;
 use hatchpitch::dispatch::line::{AT_LIMIT, RESTING};
 use hatchpitch::dispatch::{Decision, Line, Want};
+use hatchpitch::registry::verify::verify_roster;
+use hatchpitch::registry::{Detail, FollowAnswer, Phase, Roster, UpstreamRecord};
 use hatchpitch::routing::state::RunnerSpec;
 use hatchpitch::routing::{RoutingConfig, RunReport};
+use hatchpitch::upstream_heads::leavers::HOLDS;
 use hatchpitch::upstream_heads::signals::{MAX_REST, UNREADABLE_REST};
-use hatchpitch::upstream_heads::{HeadNames, HeadSignals, RestBook, SharedSignals, verify};
+use hatchpitch::upstream_heads::{
+    HeadNames, HeadSignals, Leavers, RestBook, SharedSignals, verify,
+};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 
 const UPSTREAM: &str = "u";
@@ -249,3 +254,51 @@
     let avoids = Want { avoid: vec!["u".to_owned()], ..want(1) };
     assert!(matches!(line.decide(&avoids, now), Decision::Run(spec) if spec.name == "v"));
 }
+
+#[test]
+fn a_leaver_stays_one_whatever_its_announcements_say_and_whoever_forgets_it() {
+    let (mut roster, now) = (Roster::default(), Instant::now());
+    let source = "127.0.0.1:9".parse().unwrap();
+    let announced = |sequence: u64, version| FollowAnswer {
+        epoch: 1,
+        version,
+        records: vec![UpstreamRecord {
+            id: "i-1".to_owned(),
+            service: "s".to_owned(),
+            addr: "127.0.0.1:1".parse().unwrap(),
+            failure_domain: "a".to_owned(),
+            slots: 1,
+            phase: Phase::Serving,
+            warm_in: Duration::ZERO,
+            sequence,
+            born: None,
+        }],
+        ..FollowAnswer::default()
+    };
+    roster.take(source, Detail::Whole, announced(1, 1), now).unwrap();
+    assert_eq!(roster.serving().count(), 1);
+    let before = roster.version();
+    roster.said_leaving("i-1");
+    assert!(roster.version() > before);
+    assert_eq!((roster.serving().count(), roster.leaving().count()), (0, 1));
+    // It goes on to announce itself, and is forgotten and named again.
+    roster.take(source, Detail::Whole, announced(9, 2), now).unwrap();
+    assert_eq!(roster.serving().count(), 0);
+    let lapsed =
+        FollowAnswer { lapsed: vec!["i-1".to_owned()], records: Vec::new(), ..announced(9, 3) };
+    roster.take(source, Detail::Whole, lapsed, now).unwrap();
+    roster.take(source, Detail::Whole, announced(10, 4), now).unwrap();
+    assert_eq!((roster.serving().count(), roster.leaving().count()), (0, 1));
+    verify_roster(&roster).unwrap();
+}
+
+#[test]
+fn what_an_upstream_that_keeps_its_name_says_of_leaving_holds_for_a_time() {
+    let (mut leavers, now) = (Leavers::default(), Instant::now());
+    assert!(leavers.note("u", now));
+    assert!(!leavers.note("u", now + ms(1_000)));
+    assert!(leavers.contains("u", now + HOLDS));
+    assert!(!leavers.contains("u", now + HOLDS + ms(1_000)));
+    assert!(leavers.note("u", now + HOLDS + ms(1_000)));
+    assert_eq!(leavers.names(now + HOLDS + ms(1_000)), ["u"]);
+}
