--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A caller's id of one request.
 pub type RequestId = String;
@@ -90,6 +90,19 @@
     pub calm: Option<u32>,
 }
 
+/// A request that an upstream turned away, asking for rest.
+#[derive(Debug, Clone)]
+pub struct RestedWork {
+    /// The upstream's life.
+    pub life: LifeId,
+    /// The rest that it asked for.
+    pub rest: Duration,
+    /// When it came.
+    pub at: Instant,
+    /// The calm part in which it came, if it did.
+    pub calm: Option<u32>,
+}
+
 /// What the operator saw of configurations.
 #[derive(Debug, Clone)]
 pub enum ConfigSeen {
@@ -126,6 +139,10 @@
     pub late_work: RefCell<Vec<String>>,
     /// Requests that reached upstreams which name limits, in order.
     pub limited: RefCell<Vec<LimitedWork>>,
+    /// Requests that upstreams turned away which ask for rest, in order.
+    pub rested: RefCell<Vec<RestedWork>>,
+    /// Boxes that send requests.
+    pub boxes: Cell<usize>,
     /// Processes that ended by themselves.
     pub own_ends: Cell<u64>,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -62,6 +62,8 @@
     pub timed: bool,
     /// Whether upstreams name limits, from the start of a storm to the end of its calm part.
     pub limits: bool,
+    /// Whether upstreams turn requests away and ask for rest, as long as that.
+    pub rests: bool,
     /// Where settings, data and logs go.
     pub folder: PathBuf,
 }
@@ -128,6 +130,7 @@
 
 impl Soak {
     async fn start(cx: Rc<RunCx>, opts: Options) -> anyhow::Result<Self> {
+        cx.record.boxes.set(opts.boxes);
         let upstreams = opts.engines + opts.plain;
         let shape = Shape { boxes: opts.boxes, core: CORE, upstreams };
         let net = net_of(opts.seed);
@@ -181,6 +184,11 @@
             self.note(format!("upstream {at} names a limit of {per_second}"));
             self.faults.pool.limit(*at, Some(*per_second));
         }
+        let rests = if self.opts.rests { schedule::rests(seed, self.shape) } else { Vec::new() };
+        for (at, rest) in &rests {
+            self.note(format!("upstream {at} asks for {rest:?} of rest"));
+            self.faults.pool.rest(*at, Some(*rest));
+        }
         let faults = schedule::storm(seed, self.shape, self.opts.storm);
         self.play(&faults, self.opts.storm).await;
         self.faults.mend();
@@ -195,9 +203,12 @@
         for (at, _) in &limits {
             self.faults.pool.limit(*at, None);
         }
+        for (at, _) in &rests {
+            self.faults.pool.rest(*at, None);
+        }
         let answered = self.cx.record.answered().saturating_sub(before);
-        // What limited upstreams do not take is refused.
-        let least = if limits.is_empty() { self.opts.callers } else { 1 };
+        // What upstreams at their limits or at rest do not take is refused.
+        let least = if limits.is_empty() && rests.is_empty() { self.opts.callers } else { 1 };
         ensure!(answered >= least, "{answered} requests answered in a calm part");
         Ok(())
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -90,6 +90,12 @@
 /// Limits that upstreams name, in tenths of a request a second: far below what callers send.
 const LIMIT_TENTHS: std::ops::Range<u32> = 5..80;
 
+/// Tells the chance of rests from that of faults.
+const RESTS_DRAW: u64 = 0x0072_6573_7473;
+/// Upstreams that ask for rest in a round at the most, and rests in milliseconds.
+const MOST_AT_REST: usize = 2;
+const REST_MS: std::ops::Range<u64> = 800..4_000;
+
 /// When something goes wrong, and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Step {
@@ -148,6 +154,18 @@
         .collect()
 }
 
+/// Draws which upstreams ask for rest in a round, and for how long, with a chance of its own.
+pub fn rests(seed: u64, shape: Shape) -> Vec<(usize, Duration)> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ RESTS_DRAW);
+    let count = rng.random_range(1..=MOST_AT_REST.min(shape.upstreams));
+    (0..count)
+        .map(|_| {
+            let at = rng.random_range(0..shape.upstreams);
+            (at, Duration::from_millis(rng.random_range(REST_MS)))
+        })
+        .collect()
+}
+
 /// Draws when a fault of a part of this length begins, and how long it lasts.
 fn step(rng: &mut SmallRng, fault: Fault, length: Duration) -> Step {
     let at = rng.random_range(0..length.as_millis().max(1)) as u64;
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -71,6 +71,8 @@
     trouble: Cell<Trouble>,
     /// Requests a second that it says it takes; `None` for no limit.
     limit: Cell<Option<f64>>,
+    /// The rest that it asks for with all that it turns away; `None` while it takes requests.
+    rest: Cell<Option<Duration>>,
 }
 
 /// How a pool is set up.
@@ -124,6 +126,7 @@
                 life: RefCell::default(),
                 trouble: Cell::default(),
                 limit: Cell::default(),
+                rest: Cell::default(),
             }));
         }
         let (copies, names) = (RefCell::default(), Cell::new(0));
@@ -142,7 +145,11 @@
         let handler = Rc::new(move |req, _| {
             let (pool, place) = (pool.clone(), place.clone());
             async move {
+                let leaves = pool.current(place.at).is_some_and(|life| life.leaves.get());
                 let mut res = pool.answer(&place, req).await;
+                if leaves {
+                    (pool.cx.wire.say_leaving)(&mut res);
+                }
                 if let Some(limit) = place.limit.get() {
                     (pool.cx.wire.name_limit)(&mut res, limit);
                 }
@@ -274,6 +281,11 @@
         self.places[at].limit.set(per_second);
     }
 
+    /// Has an upstream turn all requests away from now on and ask for rest, or take them.
+    pub fn rest(&self, at: usize, rest: Option<Duration>) {
+        self.places[at].rest.set(rest);
+    }
+
     /// Returns the life at a place, if there is one.
     fn current(&self, at: usize) -> Option<Rc<Life>> {
         self.places[at].life.borrow().clone()
--- a/crates/soak/src/upstreams/runs.rs
+++ b/crates/soak/src/upstreams/runs.rs
@@ -13,7 +13,7 @@
 
 use super::{ACK_LIMIT, LATE_AFTER, LEAVE_PATIENCE, Life, Place, Pool, Trouble};
 use crate::callers::answer_text;
-use crate::record::{Begun, LimitedWork, RequestId};
+use crate::record::{Begun, LimitedWork, RequestId, RestedWork};
 use crate::wire::{Ask, Reply};
 
 /// Events of a whole stream.
@@ -61,6 +61,9 @@
                 if meant != life.id {
                     return reply(Reply::OtherLife);
                 }
+                if let Some(rest) = place.rest.get() {
+                    return self.turn_away(&life, rest);
+                }
                 self.note_limited_work(place, &life);
                 self.note_late_work(&life, &id, resume.is_some());
                 match resume {
@@ -76,6 +79,19 @@
         }
     }
 
+    /// Turns a request away and asks for rest.
+    fn turn_away(&self, life: &Life, rest: Duration) -> Response<Body> {
+        self.cx.record.rested.borrow_mut().push(RestedWork {
+            life: life.id.clone(),
+            rest,
+            at: Instant::now(),
+            calm: self.cx.record.calm(),
+        });
+        let mut res = (self.cx.wire.reply)(&Reply::NotRun);
+        (self.cx.wire.ask_rest)(&mut res, rest);
+        res
+    }
+
     /// Notes a request that came while the upstream names a limit.
     fn note_limited_work(&self, place: &Place, life: &Life) {
         let Some(per_second) = place.limit.get() else { return };
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use crate::record::{Begun, Call, ConfigSeen, End, Kind, LifeId, LimitedWork, Record, RequestId};
+use crate::record::{
+    Begun, Call, ConfigSeen, End, Kind, LifeId, LimitedWork, Record, RequestId, RestedWork,
+};
 
 /// Time after a life first named a limit from which on it binds, and the time over which requests
 /// are counted: as the platform counts them.
@@ -14,6 +16,12 @@
 const LIMIT_OVER: f64 = 1.5;
 const LIMIT_SLACK: f64 = 5.0;
 
+/// Time after which a rest binds, and the requests of each box that may come within one all the same.
+const REST_BINDS: Duration = Duration::from_millis(500);
+const RESTED_A_BOX: usize = 2;
+/// Requests within a rest beside them: a box that starts anew knows of no rest until its first answers.
+const RESTED_SLACK: usize = 12;
+
 /// A promise that was not kept.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Broken {
@@ -39,6 +47,7 @@
     broken.extend(check_reads(record));
     broken.extend(check_markers(&calls));
     broken.extend(check_limits(&record.limited.borrow()));
+    broken.extend(check_rests(&record.rested.borrow(), record.boxes.get()));
     let late = record.late_work.borrow();
     broken.extend(late.iter().map(|seen| Broken {
         promise: "an upstream that leaves gets no new work after a few seconds",
@@ -105,6 +114,33 @@
     })
 }
 
+/// Each box keeps the rests that upstreams ask it for, outside of storms. Which box sent a request is
+/// not known, so all of them are counted together.
+fn check_rests(rested: &[RestedWork], boxes: usize) -> Vec<Broken> {
+    let mut lives: BTreeMap<&LifeId, Vec<&RestedWork>> = BTreeMap::new();
+    for work in rested {
+        lives.entry(&work.life).or_default().push(work);
+    }
+    lives.into_iter().filter_map(|(life, works)| check_rest(life, &works, boxes)).collect()
+}
+
+fn check_rest(life: &str, works: &[&RestedWork], boxes: usize) -> Option<Broken> {
+    let first = works.first()?;
+    let is_bound = |work: &&&RestedWork| work.calm.is_some() && work.at - first.at >= REST_BINDS;
+    let bound: Vec<&RestedWork> = works.iter().filter(is_bound).copied().collect();
+    let within = |from: &&RestedWork| {
+        let until = from.at + from.rest;
+        let same =
+            |work: &&&RestedWork| work.calm == from.calm && work.at >= from.at && work.at < until;
+        bound.iter().filter(same).count()
+    };
+    let most = bound.iter().map(within).max()?;
+    (most > RESTED_A_BOX * boxes + RESTED_SLACK).then(|| Broken {
+        promise: "each box keeps the rest that an upstream asks it for",
+        seen: format!("{life} asked for {:?} and got {most} from {boxes} boxes", first.rest),
+    })
+}
+
 /// Upstreams run what callers sent, and nothing else.
 fn check_unasked(
     calls: &BTreeMap<RequestId, Call>,
--- a/crates/soak/src/wire.rs
+++ b/crates/soak/src/wire.rs
@@ -175,6 +175,10 @@
     pub answer: fn(&str, bool, Body) -> Response<Body>,
     /// Has an upstream's answer name the requests a second that it takes from all boxes together.
     pub name_limit: fn(&mut Response<Body>, f64),
+    /// Has an upstream that turns a request away ask for rest.
+    pub ask_rest: fn(&mut Response<Body>, Duration),
+    /// Has an upstream's answer say that it leaves.
+    pub say_leaving: fn(&mut Response<Body>),
     /// Announces an upstream.
     pub announce: fn(&Announcement) -> Request<Body>,
     /// Ends the life of an upstream.
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hatchpitch_soak::record::{Begun, ConfigSeen, End, Kind, LimitedWork, Record};
+use hatchpitch_soak::record::{Begun, ConfigSeen, End, Kind, LimitedWork, Record, RestedWork};
 use hatchpitch_soak::verify::verify;
 
 fn begun(id: &str, life: &str) -> Begun {
@@ -148,3 +148,27 @@
         assert_eq!(!broken.is_empty(), is_broken, "{count} {calm:?}: {broken:?}");
     }
 }
+
+#[test]
+fn requests_within_a_rest_are_found() {
+    let start = Instant::now();
+    // Two of each box, and a dozen.
+    let allowed = 2 * 3 + 12;
+    for (count, calm, is_broken) in
+        [(allowed, Some(0), false), (allowed + 1, Some(0), true), (allowed + 1, None, false)]
+    {
+        let record = Record::default();
+        record.boxes.set(3);
+        let work = |ms: u64, calm| RestedWork {
+            life: "u0".to_owned(),
+            rest: Duration::from_secs(3),
+            at: start + Duration::from_millis(ms),
+            calm,
+        };
+        // What comes before a rest binds does not count.
+        record.rested.borrow_mut().extend((0..20).map(|n| work(n * 20, calm)));
+        record.rested.borrow_mut().extend((0..count).map(|n| work(600 + n * 100, calm)));
+        let broken = verify(&record);
+        assert_eq!(!broken.is_empty(), is_broken, "{count} {calm:?}: {broken:?}");
+    }
+}
