Read the heads of load reports and cancellations, and check slots against announced leaving

What an engine says in the answer to a load report or a cancellation was not read; a rest that it asks for there, or that it leaves, counts now. Such answers end no limit and bring no work back. A slot that an owner grants late is checked against what announcements say of its engine, and an owner is told at most 64 engines to leave out. A gauge shows how many upstreams rest.

--- a/crates/hatchpitch/src/engine/adapter.rs
+++ b/crates/hatchpitch/src/engine/adapter.rs
@@ -171,10 +171,11 @@
     upstream: &Upstream,
     generation: &str,
     attempt: &str,
+    on_head: OnHead<'_>,
 ) -> Result<(), EngineError> {
     let path = format!("/v1/generations/{generation}?attempt={attempt}");
     let req = request(Method::DELETE, upstream, &path, "", Body::empty());
-    whole(upstream, req).await.map(|_| ())
+    whole(upstream, req, on_head).await.map(|_| ())
 }
 
 /// Reads an engine's load report.
@@ -182,8 +183,9 @@
 /// # Errors
 ///
 /// Returns an [`EngineError`].
-pub async fn load(upstream: &Upstream) -> Result<EngineLoad, EngineError> {
-    get_json(upstream, "/v1/load").await
+pub async fn load(upstream: &Upstream, on_head: OnHead<'_>) -> Result<EngineLoad, EngineError> {
+    let req = request(Method::GET, upstream, "/v1/load", "", Body::empty());
+    parse(&whole(upstream, req, on_head).await?)
 }
 
 /// Reads a JSON document from an engine.
@@ -195,8 +197,12 @@
     upstream: &Upstream,
     path: &str,
 ) -> Result<A, EngineError> {
-    let bytes = whole(upstream, request(Method::GET, upstream, path, "", Body::empty())).await?;
-    serde_json::from_slice(&bytes).map_err(|err| EngineError::Decode(err.to_string()))
+    let req = request(Method::GET, upstream, path, "", Body::empty());
+    parse(&whole(upstream, req, &|_| {}).await?)
+}
+
+fn parse<A: DeserializeOwned>(bytes: &[u8]) -> Result<A, EngineError> {
+    serde_json::from_slice(bytes).map_err(|err| EngineError::Decode(err.to_string()))
 }
 
 /// Posts a JSON document to an engine and reads the whole answer.
@@ -210,7 +216,7 @@
     message: &Q,
 ) -> Result<Bytes, EngineError> {
     let body = encode(message)?;
-    whole(upstream, request(Method::POST, upstream, path, "", body)).await
+    whole(upstream, request(Method::POST, upstream, path, "", body), &|_| {}).await
 }
 
 fn encode<Q: Serialize>(message: &Q) -> Result<Body, EngineError> {
@@ -256,8 +262,13 @@
     HeadSignals::read(&HEAD_NAMES, res.status(), res.headers())
 }
 
-async fn whole(upstream: &Upstream, req: Request<Body>) -> Result<Bytes, EngineError> {
+async fn whole(
+    upstream: &Upstream,
+    req: Request<Body>,
+    on_head: OnHead<'_>,
+) -> Result<Bytes, EngineError> {
     let res = upstream.send(req, CALL_LIMIT).await.map_err(EngineError::Send)?;
+    on_head(signals(&res));
     let status = res.status();
     if !status.is_success() {
         return Err(refusal(status, res.into_body()).await);
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodyError, query_value, read_body};
+use hatchpitch_net::{Body, BodyError, clock, query_value, read_body};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -171,6 +171,8 @@
     cx.metrics.process(&cx.boxes);
     cx.metrics.quarantine(&cx.config.quarantine());
     cx.metrics.gauge("hatchpitch_limited_upstreams", cx.limits.borrow().limited() as f64);
+    let resting = cx.rests.borrow().resting(clock::now());
+    cx.metrics.gauge("hatchpitch_resting_upstreams", resting as f64);
     let age = cx.config.confirmed_age().map_or(f64::INFINITY, |age| age.as_secs_f64());
     cx.metrics.gauge("hatchpitch_config_confirmed_age_seconds", age);
     text_response(StatusCode::OK, cx.metrics.render())
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -27,6 +27,7 @@
 use crate::moves::Turns;
 use crate::outcome::Problem;
 use crate::quarantine::Observer;
+use crate::registry::Phase;
 use crate::registry::follow::Followed;
 use crate::routing::state::RunnerSpec;
 use crate::routing::{ColdLimit, RoutingConfig};
@@ -377,9 +378,12 @@
         }
     }
 
-    /// Returns whether an upstream takes new work, by its membership and its own answers.
+    /// Returns whether an upstream takes new work, by its membership, its announcements and its own
+    /// answers.
     pub fn upstream_serves(&self, name: &str) -> bool {
-        let leaves = self.leavers.borrow().contains(name, clock::now());
+        let roster = self.upstreams.roster.borrow();
+        let leaves = roster.get(name).is_some_and(|record| record.phase == Phase::Leaving)
+            || self.leavers.borrow().contains(name, clock::now());
         !leaves && self.membership.borrow().upstream_serves(name)
     }
 
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -483,7 +483,8 @@
                 log::info!(upstream = runner.as_str(); "a generation runs on, its runner being at rest or at its limit");
                 return;
             }
-            if let Err(err) = adapter::cancel(&upstream, &id, &attempt).await {
+            let on_head = |signals| upstream_heads::note_aside(&cx, &runner, signals);
+            if let Err(err) = adapter::cancel(&upstream, &id, &attempt, &on_head).await {
                 log::debug!("cancel of {id}: {err}");
             }
         })
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -48,6 +48,9 @@
 /// Permits or slots that are asked for in vain before a request goes to upstreams only that name no
 /// limit, or is refused: each question takes a round trip between boxes.
 const MAX_ASKED: usize = 3;
+/// Engines at rest that an owner is told to leave out, which bounds its message: of others that it
+/// grants the slot goes back.
+const MAX_LEFT_OUT: usize = 64;
 /// When a request may come back whose slots went to upstreams that began to rest meanwhile.
 const RESTED_RETRY: Duration = Duration::from_millis(250);
 
@@ -143,9 +146,7 @@
 ///
 /// Returns a [`Refusal`] as soon as the request is given up on.
 pub async fn obtain(cx: &Rc<EntryCx>, pool: &str, mut want: Want) -> Result<Slot, Refusal> {
-    let started = clock::now();
     for _ in 0..MAX_ASKED {
-        await_rests(cx, pool, &want, started).await?;
         let slot = obtain_any(cx, pool, want.clone()).await?;
         if !cx.upstream_serves(&slot.runner) {
             want.avoid.push(slot.runner.clone());
@@ -164,17 +165,13 @@
     if placement.unwrap_or(cx.settings.policy.placement) == Placement::Local {
         return obtain_here(cx, pool, want).await;
     }
+    await_rests(cx, pool, &want).await?;
     Asking { cx: cx.clone(), pool: pool.to_owned(), want }.ask().await
 }
 
-/// Waits until some engine that could take a request wants work of this box; `started` is when the
-/// request came.
-async fn await_rests(
-    cx: &EntryCx,
-    pool: &str,
-    want: &Want,
-    started: Instant,
-) -> Result<(), Refusal> {
+/// Waits until some engine that could take a request wants work of this box.
+async fn await_rests(cx: &EntryCx, pool: &str, want: &Want) -> Result<(), Refusal> {
+    let started = clock::now();
     let longest = want.limit_wait.or(want.max_wait).unwrap_or(cx.settings.timing.max_wait);
     while let Some(opens_in) = rests_of_all(cx, pool, want) {
         if clock::since(started) + opens_in > longest {
@@ -197,8 +194,15 @@
     let could = pool.runners.iter().filter(|runner| {
         want.may_run_at(&runner.name, &runner.failure_domain) && cx.upstream_serves(&runner.name)
     });
-    let opens_in = could.map(|runner| rests.opens_in(&runner.name, now)).min()?;
-    (!opens_in.is_zero()).then_some(opens_in)
+    let mut first: Option<Duration> = None;
+    for runner in could {
+        let opens_in = rests.opens_in(&runner.name, now);
+        if opens_in.is_zero() {
+            return None;
+        }
+        first = Some(first.map_or(opens_in, |first| first.min(opens_in)));
+    }
+    first
 }
 
 /// Gets a slot for which this box decides. Limits of the upstreams are kept by others as well; one
@@ -343,7 +347,8 @@
     /// Returns what another box is asked for: engines that asked this one for rest are left out.
     fn want_elsewhere(&self) -> Want {
         let mut want = self.want.clone();
-        want.avoid.extend(self.cx.rests.borrow().closed(clock::now()).cloned());
+        let rests = self.cx.rests.borrow();
+        want.avoid.extend(rests.closed(clock::now()).take(MAX_LEFT_OUT).cloned());
         want
     }
 
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -17,6 +17,7 @@
 use crate::relay::dialect::{CopyAnswer, CopyFailure, CopyOrder};
 use crate::relay::{HostedRequest, Relay};
 use crate::upstream_heads::task as upstream_heads;
+use crate::upstream_limits::task as upstream_limits;
 
 /// Time for one copy; a large generation takes a third of it on an idle link.
 const COPY_LIMIT: Duration = Duration::from_millis(1_500);
@@ -196,7 +197,9 @@
         let sent = clock::now();
         match compio::time::timeout(COPY_LIMIT, copied).await {
             Ok(reply) => {
-                upstream_heads::note(&self.relay.cx, &self.leaver.runner, reply.signals, sent);
+                let (cx, runner) = (&self.relay.cx, &self.leaver.runner);
+                upstream_limits::note(cx, runner, reply.signals.limit, sent);
+                upstream_heads::note_aside(cx, runner, reply.signals);
                 reply.outcome
             }
             Err(_) => Err(CopyFailure::Unclear(format!("no answer within {COPY_LIMIT:?}"))),
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -36,12 +36,13 @@
     }
 }
 
-async fn read_report(cx: &EntryCx, runner: &Runner) {
+async fn read_report(cx: &Rc<EntryCx>, runner: &Runner) {
     if !upstream_heads::take_spare(cx, &runner.name) {
         // Callers' requests go first; what this box runs there it knows without a report.
         return;
     }
-    let load = match adapter::load(&cx.upstream(runner.addr)).await {
+    let on_head = |signals| upstream_heads::note_aside(cx, &runner.name, signals);
+    let load = match adapter::load(&cx.upstream(runner.addr), &on_head).await {
         Ok(load) => load,
         Err(err) => {
             log::debug!("load report of {}: {err}", runner.name);
--- a/crates/hatchpitch/src/upstream_heads/task.rs
+++ b/crates/hatchpitch/src/upstream_heads/task.rs
@@ -22,12 +22,18 @@
 /// Notes what the head of an answer says, to a request that was sent at `sent`.
 pub fn note(cx: &Rc<EntryCx>, upstream: &str, signals: HeadSignals, sent: Instant) {
     upstream_limits::note(cx, upstream, signals.limit, sent);
-    match signals.rest {
-        Some(rest) => {
-            log::info!(upstream = upstream, rest_ms = rest.as_millis(); "an upstream asks for rest");
-            cx.rests.borrow_mut().ask(upstream, rest, clock::now());
-        }
-        None => cx.rests.borrow_mut().answered(upstream, sent),
+    if signals.rest.is_none() {
+        cx.rests.borrow_mut().answered(upstream, sent);
+    }
+    note_aside(cx, upstream, signals);
+}
+
+/// Notes what the head of an answer says to something that is no request of a caller, such as a
+/// question for a load report: a limit does not end with it, nor does the return from a rest.
+pub fn note_aside(cx: &Rc<EntryCx>, upstream: &str, signals: HeadSignals) {
+    if let Some(rest) = signals.rest {
+        log::info!(upstream = upstream, rest_ms = rest.as_millis(); "an upstream asks for rest");
+        cx.rests.borrow_mut().ask(upstream, rest, clock::now());
     }
     if signals.leaving {
         hear_leaving(cx, upstream);
