Send a request that has no second try left elsewhere first, not to an upstream that returns from a rest

Where one of some upstreams asks for rest again and again, the first request after each rest is turned away and takes a repeat of the budget for other upstreams; with none left it is refused beside those with room. By arithmetic, twelve boxes and rests of 3 s take 4 repeats a second, where a service of 38 requests a second earns 3.8 beside its failures.

Change: such a request counts an upstream that returns as a full one, so that it goes there only if the others have no room.

--- a/crates/hatchpitch/src/dispatch/line.rs
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -85,6 +85,9 @@
     /// is never so at another box.
     #[serde(skip)]
     pub sends_here: bool,
+    /// Whether it could not go elsewhere if its runner turned it away.
+    #[serde(skip)]
+    pub only_try: bool,
 }
 
 impl Want {
@@ -104,6 +107,7 @@
             within: &self.within,
             skips_limited: self.skips_limited,
             sends_here: self.sends_here,
+            only_try: self.only_try,
         }
     }
 
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -229,6 +229,7 @@
             limit_wait: Some(SLOT_WAIT),
             skips_limited: false,
             sends_here: true,
+            only_try: true,
         };
         let slot = obtain(cx, &self.leaver.service, want).await;
         slot.map_err(|refusal| refusal.cause)
--- a/crates/hatchpitch/src/relay/budget.rs
+++ b/crates/hatchpitch/src/relay/budget.rs
@@ -57,13 +57,17 @@
         *saved = (*saved + ratio).min(cap);
     }
 
+    /// Returns whether the budget allows a repeat now.
+    pub fn allows(&self, service: &str) -> bool {
+        self.saved.get(service).copied().unwrap_or(self.cap()) >= 1.0
+    }
+
     /// Takes a repeat; returns whether the budget allows it.
     pub fn take(&mut self, service: &str) -> bool {
-        let cap = self.cap();
-        let saved = self.saved.entry(service.to_owned()).or_insert(cap);
-        let allowed = *saved >= 1.0;
+        let allowed = self.allows(service);
         if allowed {
-            *saved -= 1.0;
+            let cap = self.cap();
+            *self.saved.entry(service.to_owned()).or_insert(cap) -= 1.0;
         }
         allowed
     }
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -364,6 +364,7 @@
             limit_wait: Some(aim.mul_f64(EXPECTED_WAIT)),
             skips_limited: false,
             sends_here: true,
+            only_try: !self.relay.budgets.borrow().allows(&self.service),
         };
         let started = clock::now();
         if self.await_upstreams(started).await == Untried::Evacuated {
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -168,6 +168,8 @@
     pub skips_limited: bool,
     /// Whether this box sends the request, so that it is bound by rests that runners asked it for.
     pub sends_here: bool,
+    /// Whether the request could not go elsewhere if its runner turned it away.
+    pub only_try: bool,
 }
 
 /// Why no runner that could run a request takes one now.
@@ -186,6 +188,10 @@
 /// of a runner that a few requests make.
 const DISTANCE: f64 = 0.15;
 
+/// Load by which a runner that returns from a rest has to be less busy to be picked for a request that
+/// could not go elsewhere if it were turned away again: about that of a full runner.
+const RETURN_RISK: f64 = 1.0;
+
 /// Weight of a second that a copy takes, in load: a runner that leaves has two seconds for all.
 const COPY_WEIGHT: f64 = 3.0;
 /// Load that another copy on a runner's link counts as: the last part of a copy, for which its
@@ -368,7 +374,9 @@
             .map(|(i, r)| {
                 let share = match cfg.pick {
                     Pick::RoundRobin => 0.0,
-                    Pick::LeastLoaded => r.load_share(now) + asked.distance(r, now),
+                    Pick::LeastLoaded => {
+                        r.load_share(now) + asked.distance(r, now) + self.risk(asked, r, now)
+                    }
                 };
                 (share, (i + turn) % count, &r.spec.name)
             })
@@ -404,6 +412,13 @@
         Some(Closed { opens_in: first.max(least), rests })
     }
 
+    /// Returns what it costs, in load, that a runner may turn the request away.
+    fn risk(&self, asked: &Asked<'_>, runner: &RunnerState, now: Instant) -> f64 {
+        let returns = |name| self.signals.rests.borrow().is_returning(name, now);
+        let is_at_risk = asked.only_try && asked.sends_here && returns(&runner.spec.name);
+        if is_at_risk { RETURN_RISK } else { 0.0 }
+    }
+
     /// Returns whether limit and rest of a runner leave room for a request.
     fn admits(&self, asked: &Asked<'_>, runner: &str, now: Instant) -> bool {
         let limits = self.signals.limits.borrow();
--- a/crates/hatchpitch/src/upstream_heads/rests.rs
+++ b/crates/hatchpitch/src/upstream_heads/rests.rs
@@ -111,6 +111,11 @@
         self.rests.get(upstream).is_none_or(|rest| rest.admits(now))
     }
 
+    /// Returns whether an upstream's rest is over and it has not answered enough since then.
+    pub fn is_returning(&self, upstream: &str, now: Instant) -> bool {
+        self.rests.get(upstream).is_some_and(|rest| now >= rest.until)
+    }
+
     /// Returns the time until a request may be sent to an upstream.
     pub fn opens_in(&self, upstream: &str, now: Instant) -> Duration {
         self.rests.get(upstream).map_or(Duration::ZERO, |rest| rest.opens_in(now))
--- a/crates/hatchpitch/tests/routing.rs
+++ b/crates/hatchpitch/tests/routing.rs
@@ -44,6 +44,7 @@
         priority: 0,
         skips_limited: false,
         sends_here: false,
+        only_try: false,
         id: &id,
         avoid: &avoid,
         near: Some(near),
--- a/crates/hatchpitch/tests/switches.rs
+++ b/crates/hatchpitch/tests/switches.rs
@@ -65,6 +65,7 @@
         within: &[],
         skips_limited: false,
         sends_here: false,
+        only_try: false,
     };
     let pick =
         |table: &mut RunnerTable| table.pick(&asked, &candidate, &lengths, now).unwrap().name;
--- a/crates/hatchpitch/tests/upstream_heads.rs
+++ b/crates/hatchpitch/tests/upstream_heads.rs
@@ -160,6 +160,10 @@
 }
 
 fn line(runners: &[&str]) -> (Line, SharedSignals) {
+    line_of(runners, 1)
+}
+
+fn line_of(runners: &[&str], slots: u64) -> (Line, SharedSignals) {
     let signals = SharedSignals::default();
     let admission = AdmissionConfig::default();
     let mut line = Line::new(admission, RoutingConfig::default()).sharing(signals.clone());
@@ -167,7 +171,7 @@
         name: (*name).to_owned(),
         addr: "127.0.0.1:1".parse().unwrap(),
         failure_domain: "a".to_owned(),
-        slots: 1,
+        slots,
         memory: None,
         copy_rate: f64::INFINITY,
     });
@@ -230,6 +234,27 @@
     assert!(ends[19] - ends[0] > ms(100), "{ends:?}");
 }
 
+/// With no second try left, a request that an upstream turns away again is refused beside others that
+/// have room.
+#[test]
+fn a_request_without_a_second_try_does_not_go_first_after_a_rest() {
+    let now = Instant::now();
+    for only_try in [false, true] {
+        let (mut line, signals) = line_of(&["u", "v"], 4);
+        signals.rests.borrow_mut().ask("u", ms(100), now);
+        let back = now + ms(100);
+        assert!(matches!(line.decide(&want(1), now), Decision::Run(spec) if spec.name == "v"));
+        let second = Want { only_try, ..want(2) };
+        let expected = if only_try { "v" } else { "u" };
+        let picked = line.decide(&second, back);
+        assert!(matches!(&picked, Decision::Run(spec) if spec.name == expected), "{picked:?}");
+        // Where nobody else has room it goes there all the same.
+        for id in 3..=5 {
+            assert!(matches!(line.decide(&Want { only_try, ..want(id) }, back), Decision::Run(_)));
+        }
+    }
+}
+
 /// A rest binds the box that was asked for it, not the requests of others that it decides on.
 #[test]
 fn a_rest_does_not_bind_requests_that_another_box_sends() {
