--- a/crates/e2e/tests/limits.rs
+++ b/crates/e2e/tests/limits.rs
@@ -1,6 +1,5 @@
 //! Limits that engines and services of the fleet file name, on the paths of chat and of calls to
-//! applications. As on the relay, nothing read them: each box gave each upstream its share, and a
-//! service that named 4 requests a second got 300 within 4 s, an engine that named 3 got 242.
+//! applications.
 
 use std::time::{Duration, Instant};
 
@@ -119,8 +118,7 @@
 /// Time after which a box that has joined must know what the others do.
 const JOINED: Duration = Duration::from_millis(2_500);
 
-/// A box that joins knew of no limit until its first answer: all that callers sent it until then
-/// reached the upstream, 22 of 24 requests where all together send 2 a second.
+/// A box that has no answer yet must not send all that callers bring it at once.
 #[compio::test]
 async fn a_box_that_joins_is_told_of_limits_before_it_sends() -> anyhow::Result<()> {
     let shape = Shape { entry: BOXES, engines: 0, apps: 1, ..Shape::default() };
--- a/crates/e2e/tests/quarantine.rs
+++ b/crates/e2e/tests/quarantine.rs
@@ -1,10 +1,4 @@
-//! Requests that end what runs them, on the paths of generations and of calls to applications. One
-//! call was sent to as many upstreams as it may run on, and so was the next, for as long as any of
-//! them came back: after 30 s of tries the answer to a call that had ended all services still was
-//!
-//! ```text
-//! {"type":"no_upstream","outcome":"not_run","message":"Connect to …: Connection refused (os error 111)"}
-//! ```
+//! Requests that crash what runs them, on the paths of generations and of calls to applications.
 
 use std::time::{Duration, Instant};
 
--- a/crates/hatchpitch/src/upstream_limits/book.rs
+++ b/crates/hatchpitch/src/upstream_limits/book.rs
@@ -216,8 +216,7 @@
     }
 
     /// Returns the decider if it is to be told now what this box heard in an answer. The owner of an
-    /// engine is not asked for permits by name, so this is how it learns of a limit and of its end:
-    /// an engine whose limit had ended went on to get as little without it.
+    /// engine is not asked for permits by name, so this is how it learns of a limit and of its end.
     pub fn tells(&mut self, upstream: &str, now: Instant) -> Option<SocketAddr> {
         let entry = self.entries.get_mut(upstream)?;
         let decider = entry.decider.filter(|decider| !decider.is_own)?;
--- a/crates/hatchpitch/src/upstream_limits/task.rs
+++ b/crates/hatchpitch/src/upstream_limits/task.rs
@@ -217,9 +217,9 @@
     }
 }
 
-/// Tells boxes that have joined of limits: whoever decides on one does, and of those that the new
-/// box decides on itself a few of all do, as of upstreams that leave. Of 24 requests at one time, the first ones at such a box,
-/// 22 to 24 reached an upstream that had named 2 a second, and now 5 at the most.
+/// Tells boxes that have joined what they would otherwise learn from their first answers only. The
+/// decider tells of its limits; a few of all boxes tell of those that the new box decides on itself,
+/// and of upstreams that leave.
 fn tell_joined(cx: &EntryCx, known: &Serving, serving: &Serving) {
     let own = cx.settings.boxes_addr;
     let few_of_all = FANOUT as f64 / serving.len().max(1) as f64;
--- a/crates/hatchpitch/tests/feed_size.rs
+++ b/crates/hatchpitch/tests/feed_size.rs
@@ -1,9 +1,4 @@
 //! What it takes to bring a change of many routes to every box of a large fleet.
-//!
-//! Of 300 boxes some served by an old configuration 3 s after one with 1,400 more routes was
-//! acknowledged. The control boxes had 366 KB to send to each of them over links of 100 Mbit/s, and
-//! the one that led began with 134 boxes at one time: "configuration not brought up to date", cause
-//! "no answer within 1.5s", 98 times, as heartbeats of the core and answers waited behind the parts.
 
 use std::fmt::Write as _;
 use std::rc::Rc;
--- a/crates/hatchpitch/tests/suspension.rs
+++ b/crates/hatchpitch/tests/suspension.rs
@@ -1,11 +1,5 @@
-//! A box that is suspended for seconds wakes with a steady clock that stood still meanwhile. To a
-//! leader of before, its lease seemed to run on, and to an entry box, its configuration seemed to
-//! be confirmed of late, though others had gone on without them:
-//!
-//! ```text
-//! a lease of 0.8 s was held by the steady clock after a suspension of 10 s
-//! a confirmation of 10 s ago was 0.0 s old by it, where one above 2 s is refused
-//! ```
+//! Leases and confirmations on a box that was suspended: a clock that stands still meanwhile would
+//! make them hold on.
 
 use std::path::Path;
 use std::rc::Rc;
