Let the word that an upstream leaves end when it does, however many boxes pass it on

An upstream of the fleet file that has started again under its name could be kept without work for good: each box that heard of its leaving counted 30 s from then, and told boxes that joined, which told the others.

Cause: news of leaving carried no age. They carry the time that is left now, which no box lengthens.

Evidence: found by reading; the new test passes it on five times within 30 s (it can't be built on the code of before, which has no such time).

--- a/crates/hatchpitch/src/dispatch/line.rs
+++ b/crates/hatchpitch/src/dispatch/line.rs
@@ -191,7 +191,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] if no runner that it asks for takes work; `Ok(None)` means that the request would wait.
+    /// Returns a [`Refusal`] if no runner that it asks for takes work; `Ok(None)` means that the
+    /// request would wait.
     pub fn place(&mut self, want: &Want, now: Instant) -> Result<Option<RunnerSpec>, Refusal> {
         if !self.table.any_serving_for(&want.asked()) {
             return Err(self.no_runner(now));
--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -12,12 +12,12 @@
 use crate::config::feed::FEED_PATH;
 use crate::grants::messages::{AdoptRequest, GrantRequest, GrantSync, ReleaseRequest};
 use crate::grants::task::{self as grants, ADOPT_PATH, GRANT_PATH, RELEASE_PATH, SYNC_PATH};
-use crate::ids::RunnerName;
 use crate::membership::messages::{Gossip, ProbeRequest};
 use crate::membership::task::{self, GOSSIP_PATH, PING_PATH, PROBE_PATH};
 use crate::moves::ask::{self, TURN_DONE_PATH, TURN_PATH};
 use crate::moves::{TurnDone, TurnRequest};
 use crate::outcome::text_response;
+use crate::upstream_heads::LeaverNews;
 use crate::upstream_heads::task::{self as upstream_heads, LEAVING_PATH};
 use crate::upstream_limits::task::{self as upstream_limits, NEWS_PATH, PERMIT_PATH};
 use crate::upstream_limits::{LimitNews, PermitRequest};
@@ -66,8 +66,8 @@
             .map(|req| cx.boxes.respond(&upstream_limits::answer(&cx, &req))),
         NEWS_PATH => open_message::<Vec<LimitNews>>(keys, path, &parts.headers, &body)
             .map(|news| cx.boxes.respond(&upstream_limits::take_news(&cx, &news))),
-        LEAVING_PATH => open_message::<Vec<RunnerName>>(keys, path, &parts.headers, &body)
-            .map(|names| cx.boxes.respond(&upstream_heads::take_leavers(&cx, &names))),
+        LEAVING_PATH => open_message::<Vec<LeaverNews>>(keys, path, &parts.headers, &body)
+            .map(|news| cx.boxes.respond(&upstream_heads::take_leavers(&cx, &news))),
         SYNC_PATH => open_message::<GrantSync>(keys, path, &parts.headers, &body)
             .map(|req| cx.boxes.respond(&grants::sync(&cx, &req))),
         _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
--- a/crates/hatchpitch/src/upstream_heads/leavers.rs
+++ b/crates/hatchpitch/src/upstream_heads/leavers.rs
@@ -1,28 +1,46 @@
 //! Upstreams that said in an answer that they leave, without I/O.
 //!
-//! Upstreams that announce themselves have a name of its own for each life, and leave once. One of
-//! the fleet file keeps its name when it starts again, which nobody tells, so its word holds for a
-//! time, after which a request shows whether it serves again.
+//! Upstreams that announce themselves have another name in each life, and leave once. One of the
+//! fleet file keeps its name when it starts again, which nobody tells, so its word holds for a time,
+//! after which a request shows whether it serves again.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::RunnerName;
 
 /// Time for which an upstream is taken to leave after it said so last: longer than a drain and a
 /// start take, so that most requests after it meet the next life.
 pub const HOLDS: Duration = Duration::from_secs(30);
 
+/// Tells another box that an upstream leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaverNews {
+    /// The upstream.
+    pub upstream: RunnerName,
+    /// Time for which that still holds; it does not begin anew with each box that passes it on.
+    pub left: Duration,
+}
+
 /// Upstreams that leave, by the names of their lives, with until when that holds.
 #[derive(Debug, Clone, Default)]
 pub struct Leavers(BTreeMap<RunnerName, Instant>);
 
 impl Leavers {
-    /// Notes that an upstream leaves; returns whether that is news. What another box passes on is
-    /// about as old as its travel, so it counts from now.
-    pub fn note(&mut self, upstream: &str, now: Instant) -> bool {
+    /// Notes that an upstream leaves, which holds for `left`; returns whether that is news.
+    pub fn note(&mut self, upstream: &str, left: Duration, now: Instant) -> bool {
         self.0.retain(|_, until| now < *until);
-        self.0.insert(upstream.to_owned(), now + HOLDS).is_none()
+        let until = now + left.min(HOLDS);
+        let known = self.0.get_mut(upstream);
+        let is_news = known.is_none() && now < until;
+        match known {
+            Some(known) => *known = until.max(*known),
+            None if is_news => drop(self.0.insert(upstream.to_owned(), until)),
+            None => {}
+        }
+        is_news
     }
 
     /// Returns whether an upstream leaves.
@@ -30,9 +48,12 @@
         self.0.get(upstream).is_some_and(|until| now < *until)
     }
 
-    /// Returns the upstreams that leave.
-    pub fn names(&self, now: Instant) -> Vec<RunnerName> {
-        let leaving = self.0.iter().filter(|(_, until)| now < **until);
-        leaving.map(|(name, _)| name.clone()).collect()
+    /// Returns what to tell another box of the upstreams that leave.
+    pub fn news(&self, now: Instant) -> Vec<LeaverNews> {
+        let left = self.0.iter().map(|(upstream, until)| LeaverNews {
+            upstream: upstream.clone(),
+            left: until.saturating_duration_since(now),
+        });
+        left.filter(|news| !news.left.is_zero()).collect()
     }
 }
--- a/crates/hatchpitch/src/upstream_heads/mod.rs
+++ b/crates/hatchpitch/src/upstream_heads/mod.rs
@@ -13,7 +13,7 @@
 pub mod task;
 pub mod verify;
 
-pub use leavers::Leavers;
+pub use leavers::{LeaverNews, Leavers};
 pub use news::NewsQueue;
 pub use rests::{RestBook, SharedRests};
 pub use signals::{HeadNames, HeadSignals};
--- a/crates/hatchpitch/src/upstream_heads/task.rs
+++ b/crates/hatchpitch/src/upstream_heads/task.rs
@@ -6,6 +6,7 @@
 
 use hatchpitch_net::clock;
 
+use super::leavers::{HOLDS, LeaverNews};
 use super::news;
 use super::signals::HeadSignals;
 use crate::entry::EntryCx;
@@ -36,33 +37,37 @@
         cx.rests.borrow_mut().ask(upstream, rest, clock::now());
     }
     if signals.leaving {
-        hear_leaving(cx, upstream);
+        hear_leaving(cx, upstream, HOLDS);
     }
 }
 
 /// Gives an upstream that leaves no more work, and tells other boxes.
-fn hear_leaving(cx: &Rc<EntryCx>, upstream: &str) {
+fn hear_leaving(cx: &Rc<EntryCx>, upstream: &str, holds: Duration) {
     cx.upstreams.roster.borrow_mut().said_leaving(upstream);
-    if !cx.leavers.borrow_mut().note(upstream, clock::now()) {
+    if !cx.leavers.borrow_mut().note(upstream, holds, clock::now()) {
         return;
     }
     log::info!(upstream = upstream; "an upstream said that it leaves");
     cx.apply_leaving();
-    let send = |cx: &EntryCx, peer, names: &[RunnerName]| news::send(cx, peer, LEAVING_PATH, names);
+    let send = |cx: &EntryCx, peer, upstreams: &[RunnerName]| {
+        let mut leavers = cx.leavers.borrow().news(clock::now());
+        leavers.retain(|news| upstreams.contains(&news.upstream));
+        news::send(cx, peer, LEAVING_PATH, &leavers);
+    };
     news::spread(cx, upstream, |cx| &cx.leaver_news, send);
 }
 
 /// Takes in which upstreams leave, from another box.
-pub fn take_leavers(cx: &Rc<EntryCx>, upstreams: &[RunnerName]) {
-    for upstream in upstreams {
-        hear_leaving(cx, upstream);
+pub fn take_leavers(cx: &Rc<EntryCx>, news: &[LeaverNews]) {
+    for LeaverNews { upstream, left } in news {
+        hear_leaving(cx, upstream, *left);
     }
 }
 
 /// Tells a box that has joined which upstreams leave.
 pub fn tell_leavers(cx: &EntryCx, peer: SocketAddr) {
-    let names = cx.leavers.borrow().names(clock::now());
-    news::send(cx, peer, LEAVING_PATH, &names);
+    let leavers = cx.leavers.borrow().news(clock::now());
+    news::send(cx, peer, LEAVING_PATH, &leavers);
 }
 
 /// Gets leave to send something that a limit does not hold back, such as the next step of a run.
--- a/crates/hatchpitch/tests/upstream_heads.rs
+++ b/crates/hatchpitch/tests/upstream_heads.rs
@@ -320,10 +320,27 @@
 #[test]
 fn what_an_upstream_that_keeps_its_name_says_of_leaving_holds_for_a_time() {
     let (mut leavers, now) = (Leavers::default(), Instant::now());
-    assert!(leavers.note("u", now));
-    assert!(!leavers.note("u", now + ms(1_000)));
+    assert!(leavers.note("u", HOLDS, now));
+    assert!(!leavers.note("u", HOLDS, now + ms(1_000)));
     assert!(leavers.contains("u", now + HOLDS));
     assert!(!leavers.contains("u", now + HOLDS + ms(1_000)));
-    assert!(leavers.note("u", now + HOLDS + ms(1_000)));
-    assert_eq!(leavers.names(now + HOLDS + ms(1_000)), ["u"]);
+    assert!(leavers.note("u", HOLDS, now + HOLDS + ms(1_000)));
+}
+
+/// Boxes that pass it on to each other, as others join, would otherwise keep it up for ever.
+#[test]
+fn that_an_upstream_leaves_does_not_begin_anew_with_each_box_that_hears_of_it() {
+    let now = Instant::now();
+    let mut told = Leavers::default();
+    told.note("u", HOLDS, now);
+    for passed in 1..=5 {
+        let at = now + HOLDS.mul_f64(0.19) * passed;
+        let news = told.news(at).remove(0);
+        let mut next = Leavers::default();
+        assert!(next.note(&news.upstream, news.left, at));
+        told = next;
+    }
+    assert!(told.contains("u", now + HOLDS.mul_f64(0.99)));
+    assert!(!told.contains("u", now + HOLDS));
+    assert!(!told.note("v", Duration::ZERO, now));
 }
