Log ejections of upstreams, and on whose report

The lines of the incident could not tell refusals for want of a link from refusals because an owner had ejected an engine on the report of a box that was cut off. Observability only; no decision changes.

--- a/crates/hatchpitch/src/grants/state.rs
+++ b/crates/hatchpitch/src/grants/state.rs
@@ -5,7 +5,7 @@
 
 use crate::admission::Permit;
 use crate::ids::{AttemptId, BoxName};
-use crate::routing::RunReport;
+use crate::routing::{RunReport, Verdict};
 
 /// Age beyond which a slot is dropped unless its holder lists it in a sync. A younger slot may not
 /// be known to its holder yet.
@@ -36,9 +36,15 @@
 
     /// Releases a slot. Does nothing if the attempt holds none.
     pub fn release(&mut self, id: &str, report: RunReport) {
-        if let Some(mut grant) = self.grants.remove(id) {
-            grant.permit.set_report(report);
+        let Some(mut grant) = self.grants.remove(id) else { return };
+        if matches!(report.verdict, Verdict::Faulty | Verdict::Failed) {
+            log::info!(
+                upstream = grant.permit.runner.name.as_str(), reporter = grant.holder.as_str(),
+                verdict:? = report.verdict;
+                "another box reports that an upstream failed"
+            );
         }
+        grant.permit.set_report(report);
     }
 
     /// Drops the slots of a holder that it does not list. This reclaims slots whose release, or
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -497,7 +497,12 @@
             Verdict::Faulty | Verdict::Failed => {
                 let doubled = cfg.eject_min.saturating_mul(1 << runner.failures.min(16));
                 runner.failures += 1;
-                runner.ejected_until = Some(now + doubled.min(cfg.eject_max));
+                let ejection = doubled.min(cfg.eject_max);
+                runner.ejected_until = Some(now + ejection);
+                log::info!(
+                    upstream = name, failures = runner.failures, eject_ms = ejection.as_millis();
+                    "an upstream is ejected"
+                );
             }
         }
     }
