--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -56,7 +56,7 @@
     prompt: &str,
     times: &mut Latencies,
 ) -> anyhow::Result<()> {
-    let upstream = Upstream { addr, connect_timeout: Duration::from_secs(1) };
+    let upstream = Upstream { addr, connect_timeout: Duration::from_secs(1), source: None };
     let id = hatchpitch::ids::new_id();
     let req = GenerateRequest {
         generation: id.clone(),
--- a/crates/hatchpitch/src/commands/task.rs
+++ b/crates/hatchpitch/src/commands/task.rs
@@ -129,5 +129,5 @@
 }
 
 fn upstream(addr: SocketAddr) -> Upstream {
-    Upstream { addr, connect_timeout: CommandConfig::default().deadline }
+    Upstream { addr, connect_timeout: CommandConfig::default().deadline, source: None }
 }
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -467,7 +467,11 @@
 
     /// Returns the client of an upstream with the connect timeout of this box.
     pub fn upstream(&self, addr: SocketAddr) -> Upstream {
-        Upstream { addr, connect_timeout: self.settings.timing.connect_timeout }
+        Upstream {
+            addr,
+            connect_timeout: self.settings.timing.connect_timeout,
+            source: self.settings.upstream_source_ip,
+        }
     }
 
     /// Returns how many requests are in progress.
--- a/crates/hatchpitch/src/settings/control.rs
+++ b/crates/hatchpitch/src/settings/control.rs
@@ -95,7 +95,7 @@
             .iter()
             .map(|p| peer(&mut check, "peer.", &p.name, &p.boxes_addr, &p.operators_addr))
             .collect();
-        let listen_ip = shared::listen_ip(&mut check, &raw.listen_ip);
+        let listen_ip = shared::ip(&mut check, "listen_ip", &raw.listen_ip);
         let box_keys = shared::key_ring(&mut check, &raw.box_keys);
         let operators = raw.operator.iter().map(|op| operator(&mut check, op)).collect();
         let log_level = shared::log_level(&mut check, &raw.log_level);
--- a/crates/hatchpitch/src/settings/entry.rs
+++ b/crates/hatchpitch/src/settings/entry.rs
@@ -24,6 +24,7 @@
     callers_addr: Spanned<String>,
     boxes_addr: Spanned<String>,
     listen_ip: Option<Spanned<String>>,
+    upstream_source_ip: Option<Spanned<String>>,
     control: Spanned<Vec<Spanned<String>>>,
     #[serde(default)]
     seeds: Vec<Spanned<String>>,
@@ -135,6 +136,8 @@
     pub boxes_addr: SocketAddr,
     /// Address to bind listeners to, if it differs from the advertised one (port forwarding).
     pub listen_ip: Option<IpAddr>,
+    /// Local address of connections to upstreams; the system chooses one if there is none.
+    pub upstream_source_ip: Option<IpAddr>,
     /// Addresses of the control boxes.
     pub control: Vec<SocketAddr>,
     /// Addresses of entry boxes through which this box joins the membership.
@@ -160,7 +163,9 @@
         let failure_domain = check.name("failure_domain", &raw.failure_domain);
         let callers_addr = check.parse("callers_addr", &raw.callers_addr, shared::ADDR);
         let boxes_addr = check.parse("boxes_addr", &raw.boxes_addr, shared::ADDR);
-        let listen_ip = shared::listen_ip(&mut check, &raw.listen_ip);
+        let listen_ip = shared::ip(&mut check, "listen_ip", &raw.listen_ip);
+        let upstream_source_ip =
+            shared::ip(&mut check, "upstream_source_ip", &raw.upstream_source_ip);
         let control = shared::addrs(&mut check, "control", raw.control.get_ref());
         if raw.control.get_ref().is_empty() {
             check.report(raw.control.span(), "control", "no address", "one address or more");
@@ -188,6 +193,7 @@
             advertised_addr: None,
             boxes_addr,
             listen_ip,
+            upstream_source_ip,
             control,
             seeds,
             box_keys,
--- a/crates/hatchpitch/src/settings/shared.rs
+++ b/crates/hatchpitch/src/settings/shared.rs
@@ -51,9 +51,9 @@
     raw.iter().filter_map(|addr| check.parse(key, addr, ADDR)).collect()
 }
 
-/// Parses the address to bind listeners to, if it differs from the advertised one.
-pub(super) fn listen_ip(check: &mut Checker, raw: &Option<Spanned<String>>) -> Option<IpAddr> {
-    check.parse("listen_ip", raw.as_ref()?, "an IP address such as \"10.0.0.7\"")
+/// Parses an optional IP address.
+pub(super) fn ip(check: &mut Checker, key: &str, raw: &Option<Spanned<String>>) -> Option<IpAddr> {
+    check.parse(key, raw.as_ref()?, "an IP address such as \"10.0.0.7\"")
 }
 
 /// Parses the log level; defaults to `info`.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -6,11 +6,11 @@
 //! connection of its own, so a late answer is never read as that of the next request.
 
 use std::fmt;
-use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::io::{self, ErrorKind};
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use compio::net::TcpStream;
+use compio::net::{TcpSocket, TcpStream};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -67,13 +67,15 @@
     Unclear,
 }
 
-/// Address of an upstream and the timeout of connects to it.
+/// Address of an upstream and how to connect to it.
 #[derive(Debug, Clone, Copy)]
 pub struct Upstream {
     /// Address that the upstream listens on.
     pub addr: SocketAddr,
     /// Longest time that a connect may take.
     pub connect_timeout: Duration,
+    /// Local address of connections; the system chooses one if there is none.
+    pub source: Option<IpAddr>,
 }
 
 impl Upstream {
@@ -114,7 +116,7 @@
 
     /// Probes whether the upstream listens, with a connection that is closed immediately.
     pub async fn listening(&self) -> Listening {
-        match compio::time::timeout(self.connect_timeout, TcpStream::connect(self.addr)).await {
+        match compio::time::timeout(self.connect_timeout, self.open()).await {
             Ok(Ok(_)) => Listening::Yes,
             Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Listening::No,
             Ok(Err(_)) | Err(_) => Listening::Unclear,
@@ -123,7 +125,7 @@
 
     async fn connect(&self) -> Result<TcpStream, SendError> {
         let fail = |cause: String| SendError { step: SendStep::Connect, peer: self.addr, cause };
-        let connected = compio::time::timeout(self.connect_timeout, TcpStream::connect(self.addr));
+        let connected = compio::time::timeout(self.connect_timeout, self.open());
         let stream = connected
             .await
             .map_err(|_| fail(format!("no connection within {:?}", self.connect_timeout)))?
@@ -132,4 +134,14 @@
         set_silence_timeouts(&stream).map_err(|err| fail(err.to_string()))?;
         Ok(stream)
     }
+
+    async fn open(&self) -> io::Result<TcpStream> {
+        let Some(source) = self.source else { return TcpStream::connect(self.addr).await };
+        let socket = match self.addr {
+            SocketAddr::V4(_) => TcpSocket::new_v4().await?,
+            SocketAddr::V6(_) => TcpSocket::new_v6().await?,
+        };
+        socket.bind(SocketAddr::new(source, 0)).await?;
+        socket.connect(self.addr).await
+    }
 }
--- a/crates/net/tests/keepalive.rs
+++ b/crates/net/tests/keepalive.rs
@@ -38,7 +38,7 @@
     let addr = listener.local_addr().unwrap();
     let accepted = std::thread::spawn(move || listener.accept().unwrap());
     let call = compio::runtime::spawn(async move {
-        let upstream = Upstream { addr, connect_timeout: TIMEOUT };
+        let upstream = Upstream { addr, connect_timeout: TIMEOUT, source: None };
         upstream.send(Request::new(Body::empty()), TIMEOUT).await.map(drop)
     });
     while !accepted.is_finished() {
--- a/crates/net/tests/steps.rs
+++ b/crates/net/tests/steps.rs
@@ -53,7 +53,7 @@
 }
 
 async fn call(addr: SocketAddr) -> Result<http::Response<hyper::body::Incoming>, SendError> {
-    let upstream = Upstream { addr, connect_timeout: LIMIT };
+    let upstream = Upstream { addr, connect_timeout: LIMIT, source: None };
     let req = Request::post("/quote").header("host", "x").body(Body::from(BODY.to_owned()));
     upstream.send(req.unwrap(), LIMIT).await
 }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -117,7 +117,7 @@
             let box_index = self.rng.borrow_mut().random_range(0..boxes);
             let addr = self.cx.fleet.addr(box_index, |ports| ports.directory);
             let message = (self.cx.run.wire.addresses)(DOMAINS[0]);
-            let upstream = Upstream { addr, connect_timeout: CONNECT_TIMEOUT };
+            let upstream = Upstream { addr, connect_timeout: CONNECT_TIMEOUT, source: None };
             let answer = upstream.send(message, CONNECT_TIMEOUT).await.ok()?;
             let body = read_body(answer.into_body(), MAX_ANSWER, CONNECT_TIMEOUT).await.ok()?;
             *self.addresses.borrow_mut() =
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -145,7 +145,7 @@
     async fn call(&self, addr: SocketAddr, message: impl Fn() -> Request<Body>) -> Option<Answer> {
         let mut addr = addr;
         for _ in 0..=MAX_REDIRECTS {
-            let control = Upstream { addr, connect_timeout: CALL_TIMEOUT };
+            let control = Upstream { addr, connect_timeout: CALL_TIMEOUT, source: None };
             let res = control.send(message(), CALL_TIMEOUT).await.ok()?;
             let status = res.status();
             if status == StatusCode::TEMPORARY_REDIRECT {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -253,7 +253,7 @@
         let mut not_ready = Vec::new();
         for index in self.size.all_boxes() {
             let addr = self.fleet.addr(index, |ports| ports.ready);
-            let probed = Upstream { addr, connect_timeout: PROBE_TIMEOUT };
+            let probed = Upstream { addr, connect_timeout: PROBE_TIMEOUT, source: None };
             let answer = probed.send((self.cx.wire.ready)(), PROBE_TIMEOUT).await;
             if !answer.is_ok_and(|answer| answer.status().is_success()) {
                 not_ready.push(format!("box {index} is not ready"));
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -299,6 +299,6 @@
 
 /// Sends a message to a control box. Returns whether it answered with success.
 async fn acknowledged(addr: SocketAddr, message: Request<Body>) -> bool {
-    let control = Upstream { addr, connect_timeout: ACK_TIMEOUT };
+    let control = Upstream { addr, connect_timeout: ACK_TIMEOUT, source: None };
     matches!(control.send(message, ACK_TIMEOUT).await, Ok(res) if res.status().is_success())
 }
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -172,7 +172,7 @@
         *req.method_mut() = method;
         *req.uri_mut() = path.parse()?;
         *req.headers_mut() = headers;
-        let upstream = Upstream { addr: at, connect_timeout: CONNECT_TIMEOUT };
+        let upstream = Upstream { addr: at, connect_timeout: CONNECT_TIMEOUT, source: None };
         Ok(upstream.send(req, HEAD_TIMEOUT).await?)
     }
 }
