--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -5,6 +5,7 @@
 
 use hatchpitch::engine::adapter;
 use hatchpitch::engine::{EngineEvent, GenerateRequest};
+use hatchpitch::reachability::UpstreamClient;
 use hatchpitch_e2e::fleet::MODEL;
 use hatchpitch_e2e::{FleetSpec, TestFleet};
 use hatchpitch_net::Upstream;
@@ -57,6 +58,7 @@
     times: &mut Latencies,
 ) -> anyhow::Result<()> {
     let upstream = Upstream { addr, connect_timeout: Duration::from_secs(1), source: None };
+    let upstream = UpstreamClient::direct(upstream);
     let id = hatchpitch::ids::new_id();
     let req = GenerateRequest {
         generation: id.clone(),
--- a/crates/hatchpitch/src/commands/task.rs
+++ b/crates/hatchpitch/src/commands/task.rs
@@ -15,6 +15,7 @@
 use crate::engine::adapter::{self, EngineError};
 use crate::engine::messages::{EngineCommand, EngineHoldings};
 use crate::ids::{ConfigNumber, Priority, RunnerName};
+use crate::reachability::UpstreamClient;
 
 /// Interval between two calls of [`CommandScheduler::tick`].
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -128,6 +129,7 @@
     }
 }
 
-fn upstream(addr: SocketAddr) -> Upstream {
-    Upstream { addr, connect_timeout: CommandConfig::default().deadline, source: None }
+fn upstream(addr: SocketAddr) -> UpstreamClient {
+    let connect_timeout = CommandConfig::default().deadline;
+    UpstreamClient::direct(Upstream { addr, connect_timeout, source: None })
 }
--- a/crates/hatchpitch/src/engine/adapter.rs
+++ b/crates/hatchpitch/src/engine/adapter.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use hatchpitch_net::{Body, BodyError, SendError, Upstream, read_body, read_stream};
+use hatchpitch_net::{Body, BodyError, SendError, read_body, read_stream};
 use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -12,6 +12,7 @@
 
 use super::messages::{EngineEvent, EngineLoad, EngineRefusal, GenerateRequest};
 use crate::ids::TokenIndex;
+use crate::reachability::UpstreamClient;
 use crate::trace::TRACEPARENT;
 use crate::upstream_signals::{SignalHeaders, UpstreamSignals};
 
@@ -123,7 +124,7 @@
 /// Returns an [`EngineError`]; [`EngineError::is_not_run`] tells whether it is certain that nothing
 /// was run.
 pub async fn generate(
-    upstream: &Upstream,
+    upstream: &UpstreamClient,
     req: &GenerateRequest,
     traceparent: &str,
     head_timeout: Duration,
@@ -154,7 +155,7 @@
 /// Returns an [`EngineError`]; a refusal with status 404 means that the engine does not have
 /// the generation.
 pub async fn resume(
-    upstream: &Upstream,
+    upstream: &UpstreamClient,
     resume_req: ResumeRequest<'_>,
     head_timeout: Duration,
     on_head: OnHead<'_>,
@@ -171,7 +172,7 @@
 ///
 /// Returns an [`EngineError`].
 pub async fn cancel(
-    upstream: &Upstream,
+    upstream: &UpstreamClient,
     generation: &str,
     attempt: &str,
     on_head: OnHead<'_>,
@@ -186,7 +187,10 @@
 /// # Errors
 ///
 /// Returns an [`EngineError`].
-pub async fn load(upstream: &Upstream, on_head: OnHead<'_>) -> Result<EngineLoad, EngineError> {
+pub async fn load(
+    upstream: &UpstreamClient,
+    on_head: OnHead<'_>,
+) -> Result<EngineLoad, EngineError> {
     let req = request(Method::GET, upstream, "/v1/load", "", Body::empty());
     parse(&call(upstream, req, on_head).await?)
 }
@@ -197,7 +201,7 @@
 ///
 /// Returns an [`EngineError`].
 pub async fn get_json<A: DeserializeOwned>(
-    upstream: &Upstream,
+    upstream: &UpstreamClient,
     path: &str,
 ) -> Result<A, EngineError> {
     let req = request(Method::GET, upstream, path, "", Body::empty());
@@ -214,7 +218,7 @@
 ///
 /// Returns an [`EngineError`].
 pub async fn post_json<Q: Serialize>(
-    upstream: &Upstream,
+    upstream: &UpstreamClient,
     path: &str,
     message: &Q,
 ) -> Result<Bytes, EngineError> {
@@ -230,7 +234,7 @@
 
 fn request(
     method: Method,
-    upstream: &Upstream,
+    upstream: &UpstreamClient,
     path: &str,
     traceparent: &str,
     body: Body,
@@ -238,7 +242,7 @@
     let mut req = Request::builder()
         .method(method)
         .uri(path)
-        .header(header::HOST, upstream.addr.to_string())
+        .header(header::HOST, upstream.addr().to_string())
         .header(header::CONTENT_TYPE, "application/json");
     if !traceparent.is_empty() {
         req = req.header(TRACEPARENT, traceparent);
@@ -247,7 +251,7 @@
 }
 
 async fn open_stream(
-    upstream: &Upstream,
+    upstream: &UpstreamClient,
     req: Request<Body>,
     head_timeout: Duration,
     on_head: OnHead<'_>,
@@ -267,7 +271,7 @@
 
 /// Sends a request and reads the complete answer.
 async fn call(
-    upstream: &Upstream,
+    upstream: &UpstreamClient,
     req: Request<Body>,
     on_head: OnHead<'_>,
 ) -> Result<Bytes, EngineError> {
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -323,7 +323,8 @@
         let req = self.request(addr, traceparent);
         let timeout = self.service.service.timeout;
         let sent_at = clock::now();
-        let res = self.cx.upstream(addr).send(req, timeout).await.map_err(AppFailure::from)?;
+        let res = self.cx.upstream(&upstream.name, addr).send(req, timeout).await;
+        let res = res.map_err(AppFailure::from)?;
         upstream_signals::record(&self.cx, &upstream.name, head_signals(&res), sent_at);
         let status = res.status();
         let default_type = || HeaderValue::from_static("application/octet-stream");
--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -17,6 +17,7 @@
 use crate::moves::task::{self as turns, TURN_DONE_PATH, TURN_PATH};
 use crate::moves::{TurnDone, TurnRequest};
 use crate::outcome::text_response;
+use crate::reachability::task::{self as reachability, FORWARD_PATH};
 use crate::upstream_limits::task::{self as upstream_limits, LIMIT_NOTICES_PATH, PERMIT_PATH};
 use crate::upstream_limits::{LimitNotice, PermitRequest};
 use crate::upstream_signals::LeavingNotice;
@@ -28,6 +29,9 @@
         return problem.into_response();
     }
     let (parts, incoming) = req.into_parts();
+    if parts.uri.path() == FORWARD_PATH {
+        return reachability::answer(&cx, parts, incoming).await;
+    }
     let settings = &cx.settings;
     let read = read_body(incoming, settings.limits.max_body, settings.timing.body_timeout);
     let body = match read.await {
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -28,6 +28,7 @@
 use crate::moves::Turns;
 use crate::outcome::Problem;
 use crate::quarantine::Observer;
+use crate::reachability::{ForwardCounts, Reachability, UpstreamClient};
 use crate::registry::Phase;
 use crate::registry::follow::FollowState;
 use crate::routing::state::RunnerSpec;
@@ -83,6 +84,10 @@
     pub limits: SharedLimits,
     /// Backoffs that upstreams have asked this box for.
     pub backoffs: SharedBackoffs,
+    /// Which upstreams this box reaches on its own links, and which boxes reach others.
+    pub reachability: Reachability,
+    /// Requests that this box is sending to upstreams for other boxes.
+    pub forwards: ForwardCounts,
     /// Upstreams whose limits still have to be sent to other boxes.
     pub limit_notices: NoticeQueue,
     /// Upstreams that announced in an answer that they are leaving.
@@ -148,6 +153,8 @@
             quarantine: Observer::default(),
             limits: SharedLimits::default(),
             backoffs: SharedBackoffs::default(),
+            reachability: Reachability::default(),
+            forwards: ForwardCounts::default(),
             limit_notices: NoticeQueue::default(),
             leaving: RefCell::default(),
             leaving_notices: NoticeQueue::default(),
@@ -466,12 +473,17 @@
     }
 
     /// Returns the client of an upstream with the connect timeout of this box.
-    pub fn upstream(&self, addr: SocketAddr) -> Upstream {
-        Upstream {
-            addr,
-            connect_timeout: self.settings.timing.connect_timeout,
-            source: self.settings.upstream_source_ip,
-        }
+    pub fn upstream(self: &Rc<Self>, name: &str, addr: SocketAddr) -> UpstreamClient {
+        UpstreamClient::new(
+            self,
+            name,
+            self.direct_path(addr, self.settings.timing.connect_timeout),
+        )
+    }
+
+    /// Returns the path from this box to an upstream.
+    pub fn direct_path(&self, addr: SocketAddr, connect_timeout: Duration) -> Upstream {
+        Upstream { addr, connect_timeout, source: self.settings.upstream_source_ip }
     }
 
     /// Returns how many requests are in progress.
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::clock;
+use hatchpitch_net::{SendStep, clock};
 
 use super::context::{EntryCx, StreamGuard};
 use crate::dispatch::{Refusal, SlotRequest};
@@ -16,6 +16,7 @@
 use crate::outcome::Problem;
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunLocation};
+use crate::reachability::UpstreamClient;
 use crate::routing::Verdict;
 use crate::streams::{Phase, StreamLimits, StreamState, StreamStep};
 use crate::trace::Span;
@@ -100,7 +101,7 @@
     /// Slot at the runner; `None` if another box started the answer or while a new slot is
     /// obtained.
     slot: Option<Slot>,
-    upstream: hatchpitch_net::Upstream,
+    upstream: UpstreamClient,
     runner: RunnerName,
     reader: Option<EventReader>,
     /// Runners that failed and are not chosen again.
@@ -113,6 +114,8 @@
     relink_delay: Duration,
     /// Whether any runner may have run the request.
     ran: bool,
+    /// Whether the last failure to reach the runner is evidence against it.
+    has_path: bool,
     span: Span,
     _stream_guard: StreamGuard,
     started: Instant,
@@ -141,7 +144,7 @@
         let limits = StreamLimits::default();
         let state = StreamState::new(new_id(), new_id(), job.is_streamed, limits);
         let mut generation = Self {
-            upstream: cx.upstream(slot.addr),
+            upstream: cx.upstream(&slot.runner, slot.addr),
             runner: slot.runner.clone(),
             cx,
             job,
@@ -153,6 +156,7 @@
             first_token_at: None,
             relink_delay: RELINK_DELAY,
             ran: false,
+            has_path: true,
             span,
             _stream_guard: stream_guard,
             started,
@@ -176,7 +180,7 @@
     ) -> Result<Self, StartError> {
         let started = clock::now();
         let mut resumed = Self {
-            upstream: cx.upstream(runner.1),
+            upstream: cx.upstream(&runner.0, runner.1),
             runner: runner.0,
             cx,
             job,
@@ -188,6 +192,7 @@
             first_token_at: None,
             relink_delay: RELINK_DELAY,
             ran: true,
+            has_path: true,
             span,
             _stream_guard: stream_guard,
             started,
@@ -327,7 +332,8 @@
                 span.note("error", &err);
                 log::info!("could not start a generation at {}: {err}", self.runner);
                 self.ran |= !err.is_not_run();
-                if matches!(err, EngineError::Send(_)) {
+                if let EngineError::Send(err) = &err {
+                    self.has_path = err.step != SendStep::NoPath;
                     self.record_runner_failure();
                     if !err.is_not_run() {
                         self.report_interruption();
@@ -422,7 +428,8 @@
         if let Err(problem) = self.check_quarantine() {
             return self.state.fail(&format!("{cause}; {}", problem.message));
         }
-        self.upstream = self.cx.upstream(slot.addr);
+        self.upstream = self.cx.upstream(&slot.runner, slot.addr);
+        self.has_path = true;
         self.runner.clone_from(&slot.runner);
         self.slot = Some(slot);
         self.first_token_at = None;
@@ -438,14 +445,15 @@
     /// Reports to the quarantine observer that the runner interrupted the answer.
     fn report_interruption(&self) {
         let Some(content) = self.content else { return };
-        let location = RunLocation { upstream: &self.runner, addr: self.upstream.addr };
+        let location = RunLocation { upstream: &self.runner, addr: self.upstream.addr() };
         observer::record_interruption(&self.cx, location, content, self.first_token_at);
     }
 
-    /// Finishes the slot with the verdict that its runner failed.
+    /// Finishes the slot with the verdict that its runner failed, unless this box has no path to it.
     fn record_runner_failure(&mut self) {
         if let Some(slot) = self.slot.as_mut() {
-            slot.finish(Verdict::Failed, None);
+            let verdict = if self.has_path { Verdict::Failed } else { Verdict::Released };
+            slot.finish(verdict, None);
         }
     }
 
@@ -495,7 +503,7 @@
 
     /// Cancels the current generation after a delay, in a task of its own.
     fn spawn_cancel(&self, delay: Duration) {
-        let (cx, runner, upstream) = (self.cx.clone(), self.runner.clone(), self.upstream);
+        let (cx, runner, upstream) = (self.cx.clone(), self.runner.clone(), self.upstream.clone());
         let (id, attempt) = (self.state.generation().to_owned(), self.state.attempt().to_owned());
         compio::runtime::spawn(async move {
             compio::time::sleep(delay).await;
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod moves;
 pub mod outcome;
 pub mod quarantine;
+pub mod reachability;
 pub mod registry;
 pub mod relay;
 pub mod replication;
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -57,6 +57,10 @@
     Crashes,
     /// Requests refused because requests with the same content crash upstreams.
     Quarantined,
+    /// Requests of this box that another box sent to their upstream.
+    SentByPeer,
+    /// Requests that this box sent to their upstream for another box.
+    SentForPeer,
 }
 
 /// Gap between tokens above which a stream counts as stalled.
@@ -213,5 +217,7 @@
         Count::UnknownKey => "hatchpitch_unknown_key_total",
         Count::Crashes => "hatchpitch_upstream_crashes_total",
         Count::Quarantined => "hatchpitch_quarantined_total",
+        Count::SentByPeer => "hatchpitch_sent_by_peer_total",
+        Count::SentForPeer => "hatchpitch_sent_for_peer_total",
     }
 }
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -198,7 +198,7 @@
     /// for which the source stops the run.
     async fn copy(&self, to: SocketAddr, stop: bool) -> Result<CopyAnswer, CopyFailure> {
         let order = CopyOrder { request: self.req.id.clone(), to, stop };
-        let upstream = self.relay.cx.upstream(self.source.addr);
+        let upstream = self.relay.cx.upstream(&self.source.runner, self.source.addr);
         let copied = (self.relay.protocol.copy)(upstream, order);
         let sent = clock::now();
         match compio::time::timeout(COPY_LIMIT, copied).await {
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -166,9 +166,9 @@
 async fn investigate(cx: &Rc<EntryCx>, upstream: RunnerName, addr: SocketAddr) {
     let life = name_crashed_life(cx, &upstream);
     compio::time::sleep(GATHER_WINDOW).await;
-    let crashed = match cx.upstream(addr).listening().await {
+    let crashed = match cx.upstream(&upstream, addr).listening().await {
         Listening::Yes => is_replaced(cx, &upstream, addr).await,
-        Listening::No => is_still_down(cx, addr).await,
+        Listening::No => is_still_down(cx, &upstream, addr).await,
         Listening::Unclear => false,
     };
     let runs = cx.quarantine.interrupted.borrow_mut().remove(&upstream).unwrap_or_default();
@@ -195,9 +195,9 @@
 }
 
 /// Returns whether an address still refuses connections after [`RECHECK_DELAY`].
-async fn is_still_down(cx: &EntryCx, addr: SocketAddr) -> bool {
+async fn is_still_down(cx: &Rc<EntryCx>, upstream: &str, addr: SocketAddr) -> bool {
     compio::time::sleep(RECHECK_DELAY).await;
-    cx.upstream(addr).listening().await == Listening::No
+    cx.upstream(upstream, addr).listening().await == Listening::No
 }
 
 /// Returns whether another incarnation replaces one that did not announce that it leaves.
--- /dev/null
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -0,0 +1,284 @@
+//! Client for one upstream: sends directly while this box has a link, else through other boxes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hatchpitch_net::{Body, Listening, SendError, SendStep, Upstream, clock};
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+use super::messages::{ForwardAction, ProbeResult};
+use super::state::PathChange;
+use super::task::{self, PeerAnswer};
+use crate::entry::EntryCx;
+use crate::ids::RunnerName;
+
+/// Other boxes that are asked for one request.
+const MAX_PEERS: usize = 3;
+/// Other boxes that are drawn for one request.
+const PEER_SAMPLE: usize = 6;
+/// Time after which no further box is asked for a request. One that cannot connect answers within
+/// its own connect timeout, and the request may still be served by another upstream.
+const PEER_SEARCH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a probe keeps its connection open. A network that resets connections does so
+/// within a few round trips.
+const PROBE_HOLD: Duration = Duration::from_millis(50);
+
+/// Encodes a request for one attempt, given the time left until its response is of no more use.
+pub type Encode<'a> = &'a dyn Fn(Duration) -> Request<Body>;
+
+/// Client for one upstream.
+#[derive(Clone)]
+pub struct UpstreamClient {
+    upstream: Upstream,
+    detour: Option<Detour>,
+}
+
+/// What is needed to reach the upstream through other boxes.
+#[derive(Clone)]
+struct Detour {
+    cx: Rc<EntryCx>,
+    name: RunnerName,
+}
+
+/// Result of the search for a box that reaches the upstream.
+enum Search {
+    /// A box sent the request.
+    Sent(Result<Response<Incoming>, SendError>),
+    /// A box that has links to other upstreams failed as well. Holds the cause.
+    UpstreamFailed(String),
+    /// No box could tell.
+    NoPeer,
+}
+
+impl UpstreamClient {
+    /// Creates a client that reaches the upstream only on the links of this box.
+    pub fn direct(upstream: Upstream) -> Self {
+        Self { upstream, detour: None }
+    }
+
+    /// Creates a client that also reaches the upstream through other boxes.
+    pub fn new(cx: &Rc<EntryCx>, name: &str, upstream: Upstream) -> Self {
+        Self { upstream, detour: Some(Detour { cx: cx.clone(), name: name.to_owned() }) }
+    }
+
+    /// Returns the address of the upstream.
+    pub fn addr(&self) -> SocketAddr {
+        self.upstream.addr
+    }
+
+    /// Sends a request and waits up to `timeout` for the response head.
+    ///
+    /// Dropping the returned future or the response body closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendError`] that tells whether the request can have reached the upstream.
+    pub async fn send(
+        &self,
+        req: Request<Body>,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>, SendError> {
+        let (parts, body) = req.into_parts();
+        let bytes = match body {
+            Body::Full(bytes) => bytes,
+            body @ (Body::Stream(_) | Body::Incoming(_)) => {
+                // A body that can be read only once is sent only once.
+                return self.upstream.send(Request::from_parts(parts, body), timeout).await;
+            }
+        };
+        let req = Request::from_parts(parts, bytes);
+        self.send_encoded(&|_| req.clone().map(Body::Full), timeout).await
+    }
+
+    /// Sends a request that is encoded for each attempt to send it, of which only the last one can
+    /// have reached the upstream. Waits up to `timeout` for the response head.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendError`] that tells whether the request can have reached the upstream.
+    pub async fn send_encoded(
+        &self,
+        encode: Encode<'_>,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>, SendError> {
+        let end = clock::now() + timeout;
+        let Some(detour) = &self.detour else { return self.send_directly(encode, end).await };
+        let paths = &detour.cx.reachability.paths;
+        let is_direct = paths.borrow_mut().is_direct(self.addr(), clock::now());
+        let failed = if is_direct {
+            match self.send_directly(encode, end).await {
+                Err(err) if err.is_not_run() => Some(err),
+                result => return result,
+            }
+        } else {
+            self.probe();
+            None
+        };
+        match self.search_peers(detour, encode, end).await {
+            Search::Sent(result) => result,
+            Search::UpstreamFailed(cause) => {
+                Err(SendError { step: SendStep::Connect, peer: self.addr(), cause })
+            }
+            Search::NoPeer => match failed {
+                Some(err) => Err(detour.without_witness(err)),
+                None => {
+                    let sent = self.send_directly(encode, end).await;
+                    sent.map_err(|err| detour.without_witness(err))
+                }
+            },
+        }
+    }
+
+    /// Returns whether the upstream listens, by the word of another box where this one cannot tell.
+    pub async fn listening(&self) -> Listening {
+        let listening = self.upstream.listening().await;
+        let Some(detour) = self.detour.as_ref().filter(|_| listening != Listening::Yes) else {
+            return listening;
+        };
+        let candidates = task::candidates(&detour.cx, PEER_SAMPLE);
+        if candidates.is_empty() {
+            return listening;
+        }
+        for peer in candidates.into_iter().take(MAX_PEERS) {
+            match task::probe(&detour.cx, peer, &detour.name, self.addr()).await {
+                Some(ProbeResult { listening: Listening::Yes, .. }) => return Listening::Yes,
+                Some(ProbeResult { listening, is_conclusive: true }) => return listening,
+                Some(_) | None => {}
+            }
+        }
+        Listening::Unclear
+    }
+
+    async fn send_directly(
+        &self,
+        encode: Encode<'_>,
+        end: Instant,
+    ) -> Result<Response<Incoming>, SendError> {
+        let conn = self.upstream.connect().await.inspect_err(|_| self.record_failure())?;
+        let connected = clock::now();
+        let left = end.saturating_duration_since(connected);
+        let sent = conn.send(encode(left), left).await;
+        match &sent {
+            Ok(_) => self.record_success(connected),
+            Err(err) if err.step == SendStep::Unsent => self.record_failure(),
+            Err(_) if clock::now() < end => self.probe(),
+            Err(_) => {}
+        }
+        sent
+    }
+
+    /// Has another box send the request.
+    async fn search_peers(&self, detour: &Detour, encode: Encode<'_>, end: Instant) -> Search {
+        let (cx, started) = (&detour.cx, clock::now());
+        for peer in task::candidates(cx, PEER_SAMPLE).into_iter().take(MAX_PEERS) {
+            let now = clock::now();
+            if now >= end || now >= started + PEER_SEARCH_TIMEOUT {
+                break;
+            }
+            let left = end - now;
+            let action = match task::encode_action(encode(left), left) {
+                Ok(action) => action,
+                Err(cause) => {
+                    log::warn!(upstream = detour.name.as_str(); "request not forwarded: {cause}");
+                    break;
+                }
+            };
+            match self.ask(detour, peer, action, left).await {
+                PeerAnswer::Response(res) => return Search::Sent(Ok(res)),
+                PeerAnswer::MayHaveRun(cause) => {
+                    let step = SendStep::AwaitHead;
+                    return Search::Sent(Err(SendError { step, peer: self.addr(), cause }));
+                }
+                PeerAnswer::UpstreamFailed(cause) => return Search::UpstreamFailed(cause),
+                PeerAnswer::NoHelp => {}
+            }
+        }
+        Search::NoPeer
+    }
+
+    async fn ask(
+        &self,
+        detour: &Detour,
+        peer: SocketAddr,
+        action: ForwardAction,
+        timeout: Duration,
+    ) -> PeerAnswer {
+        let (cx, addr) = (&detour.cx, self.addr());
+        let answer = task::ask(cx, peer, &detour.name, addr, action, timeout).await;
+        let reachability = &cx.reachability;
+        match &answer {
+            PeerAnswer::Response(_) => {
+                reachability.peers.borrow_mut().record_help(peer, clock::now());
+                let change =
+                    reachability.paths.borrow_mut().record_peer_success(addr, clock::now());
+                detour.log_change(change, addr);
+            }
+            PeerAnswer::UpstreamFailed(_) => {
+                reachability.paths.borrow_mut().record_peer_failure(addr);
+            }
+            PeerAnswer::NoHelp | PeerAnswer::MayHaveRun(_) => {
+                reachability.peers.borrow_mut().record_no_help(peer, clock::now());
+            }
+        }
+        answer
+    }
+
+    /// Checks in the background whether this box has a link, at the rate at which paths are probed.
+    fn probe(&self) {
+        let Some(detour) = self.detour.clone() else { return };
+        let now = clock::now();
+        if !detour.cx.reachability.paths.borrow_mut().take_probe(now) {
+            return;
+        }
+        let client = self.clone();
+        compio::runtime::spawn(async move {
+            let started = clock::now();
+            if client.upstream.keeps_connection(PROBE_HOLD).await {
+                client.record_success(started);
+            } else {
+                let mut paths = detour.cx.reachability.paths.borrow_mut();
+                paths.record_probe_failure(client.addr(), clock::now());
+            }
+        })
+        .detach();
+    }
+
+    fn record_failure(&self) {
+        let Some(detour) = &self.detour else { return };
+        detour.cx.reachability.paths.borrow_mut().record_failure(self.addr(), clock::now());
+    }
+
+    /// Records a success on a connection that was opened at `connected`.
+    fn record_success(&self, connected: Instant) {
+        let Some(detour) = &self.detour else { return };
+        let change =
+            detour.cx.reachability.paths.borrow_mut().record_success(self.addr(), connected);
+        detour.log_change(change, self.addr());
+    }
+}
+
+impl Detour {
+    /// Returns the error of a request that this box could not send while no other box could tell
+    /// whether the upstream has failed. A box without others relies on its own view.
+    fn without_witness(&self, err: SendError) -> SendError {
+        let boxes = self.cx.membership.borrow().serving_boxes().count();
+        let step = if boxes > 1 && err.is_not_run() { SendStep::NoPath } else { err.step };
+        SendError { step, ..err }
+    }
+
+    fn log_change(&self, change: Option<PathChange>, addr: SocketAddr) {
+        let upstream = self.name.as_str();
+        match change {
+            Some(PathChange::Broken) => log::warn!(
+                upstream = upstream, addr:% = addr;
+                "no link to an upstream that other boxes reach; requests go through them"
+            ),
+            Some(PathChange::Restored) => {
+                log::info!(upstream = upstream, addr:% = addr; "link to an upstream is back");
+            }
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/reachability/state.rs
@@ -0,0 +1,200 @@
+//! Which upstreams this box reaches on its own links, and which boxes reach others, without I/O.
+//!
+//! A failed connect does not tell a lost link from a failed upstream. Another box tells them apart:
+//! if it reaches the upstream, this box has lost its link; if it fails as well, the upstream has.
+//! From the first lost link on, a box is assumed to have lost all of them until one works, because
+//! a request that is sent on a lost link may be lost with it. A box whose links to several upstreams
+//! failed is no witness against any of them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time after which a failure that nothing has confirmed or refuted is forgotten.
+const FAILURE_TTL: Duration = Duration::from_secs(10);
+/// Time after its last use at which a broken path is forgotten.
+const BROKEN_TTL: Duration = Duration::from_secs(60);
+/// Interval between probes of broken paths, over all paths of a box: connections are cheap, but
+/// upstreams accept only so many.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which another box that did not help is asked only as a last resort.
+const PEER_AVOIDANCE: Duration = Duration::from_secs(2);
+/// Time for which another box that helped is asked first.
+const PEER_PREFERENCE: Duration = Duration::from_secs(10);
+/// Helpful boxes from which on no further ones are sought, so that the load is spread over a few.
+const MIN_HELPERS: usize = 3;
+
+/// The tables that all tasks of one box share.
+#[derive(Debug, Clone, Default)]
+pub struct Reachability {
+    /// Paths of this box to upstreams.
+    pub paths: Rc<RefCell<PathTable>>,
+    /// Other boxes as helpers.
+    pub peers: Rc<RefCell<PeerTable>>,
+}
+
+/// Change that is worth a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathChange {
+    /// This box has no link to the upstream, but another box has.
+    Broken,
+    /// This box reaches the upstream again.
+    Restored,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct BrokenPath {
+    used_at: Instant,
+    /// Whether another box reached the upstream.
+    is_confirmed: bool,
+}
+
+/// Paths of this box to upstreams.
+#[derive(Debug, Clone, Default)]
+pub struct PathTable {
+    pub(super) broken: BTreeMap<SocketAddr, BrokenPath>,
+    /// Upstreams that failed since the last direct success, with the time of the failure.
+    failing: BTreeMap<SocketAddr, Instant>,
+    /// Whether a path was found to be broken since the last direct success.
+    pub(super) is_isolated: bool,
+    pub(super) last_failure: Option<Instant>,
+    next_probe: Option<Instant>,
+}
+
+impl PathTable {
+    /// Returns whether a request should be sent directly. Records the use of a broken path.
+    pub fn is_direct(&mut self, addr: SocketAddr, now: Instant) -> bool {
+        if let Some(path) = self.broken.get_mut(&addr) {
+            path.used_at = now;
+            return false;
+        }
+        !self.is_isolated
+    }
+
+    /// Returns whether a failure of this box at an upstream is evidence against the upstream: it
+    /// has not lost its links, and no other upstream failed lately.
+    pub fn is_witness(&self, addr: SocketAddr, now: Instant) -> bool {
+        let mut recent = self.failing.iter().filter(|(_, at)| now < **at + FAILURE_TTL);
+        !self.is_isolated
+            && !self.broken.contains_key(&addr)
+            && recent.all(|(failed, _)| *failed == addr)
+    }
+
+    /// Returns the number of broken paths.
+    pub fn broken_count(&self) -> usize {
+        self.broken.len()
+    }
+
+    /// Records a response or a successful probe on a connection of this box that was opened at
+    /// `connected`. A connection from before the last failure may have outlived the links for new
+    /// ones, so it shows nothing.
+    pub fn record_success(&mut self, addr: SocketAddr, connected: Instant) -> Option<PathChange> {
+        if self.last_failure.is_some_and(|failed| connected <= failed) {
+            return None;
+        }
+        self.failing.clear();
+        self.is_isolated = false;
+        self.broken.remove(&addr).map(|_| PathChange::Restored)
+    }
+
+    /// Records that an upstream could not be reached on a link of this box.
+    pub fn record_failure(&mut self, addr: SocketAddr, now: Instant) {
+        self.failing.retain(|_, at| now < *at + FAILURE_TTL);
+        self.broken.retain(|_, path| now < path.used_at + BROKEN_TTL);
+        self.failing.insert(addr, now);
+        self.last_failure = Some(now);
+    }
+
+    /// Records that a probe failed. The next request goes through another box, which shows whether
+    /// the upstream has failed.
+    pub fn record_probe_failure(&mut self, addr: SocketAddr, now: Instant) {
+        self.record_failure(addr, now);
+        let path = BrokenPath { used_at: now, is_confirmed: false };
+        self.broken.entry(addr).or_insert(path);
+    }
+
+    /// Records that another box reached an upstream that this box did not reach or did not try.
+    pub fn record_peer_success(&mut self, addr: SocketAddr, now: Instant) -> Option<PathChange> {
+        if !self.failing.contains_key(&addr) && !self.broken.contains_key(&addr) {
+            return None;
+        }
+        let path = BrokenPath { used_at: now, is_confirmed: true };
+        let known = self.broken.insert(addr, path);
+        if known.is_some_and(|known| known.is_confirmed) {
+            return None;
+        }
+        self.is_isolated = true;
+        Some(PathChange::Broken)
+    }
+
+    /// Records that a reliable witness failed at an upstream as well. This box may have a link.
+    pub fn record_peer_failure(&mut self, addr: SocketAddr) {
+        self.broken.remove(&addr);
+        self.failing.remove(&addr);
+    }
+
+    /// Returns whether a path should be probed now, and records the probe.
+    pub fn take_probe(&mut self, now: Instant) -> bool {
+        let is_due = self.next_probe.is_none_or(|at| now >= at);
+        if is_due {
+            self.next_probe = Some(now + PROBE_INTERVAL);
+        }
+        is_due
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Peer {
+    helped_at: Option<Instant>,
+    avoid_until: Option<Instant>,
+}
+
+/// Other boxes as helpers, by their addresses for boxes.
+#[derive(Debug, Clone, Default)]
+pub struct PeerTable(BTreeMap<SocketAddr, Peer>);
+
+impl PeerTable {
+    /// Orders boxes by how likely they are to help. `sample` holds some of the others in random
+    /// order, and successive values of `draw` spread requests over the boxes that helped before.
+    pub fn order(&self, sample: &[SocketAddr], draw: usize, now: Instant) -> Vec<SocketAddr> {
+        let mut helpers: Vec<SocketAddr> = self.helpers(now).collect();
+        if !helpers.is_empty() {
+            let first = draw % helpers.len();
+            helpers.rotate_left(first);
+        }
+        let others = sample.iter().copied().filter(|addr| !helpers.contains(addr));
+        let (avoided, unknown): (Vec<SocketAddr>, Vec<SocketAddr>) =
+            others.partition(|addr| self.is_avoided(addr, now));
+        let explores = helpers.len() < MIN_HELPERS && draw.is_multiple_of(MIN_HELPERS + 1);
+        let [first, second] = if explores { [unknown, helpers] } else { [helpers, unknown] };
+        first.into_iter().chain(second).chain(avoided).collect()
+    }
+
+    /// Records that a box reached an upstream for this box.
+    pub fn record_help(&mut self, addr: SocketAddr, now: Instant) {
+        self.0.retain(|_, peer| {
+            let is_helper = peer.helped_at.is_some_and(|at| now < at + PEER_PREFERENCE);
+            is_helper || peer.avoid_until.is_some_and(|until| now < until)
+        });
+        self.0.insert(addr, Peer { helped_at: Some(now), avoid_until: None });
+    }
+
+    /// Records that a box could not be reached, has no link either, or is busy.
+    pub fn record_no_help(&mut self, addr: SocketAddr, now: Instant) {
+        let avoid_until = Some(now + PEER_AVOIDANCE);
+        self.0.insert(addr, Peer { helped_at: None, avoid_until });
+    }
+
+    fn helpers(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let is_helper =
+            move |peer: &Peer| peer.helped_at.is_some_and(|at| now < at + PEER_PREFERENCE);
+        self.0.iter().filter(move |(_, peer)| is_helper(peer)).map(|(addr, _)| *addr)
+    }
+
+    fn is_avoided(&self, addr: &SocketAddr, now: Instant) -> bool {
+        let peer = self.0.get(addr).copied().unwrap_or_default();
+        peer.avoid_until.is_some_and(|until| now < until)
+    }
+}
--- /dev/null
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -0,0 +1,321 @@
+//! Asks other boxes to reach upstreams, and answers such requests of others.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hatchpitch_net::{
+    Body, Listening, SendError, SendStep, clock, is_framed, open_message, read_body,
+};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use serde_bytes::ByteBuf;
+
+use super::messages::{
+    ForwardAction, ForwardFailure, ForwardRequest, ForwardedMessage, ProbeResult,
+};
+use crate::entry::EntryCx;
+use crate::entry::context::Intake;
+use crate::ids::RunnerName;
+use crate::metrics::Count;
+use crate::outcome::text_response;
+use crate::relay::headers::strip_hop_by_hop;
+use crate::upstream_signals::signals::parse_backoff;
+
+/// Path of requests to reach an upstream.
+pub const FORWARD_PATH: &str = "/box/forward";
+/// Header of a response that an upstream made; its value tells whether the body was framed.
+const FORWARDED_HEADER: &str = "x-hatchpitch-forwarded";
+const FRAMED: &str = "framed";
+const UNFRAMED: &str = "unframed";
+/// Time limit for connecting to another box, and for a box to connect to an upstream for another
+/// one: many round trips between failure domains.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time limit for the answer to a probe: two connects, and round trips.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest answer of a box that has no response of an upstream, in bytes.
+const MAX_FAILURE: usize = 16 * 1024;
+/// Time limit for reading such an answer.
+const FAILURE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Requests that a box sends to upstreams for others at one time.
+const MAX_FORWARDS: usize = 512;
+/// Total size of these requests while they are being received and sent, in bytes.
+const MAX_FORWARD_BYTES: usize = 16 * 1024 * 1024;
+
+/// Answer of another box that was asked to send a request.
+pub enum PeerAnswer {
+    /// The response of the upstream.
+    Response(Response<Incoming>),
+    /// The request may have reached the upstream. Holds the cause.
+    MayHaveRun(String),
+    /// The box has links to upstreams, but not to this one. Holds the cause.
+    UpstreamFailed(String),
+    /// The box could not be reached, or cannot help. Nothing was sent.
+    NoHelp,
+}
+
+/// Counts the requests that a box is sending to upstreams for others.
+#[derive(Debug, Default)]
+pub struct ForwardCounts {
+    requests: Cell<usize>,
+    bytes: Cell<usize>,
+}
+
+/// Guard that counts a request until its response head is there.
+struct ForwardGuard {
+    cx: Rc<EntryCx>,
+    bytes: usize,
+}
+
+impl ForwardGuard {
+    fn new(cx: &Rc<EntryCx>, bytes: usize) -> Option<Self> {
+        let counts = &cx.forwards;
+        let (requests, total) = (counts.requests.get() + 1, counts.bytes.get() + bytes);
+        if requests > MAX_FORWARDS || total > MAX_FORWARD_BYTES {
+            return None;
+        }
+        counts.requests.set(requests);
+        counts.bytes.set(total);
+        Some(Self { cx: cx.clone(), bytes })
+    }
+}
+
+impl Drop for ForwardGuard {
+    fn drop(&mut self) {
+        let counts = &self.cx.forwards;
+        counts.requests.set(counts.requests.get() - 1);
+        counts.bytes.set(counts.bytes.get() - self.bytes);
+    }
+}
+
+/// Returns other boxes in the order in which they should be asked, of which `sample` are drawn.
+pub(super) fn candidates(cx: &EntryCx, sample: usize) -> Vec<SocketAddr> {
+    let sample = cx.membership.borrow_mut().peers(sample);
+    cx.reachability.peers.borrow().order(&sample, cx.next_rotation(), clock::now())
+}
+
+/// Encodes a request for another box.
+///
+/// # Errors
+///
+/// Returns a description if the body is not complete.
+pub(super) fn encode_action(
+    req: Request<Body>,
+    head_timeout: Duration,
+) -> Result<ForwardAction, &'static str> {
+    let (parts, body) = req.into_parts();
+    let Body::Full(body) = body else { return Err("its body is a stream") };
+    let headers = parts.headers.iter();
+    Ok(ForwardAction::Send(ForwardedMessage {
+        method: parts.method.to_string(),
+        target: parts.uri.to_string(),
+        headers: headers
+            .map(|(name, value)| (name.to_string(), ByteBuf::from(value.as_bytes())))
+            .collect(),
+        body: ByteBuf::from(body.unwrap_or_default()),
+        head_timeout,
+    }))
+}
+
+/// Asks another box to send a request.
+pub(super) async fn ask(
+    cx: &EntryCx,
+    peer: SocketAddr,
+    upstream: &str,
+    addr: SocketAddr,
+    action: ForwardAction,
+    timeout: Duration,
+) -> PeerAnswer {
+    let req = ForwardRequest { upstream: upstream.to_owned(), addr, action };
+    let call = cx.boxes.request_stream(peer, FORWARD_PATH, &req, CONNECT_TIMEOUT, timeout);
+    let mut res = match call.await {
+        Ok(res) => res,
+        Err(err) if err.is_not_run() => {
+            log::debug!("request not forwarded: {err}");
+            return PeerAnswer::NoHelp;
+        }
+        Err(err) => return PeerAnswer::MayHaveRun(format!("through {peer}: {err}")),
+    };
+    if let Some(framing) = res.headers_mut().remove(FORWARDED_HEADER) {
+        if framing == UNFRAMED {
+            res.headers_mut().remove(header::TRANSFER_ENCODING);
+        }
+        cx.metrics.count(Count::SentByPeer, "");
+        return PeerAnswer::Response(res);
+    }
+    if res.status() != StatusCode::OK {
+        log::debug!("request not forwarded: {peer} answered with {}", res.status());
+        return PeerAnswer::NoHelp;
+    }
+    match read_failure(res.into_body()).await {
+        Ok(ForwardFailure { not_run: false, cause, .. }) => {
+            PeerAnswer::MayHaveRun(format!("through {peer}: {cause}"))
+        }
+        Ok(ForwardFailure { is_conclusive: true, cause, .. }) => {
+            PeerAnswer::UpstreamFailed(format!("through {peer}: {cause}"))
+        }
+        Ok(ForwardFailure { cause, .. }) => {
+            log::debug!("request not forwarded: {peer}: {cause}");
+            PeerAnswer::NoHelp
+        }
+        Err(cause) => PeerAnswer::MayHaveRun(format!("through {peer}: {cause}")),
+    }
+}
+
+async fn read_failure(body: Incoming) -> Result<ForwardFailure, String> {
+    let bytes = read_body(body, MAX_FAILURE, FAILURE_TIMEOUT).await;
+    let bytes = bytes.map_err(|err| err.to_string())?;
+    rmp_serde::from_slice(&bytes).map_err(|err| err.to_string())
+}
+
+/// Asks another box whether an upstream accepts connections; `None` if it does not answer.
+pub(super) async fn probe(
+    cx: &EntryCx,
+    peer: SocketAddr,
+    upstream: &str,
+    addr: SocketAddr,
+) -> Option<ProbeResult> {
+    let action = ForwardAction::Probe;
+    let req = ForwardRequest { upstream: upstream.to_owned(), addr, action };
+    let answer = cx.boxes.call(peer, FORWARD_PATH, &req, PROBE_TIMEOUT).await;
+    answer.inspect_err(|err| log::debug!("probe of an upstream by another box: {err}")).ok()
+}
+
+/// Answers a request of another box to reach an upstream. A request is sent at most once, and only
+/// on a link of this box.
+pub async fn answer(cx: &Rc<EntryCx>, parts: Parts, body: Incoming) -> Response<Body> {
+    let size = hyper::body::Body::size_hint(&body).upper();
+    let size = size.and_then(|size| usize::try_from(size).ok()).unwrap_or(MAX_FORWARD_BYTES);
+    let Some(_guard) = ForwardGuard::new(cx, size) else {
+        return text_response(StatusCode::SERVICE_UNAVAILABLE, "too many requests of other boxes");
+    };
+    let timeout = cx.settings.timing.body_timeout;
+    let body = match read_body(body, MAX_FORWARD_BYTES, timeout).await {
+        Ok(body) => body,
+        Err(err) => return text_response(StatusCode::BAD_REQUEST, &err.to_string()),
+    };
+    let opened =
+        open_message::<ForwardRequest>(&cx.settings.box_keys, FORWARD_PATH, &parts.headers, &body);
+    drop(body);
+    let ForwardRequest { upstream, addr, action } = match opened {
+        Ok(req) => req,
+        Err(refusal) => return *refusal,
+    };
+    match action {
+        ForwardAction::Probe => cx.boxes.respond(&answer_probe(cx, addr).await),
+        ForwardAction::Send(message) => match send(cx, &upstream, addr, message).await {
+            Ok(res) => {
+                cx.metrics.count(Count::SentForPeer, "");
+                res
+            }
+            Err(failure) => cx.boxes.respond(&failure),
+        },
+    }
+}
+
+async fn answer_probe(cx: &EntryCx, addr: SocketAddr) -> ProbeResult {
+    let now = clock::now();
+    if !cx.reachability.paths.borrow_mut().is_direct(addr, now) {
+        return ProbeResult { listening: Listening::Unclear, is_conclusive: false };
+    }
+    let listening = cx.direct_path(addr, CONNECT_TIMEOUT).listening().await;
+    let mut paths = cx.reachability.paths.borrow_mut();
+    if listening != Listening::Yes {
+        paths.record_failure(addr, clock::now());
+    }
+    ProbeResult { listening, is_conclusive: paths.is_witness(addr, clock::now()) }
+}
+
+/// Sends a request of another box.
+async fn send(
+    cx: &Rc<EntryCx>,
+    upstream: &RunnerName,
+    addr: SocketAddr,
+    message: ForwardedMessage,
+) -> Result<Response<Body>, ForwardFailure> {
+    let cannot = |cause: &str| ForwardFailure {
+        not_run: true,
+        is_conclusive: false,
+        cause: cause.to_owned(),
+    };
+    if cx.intake.get() == Intake::Closed {
+        return Err(cannot("the box is stopping"));
+    }
+    if !cx.reachability.paths.borrow_mut().is_direct(addr, clock::now()) {
+        return Err(cannot("the box has no link to the upstream"));
+    }
+    if !cx.backoffs.borrow_mut().take(upstream, clock::now()) {
+        return Err(cannot("the upstream asked the box for rest"));
+    }
+    let head_timeout = message.head_timeout;
+    let is_head = message.method == Method::HEAD.as_str();
+    let Some(req) = decode(message) else { return Err(cannot("the request does not decode")) };
+    let conn = match cx.direct_path(addr, CONNECT_TIMEOUT).connect().await {
+        Ok(conn) => conn,
+        Err(err) => return Err(record_failure(cx, &err)),
+    };
+    let connected = clock::now();
+    let res = match conn.send(req, head_timeout).await {
+        Ok(res) => res,
+        Err(err) => return Err(record_failure(cx, &err)),
+    };
+    // A path that was broken is only tried again by probes, so there is no change to log.
+    cx.reachability.paths.borrow_mut().record_success(addr, connected);
+    record_backoff(cx, upstream, &res, connected);
+    Ok(forwarded_response(res, is_head))
+}
+
+fn record_failure(cx: &EntryCx, err: &SendError) -> ForwardFailure {
+    let mut paths = cx.reachability.paths.borrow_mut();
+    if matches!(err.step, SendStep::Connect | SendStep::Unsent) {
+        paths.record_failure(err.peer, clock::now());
+    }
+    ForwardFailure {
+        not_run: err.is_not_run(),
+        is_conclusive: paths.is_witness(err.peer, clock::now()),
+        cause: err.to_string(),
+    }
+}
+
+/// Records the backoff that the upstream asks for. It may mean the box that sent the request, so
+/// both keep it; other signals are recorded by the box that took the request.
+fn record_backoff(cx: &EntryCx, upstream: &str, res: &Response<Incoming>, sent: Instant) {
+    let mut backoffs = cx.backoffs.borrow_mut();
+    match parse_backoff(res.status(), res.headers()) {
+        Some(backoff) => backoffs.start(upstream, backoff, clock::now()),
+        None => backoffs.record_answer(upstream, sent),
+    }
+}
+
+fn decode(message: ForwardedMessage) -> Option<Request<Body>> {
+    let mut headers = HeaderMap::with_capacity(message.headers.len());
+    for (name, value) in message.headers {
+        let name = header::HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(&value).ok()?);
+    }
+    let body = Bytes::from(message.body.into_vec());
+    let body = if body.is_empty() { Body::empty() } else { Body::from(body) };
+    let mut req = Request::new(body);
+    *req.method_mut() = message.method.parse().ok()?;
+    *req.uri_mut() = message.target.parse().ok()?;
+    *req.headers_mut() = headers;
+    Some(req)
+}
+
+/// Builds the response to another box from that of an upstream, whose body is passed on as it
+/// arrives. If it breaks off, so does the response.
+fn forwarded_response(res: Response<Incoming>, is_head: bool) -> Response<Body> {
+    let (mut parts, body) = res.into_parts();
+    let framing = if is_framed(&parts.headers) { FRAMED } else { UNFRAMED };
+    strip_hop_by_hop(&mut parts.headers);
+    if is_head {
+        // The length of a body that is not there would not match this response.
+        parts.headers.remove(header::CONTENT_LENGTH);
+    }
+    parts.version = http::Version::HTTP_11;
+    parts.headers.insert(FORWARDED_HEADER, HeaderValue::from_static(framing));
+    Response::from_parts(parts, Body::from(body))
+}
--- a/crates/hatchpitch/src/relay/protocol.rs
+++ b/crates/hatchpitch/src/relay/protocol.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
-use hatchpitch_net::{Body, Upstream};
+use hatchpitch_net::Body;
 use http::Request;
 use http::response::Parts;
 
 use super::request::HostedRequest;
 use crate::ids::RunnerName;
+use crate::reachability::UpstreamClient;
 use crate::upstream_signals::{SignalHeaders, UpstreamSignals};
 
 /// One attempt to send a request to an upstream.
@@ -128,7 +129,7 @@
 /// Classifies the head of a response.
 pub type ClassifyHead = dyn Fn(&HostedRequest, &Parts) -> ResponseKind;
 /// Sends a copy order to a runner.
-pub type CopyRun = dyn Fn(Upstream, CopyOrder) -> CopyFuture;
+pub type CopyRun = dyn Fn(UpstreamClient, CopyOrder) -> CopyFuture;
 
 /// Encodes requests in the upstreams' protocol and classifies the heads of responses.
 #[derive(Clone)]
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -400,14 +400,21 @@
     /// Sends the request to one upstream.
     async fn attempt(&self, mut slot: Slot) -> Result<Response<Body>, Failure> {
         let left = self.req.time_left(clock::now());
-        let attempt = Attempt { upstream: slot.runner.clone(), time_left: left, resume: None };
-        let message = (self.relay.protocol.request)(&self.req, &attempt);
+        let encode = |time_left| {
+            let attempt = Attempt { upstream: slot.runner.clone(), time_left, resume: None };
+            (self.relay.protocol.request)(&self.req, &attempt)
+        };
         self.in_flight.set(true);
         self.sent_to.borrow_mut().clone_from(&slot.runner);
         let sent_at = clock::now();
-        let sent = self.relay.cx.upstream(slot.addr).send(message, left).await;
+        let upstream = self.relay.cx.upstream(&slot.runner, slot.addr);
+        let sent = upstream.send_encoded(&encode, left).await;
         let res = sent.map_err(|err| {
-            let verdict = if err.is_not_run() { Verdict::Failed } else { Verdict::Faulty };
+            let verdict = match err.step {
+                SendStep::Connect | SendStep::Unsent => Verdict::Failed,
+                SendStep::NoPath => Verdict::Released,
+                SendStep::AwaitHead => Verdict::Faulty,
+            };
             slot.finish(verdict, None);
             if !err.is_not_run() && !self.req.time_left(clock::now()).is_zero() {
                 self.note_break(&slot);
@@ -448,7 +455,7 @@
     fn send_failure(&self, err: &SendError) -> Failure {
         let cause = err.to_string();
         match err.step {
-            SendStep::Connect | SendStep::Unsent => {
+            SendStep::Connect | SendStep::Unsent | SendStep::NoPath => {
                 self.in_flight.set(false);
                 Failure::NotRun { cause, arrived: false }
             }
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -364,15 +364,15 @@
         }
         let left = self.req.time_left(clock::now());
         let after = self.splitter.last_id().map(str::to_owned);
-        let attempt = Attempt {
-            upstream: self.slot.runner.clone(),
-            time_left: left,
-            resume: Some(Resume { source, handle, after }),
+        let resume = Resume { source, handle, after };
+        let encode = |time_left| {
+            let (upstream, resume) = (self.slot.runner.clone(), Some(resume.clone()));
+            (self.relay.protocol.request)(&self.req, &Attempt { upstream, time_left, resume })
         };
         self.relay.budgets.borrow_mut().force_withdraw(&self.service);
-        let message = (self.relay.protocol.request)(&self.req, &attempt);
         let sent_at = clock::now();
-        let sent = self.relay.cx.upstream(self.slot.addr).send(message, left).await;
+        let upstream = self.relay.cx.upstream(&self.slot.runner, self.slot.addr);
+        let sent = upstream.send_encoded(&encode, left).await;
         let sent = sent.map_err(|err| {
             if !err.is_not_run() && !self.req.time_left(clock::now()).is_zero() {
                 self.note_break(None);
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -44,7 +44,7 @@
         return;
     }
     let on_head = |signals| upstream_signals::record_background(cx, &runner.name, signals);
-    let load = match adapter::load(&cx.upstream(runner.addr), &on_head).await {
+    let load = match adapter::load(&cx.upstream(&runner.name, runner.addr), &on_head).await {
         Ok(load) => load,
         Err(err) => {
             log::debug!("no load report from {}: {err}", runner.name);
--- a/crates/hatchpitch/src/upstream_signals/signals.rs
+++ b/crates/hatchpitch/src/upstream_signals/signals.rs
@@ -62,7 +62,7 @@
 }
 
 /// Parses the backoff in a response that rejects a request.
-fn parse_backoff(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+pub(crate) fn parse_backoff(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
     if !matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
         return None;
     }
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -26,6 +26,8 @@
     Full(Option<Bytes>),
     /// A body streamed through a [`BodySender`]; it ends when the sender is dropped.
     Stream(BodyReceiver),
+    /// The body of a received message, passed on as it arrives.
+    Incoming(Incoming),
 }
 
 /// Receiving end of a streaming body.
@@ -57,6 +59,12 @@
     }
 }
 
+impl From<Incoming> for Body {
+    fn from(body: Incoming) -> Self {
+        Self::Incoming(body)
+    }
+}
+
 impl From<Bytes> for Body {
     fn from(bytes: Bytes) -> Self {
         Self::Full(Some(bytes))
@@ -106,17 +114,25 @@
                 }
                 polled => polled.map(|chunk| chunk.map(|chunk| Ok(Frame::data(chunk)))),
             },
+            Self::Incoming(body) => {
+                Pin::new(body).poll_frame(cx).map_err(|err| BodyError::Broken(err.to_string()))
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Full(None))
+        match self {
+            Self::Full(bytes) => bytes.is_none(),
+            Self::Stream(_) => false,
+            Self::Incoming(body) => body.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
             Self::Stream(_) => SizeHint::default(),
+            Self::Incoming(body) => body.size_hint(),
         }
     }
 }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,19 +1,21 @@
 //! HTTP client for upstreams whose errors tell how far a request got.
 //!
 //! The guarantee that a request reported as `not_run` was not executed depends
-//! on this module: only [`SendStep::Connect`] and [`SendStep::Unsent`] mean that
-//! no byte of the request can have left this process. Each request uses a
-//! connection of its own, so a late answer is never read as that of the next request.
+//! on this module: [`SendError::is_not_run`] holds only if no byte of the request
+//! can have left this process. Each request uses a connection of its own, so a
+//! late answer is never read as that of the next request.
 
 use std::fmt;
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use compio::io::AsyncRead;
 use compio::net::{TcpSocket, TcpStream};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use serde::{Deserialize, Serialize};
 
 use crate::Body;
 use crate::server::set_silence_timeouts;
@@ -26,6 +28,9 @@
     Connect,
     /// The connection closed before any byte of the request was written.
     Unsent,
+    /// This process has no connection to the peer, and it is unknown whether others have; nothing
+    /// was sent.
+    NoPath,
     /// Bytes of the request may have reached the upstream.
     AwaitHead,
 }
@@ -44,7 +49,10 @@
 impl SendError {
     /// Returns whether it is certain that no part of the request reached the upstream.
     pub fn is_not_run(&self) -> bool {
-        matches!(self.step, SendStep::Connect | SendStep::Unsent)
+        match self.step {
+            SendStep::Connect | SendStep::Unsent | SendStep::NoPath => true,
+            SendStep::AwaitHead => false,
+        }
     }
 }
 
@@ -57,7 +65,7 @@
 impl std::error::Error for SendError {}
 
 /// Whether an upstream accepts connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listening {
     /// The upstream accepted a connection.
     Yes,
@@ -91,39 +99,15 @@
         req: Request<Body>,
         head_timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
-        let fail = |step, cause: String| SendError { step, peer: self.addr, cause };
-        let stream = self.connect().await?;
-        let handshake = http1::handshake(Stream::new(stream, DEFAULT_IO_BYTES)).await;
-        let (mut tx, conn) = handshake.map_err(|err| fail(SendStep::Connect, err.to_string()))?;
-        compio::runtime::spawn(async move {
-            if let Err(err) = conn.await {
-                log::debug!("upstream connection ended: {err}");
-            }
-        })
-        .detach();
-        match compio::time::timeout(head_timeout, tx.try_send_request(req)).await {
-            Ok(Ok(res)) => Ok(res),
-            Ok(Err(mut err)) => {
-                let step = match err.take_message() {
-                    Some(_) => SendStep::Unsent,
-                    None => SendStep::AwaitHead,
-                };
-                Err(fail(step, err.error().to_string()))
-            }
-            Err(_) => Err(fail(SendStep::AwaitHead, format!("no answer within {head_timeout:?}"))),
-        }
-    }
-
-    /// Probes whether the upstream listens, with a connection that is closed immediately.
-    pub async fn listening(&self) -> Listening {
-        match compio::time::timeout(self.connect_timeout, self.open()).await {
-            Ok(Ok(_)) => Listening::Yes,
-            Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Listening::No,
-            Ok(Err(_)) | Err(_) => Listening::Unclear,
-        }
+        self.connect().await?.send(req, head_timeout).await
     }
 
-    async fn connect(&self) -> Result<TcpStream, SendError> {
+    /// Connects for one request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendError`] of the step [`SendStep::Connect`].
+    pub async fn connect(&self) -> Result<Connection, SendError> {
         let fail = |cause: String| SendError { step: SendStep::Connect, peer: self.addr, cause };
         let connected = compio::time::timeout(self.connect_timeout, self.open());
         let stream = connected
@@ -132,7 +116,23 @@
             .map_err(|err| fail(err.to_string()))?;
         stream.set_nodelay(true).map_err(|err| fail(err.to_string()))?;
         set_silence_timeouts(&stream).map_err(|err| fail(err.to_string()))?;
-        Ok(stream)
+        Ok(Connection { peer: self.addr, stream })
+    }
+
+    /// Returns whether the upstream accepts a connection and keeps it open for `hold`.
+    pub async fn keeps_connection(&self, hold: Duration) -> bool {
+        let Ok(mut conn) = self.connect().await else { return false };
+        let closed = compio::time::timeout(hold, conn.stream.read(Vec::with_capacity(1))).await;
+        closed.is_err()
+    }
+
+    /// Probes whether the upstream listens, with a connection that is closed immediately.
+    pub async fn listening(&self) -> Listening {
+        match compio::time::timeout(self.connect_timeout, self.open()).await {
+            Ok(Ok(_)) => Listening::Yes,
+            Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Listening::No,
+            Ok(Err(_)) | Err(_) => Listening::Unclear,
+        }
     }
 
     async fn open(&self) -> io::Result<TcpStream> {
@@ -145,3 +145,45 @@
         socket.connect(self.addr).await
     }
 }
+
+/// An established connection to an upstream, for one request.
+pub struct Connection {
+    peer: SocketAddr,
+    stream: TcpStream,
+}
+
+impl Connection {
+    /// Sends the request and waits up to `head_timeout` for the response head.
+    ///
+    /// Dropping the returned future or the response body closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendError`] that names the step and the peer.
+    pub async fn send(
+        self,
+        req: Request<Body>,
+        head_timeout: Duration,
+    ) -> Result<Response<Incoming>, SendError> {
+        let fail = |step, cause: String| SendError { step, peer: self.peer, cause };
+        let handshake = http1::handshake(Stream::new(self.stream, DEFAULT_IO_BYTES)).await;
+        let (mut tx, conn) = handshake.map_err(|err| fail(SendStep::Connect, err.to_string()))?;
+        compio::runtime::spawn(async move {
+            if let Err(err) = conn.await {
+                log::debug!("upstream connection ended: {err}");
+            }
+        })
+        .detach();
+        match compio::time::timeout(head_timeout, tx.try_send_request(req)).await {
+            Ok(Ok(res)) => Ok(res),
+            Ok(Err(mut err)) => {
+                let step = match err.take_message() {
+                    Some(_) => SendStep::Unsent,
+                    None => SendStep::AwaitHead,
+                };
+                Err(fail(step, err.error().to_string()))
+            }
+            Err(_) => Err(fail(SendStep::AwaitHead, format!("no answer within {head_timeout:?}"))),
+        }
+    }
+}
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{Backlog, Body, KeyRing};
+use crate::{Backlog, Body, KeyRing, SendError, SendStep, Upstream};
 
 /// Header that carries the signature of a message between boxes.
 pub const SIGNATURE_HEADER: &str = "x-hatchpitch-signature";
@@ -139,6 +140,37 @@
         rmp_serde::from_slice(&bytes).map_err(|err| fail(CallStep::Decode, err.to_string()))
     }
 
+    /// Sends `message` to `path` at `peer` on a connection of its own and returns the response
+    /// with its body still to be read.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendError`] that tells whether the message can have reached the box.
+    pub async fn request_stream<Q: Serialize>(
+        &self,
+        peer: SocketAddr,
+        path: &'static str,
+        message: &Q,
+        connect_timeout: Duration,
+        head_timeout: Duration,
+    ) -> Result<Response<Incoming>, SendError> {
+        let unsent = |cause| SendError { step: SendStep::Unsent, peer, cause };
+        let body = rmp_serde::to_vec_named(message).map_err(|err| unsent(err.to_string()))?;
+        let signature = self.keys.sign(SIGNATURE_PURPOSE, &[path.as_bytes(), &body]);
+        let signature = HeaderValue::from_str(&signature).map_err(|err| unsent(err.to_string()))?;
+        let host =
+            HeaderValue::from_str(&peer.to_string()).map_err(|err| unsent(err.to_string()))?;
+        self.record_traffic(path, 1, body.len());
+        let mut req = Request::new(Body::from(self.backlog.count(body)));
+        *req.method_mut() = Method::POST;
+        *req.uri_mut() = Uri::from_static(path);
+        let headers = req.headers_mut();
+        headers.insert(header::HOST, host);
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(CONTENT_TYPE));
+        headers.insert(SIGNATURE_HEADER, signature);
+        Upstream { addr: peer, connect_timeout, source: None }.send(req, head_timeout).await
+    }
+
     async fn exchange(
         &self,
         peer: SocketAddr,
