Ask a box whether it responds before it is given a request

A box that stands still accepts connections, and a request that it has received can no longer go to another one, so its caller would wait until its deadline.

--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -177,7 +177,11 @@
             if now >= end || now >= started + PEER_SEARCH_TIMEOUT {
                 break;
             }
-            let left = end - now;
+            if !task::responds(cx, peer).await {
+                cx.reachability.peers.borrow_mut().record_no_help(peer, clock::now());
+                continue;
+            }
+            let left = end.saturating_duration_since(clock::now());
             let action = match task::encode_action(encode(left), left) {
                 Ok(action) => action,
                 Err(cause) => {
--- a/crates/hatchpitch/src/reachability/state.rs
+++ b/crates/hatchpitch/src/reachability/state.rs
@@ -23,6 +23,9 @@
 const PEER_AVOIDANCE: Duration = Duration::from_secs(2);
 /// Time for which another box that helped is asked first.
 const PEER_PREFERENCE: Duration = Duration::from_secs(10);
+/// Time for which a box that helped is assumed to respond. One that stands still keeps accepting
+/// connections, and a request that it has received can no longer be sent to another.
+const RESPONSIVE_TIME: Duration = Duration::from_millis(500);
 /// Helpful boxes from which on no further ones are sought, so that the load is spread over a few.
 const MIN_HELPERS: usize = 3;
 
@@ -187,6 +190,12 @@
         self.0.insert(addr, Peer { helped_at: None, avoid_until });
     }
 
+    /// Returns whether a box helped so lately that it need not be asked first whether it responds.
+    pub fn is_responsive(&self, addr: SocketAddr, now: Instant) -> bool {
+        let helped_at = self.0.get(&addr).and_then(|peer| peer.helped_at);
+        helped_at.is_some_and(|at| now < at + RESPONSIVE_TIME)
+    }
+
     fn helpers(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         let is_helper =
             move |peer: &Peer| peer.helped_at.is_some_and(|at| now < at + PEER_PREFERENCE);
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -20,6 +20,7 @@
 use crate::entry::EntryCx;
 use crate::entry::context::Intake;
 use crate::ids::RunnerName;
+use crate::membership::task::PING_PATH;
 use crate::metrics::Count;
 use crate::outcome::text_response;
 use crate::relay::headers::strip_hop_by_hop;
@@ -34,6 +35,8 @@
 /// Time limit for connecting to another box, and for a box to connect to an upstream for another
 /// one: many round trips between failure domains.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time limit for a box to show that it responds: many round trips between failure domains.
+const PING_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time limit for the answer to a probe: two connects, and round trips.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest answer of a box that has no response of an upstream, in bytes.
@@ -97,6 +100,15 @@
     cx.reachability.peers.borrow().order(&sample, cx.next_rotation(), clock::now())
 }
 
+/// Returns whether another box responds.
+pub(super) async fn responds(cx: &EntryCx, peer: SocketAddr) -> bool {
+    if cx.reachability.peers.borrow().is_responsive(peer, clock::now()) {
+        return true;
+    }
+    let answer = cx.boxes.call::<_, ()>(peer, PING_PATH, &(), PING_TIMEOUT).await;
+    answer.inspect_err(|err| log::debug!("request not forwarded: {err}")).is_ok()
+}
+
 /// Encodes a request for another box.
 ///
 /// # Errors
@@ -195,7 +207,7 @@
     let timeout = cx.settings.timing.body_timeout;
     let body = match read_body(body, MAX_FORWARD_BYTES, timeout).await {
         Ok(body) => body,
-        Err(err) => return text_response(StatusCode::BAD_REQUEST, &err.to_string()),
+        Err(err) => return text_response(StatusCode::BAD_REQUEST, err.to_string()),
     };
     let opened =
         open_message::<ForwardRequest>(&cx.settings.box_keys, FORWARD_PATH, &parts.headers, &body);
