Keep the rejections of brittle upstreams within what they bear, over all boxes

Upstreams may say in all their answers how many rejections a second they bear; above that they fall over. Nothing read it, and a plain service gets its requests from each box by that box's own count.

The number is read with the other signals. While an upstream is brittle its service is placed by owners, as engines are, so one box knows what is running; after a rejection that owner admits no more at once than were running, grows again after 2 s, and uses up half of the rejections. A new owner begins with one request. Boxes tell each other by notices. Calls of the product's own services have no owner: a box that was turned away waits for its share.

--- a/crates/hatchpitch/src/engine/adapter.rs
+++ b/crates/hatchpitch/src/engine/adapter.rs
@@ -24,8 +24,11 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Response headers in which engines and services announce their rate limit or that they leave.
-pub const SIGNAL_HEADERS: SignalHeaders =
-    SignalHeaders { limit: "hatchpitch-rate-limit", leaving: "hatchpitch-leaving" };
+pub const SIGNAL_HEADERS: SignalHeaders = SignalHeaders {
+    limit: "hatchpitch-rate-limit",
+    leaving: "hatchpitch-leaving",
+    brittle: "hatchpitch-brittle",
+};
 
 /// Callback for the signals in the response head of an upstream.
 pub type OnHead<'a> = &'a dyn Fn(UpstreamSignals);
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -333,6 +333,7 @@
         let refused = status == StatusCode::SERVICE_UNAVAILABLE
             && res.headers().get(OUTCOME_HEADER).is_some_and(|v| v == Outcome::NotRun.as_str());
         if refused {
+            upstream_signals::record_unowned_rejection(&self.cx, &upstream.name);
             return Err(AppFailure { cause: format!("{addr} refused"), ran: false });
         }
         let is_framed = is_framed(res.headers());
--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -20,8 +20,8 @@
 use crate::reachability::task::{self as reachability, FORWARD_PATH};
 use crate::upstream_limits::task::{self as upstream_limits, LIMIT_NOTICES_PATH, PERMIT_PATH};
 use crate::upstream_limits::{LimitNotice, PermitRequest};
-use crate::upstream_signals::LeavingNotice;
-use crate::upstream_signals::task::{self as upstream_signals, LEAVING_PATH};
+use crate::upstream_signals::task::{self as upstream_signals, BRITTLE_PATH, LEAVING_PATH};
+use crate::upstream_signals::{BrittleNotice, LeavingNotice};
 
 /// Handles one message from another box.
 pub async fn handle(cx: Rc<EntryCx>, req: Request<Incoming>) -> Response<Body> {
@@ -72,6 +72,8 @@
             .map(|news| cx.boxes.respond(&upstream_limits::receive_notices(&cx, &news))),
         LEAVING_PATH => open_message::<Vec<LeavingNotice>>(keys, path, &parts.headers, &body)
             .map(|news| cx.boxes.respond(&upstream_signals::receive_leaving_notices(&cx, &news))),
+        BRITTLE_PATH => open_message::<Vec<BrittleNotice>>(keys, path, &parts.headers, &body)
+            .map(|news| cx.boxes.respond(&upstream_signals::receive_brittle_notices(&cx, &news))),
         SYNC_PATH => open_message::<GrantSync>(keys, path, &parts.headers, &body)
             .map(|req| cx.boxes.respond(&grants::sync(&cx, &req))),
         _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -37,7 +37,9 @@
 use crate::trace::Tracer;
 use crate::upstream_limits::SharedLimits;
 use crate::upstream_limits::task as upstream_limits;
-use crate::upstream_signals::{LeavingUpstreams, NoticeQueue, SharedBackoffs, SharedSignals};
+use crate::upstream_signals::{
+    BrittleUpstreams, LeavingUpstreams, NoticeQueue, SharedBackoffs, SharedSignals,
+};
 
 /// Whether the process accepts new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,6 +60,7 @@
     members: u64,
     roster: u64,
     evacuations: Revision,
+    brittle: u64,
 }
 
 /// Shared state of an entry process.
@@ -88,6 +91,10 @@
     pub reachability: Reachability,
     /// Requests that this box is sending to upstreams for other boxes.
     pub forwards: ForwardCounts,
+    /// Upstreams that bear only so many rejections by all boxes together.
+    pub brittle: Rc<RefCell<BrittleUpstreams>>,
+    /// Brittle upstreams that still have to be reported to other boxes.
+    pub brittle_notices: NoticeQueue,
     /// Upstreams whose limits still have to be sent to other boxes.
     pub limit_notices: NoticeQueue,
     /// Upstreams that announced in an answer that they are leaving.
@@ -155,6 +162,8 @@
             backoffs: SharedBackoffs::default(),
             reachability: Reachability::default(),
             forwards: ForwardCounts::default(),
+            brittle: Rc::default(),
+            brittle_notices: NoticeQueue::default(),
             limit_notices: NoticeQueue::default(),
             leaving: RefCell::default(),
             leaving_notices: NoticeQueue::default(),
@@ -190,8 +199,13 @@
         let gate = gates.entry(pool.to_owned()).or_insert_with(|| self.new_gate()).clone();
         let view = self.sync_gates();
         if let Some(pool) = view.pools.iter().find(|p| p.pool.name == pool) {
-            gate.update(|table| table.sync(pool.runners.iter().map(|r| runner_spec(pool, r))));
+            gate.update(|table| {
+                table.sync(pool.runners.iter().map(|r| runner_spec(pool, r)));
+                table.guard_new_runners(clock::now());
+            });
             self.update_serving(&gate);
+            let share = self.rejection_share(Placement::Local);
+            gate.update(|table| table.set_rejection_share(share));
             self.update_cold_limits(&gate, pool, Placement::Local);
         }
         gate
@@ -207,8 +221,11 @@
             memory: policy.memory,
             ..RoutingConfig::default()
         };
-        let signals =
-            SharedSignals { limits: self.limits.clone(), backoffs: self.backoffs.clone() };
+        let signals = SharedSignals {
+            limits: self.limits.clone(),
+            backoffs: self.backoffs.clone(),
+            brittle: self.brittle.clone(),
+        };
         Gate::new(admission, routing, signals)
     }
 
@@ -234,11 +251,25 @@
         is_local || self.owners.borrow().owns(runner)
     }
 
-    /// Returns whether each box admits requests to the engines of a pool or only their owners.
+    /// Returns whether each box admits requests to the engines of a pool or only their owners, as
+    /// they do while one of the engines is brittle.
     pub fn placement(&self, pool: &PoolView) -> Placement {
+        let (brittle, now) = (self.brittle.borrow(), clock::now());
+        if pool.runners.iter().any(|r| brittle.max_rejections(&r.name, now).is_some()) {
+            return Placement::Owner;
+        }
         pool.hosted.map_or(self.settings.policy.placement, |hosted| hosted.placement)
     }
 
+    /// Returns whether an engine of a pool is brittle.
+    pub fn is_brittle(&self, pool: &str) -> bool {
+        let (brittle, now) = (self.brittle.borrow(), clock::now());
+        let view = self.view.borrow();
+        let mut runners =
+            view.pools.iter().filter(|p| p.pool.name == pool).flat_map(|p| &p.runners);
+        runners.any(|runner| brittle.max_rejections(&runner.name, now).is_some())
+    }
+
     /// Returns the gates of all pools over the engines that this box owns.
     pub fn gates(&self) -> Vec<(PoolName, Gate)> {
         self.gates.borrow().iter().map(|(name, gate)| (name.clone(), gate.clone())).collect()
@@ -253,6 +284,7 @@
             members: self.membership.borrow().version(),
             roster: self.upstreams.roster.borrow().version(),
             evacuations: evacuations.revision(),
+            brittle: self.brittle.borrow_mut().revision(clock::now()),
         };
         let previous = self.gate_inputs.replace(inputs);
         if previous == inputs {
@@ -306,9 +338,14 @@
         });
         let owned = pool.runners.iter().filter(|runner| self.owns(pool, &runner.name));
         let specs: Vec<RunnerSpec> = owned.map(|runner| runner_spec(pool, runner)).collect();
-        gate.update(|table| table.sync(specs));
+        gate.update(|table| {
+            table.sync(specs);
+            table.guard_new_runners(clock::now());
+        });
         self.update_serving(&gate);
-        self.update_cold_limits(&gate, pool, self.placement(pool));
+        let placement = self.placement(pool);
+        gate.update(|table| table.set_rejection_share(self.rejection_share(placement)));
+        self.update_cold_limits(&gate, pool, placement);
     }
 
     /// Returns whether a failure domain is evacuated, so that its upstreams get no new work.
@@ -399,6 +436,15 @@
         gate.update(|table| table.set_serving(serves));
     }
 
+    /// Returns the share of the rejections of a brittle upstream that a gate over the engines of
+    /// this box may cause.
+    fn rejection_share(&self, placement: Placement) -> f64 {
+        match placement {
+            Placement::Owner => self.reachable_share(),
+            Placement::Local => 1.0 / self.sender_count() as f64,
+        }
+    }
+
     /// Tells the gates of all pools which of their runners accept new work, after one began to
     /// leave.
     pub fn apply_leaving(&self) {
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -332,6 +332,10 @@
                 span.note("error", &err);
                 log::info!("could not start a generation at {}: {err}", self.runner);
                 self.ran |= !err.is_not_run();
+                let is_rejected = matches!(err, EngineError::Refused { not_run: true, .. });
+                if let Some(slot) = self.slot.as_mut().filter(|_| is_rejected) {
+                    slot.record_rejection();
+                }
                 if let EngineError::Send(err) = &err {
                     self.has_path = err.step != SendStep::NoPath;
                     self.record_runner_failure();
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -23,6 +23,7 @@
 use crate::routing::state::{Closed, RunnerSpec};
 use crate::routing::{RunReport, Verdict};
 use crate::upstream_limits::task as upstream_limits;
+use crate::upstream_signals::task as upstream_signals;
 
 /// Path of grant requests.
 pub const GRANT_PATH: &str = "/box/grant";
@@ -87,6 +88,18 @@
         self.report.tokens = tokens;
     }
 
+    /// Records that the engine rejected the request.
+    pub fn record_rejection(&mut self) {
+        self.report.is_rejected = true;
+        if matches!(self.source, GrantSource::Local(_)) && self.owner_is_elsewhere() {
+            upstream_signals::record_unowned_rejection(&self.cx, &self.runner);
+        }
+    }
+
+    fn owner_is_elsewhere(&self) -> bool {
+        self.cx.owner_addr(&self.runner) != Some(self.cx.settings.boxes_addr)
+    }
+
     /// Records the time to the first token.
     pub fn record_first_token(&mut self) {
         self.report.first.get_or_insert(clock::since(self.since));
@@ -121,6 +134,8 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        let now = clock::now();
+        self.report.brittle = self.cx.brittle.borrow().max_rejections(&self.runner, now);
         if let GrantSource::Local(permit) = &mut self.source {
             permit.set_report(self.report);
         }
@@ -179,12 +194,22 @@
     let view = cx.sync_gates();
     let placement = view.pools.iter().find(|p| p.pool.name == pool).map(|p| cx.placement(p));
     if placement.unwrap_or(cx.settings.policy.placement) == Placement::Local {
-        return obtain_local(cx, pool, want).await;
+        let slot = obtain_local(cx, pool, want.clone()).await;
+        if slot.is_ok() || !is_placed_by_owners(cx, pool) {
+            return slot;
+        }
+        // The pool became brittle while the request waited in the queue of this box.
     }
     await_accepting_runner(cx, pool, &want).await?;
     OwnerSearch { cx: cx.clone(), pool: pool.to_owned(), want }.run().await
 }
 
+fn is_placed_by_owners(cx: &EntryCx, pool: &str) -> bool {
+    let view = cx.sync_gates();
+    let pool = view.pools.iter().find(|p| p.pool.name == pool);
+    pool.is_some_and(|pool| cx.placement(pool) == Placement::Owner)
+}
+
 /// Waits until at least one eligible engine accepts work from this box.
 async fn await_accepting_runner(
     cx: &EntryCx,
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -365,7 +365,11 @@
             near: settings.policy.near.then(|| settings.failure_domain.clone()),
             copied: 0,
             max_wait: needs.map(|_| aim.mul_f64(MAX_WAIT_FACTOR)),
-            accepts: refuses_early.then(|| aim.mul_f64(EXPECTED_WAIT_FRACTION)),
+            accepts: if refuses_early {
+                Some(aim.mul_f64(EXPECTED_WAIT_FRACTION))
+            } else {
+                self.relay.cx.is_brittle(&self.service).then(|| self.req.time_left(clock::now()))
+            },
             within: self.within.clone(),
             limit_wait: Some(aim.mul_f64(EXPECTED_WAIT_FRACTION)),
             skips_limited: false,
@@ -431,6 +435,9 @@
                 self.in_flight.set(false);
                 let verdict = if is_replaced { Verdict::Failed } else { Verdict::Released };
                 slot.finish(verdict, None);
+                if !is_replaced {
+                    slot.record_rejection();
+                }
                 return Err(Failure::NotRun { cause, arrived: true });
             }
             ResponseKind::Foreign(cause) => {
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -393,7 +393,10 @@
             ResponseKind::Answer => {
                 Err(ResumeFailure::MayHaveRun(format!("resume answered with {}", parts.status)))
             }
-            ResponseKind::NotRun { cause, .. } => {
+            ResponseKind::NotRun { cause, is_replaced } => {
+                if !is_replaced {
+                    self.slot.record_rejection();
+                }
                 Err(ResumeFailure::NotRun(format!("resume: {cause}")))
             }
             ResponseKind::Foreign(cause) => {
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -17,7 +17,8 @@
 use crate::admission::policy::Pick;
 use crate::engine::EngineLoad;
 use crate::ids::{AttemptId, FailureDomainName, Priority, RunnerName};
-use crate::upstream_signals::SharedSignals;
+use crate::upstream_signals::brittle::BRITTLE_TTL;
+use crate::upstream_signals::{MaxRejections, RejectionGuard, SharedSignals};
 
 /// Configuration of ejection and of the choice between runners.
 #[derive(Debug, Clone, Copy)]
@@ -88,6 +89,8 @@
     pub(super) warmup: WarmupLimiter,
     /// Rate limit while it is cold, if there is one.
     pub(super) cold_limit: Option<ColdLimit>,
+    /// Limits the requests of this box while it is brittle; `None` until the first use.
+    pub(super) rejections: Option<RejectionGuard>,
 }
 
 /// Tokens of copied KV cache that a runner has yet to receive, drained over time at the rate of its
@@ -150,11 +153,23 @@
     /// which it began.
     #[serde(default)]
     pub first: Option<Duration>,
+    /// Whether the runner rejected the request.
+    #[serde(default)]
+    pub is_rejected: bool,
+    /// Number of rejections a second that the runner bears, if it is brittle.
+    #[serde(default)]
+    pub brittle: Option<MaxRejections>,
 }
 
 impl RunReport {
     /// Report of a run that gives no evidence.
-    pub const RELEASED: Self = Self { verdict: Verdict::Released, tokens: None, first: None };
+    pub const RELEASED: Self = Self {
+        verdict: Verdict::Released,
+        tokens: None,
+        first: None,
+        is_rejected: false,
+        brittle: None,
+    };
 }
 
 /// Requirements and preferences of a request for its runner.
@@ -249,12 +264,20 @@
     pub(super) runners: BTreeMap<RunnerName, RunnerState>,
     picks: usize,
     signals: SharedSignals,
+    /// Fraction of the rejections of a brittle runner that this table may cause.
+    rejection_share: f64,
 }
 
 impl RunnerTable {
     /// Creates an empty table.
     pub fn new(cfg: RoutingConfig) -> Self {
-        Self { cfg, runners: BTreeMap::new(), picks: 0, signals: SharedSignals::default() }
+        let signals = SharedSignals::default();
+        Self { cfg, runners: BTreeMap::new(), picks: 0, signals, rejection_share: 1.0 }
+    }
+
+    /// Sets the fraction of the rejections of a brittle runner that this table may cause.
+    pub fn set_rejection_share(&mut self, share: f64) {
+        self.rejection_share = share;
     }
 
     /// Sets the rate limits and rests of upstreams, which all tables of a box share.
@@ -286,6 +309,7 @@
                 copies: CopyBacklog::default(),
                 warmup: WarmupLimiter::default(),
                 cold_limit: None,
+                rejections: None,
             });
             runner.configured = true;
             if let Some(tokens) = spec.memory {
@@ -296,6 +320,19 @@
         self.runners.retain(|_, runner| runner.configured || runner.running > 0);
     }
 
+    /// Makes the table cautious with runners that it does not know yet and that are brittle: they
+    /// may be running requests that another box admitted.
+    pub fn guard_new_runners(&mut self, now: Instant) {
+        let brittle = self.signals.brittle.borrow();
+        for (name, runner) in &mut self.runners {
+            let is_brittle = brittle.max_rejections(name, now).is_some();
+            runner.rejections.get_or_insert_with(|| match is_brittle {
+                true => RejectionGuard::cautious(now),
+                false => RejectionGuard::default(),
+            });
+        }
+    }
+
     /// Returns the mean rates of the runners. A new runner starts with them, so that its memory use
     /// and prefill backlog are not misjudged until its first generations have ended.
     fn mean_rates(&self) -> Option<TokenRates> {
@@ -382,6 +419,7 @@
                 && query.allows(&r.spec)
                 && r.warmup.admits(r.cold_limit, now)
                 && self.admits(query, &r.spec.name, now)
+                && self.bears_rejection(r, now)
                 && !(needs_prefill && r.prefill.seconds(now) > MAX_PREFILL_BACKLOG)
         });
         let mut open: Vec<(f64, usize, &RunnerName)> = open
@@ -441,6 +479,35 @@
         if is_at_risk { REJECTION_PENALTY } else { 0.0 }
     }
 
+    /// Returns whether a runner would bear to reject a request.
+    fn bears_rejection(&self, runner: &RunnerState, now: Instant) -> bool {
+        let max = self.signals.brittle.borrow().max_rejections(&runner.spec.name, now);
+        let share = self.rejection_share;
+        let guard = runner.rejections.as_ref();
+        let Some((max, guard)) = max.zip(guard) else { return true };
+        guard.admits(runner.running, max, share, now)
+    }
+
+    /// Records what a run shows about the rejections of its runner.
+    fn record_rejection(&mut self, name: &str, report: RunReport, now: Instant) {
+        let mut brittle = self.signals.brittle.borrow_mut();
+        if let Some(max) = report.brittle {
+            // The box that sent the request notifies the others.
+            brittle.record(name, max, BRITTLE_TTL, now);
+        }
+        let Some(runner) = self.runners.get_mut(name) else { return };
+        let Some(max) = brittle.max_rejections(name, now) else {
+            runner.rejections = Some(RejectionGuard::default());
+            return;
+        };
+        let guard = runner.rejections.get_or_insert_default();
+        if report.is_rejected {
+            guard.record_rejection(runner.running, max, self.rejection_share, now);
+        } else if report.verdict == Verdict::Succeeded {
+            guard.record_success(now);
+        }
+    }
+
     /// Returns whether the rate limit and the rest of a runner admit a request.
     fn admits(&self, query: &RunnerQuery<'_>, runner: &str, now: Instant) -> bool {
         let limits = self.signals.limits.borrow();
@@ -485,6 +552,8 @@
         runner.running = runner.running.saturating_sub(1);
         runner.memory.remove(id, report.tokens, now);
         runner.prefill.remove(id, report.first);
+        self.record_rejection(name, report, now);
+        let Some(runner) = self.runners.get_mut(name) else { return };
         match report.verdict {
             Verdict::Released => {}
             Verdict::Succeeded => {
--- a/crates/hatchpitch/src/upstream_limits/task.rs
+++ b/crates/hatchpitch/src/upstream_limits/task.rs
@@ -221,14 +221,14 @@
 
 /// Sends boxes that have joined the state that they would otherwise learn only from their first
 /// responses. Each decider sends its limits. About [`FANOUT`] boxes, selected at random, send the
-/// limits of which the new box is the decider, and the leaving upstreams.
+/// limits of which the new box is the decider, and the leaving and brittle upstreams.
 fn notify_joined(cx: &EntryCx, known: &Serving, serving: &Serving) {
     let own = cx.settings.boxes_addr;
     let notify_probability = FANOUT as f64 / serving.len().max(1) as f64;
     for addr in serving.difference(known).map(|(addr, _)| *addr).filter(|addr| *addr != own) {
         let mut upstreams = cx.limits.borrow().decided_by(own);
         if rand::random::<f64>() < notify_probability {
-            upstream_signals::send_leaving_notices(cx, addr);
+            upstream_signals::send_all_notices(cx, addr);
             upstreams.extend(cx.limits.borrow().decided_by(addr));
         }
         send_notices(cx, addr, &upstreams);
--- a/crates/hatchpitch/src/upstream_signals/mod.rs
+++ b/crates/hatchpitch/src/upstream_signals/mod.rs
@@ -2,11 +2,16 @@
 //!
 //! Every code path that sends something to an upstream passes the response head to this module,
 //! which reads all signals in one place: a rate limit shared by all boxes, a backoff that applies
-//! to this box alone, and an announcement that the upstream is leaving.
+//! to this box alone, a bound on rejections by all boxes, and an announcement that the upstream is
+//! leaving.
+
+use std::cell::RefCell;
+use std::rc::Rc;
 
 use crate::upstream_limits::SharedLimits;
 
 pub mod backoff;
+pub mod brittle;
 pub mod leaving;
 pub mod notices;
 pub mod signals;
@@ -14,6 +19,7 @@
 pub mod verify;
 
 pub use backoff::{BackoffTable, SharedBackoffs};
+pub use brittle::{BrittleNotice, BrittleUpstreams, MaxRejections, RejectionGuard};
 pub use leaving::{LeavingNotice, LeavingUpstreams};
 pub use notices::NoticeQueue;
 pub use signals::{SignalHeaders, UpstreamSignals};
@@ -25,4 +31,6 @@
     pub limits: SharedLimits,
     /// Backoffs that apply to this box.
     pub backoffs: SharedBackoffs,
+    /// Upstreams that bear only so many rejections by all boxes together.
+    pub brittle: Rc<RefCell<BrittleUpstreams>>,
 }
--- a/crates/hatchpitch/src/upstream_signals/signals.rs
+++ b/crates/hatchpitch/src/upstream_signals/signals.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderMap, StatusCode, header};
 
+use super::brittle::MaxRejections;
 use crate::upstream_limits::LimitSignal;
 
 /// Longest backoff that is honored. It bounds the effect of a corrupted value.
@@ -22,6 +23,8 @@
     pub limit: &'static str,
     /// Announcement that the upstream is leaving.
     pub leaving: &'static str,
+    /// Number of rejections a second above which the upstream fails.
+    pub brittle: &'static str,
 }
 
 /// Signals in the head of one response.
@@ -33,11 +36,14 @@
     pub backoff: Option<Duration>,
     /// Whether the upstream accepts no more work from any box in this life.
     pub leaving: bool,
+    /// Number of rejections a second, by all boxes together, that the upstream bears.
+    pub brittle: Option<MaxRejections>,
 }
 
 impl UpstreamSignals {
     /// No signal, or none that can be trusted.
-    pub const NONE: Self = Self { limit: LimitSignal::Unknown, backoff: None, leaving: false };
+    pub const NONE: Self =
+        Self { limit: LimitSignal::Unknown, backoff: None, leaving: false, brittle: None };
 
     /// Parses the head of a response.
     pub fn read(names: &SignalHeaders, status: StatusCode, headers: &HeaderMap) -> Self {
@@ -46,6 +52,7 @@
             limit: if status.is_success() { limit } else { limit.for_refusal() },
             backoff: parse_backoff(status, headers),
             leaving: headers.get(names.leaving).is_some_and(|value| value == LEAVING_VALUE),
+            brittle: parse_brittle(headers, names.brittle),
         }
     }
 
@@ -76,3 +83,16 @@
     let backoff = Duration::from_secs_f64(seconds.min(MAX_BACKOFF.as_secs_f64()));
     (!backoff.is_zero()).then_some(backoff)
 }
+
+/// Parses the number of rejections a second that an upstream bears. One that announces an unusable
+/// number bears none.
+fn parse_brittle(headers: &HeaderMap, name: &str) -> Option<MaxRejections> {
+    let value = headers.get(name)?;
+    let text = value.to_str().unwrap_or("").trim();
+    let number = text.parse::<f64>().ok().filter(|number| *number >= 0.0);
+    let Some(number) = number else {
+        log::debug!(header = name; "invalid number of rejections: found {text:?}");
+        return Some(0);
+    };
+    Some(number as MaxRejections)
+}
--- a/crates/hatchpitch/tests/hand_over.rs
+++ b/crates/hatchpitch/tests/hand_over.rs
@@ -62,7 +62,8 @@
     }
     assert!(matches!(line.quote(&want("d", 3_000), now), Ok(Quote::Busy(_))));
     let Decision::Wait(ticket) = line.decide(&want("d", 3_000), now) else { panic!() };
-    let report = RunReport { verdict: Verdict::Succeeded, tokens: Some(100), first: None };
+    let report =
+        RunReport { verdict: Verdict::Succeeded, tokens: Some(100), ..RunReport::RELEASED };
     line.release("e", &want("a", 3_000), 3_256, report, now);
     let answers = line.take_answers();
     assert_eq!(answers.len(), 1);
--- a/crates/hatchpitch/tests/overload/fleet.rs
+++ b/crates/hatchpitch/tests/overload/fleet.rs
@@ -328,8 +328,12 @@
                 let Some(run) = running.remove(&request) else { continue };
                 let now = self.at(ms);
                 let first = run.first_ms.map(|first| Duration::from_millis(first - run.started_ms));
-                let run_report =
-                    RunReport { verdict: Verdict::Succeeded, tokens: Some(tokens), first };
+                let run_report = RunReport {
+                    verdict: Verdict::Succeeded,
+                    tokens: Some(tokens),
+                    first,
+                    ..RunReport::RELEASED
+                };
                 self.lines[run.owner].release(&name(engine), &run.want, run.cost, run_report, now);
             }
         }
--- a/crates/hatchpitch/tests/scheduler.rs
+++ b/crates/hatchpitch/tests/scheduler.rs
@@ -53,7 +53,7 @@
 }
 
 fn release(scheduler: &mut PoolScheduler, request: &SlotRequest, now: Instant) {
-    let report = RunReport { verdict: Verdict::Succeeded, tokens: None, first: None };
+    let report = RunReport { verdict: Verdict::Succeeded, ..RunReport::RELEASED };
     scheduler.release("e", request, request.prompt, report, now);
 }
 
--- a/crates/hatchpitch/tests/upstream_signals.rs
+++ b/crates/hatchpitch/tests/upstream_signals.rs
@@ -26,7 +26,7 @@
 
 /// Parses a response head with one header.
 fn parse(status: u16, name: &'static str, value: &[u8]) -> UpstreamSignals {
-    let names = SignalHeaders { limit: "limit", leaving: "leaving" };
+    let names = SignalHeaders { limit: "limit", leaving: "leaving", brittle: "brittle" };
     let mut headers = HeaderMap::new();
     headers.insert(name, HeaderValue::from_bytes(value).unwrap());
     UpstreamSignals::read(&names, StatusCode::from_u16(status).unwrap(), &headers)
