--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -9,7 +9,6 @@
 
 use hatchpitch_net::{BoxClient, Upstream, clock};
 use http::StatusCode;
-use twox_hash::XxHash64;
 
 use crate::admission::{AdmissionConfig, Gate, Placement};
 use crate::claims::ClaimClient;
@@ -22,8 +21,8 @@
 use crate::grants::{GrantTable, HeldSlots};
 use crate::ids::{ConfigNumber, FailureDomainName, PoolName, RegionName, WorkspaceName};
 use crate::limits::RetryBudgets;
+use crate::membership::MemberRecord;
 use crate::membership::task::SharedMembership;
-use crate::membership::{MemberRecord, Subject};
 use crate::metrics::Metrics;
 use crate::moves::Turns;
 use crate::outcome::Problem;
@@ -41,6 +40,8 @@
     BrittleUpstreams, LeavingUpstreams, NoticeQueue, SharedBackoffs, SharedSignals,
 };
 
+mod placement;
+
 /// Whether the process accepts new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Intake {
@@ -245,31 +246,6 @@
         self.owners.borrow().owner_addr(runner)
     }
 
-    /// Returns whether this box admits requests to an engine of a pool.
-    pub fn owns(&self, pool: &PoolView, runner: &str) -> bool {
-        let is_local = self.placement(pool) == Placement::Local;
-        is_local || self.owners.borrow().owns(runner)
-    }
-
-    /// Returns whether each box admits requests to the engines of a pool or only their owners, as
-    /// they do while one of the engines is brittle.
-    pub fn placement(&self, pool: &PoolView) -> Placement {
-        let (brittle, now) = (self.brittle.borrow(), clock::now());
-        if pool.runners.iter().any(|r| brittle.max_rejections(&r.name, now).is_some()) {
-            return Placement::Owner;
-        }
-        pool.hosted.map_or(self.settings.policy.placement, |hosted| hosted.placement)
-    }
-
-    /// Returns whether an engine of a pool is brittle.
-    pub fn is_brittle(&self, pool: &str) -> bool {
-        let (brittle, now) = (self.brittle.borrow(), clock::now());
-        let view = self.view.borrow();
-        let mut runners =
-            view.pools.iter().filter(|p| p.pool.name == pool).flat_map(|p| &p.runners);
-        runners.any(|runner| brittle.max_rejections(&runner.name, now).is_some())
-    }
-
     /// Returns the gates of all pools over the engines that this box owns.
     pub fn gates(&self) -> Vec<(PoolName, Gate)> {
         self.gates.borrow().iter().map(|(name, gate)| (name.clone(), gate.clone())).collect()
@@ -336,14 +312,17 @@
             order: self.settings.policy.order,
             ..AdmissionConfig::default()
         });
-        let owned = pool.runners.iter().filter(|runner| self.owns(pool, &runner.name));
+        let placement = self.placement(pool);
+        let owners = self.owners.borrow();
+        let owns = |name: &str| placement == Placement::Local || owners.owns(name);
+        let owned = pool.runners.iter().filter(|runner| owns(&runner.name));
         let specs: Vec<RunnerSpec> = owned.map(|runner| runner_spec(pool, runner)).collect();
+        drop(owners);
         gate.update(|table| {
             table.sync(specs);
             table.guard_new_runners(clock::now());
         });
         self.update_serving(&gate);
-        let placement = self.placement(pool);
         gate.update(|table| table.set_rejection_share(self.rejection_share(placement)));
         self.update_cold_limits(&gate, pool, placement);
     }
@@ -394,37 +373,6 @@
         });
     }
 
-    /// Returns how many boxes may be sending to an upstream, each by its own decision. Counts all
-    /// boxes in the membership, also unreachable ones, as they may go on sending.
-    fn sender_count(&self) -> usize {
-        let membership = self.membership.borrow();
-        let boxes = membership.records().filter(|r| matches!(r.subject, Subject::Box(_))).count();
-        let min_senders =
-            if clock::since(self.started) < DISCOVERY_TIME { ASSUMED_BOXES_AT_START } else { 1 };
-        boxes.max(min_senders)
-    }
-
-    /// Returns the share of an upstream's limit that the reachable boxes may use, from 0 to 1.
-    /// Boxes lost recently keep their share, as they may be partitioned away together with some
-    /// callers and upstreams.
-    pub fn reachable_share(&self) -> f64 {
-        let membership = self.membership.borrow();
-        let serving = membership.serving_boxes().count().max(1);
-        let lost = membership.lost_boxes(clock::now(), MAX_PARTITION_TIME);
-        // All boxes may have started at the same time and not have discovered each other yet.
-        let is_new = serving == 1 && clock::since(self.started) < DISCOVERY_TIME;
-        let total = if is_new { ASSUMED_BOXES_AT_START } else { serving + lost };
-        serving as f64 / total as f64
-    }
-
-    /// Returns the offset of this box's turn at a cold runner within the period that all boxes
-    /// share, from 0 to 1. It is a hash of both names, so that the turns of the boxes are spread
-    /// out.
-    fn turn_phase(&self, runner: &str) -> f64 {
-        let key = [self.settings.name.as_bytes(), runner.as_bytes()].concat();
-        XxHash64::oneshot(0, &key) as f64 / u64::MAX as f64
-    }
-
     /// Tells the gate of a pool which of its runners accept new work.
     pub fn apply_membership(&self, pool: &str) {
         self.update_serving(&self.gate(pool));
@@ -436,15 +384,6 @@
         gate.update(|table| table.set_serving(serves));
     }
 
-    /// Returns the share of the rejections of a brittle upstream that a gate over the engines of
-    /// this box may cause.
-    fn rejection_share(&self, placement: Placement) -> f64 {
-        match placement {
-            Placement::Owner => self.reachable_share(),
-            Placement::Local => 1.0 / self.sender_count() as f64,
-        }
-    }
-
     /// Tells the gates of all pools which of their runners accept new work, after one began to
     /// leave.
     pub fn apply_leaving(&self) {
@@ -579,15 +518,6 @@
 /// Maximum time until the announcement of a runner that became cold arrives: one heartbeat interval
 /// and the delivery.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(1_500);
-/// Time for which a lost box is assumed to be partitioned away and still sending. A box that was
-/// killed is back far sooner; the share of limits of a box that is gone for good stays unused for
-/// this long.
-const MAX_PARTITION_TIME: Duration = Duration::from_secs(60);
-/// Time after its start within which a box discovers the others.
-const DISCOVERY_TIME: Duration = Duration::from_secs(5);
-/// Number of boxes assumed during [`DISCOVERY_TIME`]. After a failure of the whole fleet all boxes
-/// start together, and each knows only a few of the others.
-const ASSUMED_BOXES_AT_START: usize = 64;
 /// Maximum time that a request waits for the configuration. It covers a start, an election and the
 /// delivery of the configuration.
 const MAX_CONFIG_WAIT: Duration = Duration::from_millis(2_000);
--- a/crates/hatchpitch/src/grants/mod.rs
+++ b/crates/hatchpitch/src/grants/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod held;
 pub mod messages;
+pub mod slot;
 pub mod state;
 pub mod task;
 
@@ -15,5 +16,5 @@
 pub use messages::{
     AdoptAnswer, AdoptRequest, AdoptedSlot, GrantAnswer, GrantRequest, GrantSync, ReleaseRequest,
 };
+pub use slot::Slot;
 pub use state::GrantTable;
-pub use task::Slot;
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hatchpitch_net::{Stop, clock};
 
@@ -12,6 +12,7 @@
     AdoptAnswer, AdoptRequest, AdoptedSlot, Ask, GrantAnswer, GrantRequest, GrantSync,
     ReleaseRequest,
 };
+use super::slot::{Slot, send_release};
 use crate::admission::{Gate, Permit, Placement};
 use crate::dispatch::scheduler::{AT_LIMIT, RESTING, unavailable_refusal};
 use crate::dispatch::search::Search;
@@ -20,10 +21,9 @@
 use crate::ids::{AttemptId, FailureDomainName, RunnerName, new_id};
 use crate::membership::MemberStatus;
 use crate::membership::messages::Subject;
+use crate::routing::RunReport;
 use crate::routing::state::{Closed, RunnerSpec};
-use crate::routing::{RunReport, Verdict};
 use crate::upstream_limits::task as upstream_limits;
-use crate::upstream_signals::task as upstream_signals;
 
 /// Path of grant requests.
 pub const GRANT_PATH: &str = "/box/grant";
@@ -39,7 +39,7 @@
 /// Timeout of a quote; a box that takes longer is skipped.
 const QUOTE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of a call that does not queue for a slot.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time added to the longest queueing time for the timeout of a grant request that may queue.
 const QUEUE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
 /// Interval between syncs.
@@ -56,111 +56,6 @@
 /// leave in the meantime.
 const RESTING_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// A slot on an engine, granted by this box or by another one. Dropping it releases the slot.
-pub struct Slot {
-    cx: Rc<EntryCx>,
-    /// Engine that the slot is on.
-    pub runner: RunnerName,
-    /// Address of the engine.
-    pub addr: SocketAddr,
-    /// Failure domain of the engine.
-    pub failure_domain: FailureDomainName,
-    id: AttemptId,
-    source: GrantSource,
-    /// Time of the grant.
-    since: Instant,
-    report: RunReport,
-}
-
-/// The box that granted a slot.
-enum GrantSource {
-    /// This box admitted the request.
-    Local(Box<Permit>),
-    /// Another box, the owner of the engine, admitted it.
-    Owner,
-}
-
-impl Slot {
-    /// Sets the verdict on the engine and the number of output tokens in the report that is sent
-    /// with the release.
-    pub fn finish(&mut self, verdict: Verdict, tokens: Option<u64>) {
-        self.report.verdict = verdict;
-        self.report.tokens = tokens;
-    }
-
-    /// Records that the engine rejected the request.
-    pub fn record_rejection(&mut self) {
-        self.report.is_rejected = true;
-        if matches!(self.source, GrantSource::Local(_)) && self.owner_is_elsewhere() {
-            upstream_signals::record_unowned_rejection(&self.cx, &self.runner);
-        }
-    }
-
-    fn owner_is_elsewhere(&self) -> bool {
-        self.cx.owner_addr(&self.runner) != Some(self.cx.settings.boxes_addr)
-    }
-
-    /// Records the time to the first token.
-    pub fn record_first_token(&mut self) {
-        self.report.first.get_or_insert(clock::since(self.since));
-    }
-
-    /// Returns whether the engine still accepts work from this box, i.e. whether it has not asked
-    /// this box to rest.
-    fn runner_accepts(&self) -> bool {
-        let (mut rests, now) = (self.cx.backoffs.borrow_mut(), clock::now());
-        match &self.source {
-            // Local admission has already counted this request against the few that may be sent
-            // to an upstream right after its rest.
-            GrantSource::Local(_) => rests.remaining(&self.runner, now).is_none(),
-            GrantSource::Owner => rests.take(&self.runner, now),
-        }
-    }
-
-    /// Creates a slot that this box granted to itself.
-    fn local(cx: &Rc<EntryCx>, id: AttemptId, permit: Permit) -> Self {
-        Self {
-            cx: cx.clone(),
-            runner: permit.runner.name.clone(),
-            addr: permit.runner.addr,
-            failure_domain: permit.runner.failure_domain.clone(),
-            id,
-            source: GrantSource::Local(Box::new(permit)),
-            since: clock::now(),
-            report: RunReport::RELEASED,
-        }
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let now = clock::now();
-        self.report.brittle = self.cx.brittle.borrow().max_rejections(&self.runner, now);
-        if let GrantSource::Local(permit) = &mut self.source {
-            permit.set_report(self.report);
-        }
-        let Some(held) = self.cx.held_slots.borrow_mut().remove(&self.id) else { return };
-        let release = ReleaseRequest { id: self.id.clone(), report: self.report };
-        send_release(&self.cx, held.owner, release);
-    }
-}
-
-/// Releases a slot at its owner without waiting for the answer. If the message is lost, the owner
-/// drops the slot at a later sync.
-fn send_release(cx: &EntryCx, owner: SocketAddr, req: ReleaseRequest) {
-    if owner == cx.settings.boxes_addr {
-        return release(cx, &req);
-    }
-    let client = cx.boxes.clone();
-    compio::runtime::spawn(async move {
-        let call = client.call::<_, ()>(owner, RELEASE_PATH, &req, CALL_TIMEOUT);
-        if let Err(err) = call.await {
-            log::debug!("release of a slot: {err}; a later sync will drop it");
-        }
-    })
-    .detach();
-}
-
 /// Obtains a slot for a request that this box sends.
 ///
 /// An owner does not know which upstreams asked this box to rest, and a rest may begin while the
@@ -432,16 +327,7 @@
         failure_domain: FailureDomainName,
     ) -> Slot {
         self.record_held(owner, &runner);
-        Slot {
-            cx: self.cx.clone(),
-            runner,
-            addr,
-            failure_domain,
-            id: self.want.id.clone(),
-            source: GrantSource::Owner,
-            since: clock::now(),
-            report: RunReport::RELEASED,
-        }
+        Slot::from_owner(&self.cx, self.want.id.clone(), runner, addr, failure_domain)
     }
 
     async fn ask_local(&self, ask: Ask) -> OwnerReply {
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -8,9 +8,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
 use super::prefill::PrefillBacklog;
+use super::report::{RunReport, Verdict};
 use super::warmup::{ColdLimit, WarmupLimiter};
 use crate::admission::lengths::LengthModel;
 use crate::admission::memory::{Candidate, EngineMemory, MemoryPolicy};
@@ -18,7 +17,7 @@
 use crate::engine::EngineLoad;
 use crate::ids::{AttemptId, FailureDomainName, Priority, RunnerName};
 use crate::upstream_signals::brittle::BRITTLE_TTL;
-use crate::upstream_signals::{MaxRejections, RejectionGuard, SharedSignals};
+use crate::upstream_signals::{RejectionGuard, SharedSignals};
 
 /// Configuration of ejection and of the choice between runners.
 #[derive(Debug, Clone, Copy)]
@@ -128,50 +127,6 @@
     prefill: f64,
 }
 
-/// Evidence that a run gives about the health of its runner.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Verdict {
-    /// No evidence.
-    Released,
-    /// The runner works.
-    Succeeded,
-    /// The runner sent an invalid answer or broke one off. Counts as a failure from the second in a
-    /// row.
-    Faulty,
-    /// The runner failed.
-    Failed,
-}
-
-/// Outcome of a run, recorded when its slot is given back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunReport {
-    /// Evidence about the health of the runner.
-    pub verdict: Verdict,
-    /// Length of the output in tokens, if it is known.
-    pub tokens: Option<u64>,
-    /// Time from the grant of the slot to the first token, if the run produced one on the runner on
-    /// which it began.
-    #[serde(default)]
-    pub first: Option<Duration>,
-    /// Whether the runner rejected the request.
-    #[serde(default)]
-    pub is_rejected: bool,
-    /// Number of rejections a second that the runner bears, if it is brittle.
-    #[serde(default)]
-    pub brittle: Option<MaxRejections>,
-}
-
-impl RunReport {
-    /// Report of a run that gives no evidence.
-    pub const RELEASED: Self = Self {
-        verdict: Verdict::Released,
-        tokens: None,
-        first: None,
-        is_rejected: false,
-        brittle: None,
-    };
-}
-
 /// Requirements and preferences of a request for its runner.
 #[derive(Debug, Clone, Copy)]
 pub struct RunnerQuery<'a> {
--- a/crates/hatchpitch/src/upstream_signals/brittle.rs
+++ b/crates/hatchpitch/src/upstream_signals/brittle.rs
@@ -93,6 +93,11 @@
         Some(brittle.max_rejections)
     }
 
+    /// Returns whether no upstream is brittle.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
     /// Returns a number that changes when an upstream becomes brittle or is no longer so.
     pub fn revision(&mut self, now: Instant) -> u64 {
         self.expire(now);
