Let a box testify against an upstream only while its links to others work

The first run of all tests failed in e2e (cli, quarantine): the request that crashes all engines was no longer held, as a box that had failed at two upstreams was no witness against either, also where both were down. A box that failed shows now that it has links: by a success in the last 2 s, or by connecting to one of two other upstreams. Where none answers and all boxes that were asked are refused, that counts as down for the quarantine, not for ejections.

--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::{Body, Listening, SendError, SendStep, Upstream, clock};
+use hatchpitch_net::{Body, Listening, ProbedLink, SendError, SendStep, Upstream, clock};
 use http::{Request, Response};
 use hyper::body::Incoming;
 
@@ -28,6 +28,22 @@
 /// Encodes a request for one attempt, given the time left until its response is of no more use.
 pub type Encode<'a> = &'a dyn Fn(Duration) -> Request<Body>;
 
+/// Time for one request.
+#[derive(Clone, Copy)]
+struct TimeBudget {
+    /// Time limit for receiving the response head, from the sending of the request on. The caller
+    /// of the client has a time limit for all attempts.
+    timeout: Duration,
+    /// Time at which the response is of no more use.
+    end: Instant,
+}
+
+impl TimeBudget {
+    fn left(&self, now: Instant) -> Duration {
+        self.end.saturating_duration_since(now)
+    }
+}
+
 /// Client for one upstream.
 #[derive(Clone)]
 pub struct UpstreamClient {
@@ -103,12 +119,14 @@
         encode: Encode<'_>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
-        let end = clock::now() + timeout;
-        let Some(detour) = &self.detour else { return self.send_directly(encode, end).await };
+        let budget = TimeBudget { timeout, end: clock::now() + timeout };
+        let Some(detour) = &self.detour else {
+            return self.send_directly(encode, budget).await;
+        };
         let paths = &detour.cx.reachability.paths;
         let is_direct = paths.borrow_mut().is_direct(self.addr(), clock::now());
         let failed = if is_direct {
-            match self.send_directly(encode, end).await {
+            match self.send_directly(encode, budget).await {
                 Err(err) if err.is_not_run() => Some(err),
                 result => return result,
             }
@@ -116,7 +134,7 @@
             self.probe();
             None
         };
-        match self.search_peers(detour, encode, end).await {
+        match self.search_peers(detour, encode, budget).await {
             Search::Sent(result) => result,
             Search::UpstreamFailed(cause) => {
                 Err(SendError { step: SendStep::Connect, peer: self.addr(), cause })
@@ -124,7 +142,7 @@
             Search::NoPeer => match failed {
                 Some(err) => Err(detour.without_witness(err)),
                 None => {
-                    let sent = self.send_directly(encode, end).await;
+                    let sent = self.send_directly(encode, budget).await;
                     sent.map_err(|err| detour.without_witness(err))
                 }
             },
@@ -141,55 +159,62 @@
         if candidates.is_empty() {
             return listening;
         }
+        let mut all_refused = listening == Listening::No;
         for peer in candidates.into_iter().take(MAX_PEERS) {
             match task::probe(&detour.cx, peer, &detour.name, self.addr()).await {
                 Some(ProbeResult { listening: Listening::Yes, .. }) => return Listening::Yes,
                 Some(ProbeResult { listening, is_conclusive: true }) => return listening,
-                Some(_) | None => {}
+                Some(ProbeResult { listening: Listening::No, .. }) => {}
+                Some(_) | None => all_refused = false,
             }
         }
-        Listening::Unclear
+        // Where all upstreams are down, no box is a witness, but all see the same.
+        if all_refused { Listening::No } else { Listening::Unclear }
     }
 
     async fn send_directly(
         &self,
         encode: Encode<'_>,
-        end: Instant,
+        budget: TimeBudget,
     ) -> Result<Response<Incoming>, SendError> {
         let conn = self.upstream.connect().await.inspect_err(|_| self.record_failure())?;
         let connected = clock::now();
-        let left = end.saturating_duration_since(connected);
-        let sent = conn.send(encode(left), left).await;
+        let sent = conn.send(encode(budget.left(connected)), budget.timeout).await;
         match &sent {
             Ok(_) => self.record_success(connected),
             Err(err) if err.step == SendStep::Unsent => self.record_failure(),
-            Err(_) if clock::now() < end => self.probe(),
+            Err(_) if clock::now() < budget.end => self.probe(),
             Err(_) => {}
         }
         sent
     }
 
     /// Has another box send the request.
-    async fn search_peers(&self, detour: &Detour, encode: Encode<'_>, end: Instant) -> Search {
+    async fn search_peers(
+        &self,
+        detour: &Detour,
+        encode: Encode<'_>,
+        budget: TimeBudget,
+    ) -> Search {
         let (cx, started) = (&detour.cx, clock::now());
         for peer in task::candidates(cx, PEER_SAMPLE).into_iter().take(MAX_PEERS) {
             let now = clock::now();
-            if now >= end || now >= started + PEER_SEARCH_TIMEOUT {
+            if now >= budget.end || now >= started + PEER_SEARCH_TIMEOUT {
                 break;
             }
             if !task::responds(cx, peer).await {
                 cx.reachability.peers.borrow_mut().record_no_help(peer, clock::now());
                 continue;
             }
-            let left = end.saturating_duration_since(clock::now());
-            let action = match task::encode_action(encode(left), left) {
+            let req = encode(budget.left(clock::now()));
+            let action = match task::encode_action(req, budget.timeout) {
                 Ok(action) => action,
                 Err(cause) => {
                     log::warn!(upstream = detour.name.as_str(); "request not forwarded: {cause}");
                     break;
                 }
             };
-            match self.ask(detour, peer, action, left).await {
+            match self.ask(detour, peer, action, budget.timeout).await {
                 PeerAnswer::Response(res) => return Search::Sent(Ok(res)),
                 PeerAnswer::MayHaveRun(cause) => {
                     let step = SendStep::AwaitHead;
@@ -239,11 +264,16 @@
         let client = self.clone();
         compio::runtime::spawn(async move {
             let started = clock::now();
-            if client.upstream.keeps_connection(PROBE_HOLD).await {
-                client.record_success(started);
-            } else {
-                let mut paths = detour.cx.reachability.paths.borrow_mut();
-                paths.record_probe_failure(client.addr(), clock::now());
+            let probed = client.upstream.probe(PROBE_HOLD).await;
+            let (addr, now) = (client.addr(), clock::now());
+            let mut paths = detour.cx.reachability.paths.borrow_mut();
+            match probed {
+                ProbedLink::Works => {
+                    let change = paths.record_success(addr, started);
+                    detour.log_change(change, addr);
+                }
+                ProbedLink::Closed => paths.record_reset(addr, now),
+                ProbedLink::NoConnection => paths.record_failure(addr, now),
             }
         })
         .detach();
--- a/crates/hatchpitch/src/reachability/state.rs
+++ b/crates/hatchpitch/src/reachability/state.rs
@@ -3,8 +3,8 @@
 //! A failed connect does not tell a lost link from a failed upstream. Another box tells them apart:
 //! if it reaches the upstream, this box has lost its link; if it fails as well, the upstream has.
 //! From the first lost link on, a box is assumed to have lost all of them until one works, because
-//! a request that is sent on a lost link may be lost with it. A box whose links to several upstreams
-//! failed is no witness against any of them.
+//! a request that is sent on a lost link may be lost with it. A box is a witness against an upstream
+//! only if its links to others work.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -14,6 +14,8 @@
 
 /// Time after which a failure that nothing has confirmed or refuted is forgotten.
 const FAILURE_TTL: Duration = Duration::from_secs(10);
+/// Time after a success for which the links of this box are assumed to work.
+const WITNESS_TIME: Duration = Duration::from_secs(2);
 /// Time after its last use at which a broken path is forgotten.
 const BROKEN_TTL: Duration = Duration::from_secs(60);
 /// Interval between probes of broken paths, over all paths of a box: connections are cheap, but
@@ -63,6 +65,7 @@
     /// Whether a path was found to be broken since the last direct success.
     pub(super) is_isolated: bool,
     pub(super) last_failure: Option<Instant>,
+    last_success: Option<Instant>,
     next_probe: Option<Instant>,
 }
 
@@ -76,13 +79,22 @@
         !self.is_isolated
     }
 
-    /// Returns whether a failure of this box at an upstream is evidence against the upstream: it
-    /// has not lost its links, and no other upstream failed lately.
+    /// Returns whether a failure of this box at an upstream is evidence against the upstream: its
+    /// link to another one worked lately, and none failed since.
     pub fn is_witness(&self, addr: SocketAddr, now: Instant) -> bool {
         let mut recent = self.failing.iter().filter(|(_, at)| now < **at + FAILURE_TTL);
-        !self.is_isolated
-            && !self.broken.contains_key(&addr)
-            && recent.all(|(failed, _)| *failed == addr)
+        let has_links = self.last_success.is_some_and(|at| now < at + WITNESS_TIME);
+        has_links && self.is_link_known(addr) && recent.all(|(failed, _)| *failed == addr)
+    }
+
+    /// Returns whether nothing is known against the link to an upstream.
+    pub fn is_link_known(&self, addr: SocketAddr) -> bool {
+        !self.is_isolated && !self.broken.contains_key(&addr)
+    }
+
+    /// Returns whether an upstream failed lately.
+    pub fn has_failed(&self, addr: SocketAddr, now: Instant) -> bool {
+        self.failing.get(&addr).is_some_and(|at| now < *at + FAILURE_TTL)
     }
 
     /// Returns the number of broken paths.
@@ -98,6 +110,7 @@
             return None;
         }
         self.failing.clear();
+        self.last_success = Some(connected);
         self.is_isolated = false;
         self.broken.remove(&addr).map(|_| PathChange::Restored)
     }
@@ -110,9 +123,10 @@
         self.last_failure = Some(now);
     }
 
-    /// Records that a probe failed. The next request goes through another box, which shows whether
-    /// the upstream has failed.
-    pub fn record_probe_failure(&mut self, addr: SocketAddr, now: Instant) {
+    /// Records that a connection was reset as soon as it was established. A request on such a
+    /// connection would be lost, so the next one goes through another box, which shows whether the
+    /// upstream has failed.
+    pub fn record_reset(&mut self, addr: SocketAddr, now: Instant) {
         self.record_failure(addr, now);
         let path = BrokenPath { used_at: now, is_confirmed: false };
         self.broken.entry(addr).or_insert(path);
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -6,9 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{
-    Body, Listening, SendError, SendStep, clock, is_framed, open_message, read_body,
-};
+use hatchpitch_net::{Body, Listening, SendError, clock, is_framed, open_message, read_body};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -37,8 +35,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time limit for a box to show that it responds: many round trips between failure domains.
 const PING_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time limit for the answer to a probe: two connects, and round trips.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit for the answer to a probe: three connects, and round trips.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Other upstreams that are tried to find out whether the links of this box work.
+const MAX_TRIED_UPSTREAMS: usize = 2;
 /// Largest answer of a box that has no response of an upstream, in bytes.
 const MAX_FAILURE: usize = 16 * 1024;
 /// Time limit for reading such an answer.
@@ -234,11 +234,52 @@
         return ProbeResult { listening: Listening::Unclear, is_conclusive: false };
     }
     let listening = cx.direct_path(addr, CONNECT_TIMEOUT).listening().await;
+    if listening == Listening::Yes {
+        return ProbeResult { listening, is_conclusive: true };
+    }
+    cx.reachability.paths.borrow_mut().record_failure(addr, clock::now());
+    ProbeResult { listening, is_conclusive: is_witness(cx, addr).await }
+}
+
+/// Returns whether the failure of this box at an upstream is evidence against the upstream. Tries
+/// others if nothing shows that the links of this box work.
+async fn is_witness(cx: &EntryCx, addr: SocketAddr) -> bool {
+    let now = clock::now();
+    {
+        let paths = cx.reachability.paths.borrow();
+        if !paths.is_link_known(addr) || paths.is_witness(addr, now) {
+            return paths.is_link_known(addr);
+        }
+    }
+    let view = cx.sync_gates();
+    let others = view.pools.iter().flat_map(|pool| &pool.runners).map(|runner| runner.addr);
+    let others: Vec<SocketAddr> = others.filter(|other| *other != addr).collect();
+    if others.is_empty() {
+        // Nothing else could show it.
+        return true;
+    }
+    let untried: Vec<SocketAddr> = {
+        let paths = cx.reachability.paths.borrow();
+        others.into_iter().filter(|other| !paths.has_failed(*other, now)).collect()
+    };
+    let first = cx.next_rotation() % untried.len().max(1);
+    let tried = untried.iter().cycle().skip(first).take(untried.len().min(MAX_TRIED_UPSTREAMS));
+    let tries = tried.map(|other| async move {
+        let path = cx.direct_path(*other, CONNECT_TIMEOUT);
+        (*other, path.listening().await)
+    });
+    let found = futures_util::future::join_all(tries).await;
     let mut paths = cx.reachability.paths.borrow_mut();
-    if listening != Listening::Yes {
-        paths.record_failure(addr, clock::now());
+    for (other, listening) in &found {
+        if *listening != Listening::Yes {
+            paths.record_failure(*other, now);
+        }
     }
-    ProbeResult { listening, is_conclusive: paths.is_witness(addr, clock::now()) }
+    let linked = found.iter().find(|(_, listening)| *listening == Listening::Yes);
+    let Some((other, _)) = linked else { return false };
+    // The failures above may be those of upstreams; one link that works shows that this box has it.
+    paths.record_success(*other, clock::now());
+    true
 }
 
 /// Sends a request of another box.
@@ -267,12 +308,12 @@
     let Some(req) = decode(message) else { return Err(cannot("the request does not decode")) };
     let conn = match cx.direct_path(addr, CONNECT_TIMEOUT).connect().await {
         Ok(conn) => conn,
-        Err(err) => return Err(record_failure(cx, &err)),
+        Err(err) => return Err(failure(cx, &err).await),
     };
     let connected = clock::now();
     let res = match conn.send(req, head_timeout).await {
         Ok(res) => res,
-        Err(err) => return Err(record_failure(cx, &err)),
+        Err(err) => return Err(failure(cx, &err).await),
     };
     // A path that was broken is only tried again by probes, so there is no change to log.
     cx.reachability.paths.borrow_mut().record_success(addr, connected);
@@ -280,16 +321,13 @@
     Ok(forwarded_response(res, is_head))
 }
 
-fn record_failure(cx: &EntryCx, err: &SendError) -> ForwardFailure {
-    let mut paths = cx.reachability.paths.borrow_mut();
-    if matches!(err.step, SendStep::Connect | SendStep::Unsent) {
-        paths.record_failure(err.peer, clock::now());
-    }
-    ForwardFailure {
-        not_run: err.is_not_run(),
-        is_conclusive: paths.is_witness(err.peer, clock::now()),
-        cause: err.to_string(),
+async fn failure(cx: &EntryCx, err: &SendError) -> ForwardFailure {
+    let not_run = err.is_not_run();
+    if not_run {
+        cx.reachability.paths.borrow_mut().record_failure(err.peer, clock::now());
     }
+    let is_conclusive = not_run && is_witness(cx, err.peer).await;
+    ForwardFailure { not_run, is_conclusive, cause: err.to_string() }
 }
 
 /// Records the backoff that the upstream asks for. It may mean the box that sent the request, so
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -75,6 +75,17 @@
     Unclear,
 }
 
+/// Result of a probe of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbedLink {
+    /// The connection stayed open.
+    Works,
+    /// The connection was established, then closed or reset.
+    Closed,
+    /// No connection was established.
+    NoConnection,
+}
+
 /// Address of an upstream and how to connect to it.
 #[derive(Debug, Clone, Copy)]
 pub struct Upstream {
@@ -119,11 +130,13 @@
         Ok(Connection { peer: self.addr, stream })
     }
 
-    /// Returns whether the upstream accepts a connection and keeps it open for `hold`.
-    pub async fn keeps_connection(&self, hold: Duration) -> bool {
-        let Ok(mut conn) = self.connect().await else { return false };
-        let closed = compio::time::timeout(hold, conn.stream.read(Vec::with_capacity(1))).await;
-        closed.is_err()
+    /// Probes a connection to the upstream, which is kept open for `hold`.
+    pub async fn probe(&self, hold: Duration) -> ProbedLink {
+        let Ok(mut conn) = self.connect().await else { return ProbedLink::NoConnection };
+        match compio::time::timeout(hold, conn.stream.read(Vec::with_capacity(1))).await {
+            Ok(_) => ProbedLink::Closed,
+            Err(_) => ProbedLink::Works,
+        }
     }
 
     /// Probes whether the upstream listens, with a connection that is closed immediately.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use backlog::{Backlog, Waiting};
 pub use body::{Body, BodyError, BodySender, is_framed, read_body, read_stream};
-pub use client::{Connection, Listening, SendError, SendStep, Upstream};
+pub use client::{Connection, Listening, ProbedLink, SendError, SendStep, Upstream};
 pub use keys::{KeyId, KeyRing, SigningKey};
 pub use rpc::{BoxClient, CallError, CallStep, Traffic, open_message, rmp_response};
 pub use server::{Handler, ServerLimits, bind, query_value, serve};
