--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -172,6 +172,8 @@
     in_flight: Cell<bool>,
     /// The upstream that the request was sent to last.
     sent_to: RefCell<RunnerName>,
+    /// Whether the last response of an upstream was framed; `None` before the first one.
+    is_framed: Cell<Option<bool>>,
 }
 
 impl Run {
@@ -189,6 +191,7 @@
             waited: Cell::new(Duration::ZERO),
             in_flight: Cell::new(false),
             sent_to: RefCell::default(),
+            is_framed: Cell::new(None),
         }
     }
 
@@ -426,6 +429,7 @@
             self.send_failure(&err)
         })?;
         let (parts, body) = res.into_parts();
+        self.is_framed.set(Some(is_framed(&parts.headers)));
         let kind = (self.relay.protocol.classify)(&self.req, &parts);
         let signals = kind.trusted_signals(self.relay.protocol.signals(&parts));
         upstream_signals::record(&self.relay.cx, &slot.runner, signals, sent_at);
@@ -556,7 +560,7 @@
             workspace = self.req.workspace.as_deref().unwrap_or(""),
             urgency = self.req.urgency, status = status.as_u16(), outcome = outcome.as_str(),
             cause = cause, upstream = self.sent_to.borrow().as_str(),
-            tries = self.tried.borrow().len(),
+            framed = self.is_framed.get(), tries = self.tried.borrow().len(),
             waited_ms = self.waited.get().as_millis(),
             held_ms = clock::since(self.req.received).as_millis(),
             config = self.relay.cx.config.number(),
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -454,7 +454,8 @@
         log::info!(
             request = self.req.id.as_str(), content:% = self.content,
             route = self.req.route.name.as_str(), upstream = self.slot.runner.as_str(), outcome = outcome, cause = cause,
-            events = self.splitter.events(), moves = self.moves, leaving = self.leaving,
+            framed = self.is_framed, events = self.splitter.events(), moves = self.moves,
+            leaving = self.leaving,
             first_event_ms = self.first_event.unwrap_or_default().as_millis(),
             longest_gap_ms = self.longest_gap.as_millis(),
             since_last_ms = clock::since(self.last_progress).as_millis(),
