Reset connections whose end would read as that of a broken-off response

Callers that speak HTTP/1.0 got the part of a stream that was there and an orderly end of their connection when the box broke the stream off: for them the end of the connection is the end of the message. The same holds for any response that has neither a length nor chunks, which a box could not send at all so far.

The server closes such a connection with a linger time of zero until the body has ended well, so that its reader sees a reset: also where the process is killed, as the kernel then closes the socket. Body::framed makes a response end with its connection. It is sent as HTTP/1.0, as the HTTP library frames bodies of unknown length with chunks otherwise; the caller loses the connection in any case.

--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -99,7 +99,7 @@
         let (parts, body) = req.into_parts();
         let bytes = match body {
             Body::Full(bytes) => bytes,
-            body @ (Body::Stream(_) | Body::Incoming(_)) => {
+            body @ (Body::Stream(_) | Body::Incoming(_) | Body::UntilClose(_)) => {
                 // A body that can be read only once is sent only once.
                 return self.upstream.send(Request::from_parts(parts, body), timeout).await;
             }
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -2,7 +2,8 @@
 //!
 //! A streaming body ends normally when its sender is dropped. [`BodySender::abort`]
 //! ends it with an error instead: the connection is closed without the end of the
-//! message, so that the reader does not mistake a truncated body for a complete one.
+//! message, or reset where the end of the connection would mark the end of the message,
+//! so that the reader does not mistake a truncated body for a complete one.
 
 use std::cell::Cell;
 use std::fmt;
@@ -19,6 +20,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::Framing;
+
 /// A body that a handler returns or a client sends.
 #[derive(Debug)]
 pub enum Body {
@@ -28,6 +31,8 @@
     Stream(BodyReceiver),
     /// The body of a received message, passed on as it arrives.
     Incoming(Incoming),
+    /// A body of a response whose end only the end of the connection marks.
+    UntilClose(Box<Body>),
 }
 
 /// Receiving end of a streaming body.
@@ -57,6 +62,20 @@
         let sender = BodySender { tx, aborted: aborted.clone() };
         (sender, Self::Stream(BodyReceiver { rx, aborted }))
     }
+
+    /// Returns the body with this framing, which is for responses only.
+    pub fn framed(self, framing: Framing) -> Self {
+        match (self, framing) {
+            (Self::UntilClose(body), Framing::Delimited) => *body,
+            (body, Framing::Delimited) | (body @ Self::UntilClose(_), Framing::UntilClose) => body,
+            (body, Framing::UntilClose) => Self::UntilClose(Box::new(body)),
+        }
+    }
+
+    /// Returns whether only the end of the connection marks the end of the body.
+    pub fn is_until_close(&self) -> bool {
+        matches!(self, Self::UntilClose(_))
+    }
 }
 
 impl From<Incoming> for Body {
@@ -117,13 +136,14 @@
             Self::Incoming(body) => {
                 Pin::new(body).poll_frame(cx).map_err(|err| BodyError::Broken(err.to_string()))
             }
+            Self::UntilClose(body) => Pin::new(body.as_mut()).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(bytes) => bytes.is_none(),
-            Self::Stream(_) => false,
+            Self::Stream(_) | Self::UntilClose(_) => false,
             Self::Incoming(body) => body.is_end_stream(),
         }
     }
@@ -131,7 +151,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
-            Self::Stream(_) => SizeHint::default(),
+            Self::Stream(_) | Self::UntilClose(_) => SizeHint::default(),
             Self::Incoming(body) => body.size_hint(),
         }
     }
@@ -192,7 +212,8 @@
     Ok(buf.freeze())
 }
 
-/// Reads the next chunk of a body; `None` marks its regular end.
+/// Reads the next chunk of a body; `None` marks its regular end, which is the end of the connection
+/// for a body with [`Framing::UntilClose`].
 ///
 /// # Errors
 ///
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -10,7 +10,8 @@
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
 use futures_util::future::{Either, LocalBoxFuture, select};
-use http::{Request, Response, Uri};
+use http::{HeaderValue, Request, Response, Uri, Version, header};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -146,9 +147,12 @@
     if let Err(err) = set_silence_timeouts(&stream) {
         log::debug!("set TCP timeouts for {peer}: {err}");
     }
-    let service = service_fn(move |req| {
+    let reset = ResetOnClose::new(&stream);
+    let service = service_fn(|req: Request<Incoming>| {
+        let version = req.version();
         let answer = handler(req, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let reset = &reset;
+        async move { Ok::<_, Infallible>(prepare_framing(answer.await, version, reset)) }
     });
     let conn = http1::Builder::new()
         .timer(CompioTimer)
@@ -163,7 +167,50 @@
             conn.await
         }
     };
-    if let Err(err) = ended {
-        log::debug!("connection from {peer} ended: {err}");
+    match ended {
+        Ok(()) => reset.set(false),
+        Err(err) => log::debug!("connection from {peer} ended: {err}"),
+    }
+}
+
+/// Prepares a response whose end only the end of the connection marks. If its body ends early, or
+/// this process does, the connection has to be reset, since its end would read as that of the body.
+fn prepare_framing(
+    mut res: Response<Body>,
+    version: Version,
+    reset: &ResetOnClose,
+) -> Response<Body> {
+    if res.body().is_until_close() {
+        // The HTTP library uses chunks for a body of unknown length in HTTP/1.1.
+        *res.version_mut() = Version::HTTP_10;
+        res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    let is_old = version == Version::HTTP_10 || res.version() == Version::HTTP_10;
+    if is_old && res.body().size_hint().exact().is_none() {
+        reset.set(true);
+    }
+    res
+}
+
+/// Whether closing a socket resets its connection and discards unsent data.
+struct ResetOnClose {
+    /// Keeps the socket open until the option is in its final state.
+    socket: TcpStream,
+    is_set: Cell<bool>,
+}
+
+impl ResetOnClose {
+    fn new(socket: &TcpStream) -> Self {
+        Self { socket: socket.clone(), is_set: Cell::new(false) }
+    }
+
+    fn set(&self, resets: bool) {
+        if self.is_set.replace(resets) == resets {
+            return;
+        }
+        let linger = resets.then_some(Duration::ZERO);
+        if let Err(err) = SockRef::from(&self.socket).set_linger(linger) {
+            log::warn!("set the linger time of a connection: {err}");
+        }
     }
 }
