Pass responses that end with their connection on in the same framing

Cause: the relay took the end of the connection for the end of the response, and framed what it had anew. The kernel closes the connections of a process that dies, so that a crash looks the same.

Now the end of such a response is judged in one place (relay/ending.rs). A stream that ends inside an event, or a body inside a JSON document, was cut short, and so was the response of an upstream that announced itself and no longer listens: a stream is broken off (reset), another response is tried again where its route allows it, else answered with 502. Where nothing shows it, the caller gets the response in the framing of its upstream. A run that ended with its connection is no longer taken for whole when the outcome of its move is unknown. The length of such a generation is not learned, it is not counted as done, and its upstream is trusted only if it still listens.

A stream may move from a runner that marks its end to one that does not, when the caller already has a head. Its end is then broken off rather than marked; to spare later streams that, the box remembers services that answer so, and sends their movable streams without an end mark at once.

A framed stream that ends inside an event counts as broken off as well. Bodies on streaming routes that are no event streams are forwarded as other bodies are.

--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, SendError, clock, is_framed, read_body};
+use hatchpitch_net::{Body, Framing, SendError, clock, read_body};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use sha2::{Digest as _, Sha256};
 
@@ -336,8 +336,9 @@
             upstream_signals::record_unowned_rejection(&self.cx, &upstream.name);
             return Err(AppFailure { cause: format!("{addr} refused"), ran: false });
         }
-        let is_framed = is_framed(res.headers());
-        let body = read_body(res.into_body(), MAX_ANSWER, timeout).await;
+        let (parts, body) = res.into_parts();
+        let is_framed = !Framing::of_response(&self.call.method, &parts).is_until_close();
+        let body = read_body(body, MAX_ANSWER, timeout).await;
         let body = body.map_err(|err| AppFailure { cause: format!("{addr}: {err}"), ran: true })?;
         Ok(AppAnswer { status, content_type, body, is_framed })
     }
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -37,6 +37,8 @@
     Unknown,
     /// Answers completed.
     Done,
+    /// Answers that ended with their connection, so that it stays open whether they were complete.
+    OpenEnded,
     /// Generations preempted by an engine.
     Preemptions,
     /// Reconnections to engines.
@@ -207,6 +209,7 @@
         Count::Refused => "hatchpitch_refused_total",
         Count::Unknown => "hatchpitch_unknown_total",
         Count::Done => "hatchpitch_done_total",
+        Count::OpenEnded => "hatchpitch_open_ended_total",
         Count::Preemptions => "hatchpitch_preemptions_total",
         Count::Relinks => "hatchpitch_relinks_total",
         Count::Reruns => "hatchpitch_reruns_total",
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -61,6 +61,17 @@
     pub addr: SocketAddr,
 }
 
+/// State of an upstream right after the end of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// It accepts connections.
+    Listening,
+    /// It no longer listens.
+    Stopped,
+    /// Neither is known.
+    Unclear,
+}
+
 /// Crash observations of an entry box.
 #[derive(Default)]
 pub struct Observer {
@@ -140,6 +151,16 @@
     compio::runtime::spawn(async move { investigate(&cx, upstream, addr).await }).detach();
 }
 
+/// Finds out whether an upstream still listens.
+pub async fn upstream_state(cx: &Rc<EntryCx>, location: RunLocation<'_>) -> UpstreamState {
+    let RunLocation { upstream, addr } = location;
+    match cx.upstream(upstream, addr).listening().await {
+        Listening::Yes => UpstreamState::Listening,
+        Listening::No if is_still_down(cx, upstream, addr).await => UpstreamState::Stopped,
+        Listening::No | Listening::Unclear => UpstreamState::Unclear,
+    }
+}
+
 /// Records that an upstream answered a content completely, and reports it if required.
 pub fn record_answer(cx: &Rc<EntryCx>, content: ContentId) {
     cx.quarantine.recent.borrow_mut().record(content, clock::now());
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, Listening, SendError, clock, is_framed, open_message, read_body};
+use hatchpitch_net::{Body, Framing, Listening, SendError, clock, open_message, read_body};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -153,6 +153,8 @@
     };
     if let Some(framing) = res.headers_mut().remove(FORWARDED_HEADER) {
         if framing == UNFRAMED {
+            // The chunks between the boxes show that the response came through whole, not that the
+            // upstream completed it.
             res.headers_mut().remove(header::TRANSFER_ENCODING);
         }
         cx.metrics.count(Count::SentByPeer, "");
@@ -304,8 +306,8 @@
         return Err(cannot("the upstream asked the box for rest"));
     }
     let head_timeout = message.head_timeout;
-    let is_head = message.method == Method::HEAD.as_str();
     let Some(req) = decode(message) else { return Err(cannot("the request does not decode")) };
+    let method = req.method().clone();
     let conn = match cx.direct_path(addr, CONNECT_TIMEOUT).connect().await {
         Ok(conn) => conn,
         Err(err) => return Err(failure(cx, &err).await),
@@ -318,7 +320,7 @@
     // A path that was broken is only tried again by probes, so there is no change to log.
     cx.reachability.paths.borrow_mut().record_success(addr, connected);
     record_backoff(cx, upstream, &res, connected);
-    Ok(forwarded_response(res, is_head))
+    Ok(forwarded_response(res, &method))
 }
 
 async fn failure(cx: &EntryCx, err: &SendError) -> ForwardFailure {
@@ -357,11 +359,14 @@
 
 /// Builds the response to another box from that of an upstream, whose body is passed on as it
 /// arrives. If it breaks off, so does the response.
-fn forwarded_response(res: Response<Incoming>, is_head: bool) -> Response<Body> {
+fn forwarded_response(res: Response<Incoming>, method: &Method) -> Response<Body> {
     let (mut parts, body) = res.into_parts();
-    let framing = if is_framed(&parts.headers) { FRAMED } else { UNFRAMED };
+    let framing = match Framing::of_response(method, &parts) {
+        Framing::Delimited => FRAMED,
+        Framing::UntilClose => UNFRAMED,
+    };
     strip_hop_by_hop(&mut parts.headers);
-    if is_head {
+    if *method == Method::HEAD {
         // The length of a body that is not there would not match this response.
         parts.headers.remove(header::CONTENT_LENGTH);
     }
--- a/crates/hatchpitch/src/relay/events.rs
+++ b/crates/hatchpitch/src/relay/events.rs
@@ -38,6 +38,13 @@
         (!self.buf.is_empty()).then(|| self.buf.split().freeze())
     }
 
+    /// Returns whether the bytes that follow the last complete event belong to another event. Blank
+    /// lines and comments do not.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.buf[..].split(|b| matches!(b, b'\n' | b'\r'));
+        lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+    }
+
     /// Returns the number of complete events so far.
     pub fn events(&self) -> u64 {
         self.events
--- a/crates/hatchpitch/src/relay/mod.rs
+++ b/crates/hatchpitch/src/relay/mod.rs
@@ -6,9 +6,13 @@
 //! caller detects that it is incomplete.
 
 pub mod budget;
+pub mod ending;
 pub mod events;
+mod failure;
 pub mod headers;
+pub mod json;
 pub mod protocol;
+pub mod recent;
 pub mod request;
 pub mod response;
 pub mod run;
--- a/crates/hatchpitch/src/relay/response.rs
+++ b/crates/hatchpitch/src/relay/response.rs
@@ -3,24 +3,28 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodyError, BodySender, clock, is_framed, read_stream};
+use hatchpitch_net::{Body, BodyError, BodySender, Framing, clock, read_stream};
 use http::response::Parts;
 use http::{Response, Version, header};
 use hyper::body::Incoming;
 
+use super::ending::{EndCheck, Ending, open_end_verdict};
 use super::headers::strip_hop_by_hop;
 use super::request::HostedRequest;
 use super::run::Relay;
 use super::stream::BUFFERED_CHUNKS;
+use crate::entry::EntryCx;
 use crate::grants::Slot;
+use crate::metrics::Count;
+use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunLocation};
 use crate::routing::Verdict;
 
-/// Builds the caller's response from the head of an upstream's and its complete body.
-pub(super) fn buffered_response(mut parts: Parts, body: Bytes) -> Response<Body> {
+/// Builds the caller's response from the head of an upstream's and its body.
+pub(super) fn buffered_response(mut parts: Parts, body: Bytes, framing: Framing) -> Response<Body> {
     adapt_head(&mut parts);
     parts.headers.remove(header::CONTENT_LENGTH);
-    Response::from_parts(parts, Body::from(body))
+    Response::from_parts(parts, Body::from(body).framed(framing))
 }
 
 /// Adapts the head of an upstream's response to the caller's connection.
@@ -37,31 +41,38 @@
     mut slot: Slot,
     mut parts: Parts,
     first: Bytes,
+    mut check: EndCheck,
     mut body: Incoming,
 ) -> Response<Body> {
-    let is_framed = is_framed(&parts.headers);
     adapt_head(&mut parts);
     let (mut tx, out) = Body::stream(BUFFERED_CHUNKS);
+    let out = out.framed(check.framing());
     let (cx, content) = (relay.cx.clone(), req.content());
     let (active, end) = (relay.cx.begin_request(), req.end());
+    let route = req.route.name.clone();
     compio::runtime::spawn(async move {
+        let runner = slot.runner.clone();
+        let place = RunLocation { upstream: &runner, addr: slot.addr };
         let left = end.saturating_duration_since(clock::now());
-        match compio::time::timeout(left, forward_body(first, &mut body, &mut tx)).await {
-            Ok(Ok(())) => {
+        let forwarded = forward_body(first, &mut check, &mut body, &mut tx);
+        let ending = match compio::time::timeout(left, forwarded).await {
+            Ok(Ok(())) => Ok(check.judge(&cx, place, content, None).await.at_announced()),
+            Ok(Err(err)) => Err(err.to_string()),
+            Err(_) => return tx.abort(),
+        };
+        match ending {
+            Ok(Ending::Complete) => {
                 slot.finish(Verdict::Succeeded, None);
-                if is_framed {
-                    observer::record_answer(&cx, content);
-                }
+                observer::record_answer(&cx, content);
             }
-            Ok(Err(err)) => {
-                log::info!(upstream = slot.runner.as_str(); "large response was not forwarded: {err}");
-                // The error may stem from a caller that disconnected. The observer tells this
-                // apart by checking the upstream, which still serves then.
-                let place = RunLocation { upstream: &slot.runner, addr: slot.addr };
-                observer::record_interruption(&cx, place, content, None);
-                tx.abort();
+            Ok(Ending::Open(state)) => {
+                cx.metrics.count(Count::OpenEnded, &route);
+                slot.finish(open_end_verdict(state), None);
             }
-            Err(_) => tx.abort(),
+            Ok(Ending::Truncated(cause)) => break_off(&cx, place, content, cause, tx),
+            // The error may stem from a caller that disconnected. The observer tells this apart by
+            // checking the upstream, which still serves then.
+            Err(cause) => break_off(&cx, place, content, &cause, tx),
         }
         drop(active);
     })
@@ -69,13 +80,28 @@
     Response::from_parts(parts, out)
 }
 
+/// Breaks off a response to the caller, and records that the run was interrupted.
+fn break_off(
+    cx: &Rc<EntryCx>,
+    place: RunLocation<'_>,
+    content: ContentId,
+    cause: &str,
+    tx: BodySender,
+) {
+    log::info!(upstream = place.upstream; "large response was not forwarded: {cause}");
+    observer::record_interruption(cx, place, content, None);
+    tx.abort();
+}
+
 async fn forward_body(
     first: Bytes,
+    check: &mut EndCheck,
     body: &mut Incoming,
     tx: &mut BodySender,
 ) -> Result<(), BodyError> {
     tx.send(first).await?;
     while let Some(chunk) = read_stream(body).await? {
+        check.push(&chunk);
         tx.send(chunk).await?;
     }
     Ok(())
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -1,19 +1,21 @@
 //! Handles one request: tries upstreams until there is a final response.
 
-use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use hatchpitch_net::{Body, SendError, SendStep, clock, is_framed, read_stream};
+use hatchpitch_net::{Body, Framing, SendError, SendStep, clock, read_stream};
 use http::response::Parts;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use rand::Rng;
 
 use super::budget::RetryBudgets;
+use super::ending::{EndCheck, Ending, is_event_stream, open_end_verdict};
+use super::failure::{Failure, Next, Untried};
 use super::protocol::{Attempt, ResponseKind, RunnerProtocol};
+use super::recent::RecentServices;
 use super::request::HostedRequest;
 use super::{response, stream};
 use crate::config::hosted::{HostedRoute, RunPolicy};
@@ -63,6 +65,8 @@
     pub protocol: RunnerProtocol,
     /// Retry budgets, by service.
     pub budgets: RefCell<RetryBudgets>,
+    /// Services whose streams recently ended with their connections.
+    pub open_streams: RefCell<RecentServices>,
 }
 
 impl Relay {
@@ -90,48 +94,6 @@
     }
 }
 
-/// Result of an attempt at one upstream that gave no final response.
-enum Failure {
-    /// The upstream did not run the request. `arrived` tells whether the upstream received it.
-    NotRun { cause: String, arrived: bool },
-    /// The upstream may have run the request.
-    MayHaveRun { cause: String },
-    /// The upstream ran the request and failed. Holds its response.
-    Ran(Response<Body>),
-}
-
-impl Failure {
-    /// Returns the outcome and its cause, for logging.
-    fn describe(&self) -> (&'static str, Cow<'_, str>) {
-        match self {
-            Self::NotRun { cause, .. } => ("not_run", Cow::Borrowed(cause)),
-            Self::MayHaveRun { cause } => ("may_have_run", Cow::Borrowed(cause)),
-            Self::Ran(res) => ("failed", Cow::Owned(res.status().as_str().to_owned())),
-        }
-    }
-}
-
-/// The upstreams that are left to try for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Untried {
-    /// At least one that may run it.
-    Some,
-    /// Only upstreams in evacuated failure domains.
-    Evacuated,
-    /// No known upstream.
-    None,
-}
-
-/// The next step after an attempt that gave no final response.
-enum Next {
-    /// Try another upstream. Holds the response of one that ran the request and failed, which is
-    /// returned if no other upstream succeeds.
-    TryAnother(Option<Response<Body>>),
-    /// End the request with this result. The response of an earlier upstream, if any, takes
-    /// precedence over a problem.
-    End(Result<Response<Body>, Problem>),
-}
-
 /// Handles a request and returns its final response.
 ///
 /// # Errors
@@ -172,8 +134,8 @@
     in_flight: Cell<bool>,
     /// The upstream that the request was sent to last.
     sent_to: RefCell<RunnerName>,
-    /// Whether the last response of an upstream was framed; `None` before the first one.
-    is_framed: Cell<Option<bool>>,
+    /// Framing of the last response of an upstream; `None` before the first one.
+    framing: Cell<Option<Framing>>,
 }
 
 impl Run {
@@ -191,7 +153,7 @@
             waited: Cell::new(Duration::ZERO),
             in_flight: Cell::new(false),
             sent_to: RefCell::default(),
-            is_framed: Cell::new(None),
+            framing: Cell::new(None),
         }
     }
 
@@ -429,7 +391,8 @@
             self.send_failure(&err)
         })?;
         let (parts, body) = res.into_parts();
-        self.is_framed.set(Some(is_framed(&parts.headers)));
+        let check = EndCheck::new(&self.req.method, &parts);
+        self.framing.set(Some(check.framing()));
         let kind = (self.relay.protocol.classify)(&self.req, &parts);
         let signals = kind.trusted_signals(self.relay.protocol.signals(&parts));
         upstream_signals::record(&self.relay.cx, &slot.runner, signals, sent_at);
@@ -449,7 +412,10 @@
                 return Err(Failure::MayHaveRun { cause });
             }
         }
-        if self.req.route.runs == RunPolicy::Stream && parts.status.is_success() {
+        if self.req.route.runs == RunPolicy::Stream
+            && parts.status.is_success()
+            && is_event_stream(&parts.headers)
+        {
             return Ok(stream::forward(
                 &self.relay,
                 self.req.clone(),
@@ -460,7 +426,7 @@
                 body,
             ));
         }
-        self.read_response(slot, parts, body).await
+        self.read_response(slot, parts, check, body).await
     }
 
     fn send_failure(&self, err: &SendError) -> Failure {
@@ -480,35 +446,58 @@
         &self,
         mut slot: Slot,
         parts: Parts,
+        mut check: EndCheck,
         mut body: Incoming,
     ) -> Result<Response<Body>, Failure> {
         let mut buf = BytesMut::new();
-        let is_framed = is_framed(&parts.headers);
         loop {
             match read_stream(&mut body).await {
-                Ok(Some(chunk)) => buf.extend_from_slice(&chunk),
-                Ok(None) => break,
-                Err(err) => {
-                    slot.finish(Verdict::Faulty, None);
-                    self.note_break(&slot);
-                    let cause = format!("{}: {err}", slot.runner);
-                    return Err(Failure::MayHaveRun { cause });
+                Ok(Some(chunk)) => {
+                    check.push(&chunk);
+                    buf.extend_from_slice(&chunk);
                 }
+                Ok(None) => break,
+                Err(err) => return Err(self.broken_response(&mut slot, &err.to_string())),
             }
             if buf.len() > MAX_BUFFERED_RESPONSE {
                 let first = buf.freeze();
-                return Ok(response::forward(&self.relay, &self.req, slot, parts, first, body));
+                return Ok(response::forward(
+                    &self.relay,
+                    &self.req,
+                    slot,
+                    parts,
+                    first,
+                    check,
+                    body,
+                ));
             }
         }
-        if is_framed {
-            observer::record_answer(&self.relay.cx, self.content);
-        }
+        let place = RunLocation { upstream: &slot.runner, addr: slot.addr };
+        let ending = check.judge(&self.relay.cx, place, self.content, None).await;
+        let verdict = match ending.at_announced() {
+            Ending::Complete => {
+                observer::record_answer(&self.relay.cx, self.content);
+                Verdict::Succeeded
+            }
+            Ending::Open(state) => {
+                self.relay.cx.metrics.count(Count::OpenEnded, &self.req.route.name);
+                open_end_verdict(state)
+            }
+            Ending::Truncated(cause) => return Err(self.broken_response(&mut slot, cause)),
+        };
         let failed = parts.status.is_server_error();
-        slot.finish(if failed { Verdict::Released } else { Verdict::Succeeded }, None);
-        let res = response::buffered_response(parts, buf.freeze());
+        slot.finish(if failed { Verdict::Released } else { verdict }, None);
+        let res = response::buffered_response(parts, buf.freeze(), check.framing());
         if failed { Err(Failure::Ran(res)) } else { Ok(res) }
     }
 
+    /// Records that the upstream broke off its response.
+    fn broken_response(&self, slot: &mut Slot, cause: &str) -> Failure {
+        slot.finish(Verdict::Faulty, None);
+        self.note_break(slot);
+        Failure::MayHaveRun { cause: format!("{}: {cause}", slot.runner) }
+    }
+
     /// Refuses a request for which no further upstream is available. The retry delay covers the
     /// upstreams that were tried as well, because the caller's next request may use them.
     fn refused_after_tries(&self, mut refusal: Refusal) -> Problem {
@@ -560,7 +549,8 @@
             workspace = self.req.workspace.as_deref().unwrap_or(""),
             urgency = self.req.urgency, status = status.as_u16(), outcome = outcome.as_str(),
             cause = cause, upstream = self.sent_to.borrow().as_str(),
-            framed = self.is_framed.get(), tries = self.tried.borrow().len(),
+            framed = self.framing.get().map(|framing| !framing.is_until_close()),
+            tries = self.tried.borrow().len(),
             waited_ms = self.waited.get().as_millis(),
             held_ms = clock::since(self.req.received).as_millis(),
             config = self.relay.cx.config.number(),
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodySender, SendError, clock, is_framed, read_stream};
+use hatchpitch_net::{Body, BodySender, Framing, SendError, clock, read_stream};
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
 
+use super::ending::{Ending, judge_open_end, open_end_verdict};
 use super::events::EventSplitter;
 use super::protocol::{Attempt, ResponseKind, Resume};
 use super::request::HostedRequest;
@@ -24,7 +25,7 @@
 use crate::moves::mover::Moving;
 use crate::moves::{self, MoveOutcome, Moved, SourceRunner};
 use crate::quarantine::ContentId;
-use crate::quarantine::observer::{self, RunLocation};
+use crate::quarantine::observer::{self, RunLocation, UpstreamState};
 use crate::registry::Phase;
 use crate::routing::Verdict;
 use crate::upstream_signals::task as upstream_signals;
@@ -49,6 +50,9 @@
 enum StreamEnd {
     /// The upstream ended it regularly.
     Whole,
+    /// Its connection ended between two events, and nothing shows whether the upstream ended it.
+    /// Holds the state of the upstream.
+    Open(UpstreamState),
     /// The caller disconnected, or read too slowly.
     CallerLeft,
     /// The upstream broke it off. Holds the cause.
@@ -67,11 +71,12 @@
     mut parts: Parts,
     body: Incoming,
 ) -> Response<Body> {
-    let is_framed = is_framed(&parts.headers);
+    let framing = Framing::of_response(&req.method, &parts);
     adapt_head(&mut parts);
     let (tx, out) = Body::stream(BUFFERED_CHUNKS);
     let mut stream = EventStream::new(relay.clone(), req, content, service.to_owned(), slot);
-    stream.is_framed = is_framed;
+    stream.start(framing);
+    let out = out.framed(stream.caller_framing);
     compio::runtime::spawn(stream.run(body, tx)).detach();
     Response::from_parts(parts, out)
 }
@@ -84,8 +89,10 @@
     service: ServiceName,
     splitter: EventSplitter,
     moving: Option<Moving>,
-    /// Whether the response of the current link is framed, so that its end differs from a break.
-    is_framed: bool,
+    /// Framing of the response to the caller.
+    caller_framing: Framing,
+    /// Framing of the response of the current link.
+    framing: Framing,
     /// When the head of the current link was received.
     link_start: Instant,
     /// Number of migrations started.
@@ -151,7 +158,8 @@
             service,
             splitter: EventSplitter::default(),
             moving: None,
-            is_framed: true,
+            caller_framing: Framing::Delimited,
+            framing: Framing::Delimited,
             link_start: now,
             moves: 0,
             next_move: now,
@@ -164,6 +172,31 @@
         }
     }
 
+    /// Sets the framing of the first link and that of the response to the caller. A migration may
+    /// lead to a runner that doesn't mark the end of its response; by then, the caller has the head
+    /// of its own.
+    fn start(&mut self, framing: Framing) {
+        self.set_framing(framing);
+        let now = clock::now();
+        let may_become_open =
+            self.may_migrate() && self.relay.open_streams.borrow().contains(&self.service, now);
+        self.caller_framing = if may_become_open { Framing::UntilClose } else { framing };
+    }
+
+    /// Sets the framing of the current link.
+    fn set_framing(&mut self, framing: Framing) {
+        self.framing = framing;
+        if framing.is_until_close() {
+            self.relay.open_streams.borrow_mut().record(&self.service, clock::now());
+        }
+    }
+
+    /// Returns whether the generation can be migrated at all.
+    fn may_migrate(&self) -> bool {
+        let moves = self.relay.cx.settings.policy.moves;
+        moves && self.req.generation.is_some() && self.engine().is_some_and(|e| e.moves)
+    }
+
     async fn run(mut self, body: Incoming, mut tx: BodySender) {
         let end = self.forward_links(body, &mut tx).await;
         let tokens = self.tokens_produced();
@@ -172,6 +205,11 @@
                 self.relay.cx.metrics.count(Count::Done, &self.req.route.name);
                 self.slot.finish(Verdict::Succeeded, Some(tokens));
             }
+            StreamEnd::Open(state) => {
+                self.relay.cx.metrics.count(Count::OpenEnded, &self.req.route.name);
+                // The length is not learned, since the generation may have been cut short.
+                self.slot.finish(open_end_verdict(*state), None);
+            }
             StreamEnd::Broken(_) => {
                 self.slot.finish(Verdict::Released, None);
                 tx.abort();
@@ -211,7 +249,7 @@
             let chunk = match compio::time::timeout(CALLER_POLL_INTERVAL, read_stream(body)).await {
                 Err(_) => continue,
                 Ok(Ok(Some(chunk))) => chunk,
-                Ok(Ok(None)) => return LinkEnd::Closed(StreamEnd::Whole),
+                Ok(Ok(None)) => return LinkEnd::Closed(self.regular_end()),
                 Ok(Err(err)) => return LinkEnd::Closed(StreamEnd::Broken(err.to_string())),
             };
             let Some(events) = self.splitter.push(&chunk) else { continue };
@@ -225,22 +263,52 @@
         }
     }
 
+    /// Returns how a link ended whose connection or message ended in order.
+    fn regular_end(&self) -> StreamEnd {
+        if self.splitter.is_inside_event() {
+            return StreamEnd::Broken("the stream ended inside an event".to_owned());
+        }
+        match self.framing {
+            Framing::Delimited => StreamEnd::Whole,
+            Framing::UntilClose => StreamEnd::Open(UpstreamState::Unclear),
+        }
+    }
+
     /// Ends the stream as its last link ended.
     async fn finish_link(&mut self, closed: StreamEnd, tx: &mut BodySender) -> StreamEnd {
-        match &closed {
-            StreamEnd::Whole if self.is_framed => {
-                observer::record_answer(&self.relay.cx, self.content)
-            }
+        let end = match closed {
+            StreamEnd::Open(_) => self.judge_open_end().await,
+            end => end,
+        };
+        match &end {
+            StreamEnd::Whole => observer::record_answer(&self.relay.cx, self.content),
             StreamEnd::Broken(_) => self.note_break(Some(self.link_start)),
             _ => {}
         }
-        if closed == StreamEnd::Whole
+        if matches!(end, StreamEnd::Whole | StreamEnd::Open(_))
             && let Some(remainder) = self.splitter.take_remainder()
         {
-            // The upstream ended the message regularly, so the remaining bytes belong to it.
+            // These bytes are no part of an event, but of the message of the upstream.
             let _ = tx.send(remainder).await;
         }
-        closed
+        end
+    }
+
+    /// Judges the end of a link that ended with its connection.
+    async fn judge_open_end(&self) -> StreamEnd {
+        let place = RunLocation { upstream: &self.slot.runner, addr: self.slot.addr };
+        let started = Some(self.link_start);
+        let ending = judge_open_end(&self.relay.cx, place, self.content, started).await;
+        match ending.at_announced() {
+            Ending::Complete => StreamEnd::Whole,
+            Ending::Truncated(cause) => StreamEnd::Broken(cause.to_owned()),
+            Ending::Open(state) if self.caller_framing.is_until_close() => StreamEnd::Open(state),
+            Ending::Open(_) => {
+                // The end of a framed response would tell the caller that it is complete.
+                let cause = "the runner it was migrated to did not mark its end";
+                StreamEnd::Broken(cause.to_owned())
+            }
+        }
     }
 
     /// Records that the runner broke off its run. `started` is when the run is known to have
@@ -260,9 +328,6 @@
             return;
         }
         self.refresh_leaving();
-        if !self.relay.cx.settings.policy.moves {
-            return;
-        }
         if !self.leaving || self.moves >= MAX_MOVES || clock::now() < self.next_move {
             return;
         }
@@ -273,10 +338,7 @@
         let Some(needs) = self.req.generation else { return };
         let produced = self.tokens_produced();
         let at_stake = needs.max_output.saturating_sub(produced);
-        if produced == 0
-            || at_stake < MIN_REMAINING_TOKENS
-            || !self.engine().is_some_and(|e| e.moves)
-        {
+        if produced == 0 || at_stake < MIN_REMAINING_TOKENS || !self.may_migrate() {
             return;
         }
         self.moves += 1;
@@ -305,7 +367,7 @@
     /// if there was no migration, or if the stream had ended before it.
     async fn open_next_link(&mut self, closed: &StreamEnd) -> Result<Option<Incoming>, String> {
         let Some(moving) = self.moving.take() else { return Ok(None) };
-        if *closed == StreamEnd::Whole && !moving.is_stopping() {
+        if !matches!(closed, StreamEnd::Broken(_)) && !moving.is_stopping() {
             // The run was not stopped, so it has finished; its migration is abandoned.
             return Ok(None);
         }
@@ -313,7 +375,7 @@
             Ok(Ok(MoveOutcome::Moved(moved))) => moved,
             Ok(Ok(MoveOutcome::Stays(_))) => return Ok(None),
             // The stream of a stopped run is closed without its terminator, so this run was not
-            // stopped.
+            // stopped. One without a terminator may have been.
             _ if *closed == StreamEnd::Whole => return Ok(None),
             Ok(Ok(MoveOutcome::Lost(cause))) => return Err(cause),
             Ok(Err(_)) | Err(_) => return Err("the move did not end in time".to_owned()),
@@ -386,7 +448,7 @@
         match kind {
             ResponseKind::Answer if parts.status.is_success() => {
                 self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
-                self.is_framed = is_framed(&parts.headers);
+                self.set_framing(Framing::of_response(&self.req.method, &parts));
                 self.link_start = clock::now();
                 Ok(body)
             }
@@ -447,6 +509,7 @@
     fn log(&self, end: &StreamEnd) {
         let (outcome, cause) = match end {
             StreamEnd::Whole => ("whole", ""),
+            StreamEnd::Open(_) => ("open", ""),
             StreamEnd::CallerLeft => ("caller_left", ""),
             StreamEnd::Broken(cause) => ("broken", cause.as_str()),
             StreamEnd::OutOfTime => ("out_of_time", ""),
@@ -454,7 +517,7 @@
         log::info!(
             request = self.req.id.as_str(), content:% = self.content,
             route = self.req.route.name.as_str(), upstream = self.slot.runner.as_str(), outcome = outcome, cause = cause,
-            framed = self.is_framed, events = self.splitter.events(), moves = self.moves,
+            framed = !self.framing.is_until_close(), events = self.splitter.events(), moves = self.moves,
             leaving = self.leaving,
             first_event_ms = self.first_event.unwrap_or_default().as_millis(),
             longest_gap_ms = self.longest_gap.as_millis(),
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -15,7 +15,6 @@
 use bytes::{Bytes, BytesMut};
 use futures_channel::mpsc;
 use futures_util::{SinkExt, StreamExt};
-use http::{HeaderMap, header};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -183,12 +182,6 @@
 
 impl std::error::Error for BodyError {}
 
-/// Returns whether the headers of a message define where its body ends. Without them, the end of
-/// the body cannot be told from a crash of the sender.
-pub fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Reads a complete body of at most `max` bytes within `limit`.
 ///
 /// # Errors
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,7 +17,7 @@
 mod stream;
 
 pub use backlog::{Backlog, Waiting};
-pub use body::{Body, BodyError, BodySender, is_framed, read_body, read_stream};
+pub use body::{Body, BodyError, BodySender, read_body, read_stream};
 pub use client::{Connection, Listening, ProbedLink, SendError, SendStep, Upstream};
 pub use framing::Framing;
 pub use keys::{KeyId, KeyRing, SigningKey};
