End a streaming body as complete only where its sender says so

A caller that read too slowly, and one whose response was under way when its task panicked, got the part that was there with the last chunk, as a complete response: the sender of a body was dropped, which ended the body in order.

BodySender::finish ends a body now, and dropping the sender breaks it off. Only a whole stream, one with an open end, a forwarded body that ended, and the last event of a chat answer finish theirs.

Evidence: a_body_whose_sender_is_dropped_reads_as_complete fails without the check in the body's poll_frame.

--- a/crates/hatchpitch/src/entry/completions.rs
+++ b/crates/hatchpitch/src/entry/completions.rs
@@ -301,9 +301,12 @@
             }
             _ => (chunks::heartbeat(), false),
         };
-        if !send_event(cx, &generation, &mut tx, event).await || is_last {
+        if !send_event(cx, &generation, &mut tx, event).await {
             return;
         }
+        if is_last {
+            return tx.finish();
+        }
         step = generation.next().await;
     }
 }
--- a/crates/hatchpitch/src/relay/response.rs
+++ b/crates/hatchpitch/src/relay/response.rs
@@ -58,16 +58,19 @@
         let ending = match compio::time::timeout(left, forwarded).await {
             Ok(Ok(())) => Ok(check.judge(&cx, place, content, None).await.at_announced()),
             Ok(Err(err)) => Err(err.to_string()),
-            Err(_) => return tx.abort(),
+            // Dropping the sender breaks the response off.
+            Err(_) => return,
         };
         match ending {
             Ok(Ending::Complete) => {
                 slot.finish(Verdict::Succeeded, None);
                 observer::record_answer(&cx, content);
+                tx.finish();
             }
             Ok(Ending::Open(state)) => {
                 cx.metrics.count(Count::OpenEnded, &route);
                 slot.finish(open_end_verdict(state), None);
+                tx.finish();
             }
             Ok(Ending::Truncated(cause)) => break_off(&cx, place, content, cause, tx),
             // The error may stem from a caller that disconnected. The observer tells this apart by
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -204,20 +204,21 @@
             StreamEnd::Whole => {
                 self.relay.cx.metrics.count(Count::Done, &self.req.route.name);
                 self.slot.finish(Verdict::Succeeded, Some(tokens));
+                tx.finish();
             }
             StreamEnd::Open(state) => {
                 self.relay.cx.metrics.count(Count::OpenEnded, &self.req.route.name);
                 // The length is not learned, since the generation may have been cut short.
                 self.slot.finish(open_end_verdict(*state), None);
+                tx.finish();
             }
             StreamEnd::Broken(_) => {
                 self.slot.finish(Verdict::Released, None);
-                tx.abort();
             }
             StreamEnd::CallerLeft => {
                 self.relay.cx.metrics.count(Count::CallerLeft, &self.req.route.name)
             }
-            StreamEnd::OutOfTime => tx.abort(),
+            StreamEnd::OutOfTime => {}
         }
         self.log(&end);
     }
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,9 +1,10 @@
 //! Message bodies: complete, or streamed in chunks through a bounded channel.
 //!
-//! A streaming body ends normally when its sender is dropped. [`BodySender::abort`]
-//! ends it with an error instead: the connection is closed without the end of the
-//! message, or reset where the end of the connection would mark the end of the message,
-//! so that the reader does not mistake a truncated body for a complete one.
+//! A streaming body ends normally with [`BodySender::finish`]. If its sender is dropped
+//! before, also because its task panics, the body ends with an error instead: the
+//! connection is closed without the end of the message, or reset where the end of the
+//! connection would mark the end of the message, so that the reader does not mistake a
+//! truncated body for a complete one.
 
 use std::cell::Cell;
 use std::fmt;
@@ -26,7 +27,7 @@
 pub enum Body {
     /// A complete body.
     Full(Option<Bytes>),
-    /// A body streamed through a [`BodySender`]; it ends when the sender is dropped.
+    /// A body streamed through a [`BodySender`].
     Stream(BodyReceiver),
     /// The body of a received message, passed on as it arrives.
     Incoming(Incoming),
@@ -38,14 +39,15 @@
 #[derive(Debug)]
 pub struct BodyReceiver {
     rx: mpsc::Receiver<Bytes>,
-    aborted: Rc<Cell<bool>>,
+    is_finished: Rc<Cell<bool>>,
 }
 
-/// Sending end of a streaming body. The bounded channel provides backpressure.
+/// Sending end of a streaming body. The bounded channel provides backpressure. Dropping it ends the
+/// body with an error, which tells the reader that it is truncated.
 #[derive(Debug)]
 pub struct BodySender {
     tx: mpsc::Sender<Bytes>,
-    aborted: Rc<Cell<bool>>,
+    is_finished: Rc<Cell<bool>>,
 }
 
 impl Body {
@@ -57,9 +59,9 @@
     /// Creates a streaming body that buffers `depth` chunks, and one more for its sender.
     pub fn stream(depth: usize) -> (BodySender, Self) {
         let (tx, rx) = mpsc::channel(depth);
-        let aborted = Rc::new(Cell::new(false));
-        let sender = BodySender { tx, aborted: aborted.clone() };
-        (sender, Self::Stream(BodyReceiver { rx, aborted }))
+        let is_finished = Rc::new(Cell::new(false));
+        let sender = BodySender { tx, is_finished: is_finished.clone() };
+        (sender, Self::Stream(BodyReceiver { rx, is_finished }))
     }
 
     /// Returns the body with this framing, which is for responses only.
@@ -105,11 +107,14 @@
         self.tx.send(chunk).await.map_err(|_| BodyError::Closed)
     }
 
-    /// Ends the body with an error, which tells the reader that it is truncated.
-    pub fn abort(self) {
-        self.aborted.set(true);
+    /// Ends the body, which is complete.
+    pub fn finish(self) {
+        self.is_finished.set(true);
     }
 
+    /// Ends the body with an error, as dropping the sender does.
+    pub fn abort(self) {}
+
     /// Returns whether the reader has closed the body.
     pub fn is_closed(&self) -> bool {
         self.tx.is_closed()
@@ -127,7 +132,7 @@
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Self::Stream(body) => match body.rx.poll_next_unpin(cx) {
-                Poll::Ready(None) if body.aborted.get() => {
+                Poll::Ready(None) if !body.is_finished.get() => {
                     Poll::Ready(Some(Err(BodyError::Broken("the rest is missing".to_owned()))))
                 }
                 polled => polled.map(|chunk| chunk.map(|chunk| Ok(Frame::data(chunk)))),
--- a/crates/net/tests/endings.rs
+++ b/crates/net/tests/endings.rs
@@ -17,17 +17,18 @@
 const TIMEOUT: Duration = Duration::from_secs(10);
 const WHOLE: &str = "first second";
 
-/// Sends two pieces of a body and aborts between them if `aborts`.
-fn body(framing: Framing, aborts: bool) -> Body {
+/// Sends two pieces of a body, and drops the sender between them if `is_cut`.
+fn body(framing: Framing, is_cut: bool) -> Body {
     let (mut tx, body) = Body::stream(1);
     compio::runtime::spawn(async move {
         tx.send(Bytes::from("first ")).await.unwrap();
         compio::time::sleep(PAUSE).await;
-        if aborts {
-            return tx.abort();
+        if is_cut {
+            return;
         }
         // Fails if the reader has disconnected.
         let _ = tx.send(Bytes::from("second")).await;
+        tx.finish();
     })
     .detach();
     body.framed(framing)
@@ -48,7 +49,7 @@
                 };
                 let body = match path.ends_with("/buffered") {
                     true => Body::from(WHOLE.to_owned()).framed(framing),
-                    false => body(framing, path.ends_with("/aborted")),
+                    false => body(framing, path.ends_with("/cut")),
                 };
                 async move { Response::new(body) }.boxed_local()
             });
@@ -86,16 +87,16 @@
 }
 
 #[test]
-fn an_aborted_body_that_ends_with_its_connection_reads_as_complete() {
+fn a_body_whose_sender_is_dropped_reads_as_complete() {
     let addr = start();
     for (path, version) in
-        [("/close/aborted", "HTTP/1.1"), ("/close/aborted", "HTTP/1.0"), ("/x/aborted", "HTTP/1.0")]
+        [("/close/cut", "HTTP/1.1"), ("/close/cut", "HTTP/1.0"), ("/x/cut", "HTTP/1.0")]
     {
         let (head, rest, was_reset) = get(addr, path, version, false);
         assert!(!head.contains("content-length") && !head.contains("chunked"), "{head}");
         assert_eq!((rest.as_str(), was_reset), ("first ", true), "{path} {version}");
     }
-    let (head, rest, _) = get(addr, "/x/aborted", "HTTP/1.1", false);
+    let (head, rest, _) = get(addr, "/x/cut", "HTTP/1.1", false);
     assert!(head.contains("chunked") && !rest.ends_with("0\r\n\r\n"), "{head} {rest}");
 }
 
--- a/crates/soak/src/upstreams/runs.rs
+++ b/crates/soak/src/upstreams/runs.rs
@@ -248,6 +248,7 @@
         }
     }
     run.finished.set(true);
+    tx.finish();
 }
 
 /// Returns a body that is aborted at once.
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -357,6 +357,7 @@
             }
         }
         self.engine.model.borrow_mut().detach(&self.id, &self.attempt);
+        self.tx.finish();
     }
 
     /// Returns the next event of the generation.
