Send all of a whole response that ends with its connection

A caller that sent its next request while it read such a response lost the end of it: the server closed the socket with that request unread, which resets the connection and discards what the caller has not read yet. A length of an upstream whose transfer coding is not chunked was passed on with the response, whose body it does not describe.

The server reads what the caller sends until it closes the connection, for at most 2 s, and removes the length.

Evidence: a_request_that_is_sent_early_cuts_a_body_that_ends_with_its_connection fails without the first, a_whole_body_that_ends_with_its_connection_is_reset without the second.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compio::BufResult;
+use compio::io::AsyncRead;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
 use futures_util::future::{Either, LocalBoxFuture, select};
@@ -63,6 +65,13 @@
 /// unanswered for [`UNACKNOWLEDGED_TIMEOUT`].
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum time for which a connection is kept open after a response that ends with it, so that its
+/// caller can read the rest. A box that stops waits for it.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Size of one read while a connection is drained, in bytes.
+const DRAIN_BYTES: usize = 1_024;
+
 /// Delay before the accept loop retries after an error such as too many open files. Also the
 /// polling interval for open connections at shutdown.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -164,15 +173,40 @@
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
             conn.as_mut().graceful_shutdown();
-            conn.await
+            conn.as_mut().await
         }
     };
+    drop(conn);
     match ended {
-        Ok(()) => reset.set(false),
+        Ok(()) if reset.is_set.get() => {
+            reset.set(false);
+            drain(reset.socket).await;
+        }
+        Ok(()) => {}
         Err(err) => log::debug!("connection from {peer} ended: {err}"),
     }
 }
 
+/// Reads and discards what the caller sends until it closes the connection, for up to
+/// [`DRAIN_TIMEOUT`]. Closing a socket with unread input resets its connection, and the caller may
+/// lose the end of a response that it has not read yet.
+async fn drain(mut socket: TcpStream) {
+    let read_all = async {
+        let mut buf = Vec::with_capacity(DRAIN_BYTES);
+        loop {
+            let BufResult(read, used) = socket.read(buf).await;
+            if !read.is_ok_and(|read| read > 0) {
+                return;
+            }
+            buf = used;
+            buf.clear();
+        }
+    };
+    if compio::time::timeout(DRAIN_TIMEOUT, read_all).await.is_err() {
+        log::debug!("a caller kept its connection open after the end of its response");
+    }
+}
+
 /// Prepares a response whose end only the end of the connection marks. If its body ends early, or
 /// this process does, the connection has to be reset, since its end would read as that of the body.
 fn prepare_framing(
@@ -183,6 +217,7 @@
     if res.body().is_until_close() {
         // The HTTP library uses chunks for a body of unknown length in HTTP/1.1.
         *res.version_mut() = Version::HTTP_10;
+        res.headers_mut().remove(header::CONTENT_LENGTH);
         res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     let is_old = version == Version::HTTP_10 || res.version() == Version::HTTP_10;
--- a/crates/net/tests/endings.rs
+++ b/crates/net/tests/endings.rs
@@ -9,13 +9,16 @@
 use bytes::Bytes;
 use futures_util::FutureExt as _;
 use hatchpitch_net::{Body, Framing, Handler, ServerLimits, Stop, bind, serve, stop_pair};
+use http::header::CONTENT_LENGTH;
 use http::response::Parts;
-use http::{Method, Response, StatusCode};
+use http::{HeaderValue, Method, Response, StatusCode};
 
 /// Pause between the pieces of a body, so that each arrives by itself.
 const PAUSE: Duration = Duration::from_millis(10);
 const TIMEOUT: Duration = Duration::from_secs(10);
 const WHOLE: &str = "first second";
+/// Size of a body that does not fit into the buffers of a connection, in bytes.
+const LARGE: usize = 3 * 1024 * 1024;
 
 /// Sends two pieces of a body, and drops the sender between them if `is_cut`.
 fn body(framing: Framing, is_cut: bool) -> Body {
@@ -47,11 +50,17 @@
                     true => Framing::UntilClose,
                     false => Framing::Delimited,
                 };
-                let body = match path.ends_with("/buffered") {
-                    true => Body::from(WHOLE.to_owned()).framed(framing),
-                    false => body(framing, path.ends_with("/cut")),
+                let body = match path.rsplit('/').next() {
+                    Some("buffered") => Body::from(WHOLE.to_owned()).framed(framing),
+                    Some("large") => Body::from("x".repeat(LARGE)).framed(framing),
+                    last => body(framing, last == Some("cut")),
                 };
-                async move { Response::new(body) }.boxed_local()
+                let mut res = Response::new(body);
+                if framing.is_until_close() {
+                    // The length of another transfer coding is not that of the body.
+                    res.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from_static("5"));
+                }
+                async move { res }.boxed_local()
             });
             let (_handle, stop): (_, Stop) = stop_pair();
             serve(listener, ServerLimits::default(), handler, stop).await;
@@ -125,6 +134,29 @@
     assert!(was_reset || rest == WHOLE, "{rest}");
 }
 
+#[test]
+fn a_request_that_is_sent_early_cuts_a_body_that_ends_with_its_connection() {
+    let addr = start();
+    for _ in 0..5 {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        write!(stream, "GET /close/large HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+        let mut bytes = vec![0; 1_024];
+        stream.read_exact(&mut bytes).unwrap();
+        // The server writes all that it can before the rest is read.
+        std::thread::sleep(5 * PAUSE);
+        let mut piece = [0; 64 * 1024];
+        for _ in 0..40 {
+            write!(stream, "GET /close/whole HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+            std::thread::sleep(PAUSE / 2);
+            let read = stream.read(&mut piece).unwrap();
+            bytes.extend_from_slice(&piece[..read]);
+        }
+        stream.read_to_end(&mut bytes).unwrap();
+        assert!(bytes.len() > LARGE, "{}", bytes.len());
+    }
+}
+
 /// Returns the framing of a response with these headers.
 fn framing(method: Method, status: StatusCode, headers: &[(&str, &str)]) -> Framing {
     let mut res = Response::builder().status(status);
