Pass on framed streams that end without an empty line, and events in CR

A whole stream whose last event ends with one newline, or that has no event boundary at all, was broken off at its end although its length or last chunk had marked it: judged what is left after the last event before it looked at the framing. Only the end of a connection is judged so now. A stream whose lines end with bare carriage returns was held back to its end, and would have been broken off where it ends with its connection: the splitter knows such boundaries now.

The check for JSON documents that are cut follows text only that may be JSON.

--- a/crates/hatchpitch/src/relay/events.rs
+++ b/crates/hatchpitch/src/relay/events.rs
@@ -68,7 +68,7 @@
 
     fn note_event(&mut self, from: usize, to: usize) {
         self.events += 1;
-        for line in self.buf[from..to].split(|b| *b == b'\n') {
+        for line in self.buf[from..to].split(|b| matches!(b, b'\n' | b'\r')) {
             if let Some(value) = line.strip_prefix(b"id:") {
                 let value = String::from_utf8_lossy(value);
                 let id = value.trim();
@@ -90,6 +90,8 @@
             Some(at + 2)
         } else if rest.starts_with(b"\n\r\n") {
             Some(at + 3)
+        } else if rest.starts_with(b"\r\r") {
+            Some(at + 2)
         } else {
             None
         }
--- a/crates/hatchpitch/src/relay/json.rs
+++ b/crates/hatchpitch/src/relay/json.rs
@@ -11,7 +11,7 @@
     in_string: bool,
     is_escaped: bool,
     has_begun: bool,
-    /// Whether the text is no object or array, or is nested too deeply.
+    /// Whether the text is not that of an object or array, or is nested too deeply.
     is_other: bool,
 }
 
@@ -47,7 +47,10 @@
             // Outside an object or array there is nothing else to follow.
             _ if self.closers.is_empty() => self.is_other = true,
             b'"' => self.in_string = true,
-            _ => {}
+            b',' | b':' | b'+' | b'-' | b'.' | b'0'..=b'9' | b'E' => {}
+            // Letters of the literals and of exponents.
+            b'a' | b'e' | b'f' | b'l' | b'n' | b'r' | b's' | b't' | b'u' => {}
+            _ => self.is_other = true,
         }
     }
 
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -266,11 +266,11 @@
 
     /// Returns how a link ended whose connection or message ended in order.
     fn regular_end(&self) -> StreamEnd {
-        if self.splitter.is_inside_event() {
-            return StreamEnd::Broken("the stream ended inside an event".to_owned());
-        }
         match self.framing {
             Framing::Delimited => StreamEnd::Whole,
+            Framing::UntilClose if self.splitter.is_inside_event() => {
+                StreamEnd::Broken("the connection ended inside an event".to_owned())
+            }
             Framing::UntilClose => StreamEnd::Open(UpstreamState::Unclear),
         }
     }
@@ -289,7 +289,7 @@
         if matches!(end, StreamEnd::Whole | StreamEnd::Open(_))
             && let Some(remainder) = self.splitter.take_remainder()
         {
-            // These bytes are no part of an event, but of the message of the upstream.
+            // The remaining bytes belong to the message of the upstream.
             let _ = tx.send(remainder).await;
         }
         end
--- a/crates/hatchpitch/tests/relay.rs
+++ b/crates/hatchpitch/tests/relay.rs
@@ -28,6 +28,16 @@
     assert_eq!(splitter.last_id(), Some("1"));
 }
 
+#[test]
+fn events_that_end_with_bare_carriage_returns_are_held_to_the_end() {
+    let mut splitter = EventSplitter::default();
+    let text = "id: 1\rdata: a\r\rid: 2\rdata: b\r\r";
+    assert_eq!(forward(&mut splitter, &text[..20]), text[..16]);
+    assert_eq!(forward(&mut splitter, &text[20..]), text[16..]);
+    assert_eq!((splitter.events(), splitter.last_id()), (2, Some("2")));
+    assert_eq!(splitter.take_remainder(), None);
+}
+
 #[test]
 fn an_event_that_is_repeated_after_a_move_is_detected() {
     let mut splitter = EventSplitter::default();
