Ask several boxes about an upstream at once

A box that can't connect to an upstream asked up to three others one after the other, each for up to 0.7 s, whether it listens; one that hangs kept the answers of the others back. They are asked at the same time, and the first that tells decides. Tests: platform/tests/quarantine.rs and unframed.rs pass as before; none has a box that hangs.

--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hatchpitch_net::{Body, Listening, ProbedLink, SendError, SendStep, Upstream, clock};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -162,8 +164,11 @@
             return listening;
         }
         let mut all_refused = listening == Listening::No;
-        for peer in candidates.into_iter().take(MAX_PEERS) {
-            match task::probe(&detour.cx, peer, &detour.name, self.addr()).await {
+        let asked = candidates.into_iter().take(MAX_PEERS);
+        let mut probes: FuturesUnordered<_> =
+            asked.map(|peer| task::probe(&detour.cx, peer, &detour.name, self.addr())).collect();
+        while let Some(result) = probes.next().await {
+            match result {
                 Some(ProbeResult { listening: Listening::Yes, .. }) => return Listening::Yes,
                 Some(ProbeResult { listening, is_conclusive: true }) => return listening,
                 Some(ProbeResult { listening: Listening::No, .. }) => {}
