Pass on in the soak how a connection ends

Two ends of connections reached boxes as something else in the fault soak. A reset that came after the other direction had ended in order was passed on as an end in order, since both relay tasks were done then and the sockets were dropped. And the proxy of an upstream that was down accepted connections and reset them, so that a box that asks whether the upstream still listens was told yes; only a refused connection tells it that the upstream died.

The proxy resets its connections whenever one direction broke. It closes its listener while its upstream is down. Links::end ends all connections to a party in order, as the kernel does for a process that dies.

--- a/crates/soak/src/condition.rs
+++ b/crates/soak/src/condition.rs
@@ -33,7 +33,9 @@
     directions: RefCell<HashMap<(Party, Party), Condition>>,
     /// Number of times that the connections to a party were reset.
     resets: RefCell<HashMap<Party, u64>>,
-    /// Parties to which new connections are reset.
+    /// Number of times that the process of a party died.
+    deaths: RefCell<HashMap<Party, u64>>,
+    /// Parties that do not listen.
     refusing: RefCell<HashSet<Party>>,
 }
 
@@ -73,7 +75,17 @@
         self.resets.borrow().get(&party).copied().unwrap_or_default()
     }
 
-    /// Sets whether new connections to a party are reset.
+    /// Ends all open connections to a party in order, as the kernel does for a process that dies.
+    pub fn end(&self, party: Party) {
+        *self.deaths.borrow_mut().entry(party).or_default() += 1;
+    }
+
+    /// Returns how often the connections to a party were ended in order.
+    pub fn deaths(&self, party: Party) -> u64 {
+        self.deaths.borrow().get(&party).copied().unwrap_or_default()
+    }
+
+    /// Sets whether new connections to a party are refused.
     pub fn refuse(&self, party: Party, refuses: bool) {
         let mut refusing = self.refusing.borrow_mut();
         if refuses {
@@ -83,7 +95,7 @@
         }
     }
 
-    /// Returns whether new connections to a party are reset.
+    /// Returns whether new connections to a party are refused.
     pub fn refuses(&self, party: Party) -> bool {
         self.refusing.borrow().contains(&party)
     }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context as _;
 use compio::BufResult;
@@ -19,6 +19,8 @@
 const READ_SIZE: usize = 16 * 1024;
 /// Interval at which blocked links and resets are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Delay after which connections to a dead process are ended, so that what it sent has arrived.
+const DEATH_DELAY: Duration = Duration::from_millis(100);
 /// Time limit for the relay tasks to end after a connection was reset.
 const RESET_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -46,15 +48,48 @@
         let listener = bind(self.addr).await.context("proxy")?;
         compio::runtime::spawn(async move {
             let stop = cx.stop.clone();
-            let accepting = Box::pin(self.accept(cx, listener));
+            let accepting = Box::pin(self.listen(cx, listener));
             select(accepting, Box::pin(stop.wait())).await;
         })
         .detach();
         Ok(())
     }
 
+    /// Accepts connections, except while the target does not listen.
+    async fn listen(self, cx: Rc<RunCx>, mut listener: TcpListener) {
+        loop {
+            let refusing = Box::pin(self.wait_for_refusal(&cx, true));
+            select(Box::pin(self.accept(&cx, &listener)), refusing).await;
+            // A pending accept keeps the socket open, but not listening.
+            if let Err(err) = socket2::SockRef::from(&listener).shutdown(Shutdown::Both) {
+                log::warn!("proxy to {}: can't stop listening: {err}", self.target);
+            }
+            drop(listener);
+            self.wait_for_refusal(&cx, false).await;
+            listener = self.bind_again().await;
+        }
+    }
+
+    /// Waits until new connections are refused, or no longer refused.
+    async fn wait_for_refusal(&self, cx: &RunCx, refuses: bool) {
+        while cx.links.refuses(self.party) != refuses {
+            compio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Binds the address again, which the socket before may still occupy for a moment.
+    async fn bind_again(&self) -> TcpListener {
+        loop {
+            match bind(self.addr).await {
+                Ok(listener) => return listener,
+                Err(err) => log::warn!("proxy to {}: {err}", self.target),
+            }
+            compio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Accepts connections and forwards each one.
-    async fn accept(self, cx: Rc<RunCx>, listener: TcpListener) {
+    async fn accept(self, cx: &Rc<RunCx>, listener: &TcpListener) {
         let target = self.target;
         loop {
             let (stream, peer) = match listener.accept().await {
@@ -103,27 +138,47 @@
 impl ProxiedConnection {
     /// Forwards bytes until the connection ends or is reset.
     async fn run(&self, client: TcpStream, target: SocketAddr) {
-        let resets = self.cx.links.resets(self.party);
+        let ends = (self.cx.links.resets(self.party), self.cx.links.deaths(self.party));
         // Connection setup is delayed or held like any other traffic.
         self.wait_until_clear(Direction::Forward).await;
         let Ok(server) = TcpStream::connect(target).await else { return reset(&client) };
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
         let forward = self.relay(client.clone(), server.clone(), Direction::Forward);
         let backward = self.relay(server.clone(), client.clone(), Direction::Backward);
-        let interrupted = Box::pin(async {
-            let is_reset = || self.cx.links.resets(self.party) != resets;
-            while !self.broken.get() && !is_reset() && !self.cx.stop.is_set() {
-                compio::time::sleep(POLL_INTERVAL).await;
+        let interrupted = Box::pin(self.wait_for_interruption(&server, ends));
+        match select(Box::pin(join(forward, backward)), interrupted).await {
+            // One direction had ended in order before the other broke.
+            Either::Left(_) if self.broken.get() => {
+                reset(&client);
+                reset(&server);
             }
-        });
-        if let Either::Right(((), relaying)) =
-            select(Box::pin(join(forward, backward)), interrupted).await
-        {
-            self.broken.set(true);
-            reset(&client);
-            reset(&server);
-            // Pending reads end now, but a write may still wait for a peer that does not read.
-            let _ = compio::time::timeout(RESET_TIMEOUT, relaying).await;
+            Either::Left(_) => {}
+            Either::Right(((), relaying)) => {
+                self.broken.set(true);
+                reset(&client);
+                reset(&server);
+                // Pending reads end now, but a write may still wait for a peer that does not read.
+                let _ = compio::time::timeout(RESET_TIMEOUT, relaying).await;
+            }
+        }
+    }
+
+    /// Waits until the connection is to be reset. Ends what the target sends, in order, once the
+    /// target died. `ends` holds the numbers of resets and deaths at the start of the connection.
+    async fn wait_for_interruption(&self, server: &TcpStream, ends: (u64, u64)) {
+        let (resets, deaths) = ends;
+        let mut died_at = None;
+        let mut ended = false;
+        let is_reset = || self.cx.links.resets(self.party) != resets;
+        while !self.broken.get() && !is_reset() && !self.cx.stop.is_set() {
+            if died_at.is_none() && self.cx.links.deaths(self.party) != deaths {
+                died_at = Some(Instant::now());
+            }
+            if !ended && died_at.is_some_and(|at| at.elapsed() >= DEATH_DELAY) {
+                ended = true;
+                shut_down_reads(server);
+            }
+            compio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
@@ -187,6 +242,11 @@
         log::debug!("proxy: can't set zero linger: {err}");
     }
     // Dropping a pending read is not enough: the runtime would keep the socket open.
+    shut_down_reads(stream);
+}
+
+/// Ends pending and later reads, as the end of the connection does.
+fn shut_down_reads(stream: &TcpStream) {
     if let Err(err) = socket2::SockRef::from(stream).shutdown(Shutdown::Read) {
         log::debug!("proxy: can't shut down reads: {err}");
     }
