Play answers that end with their connection in the fault soak

The soak could not find that callers got broken-off answers framed as complete: the answers of its upstreams all had a length or chunks, and its callers looked at contents only.

In a storm, none, half or all of an upstream's answers now have neither a length nor chunks (plain ones, streams and resumed streams), drawn from a separate generator, so that the faults of a seed stay as they were. Two to five more faults a storm cut them: ended in order inside an event, between two events or after half of a plain text; reset; or the upstream dies, its connections end in order and it no longer listens. Runs that are stopped for a move end in order as well. In a calm part all upstreams answer so, or none: a stream that moves to an upstream that marks no end is broken off by design, which the check of calm parts would report.

Callers note the framing of each answer, keep no connection after an unframed one, and judge ends by it (answers.rs). As before, a short answer that is framed as complete, and a stream that ends inside an event in any framing, are violations. One without framing that ends early in order is a violation as well, unless its upstream noted that it ended this answer so, outside of an event and not for a move; in calm parts it always is.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,18 +8,18 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use hatchpitch_net::{Body, Upstream, read_body, read_stream};
+use hatchpitch_net::{Body, Framing, Upstream, read_body, read_stream};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::answers::{EVENTS, Ending, judge_plain, judge_stream};
 use crate::context::RunCx;
 use crate::fleet::Fleet;
 use crate::plan::DOMAINS;
 use crate::record::{Outcome, RequestKind};
-use crate::upstreams::runs::EVENTS;
 use crate::wire::{AnswerHead, CallerRequest};
 
 /// How long a caller waits for an answer, or for the next event of a stream.
@@ -35,11 +35,6 @@
 /// Share of streams that the caller closes before their end.
 const EARLY_CLOSE_SHARE: f64 = 0.05;
 
-/// Returns the text with which an upstream instance answers a plain request.
-pub fn answer_text(id: &str, instance: &str) -> String {
-    format!("{id} was answered by {instance}, and this is the end.")
-}
-
 /// State shared by all callers of a run.
 pub struct CallerCx {
     /// State shared by all parts of the run.
@@ -149,8 +144,10 @@
         let req = CallerRequest { id: id.clone(), kind, timeout: ANSWER_TIMEOUT };
         cx.run.record.begin(&id, kind, (connection.box_index, connection.entry_starts));
         let outcome = self.exchange(&mut connection, &req).await;
-        let reusable = matches!(outcome, Outcome::Answered | Outcome::Refused | Outcome::Failed(_));
+        let ended_well =
+            matches!(outcome, Outcome::Answered | Outcome::Refused | Outcome::Failed(_));
         cx.run.record.finish(&id, outcome);
+        let reusable = ended_well && cx.run.record.framing(&id) == Some(Framing::Delimited);
         reusable.then_some(connection)
     }
 
@@ -160,6 +157,7 @@
             return Outcome::NotConnected;
         }
         let message: Request<Body> = (self.cx.run.wire.request)(req);
+        let method = message.method().clone();
         let sent = connection.tx.send_request(message);
         let answer = match compio::time::timeout(ANSWER_TIMEOUT, sent).await {
             Ok(Ok(answer)) => answer,
@@ -167,11 +165,13 @@
             Err(_) => return Outcome::Unanswered,
         };
         let (head, body) = Response::into_parts(answer);
+        let framing = Framing::of_response(&method, &head);
+        self.cx.run.record.set_framing(&req.id, framing);
         match (self.cx.run.wire.read_head)(&head) {
             AnswerHead::Signed if req.kind == RequestKind::Stream => {
-                self.read_stream(body, req).await
+                self.read_stream(body, req, framing).await
             }
-            AnswerHead::Signed => read_plain(body, req).await,
+            AnswerHead::Signed => read_plain(body, req, framing).await,
             AnswerHead::Unsigned => {
                 Outcome::Wrong("a success without the signature of an upstream".to_owned())
             }
@@ -181,16 +181,20 @@
     }
 
     /// Reads a stream of events; some callers close it early.
-    async fn read_stream(&self, mut body: Incoming, req: &CallerRequest) -> Outcome {
+    async fn read_stream(
+        &self,
+        mut body: Incoming,
+        req: &CallerRequest,
+        framing: Framing,
+    ) -> Outcome {
         let closes_early = self.rng.borrow_mut().random_bool(EARLY_CLOSE_SHARE);
         let mut text = String::new();
         loop {
             match compio::time::timeout(ANSWER_TIMEOUT, read_stream(&mut body)).await {
                 Ok(Ok(Some(piece))) => text.push_str(&String::from_utf8_lossy(&piece)),
-                Ok(Ok(None)) => break,
+                Ok(Ok(None)) => return judge_stream(&req.id, &text, Ending::InOrder(framing)),
                 Ok(Err(err)) => {
-                    return check_events(&text, req, false)
-                        .unwrap_or(Outcome::Broken(err.to_string()));
+                    return judge_stream(&req.id, &text, Ending::Broken(err.to_string()));
                 }
                 Err(_) => return Outcome::Unanswered,
             }
@@ -198,51 +202,13 @@
                 return Outcome::Left;
             }
         }
-        check_events(&text, req, true).unwrap_or(Outcome::Answered)
     }
 }
 
 /// Reads the answer to a plain request.
-async fn read_plain(body: Incoming, req: &CallerRequest) -> Outcome {
+async fn read_plain(body: Incoming, req: &CallerRequest, framing: Framing) -> Outcome {
     match read_body(body, MAX_ANSWER, ANSWER_TIMEOUT).await {
-        Ok(text) => {
-            let text = String::from_utf8_lossy(&text).into_owned();
-            let instance =
-                text.split_whitespace().nth(4).map(|instance| instance.trim_end_matches(','));
-            if text == answer_text(&req.id, instance.unwrap_or("")) {
-                return Outcome::Answered;
-            }
-            Outcome::Wrong(format!("unexpected answer {text:?}"))
-        }
+        Ok(text) => judge_plain(&req.id, &String::from_utf8_lossy(&text), framing),
         Err(err) => Outcome::Broken(err.to_string()),
     }
 }
-
-/// Checks that the events of a stream arrived once each, in order and from one generation, and that
-/// none is missing if the stream ended. Returns the violation, if any.
-fn check_events(text: &str, req: &CallerRequest, ended: bool) -> Option<Outcome> {
-    let wrong = |what: String| Some(Outcome::Wrong(what));
-    let mut generation = None;
-    let mut count = 0;
-    for event in text.split_inclusive("\n\n") {
-        if !event.ends_with("\n\n") {
-            return wrong(format!("incomplete event {event:?}"));
-        }
-        let data = event.lines().find_map(|line| line.strip_prefix("data: ")).unwrap_or("");
-        let fields: Vec<&str> = data.split(' ').collect();
-        let &[id, event_generation, n] = fields.as_slice() else {
-            return wrong(format!("malformed event {event:?}"));
-        };
-        count += 1;
-        if id != req.id || n != count.to_string() {
-            return wrong(format!("event {count} has data {data:?}"));
-        }
-        if *generation.get_or_insert(event_generation) != event_generation {
-            return wrong(format!("event {count} belongs to another generation"));
-        }
-    }
-    if ended && count != EVENTS {
-        return wrong(format!("the stream ended normally after {count} of {EVENTS} events"));
-    }
-    None
-}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -48,6 +48,14 @@
                 self.degrade_links(index, Condition::Delayed(delay), duration).await;
             }
             Fault::ResetBox(index) => self.cx.links.reset(Party::Box(index)),
+            Fault::EndAnswers(index) => {
+                self.fault_answers(index, AnswerFault::Ended, duration).await
+            }
+            Fault::KillUpstream(index) => {
+                self.pool.kill(index);
+                compio::time::sleep(duration).await;
+                self.pool.restart(index);
+            }
             Fault::CrashUpstream(index) => self.crash_upstream(index, duration).await,
             Fault::SilenceUpstream(index) => {
                 self.block(Party::Upstream(index), Party::Outside, duration).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 //! are repaired and the fleet has to serve again. In the calm phase only maintenance takes place,
 //! which must not interrupt any request.
 
+pub mod answers;
 pub mod callers;
 pub mod condition;
 pub mod context;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -1,9 +1,11 @@
 //! Observations of callers, upstreams and the operator during a run, in one total order.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
 
+use hatchpitch_net::Framing;
+
 /// Request id chosen by a caller.
 pub type RequestId = String;
 /// Id of an upstream instance, unique across restarts.
@@ -31,6 +33,8 @@
     Open,
     /// The caller received its own complete answer.
     Answered,
+    /// The answer ended with its connection, in order and before it was whole.
+    Partial(String),
     /// The caller received content that violates a guarantee.
     Wrong(String),
     /// The request was refused, with the guarantee that it was not run.
@@ -60,6 +64,8 @@
     pub ended_at: LogicalTime,
     /// Outcome of the request.
     pub outcome: Outcome,
+    /// Framing of the answer, if its head arrived.
+    pub framing: Option<Framing>,
     /// Calm phase that contains the whole request, if any.
     pub calm: Option<u32>,
 }
@@ -141,6 +147,13 @@
     pub limited: RefCell<Vec<LimitedRequest>>,
     /// Requests that resting upstreams rejected, in order.
     pub rejected: RefCell<Vec<RejectedRequest>>,
+    /// Requests whose answers an upstream sent without a length or chunks and ended in order before
+    /// they were whole, in plain text or between two events. Runs that stop in order to continue
+    /// elsewhere do not count.
+    pub cut: RefCell<HashSet<RequestId>>,
+    /// Number of such answers, and of those of stopped runs, that ended inside an event, where a box
+    /// can tell that they were cut.
+    pub cut_inside_events: Cell<usize>,
     /// Number of boxes that send requests to upstreams.
     pub boxes: Cell<usize>,
     /// Number of processes that exited unexpectedly.
@@ -168,10 +181,23 @@
     pub fn begin(&self, id: &str, kind: RequestKind, sent_to: (usize, u64)) {
         let sent_at = self.tick();
         let calm = self.calm.get();
-        let call = Call { kind, sent_to, sent_at, ended_at: sent_at, outcome: Outcome::Open, calm };
+        let (ended_at, outcome, framing) = (sent_at, Outcome::Open, None);
+        let call = Call { kind, sent_to, sent_at, ended_at, outcome, framing, calm };
         self.calls.borrow_mut().insert(id.to_owned(), call);
     }
 
+    /// Records the framing of the answer to a request.
+    pub fn set_framing(&self, id: &str, framing: Framing) {
+        if let Some(call) = self.calls.borrow_mut().get_mut(id) {
+            call.framing = Some(framing);
+        }
+    }
+
+    /// Returns the framing of the answer to a request, if its head arrived.
+    pub fn framing(&self, id: &str) -> Option<Framing> {
+        self.calls.borrow().get(id)?.framing
+    }
+
     /// Records the outcome of a request.
     pub fn finish(&self, id: &str, outcome: Outcome) {
         let now = self.tick();
@@ -204,7 +230,12 @@
         let mut counts = BTreeMap::new();
         for call in self.calls.borrow().values() {
             *counts.entry(call.outcome.label()).or_default() += 1;
+            if call.framing == Some(Framing::UntilClose) {
+                *counts.entry("of these unframed").or_default() += 1;
+            }
         }
+        counts.insert("cut by upstreams", self.cut.borrow().len());
+        counts.insert("cut by upstreams inside an event", self.cut_inside_events.get());
         counts
     }
 }
@@ -215,6 +246,7 @@
         match self {
             Self::Open => "open",
             Self::Answered => "answered",
+            Self::Partial(_) => "partial",
             Self::Wrong(_) => "wrong",
             Self::Refused => "refused",
             Self::Failed(_) => "failed",
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -147,6 +147,7 @@
             listen_ip,
             control: control.clone(),
             records_late_requests: opts.check_late_requests,
+            seed: opts.seed,
         };
         let pool = Pool::start(cx.clone(), plan).await?;
         let operator = Rc::new(OperatorCx {
@@ -192,9 +193,18 @@
             self.log_action(format!("upstream {index} asks for a rest of {rest:?}"));
             self.injector.pool.set_rest(*index, Some(*rest));
         }
-        let faults = schedule::storm(seed, self.size, self.opts.storm);
+        let framing = schedule::framing(seed, self.size, self.opts.storm);
+        self.log_action(format!("shares of unframed answers: {:?}", framing.storm));
+        for (index, share) in framing.storm.iter().enumerate() {
+            self.injector.pool.set_unframed_share(index, *share);
+        }
+        let mut faults = schedule::storm(seed, self.size, self.opts.storm);
+        faults.extend(framing.faults);
         self.run_schedule(&faults, self.opts.storm).await;
         self.injector.repair();
+        for index in 0..self.size.upstreams {
+            self.injector.pool.set_unframed_share(index, framing.calm);
+        }
         self.wait_until_serving().await?;
         self.cx.record.set_calm(Some(round));
         self.log_action(format!("round {round}: calm phase"));
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -70,6 +70,11 @@
     Slow(usize, u64),
     /// Resets the connections to a box.
     ResetBox(usize),
+    /// Makes an upstream end its answers in order midway, where they have neither a length nor
+    /// chunks.
+    EndAnswers(usize),
+    /// Kills an upstream, whose connections end in order, and restarts it as a new instance.
+    KillUpstream(usize),
     /// Crashes an upstream and restarts it as a new instance.
     CrashUpstream(usize),
     /// Blocks everything that an upstream sends.
@@ -98,6 +103,26 @@
 /// Range of rests, in milliseconds.
 const REST_MS: std::ops::Range<u64> = 800..4_000;
 
+/// Separates the random numbers of the framing of answers from those of the faults.
+const FRAMING_SALT: u64 = 0x0066_7261_6d65;
+/// Shares of an upstream's answers that have neither a length nor chunks.
+const UNFRAMED_SHARES: [f64; 3] = [0.0, 0.5, 1.0];
+/// Range of the number of faults per storm that cut such answers short.
+const CUT_COUNT: std::ops::Range<usize> = 2..6;
+
+/// How upstreams frame their answers in a round.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FramingPlan {
+    /// Share of the answers of each upstream that have neither a length nor chunks, in the storm
+    /// phase.
+    pub storm: Vec<f64>,
+    /// The same share for all upstreams in the calm phase. There, the upstreams of a service are of
+    /// one kind, since a stream breaks off that is moved to a kind that marks no end.
+    pub calm: f64,
+    /// Faults of the storm phase that cut such answers short.
+    pub faults: Vec<ScheduledFault>,
+}
+
 /// A fault with its start time and duration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ScheduledFault {
@@ -169,6 +194,28 @@
         .collect()
 }
 
+/// Draws how upstreams frame their answers in a round, and the faults that cut unframed answers
+/// short, from a separate generator.
+pub fn framing(seed: u64, size: FleetSize, storm_length: Duration) -> FramingPlan {
+    let mut rng = SmallRng::seed_from_u64(seed ^ FRAMING_SALT);
+    let share = |rng: &mut SmallRng| UNFRAMED_SHARES[rng.random_range(0..UNFRAMED_SHARES.len())];
+    let storm = (0..size.upstreams).map(|_| share(&mut rng)).collect();
+    let calm = f64::from(u8::from(rng.random_bool(0.5)));
+    let count = rng.random_range(CUT_COUNT);
+    let faults = (0..count).map(|_| {
+        let upstream = rng.random_range(0..size.upstreams);
+        let all = [
+            Fault::EndAnswers(upstream),
+            Fault::SpoilAnswers(upstream),
+            Fault::KillUpstream(upstream),
+        ];
+        let fault = *all.choose(&mut rng).expect("the list is not empty");
+        schedule_fault(&mut rng, fault, storm_length)
+    });
+    let faults = faults.collect();
+    FramingPlan { storm, calm, faults }
+}
+
 /// Draws the start and the duration of a fault within a phase of the given length.
 fn schedule_fault(rng: &mut SmallRng, fault: Fault, length: Duration) -> ScheduledFault {
     let at = rng.random_range(0..length.as_millis().max(1)) as u64;
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! Simulated upstreams, which announce themselves, leave, crash and restart as new instances.
 //! [`runs`] implements request handling.
 
+mod delivery;
 pub mod runs;
 
 use std::cell::{Cell, RefCell};
@@ -11,8 +12,10 @@
 
 use compio::net::TcpListener;
 use futures_util::FutureExt;
-use hatchpitch_net::{Body, ServerLimits, Stop, Upstream, bind, serve};
+use hatchpitch_net::{Body, Framing, ServerLimits, Stop, Upstream, bind, serve};
 use http::Request;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use self::runs::RunState;
 use crate::condition::Party;
@@ -49,6 +52,9 @@
     Lost,
     /// Answers are aborted before they are complete.
     Truncated,
+    /// Answers without a length or chunks end in order before they are complete, and others are
+    /// aborted.
+    Ended,
 }
 
 /// One upstream instance, from its start to its end or crash.
@@ -59,6 +65,8 @@
     /// When the leaving was acknowledged, and the calm phase at that time.
     leaving_acked: Cell<Option<(Instant, Option<u32>)>>,
     ended: Cell<bool>,
+    /// Whether its connections end in order, as those of a process that dies.
+    died: Cell<bool>,
     runs: RefCell<HashMap<RequestId, Rc<RunState>>>,
 }
 
@@ -70,6 +78,8 @@
     addr: SocketAddr,
     instance: RefCell<Option<Rc<Instance>>>,
     answer_fault: Cell<AnswerFault>,
+    /// Share of answers that are sent without a length or chunks.
+    unframed_share: Cell<f64>,
     /// Announced rate limit in requests per second; `None` for no limit.
     limit: Cell<Option<f64>>,
     /// Rest that it asks for while it rejects all requests; `None` while it accepts them.
@@ -91,6 +101,8 @@
     pub control: Vec<SocketAddr>,
     /// Whether late requests at leaving upstreams are recorded.
     pub records_late_requests: bool,
+    /// Seed for how single answers are sent.
+    pub seed: u64,
 }
 
 /// All upstreams of a run.
@@ -102,6 +114,7 @@
     /// Copies by handle, each with the id and state of the copied run.
     copies: RefCell<HashMap<String, (RequestId, Rc<RunState>)>>,
     last_number: Cell<u64>,
+    rng: RefCell<SmallRng>,
 }
 
 impl Pool {
@@ -127,13 +140,15 @@
                 addr,
                 instance: RefCell::default(),
                 answer_fault: Cell::default(),
+                unframed_share: Cell::default(),
                 limit: Cell::default(),
                 rest: Cell::default(),
             }));
         }
         let (copies, last_number) = (RefCell::default(), Cell::new(0));
         let stop = cx.stop.clone();
-        let pool = Rc::new(Self { cx, plan, slots, copies, last_number });
+        let rng = RefCell::new(SmallRng::seed_from_u64(plan.seed));
+        let pool = Rc::new(Self { cx, plan, slots, copies, last_number, rng });
         for (slot, listener) in pool.slots.iter().zip(listeners) {
             pool.start_instance(slot);
             pool.serve(slot.clone(), listener, stop.clone());
@@ -177,6 +192,7 @@
             is_leaving: Cell::new(false),
             leaving_acked: Cell::new(None),
             ended: Cell::new(false),
+            died: Cell::new(false),
             runs: RefCell::default(),
         });
         *slot.instance.borrow_mut() = Some(instance.clone());
@@ -234,6 +250,18 @@
         }
     }
 
+    /// Ends the instance in a slot at once, along with its runs. Its connections end in order.
+    pub fn kill(&self, index: usize) {
+        let slot = &self.slots[index];
+        self.cx.links.refuse(Party::Upstream(index), true);
+        self.cx.links.end(Party::Upstream(index));
+        if let Some(instance) = slot.instance.borrow_mut().take() {
+            instance.died.set(true);
+            instance.ended.set(true);
+            instance.runs.borrow().values().for_each(|run| run.finished.set(true));
+        }
+    }
+
     /// Starts a new instance in a slot that has none.
     pub fn restart(self: &Rc<Self>, index: usize) {
         self.cx.links.refuse(Party::Upstream(index), false);
@@ -281,6 +309,17 @@
         self.slots[index].answer_fault.set(answer_fault);
     }
 
+    /// Sets the share of an upstream's answers that are sent without a length or chunks.
+    pub fn set_unframed_share(&self, index: usize, share: f64) {
+        self.slots[index].unframed_share.set(share);
+    }
+
+    /// Draws the framing of an answer.
+    fn draw_framing(&self, slot: &Slot) -> Framing {
+        let is_unframed = self.rng.borrow_mut().random_bool(slot.unframed_share.get());
+        if is_unframed { Framing::UntilClose } else { Framing::Delimited }
+    }
+
     /// Sets or removes the rate limit that an upstream announces.
     pub fn set_limit(&self, index: usize, per_second: Option<f64>) {
         self.slots[index].limit.set(per_second);
--- a/crates/soak/src/upstreams/runs.rs
+++ b/crates/soak/src/upstreams/runs.rs
@@ -1,25 +1,22 @@
 //! Request handling of simulated upstreams: running requests, streaming events, copying runs,
-//! resuming from copies, and applying answer faults.
+//! resuming from copies.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use hatchpitch_net::{Body, BodySender, read_body};
+use hatchpitch_net::{Body, read_body};
 use http::{Request, Response};
 use hyper::body::Incoming;
+use rand::Rng;
 
+use super::delivery::{Delivery, aborted_body};
 use super::{ACK_TIMEOUT, AnswerFault, DRAIN_TIMEOUT, Instance, LATE_THRESHOLD, Pool, Slot};
-use crate::callers::answer_text;
-use crate::record::{LimitedRequest, RejectedRequest, RequestId, RunStart};
+use crate::answers::answer_text;
+use crate::record::{LimitedRequest, RejectedRequest, RunStart};
 use crate::wire::{Reply, UpstreamRequest};
 
-/// Number of events in a complete stream.
-pub const EVENTS: u64 = 60;
-/// Interval between two events; a stream takes 1.5 seconds.
-const BETWEEN_EVENTS: Duration = Duration::from_millis(25);
 /// Running time of a plain call.
 const CALL_TIME: Duration = Duration::from_millis(8);
 /// Time that copying a run takes.
@@ -30,11 +27,11 @@
 /// State of a run at an upstream.
 pub(super) struct RunState {
     /// Unique number of the generation, contained in each event. A resumed run keeps it.
-    generation: u64,
+    pub(super) generation: u64,
     /// Number of events produced so far.
-    made: Cell<u64>,
+    pub(super) made: Cell<u64>,
     /// Whether the run was stopped in order to continue elsewhere.
-    stopped: Cell<bool>,
+    pub(super) stopped: Cell<bool>,
     /// Whether the run produces no more events.
     pub(super) finished: Cell<bool>,
 }
@@ -137,16 +134,26 @@
             return self.stream(slot, instance, id, run);
         }
         compio::time::sleep(CALL_TIME).await;
-        match slot.answer_fault.get() {
+        let delivery = self.delivery(slot, instance, id);
+        let body = match delivery.fault {
             AnswerFault::Lost => {
                 compio::time::sleep(DRAIN_TIMEOUT).await;
-                (self.cx.wire.answer)(id, false, aborted_body())
-            }
-            AnswerFault::Truncated => (self.cx.wire.answer)(id, false, aborted_body()),
-            AnswerFault::None => {
-                let text = answer_text(id, &instance.id);
-                (self.cx.wire.answer)(id, false, Body::from(text))
+                aborted_body()
             }
+            _ => delivery.send_text(answer_text(id, &instance.id)),
+        };
+        (self.cx.wire.answer)(id, false, body)
+    }
+
+    /// Draws how an answer is delivered.
+    fn delivery(&self, slot: &Slot, instance: &Rc<Instance>, id: &str) -> Delivery {
+        Delivery {
+            cx: self.cx.clone(),
+            instance: instance.clone(),
+            id: id.to_owned(),
+            fault: slot.answer_fault.get(),
+            framing: self.draw_framing(slot),
+            ends_inside_event: self.rng.borrow_mut().random_bool(0.5),
         }
     }
 
@@ -184,16 +191,7 @@
         run: Rc<RunState>,
     ) -> Response<Body> {
         instance.runs.borrow_mut().insert(id.to_owned(), run.clone());
-        let (tx, body) = Body::stream(4);
-        let truncates = slot.answer_fault.get() == AnswerFault::Truncated;
-        compio::runtime::spawn(generate_events(
-            tx,
-            instance.clone(),
-            id.to_owned(),
-            run,
-            truncates,
-        ))
-        .detach();
+        let body = self.delivery(slot, instance, id).send_events(run);
         (self.cx.wire.answer)(id, true, body)
     }
 
@@ -224,35 +222,3 @@
         reply(Reply::Copied { handle, made: run.made.get() })
     }
 }
-
-/// Produces events until the run is complete or stopped, or its upstream or reader is gone.
-async fn generate_events(
-    mut tx: BodySender,
-    instance: Rc<Instance>,
-    id: RequestId,
-    run: Rc<RunState>,
-    truncates: bool,
-) {
-    while run.made.get() < EVENTS {
-        compio::time::sleep(BETWEEN_EVENTS).await;
-        let truncated = truncates && run.made.get() > EVENTS / 2;
-        if run.stopped.get() || instance.ended.get() || tx.is_closed() || truncated {
-            run.finished.set(true);
-            return tx.abort();
-        }
-        let n = run.made.get() + 1;
-        run.made.set(n);
-        let event = format!("id: {n}\ndata: {id} {} {n}\n\n", run.generation);
-        if tx.send(Bytes::from(event)).await.is_err() {
-            break;
-        }
-    }
-    run.finished.set(true);
-}
-
-/// Returns a body that is aborted at once.
-fn aborted_body() -> Body {
-    let (tx, body) = Body::stream(1);
-    tx.abort();
-    body
-}
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -1,10 +1,12 @@
 //! Checks the observations of a run against the guarantees of the system. No check depends on how
 //! long a request took.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use std::time::Duration;
 
+use hatchpitch_net::Framing;
+
 use crate::record::{
     Call, ConfigEvent, InstanceId, LimitedRequest, Outcome, Record, RejectedRequest, RequestId,
     RequestKind, RunStart,
@@ -48,6 +50,7 @@
     for (id, call) in calls.iter() {
         let call_runs = runs.get(id).map_or(&[][..], Vec::as_slice);
         violations.extend(check_call(id, call, call_runs));
+        violations.extend(check_partial(id, call, &record.cut.borrow()));
     }
     violations.extend(check_unknown_runs(&calls, &runs));
     violations.extend(check_reads(record));
@@ -87,8 +90,10 @@
             format!("{id}: ran at {instances:?}"),
         );
     }
-    let interrupted =
-        matches!(call.outcome, Outcome::Broken(_) | Outcome::Failed(500..) | Outcome::Unanswered);
+    let interrupted = matches!(
+        call.outcome,
+        Outcome::Broken(_) | Outcome::Partial(_) | Outcome::Failed(500..) | Outcome::Unanswered
+    );
     if call.calm.is_some() && interrupted && !runs.is_empty() {
         let observed = format!("{id}: {:?}, ran at {instances:?}", call.outcome);
         report("maintenance interrupts no request", observed);
@@ -96,6 +101,20 @@
     violations
 }
 
+/// Checks that an answer that ended in order before it was whole looks no more complete than what an
+/// upstream sent: its end is not marked, and an upstream ended its own answer in the same way.
+fn check_partial(id: &str, call: &Call, cut: &HashSet<RequestId>) -> Option<Violation> {
+    let Outcome::Partial(what) = &call.outcome else { return None };
+    let property = if call.framing != Some(Framing::UntilClose) {
+        "an answer that is not whole is not framed as complete"
+    } else if !cut.contains(id) {
+        "an answer ends early in order only where its upstream ended it so"
+    } else {
+        return None;
+    };
+    Some(Violation { property, observed: format!("{id}: {what}") })
+}
+
 /// Checks that all boxes together respect the rate limits of upstreams in calm phases.
 fn check_limits(limited: &[LimitedRequest]) -> Vec<Violation> {
     let mut instances: BTreeMap<&InstanceId, Vec<&LimitedRequest>> = BTreeMap::new();
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use hatchpitch_net::Framing;
 use hatchpitch_soak::record::{
     ConfigEvent, LimitedRequest, Outcome, Record, RejectedRequest, RequestKind, RunStart,
 };
@@ -56,6 +57,41 @@
     assert_violation(&record, "one upstream at a time");
 }
 
+/// Records a request whose answer had this framing and ended in order before it was whole.
+fn partial(framing: Option<Framing>, is_cut: bool) -> Record {
+    let record = Record::default();
+    record.begin("a", RequestKind::Stream, (0, 1));
+    record.runs.borrow_mut().push(run_start("a", "u0"));
+    if let Some(framing) = framing {
+        record.set_framing("a", framing);
+    }
+    if is_cut {
+        record.cut.borrow_mut().insert("a".to_owned());
+    }
+    record.finish("a", Outcome::Partial("20 of 60 events".to_owned()));
+    record
+}
+
+#[test]
+fn a_truncated_answer_that_is_framed_as_complete_is_reported() {
+    for framing in [Some(Framing::Delimited), None] {
+        for is_cut in [false, true] {
+            assert_violation(&partial(framing, is_cut), "not framed as complete");
+        }
+    }
+}
+
+#[test]
+fn an_unframed_answer_that_ends_early_is_reported_unless_its_upstream_ended_it() {
+    assert_violation(&partial(Some(Framing::UntilClose), false), "only where its upstream");
+    let record = partial(Some(Framing::UntilClose), true);
+    assert_eq!(verify(&record), []);
+    // The answer to another request was cut.
+    record.cut.borrow_mut().clear();
+    record.cut.borrow_mut().insert("b".to_owned());
+    assert_violation(&record, "only where its upstream");
+}
+
 #[test]
 fn false_refusals_and_unknown_runs_are_reported() {
     let record = Record::default();
@@ -68,11 +104,16 @@
 
 #[test]
 fn requests_interrupted_by_maintenance_are_reported() {
-    for outcome in [Outcome::Broken("closed".to_owned()), Outcome::Failed(502), Outcome::Unanswered]
-    {
+    let cut = Outcome::Partial("cut".to_owned());
+    let broken = Outcome::Broken("closed".to_owned());
+    for outcome in [broken, cut, Outcome::Failed(502), Outcome::Unanswered] {
         let record = Record::default();
+        record.cut.borrow_mut().insert("a".to_owned());
         record.set_calm(Some(3));
-        call(&record, "a", RequestKind::Once, &["u0"], outcome);
+        record.begin("a", RequestKind::Once, (0, 1));
+        record.set_framing("a", Framing::UntilClose);
+        record.runs.borrow_mut().push(run_start("a", "u0"));
+        record.finish("a", outcome);
         assert_violation(&record, "interrupts no request");
     }
     // A request that starts or ends outside of the calm phase is not checked.
