Let stand-ins answer with neither a length nor chunks

Stand-in services and engines get faults for answers without framing: whole, ended in order before their end (engines: between lines or inside one), or reset there. The stand-in caller reads a body to its end and tells whether the end was marked, came with the connection, or was broken off.

--- a/crates/standins/src/app.rs
+++ b/crates/standins/src/app.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use compio::net::TcpListener;
 use futures_util::FutureExt;
 use hatchpitch::outcome::text_response;
-use hatchpitch_net::{Body, Handler, ServerLimits, Stop, read_body, serve};
-use http::{Method, Request, Response, StatusCode};
+use hatchpitch_net::{Body, Framing, Handler, ServerLimits, Stop, read_body, serve};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -20,6 +21,8 @@
 const MAX_BODY: usize = 1024 * 1024;
 /// Timeout for reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between the parts of an answer, so that each arrives by itself.
+const PART_PAUSE: Duration = Duration::from_millis(5);
 
 /// Fault that a test injects into the service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,6 +39,35 @@
     },
     /// The process exits on the next call; a quote is counted as run before the exit.
     Die,
+    /// The answer to the next call has neither a length nor chunks.
+    Unframed {
+        /// How the answer ends.
+        ending: AnswerEnding,
+        /// Value of its `Content-Type`.
+        content_type: AnswerType,
+    },
+}
+
+/// How an answer that has neither a length nor chunks ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnswerEnding {
+    /// The connection ends in order after the whole answer.
+    Whole,
+    /// The connection ends in order after half of the answer.
+    Cut,
+    /// The connection is reset after half of the answer.
+    Reset,
+}
+
+/// Declared type of an answer, which always is a JSON document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnswerType {
+    /// `application/json`.
+    Json,
+    /// `text/plain`.
+    Text,
 }
 
 /// State of the application service.
@@ -66,11 +98,14 @@
         let path = req.uri().path().to_owned();
         match (req.method().clone(), path.as_str()) {
             (Method::GET, "/rates") => {
-                if self.fault.get() == AppFault::Die {
-                    std::process::exit(9);
+                let fault = self.fault.get();
+                match fault {
+                    AppFault::Die => std::process::exit(9),
+                    AppFault::Unframed { .. } => self.fault.set(AppFault::None),
+                    AppFault::None | AppFault::LoseReply | AppFault::Slow { .. } => {}
                 }
                 let rates = json!({"fixed_30": 6.125, "fixed_15": 5.5});
-                text_response(StatusCode::OK, rates.to_string())
+                respond(rates.to_string(), fault)
             }
             (Method::POST, "/payoff" | "/scale") => self.quote(req).await,
             (Method::GET, "/admin/ledger") => {
@@ -102,10 +137,10 @@
         match fault {
             AppFault::LoseReply => std::future::pending().await,
             AppFault::Die => std::process::exit(9),
-            AppFault::None | AppFault::Slow { .. } => {}
+            AppFault::None | AppFault::Slow { .. } | AppFault::Unframed { .. } => {}
         }
         let quote = json!({"quote": format!("q-{key}"), "run": run, "bytes": body.len()});
-        text_response(StatusCode::OK, quote.to_string())
+        respond(quote.to_string(), fault)
     }
 
     async fn set_fault(&self, req: Request<Incoming>) -> Response<Body> {
@@ -121,3 +156,33 @@
         }
     }
 }
+
+/// Returns the answer to a call, without a length and chunks if the fault says so.
+fn respond(text: String, fault: AppFault) -> Response<Body> {
+    let AppFault::Unframed { ending, content_type } = fault else {
+        return text_response(StatusCode::OK, text);
+    };
+    let (mut tx, body) = Body::stream(1);
+    compio::runtime::spawn(async move {
+        let whole = Bytes::from(text);
+        let half = whole.len() / 2;
+        // A box that has disconnected reads no more parts.
+        if tx.send(whole.slice(..half)).await.is_err() {
+            return;
+        }
+        compio::time::sleep(PART_PAUSE).await;
+        match ending {
+            AnswerEnding::Whole => drop(tx.send(whole.slice(half..)).await),
+            AnswerEnding::Cut => {}
+            AnswerEnding::Reset => tx.abort(),
+        }
+    })
+    .detach();
+    let content_type = match content_type {
+        AnswerType::Json => "application/json",
+        AnswerType::Text => "text/plain",
+    };
+    let mut res = Response::new(body.framed(Framing::UntilClose));
+    res.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    res
+}
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -4,12 +4,12 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context as _, bail};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use eventsource_stream::Eventsource;
 use futures_util::{Stream, StreamExt};
 use hatchpitch::discovery::Endpoints;
 use hatchpitch::outcome::ProblemBody;
-use hatchpitch_net::{Body, BodyError, Upstream, read_body, read_stream};
+use hatchpitch_net::{Body, BodyError, Framing, Upstream, read_body, read_stream};
 use http::{HeaderMap, Method, Request, Response, header};
 use hyper::body::Incoming;
 use serde::Deserialize;
@@ -41,6 +41,41 @@
     pub at: Instant,
 }
 
+/// How the body of a response ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum BodyEnd {
+    /// Its end was not read.
+    #[default]
+    Unread,
+    /// With its length, its last chunk, or its head if it has no body by definition.
+    Marked,
+    /// With its connection, in order.
+    WithConnection,
+    /// It was broken off.
+    Broken,
+}
+
+impl BodyEnd {
+    /// Returns the end of a body that was read without an error.
+    fn of_read(framing: Framing) -> Self {
+        match framing {
+            Framing::Delimited => Self::Marked,
+            Framing::UntilClose => Self::WithConnection,
+        }
+    }
+}
+
+/// A response and how it ended.
+#[derive(Debug)]
+pub struct Received {
+    /// Head of the response.
+    pub head: http::response::Parts,
+    /// Body as far as it was received.
+    pub body: Bytes,
+    /// How the body ended.
+    pub end: BodyEnd,
+}
+
 /// Streamed answer as far as it was received.
 #[derive(Debug, Clone, Default)]
 pub struct Answer {
@@ -58,6 +93,8 @@
     pub error: Option<ProblemBody>,
     /// Value of `Retry-After`, in seconds.
     pub retry_after: Option<u64>,
+    /// How the body of the latest response ended.
+    pub end: BodyEnd,
 }
 
 impl Answer {
@@ -158,6 +195,36 @@
         Ok((parts, body))
     }
 
+    /// Sends a request and reads the response to its end, also if it is broken off.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no response arrives.
+    pub async fn exchange(
+        &self,
+        at: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> anyhow::Result<Received> {
+        let res = self.send(at, method.clone(), path, headers, body).await?;
+        let (head, incoming) = res.into_parts();
+        let mut end = BodyEnd::of_read(Framing::of_response(&method, &head));
+        let mut body = BytesMut::new();
+        let mut chunks = std::pin::pin!(body_chunks(incoming));
+        while let Some(chunk) = chunks.next().await {
+            match chunk {
+                Ok(chunk) => body.extend_from_slice(&chunk),
+                Err(_) => {
+                    end = BodyEnd::Broken;
+                    break;
+                }
+            }
+        }
+        Ok(Received { head, body: body.freeze(), end })
+    }
+
     async fn send(
         &self,
         at: SocketAddr,
@@ -197,6 +264,7 @@
     answer.trace = header_text(res.headers(), "x-hatchpitch-trace");
     answer.retry_after = header_text(res.headers(), "retry-after").parse().ok();
     answer.error = None;
+    answer.end = BodyEnd::Unread;
     if !res.status().is_success() {
         let body = read_body(res.into_body(), MAX_BODY, HEAD_TIMEOUT).await?;
         answer.error = serde_json::from_slice(&body).ok();
@@ -206,16 +274,29 @@
     if !response.is_empty() {
         answer.response = response;
     }
-    let events = body_chunks(res.into_body()).eventsource();
-    let mut events = std::pin::pin!(events);
-    while let Some(Ok(event)) = events.next().await {
+    let (head, body) = res.into_parts();
+    // No request for a stream has the method HEAD, whose responses have no body.
+    let framing = Framing::of_response(&Method::GET, &head);
+    let mut events = std::pin::pin!(body_chunks(body).eventsource());
+    loop {
+        let event = match events.next().await {
+            Some(Ok(event)) => event,
+            Some(Err(_)) => {
+                answer.end = BodyEnd::Broken;
+                return Ok(answer);
+            }
+            None => {
+                answer.end = BodyEnd::of_read(framing);
+                return Ok(answer);
+            }
+        };
         if event.event == "error" {
             answer.error = serde_json::from_str(&event.data).ok();
-            return Ok(answer);
+            continue;
         }
         if event.data == "[DONE]" {
             answer.complete = true;
-            return Ok(answer);
+            continue;
         }
         if let Some(token) = parse_token(&event.id, &event.data) {
             let keep_reading = on_token(&token);
@@ -225,18 +306,21 @@
             }
         }
     }
-    Ok(answer)
 }
 
-/// Returns the chunks of a body until it ends or no data arrives for [`STREAM_IDLE_TIMEOUT`].
+/// Returns the chunks of a body until it ends. The last one is an error if the body is broken off, or
+/// if no data arrives for [`STREAM_IDLE_TIMEOUT`].
 ///
 /// The timeout applies to raw chunks because heartbeats are comments, which the event parser does
 /// not report.
 fn body_chunks(body: Incoming) -> impl Stream<Item = Result<Bytes, BodyError>> {
-    futures_util::stream::unfold(body, |mut body| async move {
-        let chunk =
-            compio::time::timeout(STREAM_IDLE_TIMEOUT, read_stream(&mut body)).await.ok()?;
-        Some((chunk.transpose()?, body))
+    futures_util::stream::unfold(Some(body), |body| async move {
+        let mut body = body?;
+        match compio::time::timeout(STREAM_IDLE_TIMEOUT, read_stream(&mut body)).await {
+            Ok(Ok(chunk)) => Some((Ok(chunk?), Some(body))),
+            Ok(Err(err)) => Some((Err(err), None)),
+            Err(_) => Some((Err(BodyError::TooSlow(STREAM_IDLE_TIMEOUT)), None)),
+        }
     })
 }
 
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -14,7 +14,7 @@
 use hatchpitch::logging::unix_ms;
 use hatchpitch::outcome::text_response;
 use hatchpitch_net::{
-    Body, BodySender, Handler, ServerLimits, Stop, query_value, read_body, serve,
+    Body, BodySender, Framing, Handler, ServerLimits, Stop, query_value, read_body, serve,
 };
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -30,6 +30,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval between heartbeats on a stream without tokens.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Pause before the end of a stream that is broken off, so that what was sent before arrives.
+const BREAK_PAUSE: Duration = Duration::from_millis(5);
 /// Pause of the batch loop while the batch is empty.
 const IDLE_PAUSE: Duration = Duration::from_millis(2);
 
@@ -67,6 +69,30 @@
         /// Index of the token.
         at: u64,
     },
+    /// The next streams have neither a length nor chunks.
+    Unframed {
+        /// How the streams end.
+        ending: StreamEnding,
+        /// Index of the first token that is not sent, unless the stream ends whole. From the number
+        /// of tokens on, only the last event is not sent.
+        after: u64,
+        /// Number of streams affected.
+        links: u32,
+    },
+}
+
+/// How a stream that has neither a length nor chunks ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StreamEnding {
+    /// The connection ends in order after the last event.
+    Whole,
+    /// The connection ends in order between two lines.
+    BetweenLines,
+    /// The connection ends in order inside a line.
+    InsideLine,
+    /// The connection is reset between two lines.
+    Reset,
 }
 
 /// State of the engine server.
@@ -187,17 +213,23 @@
     fn stream(self: Rc<Self>, id: String, attempt: String, from: u64) -> Response<Body> {
         let (tx, body) = Body::stream(8);
         let last_sent = Instant::now();
+        let fault = self.take_stream_fault();
+        let framing = match fault {
+            Fault::Unframed { .. } => Framing::UntilClose,
+            _ => Framing::Delimited,
+        };
         let reader = StreamReader {
             engine: self,
             id,
             attempt,
+            fault,
             next: from,
             seen_preemptions: 0,
             tx,
             last_sent,
         };
         compio::runtime::spawn(reader.run()).detach();
-        Response::new(body)
+        Response::new(body.framed(framing))
     }
 
     async fn command(&self, req: Request<Incoming>) -> Response<Body> {
@@ -273,6 +305,10 @@
             Fault::Break { after, links } => {
                 self.fault.set(remaining(links, |links| Fault::Break { after, links }));
             }
+            Fault::Unframed { ending, after, links } => {
+                let next = |links| Fault::Unframed { ending, after, links };
+                self.fault.set(remaining(links, next));
+            }
             Fault::Reorder { .. } => self.fault.set(Fault::None),
             Fault::None | Fault::Duplicate | Fault::Crossed | Fault::Die { .. } => {}
         }
@@ -313,6 +349,7 @@
     engine: Rc<EngineServer>,
     id: String,
     attempt: String,
+    fault: Fault,
     next: u64,
     seen_preemptions: u64,
     tx: BodySender,
@@ -331,16 +368,18 @@
 impl StreamReader {
     /// Sends events until the generation ends, the client disconnects or a fault ends the stream.
     async fn run(mut self) {
-        let fault = self.engine.take_stream_fault();
         loop {
             let sent = match self.next_update() {
-                Update::Tokens(tokens) => self.send_tokens(tokens, fault).await,
+                Update::Tokens(tokens) => self.send_tokens(tokens).await,
                 Update::Preempted => {
                     let attempt = self.attempt.clone();
                     self.send(&EngineEvent::Preempted { attempt }).await
                 }
                 Update::Ended(event) => {
-                    self.send(&event).await;
+                    match self.early_ending() {
+                        Some(ending) => self.break_off(&event, ending).await,
+                        None => self.send(&event).await,
+                    };
                     break;
                 }
                 Update::Nothing => {
@@ -357,6 +396,31 @@
             }
         }
         self.engine.model.borrow_mut().detach(&self.id, &self.attempt);
+        if self.early_ending() == Some(StreamEnding::Reset) {
+            self.tx.abort();
+        }
+    }
+
+    /// Returns how the fault ends this stream before its last event.
+    fn early_ending(&self) -> Option<StreamEnding> {
+        match self.fault {
+            Fault::Unframed { ending: StreamEnding::Whole, .. } => None,
+            Fault::Unframed { ending, .. } => Some(ending),
+            _ => None,
+        }
+    }
+
+    /// Sends what precedes the end of a stream that is broken off before or inside the line of an
+    /// event. Returns that the stream does not continue.
+    async fn break_off(&mut self, event: &EngineEvent, ending: StreamEnding) -> bool {
+        if ending == StreamEnding::InsideLine {
+            let mut part = encode_line(event);
+            part.truncate(part.len() / 2);
+            // The stream ends in any case.
+            let _ = self.tx.send(Bytes::from(part)).await;
+        }
+        compio::time::sleep(BREAK_PAUSE).await;
+        false
     }
 
     /// Returns the next event of the generation.
@@ -392,11 +456,11 @@
     }
 
     /// Sends tokens in order; returns whether the stream continues.
-    async fn send_tokens(&mut self, tokens: Vec<String>, fault: Fault) -> bool {
+    async fn send_tokens(&mut self, tokens: Vec<String>) -> bool {
         for text in tokens {
             let index = self.next;
             self.next += 1;
-            if !self.send_token(index, text, fault).await {
+            if !self.send_token(index, text).await {
                 return false;
             }
         }
@@ -404,9 +468,14 @@
     }
 
     /// Sends one token and applies the fault; returns whether the stream continues.
-    async fn send_token(&mut self, index: u64, text: String, fault: Fault) -> bool {
+    async fn send_token(&mut self, index: u64, text: String) -> bool {
         let event = self.token(index, text);
-        match fault {
+        if let (Fault::Unframed { after, .. }, Some(ending)) = (self.fault, self.early_ending())
+            && index >= after
+        {
+            return self.break_off(&event, ending).await;
+        }
+        match self.fault {
             Fault::Break { after, .. } if index >= after => false,
             Fault::Stall { after, .. } if index >= after => {
                 while !self.tx.is_closed() {
@@ -449,13 +518,18 @@
 
     /// Sends an event as a line of JSON; returns whether the client is still connected.
     async fn send(&mut self, event: &EngineEvent) -> bool {
-        let mut line = serde_json::to_vec(event).unwrap_or_default();
-        line.push(b'\n');
         self.last_sent = Instant::now();
-        self.tx.send(Bytes::from(line)).await.is_ok()
+        self.tx.send(Bytes::from(encode_line(event))).await.is_ok()
     }
 }
 
+/// Encodes an event as a line of JSON.
+fn encode_line(event: &EngineEvent) -> Vec<u8> {
+    let mut line = serde_json::to_vec(event).unwrap_or_default();
+    line.push(b'\n');
+    line
+}
+
 /// Query parameters of a request; missing ones are empty or 0.
 struct Query {
     attempt: String,
