Pass open answers of application services on as open

What callers saw: an answer of a service with neither a length nor chunks came with a length and the outcome `done`, also where half of it was missing. A repeatable call got half of a JSON document although another upstream would have answered it. The claim of a call that must not run twice was settled as done with the half, and every repeat of the call got it as a complete answer.

Cause: entry/apps.rs took the end of the connection for the end of the answer, and kept answers did not record how they ended.

Now an answer that ends inside a JSON document counts as broken off: a repeatable call is sent to another upstream, any other is answered with 502 and its claim settled as unknown. An answer whose end stays open is passed on without an end mark, and with the outcome `unknown`: `done` would say that this is the answer. A kept answer records whether it marked its end, so that its replay is framed alike. The field is absent in messages of earlier versions, and a control box of one drops it. It therefore says that the end was marked, not that it was open: what an earlier version handled counts as open, never as complete. An earlier entry box still replays an open answer with a length.

--- a/crates/hatchpitch/src/claims/messages.rs
+++ b/crates/hatchpitch/src/claims/messages.rs
@@ -55,6 +55,10 @@
     /// Body; `None` if it was larger than
     /// [`ClaimsConfig::max_answer`](super::ClaimsConfig::max_answer).
     pub body: Option<Vec<u8>>,
+    /// Whether the answer marked its own end, so that it is known to be complete. Boxes of earlier
+    /// versions do not record this, so an answer that one of them handled counts as unmarked.
+    #[serde(default)]
+    pub is_delimited: bool,
 }
 
 /// How an attempt ended.
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -3,6 +3,9 @@
 //! A call to a repeatable route is retried at another upstream even if the failed attempt may have
 //! run. Any other call is claimed first and runs at most once; its answer is stored and returned
 //! when the caller repeats the call.
+//!
+//! An answer with neither a length nor chunks may have been cut short. Unless its content shows that
+//! it was, the caller gets it in the same framing and with an unknown outcome.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,6 +27,7 @@
 use crate::outcome::{OUTCOME_HEADER, Outcome, Problem};
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunLocation};
+use crate::relay::ending::{EndCheck, Ending};
 use crate::trace::{Span, TRACEPARENT};
 use crate::upstream_limits::task as upstream_limits;
 use crate::upstream_signals::task as upstream_signals;
@@ -56,14 +60,24 @@
     pub body: Bytes,
 }
 
-/// A complete answer of a service.
+/// An answer of a service whose body ended in order.
 struct AppAnswer {
     status: StatusCode,
     content_type: HeaderValue,
     body: Bytes,
-    /// Whether the answer declared its length or used chunked encoding, so that a truncated body is
-    /// detected.
-    is_framed: bool,
+    /// Framing of the answer, which tells whether a truncated body would have been detected.
+    framing: Framing,
+}
+
+impl AppAnswer {
+    /// Returns the outcome for the caller. Only an answer that marks its own end shows that the call
+    /// was executed to its end.
+    fn outcome(&self) -> Outcome {
+        match self.framing {
+            Framing::Delimited => Outcome::Done,
+            Framing::UntilClose => Outcome::Unknown,
+        }
+    }
 }
 
 /// Serves a call to a service.
@@ -139,7 +153,7 @@
         let mut candidates = self.candidates();
         while let Some(upstream) = self.next_upstream(&mut candidates).await {
             match self.send(&upstream).await {
-                Ok(answer) => return Ok(done_response(answer)),
+                Ok(answer) => return Ok(answer_response(answer)),
                 Err(failure) => {
                     ran |= failure.ran;
                     last_cause = Some(failure.cause);
@@ -206,7 +220,7 @@
                 Ok(answer) => {
                     claim_guard.settlement = Settlement::Done(stored_answer(&answer));
                     claim_guard.settle_and_wait().await;
-                    return Ok(done_response(answer));
+                    return Ok(answer_response(answer));
                 }
                 Err(failure) if failure.ran => return Err(self.problem(Some(failure.cause), true)),
                 Err(failure) => {
@@ -300,8 +314,10 @@
         span.note("upstream", &upstream.name);
         let sent = self.exchange(upstream, &span.traceparent()).await;
         match &sent {
-            Ok(answer) if answer.is_framed => observer::record_answer(&self.cx, self.content),
-            Ok(_) => {}
+            Ok(answer) if !answer.framing.is_until_close() => {
+                observer::record_answer(&self.cx, self.content);
+            }
+            Ok(_) => self.cx.metrics.count(Count::OpenEnded, &self.service.service.name),
             Err(failure) => {
                 span.note("error", &failure.cause);
                 if failure.ran {
@@ -337,10 +353,17 @@
             return Err(AppFailure { cause: format!("{addr} refused"), ran: false });
         }
         let (parts, body) = res.into_parts();
-        let is_framed = !Framing::of_response(&self.call.method, &parts).is_until_close();
+        let mut check = EndCheck::new(&self.call.method, &parts);
+        let broken = |cause: &str| AppFailure { cause: format!("{addr}: {cause}"), ran: true };
         let body = read_body(body, MAX_ANSWER, timeout).await;
-        let body = body.map_err(|err| AppFailure { cause: format!("{addr}: {err}"), ran: true })?;
-        Ok(AppAnswer { status, content_type, body, is_framed })
+        let body = body.map_err(|err| broken(&err.to_string()))?;
+        check.push(&body);
+        let location = RunLocation { upstream: &upstream.name, addr };
+        match check.judge(&self.cx, location, self.content, None).await {
+            Ending::Truncated(cause) => return Err(broken(cause)),
+            Ending::Complete | Ending::Open(_) => {}
+        }
+        Ok(AppAnswer { status, content_type, body, framing: check.framing() })
     }
 
     fn request(&self, addr: SocketAddr, traceparent: &str) -> Request<Body> {
@@ -510,35 +533,42 @@
         status: answer.status.as_u16(),
         content_type: answer.content_type.to_str().unwrap_or_default().to_owned(),
         body: Some(answer.body.to_vec()),
+        is_delimited: answer.framing == Framing::Delimited,
     }
 }
 
 /// Returns the response for a stored answer.
 fn stored_response(stored: KeptAnswer) -> Response<Body> {
-    let Some(body) = stored.body else {
+    let is_body_kept = stored.body.is_some();
+    let answer = AppAnswer {
+        status: StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK),
+        content_type: HeaderValue::from_str(&stored.content_type)
+            .unwrap_or_else(|_| HeaderValue::from_static("application/octet-stream")),
+        body: Bytes::from(stored.body.unwrap_or_default()),
+        framing: match stored.is_delimited {
+            true => Framing::Delimited,
+            false => Framing::UntilClose,
+        },
+    };
+    if !is_body_kept {
         let mut problem = Problem::unknown(
             StatusCode::CONFLICT,
             "answer_not_kept",
             "the request was run; its answer was too large to keep",
         );
-        problem.outcome = Outcome::Done;
+        problem.outcome = answer.outcome();
         return problem.into_response();
-    };
-    done_response(AppAnswer {
-        status: StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK),
-        content_type: HeaderValue::from_str(&stored.content_type)
-            .unwrap_or_else(|_| HeaderValue::from_static("application/octet-stream")),
-        body: Bytes::from(body),
-        is_framed: true,
-    })
+    }
+    answer_response(answer)
 }
 
 /// Returns the response for an answer of an upstream.
-fn done_response(answer: AppAnswer) -> Response<Body> {
-    let mut res = Response::new(Body::from(answer.body));
+fn answer_response(answer: AppAnswer) -> Response<Body> {
+    let outcome = answer.outcome();
+    let mut res = Response::new(Body::from(answer.body).framed(answer.framing));
     *res.status_mut() = answer.status;
     let headers = res.headers_mut();
     headers.insert(header::CONTENT_TYPE, answer.content_type);
-    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(Outcome::Done.as_str()));
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome.as_str()));
     res
 }
--- a/crates/hatchpitch/src/outcome.rs
+++ b/crates/hatchpitch/src/outcome.rs
@@ -19,7 +19,7 @@
     NotRun,
     /// The request was executed and this is its answer.
     Done,
-    /// The request may have been executed.
+    /// The request may have been executed, or its answer may have been cut short.
     Unknown,
 }
 
--- a/crates/hatchpitch/tests/cases/claims.rs
+++ b/crates/hatchpitch/tests/cases/claims.rs
@@ -60,7 +60,7 @@
 
 fn kept_answer(answer: &str) -> KeptAnswer {
     let body = Some(answer.as_bytes().to_vec());
-    KeptAnswer { status: 200, content_type: "text/plain".to_owned(), body }
+    KeptAnswer { status: 200, content_type: "text/plain".to_owned(), body, is_delimited: true }
 }
 
 fn show(outcome: &ClaimOutcome) -> String {
