Wait for the state of an upstream while another box hangs

What callers saw: a stream without a length or chunks whose upstream crashed between two events ended in order, though the upstream no longer listened, when another box hung at that time.

Cause: an upstream that refuses connections counts as stopped once other boxes confirm it, twice. A box that hangs holds up each of these searches for the timeout of a probe, 700 ms, but the end of the response was held back for 300 ms only. The state then stayed unclear, and the response was ended as if nothing spoke against it.

The end is now held back for as long as both searches take with one box that hangs. This is still shorter than the two seconds after which callers give up a stream. Nothing changes while the upstream accepts connections: then its state is known at once.

Left open: if two boxes hang, or no other upstream is left by which a box shows that it reaches any, the state stays unclear as before.

--- a/crates/hatchpitch/src/relay/ending.rs
+++ b/crates/hatchpitch/src/relay/ending.rs
@@ -19,7 +19,9 @@
 use crate::routing::Verdict;
 
 /// Longest time that the end of a response is held back until the state of its upstream is known.
-const STATE_TIMEOUT: Duration = Duration::from_millis(300);
+/// It covers the two times that other boxes are asked about an upstream that refuses connections, if
+/// one of them hangs for its timeout of 700 ms each time. Callers wait longer for a stream to go on.
+const STATE_TIMEOUT: Duration = Duration::from_millis(1_600);
 
 /// What is known about the end of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
