Accept for a brittle service only what leaves time for the work

Callers of a service whose upstreams say that they are brittle, at 1.7 times what these can run, were served just when their deadlines had passed, and the queue stayed there: a request was accepted as long as the expected wait was below all of the time that it had left.

A request is accepted if the expected wait is at most a quarter of the time that is left, and one whose turn comes when less time is left than any request of its route has needed lately is refused as not run, on any service, instead of being sent.

--- a/crates/hatchpitch/src/config/hosted.rs
+++ b/crates/hatchpitch/src/config/hosted.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{RegionName, ServiceName};
@@ -67,6 +68,21 @@
     pub regions: Vec<RegionName>,
 }
 
+impl HostedRoute {
+    /// Chooses one of the services at random, by weight.
+    pub fn choose_service(&self, rng: &mut impl Rng) -> &str {
+        let sum: u32 = self.targets.iter().map(|target| target.weight).sum();
+        let mut draw = rng.random_range(0..sum.max(1));
+        for target in &self.targets {
+            if draw < target.weight {
+                return &target.service;
+            }
+            draw -= target.weight;
+        }
+        self.targets.last().map_or("", |target| &target.service)
+    }
+}
+
 /// Capacity and features of the engines of a service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
--- a/crates/hatchpitch/src/relay/mod.rs
+++ b/crates/hatchpitch/src/relay/mod.rs
@@ -16,6 +16,7 @@
 pub mod request;
 pub mod response;
 pub mod run;
+pub mod run_times;
 pub mod stream;
 
 pub use budget::{RetryBudgets, RetryLimits};
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -9,7 +9,6 @@
 use http::response::Parts;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
-use rand::Rng;
 
 use super::budget::RetryBudgets;
 use super::ending::{EndCheck, Ending, is_event_stream, open_end_verdict};
@@ -17,8 +16,9 @@
 use super::protocol::{Attempt, ResponseKind, RunnerProtocol};
 use super::recent::RecentServices;
 use super::request::HostedRequest;
+use super::run_times::RunTimes;
 use super::{response, stream};
-use crate::config::hosted::{HostedRoute, RunPolicy};
+use crate::config::hosted::RunPolicy;
 use crate::dispatch::{Refusal, SlotRequest};
 use crate::entry::EntryCx;
 use crate::grants::Slot;
@@ -40,6 +40,10 @@
 /// of the route's target time to the response or its first event. The remainder is left for the
 /// work itself. A request that would wait longer is refused at once.
 const EXPECTED_WAIT_FRACTION: f64 = 0.5;
+/// Longest expected wait of a request for a brittle service, as a fraction of the time that is left
+/// for it. The queue of an overloaded service settles at this wait, so it has to leave time for the
+/// work also where the estimate is too short.
+const BRITTLE_WAIT_FRACTION: f64 = 0.25;
 /// Longest wait of a generation for a slot, as a multiple of the route's target time to the first
 /// event: callers disconnect after four times that target.
 const MAX_WAIT_FACTOR: f64 = 2.0;
@@ -65,6 +69,8 @@
     pub protocol: RunnerProtocol,
     /// Retry budgets, by service.
     pub budgets: RefCell<RetryBudgets>,
+    /// Run times of requests whose responses were buffered.
+    pub run_times: RefCell<RunTimes>,
     /// Services whose streams recently ended with their connections.
     pub open_streams: RefCell<RecentServices>,
 }
@@ -140,7 +146,7 @@
 
 impl Run {
     fn new(relay: Rc<Relay>, req: Rc<HostedRequest>) -> Self {
-        let service = choose_target(&req.route).to_owned();
+        let service = req.route.choose_service(&mut rand::rng()).to_owned();
         let content = req.content();
         Self {
             relay,
@@ -173,6 +179,11 @@
             if let Err(problem) = self.check_quarantine() {
                 return last.ok_or(problem);
             }
+            if self.lacks_time() {
+                let cause = "too little time was left for the request when its turn came";
+                return last
+                    .map_or_else(|| Err(self.refused(Refusal::new(cause, SHORT_RETRY))), Ok);
+            }
             let (runner, started) = (slot.runner.clone(), clock::now());
             let failure = match self.attempt(slot).await {
                 Ok(res) => return Ok(res),
@@ -188,6 +199,12 @@
         }
     }
 
+    /// Returns whether less time is left than any request of this route has needed lately.
+    fn lacks_time(&self) -> bool {
+        let shortest = self.relay.run_times.borrow().shortest(&self.req.route.name);
+        self.req.time_left(clock::now()) < shortest
+    }
+
     /// Refuses a request whose content is quarantined because it crashed upstreams.
     fn check_quarantine(&self) -> Result<(), Problem> {
         observer::check(&self.relay.cx, &self.content).map_err(|problem| {
@@ -333,7 +350,10 @@
             accepts: if refuses_early {
                 Some(aim.mul_f64(EXPECTED_WAIT_FRACTION))
             } else {
-                self.relay.cx.is_brittle(&self.service).then(|| self.req.time_left(clock::now()))
+                self.relay
+                    .cx
+                    .is_brittle(&self.service)
+                    .then(|| self.req.time_left(clock::now()).mul_f64(BRITTLE_WAIT_FRACTION))
             },
             within: self.within.clone(),
             limit_wait: Some(aim.mul_f64(EXPECTED_WAIT_FRACTION)),
@@ -426,7 +446,12 @@
                 body,
             ));
         }
-        self.read_response(slot, parts, check, body).await
+        let read = self.read_response(slot, parts, check, body).await;
+        if read.is_ok() {
+            let took = clock::since(sent_at);
+            self.relay.run_times.borrow_mut().record(&self.req.route.name, took);
+        }
+        read
     }
 
     fn send_failure(&self, err: &SendError) -> Failure {
@@ -561,16 +586,3 @@
         );
     }
 }
-
-/// Chooses one of the route's services at random, by weight.
-fn choose_target(route: &HostedRoute) -> &str {
-    let sum: u32 = route.targets.iter().map(|target| target.weight).sum();
-    let mut draw = rand::rng().random_range(0..sum.max(1));
-    for target in &route.targets {
-        if draw < target.weight {
-            return &target.service;
-        }
-        draw -= target.weight;
-    }
-    route.targets.last().map_or("", |target| &target.service)
-}
--- /dev/null
+++ b/crates/hatchpitch/src/relay/run_times.rs
@@ -0,0 +1,34 @@
+//! Shortest recent run times of requests, by route, without I/O.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::RequestKind;
+
+/// Part of the distance to a longer run time by which the estimate rises, so that one unusually
+/// fast run is forgotten after about a hundred others.
+const RISE: u32 = 64;
+/// Number of routes from which on no further ones are followed.
+const MAX_ROUTES: usize = 4_096;
+
+/// Lower estimates of the run times of requests.
+#[derive(Debug, Default)]
+pub struct RunTimes(BTreeMap<RequestKind, Duration>);
+
+impl RunTimes {
+    /// Records the run time of a request.
+    pub fn record(&mut self, route: &str, took: Duration) {
+        if let Some(shortest) = self.0.get_mut(route) {
+            let rise = took.saturating_sub(*shortest) / RISE;
+            *shortest = took.min(*shortest + rise);
+        } else if self.0.len() < MAX_ROUTES {
+            self.0.insert(route.to_owned(), took);
+        }
+    }
+
+    /// Returns the time below which a request of this route cannot be expected to run; zero if
+    /// nothing is known.
+    pub fn shortest(&self, route: &str) -> Duration {
+        self.0.get(route).copied().unwrap_or_default()
+    }
+}
