Hold a whole response back no longer than its caller waits

It waits for half of the time that is left now, 300 ms at most; a stream, whose events are delivered already, for up to 1.6 s within its time limit.

No test has an upstream with a full backlog.

--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -27,7 +27,7 @@
 use crate::outcome::{OUTCOME_HEADER, Outcome, Problem};
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunLocation};
-use crate::relay::ending::{EndCheck, Ending};
+use crate::relay::ending::{BUFFERED_STATE_TIMEOUT, EndCheck, Ending};
 use crate::trace::{Span, TRACEPARENT};
 use crate::upstream_limits::task as upstream_limits;
 use crate::upstream_signals::task as upstream_signals;
@@ -359,7 +359,7 @@
         let body = body.map_err(|err| broken(&err.to_string()))?;
         check.push(&body);
         let location = RunLocation { upstream: &upstream.name, addr };
-        match check.judge(&self.cx, location, self.content, None).await {
+        match check.judge(&self.cx, location, self.content, BUFFERED_STATE_TIMEOUT).await {
             Ending::Truncated(cause) => return Err(broken(cause)),
             Ending::Complete | Ending::Open(_) => {}
         }
--- a/crates/hatchpitch/src/relay/ending.rs
+++ b/crates/hatchpitch/src/relay/ending.rs
@@ -18,10 +18,12 @@
 use crate::quarantine::observer::{self, RunLocation, UpstreamState};
 use crate::routing::Verdict;
 
-/// Longest time that the end of a response is held back until the state of its upstream is known.
-/// It covers the two times that other boxes are asked about an upstream that refuses connections, if
+/// Longest time that the end of a stream is held back until the state of its upstream is known. It
+/// covers the two times that other boxes are asked about an upstream that refuses connections, if
 /// one of them hangs for its timeout of 700 ms each time. Callers wait longer for a stream to go on.
-const STATE_TIMEOUT: Duration = Duration::from_millis(1_600);
+pub(super) const STREAM_STATE_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// The same for a response that is held back as a whole.
+pub const BUFFERED_STATE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// What is known about the end of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -77,14 +79,13 @@
         }
     }
 
-    /// Judges the end of a body that ended in order. `started_at` is the time of the first sign
-    /// that the upstream ran the request.
+    /// Judges the end of a body that ended in order, within `limit`.
     pub async fn judge(
         &self,
         cx: &Rc<EntryCx>,
         location: RunLocation<'_>,
         content: ContentId,
-        started_at: Option<Instant>,
+        limit: Duration,
     ) -> Ending {
         if !self.framing.is_until_close() {
             return Ending::Complete;
@@ -92,19 +93,21 @@
         if self.json.as_ref().is_some_and(JsonNesting::is_open) {
             return Ending::Truncated("the connection ended inside a JSON document");
         }
-        judge_open_end(cx, location, content, started_at).await
+        judge_open_end(cx, location, content, None, limit).await
     }
 }
 
 /// Judges the end of a response that ended with its connection and whose content doesn't contradict
-/// that it is complete.
+/// that it is complete, within `limit`. `started_at` is the time of the first sign that the upstream
+/// ran the request.
 pub async fn judge_open_end(
     cx: &Rc<EntryCx>,
     location: RunLocation<'_>,
     content: ContentId,
     started_at: Option<Instant>,
+    limit: Duration,
 ) -> Ending {
-    let probed = compio::time::timeout(STATE_TIMEOUT, observer::upstream_state(cx, location));
+    let probed = compio::time::timeout(limit, observer::upstream_state(cx, location));
     let state = probed.await.unwrap_or(UpstreamState::Unclear);
     if state == UpstreamState::Stopped {
         observer::record_interruption(cx, location, content, started_at);
--- a/crates/hatchpitch/src/relay/response.rs
+++ b/crates/hatchpitch/src/relay/response.rs
@@ -8,7 +8,7 @@
 use http::{Response, Version, header};
 use hyper::body::Incoming;
 
-use super::ending::{EndCheck, Ending, open_end_verdict};
+use super::ending::{EndCheck, Ending, STREAM_STATE_TIMEOUT, open_end_verdict};
 use super::headers::strip_hop_by_hop;
 use super::request::HostedRequest;
 use super::run::Relay;
@@ -56,7 +56,10 @@
         let left = end.saturating_duration_since(clock::now());
         let forwarded = forward_body(first, &mut check, &mut body, &mut tx);
         let ending = match compio::time::timeout(left, forwarded).await {
-            Ok(Ok(())) => Ok(check.judge(&cx, place, content, None).await.at_announced()),
+            Ok(Ok(())) => {
+                let left = end.saturating_duration_since(clock::now()).min(STREAM_STATE_TIMEOUT);
+                Ok(check.judge(&cx, place, content, left).await.at_announced())
+            }
             Ok(Err(err)) => Err(err.to_string()),
             // Dropping the sender breaks the response off.
             Err(_) => return,
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 
 use super::budget::RetryBudgets;
-use super::ending::{EndCheck, Ending, is_event_stream, open_end_verdict};
+use super::ending::{BUFFERED_STATE_TIMEOUT, EndCheck, Ending, is_event_stream, open_end_verdict};
 use super::failure::{Failure, Next, Untried};
 use super::protocol::{Attempt, ResponseKind, RunnerProtocol};
 use super::recent::RecentServices;
@@ -498,7 +498,9 @@
             }
         }
         let place = RunLocation { upstream: &slot.runner, addr: slot.addr };
-        let ending = check.judge(&self.relay.cx, place, self.content, None).await;
+        // A response that is there must not be lost to the time limit of the request.
+        let limit = (self.req.time_left(clock::now()) / 2).min(BUFFERED_STATE_TIMEOUT);
+        let ending = check.judge(&self.relay.cx, place, self.content, limit).await;
         let verdict = match ending.at_announced() {
             Ending::Complete => {
                 observer::record_answer(&self.relay.cx, self.content);
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -11,7 +11,7 @@
 use http::response::Parts;
 use hyper::body::Incoming;
 
-use super::ending::{Ending, judge_open_end, open_end_verdict};
+use super::ending::{Ending, STREAM_STATE_TIMEOUT, judge_open_end, open_end_verdict};
 use super::events::EventSplitter;
 use super::protocol::{Attempt, ResponseKind, Resume};
 use super::request::HostedRequest;
@@ -299,7 +299,8 @@
     async fn judge_open_end(&self) -> StreamEnd {
         let place = RunLocation { upstream: &self.slot.runner, addr: self.slot.addr };
         let started = Some(self.link_start);
-        let ending = judge_open_end(&self.relay.cx, place, self.content, started).await;
+        let limit = self.req.time_left(clock::now()).min(STREAM_STATE_TIMEOUT);
+        let ending = judge_open_end(&self.relay.cx, place, self.content, started, limit).await;
         match ending.at_announced() {
             Ending::Complete => StreamEnd::Whole,
             Ending::Truncated(cause) => StreamEnd::Broken(cause.to_owned()),
