Look at an upstream again when another run on it is interrupted

What callers saw: a request that crashes upstreams went on to run although it had crashed three, if each of them had interrupted another request within the three seconds before, for example because a caller had left or a connection had been cut.

Cause: an upstream that still listens after an interruption is looked into for up to 3 s, for a successor at its address. A run that was interrupted in that time joined this investigation, whose one look at the upstream was over. It ended as "not crashed" unless a successor came to the same address in time.

Now each interruption leads to another look. If the upstream is down then, only the runs that were interrupted since it was last seen listening are blamed; the earlier ones ended before that crash.

--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -31,8 +31,8 @@
 /// connections, since a crashed upstream may have restarted already. It covers a heartbeat interval
 /// of 1.2 s and the propagation of the announcement.
 const REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Interval between checks for another incarnation.
-const REPLACEMENT_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between checks for another incarnation, and for runs that were interrupted since.
+const REPLACEMENT_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Minimum time between two crashes of an upstream of the fleet file, in milliseconds: its restart
 /// takes about that long. Crash times are rounded down to it, so that the reports of several boxes
 /// mostly give one crash the same name.
@@ -75,7 +75,7 @@
 /// Crash observations of an entry box.
 #[derive(Default)]
 pub struct Observer {
-    /// Interrupted runs on the upstreams that are being investigated.
+    /// Runs on the upstreams that are being investigated, interrupted since the last look at each.
     interrupted: RefCell<BTreeMap<RunnerName, Vec<CrashedRun>>>,
     /// Evidence that is still to be reported.
     unreported: RefCell<Evidence>,
@@ -137,10 +137,8 @@
     }
     let run = CrashedRun { content, ran_for: started_at.map(clock::since).unwrap_or_default() };
     let mut interrupted = cx.quarantine.interrupted.borrow_mut();
-    if let Some(runs) = interrupted.get_mut(location.upstream) {
-        if runs.len() < MAX_RUNS_PER_CRASH {
-            runs.push(run);
-        }
+    if let Some(known) = interrupted.get_mut(location.upstream) {
+        merge_runs(known, vec![run]);
         return;
     }
     if interrupted.len() >= MAX_INVESTIGATED {
@@ -151,6 +149,17 @@
     compio::runtime::spawn(async move { investigate(&cx, upstream, addr).await }).detach();
 }
 
+/// Adds runs that ended with the same crash, of which each content counts once.
+fn merge_runs(known: &mut Vec<CrashedRun>, runs: Vec<CrashedRun>) {
+    for run in runs {
+        if let Some(other) = known.iter_mut().find(|other| other.content == run.content) {
+            other.ran_for = other.ran_for.min(run.ran_for);
+        } else if known.len() < MAX_RUNS_PER_CRASH {
+            known.push(run);
+        }
+    }
+}
+
 /// Finds out whether an upstream still listens.
 pub async fn upstream_state(cx: &Rc<EntryCx>, location: RunLocation<'_>) -> UpstreamState {
     let RunLocation { upstream, addr } = location;
@@ -185,17 +194,9 @@
 
 /// Finds out whether an upstream crashed, and reports the crash with its interrupted runs.
 async fn investigate(cx: &Rc<EntryCx>, upstream: RunnerName, addr: SocketAddr) {
-    let life = name_crashed_life(cx, &upstream);
-    compio::time::sleep(GATHER_WINDOW).await;
-    let crashed = match cx.upstream(&upstream, addr).listening().await {
-        Listening::Yes => is_replaced(cx, &upstream, addr).await,
-        Listening::No => is_still_down(cx, &upstream, addr).await,
-        Listening::Unclear => false,
-    };
-    let runs = cx.quarantine.interrupted.borrow_mut().remove(&upstream).unwrap_or_default();
-    if !crashed {
-        return;
-    }
+    let crash = find_crash(cx, &upstream, addr).await;
+    cx.quarantine.interrupted.borrow_mut().remove(&upstream);
+    let Some(Crash { life, runs }) = crash else { return };
     let contents: Vec<String> = runs.iter().map(|run| run.content.to_string()).collect();
     log::warn!(
         upstream = life.as_str(), runs = runs.len(), contents = contents.join(",").as_str();
@@ -205,6 +206,57 @@
     submit(cx, Evidence { crashes: vec![Crash { life, runs }], ..Evidence::default() });
 }
 
+/// Looks at an upstream after each interruption, until it is found to have crashed or the last
+/// interruption is too long ago.
+async fn find_crash(cx: &Rc<EntryCx>, upstream: &str, addr: SocketAddr) -> Option<Crash> {
+    // Runs interrupted before a look at which the upstream listened, with the time of that look.
+    let mut earlier: Vec<(Instant, CrashedRun)> = Vec::new();
+    loop {
+        let life = name_crashed_life(cx, upstream);
+        compio::time::sleep(GATHER_WINDOW).await;
+        let mut runs = take_interrupted(cx, upstream);
+        match cx.upstream(upstream, addr).listening().await {
+            Listening::No if is_still_down(cx, upstream, addr).await => {
+                // It listened after the earlier interruptions, which were none of this crash.
+                merge_runs(&mut runs, take_interrupted(cx, upstream));
+                return Some(Crash { life, runs });
+            }
+            Listening::Unclear => return None,
+            Listening::Yes | Listening::No => {}
+        }
+        let now = clock::now();
+        earlier.retain(|(at, _)| clock::since(*at) < REPLACEMENT_TIMEOUT);
+        earlier.extend(runs.into_iter().map(|run| (now, run)));
+        // Only the last ones fit into a report.
+        earlier.drain(..earlier.len().saturating_sub(MAX_RUNS_PER_CRASH));
+        match await_successor(cx, upstream, addr).await {
+            Wait::Replaced => {
+                let mut runs = take_interrupted(cx, upstream);
+                merge_runs(&mut runs, earlier.into_iter().map(|(_, run)| run).collect());
+                return Some(Crash { life, runs });
+            }
+            Wait::Interrupted => {}
+            Wait::Over => return None,
+        }
+    }
+}
+
+/// Takes the runs that were interrupted since the last look at an upstream.
+fn take_interrupted(cx: &EntryCx, upstream: &str) -> Vec<CrashedRun> {
+    let mut interrupted = cx.quarantine.interrupted.borrow_mut();
+    interrupted.get_mut(upstream).map(std::mem::take).unwrap_or_default()
+}
+
+/// What ended the wait for another incarnation of an upstream.
+enum Wait {
+    /// Another incarnation was announced.
+    Replaced,
+    /// Another run was interrupted.
+    Interrupted,
+    /// Neither in time, or the upstream leaves.
+    Over,
+}
+
 /// Returns the name of the incarnation that seems to have crashed. For an upstream of the fleet
 /// file, which announces no birth time, the name is derived from the time of the crash.
 fn name_crashed_life(cx: &EntryCx, upstream: &str) -> LifeName {
@@ -221,16 +273,22 @@
     cx.upstream(upstream, addr).listening().await == Listening::No
 }
 
-/// Returns whether another incarnation replaces one that did not announce that it leaves.
-async fn is_replaced(cx: &EntryCx, life: &str, addr: SocketAddr) -> bool {
+/// Waits until another incarnation replaces one that did not announce that it leaves, or another
+/// run on it is interrupted.
+async fn await_successor(cx: &EntryCx, upstream: &str, addr: SocketAddr) -> Wait {
     let started = clock::now();
-    while clock::since(started) < REPLACEMENT_TIMEOUT && !is_leaving(cx, life) {
-        if has_successor(cx, life, addr) {
-            return true;
+    let mut seen = None;
+    while clock::since(started) < REPLACEMENT_TIMEOUT && !is_leaving(cx, upstream) {
+        let version = cx.upstreams.roster.borrow().version();
+        if seen.replace(version) != Some(version) && has_successor(cx, upstream, addr) {
+            return Wait::Replaced;
+        }
+        if cx.quarantine.interrupted.borrow().get(upstream).is_some_and(|runs| !runs.is_empty()) {
+            return Wait::Interrupted;
         }
         compio::time::sleep(REPLACEMENT_POLL_INTERVAL).await;
     }
-    false
+    Wait::Over
 }
 
 /// Returns whether another serving upstream is announced at the address.
