Blame a crash on a response that ended with its connection just before

Other requests with such responses, which ran on the crashed upstreams, could be held instead of it.

Cause: the quarantine was told of such a response only if its upstream no longer listened right after it. Nothing counted for or against a content otherwise, so a popular one was never taken for answered, and was held once three upstreams crashed under it.

Now the upstream is looked at again 150 ms later, once for all responses that ended until then. If it is down, their contents are suspected. If it listens, they are not suspected of other crashes, and count as answered 3 s later if no other incarnation was announced and the upstream listens still. A response also counts among the runs of a crash that another run shows within 150 ms. Number and size of what is kept are bounded (open_ends.rs, a state machine without I/O).

Tests of suspicion, order, answers and bounds, and 200 replays, on the state machine.

--- a/crates/hatchpitch/src/quarantine/mod.rs
+++ b/crates/hatchpitch/src/quarantine/mod.rs
@@ -12,6 +12,7 @@
 pub mod content;
 pub mod messages;
 pub mod observer;
+pub mod open_ends;
 pub mod recent;
 pub mod state;
 pub mod verify;
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -10,6 +10,7 @@
 
 use super::content::ContentId;
 use super::messages::{Crash, CrashedRun, Evidence, MAX_REPORTED, MAX_RUNS_PER_CRASH};
+use super::open_ends::{OPEN_END_WINDOW, OpenEnds, REPLACEMENT_TIMEOUT};
 use super::recent::RecentAnswers;
 use super::state::Ledger;
 use crate::control::leader::LeaderClient;
@@ -27,10 +28,6 @@
 /// Delay between the two connection attempts that confirm that an upstream is down: a host with a
 /// full connection backlog refuses single connections.
 const RECHECK_DELAY: Duration = Duration::from_millis(100);
-/// Time to wait for another incarnation to be announced at an address that still accepts
-/// connections, since a crashed upstream may have restarted already. It covers a heartbeat interval
-/// of 1.2 s and the propagation of the announcement.
-const REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval between checks for another incarnation, and for runs that were interrupted since.
 const REPLACEMENT_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Minimum time between two crashes of an upstream of the fleet file, in milliseconds: its restart
@@ -77,6 +74,8 @@
 pub struct Observer {
     /// Runs on the upstreams that are being investigated, interrupted since the last look at each.
     interrupted: RefCell<BTreeMap<RunnerName, Vec<CrashedRun>>>,
+    /// Responses that ended with their connection.
+    open_ends: RefCell<OpenEnds>,
     /// Evidence that is still to be reported.
     unreported: RefCell<Evidence>,
     /// Whether a task that reports evidence is running.
@@ -127,28 +126,53 @@
     location: RunLocation<'_>,
     content: ContentId,
     started_at: Option<Instant>,
+) {
+    let run = CrashedRun { content, ran_for: started_at.map(clock::since).unwrap_or_default() };
+    // Responses that ended just before may have been cut short by the same crash.
+    let ended = cx.quarantine.open_ends.borrow().recent(location.upstream, clock::now());
+    record_interrupted(cx, location, std::iter::once(run).chain(ended));
+}
+
+/// Adds runs to the investigation of their upstream, which is started if necessary.
+fn record_interrupted(
+    cx: &Rc<EntryCx>,
+    location: RunLocation<'_>,
+    runs: impl IntoIterator<Item = CrashedRun>,
 ) {
     if is_leaving(cx, location.upstream) {
         // A leaving upstream interrupts the runs that it cannot finish; that is no crash.
         return;
     }
-    if cx.quarantine.recent.borrow().contains(&content, clock::now()) {
+    let suspects = suspects(cx, runs);
+    if suspects.is_empty() {
         return;
     }
-    let run = CrashedRun { content, ran_for: started_at.map(clock::since).unwrap_or_default() };
     let mut interrupted = cx.quarantine.interrupted.borrow_mut();
     if let Some(known) = interrupted.get_mut(location.upstream) {
-        merge_runs(known, vec![run]);
+        merge_runs(known, suspects);
         return;
     }
     if interrupted.len() >= MAX_INVESTIGATED {
         return;
     }
-    interrupted.insert(location.upstream.to_owned(), vec![run]);
+    interrupted.insert(location.upstream.to_owned(), suspects);
     let (cx, upstream, addr) = (cx.clone(), location.upstream.to_owned(), location.addr);
     compio::runtime::spawn(async move { investigate(&cx, upstream, addr).await }).detach();
 }
 
+/// Returns the runs whose contents no upstream is known to have survived recently.
+fn suspects(cx: &EntryCx, runs: impl IntoIterator<Item = CrashedRun>) -> Vec<CrashedRun> {
+    let (recent, now) = (cx.quarantine.recent.borrow(), clock::now());
+    let open_ends = cx.quarantine.open_ends.borrow();
+    let is_survived = |content: &ContentId| {
+        let mut survivors = open_ends.survivors(content);
+        survivors.any(|upstream| is_unreplaced(cx, upstream))
+    };
+    let is_suspect =
+        |run: &CrashedRun| !recent.contains(&run.content, now) && !is_survived(&run.content);
+    runs.into_iter().filter(is_suspect).collect()
+}
+
 /// Adds runs that ended with the same crash, of which each content counts once.
 fn merge_runs(known: &mut Vec<CrashedRun>, runs: Vec<CrashedRun>) {
     for run in runs {
@@ -170,15 +194,66 @@
     }
 }
 
+/// Records that a response ended with its connection, which leaves open whether the upstream ended
+/// it or crashed. The content is suspected if the upstream goes down right after it, and counts as
+/// answered once the upstream is known to have lived on.
+pub fn record_open_end(
+    cx: &Rc<EntryCx>,
+    location: RunLocation<'_>,
+    content: ContentId,
+    started_at: Option<Instant>,
+) {
+    if is_leaving(cx, location.upstream) {
+        return;
+    }
+    let run = CrashedRun { content, ran_for: started_at.map(clock::since).unwrap_or_default() };
+    if cx.quarantine.open_ends.borrow_mut().record(location.upstream, run, clock::now()) {
+        let (cx, upstream, addr) = (cx.clone(), location.upstream.to_owned(), location.addr);
+        compio::runtime::spawn(async move { watch(&cx, &upstream, addr).await }).detach();
+    }
+}
+
+/// Watches an upstream after responses of it that left their end open.
+async fn watch(cx: &Rc<EntryCx>, upstream: &str, addr: SocketAddr) {
+    let open_ends = &cx.quarantine.open_ends;
+    let mut goes_on = true;
+    while goes_on {
+        compio::time::sleep(OPEN_END_WINDOW).await;
+        let is_tracked = |content: &ContentId| is_tracked(cx, content);
+        if open_ends.borrow().needs_probe(upstream, clock::now(), is_tracked) {
+            let listening = cx.upstream(upstream, addr).listening().await;
+            if listening == Listening::No || has_successor(cx, upstream, addr) {
+                let runs = open_ends.borrow_mut().remove(upstream, clock::now());
+                record_interrupted(cx, RunLocation { upstream, addr }, runs);
+                return;
+            }
+            if listening == Listening::Unclear || is_leaving(cx, upstream) {
+                open_ends.borrow_mut().remove(upstream, clock::now());
+                return;
+            }
+            let answered = open_ends.borrow_mut().record_listening(upstream, clock::now());
+            if is_unreplaced(cx, upstream) {
+                answered.into_iter().for_each(|content| record_answer(cx, content));
+            }
+        }
+        goes_on = open_ends.borrow_mut().keeps_watch(upstream, clock::now());
+    }
+}
+
 /// Records that an upstream answered a content completely, and reports it if required.
 pub fn record_answer(cx: &Rc<EntryCx>, content: ContentId) {
     cx.quarantine.recent.borrow_mut().record(content, clock::now());
-    let is_tracked_locally = cx.quarantine.local.borrow().list().wants_answer_reports(&content);
-    if is_tracked_locally || cx.config.quarantine().wants_answer_reports(&content) {
+    if is_tracked(cx, &content) {
         report_answer(cx, content);
     }
 }
 
+/// Returns whether answers to a content are to be reported.
+fn is_tracked(cx: &EntryCx, content: &ContentId) -> bool {
+    cx.quarantine.local.borrow().list().wants_answer_reports(content)
+        || cx.config.quarantine().wants_answer_reports(content)
+}
+
 /// Reports a complete answer to a content that is suspected or held.
 fn report_answer(cx: &Rc<EntryCx>, content: ContentId) {
     let answered = Evidence { answered: [content].into(), ..Evidence::default() };
@@ -192,11 +267,24 @@
     roster.get(life).is_some_and(|record| record.phase == Phase::Leaving)
 }
 
+/// Returns whether an upstream that announced itself has not been replaced. A restart of one of the
+/// fleet file is not announced, so nothing shows that it is still the same process.
+fn is_unreplaced(cx: &EntryCx, life: &str) -> bool {
+    let roster = cx.upstreams.roster.borrow();
+    let addr = roster.get(life).map(|record| record.addr);
+    drop(roster);
+    addr.is_some_and(|addr| !has_successor(cx, life, addr))
+}
+
 /// Finds out whether an upstream crashed, and reports the crash with its interrupted runs.
 async fn investigate(cx: &Rc<EntryCx>, upstream: RunnerName, addr: SocketAddr) {
     let crash = find_crash(cx, &upstream, addr).await;
     cx.quarantine.interrupted.borrow_mut().remove(&upstream);
-    let Some(Crash { life, runs }) = crash else { return };
+    let Some(Crash { life, mut runs }) = crash else { return };
+    let ended = cx.quarantine.open_ends.borrow().recent(&upstream, clock::now());
+    merge_runs(&mut runs, suspects(cx, ended));
+    // A restarted upstream must not confirm the responses of the one that crashed.
+    cx.quarantine.open_ends.borrow_mut().clear(&upstream);
     let contents: Vec<String> = runs.iter().map(|run| run.content.to_string()).collect();
     log::warn!(
         upstream = life.as_str(), runs = runs.len(), contents = contents.join(",").as_str();
--- a/crates/hatchpitch/src/relay/ending.rs
+++ b/crates/hatchpitch/src/relay/ending.rs
@@ -104,8 +104,13 @@
 ) -> Ending {
     let probed = compio::time::timeout(STATE_TIMEOUT, observer::upstream_state(cx, location));
     let state = probed.await.unwrap_or(UpstreamState::Unclear);
-    if state == UpstreamState::Stopped {
-        observer::record_interruption(cx, location, content, started_at);
+    match state {
+        UpstreamState::Stopped => {
+            observer::record_interruption(cx, location, content, started_at);
+        }
+        UpstreamState::Listening | UpstreamState::Unclear => {
+            observer::record_open_end(cx, location, content, started_at);
+        }
     }
     Ending::Open(state)
 }
--- a/crates/hatchpitch/tests/quarantine.rs
+++ b/crates/hatchpitch/tests/quarantine.rs
@@ -5,6 +5,10 @@
 
 use hatchpitch::claims::state::LogTime;
 use hatchpitch::control::machine::{Command, Machine, Order};
+use hatchpitch::quarantine::messages::MAX_RUNS_PER_CRASH;
+use hatchpitch::quarantine::open_ends::{
+    MAX_OPEN_UPSTREAMS, MAX_UNCONFIRMED, OPEN_END_WINDOW, OpenEnds, REPLACEMENT_TIMEOUT,
+};
 use hatchpitch::quarantine::recent::{ANSWER_VALIDITY, MAX_RECENT_ANSWERS, RecentAnswers};
 use hatchpitch::quarantine::state::{
     CRASH_RETENTION, CRASHES_TO_HOLD, INITIAL_TERM, MAX_CRASHES, MAX_KNOWN, MAX_LIST_BYTES,
@@ -327,3 +331,126 @@
     recent.record(content("last"), now + 3 * ANSWER_VALIDITY);
     assert_eq!(recent.len(), 1, "entries expire as well");
 }
+
+/// Records the end of a response of `life` that did not mark its end.
+fn record_open_end(ends: &mut OpenEnds, life: &str, name: &str, ran_ms: u64, now: Instant) -> bool {
+    let run = CrashedRun { content: content(name), ran_for: Duration::from_millis(ran_ms) };
+    ends.record(life, run, now)
+}
+
+#[test]
+fn open_end_is_suspected_only_if_the_upstream_goes_down_right_after_it() {
+    let (mut ends, start) = (OpenEnds::default(), Instant::now());
+    assert!(record_open_end(&mut ends, "i-1", "early", 900, start), "probes start");
+    let now = start + OPEN_END_WINDOW / 2;
+    assert!(!record_open_end(&mut ends, "i-1", "poison", 40, now), "probes go on");
+    let now = start + OPEN_END_WINDOW;
+    assert!(ends.record_listening("i-1", now).is_empty());
+    assert!(ends.needs_probe("i-1", now, |_| false) && ends.keeps_watch("i-1", now));
+    let runs = ends.remove("i-1", start + OPEN_END_WINDOW * 2);
+    let suspected: Vec<ContentId> = runs.iter().map(|run| run.content).collect();
+    assert_eq!(suspected, [content("poison")], "the upstream listened long after the other end");
+    assert!(ends.is_empty());
+}
+
+#[test]
+fn later_start_is_known_though_an_open_end_is_found_later() {
+    let (mut ends, start) = (OpenEnds::default(), Instant::now());
+    record_open_end(&mut ends, "i-1", "beside", 500, start);
+    record_open_end(&mut ends, "i-1", "poison", 40, start + OPEN_END_WINDOW / 5);
+    let runs = ends.recent("i-1", start + OPEN_END_WINDOW / 2);
+    let ran_for =
+        |name: &str| runs.iter().find(|run| run.content == content(name)).unwrap().ran_for;
+    assert!(ran_for("poison") < ran_for("beside"));
+    assert_eq!(ran_for("beside"), Duration::from_millis(500) + OPEN_END_WINDOW / 2);
+}
+
+#[test]
+fn open_end_counts_as_answered_only_if_the_upstream_is_seen_to_live_on() {
+    let start = Instant::now();
+    let listened = start + OPEN_END_WINDOW;
+    let mut ends = OpenEnds::default();
+    record_open_end(&mut ends, "i-1", "popular", 40, start);
+    assert!(ends.record_listening("i-1", listened).is_empty());
+    assert!(ends.survivors(&content("popular")).eq(["i-1"]), "not suspected of other crashes");
+    let early = listened + REPLACEMENT_TIMEOUT - Duration::from_millis(1);
+    assert!(!ends.needs_probe("i-1", early, |_| true), "one probe for one response");
+    assert!(ends.record_listening("i-1", early).is_empty(), "a restart may not be announced yet");
+    let due = listened + REPLACEMENT_TIMEOUT;
+    assert!(!ends.needs_probe("i-1", due, |_| false) && ends.needs_probe("i-1", due, |_| true));
+    let answered = ends.record_listening("i-1", due);
+    assert_eq!(answered, [content("popular")].into());
+    assert!(!ends.keeps_watch("i-1", due) && ends.is_empty());
+    // An upstream that crashed in the meantime confirms nothing, under the same name or a new one.
+    record_open_end(&mut ends, "i-2", "poison", 40, start);
+    ends.record_listening("i-2", listened);
+    ends.clear("i-2");
+    assert!(ends.survivors(&content("poison")).next().is_none());
+    assert!(ends.record_listening("i-2", listened + REPLACEMENT_TIMEOUT).is_empty());
+    assert!(ends.record_listening("i-3", listened + REPLACEMENT_TIMEOUT).is_empty());
+}
+
+#[test]
+fn stored_open_ends_are_bounded_in_number_and_time() {
+    let (mut ends, start) = (OpenEnds::default(), Instant::now());
+    for life in 0..2 * MAX_OPEN_UPSTREAMS {
+        for run in 0..2 * MAX_UNCONFIRMED {
+            record_open_end(&mut ends, &format!("i-{life}"), &format!("c-{run}"), 40, start);
+        }
+    }
+    let (upstreams, stored) = ends.len();
+    assert_eq!(upstreams, MAX_OPEN_UPSTREAMS);
+    assert!(stored <= MAX_OPEN_UPSTREAMS * (MAX_UNCONFIRMED + MAX_RUNS_PER_CRASH), "{stored}");
+    for life in 0..MAX_OPEN_UPSTREAMS {
+        let (life, listened) = (format!("i-{life}"), start + OPEN_END_WINDOW);
+        ends.record_listening(&life, listened);
+        assert!(ends.keeps_watch(&life, listened));
+        assert!(
+            !ends.keeps_watch(&life, listened + REPLACEMENT_TIMEOUT),
+            "unconfirmed ones expire"
+        );
+    }
+    assert!(ends.is_empty());
+}
+
+/// Replays a request that crashes upstreams right after an unframed response, beside popular
+/// requests whose unframed responses ended just before. Returns the number of crashes until it is
+/// held, and that of popular requests that are held then.
+fn replay_open_ends(rng: &mut SmallRng) -> (usize, usize) {
+    const POPULAR: [&str; 4] = ["often-0", "often-1", "often-2", "often-3"];
+    let (mut checked, start) = (Checked::new(), Instant::now());
+    let mut crashes = 0;
+    while !checked.holds("poison") {
+        let (mut ends, life) = (OpenEnds::default(), format!("i-{crashes}"));
+        crashes += 1;
+        let crash_ms = 1_000_u64;
+        let mut all = vec![("poison", crash_ms - rng.random_range(0..60))];
+        all.extend(POPULAR.map(|name| (name, crash_ms - rng.random_range(0..400))));
+        all.sort_by_key(|(_, at)| *at);
+        for (name, at) in all {
+            let now = start + Duration::from_millis(at);
+            record_open_end(&mut ends, &life, name, rng.random_range(20..60), now);
+        }
+        let found = start + Duration::from_millis(crash_ms + rng.random_range(0..100));
+        let crash = Crash { life: life.clone(), runs: ends.recent(&life, found) };
+        checked.apply(Evidence { crashes: vec![crash], ..Evidence::default() });
+    }
+    let held = POPULAR.into_iter().filter(|name| checked.holds(name)).count();
+    // Upstreams live on once the crashing request is held, and answers to the others are confirmed.
+    POPULAR.iter().for_each(|name| checked.apply(answered(name)));
+    assert!(checked.holds("poison") && checked.ledger.list().held.len() == 1);
+    (crashes, held)
+}
+
+#[test]
+fn replays_of_open_ends_hold_the_crashing_request() {
+    let seeds = 0..200_u64;
+    let all: Vec<(usize, usize)> =
+        seeds.map(|seed| replay_open_ends(&mut SmallRng::seed_from_u64(seed))).collect();
+    // More are needed where a popular request ended, and seems to have started, later each time.
+    let max_crashes = all.iter().map(|(crashes, _)| *crashes).max().unwrap();
+    assert!(max_crashes <= CRASHES_TO_HOLD + 2, "{max_crashes} crashes");
+    assert!(all.iter().filter(|(crashes, _)| *crashes > CRASHES_TO_HOLD).count() <= 5, "{all:?}");
+    let held: usize = all.iter().map(|(_, held)| held).sum();
+    assert_eq!(held, 0, "popular requests held beside the crashing one");
+}
