--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -10,6 +10,7 @@
 
 use super::content::ContentId;
 use super::messages::{Crash, CrashedRun, Evidence, MAX_REPORTED, MAX_RUNS_PER_CRASH};
+use super::open_ends::{OPEN_END_WINDOW, OpenEnds, REPLACEMENT_TIMEOUT};
 use super::recent::RecentAnswers;
 use super::state::Ledger;
 use crate::control::leader::LeaderClient;
@@ -27,12 +28,8 @@
 /// Delay between the two connection attempts that confirm that an upstream is down: a host with a
 /// full connection backlog refuses single connections.
 const RECHECK_DELAY: Duration = Duration::from_millis(100);
-/// Time to wait for another incarnation to be announced at an address that still accepts
-/// connections, since a crashed upstream may have restarted already. It covers a heartbeat interval
-/// of 1.2 s and the propagation of the announcement.
-const REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Interval between checks for another incarnation.
-const REPLACEMENT_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between checks for another incarnation, and for runs that were interrupted since.
+const REPLACEMENT_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Minimum time between two crashes of an upstream of the fleet file, in milliseconds: its restart
 /// takes about that long. Crash times are rounded down to it, so that the reports of several boxes
 /// mostly give one crash the same name.
@@ -75,8 +72,10 @@
 /// Crash observations of an entry box.
 #[derive(Default)]
 pub struct Observer {
-    /// Interrupted runs on the upstreams that are being investigated.
+    /// Runs on the upstreams that are being investigated, interrupted since the last look at each.
     interrupted: RefCell<BTreeMap<RunnerName, Vec<CrashedRun>>>,
+    /// Responses that ended with their connection.
+    open_ends: RefCell<OpenEnds>,
     /// Evidence that is still to be reported.
     unreported: RefCell<Evidence>,
     /// Whether a task that reports evidence is running.
@@ -127,30 +126,64 @@
     location: RunLocation<'_>,
     content: ContentId,
     started_at: Option<Instant>,
+) {
+    let run = CrashedRun { content, ran_for: started_at.map(clock::since).unwrap_or_default() };
+    // Responses that ended just before may have been cut short by the same crash.
+    let ended = cx.quarantine.open_ends.borrow().recent(location.upstream, clock::now());
+    record_interrupted(cx, location, std::iter::once(run).chain(ended));
+}
+
+/// Adds runs to the investigation of their upstream, which is started if necessary.
+fn record_interrupted(
+    cx: &Rc<EntryCx>,
+    location: RunLocation<'_>,
+    runs: impl IntoIterator<Item = CrashedRun>,
 ) {
     if is_leaving(cx, location.upstream) {
         // A leaving upstream interrupts the runs that it cannot finish; that is no crash.
         return;
     }
-    if cx.quarantine.recent.borrow().contains(&content, clock::now()) {
+    let suspects = suspects(cx, runs);
+    if suspects.is_empty() {
         return;
     }
-    let run = CrashedRun { content, ran_for: started_at.map(clock::since).unwrap_or_default() };
     let mut interrupted = cx.quarantine.interrupted.borrow_mut();
-    if let Some(runs) = interrupted.get_mut(location.upstream) {
-        if runs.len() < MAX_RUNS_PER_CRASH {
-            runs.push(run);
-        }
+    if let Some(known) = interrupted.get_mut(location.upstream) {
+        merge_runs(known, suspects);
         return;
     }
     if interrupted.len() >= MAX_INVESTIGATED {
         return;
     }
-    interrupted.insert(location.upstream.to_owned(), vec![run]);
+    interrupted.insert(location.upstream.to_owned(), suspects);
     let (cx, upstream, addr) = (cx.clone(), location.upstream.to_owned(), location.addr);
     compio::runtime::spawn(async move { investigate(&cx, upstream, addr).await }).detach();
 }
 
+/// Returns the runs whose contents no upstream is known to have survived recently.
+fn suspects(cx: &EntryCx, runs: impl IntoIterator<Item = CrashedRun>) -> Vec<CrashedRun> {
+    let (recent, now) = (cx.quarantine.recent.borrow(), clock::now());
+    let open_ends = cx.quarantine.open_ends.borrow();
+    let is_survived = |content: &ContentId| {
+        let mut survivors = open_ends.survivors(content);
+        survivors.any(|upstream| is_unreplaced(cx, upstream))
+    };
+    let is_suspect =
+        |run: &CrashedRun| !recent.contains(&run.content, now) && !is_survived(&run.content);
+    runs.into_iter().filter(is_suspect).collect()
+}
+
+/// Adds runs that ended with the same crash, of which each content counts once.
+fn merge_runs(known: &mut Vec<CrashedRun>, runs: Vec<CrashedRun>) {
+    for run in runs {
+        if let Some(other) = known.iter_mut().find(|other| other.content == run.content) {
+            other.ran_for = other.ran_for.min(run.ran_for);
+        } else if known.len() < MAX_RUNS_PER_CRASH {
+            known.push(run);
+        }
+    }
+}
+
 /// Finds out whether an upstream still listens.
 pub async fn upstream_state(cx: &Rc<EntryCx>, location: RunLocation<'_>) -> UpstreamState {
     let RunLocation { upstream, addr } = location;
@@ -161,15 +194,66 @@
     }
 }
 
+/// Records that a response ended with its connection, which leaves open whether the upstream ended
+/// it or crashed. The content is suspected if the upstream goes down right after it, and counts as
+/// answered once the upstream is known to have lived on.
+pub fn record_open_end(
+    cx: &Rc<EntryCx>,
+    location: RunLocation<'_>,
+    content: ContentId,
+    started_at: Option<Instant>,
+) {
+    if is_leaving(cx, location.upstream) {
+        return;
+    }
+    let run = CrashedRun { content, ran_for: started_at.map(clock::since).unwrap_or_default() };
+    if cx.quarantine.open_ends.borrow_mut().record(location.upstream, run, clock::now()) {
+        let (cx, upstream, addr) = (cx.clone(), location.upstream.to_owned(), location.addr);
+        compio::runtime::spawn(async move { watch(&cx, &upstream, addr).await }).detach();
+    }
+}
+
+/// Watches an upstream after responses of it that left their end open.
+async fn watch(cx: &Rc<EntryCx>, upstream: &str, addr: SocketAddr) {
+    let open_ends = &cx.quarantine.open_ends;
+    let mut goes_on = true;
+    while goes_on {
+        compio::time::sleep(OPEN_END_WINDOW).await;
+        let is_tracked = |content: &ContentId| is_tracked(cx, content);
+        if open_ends.borrow().needs_probe(upstream, clock::now(), is_tracked) {
+            let listening = cx.upstream(upstream, addr).listening().await;
+            if listening == Listening::No || has_successor(cx, upstream, addr) {
+                let runs = open_ends.borrow_mut().remove(upstream, clock::now());
+                record_interrupted(cx, RunLocation { upstream, addr }, runs);
+                return;
+            }
+            if listening == Listening::Unclear || is_leaving(cx, upstream) {
+                open_ends.borrow_mut().remove(upstream, clock::now());
+                return;
+            }
+            let answered = open_ends.borrow_mut().record_listening(upstream, clock::now());
+            if is_unreplaced(cx, upstream) {
+                answered.into_iter().for_each(|content| record_answer(cx, content));
+            }
+        }
+        goes_on = open_ends.borrow_mut().keeps_watch(upstream, clock::now());
+    }
+}
+
 /// Records that an upstream answered a content completely, and reports it if required.
 pub fn record_answer(cx: &Rc<EntryCx>, content: ContentId) {
     cx.quarantine.recent.borrow_mut().record(content, clock::now());
-    let is_tracked_locally = cx.quarantine.local.borrow().list().wants_answer_reports(&content);
-    if is_tracked_locally || cx.config.quarantine().wants_answer_reports(&content) {
+    if is_tracked(cx, &content) {
         report_answer(cx, content);
     }
 }
 
+/// Returns whether answers to a content are to be reported.
+fn is_tracked(cx: &EntryCx, content: &ContentId) -> bool {
+    cx.quarantine.local.borrow().list().wants_answer_reports(content)
+        || cx.config.quarantine().wants_answer_reports(content)
+}
+
 /// Reports a complete answer to a content that is suspected or held.
 fn report_answer(cx: &Rc<EntryCx>, content: ContentId) {
     let answered = Evidence { answered: [content].into(), ..Evidence::default() };
@@ -183,19 +267,24 @@
     roster.get(life).is_some_and(|record| record.phase == Phase::Leaving)
 }
 
+/// Returns whether an upstream that announced itself has not been replaced. A restart of one of the
+/// fleet file is not announced, so nothing shows that it is still the same process.
+fn is_unreplaced(cx: &EntryCx, life: &str) -> bool {
+    let roster = cx.upstreams.roster.borrow();
+    let addr = roster.get(life).map(|record| record.addr);
+    drop(roster);
+    addr.is_some_and(|addr| !has_successor(cx, life, addr))
+}
+
 /// Finds out whether an upstream crashed, and reports the crash with its interrupted runs.
 async fn investigate(cx: &Rc<EntryCx>, upstream: RunnerName, addr: SocketAddr) {
-    let life = name_crashed_life(cx, &upstream);
-    compio::time::sleep(GATHER_WINDOW).await;
-    let crashed = match cx.upstream(&upstream, addr).listening().await {
-        Listening::Yes => is_replaced(cx, &upstream, addr).await,
-        Listening::No => is_still_down(cx, &upstream, addr).await,
-        Listening::Unclear => false,
-    };
-    let runs = cx.quarantine.interrupted.borrow_mut().remove(&upstream).unwrap_or_default();
-    if !crashed {
-        return;
-    }
+    let crash = find_crash(cx, &upstream, addr).await;
+    cx.quarantine.interrupted.borrow_mut().remove(&upstream);
+    let Some(Crash { life, mut runs }) = crash else { return };
+    let ended = cx.quarantine.open_ends.borrow().recent(&upstream, clock::now());
+    merge_runs(&mut runs, suspects(cx, ended));
+    // A restarted upstream must not confirm the responses of the one that crashed.
+    cx.quarantine.open_ends.borrow_mut().clear(&upstream);
     let contents: Vec<String> = runs.iter().map(|run| run.content.to_string()).collect();
     log::warn!(
         upstream = life.as_str(), runs = runs.len(), contents = contents.join(",").as_str();
@@ -205,6 +294,57 @@
     submit(cx, Evidence { crashes: vec![Crash { life, runs }], ..Evidence::default() });
 }
 
+/// Looks at an upstream after each interruption, until it is found to have crashed or the last
+/// interruption is too long ago.
+async fn find_crash(cx: &Rc<EntryCx>, upstream: &str, addr: SocketAddr) -> Option<Crash> {
+    // Runs interrupted before a look at which the upstream listened, with the time of that look.
+    let mut earlier: Vec<(Instant, CrashedRun)> = Vec::new();
+    loop {
+        let life = name_crashed_life(cx, upstream);
+        compio::time::sleep(GATHER_WINDOW).await;
+        let mut runs = take_interrupted(cx, upstream);
+        match cx.upstream(upstream, addr).listening().await {
+            Listening::No if is_still_down(cx, upstream, addr).await => {
+                // It listened after the earlier interruptions, which were none of this crash.
+                merge_runs(&mut runs, take_interrupted(cx, upstream));
+                return Some(Crash { life, runs });
+            }
+            Listening::Unclear => return None,
+            Listening::Yes | Listening::No => {}
+        }
+        let now = clock::now();
+        earlier.retain(|(at, _)| clock::since(*at) < REPLACEMENT_TIMEOUT);
+        earlier.extend(runs.into_iter().map(|run| (now, run)));
+        // Only the last ones fit into a report.
+        earlier.drain(..earlier.len().saturating_sub(MAX_RUNS_PER_CRASH));
+        match await_successor(cx, upstream, addr).await {
+            Wait::Replaced => {
+                let mut runs = take_interrupted(cx, upstream);
+                merge_runs(&mut runs, earlier.into_iter().map(|(_, run)| run).collect());
+                return Some(Crash { life, runs });
+            }
+            Wait::Interrupted => {}
+            Wait::Over => return None,
+        }
+    }
+}
+
+/// Takes the runs that were interrupted since the last look at an upstream.
+fn take_interrupted(cx: &EntryCx, upstream: &str) -> Vec<CrashedRun> {
+    let mut interrupted = cx.quarantine.interrupted.borrow_mut();
+    interrupted.get_mut(upstream).map(std::mem::take).unwrap_or_default()
+}
+
+/// What ended the wait for another incarnation of an upstream.
+enum Wait {
+    /// Another incarnation was announced.
+    Replaced,
+    /// Another run was interrupted.
+    Interrupted,
+    /// Neither in time, or the upstream leaves.
+    Over,
+}
+
 /// Returns the name of the incarnation that seems to have crashed. For an upstream of the fleet
 /// file, which announces no birth time, the name is derived from the time of the crash.
 fn name_crashed_life(cx: &EntryCx, upstream: &str) -> LifeName {
@@ -221,16 +361,22 @@
     cx.upstream(upstream, addr).listening().await == Listening::No
 }
 
-/// Returns whether another incarnation replaces one that did not announce that it leaves.
-async fn is_replaced(cx: &EntryCx, life: &str, addr: SocketAddr) -> bool {
+/// Waits until another incarnation replaces one that did not announce that it leaves, or another
+/// run on it is interrupted.
+async fn await_successor(cx: &EntryCx, upstream: &str, addr: SocketAddr) -> Wait {
     let started = clock::now();
-    while clock::since(started) < REPLACEMENT_TIMEOUT && !is_leaving(cx, life) {
-        if has_successor(cx, life, addr) {
-            return true;
+    let mut seen = None;
+    while clock::since(started) < REPLACEMENT_TIMEOUT && !is_leaving(cx, upstream) {
+        let version = cx.upstreams.roster.borrow().version();
+        if seen.replace(version) != Some(version) && has_successor(cx, upstream, addr) {
+            return Wait::Replaced;
+        }
+        if cx.quarantine.interrupted.borrow().get(upstream).is_some_and(|runs| !runs.is_empty()) {
+            return Wait::Interrupted;
         }
         compio::time::sleep(REPLACEMENT_POLL_INTERVAL).await;
     }
-    false
+    Wait::Over
 }
 
 /// Returns whether another serving upstream is announced at the address.
