--- a/crates/e2e/tests/quarantine.rs
+++ b/crates/e2e/tests/quarantine.rs
@@ -1,5 +1,9 @@
 //! Requests that crash upstreams are quarantined, for generations and for application calls.
 
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -147,3 +151,81 @@
     }
     generate_until_refused(&mut fleet, &[0]).await
 }
+
+/// Delay from the end of an unframed response to the crash, and from there to the restart.
+const CRASH_AFTER_END: Duration = Duration::from_millis(40);
+const RESTART_DELAY: Duration = Duration::from_secs(2);
+
+/// Serves calls with responses that have neither a length nor chunks. After the end of that to a
+/// call named `poison`, it stops listening for a while, as a service that crashes and is restarted.
+/// Counts these crashes.
+fn serve_unframed(addr: SocketAddr, crashes: &AtomicUsize, is_done: &AtomicBool) {
+    while !is_done.load(Ordering::SeqCst) {
+        let listener = TcpListener::bind(addr).unwrap();
+        for stream in listener.incoming() {
+            if is_done.load(Ordering::SeqCst) {
+                return;
+            }
+            let mut stream = stream.unwrap();
+            let mut head = String::new();
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            while !head.ends_with("\r\n\r\n") && reader.read_line(&mut head).unwrap_or(0) > 0 {}
+            if head.is_empty() {
+                // A probe.
+                continue;
+            }
+            let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\na part");
+            let _ = stream.shutdown(Shutdown::Both);
+            if head.contains("poison") {
+                crashes.fetch_add(1, Ordering::SeqCst);
+                std::thread::sleep(CRASH_AFTER_END);
+                break;
+            }
+        }
+        drop(listener);
+        std::thread::sleep(RESTART_DELAY);
+    }
+}
+
+/// Number of crashes that may come while the third one is found and its hold is distributed.
+const MAX_MORE_CRASHES: usize = 3;
+
+#[compio::test]
+async fn call_that_crashes_services_after_an_unframed_response_is_not_refused() -> anyhow::Result<()>
+{
+    let spec = FleetSpec { entry: 2, engines: 0, apps: UPSTREAMS, ..FleetSpec::default() };
+    let mut fleet = TestFleet::start(spec).await?;
+    fleet.apps.iter_mut().for_each(|app| app.kill());
+    let (crashes, is_done) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    for addr in fleet.app_addrs.clone() {
+        let (crashes, is_done) = (crashes.clone(), is_done.clone());
+        std::thread::spawn(move || serve_unframed(addr, &crashes, &is_done));
+    }
+    let started = Instant::now();
+    let (poison, other) = ("/rates?poison", "/rates?other");
+    for (round, at) in [0, 1].into_iter().cycle().enumerate() {
+        let key = format!("poison-{round}");
+        let (_, body) = call(&fleet, at, &Method::GET, poison, &key).await?;
+        if body.contains(QUARANTINED) {
+            break;
+        }
+        assert!(started.elapsed() < WAIT_TIMEOUT, "not refused after {crashes:?} crashes: {body}");
+        compio::time::sleep(RETRY_PAUSE).await;
+    }
+    let held_after = crashes.load(Ordering::SeqCst);
+    assert!((UPSTREAMS..=UPSTREAMS + MAX_MORE_CRASHES).contains(&held_after), "{held_after}");
+    for at in [0, 1] {
+        for n in 0.. {
+            let key = format!("other-{at}-{n}");
+            if call(&fleet, at, &Method::GET, other, &key).await?.0 == 200 {
+                break;
+            }
+            assert!(started.elapsed() < WAIT_TIMEOUT, "other requests are not served");
+            compio::time::sleep(RETRY_PAUSE).await;
+        }
+        let (status, body) = call(&fleet, at, &Method::GET, poison, &format!("last-{at}")).await?;
+        assert!(status == 503 && body.contains(QUARANTINED), "{status} {body}");
+    }
+    is_done.store(true, Ordering::SeqCst);
+    Ok(())
+}
