Let the estimate of run times be tested while no run ends

Cause: the estimate changes only when a run ends, and no request was let through to run.

Evidence: a_route_whose_runs_were_slow_refuses_faster_requests_forever, red before: one run of 300 ms, then requests with 150 ms each, all refused for the 30 s that the test waits. Served after 1 s with this change.

Where no run has ended for as long as one takes, and a second at least, one request is sent in spite of the estimate. If it ends in time the estimate falls to its run time and the route is open again; if not, its caller loses what all callers of that route lost before. At most one such request of a route is under way at a box.

--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -179,7 +179,7 @@
             if let Err(problem) = self.check_quarantine() {
                 return last.ok_or(problem);
             }
-            if self.lacks_time() {
+            if !self.is_in_time() {
                 let cause = "too little time was left for the request when its turn came";
                 return last
                     .map_or_else(|| Err(self.refused(Refusal::new(cause, SHORT_RETRY))), Ok);
@@ -199,10 +199,10 @@
         }
     }
 
-    /// Returns whether less time is left than any request of this route has needed lately.
-    fn lacks_time(&self) -> bool {
-        let shortest = self.relay.run_times.borrow().shortest(&self.req.route.name);
-        self.req.time_left(clock::now()) < shortest
+    /// Returns whether as much time is left as a request of this route has needed lately.
+    fn is_in_time(&self) -> bool {
+        let (mut times, now) = (self.relay.run_times.borrow_mut(), clock::now());
+        times.admit(&self.req.route.name, self.req.time_left(now), now)
     }
 
     /// Refuses a request whose content is quarantined because it crashed upstreams.
@@ -448,8 +448,8 @@
         }
         let read = self.read_response(slot, parts, check, body).await;
         if read.is_ok() {
-            let took = clock::since(sent_at);
-            self.relay.run_times.borrow_mut().record(&self.req.route.name, took);
+            let (took, now) = (clock::since(sent_at), clock::now());
+            self.relay.run_times.borrow_mut().record(&self.req.route.name, took, now);
         }
         read
     }
