--- a/crates/hatchpitch/src/relay/run_times.rs
+++ b/crates/hatchpitch/src/relay/run_times.rs
@@ -41,13 +41,8 @@
         }
     }
 
-    /// Returns the time below which a request of this route cannot be expected to run; zero if
-    /// nothing is known.
-    pub fn shortest(&self, route: &str) -> Duration {
-        self.0.get(route).map(|times| times.shortest).unwrap_or_default()
-    }
-
-    /// Returns whether a request with this much time left is to be sent.
+    /// Returns whether a request with this much time left is to be sent: if it is no less than the
+    /// estimate, or nothing is known.
     ///
     /// If no run has ended lately, one that the estimate leaves no time for is sent now and then:
     /// only a run can show that requests have become faster.
--- a/crates/hatchpitch/tests/run_times.rs
+++ b/crates/hatchpitch/tests/run_times.rs
@@ -9,22 +9,23 @@
 #[test]
 fn a_request_with_time_for_a_fast_run_is_not_refused() {
     let mut times = RunTimes::default();
-    assert_eq!(times.shortest("a"), Duration::ZERO);
+    let now = Instant::now();
+    assert!(times.admit("a", Duration::ZERO, now), "nothing is known");
     for i in 0..1_000 {
-        times.record("a", MS * (100 + 100 * (i % 2)), Instant::now());
+        times.record("a", MS * (100 + 100 * (i % 2)), now);
     }
-    assert!(times.shortest("a") < MS * 102, "{:?}", times.shortest("a"));
-    assert_eq!(times.shortest("b"), Duration::ZERO);
+    assert!(times.admit("a", MS * 102, now), "{times:?}");
+    assert!(times.admit("b", Duration::ZERO, now), "nothing is known");
 }
 
 #[test]
 fn one_fast_run_keeps_slower_requests_waiting_in_vain() {
-    let mut times = RunTimes::default();
-    times.record("a", MS, Instant::now());
+    let (mut times, now) = (RunTimes::default(), Instant::now());
+    times.record("a", MS, now);
     for _ in 0..500 {
-        times.record("a", MS * 300, Instant::now());
+        times.record("a", MS * 300, now);
     }
-    assert!(times.shortest("a") > MS * 290, "{:?}", times.shortest("a"));
+    assert!(!times.admit("a", MS * 290, now), "{times:?}");
 }
 
 #[test]
