Judge only requests that have waited by the estimate of run times

The rule was made for requests that a queue has held for too long, and refused others because it did not look at the wait. A request is refused now only if it has waited for at least as long as it has left. Whoever allows little time from the start is sent at once, nothing has to be let through by exception, and a queue that refuses all that it holds is empty for the next request. Streams are not judged: their time limits the whole generation.

--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -179,7 +179,7 @@
             if let Err(problem) = self.check_quarantine() {
                 return last.ok_or(problem);
             }
-            if !self.is_in_time() {
+            if self.is_too_late() {
                 let cause = "too little time was left for the request when its turn came";
                 return last
                     .map_or_else(|| Err(self.refused(Refusal::new(cause, SHORT_RETRY))), Ok);
@@ -199,10 +199,12 @@
         }
     }
 
-    /// Returns whether as much time is left as a request of this route has needed lately.
-    fn is_in_time(&self) -> bool {
-        let (mut times, now) = (self.relay.run_times.borrow_mut(), clock::now());
-        times.admit(&self.req.route.name, self.req.time_left(now), now)
+    /// Returns whether the request has waited until too little time is left to run it. Streams have
+    /// begun by the end of their time, and need no more.
+    fn is_too_late(&self) -> bool {
+        let (waited, left) = (self.waited.get(), self.req.time_left(clock::now()));
+        self.req.route.runs != RunPolicy::Stream
+            && self.relay.run_times.borrow().is_too_late(&self.req.route.name, waited, left)
     }
 
     /// Refuses a request whose content is quarantined because it crashed upstreams.
@@ -448,8 +450,8 @@
         }
         let read = self.read_response(slot, parts, check, body).await;
         if read.is_ok() {
-            let (took, now) = (clock::since(sent_at), clock::now());
-            self.relay.run_times.borrow_mut().record(&self.req.route.name, took, now);
+            let took = clock::since(sent_at);
+            self.relay.run_times.borrow_mut().record(&self.req.route.name, took);
         }
         read
     }
--- a/crates/hatchpitch/src/relay/run_times.rs
+++ b/crates/hatchpitch/src/relay/run_times.rs
@@ -1,7 +1,7 @@
 //! Shortest recent run times of requests, by route, without I/O.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::ids::RequestKind;
 
@@ -11,51 +11,26 @@
 /// Number of routes from which on no further ones are followed.
 const MAX_ROUTES: usize = 4_096;
 
-/// Minimum time between two requests of a route that are sent although too little time is left for
-/// them.
-const MIN_TRIAL_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Run times of the requests of one route.
-#[derive(Debug)]
-struct RouteTimes {
-    /// Lower estimate of a run time.
-    shortest: Duration,
-    /// When the estimate was last confirmed by a run, or put to the test by a request that was
-    /// sent in spite of it.
-    checked_at: Instant,
-}
-
 /// Lower estimates of the run times of requests.
 #[derive(Debug, Default)]
-pub struct RunTimes(BTreeMap<RequestKind, RouteTimes>);
+pub struct RunTimes(BTreeMap<RequestKind, Duration>);
 
 impl RunTimes {
-    /// Records the run time of a request that ended now.
-    pub fn record(&mut self, route: &str, took: Duration, now: Instant) {
-        if let Some(times) = self.0.get_mut(route) {
-            let rise = took.saturating_sub(times.shortest) / RISE;
-            times.shortest = took.min(times.shortest + rise);
-            times.checked_at = now;
+    /// Records the run time of a request.
+    pub fn record(&mut self, route: &str, took: Duration) {
+        if let Some(shortest) = self.0.get_mut(route) {
+            let rise = took.saturating_sub(*shortest) / RISE;
+            *shortest = took.min(*shortest + rise);
         } else if self.0.len() < MAX_ROUTES {
-            self.0.insert(route.to_owned(), RouteTimes { shortest: took, checked_at: now });
+            self.0.insert(route.to_owned(), took);
         }
     }
 
-    /// Returns whether a request with this much time left is to be sent: if it is no less than the
-    /// estimate, or nothing is known.
+    /// Returns whether a request with this much time left comes too late, because it has waited.
     ///
-    /// If no run has ended lately, one that the estimate leaves no time for is sent now and then:
-    /// only a run can show that requests have become faster.
-    pub fn admit(&mut self, route: &str, left: Duration, now: Instant) -> bool {
-        let Some(times) = self.0.get_mut(route) else { return true };
-        if left >= times.shortest {
-            return true;
-        }
-        let interval = times.shortest.max(MIN_TRIAL_INTERVAL);
-        let is_trial = now.saturating_duration_since(times.checked_at) >= interval;
-        if is_trial {
-            times.checked_at = now;
-        }
-        is_trial
+    /// A request that has waited for a shorter time than it has left is sent whatever the estimate
+    /// says: its caller allows no more, and only runs show that requests have become faster.
+    pub fn is_too_late(&self, route: &str, waited: Duration, left: Duration) -> bool {
+        waited >= left && self.0.get(route).is_some_and(|shortest| left < *shortest)
     }
 }
