Deliver what a killed upstream has sent also where the soak stands still

Nothing was wrong with the answer.

Trace: the soak, which runs upstreams and proxies in one loop, stood still for 4 s (no box heard of another from 718.6 to 723.7; each stream of upstream 1 at box 3 has a gap of 4.06 to 4.09 s; load of the machine 45). Upstream 1 was killed meanwhile. Two of its streams then ended inside an event by the soak's count, but only one did so in the logs of all boxes: the half event of r000040 was sent by the upstream and never arrived, so that its end looked like one between two events, which the upstream had not recorded. A proxy ends the connections of a dead upstream 100 ms after its death by the clock; after the pause that time was over at once, before the loop had passed on what the upstream had sent.

Test: what_a_process_sent_before_it_died_is_lost_while_the_soak_stands_still, red before. The proxy now counts its polls, of which none passes while the loop stands still. No check of the soak is changed.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::Context as _;
 use compio::BufResult;
@@ -19,8 +19,9 @@
 const READ_SIZE: usize = 16 * 1024;
 /// Interval at which blocked links and resets are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Delay after which connections to a dead process are ended, so that what it sent has arrived.
-const DEATH_DELAY: Duration = Duration::from_millis(100);
+/// Number of polls after which connections to a dead process are ended, so that what it sent has
+/// arrived. No time limit holds while the whole soak stands still.
+const DEATH_POLLS: u32 = 10;
 /// Time limit for the relay tasks to end after a connection was reset.
 const RESET_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -167,15 +168,13 @@
     /// target died. `ends` holds the numbers of resets and deaths at the start of the connection.
     async fn wait_for_interruption(&self, server: &TcpStream, ends: (u64, u64)) {
         let (resets, deaths) = ends;
-        let mut died_at = None;
-        let mut ended = false;
+        let mut polls_since_death: u32 = 0;
         let is_reset = || self.cx.links.resets(self.party) != resets;
         while !self.broken.get() && !is_reset() && !self.cx.stop.is_set() {
-            if died_at.is_none() && self.cx.links.deaths(self.party) != deaths {
-                died_at = Some(Instant::now());
+            if self.cx.links.deaths(self.party) != deaths {
+                polls_since_death += 1;
             }
-            if !ended && died_at.is_some_and(|at| at.elapsed() >= DEATH_DELAY) {
-                ended = true;
+            if polls_since_death == DEATH_POLLS {
                 shut_down_reads(server);
             }
             compio::time::sleep(POLL_INTERVAL).await;
