Place streams by the risk that they pause for too long on an engine

Engines of a pool may run at very different speeds, and no decision took that into account: the pause that a route allows was decoded and not used. Boxes now report the gaps between events of the streams that they relay to the owners of the engines, which estimate the risk that a stream pauses for too long on each engine and include it in the load by which engines and quotes are compared. Off unless policy.pick is "objective".

--- a/crates/hatchpitch/src/admission/lengths.rs
+++ b/crates/hatchpitch/src/admission/lengths.rs
@@ -19,6 +19,10 @@
 const PRIOR_WEIGHT: f64 = 16.0;
 /// Length above which the tail of the prior decays, in tokens.
 const PRIOR_SCALE: f64 = 64.0;
+/// Samples from which on the mean length of a kind is used instead of that of its pool.
+const MIN_SAMPLES: f64 = 4.0;
+/// Smallest weight of a new sample in a mean, which covers about the last hundred.
+const MIN_MEAN_WEIGHT: f64 = 0.01;
 /// Number of kinds with a histogram of their own. Further kinds use the one of the pool.
 const MAX_KINDS: usize = 8_192;
 
@@ -29,11 +33,13 @@
     /// Suffix sums of `counts`, each without its own bucket, for look-ups in constant time.
     above: [f32; BUCKETS],
     total: f64,
+    /// Mean length in tokens, smoothed.
+    mean: f64,
 }
 
 impl Default for Samples {
     fn default() -> Self {
-        Self { counts: [0.0; BUCKETS], above: [0.0; BUCKETS], total: 0.0 }
+        Self { counts: [0.0; BUCKETS], above: [0.0; BUCKETS], total: 0.0, mean: 0.0 }
     }
 }
 
@@ -45,6 +51,7 @@
         }
         self.counts[bucket_index(tokens)] += 1.0;
         self.total += 1.0;
+        self.mean += (tokens as f64 - self.mean) * (1.0 / self.total).max(MIN_MEAN_WEIGHT);
         let mut sum = 0.0;
         for (count, above) in self.counts.iter().zip(&mut self.above).rev() {
             *above = sum;
@@ -83,7 +90,7 @@
     /// Adds the length of a finished output.
     pub fn observe(&mut self, kind: &str, tokens: u64) {
         self.pool.add(tokens);
-        let weight = (1.0 / self.pool.total).max(0.01);
+        let weight = (1.0 / self.pool.total).max(MIN_MEAN_WEIGHT);
         self.mean += (tokens as f64 - self.mean) * weight;
         if let Some(samples) = self.kinds.get_mut(kind) {
             samples.add(tokens);
@@ -113,6 +120,13 @@
         bounds.next().map_or(u64::MAX / 4, |len| len as u64)
     }
 
+    /// Returns the mean output length of a kind in tokens, or that of the pool while few outputs of
+    /// the kind are known. `default` stands for it before the first sample.
+    pub fn mean_of(&self, kind: &str, default: u64) -> f64 {
+        let known = self.kinds.get(kind).filter(|samples| samples.total >= MIN_SAMPLES);
+        known.map_or(self.mean(default) as f64, |samples| samples.mean)
+    }
+
     /// Returns the mean output length of the pool in tokens, or `default` before the first sample.
     pub fn mean(&self, default: u64) -> u64 {
         if self.pool.total > 0.0 { self.mean as u64 + 1 } else { default }
--- a/crates/hatchpitch/src/admission/policy.rs
+++ b/crates/hatchpitch/src/admission/policy.rs
@@ -35,6 +35,9 @@
     /// The engine with the lowest load.
     #[default]
     LeastLoaded,
+    /// The engine with the lowest load and the lowest risk that a stream pauses for longer than its
+    /// route allows.
+    Objective,
 }
 
 /// Decisions of admission and routing, and the mechanisms that can be switched off.
--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -18,7 +18,7 @@
 use crate::admission::state::{AdmissionConfig, AdmissionQueue, Enqueued, Ticket, Waiter};
 use crate::ids::{AttemptId, FailureDomainName, Priority, RequestKind, RunnerName, WorkspaceName};
 use crate::routing::state::{Closed, RunnerQuery, RunnerSpec};
-use crate::routing::{RoutingConfig, RunReport, RunnerTable};
+use crate::routing::{PauseObjective, RoutingConfig, RunReport, RunnerTable};
 use crate::upstream_signals::SharedSignals;
 
 /// Queued requests that are considered when a slot is free. Those with a prompt at least as long
@@ -89,6 +89,13 @@
     /// Whether the request cannot be sent to another runner if this one rejects it.
     #[serde(skip)]
     pub only_try: bool,
+    /// Longest time between two events that its route allows, if it is a stream that has kept it so
+    /// far.
+    #[serde(default)]
+    pub max_gap: Option<Duration>,
+    /// Number of output tokens that an event of its stream holds.
+    #[serde(default)]
+    pub event_tokens: u64,
 }
 
 impl SlotRequest {
@@ -97,7 +104,16 @@
         !self.avoid.contains(runner) && (self.within.is_empty() || self.within.contains(domain))
     }
 
-    fn asked(&self) -> RunnerQuery<'_> {
+    /// Returns the pause that its stream has to keep, if any. A request that continues elsewhere may
+    /// produce at most `max_tokens` more.
+    fn objective(&self, lengths: &LengthModel) -> Option<PauseObjective> {
+        let expected = lengths.mean_of(&self.kind, DEFAULT_OUTPUT_TOKENS);
+        let tokens = expected.min(self.max_tokens as f64);
+        let events = tokens / self.event_tokens.max(1) as f64;
+        self.max_gap.map(|max_gap| PauseObjective { max_gap, events })
+    }
+
+    fn asked(&self, lengths: &LengthModel) -> RunnerQuery<'_> {
         let near = self.near.as_deref();
         RunnerQuery {
             id: &self.id,
@@ -109,6 +125,7 @@
             skips_limited: self.skips_limited,
             sends_here: self.sends_here,
             only_try: self.only_try,
+            objective: self.objective(lengths),
         }
     }
 
@@ -200,7 +217,7 @@
         req: &SlotRequest,
         now: Instant,
     ) -> Result<Option<RunnerSpec>, Refusal> {
-        if !self.table.any_serving_for(&req.asked()) {
+        if !self.table.any_serving_for(&req.asked(&self.lengths)) {
             return Err(self.no_runner_refusal(now));
         }
         if self.must_queue(req) {
@@ -252,21 +269,22 @@
     ///
     /// Returns a [`Refusal`] if no eligible runner takes work.
     pub fn quote(&self, req: &SlotRequest, now: Instant) -> Result<Quote, Refusal> {
-        if !self.table.any_serving_for(&req.asked()) {
+        if !self.table.any_serving_for(&req.asked(&self.lengths)) {
             return Err(self.no_runner_refusal(now));
         }
         let busy = Quote::Busy(self.expected_wait(req, now));
         if self.must_queue(req) {
             return Ok(busy);
         }
-        let load = self.table.quote(&req.asked(), &req.candidate(), &self.lengths, now);
+        let load =
+            self.table.quote(&req.asked(&self.lengths), &req.candidate(), &self.lengths, now);
         Ok(load.map_or(busy, Quote::Room))
     }
 
     /// Accounts for a slot that another owner granted at `since`. Returns the engine, or `None` if
     /// it is not one of this scheduler's.
     pub fn adopt(&mut self, runner: &str, req: &SlotRequest, since: Instant) -> Option<RunnerSpec> {
-        let spec = self.table.adopt(runner, &req.asked(), &req.candidate(), since)?;
+        let spec = self.table.adopt(runner, &req.asked(&self.lengths), &req.candidate(), since)?;
         self.queue.charge(&req.workspace, self.cost(req));
         Some(spec)
     }
@@ -344,7 +362,7 @@
     /// Returns when a runner becomes available, if all eligible ones are at their rate limits or in
     /// a rest period. The time includes the expected wait in the queue.
     fn closed(&self, req: &SlotRequest, now: Instant) -> Option<Closed> {
-        let mut closed = self.table.closed(&req.asked(), now)?;
+        let mut closed = self.table.closed(&req.asked(&self.lengths), now)?;
         closed.opens_in += self.queue.expected_wait(&req.workspace, req.priority);
         Some(closed)
     }
@@ -460,5 +478,5 @@
     req: &SlotRequest,
     now: Instant,
 ) -> Option<RunnerSpec> {
-    table.pick(&req.asked(), &req.candidate(), lengths, now)
+    table.pick(&req.asked(lengths), &req.candidate(), lengths, now)
 }
--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -17,6 +17,8 @@
 use crate::moves::task::{self as turns, TURN_DONE_PATH, TURN_PATH};
 use crate::moves::{TurnDone, TurnRequest};
 use crate::outcome::text_response;
+use crate::pace::PaceReport;
+use crate::pace::task::{self as pace, PACE_PATH};
 use crate::reachability::task::{self as reachability, FORWARD_PATH};
 use crate::upstream_limits::task::{self as upstream_limits, LIMIT_NOTICES_PATH, PERMIT_PATH};
 use crate::upstream_limits::{LimitNotice, PermitRequest};
@@ -74,6 +76,8 @@
             .map(|news| cx.boxes.respond(&upstream_signals::receive_leaving_notices(&cx, &news))),
         BRITTLE_PATH => open_message::<Vec<BrittleNotice>>(keys, path, &parts.headers, &body)
             .map(|news| cx.boxes.respond(&upstream_signals::receive_brittle_notices(&cx, &news))),
+        PACE_PATH => open_message::<PaceReport>(keys, path, &parts.headers, &body)
+            .map(|report| cx.boxes.respond(&pace::apply(&cx, &report))),
         SYNC_PATH => open_message::<GrantSync>(keys, path, &parts.headers, &body)
             .map(|req| cx.boxes.respond(&grants::sync(&cx, &req))),
         _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -26,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::moves::Turns;
 use crate::outcome::Problem;
+use crate::pace::Collector;
 use crate::quarantine::Observer;
 use crate::reachability::{ForwardCounts, Reachability, UpstreamClient};
 use crate::registry::Phase;
@@ -108,6 +109,8 @@
     pub intake: Cell<Intake>,
     /// Turns for moving generations off leaving runners.
     pub move_turns: RefCell<Turns>,
+    /// What this box has seen of the pace of engines and not reported to their owners yet.
+    pub pace: RefCell<Collector>,
     /// Slots granted to other boxes.
     pub grants: RefCell<GrantTable>,
     /// Slots that this box holds, by attempt.
@@ -171,6 +174,7 @@
             retry_budgets: RefCell::default(),
             intake: Cell::new(Intake::Open),
             move_turns: RefCell::default(),
+            pace: RefCell::default(),
             grants: RefCell::default(),
             held_slots: RefCell::default(),
             gates: RefCell::default(),
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -21,6 +21,7 @@
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::state::{Membership, MembershipConfig};
 use crate::membership::task as membership_task;
+use crate::pace::task as pace;
 use crate::registry::follow::{self, FollowCallbacks};
 use crate::routing::task as routing;
 use crate::settings::EntrySettings;
@@ -156,6 +157,7 @@
     spawn_essential("routing", routing::run(cx.clone(), stop.clone()));
     spawn_essential("grants", grants::run(cx.clone(), stop.clone()));
     spawn_essential("limits", upstream_limits::run(cx.clone(), stop.clone()));
+    spawn_essential("pace", pace::run(cx.clone(), stop.clone()));
     spawn_essential("hand-over", grants::hand_over(cx.clone(), stop.clone()));
 }
 
--- a/crates/hatchpitch/src/grants/slot.rs
+++ b/crates/hatchpitch/src/grants/slot.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hatchpitch_net::clock;
 
@@ -63,6 +63,16 @@
         self.report.first.get_or_insert(clock::since(self.since));
     }
 
+    /// Returns the attempt that holds the slot.
+    pub fn id(&self) -> &AttemptId {
+        &self.id
+    }
+
+    /// Returns the time since the grant.
+    pub fn held_for(&self) -> Duration {
+        clock::since(self.since)
+    }
+
     /// Returns whether the engine still accepts work from this box, i.e. whether it has not asked
     /// this box to rest.
     pub(super) fn runner_accepts(&self) -> bool {
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod metrics;
 pub mod moves;
 pub mod outcome;
+pub mod pace;
 pub mod quarantine;
 pub mod reachability;
 pub mod registry;
--- a/crates/hatchpitch/src/moves/mod.rs
+++ b/crates/hatchpitch/src/moves/mod.rs
@@ -13,5 +13,5 @@
 pub mod verify;
 
 pub use messages::{TurnAnswer, TurnDone, TurnRequest};
-pub use mover::{MoveOutcome, Moved, SourceRunner, start};
+pub use mover::{MoveNeeds, MoveOutcome, Moved, SourceRunner, start};
 pub use state::Turns;
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -63,6 +63,19 @@
     pub failure_domain: FailureDomainName,
 }
 
+/// What a generation needs at the runner that it is moved to.
+#[derive(Debug, Clone, Copy)]
+pub struct MoveNeeds {
+    /// Tokens that the generation may still produce.
+    pub at_stake: u64,
+    /// Tokens of the generation in memory, which the other runner needs space for.
+    pub in_memory: u64,
+    /// Longest time between two events that its route allows, unless it is late already.
+    pub max_gap: Option<Duration>,
+    /// Number of output tokens that an event holds.
+    pub event_tokens: u64,
+}
+
 /// Handle to a move in progress, held by the relay of the stream.
 pub struct Moving {
     /// Resolves to the outcome of the move.
@@ -92,8 +105,7 @@
     relay: &Rc<Relay>,
     req: &Rc<HostedRequest>,
     source: SourceRunner,
-    at_stake: u64,
-    in_memory: u64,
+    needs: MoveNeeds,
 ) -> Moving {
     let (tx, outcome) = oneshot::channel();
     let stopping = Rc::new(Cell::new(false));
@@ -101,8 +113,7 @@
         relay: relay.clone(),
         req: req.clone(),
         source,
-        at_stake,
-        in_memory,
+        needs,
         stopping: stopping.clone(),
         id: new_id(),
     };
@@ -121,10 +132,7 @@
     relay: Rc<Relay>,
     req: Rc<HostedRequest>,
     source: SourceRunner,
-    /// Tokens that the generation may still produce.
-    at_stake: u64,
-    /// Tokens of the generation in memory, which the other runner needs space for.
-    in_memory: u64,
+    needs: MoveNeeds,
     stopping: Rc<Cell<bool>>,
     id: String,
 }
@@ -143,7 +151,7 @@
 
     fn turn(&self) -> Turn {
         let (cx, runner) = (self.relay.cx.clone(), self.source.runner.clone());
-        Turn::new(cx, runner, self.id.clone(), self.at_stake)
+        Turn::new(cx, runner, self.id.clone(), self.needs.at_stake)
     }
 
     async fn copy_and_stop(&self) -> MoveOutcome {
@@ -226,11 +234,11 @@
             workspace: self.req.workspace.clone().unwrap_or_default(),
             priority: self.req.priority(),
             kind: self.req.route.name.clone(),
-            prompt: self.in_memory,
-            max_tokens: self.at_stake,
+            prompt: self.needs.in_memory,
+            max_tokens: self.needs.at_stake,
             avoid,
             near: Some(self.source.failure_domain.clone()),
-            copied: self.in_memory,
+            copied: self.needs.in_memory,
             max_wait: Some(SLOT_WAIT),
             accepts: Some(SLOT_WAIT),
             within: self.relay.domains_for(&self.req).map_err(|refusal| refusal.cause)?,
@@ -238,6 +246,8 @@
             skips_limited: false,
             sends_here: true,
             only_try: true,
+            max_gap: self.needs.max_gap,
+            event_tokens: self.needs.event_tokens,
         };
         let slot = obtain(cx, &self.source.service, want).await;
         slot.map_err(|refusal| refusal.cause)
@@ -254,8 +264,8 @@
         };
         log::info!(
             request = self.req.id.as_str(), upstream = self.source.runner.as_str(), to = to,
-            outcome = outcome, cause = cause, at_stake = self.at_stake,
-            in_memory = self.in_memory, took_ms = clock::since(started).as_millis(),
+            outcome = outcome, cause = cause, at_stake = self.needs.at_stake,
+            in_memory = self.needs.in_memory, took_ms = clock::since(started).as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "move of a generation"
         );
--- /dev/null
+++ b/crates/hatchpitch/src/pace/histogram.rs
@@ -0,0 +1,105 @@
+//! Distribution of the gaps between the events of streams.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Buckets per doubling of the gap. A bucket is 6 % wide, so that gaps just above a limit are told
+/// from those just below it.
+const BUCKETS_PER_OCTAVE: f64 = 12.0;
+/// Lower bound of the first bucket, in milliseconds. Shorter gaps are counted there.
+const MIN_MS: f64 = 1.0;
+/// Index of the last bucket, which counts gaps of 16 s and more.
+const LAST_BUCKET: u8 = 168;
+/// Weight below which a bucket that has decayed is dropped.
+const MIN_WEIGHT: f32 = 0.05;
+
+/// Histogram of gaps. Weights are counts until they decay.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct GapHistogram {
+    /// Weight of each bucket that is not empty.
+    buckets: BTreeMap<u8, f32>,
+    /// Sum of the gaps, in milliseconds.
+    sum_ms: f64,
+}
+
+impl GapHistogram {
+    /// Adds one gap.
+    pub fn record(&mut self, gap: Duration) {
+        let ms = gap.as_secs_f64() * 1_000.0;
+        *self.buckets.entry(bucket(ms)).or_default() += 1.0;
+        self.sum_ms += ms;
+    }
+
+    /// Adds the gaps of another histogram.
+    pub fn merge(&mut self, other: &Self) {
+        for (bucket, weight) in &other.buckets {
+            *self.buckets.entry(*bucket).or_default() += weight;
+        }
+        self.sum_ms += other.sum_ms;
+    }
+
+    /// Adds the gaps of another histogram, each multiplied by `factor`.
+    pub fn merge_scaled(&mut self, other: &Self, factor: f64) {
+        for (bucket_of_other, weight) in &other.buckets {
+            let ms = middle_ms(*bucket_of_other) * factor;
+            *self.buckets.entry(bucket(ms)).or_default() += weight;
+        }
+        self.sum_ms += other.sum_ms * factor;
+    }
+
+    /// Multiplies all weights by `factor`, which is at most 1.
+    pub fn decay(&mut self, factor: f64) {
+        self.sum_ms *= factor;
+        for weight in self.buckets.values_mut() {
+            *weight *= factor as f32;
+        }
+        self.buckets.retain(|_, weight| *weight >= MIN_WEIGHT);
+    }
+
+    /// Returns whether it holds no gap.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
+    /// Returns the weight of all gaps.
+    pub fn count(&self) -> f64 {
+        self.buckets.values().map(|weight| f64::from(*weight)).sum()
+    }
+
+    /// Returns the mean gap, or `None` if there is no gap.
+    pub fn mean(&self) -> Option<Duration> {
+        let count = self.count();
+        (count > 0.0).then(|| Duration::from_secs_f64((self.sum_ms / count / 1_000.0).max(0.0)))
+    }
+
+    /// Returns the share of gaps that are longer than `limit`, from 0 to 1. The bucket of the limit
+    /// is interpolated.
+    pub fn share_above(&self, limit: Duration) -> f64 {
+        let count = self.count();
+        if count <= 0.0 {
+            return 0.0;
+        }
+        let position = position(limit.as_secs_f64() * 1_000.0);
+        let bucket = position as u8;
+        let above: f64 =
+            self.buckets.range(bucket.saturating_add(1)..).map(|(_, w)| f64::from(*w)).sum();
+        let own = self.buckets.get(&bucket).map_or(0.0, |weight| f64::from(*weight));
+        (above + own * (1.0 - position.fract())) / count
+    }
+}
+
+/// Returns the fractional index of the bucket of a gap.
+fn position(ms: f64) -> f64 {
+    ((ms.max(MIN_MS) / MIN_MS).log2() * BUCKETS_PER_OCTAVE).min(f64::from(LAST_BUCKET))
+}
+
+fn bucket(ms: f64) -> u8 {
+    position(ms) as u8
+}
+
+/// Returns the gap in the middle of a bucket, in milliseconds.
+fn middle_ms(bucket: u8) -> f64 {
+    MIN_MS * ((f64::from(bucket) + 0.5) / BUCKETS_PER_OCTAVE).exp2()
+}
--- /dev/null
+++ b/crates/hatchpitch/src/pace/messages.rs
@@ -0,0 +1,43 @@
+//! Reports of the gaps that a box has seen to the owners of the engines.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::histogram::GapHistogram;
+use crate::ids::{AttemptId, PoolName, RunnerName};
+
+/// What a box has seen of the engines of one owner since its last report.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PaceReport {
+    /// Gaps between events, by engine.
+    #[serde(default)]
+    pub engines: Vec<EngineGaps>,
+    /// First tokens of runs.
+    #[serde(default)]
+    pub firsts: Vec<FirstToken>,
+}
+
+/// Gaps between the events of streams on one engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EngineGaps {
+    /// Pool of the engine.
+    pub pool: PoolName,
+    /// Life of the engine.
+    pub runner: RunnerName,
+    /// The gaps.
+    pub gaps: GapHistogram,
+}
+
+/// The first token of a run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FirstToken {
+    /// Pool of the engine.
+    pub pool: PoolName,
+    /// Life of the engine.
+    pub runner: RunnerName,
+    /// Attempt that holds the slot.
+    pub id: AttemptId,
+    /// Time from the grant of the slot to the first token.
+    pub took: Duration,
+}
--- a/crates/hatchpitch/src/relay/request.rs
+++ b/crates/hatchpitch/src/relay/request.rs
@@ -7,7 +7,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
 
-use crate::config::hosted::{HostedRoute, Urgency};
+use crate::config::hosted::{HostedRoute, RunPolicy, Urgency};
 use crate::ids::{Priority, RegionName, WorkspaceName};
 use crate::quarantine::ContentId;
 
@@ -60,6 +60,13 @@
         self.end().saturating_duration_since(now)
     }
 
+    /// Returns the longest time between two events of its stream, if it is a generation whose route
+    /// states one.
+    pub fn max_gap(&self) -> Option<Duration> {
+        let is_stream = self.route.runs == RunPolicy::Stream && self.generation.is_some();
+        self.route.gap_aim.filter(|_| is_stream)
+    }
+
     /// Returns the content id, which is the same at every box for equal requests of one workspace,
     /// whatever their request ids.
     pub fn content(&self) -> ContentId {
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -362,6 +362,8 @@
             skips_limited: false,
             sends_here: true,
             only_try: !self.relay.budgets.borrow().allows(&self.service),
+            max_gap: self.req.max_gap(),
+            event_tokens: self.event_tokens(),
         };
         let started = clock::now();
         if self.await_upstreams(started).await == Untried::Evacuated {
@@ -375,6 +377,12 @@
         slot
     }
 
+    fn event_tokens(&self) -> u64 {
+        let view = self.relay.cx.config.view();
+        let service = view.hosted_services.get(&self.service);
+        service.and_then(|service| service.engine.as_ref()).map_or(1, |e| e.tokens_per_event)
+    }
+
     /// Waits up to [`HEARTBEAT_WAIT`] while no upstream of the service is known: after a restart of
     /// the control boxes, all upstreams announce themselves within one heartbeat. Returns which
     /// are left to try then.
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -17,13 +17,14 @@
 use super::request::HostedRequest;
 use super::response::adapt_head;
 use super::run::Relay;
+use crate::admission::Pick;
 use crate::config::hosted::EngineSpec;
 use crate::entry::context::ActiveGuard;
 use crate::grants::Slot;
 use crate::ids::ServiceName;
 use crate::metrics::{Count, STALL_THRESHOLD, Timing};
 use crate::moves::mover::Moving;
-use crate::moves::{self, MoveOutcome, Moved, SourceRunner};
+use crate::moves::{self, MoveNeeds, MoveOutcome, Moved, SourceRunner};
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunLocation, UpstreamState};
 use crate::registry::Phase;
@@ -107,6 +108,8 @@
     first_event: Option<Duration>,
     last_progress: Instant,
     longest_gap: Duration,
+    /// Whether an event came on the current link.
+    link_has_events: bool,
     /// Delays the shutdown of the process until the stream has ended.
     _active: ActiveGuard,
 }
@@ -168,6 +171,7 @@
             first_event: None,
             last_progress: now,
             longest_gap: Duration::ZERO,
+            link_has_events: false,
             _active: active,
         }
     }
@@ -350,8 +354,13 @@
             addr: self.slot.addr,
             failure_domain: self.slot.failure_domain.clone(),
         };
-        let in_memory = needs.prompt + produced;
-        self.moving = Some(moves::start(&self.relay, &self.req, source, at_stake, in_memory));
+        let needs = MoveNeeds {
+            at_stake,
+            in_memory: needs.prompt + produced,
+            max_gap: self.max_gap(),
+            event_tokens: self.engine().map_or(1, |engine| engine.tokens_per_event),
+        };
+        self.moving = Some(moves::start(&self.relay, &self.req, source, needs));
     }
 
     fn refresh_leaving(&mut self) {
@@ -452,6 +461,7 @@
                 self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
                 self.set_framing(Framing::of_response(&self.req.method, &parts));
                 self.link_start = clock::now();
+                self.link_has_events = false;
                 Ok(body)
             }
             ResponseKind::Answer => {
@@ -482,9 +492,10 @@
     }
 
     fn note_progress(&mut self) {
+        let gap = clock::since(self.last_progress);
+        self.record_pace(gap);
         let (metrics, route) = (&self.relay.cx.metrics, &self.req.route.name);
         let priority = self.req.priority();
-        let gap = clock::since(self.last_progress);
         if self.first_event.is_none() {
             self.first_event = Some(clock::since(self.req.received));
             self.slot.record_first_token();
@@ -499,6 +510,29 @@
         self.last_progress = clock::now();
     }
 
+    /// Records the pace of the engine for its owner. The gap before the first event of a link is not
+    /// a gap between two events of one engine.
+    fn record_pace(&mut self, gap: Duration) {
+        if self.relay.cx.settings.policy.pick != Pick::Objective || self.req.generation.is_none() {
+            return;
+        }
+        let mut pace = self.relay.cx.pace.borrow_mut();
+        if self.first_event.is_none() {
+            let took = self.slot.held_for();
+            pace.record_first(&self.service, &self.slot.runner, self.slot.id(), took);
+        } else if self.link_has_events {
+            pace.record_gap(&self.service, &self.slot.runner, gap, clock::now());
+        }
+        self.link_has_events = true;
+    }
+
+    /// Returns the longest pause that the stream may have, unless it is late already.
+    fn max_gap(&self) -> Option<Duration> {
+        let is_on_time = |first: Duration| first <= self.req.route.answer_aim;
+        let kept = |limit: &Duration| self.longest_gap <= *limit;
+        self.req.max_gap().filter(|limit| kept(limit) && self.first_event.is_none_or(is_on_time))
+    }
+
     fn tokens_produced(&self) -> u64 {
         self.splitter.events() * self.engine().map_or(1, |engine| engine.tokens_per_event)
     }
--- a/crates/hatchpitch/src/routing/mod.rs
+++ b/crates/hatchpitch/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Runner selection: the state of each runner as seen by one box, and the choice between them.
 
+pub mod objective;
 pub mod prefill;
 pub mod report;
 pub mod state;
@@ -7,6 +8,7 @@
 pub mod verify;
 pub mod warmup;
 
+pub use objective::PauseObjective;
 pub use report::{RunReport, Verdict};
 pub use state::{RoutingConfig, RunnerTable};
 pub use warmup::ColdLimit;
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::objective::{PauseObjective, PausePlacement, RiskView};
 use super::prefill::PrefillBacklog;
 use super::report::{RunReport, Verdict};
 use super::warmup::{ColdLimit, WarmupLimiter};
@@ -16,6 +17,8 @@
 use crate::admission::policy::Pick;
 use crate::engine::EngineLoad;
 use crate::ids::{AttemptId, FailureDomainName, Priority, RunnerName};
+use crate::pace::GapHistogram;
+use crate::pace::state::PaceView;
 use crate::upstream_signals::brittle::BRITTLE_TTL;
 use crate::upstream_signals::{RejectionGuard, SharedSignals};
 
@@ -149,6 +152,8 @@
     pub sends_here: bool,
     /// Whether the request cannot be retried elsewhere if its runner rejects it.
     pub only_try: bool,
+    /// Longest pause of its stream, if it has to keep one.
+    pub objective: Option<PauseObjective>,
 }
 
 /// State in which every runner that could run a request is at its rate limit or resting.
@@ -221,13 +226,21 @@
     signals: SharedSignals,
     /// Fraction of the rejections of a brittle runner that this table may cause.
     rejection_share: f64,
+    pub(super) pauses: PausePlacement,
 }
 
 impl RunnerTable {
     /// Creates an empty table.
     pub fn new(cfg: RoutingConfig) -> Self {
         let signals = SharedSignals::default();
-        Self { cfg, runners: BTreeMap::new(), picks: 0, signals, rejection_share: 1.0 }
+        Self {
+            cfg,
+            runners: BTreeMap::new(),
+            picks: 0,
+            signals,
+            rejection_share: 1.0,
+            pauses: PausePlacement::default(),
+        }
     }
 
     /// Sets the fraction of the rejections of a brittle runner that this table may cause.
@@ -273,6 +286,8 @@
             runner.spec = spec;
         }
         self.runners.retain(|_, runner| runner.configured || runner.running > 0);
+        let runners = &self.runners;
+        self.pauses.retain(|name| runners.contains_key(name));
     }
 
     /// Makes the table cautious with runners that it does not know yet and that are brittle: they
@@ -327,7 +342,9 @@
             }
         }
         best.memory.add(query.id.clone(), candidate.clone(), now);
-        Some(best.spec.clone())
+        let spec = best.spec.clone();
+        self.record_objective(&name, query);
+        Some(spec)
     }
 
     /// Accounts for a request that has been running on a runner since `since`, and returns the
@@ -342,7 +359,38 @@
         let runner = self.runners.get_mut(name).filter(|runner| runner.configured)?;
         runner.running += 1;
         runner.memory.add(query.id.clone(), candidate.clone(), since);
-        Some(runner.spec.clone())
+        let spec = runner.spec.clone();
+        self.record_objective(name, query);
+        Some(spec)
+    }
+
+    fn record_objective(&mut self, name: &str, query: &RunnerQuery<'_>) {
+        if let Some(objective) = query.objective.filter(|_| self.cfg.pick == Pick::Objective) {
+            self.pauses.start(name, query.id, objective);
+        }
+    }
+
+    /// Records the gaps between events of streams on a runner. Gaps of runners that are not in the
+    /// table are ignored; returns whether the runner is.
+    pub fn observe_gaps(&mut self, name: &str, gaps: &GapHistogram, now: Instant) -> bool {
+        let Some(runner) = self.runners.get(name) else { return false };
+        self.pauses.pace.observe(name, gaps, runner.running, now);
+        true
+    }
+
+    /// Records the time from the grant of a slot to the first token of its run, before the run ends.
+    pub fn record_first_token(&mut self, name: &str, id: &str, took: Duration) {
+        if let Some(runner) = self.runners.get_mut(name) {
+            runner.prefill.remove(id, Some(took));
+        }
+    }
+
+    /// Returns the pace of a runner, if it is known, and the risk that a typical stream pauses for
+    /// too long there.
+    pub fn pace(&self, name: &str, now: Instant) -> Option<(PaceView, f64)> {
+        let running = self.runners.get(name)?.running;
+        let view = self.pauses.pace.view(name, now)?;
+        Some((view, self.pauses.typical_risk(name, running.max(1), now)))
     }
 
     /// Returns the load score of the runner that would be picked, or `None` if none has room.
@@ -377,16 +425,21 @@
                 && self.bears_rejection(r, now)
                 && !(needs_prefill && r.prefill.seconds(now) > MAX_PREFILL_BACKLOG)
         });
+        let open: Vec<(usize, &RunnerState)> = open.collect();
+        let risks = (cfg.pick == Pick::Objective).then(|| self.risk_view(query, &open, now));
         let mut open: Vec<(f64, usize, &RunnerName)> = open
+            .into_iter()
             .map(|(i, r)| {
                 let score = match cfg.pick {
                     Pick::RoundRobin => 0.0,
-                    Pick::LeastLoaded => {
+                    Pick::LeastLoaded | Pick::Objective => {
                         r.load_score(now)
                             + query.placement_penalty(r, now)
                             + self.rejection_penalty(query, r, now)
                     }
                 };
+                let risk = |risks: &RiskView<'_>| risks.penalty(&r.spec.name, r.running);
+                let score = score + risks.as_ref().map_or(0.0, risk);
                 (score, (i + offset) % count, &r.spec.name)
             })
             .collect();
@@ -398,6 +451,17 @@
         found.map(|(score, _, name)| (score, name.clone()))
     }
 
+    /// Returns the risks that streams pause for too long on the runners that a request may get.
+    fn risk_view<'a>(
+        &'a self,
+        query: &RunnerQuery<'_>,
+        open: &[(usize, &'a RunnerState)],
+        now: Instant,
+    ) -> RiskView<'a> {
+        let engines = open.iter().map(|(_, r)| (r.spec.name.as_str(), r.running));
+        self.pauses.view(query.objective, engines, now)
+    }
+
     /// Returns the time until a runner accepts a request, if all runners that could run it are at
     /// their rate limits or resting; otherwise `None`.
     pub fn closed(&self, query: &RunnerQuery<'_>, now: Instant) -> Option<Closed> {
@@ -507,6 +571,7 @@
         runner.running = runner.running.saturating_sub(1);
         runner.memory.remove(id, report.tokens, now);
         runner.prefill.remove(id, report.first);
+        self.pauses.end(name, id);
         self.record_rejection(name, report, now);
         let Some(runner) = self.runners.get_mut(name) else { return };
         match report.verdict {
--- a/crates/hatchpitch/src/routing/verify.rs
+++ b/crates/hatchpitch/src/routing/verify.rs
@@ -1,6 +1,7 @@
 //! Checks the invariants of a [`RunnerTable`].
 
 use super::state::RunnerTable;
+use crate::pace;
 
 /// Checks the invariants of a table.
 ///
@@ -21,5 +22,10 @@
             return Err(format!("runner {name} is ejected without a failure"));
         }
     }
-    Ok(())
+    for name in table.pauses.streams.keys() {
+        if !table.runners.contains_key(name) {
+            return Err(format!("streams are kept for runner {name}, which is gone"));
+        }
+    }
+    pace::verify::verify(&table.pauses.pace, |name| table.runners.contains_key(name))
 }
--- a/crates/hatchpitch/src/settings/policy.rs
+++ b/crates/hatchpitch/src/settings/policy.rs
@@ -56,7 +56,11 @@
     let default = Policy::default();
     let placements = [("owner", Placement::Owner), ("local", Placement::Local)];
     let orders = [("fair", Order::Fair), ("arrival", Order::Arrival)];
-    let picks = [("least-loaded", Pick::LeastLoaded), ("round-robin", Pick::RoundRobin)];
+    let picks = [
+        ("least-loaded", Pick::LeastLoaded),
+        ("objective", Pick::Objective),
+        ("round-robin", Pick::RoundRobin),
+    ];
     Policy {
         placement: keyword(
             check,
--- a/crates/hatchpitch/tests/routing.rs
+++ b/crates/hatchpitch/tests/routing.rs
@@ -46,6 +46,7 @@
         skips_limited: false,
         sends_here: false,
         only_try: false,
+        objective: None,
         id: &id,
         avoid: &avoid,
         near: Some(near),
--- a/crates/hatchpitch/tests/switches.rs
+++ b/crates/hatchpitch/tests/switches.rs
@@ -66,6 +66,7 @@
         skips_limited: false,
         sends_here: false,
         only_try: false,
+        objective: None,
     };
     let pick =
         |table: &mut RunnerTable| table.pick(&query, &candidate, &lengths, now).unwrap().name;
