Judge unknown engines by their prefill rate, and look at more owners before a risky engine

A new engine is empty and so attracted long streams before anything was known of it. It now counts as one of the slowest engines seen last until its first prompts were prefilled, and as those with about the same prefill rate until its gaps are known. Requests that keep no pause go there first. The estimate of the prefill rate starts from the first run of an engine instead of the mean of the others, since engines may differ by a factor of two.

--- a/crates/hatchpitch/src/dispatch/search.rs
+++ b/crates/hatchpitch/src/dispatch/search.rs
@@ -74,6 +74,8 @@
     take_attempts: usize,
     /// Longest expected wait that the request accepts.
     accepts: Duration,
+    /// Load above which a quote is only taken once all rounds of quotes are over.
+    good_load: f64,
     refused: Option<Refusal>,
 }
 
@@ -104,6 +106,7 @@
             rounds: 0,
             take_attempts: 0,
             accepts,
+            good_load: f64::INFINITY,
             refused: None,
         };
         if !quotes {
@@ -113,11 +116,26 @@
         search
     }
 
+    /// Sets the load above which a quote is only taken once all rounds of quotes are over, because
+    /// another owner may have a much better engine.
+    pub fn with_good_load(mut self, load: f64) -> Self {
+        self.good_load = load;
+        self
+    }
+
     /// Returns the next action. The caller reports its result through one of the `record` methods.
     pub fn step(&mut self) -> Step {
         if let Some(refusal) = self.refused.take() {
             return Step::Refuse(refusal);
         }
+        let is_good = self.available.last().is_some_and(|(load, _)| *load <= self.good_load);
+        if !is_good && !self.available.is_empty() && self.rounds < MAX_QUOTE_ROUNDS {
+            let asked = self.next_owners();
+            if !asked.is_empty() {
+                self.rounds += 1;
+                return Step::Quote(asked);
+            }
+        }
         if self.take_attempts < MAX_TAKE_ATTEMPTS
             && let Some((_, owner)) = self.available.pop()
         {
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -13,7 +13,7 @@
     ReleaseRequest,
 };
 use super::slot::{Slot, send_release};
-use crate::admission::{Gate, Permit, Placement};
+use crate::admission::{Gate, Permit, Pick, Placement};
 use crate::dispatch::scheduler::{AT_LIMIT, RESTING, unavailable_refusal};
 use crate::dispatch::search::Search;
 use crate::dispatch::{OwnerChoice, Quote, Refusal, SlotRequest, Step};
@@ -22,6 +22,7 @@
 use crate::membership::MemberStatus;
 use crate::membership::messages::Subject;
 use crate::routing::RunReport;
+use crate::routing::objective::HIGH_LOAD;
 use crate::routing::state::{Closed, RunnerSpec};
 use crate::upstream_limits::task as upstream_limits;
 
@@ -235,7 +236,11 @@
         });
         let accepts = self.want.accepts.unwrap_or(Duration::MAX);
         let quotes = self.cx.settings.policy.quotes;
-        Search::new(owners, accepts, quotes, rand::random::<u64>)
+        let search = Search::new(owners, accepts, quotes, rand::random::<u64>);
+        match self.cx.settings.policy.pick {
+            Pick::Objective => search.with_good_load(HIGH_LOAD),
+            Pick::LeastLoaded | Pick::RoundRobin => search,
+        }
     }
 
     /// Admits the request at this box because no owner can be reached.
--- a/crates/hatchpitch/src/pace/state.rs
+++ b/crates/hatchpitch/src/pace/state.rs
@@ -22,8 +22,14 @@
 const MAX_SHAPE_WEIGHT: f64 = 8_192.0;
 /// Mean gap to which the gaps of all engines are scaled for the shape of the pool.
 const UNIT: Duration = Duration::from_millis(64);
-/// Engines whose mean gaps stand for an engine that is not known yet.
+/// Engines that stand for an engine whose gaps are not known yet.
 const MAX_RECENT: usize = 32;
+/// Standard deviation of the logarithm of the prefill rates of equally fast engines, whose load
+/// differs.
+const PREFILL_DEVIATION: f64 = 0.25;
+/// Share of the engines seen last that are assumed to be better than one of which nothing is known.
+/// Requests that keep no pause show within a second how fast it is.
+const UNKNOWN_QUANTILE: f64 = 0.9;
 /// Largest growth of the mean gap for one more running generation.
 const MAX_GROWTH: f64 = 0.1;
 /// Growth before any was measured, and its weight in the regression, in squared generations.
@@ -42,6 +48,15 @@
     updated: Instant,
 }
 
+/// What was learned of an engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Learned {
+    /// Mean gap, in seconds.
+    pub(super) mean: f64,
+    /// Prefill rate in tokens per second, if it was measured.
+    prefill: Option<f64>,
+}
+
 impl EnginePace {
     fn decay(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
@@ -101,8 +116,10 @@
     /// Gaps of all engines, scaled to a mean of [`UNIT`].
     pub(super) shape: GapHistogram,
     growth: BatchGrowth,
-    /// Mean gaps in seconds of the engines seen last that are gone.
-    pub(super) gone: VecDeque<f64>,
+    /// Prefill rates in tokens per second that were measured on the engines.
+    pub(super) prefill: HashMap<RunnerName, f64>,
+    /// The engines seen last that are gone.
+    pub(super) gone: VecDeque<Learned>,
 }
 
 impl PoolPace {
@@ -133,17 +150,19 @@
         }
     }
 
-    /// Forgets the engines for which `is_kept` returns false. Their mean gaps still stand for
-    /// engines that are not known.
+    /// Records the prefill rate that was measured on an engine, in tokens per second.
+    pub fn set_prefill_rate(&mut self, runner: &str, rate: f64) {
+        self.prefill.insert(runner.to_owned(), rate);
+    }
+
+    /// Forgets the engines for which `is_kept` returns false. What was learned of them still stands
+    /// for engines that are not known.
     pub fn retain(&mut self, is_kept: impl Fn(&str) -> bool) {
-        let gone = &mut self.gone;
-        self.engines.retain(|name, engine| {
-            let keep = is_kept(name);
-            if !keep {
-                gone.extend(engine.mean());
-            }
-            keep
-        });
+        let gone = self.engines.keys().filter(|name| !is_kept(name));
+        let learned: Vec<Learned> = gone.filter_map(|name| self.learned(name)).collect();
+        self.gone.extend(learned);
+        self.engines.retain(|name, _| is_kept(name));
+        self.prefill.retain(|name, _| is_kept(name));
         while self.gone.len() > MAX_RECENT {
             self.gone.pop_front();
         }
@@ -154,7 +173,7 @@
     pub fn gap_risk(&self, runner: &str, limit: Duration, running: u64, now: Instant) -> f64 {
         let engine = self.engines.get(runner);
         let Some((engine, mean)) = engine.and_then(|engine| Some((engine, engine.mean()?))) else {
-            return self.unknown_risk(limit);
+            return self.unknown_risk(runner, limit);
         };
         let more = running as f64 - engine.running;
         let factor = (1.0 + self.growth.per_generation() * more).max(0.5);
@@ -186,14 +205,42 @@
         Some(PaceView { mean_gap, gaps: engine.gaps.count(), age })
     }
 
-    /// Returns the risk on an engine that is not known: the mean over the engines seen last.
-    fn unknown_risk(&self, limit: Duration) -> f64 {
-        let known = self.engines.values().filter_map(EnginePace::mean);
+    /// Returns whether neither gaps nor the prefill rate of an engine are known.
+    pub fn is_unknown(&self, runner: &str) -> bool {
+        !self.prefill.contains_key(runner)
+            && self.engines.get(runner).is_none_or(|engine| engine.mean().is_none())
+    }
+
+    /// Returns the engines seen last of which the pace was learned, with their risk.
+    fn recent_risks(&self, limit: Duration) -> Vec<(Learned, f64)> {
+        let known = self.engines.keys().filter_map(|name| self.learned(name));
         let recent = known.chain(self.gone.iter().rev().copied()).take(MAX_RECENT);
-        let (sum, count) = recent.fold((0.0, 0.0), |(sum, count), mean| {
-            (sum + self.shape_risk(limit, mean), count + 1.0)
-        });
-        if count > 0.0 { sum / count } else { 0.0 }
+        recent.map(|learned| (learned, self.shape_risk(limit, learned.mean))).collect()
+    }
+
+    fn learned(&self, runner: &str) -> Option<Learned> {
+        let mean = self.engines.get(runner)?.mean()?;
+        Some(Learned { mean, prefill: self.prefill.get(runner).copied() })
+    }
+
+    /// Returns the risk on an engine whose gaps are not known: that of the engines seen last that
+    /// prefill prompts about as fast or, if its prefill rate is not known either, that of the
+    /// slowest ones.
+    fn unknown_risk(&self, runner: &str, limit: Duration) -> f64 {
+        let mut recent = self.recent_risks(limit);
+        let Some(rate) = self.prefill.get(runner) else {
+            recent.sort_by(|a, b| a.1.total_cmp(&b.1));
+            let at = (recent.len() as f64 * UNKNOWN_QUANTILE) as usize;
+            return recent.get(at).map_or(0.0, |(_, risk)| *risk);
+        };
+        let weight = |learned: &Learned| {
+            let distance = (learned.prefill? / rate).ln() / PREFILL_DEVIATION;
+            Some((-0.5 * distance * distance).exp())
+        };
+        let weighted = recent.iter().filter_map(|(learned, risk)| Some((weight(learned)?, risk)));
+        let (sum, weights) = weighted
+            .fold((0.0, 0.0), |(sum, all), (weight, risk)| (sum + weight * risk, all + weight));
+        if weights > 0.0 { sum / weights } else { 0.0 }
     }
 
     /// Returns the probability that a gap is longer than `limit` on an engine with a mean gap of
--- a/crates/hatchpitch/src/pace/verify.rs
+++ b/crates/hatchpitch/src/pace/verify.rs
@@ -17,7 +17,10 @@
             return Err(format!("the gaps of engine {name} have no finite weight"));
         }
     }
-    if pace.gone.iter().any(|mean| !mean.is_finite() || *mean <= 0.0) {
+    if let Some(name) = pace.prefill.keys().find(|name| !exists(name)) {
+        return Err(format!("the prefill rate of engine {name} is kept although it is gone"));
+    }
+    if pace.gone.iter().any(|gone| !gone.mean.is_finite() || gone.mean <= 0.0) {
         return Err("an engine that is gone has no positive mean gap".to_owned());
     }
     Ok(())
--- a/crates/hatchpitch/src/routing/objective.rs
+++ b/crates/hatchpitch/src/routing/objective.rs
@@ -11,9 +11,14 @@
 use crate::ids::{AttemptId, RunnerName};
 use crate::pace::state::{PoolPace, any_of};
 
-/// Load penalty of an engine on which a stream is certain to pause for too long: more than that of
-/// a full engine, since such a stream is worth little more to its caller than one that is refused.
-const MISS_PENALTY: f64 = 1.5;
+/// Load penalty of an engine on which a stream is certain to pause for too long. It exceeds the
+/// highest load of an engine with room (1 for slots, 1 for memory, 0.8 for prompts to prefill), so
+/// that any other engine with room is preferred: a stream that pauses for too long is worth little
+/// to its caller.
+const MISS_PENALTY: f64 = 3.0;
+/// Load above which a stream looks for a better engine at more owners: its risk is high, or the
+/// engine is almost full.
+pub const HIGH_LOAD: f64 = 0.5 * MISS_PENALTY;
 /// Load penalty of the best engine beside one on which streams are certain to pause for too long,
 /// for a request that does not have to keep a pause. Half a second of prompts that wait to be
 /// prefilled outweighs it, so that such requests do not become late on slow engines.
@@ -81,6 +86,12 @@
         self.streams.retain(|name, _| is_kept(name));
     }
 
+    /// Returns the risk by which an engine is left to requests that keep no pause. It is 1 for an
+    /// engine of which nothing is known, so that such requests show how fast it is.
+    fn yielded_risk(&self, runner: &str, running: u64, now: Instant) -> f64 {
+        if self.pace.is_unknown(runner) { 1.0 } else { self.typical_risk(runner, running, now) }
+    }
+
     /// Returns the risk that a typical stream pauses for too long on an engine, or 0 if there has
     /// been no stream.
     pub(super) fn typical_risk(&self, runner: &str, running: u64, now: Instant) -> f64 {
@@ -138,7 +149,7 @@
                 MISS_PENALTY * risk
             }
             None => {
-                let risk = placement.typical_risk(runner, running + 1, now);
+                let risk = placement.yielded_risk(runner, running + 1, now);
                 YIELD_PENALTY * (self.worst - risk).max(0.0)
             }
         };
--- a/crates/hatchpitch/src/routing/prefill.rs
+++ b/crates/hatchpitch/src/routing/prefill.rs
@@ -18,6 +18,16 @@
 /// Smoothing factor of the rate; the estimate covers about the last ten runs.
 const SMOOTHING: f64 = 0.1;
 
+/// How an engine's own first runs change the rate that it starts with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum InitialRate {
+    /// As any later run: the engines are assumed to be about equal.
+    #[default]
+    Smoothed,
+    /// The first run replaces it: engines may differ by much.
+    Replaced,
+}
+
 /// Prefill backlog of one engine.
 #[derive(Debug, Clone)]
 pub struct PrefillBacklog {
@@ -26,6 +36,10 @@
     updated: Option<Instant>,
     /// Prefill rate in tokens per second, smoothed.
     rate: f64,
+    /// Smoothing factor of the next run.
+    next_smoothing: f64,
+    /// Number of runs that the rate was measured on.
+    measured: u64,
     /// Backlog in tokens at the arrival of each run, including its own prompt.
     backlog_at_arrival: HashMap<AttemptId, f64>,
 }
@@ -39,7 +53,27 @@
 impl PrefillBacklog {
     /// Creates an empty backlog with an initial rate of `rate` tokens per second.
     pub fn at_rate(rate: f64) -> Self {
-        Self { tokens: 0.0, updated: None, rate, backlog_at_arrival: HashMap::new() }
+        Self {
+            tokens: 0.0,
+            updated: None,
+            rate,
+            next_smoothing: SMOOTHING,
+            measured: 0,
+            backlog_at_arrival: HashMap::new(),
+        }
+    }
+
+    /// Sets how the first runs change the initial rate.
+    pub fn with_initial(mut self, initial: InitialRate) -> Self {
+        if initial == InitialRate::Replaced {
+            self.next_smoothing = 1.0;
+        }
+        self
+    }
+
+    /// Returns the rate if it was measured on this engine, in tokens per second.
+    pub fn measured_rate(&self) -> Option<f64> {
+        (self.measured > 0).then_some(self.rate)
     }
 
     /// Returns the estimated prefill rate, in tokens per second.
@@ -62,7 +96,11 @@
         if let Some(rate) =
             measured.filter(|rate| (PLAUSIBLE_RATES.0..=PLAUSIBLE_RATES.1).contains(rate))
         {
-            self.rate += (rate - self.rate) * SMOOTHING;
+            self.rate += (rate - self.rate) * self.next_smoothing;
+            self.measured += 1;
+            // The mean of the first runs, until the estimate covers about the last ten.
+            self.next_smoothing =
+                (self.next_smoothing / (1.0 + self.next_smoothing)).max(SMOOTHING);
         }
     }
 
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use super::objective::{PauseObjective, PausePlacement, RiskView};
-use super::prefill::PrefillBacklog;
+use super::prefill::{InitialRate, PrefillBacklog};
 use super::report::{RunReport, Verdict};
 use super::warmup::{ColdLimit, WarmupLimiter};
 use crate::admission::lengths::LengthModel;
@@ -260,6 +260,10 @@
             runner.configured = false;
         }
         let rates = self.mean_rates();
+        let initial = match self.cfg.pick {
+            Pick::Objective => InitialRate::Replaced,
+            Pick::LeastLoaded | Pick::RoundRobin => InitialRate::Smoothed,
+        };
         for spec in specs {
             let runner = self.runners.entry(spec.name.clone()).or_insert_with(|| RunnerState {
                 spec: spec.clone(),
@@ -273,7 +277,8 @@
                 memory: rates.map(|rates| EngineMemory::at_rate(rates.decode)).unwrap_or_default(),
                 prefill: rates
                     .map(|rates| PrefillBacklog::at_rate(rates.prefill))
-                    .unwrap_or_default(),
+                    .unwrap_or_default()
+                    .with_initial(initial),
                 copies: CopyBacklog::default(),
                 warmup: WarmupLimiter::default(),
                 cold_limit: None,
@@ -382,6 +387,9 @@
     pub fn record_first_token(&mut self, name: &str, id: &str, took: Duration) {
         if let Some(runner) = self.runners.get_mut(name) {
             runner.prefill.remove(id, Some(took));
+            if let Some(rate) = runner.prefill.measured_rate() {
+                self.pauses.pace.set_prefill_rate(name, rate);
+            }
         }
     }
 
@@ -571,6 +579,9 @@
         runner.running = runner.running.saturating_sub(1);
         runner.memory.remove(id, report.tokens, now);
         runner.prefill.remove(id, report.first);
+        if let Some(rate) = runner.prefill.measured_rate() {
+            self.pauses.pace.set_prefill_rate(name, rate);
+        }
         self.pauses.end(name, id);
         self.record_rejection(name, report, now);
         let Some(runner) = self.runners.get_mut(name) else { return };
