--- a/crates/hatchpitch/src/routing/objective.rs
+++ b/crates/hatchpitch/src/routing/objective.rs
@@ -26,6 +26,9 @@
 /// Expected events below which a stream is treated as one that keeps no pause: its risk is small
 /// on any engine.
 const MIN_EVENTS: f64 = 8.0;
+/// Generations that are assumed to join an engine while a stream runs there. A stream runs for many
+/// seconds, in which an engine that is picked for its short batch fills up.
+const JOINING: u64 = 3;
 /// Smoothing factor of the objective that stands for the streams of the pool; covers about the last
 /// twenty.
 const SMOOTHING: f64 = 0.05;
@@ -145,7 +148,8 @@
         let added = placement.added_misses(runner, running, now);
         let own = match self.objective {
             Some(PauseObjective { max_gap, events }) => {
-                let risk = placement.pace.miss_risk(runner, max_gap, events, running + 1, now);
+                let risk =
+                    placement.pace.miss_risk(runner, max_gap, events, running + JOINING, now);
                 MISS_PENALTY * risk
             }
             None => {
