Export the pace of engines: metrics, status, log lines and the longest gap of a stream

Cause: nothing showed operators why a stream paused, or what owners know of their engines. Change: a histogram of gaps by pool, gauges of the engines that a box owns, counters of reports sent and failed and of entries dropped, a log line when an engine becomes slow or recovers (risk at 0.5, back below 0.4, at most one change a second), the engine of the longest gap in the line 'stream ended' and in explain, and mean gap and risk in status. The collector now is off by itself unless placement uses reports; engines beyond 64 wait for the next report instead of being dropped; gaps of engines without a known owner lose weight, so that minutes without one do not outweigh the present; a report that names an unknown pool creates no gate for it.

--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -58,6 +58,10 @@
 const ENTRY_HEADER: [&str; 8] =
     ["ENTRY", "INTAKE", "NUMBER", "CONFIRMED", "ACTIVE", "STREAMS", "WAITING", "EVACUATED"];
 
+/// Header of the runner table.
+const RUNNER_HEADER: [&str; 8] =
+    ["POOL", "RUNNER", "OWNER", "TAKES WORK", "RUNNING", "LIMIT", "MEAN GAP", "RISK"];
+
 fn render(fleet: &FleetStatus) -> String {
     let control: Vec<Vec<String>> = fleet.control.iter().map(control_row).collect();
     let entry: Vec<Vec<String>> = fleet.entry.iter().map(entry_row).collect();
@@ -67,10 +71,7 @@
         format_table(&ENTRY_HEADER, &entry),
     ];
     if let Some(first) = statuses.first() {
-        tables.push(format_table(
-            &["POOL", "RUNNER", "OWNER", "TAKES WORK", "RUNNING", "LIMIT"],
-            &runner_rows(first, &statuses),
-        ));
+        tables.push(format_table(&RUNNER_HEADER, &runner_rows(first, &statuses)));
     }
     tables.join("\n\n")
 }
@@ -121,6 +122,10 @@
             let takes_work =
                 owners.iter().all(|(_, runner)| runner.takes_work) && runner.takes_work;
             let takes_work = if takes_work { "yes" } else { "no" };
+            let pace = owners.iter().find_map(|(_, r)| Some((r.mean_gap_ms?, r.risk?)));
+            let (mean_gap, risk) = pace.map_or_else(Default::default, |(mean_gap, risk)| {
+                (format!("{mean_gap:.0} ms"), format!("{risk:.2}"))
+            });
             rows.push(vec![
                 pool.name.clone(),
                 name.clone(),
@@ -128,6 +133,8 @@
                 takes_work.to_owned(),
                 running.to_string(),
                 runner.limit.map_or_else(String::new, |limit| limit.to_string()),
+                mean_gap,
+                risk,
             ]);
         }
     }
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -18,6 +18,7 @@
 use crate::discovery::{self, Endpoints};
 use crate::metrics::Count;
 use crate::outcome::{Outcome, Problem, json_response, text_response};
+use crate::pace::task as pace;
 use crate::security::bearer;
 use crate::trace::Span;
 
@@ -182,6 +183,7 @@
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
     cx.metrics.process(&cx.boxes);
     cx.metrics.quarantine(&cx.config.quarantine());
+    pace::update_gauges(cx);
     cx.metrics.gauge("hatchpitch_limited_upstreams", cx.limits.borrow().limited() as f64);
     let backing_off = cx.backoffs.borrow().active_count(clock::now());
     cx.metrics.gauge("hatchpitch_resting_upstreams", backing_off as f64);
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -152,6 +152,7 @@
         let upstreams = FollowState::new(&settings.control);
         let followed = upstreams.clone();
         let leader = LeaderClient::new(boxes.clone(), move || followed.control());
+        let pace = RefCell::new(Collector::new(settings.policy.pick));
         Rc::new(Self {
             tracer: Tracer::new(settings.name.clone()),
             settings,
@@ -174,7 +175,7 @@
             retry_budgets: RefCell::default(),
             intake: Cell::new(Intake::Open),
             move_turns: RefCell::default(),
-            pace: RefCell::default(),
+            pace,
             grants: RefCell::default(),
             held_slots: RefCell::default(),
             gates: RefCell::default(),
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -16,6 +16,7 @@
 use crate::ids::{BoxName, ConfigNumber, FailureDomainName, PoolName, RunnerName, WorkspaceName};
 use crate::membership::MemberStatus;
 use crate::outcome::{Outcome, Problem, json_response};
+use crate::pace::watch::paces;
 use crate::security::bearer;
 use crate::upstream_limits::RateLimit;
 
@@ -68,6 +69,14 @@
     /// Maximum rate of requests from all boxes together, if the runner names a limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<RateLimit>,
+    /// Mean gap between the events of streams there in milliseconds, if this box owns the runner
+    /// and knows it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub mean_gap_ms: Option<f64>,
+    /// Probability that a typical stream pauses there for longer than allowed, from 0 to 1, if the
+    /// mean gap is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub risk: Option<f64>,
 }
 
 /// Status of a box as seen by another box.
@@ -134,15 +143,18 @@
 /// Returns the status of a pool at this box.
 fn pool_status(cx: &EntryCx, pool: &PoolView, now: Instant) -> PoolStatus {
     let gate = cx.gate(&pool.pool.name);
-    let owned = gate.update(|table| table.overview(now));
+    let (owned, paces) = gate.update(|table| (table.overview(now), paces(table, now)));
     let runners = pool.runners.iter().map(|runner| {
         let row = owned.iter().find(|(name, ..)| *name == runner.name);
+        let pace = paces.iter().find(|(name, _)| *name == runner.name).and_then(|(_, pace)| *pace);
         RunnerStatus {
             name: runner.name.clone(),
             owned: row.is_some(),
             running: row.map_or(0, |(_, running, _)| *running),
             takes_work: row.map_or_else(|| cx.upstream_serves(&runner.name), |row| row.2),
             limit: cx.limits.borrow().limit(&runner.name),
+            mean_gap_ms: pace.map(|(view, _)| view.mean_gap.as_secs_f64() * 1_000.0),
+            risk: pace.map(|(_, risk)| risk),
         }
     });
     PoolStatus { name: pool.pool.name.clone(), waiting: gate.waiting(), runners: runners.collect() }
--- a/crates/hatchpitch/src/explain.rs
+++ b/crates/hatchpitch/src/explain.rs
@@ -52,10 +52,23 @@
     pub lines: Vec<Line>,
     /// How the request ended, as far as the logs show.
     pub end: String,
+    /// Longest gap between two events of its stream, if the logs show it.
+    pub longest_gap: Option<LongestGap>,
     /// Number of lines in all files that could not be parsed.
     pub unreadable: usize,
 }
 
+/// Longest gap between two events of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct LongestGap {
+    /// Its length in milliseconds.
+    pub ms: u64,
+    /// Engine that it is due to.
+    pub upstream: String,
+    /// Whether it fell across a move, which left this engine.
+    pub moved: bool,
+}
+
 /// Parsed lines of one log file.
 #[derive(Debug, Default)]
 pub struct LogFile {
@@ -131,7 +144,9 @@
     fn new(request: &'a str, request_lines: &[&'a Line]) -> Self {
         let upstreams = request_lines
             .iter()
-            .flat_map(|line| [line.text("upstream"), line.text("to")])
+            .flat_map(|line| {
+                [line.text("upstream"), line.text("to"), line.text("longest_gap_upstream")]
+            })
             .filter(|upstream| !upstream.is_empty())
             .collect();
         let boxes = request_lines.iter().map(|line| line.box_name.as_str()).collect();
@@ -164,11 +179,22 @@
     Timeline {
         request: request.to_owned(),
         end: describe_end(&request_lines, &lines),
+        longest_gap: request_lines.iter().rev().find_map(|line| longest_gap(line)),
         lines,
         unreadable: files.iter().map(|file| file.unreadable).sum(),
     }
 }
 
+/// Returns the longest gap of a stream from the line about its end.
+fn longest_gap(line: &Line) -> Option<LongestGap> {
+    let ms = line.fields.get("longest_gap_ms")?.as_u64()?;
+    let upstream = line.text("longest_gap_upstream");
+    let moved = line.fields.get("longest_gap_moved").and_then(Value::as_bool).unwrap_or(false);
+    // A box of an earlier version does not name the engine, and a stream of one event has no gap.
+    let is_known = ms > 0 && !upstream.is_empty();
+    is_known.then(|| LongestGap { ms, upstream: upstream.to_owned(), moved })
+}
+
 /// Describes how a request ended.
 fn describe_end(request_lines: &[&Line], timeline: &[Line]) -> String {
     let Some(last) = request_lines.last() else { return "no line of the logs names it".to_owned() };
@@ -210,6 +236,10 @@
             let mark = if line.request.is_empty() { ' ' } else { '*' };
             format!("{at:>8} ms {mark} {}  {}  {}", line.box_name, line.message, fields.join(" "))
         }));
+        if let Some(LongestGap { ms, upstream, moved }) = &self.longest_gap {
+            let moved = if *moved { ", across a move from it" } else { "" };
+            text.push(format!("longest gap: {ms} ms at {upstream}{moved}"));
+        }
         text.push(format!("end: {}", self.end));
         if self.unreadable > 0 {
             text.push(format!("{} lines of the files could not be read", self.unreadable));
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -11,6 +11,7 @@
 
 use crate::evacuation::Evacuations;
 use crate::ids::{PoolName, Priority};
+use crate::pace::watch::PaceSummary;
 use crate::quarantine::QuarantineList;
 
 /// Latencies recorded per pool and priority.
@@ -24,6 +25,8 @@
     Stall,
     /// Time spent waiting for admission.
     Wait,
+    /// Between consecutive events of one stream on one engine, by the pool of the engine.
+    PaceGap,
 }
 
 /// Events that are counted.
@@ -63,6 +66,12 @@
     SentByPeer,
     /// Requests that this box sent to their upstream for another box.
     SentForPeer,
+    /// Reports of the pace of engines sent to other boxes.
+    PaceReportsSent,
+    /// Those of them that were not answered in time, or refused.
+    PaceReportsFailed,
+    /// Entries of received reports that concern no engine of this box.
+    PaceEntriesDropped,
 }
 
 /// Gap between tokens above which a stream counts as stalled.
@@ -103,7 +112,12 @@
 
     /// Increments a counter; `pool` may be empty.
     pub fn count(&self, count: Count, pool: &str) {
-        *self.0.borrow_mut().counts.entry((count, pool.to_owned())).or_default() += 1;
+        self.count_many(count, pool, 1);
+    }
+
+    /// Adds `n` to a counter; `pool` may be empty.
+    pub fn count_many(&self, count: Count, pool: &str, n: u64) {
+        *self.0.borrow_mut().counts.entry((count, pool.to_owned())).or_default() += n;
     }
 
     /// Sets a gauge.
@@ -139,6 +153,16 @@
         self.gauge("hatchpitch_evacuations_revision", evacuations.revision() as f64);
     }
 
+    /// Updates the gauges of the pace of the engines that this box owns.
+    pub fn pace(&self, summary: &PaceSummary) {
+        let (lowest, highest) = summary.mean_gaps;
+        self.gauge("hatchpitch_pace_engines_known", summary.known as f64);
+        self.gauge("hatchpitch_pace_engines_unknown", summary.unknown as f64);
+        self.gauge("hatchpitch_pace_lowest_mean_gap_seconds", lowest.as_secs_f64());
+        self.gauge("hatchpitch_pace_highest_mean_gap_seconds", highest.as_secs_f64());
+        self.gauge("hatchpitch_pace_share_at_risk", summary.share_at_risk());
+    }
+
     /// Returns the sum of a counter over all pools.
     pub fn total(&self, count: Count) -> u64 {
         self.0.borrow().counts.iter().filter(|((c, _), _)| *c == count).map(|(_, n)| n).sum()
@@ -200,6 +224,7 @@
         Timing::TokenGap => "hatchpitch_token_gap_seconds",
         Timing::Stall => "hatchpitch_stall_seconds",
         Timing::Wait => "hatchpitch_admission_wait_seconds",
+        Timing::PaceGap => "hatchpitch_pace_gap",
     }
 }
 
@@ -222,5 +247,8 @@
         Count::Quarantined => "hatchpitch_quarantined_total",
         Count::SentByPeer => "hatchpitch_sent_by_peer_total",
         Count::SentForPeer => "hatchpitch_sent_for_peer_total",
+        Count::PaceReportsSent => "hatchpitch_pace_reports_sent_total",
+        Count::PaceReportsFailed => "hatchpitch_pace_reports_failed_total",
+        Count::PaceEntriesDropped => "hatchpitch_pace_entries_dropped_total",
     }
 }
--- a/crates/hatchpitch/src/pace/collector.rs
+++ b/crates/hatchpitch/src/pace/collector.rs
@@ -7,13 +7,22 @@
 
 use super::histogram::GapHistogram;
 use super::messages::{EngineGaps, FirstToken, PaceReport};
+use crate::admission::Pick;
 use crate::ids::{AttemptId, PoolName, RunnerName};
 
-/// Entries of each kind in one report, which bounds the size of the message. What exceeds it is
-/// dropped: the streams of one box rarely run on more engines of one owner.
-const MAX_ENTRIES: usize = 64;
+/// Entries of each kind in one report, which bounds the size of the message. Further engines wait
+/// for the next report; further first tokens are dropped, as the owner learns them again when the
+/// slots are released.
+pub const MAX_ENTRIES: usize = 64;
+/// First tokens kept between two reports, for all owners together.
+const MAX_FIRSTS: usize = 1_024;
 /// Age up to which gaps are reported again to a new owner.
 const KEEP: Duration = Duration::from_secs(4);
+/// Factor by which gaps lose weight with each report, once they are reported or while their owner
+/// is not known. At four reports a second, those kept cover about the last [`KEEP`].
+const REPORT_DECAY: f64 = 0.94;
+
+type EngineKey = (PoolName, RunnerName);
 
 /// Gaps of one engine.
 #[derive(Debug, Default)]
@@ -24,32 +33,59 @@
     reported: GapHistogram,
     owner: Option<SocketAddr>,
     last: Option<Instant>,
+    /// Time of the oldest gap that is not reported.
+    waiting_since: Option<Instant>,
 }
 
 /// What a box has seen of engines and not reported yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Collector {
-    engines: HashMap<(PoolName, RunnerName), Observed>,
+    /// Whether placement uses reports; if not, nothing is recorded.
+    is_enabled: bool,
+    engines: HashMap<EngineKey, Observed>,
     firsts: Vec<FirstToken>,
 }
 
 impl Collector {
+    /// Creates an empty collector. It records nothing unless `pick` places by reports.
+    pub fn new(pick: Pick) -> Self {
+        let is_enabled = pick == Pick::Objective;
+        Self { is_enabled, engines: HashMap::new(), firsts: Vec::new() }
+    }
+
+    /// Returns whether anything is recorded.
+    pub fn is_enabled(&self) -> bool {
+        self.is_enabled
+    }
+
+    /// Returns the number of engines and of first tokens that are kept.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.engines.len(), self.firsts.len())
+    }
+
     /// Records the gap between two events of a stream.
     pub fn record_gap(&mut self, pool: &str, runner: &str, gap: Duration, now: Instant) {
+        if !self.is_enabled {
+            return;
+        }
         let key = (pool.to_owned(), runner.to_owned());
         let observed = self.engines.entry(key).or_default();
         observed.new.record(gap);
         observed.last = Some(now);
+        observed.waiting_since.get_or_insert(now);
     }
 
     /// Records the time from the grant of a slot to the first token of its run.
     pub fn record_first(&mut self, pool: &str, runner: &str, id: &AttemptId, took: Duration) {
+        if !self.is_enabled || self.firsts.len() >= MAX_FIRSTS {
+            return;
+        }
         let (pool, runner, id) = (pool.to_owned(), runner.to_owned(), id.clone());
         self.firsts.push(FirstToken { pool, runner, id, took });
     }
 
     /// Takes the reports that are due, by owner. An engine whose owner is not known keeps its gaps
-    /// until it is.
+    /// until it is; their weight then decays like that of reported ones.
     pub fn take(
         &mut self,
         owner_of: impl Fn(&str) -> Option<SocketAddr>,
@@ -58,12 +94,21 @@
         let mut reports: BTreeMap<SocketAddr, PaceReport> = BTreeMap::new();
         let is_recent = |last: Instant| now.saturating_duration_since(last) < KEEP;
         self.engines.retain(|_, observed| observed.last.is_some_and(is_recent));
-        for ((pool, runner), observed) in &mut self.engines {
-            let Some(owner) = owner_of(runner) else { continue };
-            let Some(gaps) = observed.take(owner) else { continue };
+        let mut due: Vec<(&EngineKey, &mut Observed, SocketAddr)> = Vec::new();
+        for (key, observed) in &mut self.engines {
+            observed.reported.decay(REPORT_DECAY);
+            match owner_of(&key.1) {
+                Some(owner) if observed.is_due(owner) => due.push((key, observed, owner)),
+                Some(_) => {}
+                None => observed.new.decay(REPORT_DECAY),
+            }
+        }
+        // An engine that found no place in the last report is in the next one.
+        due.sort_by(|(a, x, _), (b, y, _)| (x.waiting_since, a).cmp(&(y.waiting_since, b)));
+        for ((pool, runner), observed, owner) in due {
             let report = reports.entry(owner).or_default();
             if report.engines.len() < MAX_ENTRIES {
-                let (pool, runner) = (pool.clone(), runner.clone());
+                let (pool, runner, gaps) = (pool.clone(), runner.clone(), observed.take(owner));
                 report.engines.push(EngineGaps { pool, runner, gaps });
             }
         }
@@ -79,21 +124,23 @@
 }
 
 impl Observed {
+    fn is_new_owner(&self, owner: SocketAddr) -> bool {
+        self.owner.is_some_and(|known| known != owner)
+    }
+
+    /// Returns whether there are gaps to be reported to `owner`.
+    fn is_due(&self, owner: SocketAddr) -> bool {
+        !self.new.is_empty() || (self.is_new_owner(owner) && !self.reported.is_empty())
+    }
+
     /// Takes the gaps to be reported to `owner`: the new ones, and the recent ones as well if it
     /// was not the owner before.
-    fn take(&mut self, owner: SocketAddr) -> Option<GapHistogram> {
-        let is_new_owner = self.owner.replace(owner).is_some_and(|known| known != owner);
+    fn take(&mut self, owner: SocketAddr) -> GapHistogram {
+        let is_new_owner = self.is_new_owner(owner);
+        self.owner = Some(owner);
+        self.waiting_since = None;
         let new = std::mem::take(&mut self.new);
-        if new.is_empty() && !is_new_owner {
-            return None;
-        }
-        self.reported.decay(REPORT_DECAY);
         self.reported.merge(&new);
-        let gaps = if is_new_owner { self.reported.clone() } else { new };
-        (!gaps.is_empty()).then_some(gaps)
+        if is_new_owner { self.reported.clone() } else { new }
     }
 }
-
-/// Factor by which reported gaps lose weight with each report. At four reports a second, those kept
-/// cover about the last [`KEEP`].
-const REPORT_DECAY: f64 = 0.94;
--- a/crates/hatchpitch/src/pace/mod.rs
+++ b/crates/hatchpitch/src/pace/mod.rs
@@ -11,6 +11,7 @@
 pub mod state;
 pub mod task;
 pub mod verify;
+pub mod watch;
 
 pub use collector::Collector;
 pub use histogram::GapHistogram;
--- a/crates/hatchpitch/src/pace/task.rs
+++ b/crates/hatchpitch/src/pace/task.rs
@@ -1,13 +1,16 @@
 //! Reports the pace of engines to their owners, and applies such reports.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hatchpitch_net::{Stop, clock};
 
 use super::messages::PaceReport;
-use crate::admission::Pick;
+use super::watch::{PaceChange, PaceSummary, RiskWatch, paces};
 use crate::entry::EntryCx;
+use crate::metrics::Count;
+use crate::routing::RunnerTable;
 
 /// Path of pace reports.
 pub const PACE_PATH: &str = "/box/pace";
@@ -19,9 +22,10 @@
 
 /// Sends reports until `stop` is set. Does nothing unless placement uses them.
 pub async fn run(cx: Rc<EntryCx>, stop: Stop) {
-    if cx.settings.policy.pick != Pick::Objective {
+    if !cx.pace.borrow().is_enabled() {
         return;
     }
+    let mut watch = RiskWatch::default();
     while !stop.is_set() {
         compio::time::sleep(REPORT_INTERVAL).await;
         cx.sync_gates();
@@ -33,25 +37,89 @@
             }
             let cx = cx.clone();
             compio::runtime::spawn(async move {
+                cx.metrics.count(Count::PaceReportsSent, "");
                 let call = cx.boxes.call::<_, ()>(owner, PACE_PATH, &report, REPORT_TIMEOUT);
                 if let Err(err) = call.await {
+                    cx.metrics.count(Count::PaceReportsFailed, "");
                     log::debug!("report of the pace of engines: {err}");
                 }
             })
             .detach();
         }
+        log_changes(&cx, &mut watch, clock::now());
     }
 }
 
-/// Applies a report to the engines that this box owns.
+/// Applies a report to the engines that this box owns, and counts the entries that concern others.
 pub fn apply(cx: &EntryCx, report: &PaceReport) {
     let now = clock::now();
-    for engine in &report.engines {
-        cx.gate(&engine.pool).update(|table| table.observe_gaps(&engine.runner, &engine.gaps, now));
+    let gates = cx.gates();
+    let mut dropped = report.engines.len() + report.firsts.len();
+    for pool in report.pools() {
+        // No gate is created for a pool that only the report names.
+        let Some((_, gate)) = gates.iter().find(|(name, _)| name == pool) else { continue };
+        dropped -= gate.update(|table| apply_to_table(table, pool, report, now));
     }
-    for first in &report.firsts {
-        cx.gate(&first.pool).update(|table| {
-            table.record_first_token(&first.runner, &first.id, first.took);
-        });
+    cx.metrics.count_many(Count::PaceEntriesDropped, "", dropped as u64);
+}
+
+/// Applies the entries of one pool to its table, and returns the number of those that concern its
+/// runners.
+pub fn apply_to_table(
+    table: &mut RunnerTable,
+    pool: &str,
+    report: &PaceReport,
+    now: Instant,
+) -> usize {
+    let mut applied = 0;
+    for engine in report.engines.iter().filter(|engine| engine.pool == pool) {
+        applied += usize::from(table.observe_gaps(&engine.runner, &engine.gaps, now));
+    }
+    for first in report.firsts.iter().filter(|first| first.pool == pool) {
+        applied += usize::from(table.contains(&first.runner));
+        table.record_first_token(&first.runner, &first.id, first.took);
+    }
+    applied
+}
+
+impl PaceReport {
+    /// Returns the pools that the report concerns.
+    fn pools(&self) -> BTreeSet<&str> {
+        let engines = self.engines.iter().map(|engine| engine.pool.as_str());
+        engines.chain(self.firsts.iter().map(|first| first.pool.as_str())).collect()
+    }
+}
+
+/// Logs the engines of this box that became slow or recovered.
+fn log_changes(cx: &EntryCx, watch: &mut RiskWatch, now: Instant) {
+    for (pool, gate) in cx.gates() {
+        let paces = gate.update(|table| paces(table, now));
+        for (name, pace) in &paces {
+            let Some((view, risk)) = pace else { continue };
+            let message = match watch.observe(&pool, name, *risk, now) {
+                Some(PaceChange::Slowed) => "an engine became slow",
+                Some(PaceChange::Recovered) => "an engine recovered",
+                None => continue,
+            };
+            log::info!(
+                upstream = name.as_str(), pool = pool.as_str(), risk = risk,
+                mean_gap_ms = view.mean_gap.as_millis(), gaps = view.gaps.round(),
+                age_ms = view.age.as_millis();
+                "{message}"
+            );
+        }
+        watch.retain(&pool, |runner| paces.iter().any(|(name, _)| name == runner));
+    }
+}
+
+/// Updates the gauges of the pace of the engines that this box owns, if placement uses it.
+pub fn update_gauges(cx: &EntryCx) {
+    if !cx.pace.borrow().is_enabled() {
+        return;
+    }
+    let (mut summary, now) = (PaceSummary::default(), clock::now());
+    for (_, gate) in cx.gates() {
+        summary.add(&gate.update(|table| paces(table, now)));
     }
+    cx.metrics.pace(&summary);
 }
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -17,11 +17,10 @@
 use super::request::HostedRequest;
 use super::response::adapt_head;
 use super::run::Relay;
-use crate::admission::Pick;
 use crate::config::hosted::EngineSpec;
 use crate::entry::context::ActiveGuard;
 use crate::grants::Slot;
-use crate::ids::ServiceName;
+use crate::ids::{RunnerName, ServiceName};
 use crate::metrics::{Count, STALL_THRESHOLD, Timing};
 use crate::moves::mover::Moving;
 use crate::moves::{self, MoveNeeds, MoveOutcome, Moved, SourceRunner};
@@ -108,6 +107,10 @@
     first_event: Option<Duration>,
     last_progress: Instant,
     longest_gap: Duration,
+    /// Engine that the longest gap is due to, and whether it fell across a move.
+    longest_gap_at: (RunnerName, bool),
+    /// Engine that sent the last event.
+    last_engine: RunnerName,
     /// Whether an event came on the current link.
     link_has_events: bool,
     /// Delays the shutdown of the process until the stream has ended.
@@ -152,7 +155,7 @@
         slot: Slot,
     ) -> Self {
         let active = relay.cx.begin_request();
-        let now = clock::now();
+        let (now, runner) = (clock::now(), slot.runner.clone());
         Self {
             relay,
             req,
@@ -171,6 +174,8 @@
             first_event: None,
             last_progress: now,
             longest_gap: Duration::ZERO,
+            longest_gap_at: (runner.clone(), false),
+            last_engine: runner,
             link_has_events: false,
             _active: active,
         }
@@ -502,28 +507,35 @@
             metrics.time(Timing::FirstToken, route, priority, clock::since(self.req.received));
         } else {
             metrics.time(Timing::TokenGap, route, priority, gap);
-            self.longest_gap = self.longest_gap.max(gap);
+            if gap > self.longest_gap {
+                // A gap across a move is due to the engine that the stream left.
+                self.longest_gap = gap;
+                self.longest_gap_at = (self.last_engine.clone(), !self.link_has_events);
+            }
             if gap > STALL_THRESHOLD {
                 metrics.time(Timing::Stall, route, priority, gap);
             }
         }
+        self.link_has_events = true;
+        self.last_engine.clone_from(&self.slot.runner);
         self.last_progress = clock::now();
     }
 
     /// Records the pace of the engine for its owner. The gap before the first event of a link is not
     /// a gap between two events of one engine.
-    fn record_pace(&mut self, gap: Duration) {
-        if self.relay.cx.settings.policy.pick != Pick::Objective || self.req.generation.is_none() {
+    fn record_pace(&self, gap: Duration) {
+        let mut pace = self.relay.cx.pace.borrow_mut();
+        if !pace.is_enabled() || self.req.generation.is_none() {
             return;
         }
-        let mut pace = self.relay.cx.pace.borrow_mut();
         if self.first_event.is_none() {
             let took = self.slot.held_for();
             pace.record_first(&self.service, &self.slot.runner, self.slot.id(), took);
         } else if self.link_has_events {
             pace.record_gap(&self.service, &self.slot.runner, gap, clock::now());
+            let priority = self.req.priority();
+            self.relay.cx.metrics.time(Timing::PaceGap, &self.service, priority, gap);
         }
-        self.link_has_events = true;
     }
 
     /// Returns the longest pause that the stream may have, unless it is late already.
@@ -557,6 +569,7 @@
             leaving = self.leaving,
             first_event_ms = self.first_event.unwrap_or_default().as_millis(),
             longest_gap_ms = self.longest_gap.as_millis(),
+            longest_gap_upstream = self.longest_gap_at.0.as_str(), longest_gap_moved = self.longest_gap_at.1,
             since_last_ms = clock::since(self.last_progress).as_millis(),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "stream ended"
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -375,6 +375,11 @@
         }
     }
 
+    /// Returns whether a runner is in the table.
+    pub fn contains(&self, name: &str) -> bool {
+        self.runners.contains_key(name)
+    }
+
     /// Records the gaps between events of streams on a runner. Gaps of runners that are not in the
     /// table are ignored; returns whether the runner is.
     pub fn observe_gaps(&mut self, name: &str, gaps: &GapHistogram, now: Instant) -> bool {
