--- a/crates/hatchpitch/src/pace/task.rs
+++ b/crates/hatchpitch/src/pace/task.rs
@@ -102,8 +102,9 @@
                 None => continue,
             };
             log::info!(
-                upstream = name.as_str(), pool = pool.as_str(), risk = risk,
-                mean_gap_ms = view.mean_gap.as_millis(), gaps = view.gaps.round(),
+                upstream = name.as_str(), pool = pool.as_str(),
+                risk_percent = (risk * 100.0).round() as u64,
+                mean_gap_ms = view.mean_gap.as_millis(), gaps = view.gaps.round() as u64,
                 age_ms = view.age.as_millis();
                 "{message}"
             );
--- a/crates/hatchpitch/tests/explain.rs
+++ b/crates/hatchpitch/tests/explain.rs
@@ -90,3 +90,27 @@
     assert_eq!(timeline.end, "no line of the logs names it");
     assert!(timeline.text().ends_with("2 lines of the files could not be read"));
 }
+
+/// Guards against a pause whose engine a reader has to search for, and against one that is named
+/// where the logs do not show it.
+#[test]
+fn the_longest_gap_of_a_stream_names_its_engine() {
+    let ended = |fields: serde_json::Value| {
+        let text = line(4_000, "e1", "stream ended", fields);
+        explain("r", &[LogFile::parse(&text)])
+    };
+    let moved = ended(json!({
+        "request": "r", "upstream": "i-8@2", "outcome": "whole", "longest_gap_ms": 190,
+        "longest_gap_upstream": "i-7@1", "longest_gap_moved": true,
+    }));
+    let text = moved.text();
+    assert!(text.contains("longest gap: 190 ms at i-7@1, across a move from it\nend: "), "{text}");
+    let stayed = ended(json!({
+        "request": "r", "upstream": "i-8@2", "outcome": "whole", "longest_gap_ms": 70,
+        "longest_gap_upstream": "i-8@2", "longest_gap_moved": false,
+    }));
+    assert!(stayed.text().contains("longest gap: 70 ms at i-8@2\nend: "), "{}", stayed.text());
+    // The line of a box of an earlier version.
+    let old = ended(json!({"request": "r", "outcome": "whole", "longest_gap_ms": 70}));
+    assert_eq!(old.longest_gap, None);
+}
