--- a/crates/hatchpitch/tests/pace_reports.rs
+++ b/crates/hatchpitch/tests/pace_reports.rs
@@ -1,20 +1,28 @@
 //! Failures of the collection of gaps between events, and of the reports of them to owners.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hatchpitch::admission::{AdmissionConfig, Pick};
+use hatchpitch::admission::{AdmissionConfig, Pick, Policy};
 use hatchpitch::dispatch::{PoolScheduler, Quote, SlotRequest};
+use hatchpitch::entry::EntryCx;
+use hatchpitch::membership::MemberStatus;
+use hatchpitch::membership::messages::{MemberRecord, Subject};
+use hatchpitch::membership::state::{Membership, MembershipConfig};
 use hatchpitch::metrics::{Count, Metrics};
 use hatchpitch::pace::collector::MAX_ENTRIES;
 use hatchpitch::pace::messages::{EngineGaps, FirstToken};
-use hatchpitch::pace::task::apply_to_table;
+use hatchpitch::pace::task::{self, apply_to_table};
 use hatchpitch::pace::watch::{PaceChange, PaceSummary, RiskWatch, paces};
 use hatchpitch::pace::{Collector, GapHistogram, PaceReport};
 use hatchpitch::routing::state::RunnerSpec;
 use hatchpitch::routing::{RoutingConfig, RunReport, RunnerTable, Verdict, verify};
+use hatchpitch::settings::EntrySettings;
+use hatchpitch::settings::entry::{EntryLimits, EntryTiming};
+use hatchpitch_net::{BoxClient, KeyRing, SigningKey};
 
 /// Interval between reports.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -258,9 +266,64 @@
     assert_eq!(table.pace("e@2", now).unwrap().0.mean_gap.as_millis(), 60);
     assert_eq!(apply_to_table(&mut table, "other", &report, now), 0);
     verify::verify(&table).unwrap();
-    let metrics = Metrics::default();
-    metrics.count_many(Count::PaceEntriesDropped, "", 2);
-    assert!(metrics.render().contains("hatchpitch_pace_entries_dropped_total{pool=\"\"} 2"));
+}
+
+/// Returns the state of an entry box that has no connections.
+fn entry_box() -> Rc<EntryCx> {
+    let key = SigningKey::new("k".into(), vec![3; 32]).unwrap();
+    let keys = KeyRing::new(vec![key]).unwrap();
+    let own = MemberRecord {
+        subject: Subject::Box("b".to_owned()),
+        incarnation: 1,
+        status: MemberStatus::Alive,
+        addr: owner(1),
+        box_addr: owner(1),
+        failure_domain: "d".to_owned(),
+    };
+    let settings = EntrySettings {
+        name: "b".to_owned(),
+        failure_domain: "d".to_owned(),
+        regions: BTreeMap::new(),
+        callers_addr: owner(1),
+        advertised_addr: None,
+        boxes_addr: owner(1),
+        listen_ip: None,
+        upstream_source_ip: None,
+        control: vec![],
+        seeds: vec![],
+        box_keys: keys.clone(),
+        log_level: log::LevelFilter::Off,
+        limits: EntryLimits::default(),
+        timing: EntryTiming::default(),
+        policy: Policy { pick: Pick::Objective, ..Policy::default() },
+    };
+    let membership = Membership::new(own, MembershipConfig::default(), 1, Instant::now());
+    EntryCx::new(settings, Rc::new(RefCell::new(membership)), BoxClient::new(keys).unwrap())
+}
+
+/// Guards against entries that vanish without a trace, and against reports that make a box keep
+/// state for pools that do not exist.
+#[test]
+fn entries_that_concern_no_engine_of_the_box_are_counted() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let cx = entry_box();
+        cx.gate(POOL).update(|table| table.sync([spec("e@2")]));
+        let mut report = PaceReport {
+            engines: vec![entry("e@1", ms(200), 50), entry("e@2", ms(60), 50)],
+            firsts: vec![first("e@1", "r", ms(300)), first("e@2", "r", ms(300))],
+        };
+        task::apply(&cx, &report);
+        assert_eq!(cx.metrics.total(Count::PaceEntriesDropped), 2);
+        report.engines.iter_mut().for_each(|engine| engine.pool = "other".to_owned());
+        report.firsts.clear();
+        task::apply(&cx, &report);
+        assert_eq!(cx.metrics.total(Count::PaceEntriesDropped), 4);
+        assert_eq!(cx.gates().len(), 1, "a report created a gate");
+        let pace = cx.gate(POOL).update(|table| table.pace("e@2", Instant::now())).unwrap().0;
+        assert_eq!((pace.mean_gap.as_millis(), pace.gaps.round()), (60, 50.0));
+        let text = cx.metrics.render();
+        assert!(text.contains("hatchpitch_pace_entries_dropped_total{pool=\"\"} 4"), "{text}");
+    });
 }
 
 /// Guards against messages without a bound, and against engines that are never reported because
