--- a/crates/hatchpitch/src/routing/mod.rs
+++ b/crates/hatchpitch/src/routing/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod objective;
 pub mod prefill;
+pub mod query;
 pub mod report;
+pub mod runner;
 pub mod state;
 pub mod task;
 pub mod verify;
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -5,18 +5,20 @@
 //! each failure, and is readmitted with one request at a time until one succeeds.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use super::objective::{PauseObjective, PausePlacement, RiskView};
+use super::objective::{PausePlacement, RiskView};
 use super::prefill::{InitialRate, PrefillBacklog};
+pub use super::query::RunnerQuery;
 use super::report::{RunReport, Verdict};
+pub use super::runner::RunnerSpec;
+use super::runner::{CopyBacklog, RunnerState};
 use super::warmup::{ColdLimit, WarmupLimiter};
 use crate::admission::lengths::LengthModel;
 use crate::admission::memory::{Candidate, EngineMemory, MemoryPolicy};
 use crate::admission::policy::Pick;
 use crate::engine::EngineLoad;
-use crate::ids::{AttemptId, FailureDomainName, Priority, RunnerName};
+use crate::ids::RunnerName;
 use crate::pace::GapHistogram;
 use crate::pace::state::PaceView;
 use crate::upstream_signals::brittle::BRITTLE_TTL;
@@ -49,80 +51,12 @@
     }
 }
 
-/// A runner as the fleet file defines it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct RunnerSpec {
-    /// Name of the runner.
-    pub name: RunnerName,
-    /// Address that it listens on.
-    pub addr: SocketAddr,
-    /// Failure domain that it is in.
-    pub failure_domain: FailureDomainName,
-    /// Number of requests that this box may run on it concurrently.
-    pub slots: u64,
-    /// Size of its memory in tokens, where it is known without a load report.
-    pub memory: Option<u64>,
-    /// Rate at which its link receives copied KV cache, in tokens per second; infinite if none is
-    /// copied.
-    pub copy_rate: f64,
-}
-
-#[derive(Debug, Clone)]
-pub(super) struct RunnerState {
-    pub(super) spec: RunnerSpec,
-    /// Requests of this box that run on it.
-    pub(super) running: u64,
-    /// Whether it is still in the fleet file.
-    pub(super) configured: bool,
-    /// Whether it takes new work according to membership.
-    pub(super) serving: bool,
-    /// Failures since the last success that led to an ejection.
-    pub(super) failures: u32,
-    /// Faulty answers since the last success that have not led to an ejection; at most 1.
-    pub(super) faults: u32,
-    pub(super) ejected_until: Option<Instant>,
-    pub(super) load: Option<EngineLoad>,
-    pub(super) memory: EngineMemory,
-    /// Prompts that it has yet to prefill.
-    pub(super) prefill: PrefillBacklog,
-    /// KV cache that is being copied to it.
-    pub(super) copies: CopyBacklog,
-    /// Limits the requests of this box while it is cold.
-    pub(super) warmup: WarmupLimiter,
-    /// Rate limit while it is cold, if there is one.
-    pub(super) cold_limit: Option<ColdLimit>,
-    /// Limits the requests of this box while it is brittle; `None` until the first use.
-    pub(super) rejections: Option<RejectionGuard>,
-}
-
-/// Tokens of copied KV cache that a runner has yet to receive, drained over time at the rate of its
-/// link.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct CopyBacklog {
-    tokens: f64,
-    updated: Option<Instant>,
-}
-
 /// Prefill backlog above which an engine gets no further prompts, in seconds. Prompts that wait in
 /// an engine are prefilled in order of arrival; requests that wait in this box are ordered by
 /// priority and fair queueing. This value keeps engines busy, and leaves half of the usual time to
 /// first token.
 const MAX_PREFILL_BACKLOG: f64 = 0.8;
 
-impl CopyBacklog {
-    /// Adds tokens; `rate` is in tokens per second.
-    fn add(&mut self, tokens: f64, rate: f64, now: Instant) {
-        self.tokens = self.remaining(rate, now) + tokens;
-        self.updated = Some(now);
-    }
-
-    /// Returns the tokens that are yet to be received.
-    fn remaining(&self, rate: f64, now: Instant) -> f64 {
-        let elapsed = self.updated.map_or(0.0, |at| now.duration_since(at).as_secs_f64());
-        (self.tokens - elapsed * rate).max(0.0)
-    }
-}
-
 /// Rates of a runner in tokens per second: decode of one generation, and prefill of prompts.
 #[derive(Debug, Clone, Copy)]
 struct TokenRates {
@@ -130,32 +64,6 @@
     prefill: f64,
 }
 
-/// Requirements and preferences of a request for its runner.
-#[derive(Debug, Clone, Copy)]
-pub struct RunnerQuery<'a> {
-    /// Identifies the run.
-    pub id: &'a AttemptId,
-    /// Priority that its workspace pays for.
-    pub priority: Priority,
-    /// Runners that must not be picked.
-    pub avoid: &'a [RunnerName],
-    /// Failure domain whose runners are preferred.
-    pub near: Option<&'a str>,
-    /// Tokens of KV cache that are copied to the runner first; 0 for a new run.
-    pub copied: u64,
-    /// Failure domains whose runners may run it; empty allows all.
-    pub within: &'a [FailureDomainName],
-    /// Whether runners that advertise a rate limit are excluded.
-    pub skips_limited: bool,
-    /// Whether this box sends the request, so that the rests (`Retry-After` pauses) that runners
-    /// requested from this box apply to it.
-    pub sends_here: bool,
-    /// Whether the request cannot be retried elsewhere if its runner rejects it.
-    pub only_try: bool,
-    /// Longest pause of its stream, if it has to keep one.
-    pub objective: Option<PauseObjective>,
-}
-
 /// State in which every runner that could run a request is at its rate limit or resting.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Closed {
@@ -169,53 +77,12 @@
 /// none. Such a request was rejected by several limited runners, which accept requests again at
 /// different times.
 const UNLIMITED_RETRY: Duration = Duration::from_millis(250);
-/// Load penalty of a runner in another failure domain than the preferred one: about the load of a
-/// few requests.
-const FAR_PENALTY: f64 = 0.15;
-
 /// Load penalty of a runner that has just ended a rest, for a request that cannot be retried
 /// elsewhere if the runner rejects it: about the load of a full runner.
 const REJECTION_PENALTY: f64 = 1.0;
 
-/// Load penalty per second of copying. A runner that leaves has two seconds to move all its
-/// generations.
-const COPY_WEIGHT: f64 = 3.0;
-/// Load penalty of a runner whose link is receiving another copy. The final part of a copy, during
-/// which its stream is paused, would wait behind the other one.
-const SHARED_LINK_PENALTY: f64 = 0.3;
 /// Time that a move takes beside the bulk copy: the request for it, and the final part.
 const MOVE_OVERHEAD: Duration = Duration::from_millis(80);
-/// Factor by which a copy to another failure domain takes longer.
-const FAR_COPY_FACTOR: f64 = 2.0;
-
-impl RunnerQuery<'_> {
-    fn allows(&self, spec: &RunnerSpec) -> bool {
-        !self.avoid.contains(&spec.name)
-            && (self.within.is_empty() || self.within.contains(&spec.failure_domain))
-    }
-
-    fn is_far(&self, spec: &RunnerSpec) -> bool {
-        self.near.is_some_and(|near| near != spec.failure_domain)
-    }
-
-    fn copy_factor(&self, spec: &RunnerSpec) -> f64 {
-        if self.is_far(spec) { FAR_COPY_FACTOR } else { 1.0 }
-    }
-
-    /// Returns the load penalty for the failure domain of a runner and for copying to it.
-    fn placement_penalty(&self, runner: &RunnerState, now: Instant) -> f64 {
-        let spec = &runner.spec;
-        let far = if self.is_far(spec) { FAR_PENALTY } else { 0.0 };
-        if self.copied == 0 {
-            return far;
-        }
-        let pending = runner.copies.remaining(spec.copy_rate, now);
-        let shared = if pending > 0.0 { SHARED_LINK_PENALTY } else { 0.0 };
-        let own = self.copied as f64 * self.copy_factor(spec);
-        let seconds = (pending + own) / spec.copy_rate;
-        far + shared + seconds * COPY_WEIGHT
-    }
-}
 
 /// The runners of one pool.
 #[derive(Debug, Clone)]
@@ -647,26 +514,3 @@
         rows.map(|r| (r.spec.name.clone(), r.running, r.takes_work(now))).collect()
     }
 }
-
-impl RunnerState {
-    fn takes_work(&self, now: Instant) -> bool {
-        self.configured && self.serving && self.ejected_until.is_none_or(|until| now >= until)
-    }
-
-    /// Returns whether it has a free slot; `use_ejected` also considers ejected runners.
-    fn has_slot(&self, now: Instant, use_ejected: bool) -> bool {
-        let slots = if self.failures > 0 && !use_ejected { 1 } else { self.spec.slots };
-        let open = if use_ejected { self.configured && self.serving } else { self.takes_work(now) };
-        open && self.running < slots
-    }
-
-    /// Returns the load score: the fractions of slots and of memory in use plus the prefill backlog
-    /// in seconds. The queue that the runner reports counts towards the slots, which includes
-    /// requests of other boxes.
-    fn load_score(&self, now: Instant) -> f64 {
-        let slots = self.spec.slots.max(1) as f64;
-        let waiting = self.load.as_ref().map_or(0.0, |load| load.waiting as f64);
-        let prefill = self.prefill.seconds(now);
-        (self.running as f64 + waiting) / slots + self.memory.utilization(now) + prefill
-    }
-}
