Subtract dropped buckets from the sum of a gap histogram

A bucket whose weight decays below 0.05 is dropped, but its gaps stayed in the sum, so that the mean counted them among the remaining gaps: after one pause of 16 s had decayed, the mean of twelve gaps of 60 ms was 113 ms, and the mean of a histogram whose gaps were all under 4 s was 6.4 s. The sum is now reduced with the bucket, and the mean stays within the buckets that are left.

--- a/crates/hatchpitch/src/pace/histogram.rs
+++ b/crates/hatchpitch/src/pace/histogram.rs
@@ -51,11 +51,16 @@
 
     /// Multiplies all weights by `factor`, which is at most 1.
     pub fn decay(&mut self, factor: f64) {
-        self.sum_ms *= factor;
-        for weight in self.buckets.values_mut() {
+        let mut dropped_ms = 0.0;
+        self.buckets.retain(|bucket, weight| {
             *weight *= factor as f32;
-        }
-        self.buckets.retain(|_, weight| *weight >= MIN_WEIGHT);
+            let is_kept = *weight >= MIN_WEIGHT;
+            if !is_kept {
+                dropped_ms += middle_ms(*bucket) * f64::from(*weight);
+            }
+            is_kept
+        });
+        self.sum_ms = (self.sum_ms * factor - dropped_ms).max(0.0);
     }
 
     /// Returns whether it holds no gap.
@@ -71,7 +76,12 @@
     /// Returns the mean gap, or `None` if there is no gap.
     pub fn mean(&self) -> Option<Duration> {
         let count = self.count();
-        (count > 0.0).then(|| Duration::from_secs_f64((self.sum_ms / count / 1_000.0).max(0.0)))
+        let (lowest, _) = self.buckets.first_key_value()?;
+        let (highest, _) = self.buckets.last_key_value()?;
+        // Buckets that were dropped leave a rest in the sum, which may exceed that of the others.
+        let ms =
+            (self.sum_ms / count).clamp(lower_ms(*lowest), lower_ms(highest.saturating_add(1)));
+        (count > 0.0 && ms.is_finite()).then(|| Duration::from_secs_f64(ms / 1_000.0))
     }
 
     /// Returns the share of gaps that are longer than `limit`, from 0 to 1. The bucket of the limit
@@ -99,6 +109,11 @@
     position(ms) as u8
 }
 
+/// Returns the shortest gap of a bucket, in milliseconds.
+fn lower_ms(bucket: u8) -> f64 {
+    MIN_MS * (f64::from(bucket) / BUCKETS_PER_OCTAVE).exp2()
+}
+
 /// Returns the gap in the middle of a bucket, in milliseconds.
 fn middle_ms(bucket: u8) -> f64 {
     MIN_MS * ((f64::from(bucket) + 0.5) / BUCKETS_PER_OCTAVE).exp2()
