Treat an engine without recent gaps as one that is not known

The design lets the estimate of an engine whose reports are missing decay to that of the pool, but its own mean gap was used for as long as it lived: a slow engine beside twelve fast ones kept a risk of 1 after 30 s without reports. An engine whose gaps have decayed to a weight under 12 now counts as one that is not known, as before its first 12 gaps.

--- a/crates/hatchpitch/src/pace/state.rs
+++ b/crates/hatchpitch/src/pace/state.rs
@@ -175,10 +175,13 @@
         let Some((engine, mean)) = engine.and_then(|engine| Some((engine, engine.mean()?))) else {
             return self.unknown_risk(runner, limit);
         };
-        let more = running as f64 - engine.running;
-        let factor = (1.0 + self.growth.per_generation() * more).max(0.5);
         let elapsed = now.saturating_duration_since(engine.updated).as_secs_f64();
         let weight = engine.gaps.count() * (-elapsed / HALF_LIFE.as_secs_f64()).exp2();
+        if weight < MIN_GAPS {
+            return self.unknown_risk(runner, limit);
+        }
+        let more = running as f64 - engine.running;
+        let factor = (1.0 + self.growth.per_generation() * more).max(0.5);
         let own = engine.gaps.share_above(limit.div_f64(factor));
         let shape = self.shape_risk(limit, mean * factor);
         (own * weight + shape * SHAPE_WEIGHT) / (weight + SHAPE_WEIGHT)
