Keep the pace of engines in ordered maps

The estimate sums over engines and streams, and picks the 32 engines seen last, in the order of a hash map, which differs between processes. The maps hold at most the engines and streams of one owner, so that ordered ones cost little.

--- a/crates/hatchpitch/src/pace/collector.rs
+++ b/crates/hatchpitch/src/pace/collector.rs
@@ -1,7 +1,7 @@
 //! Collects what a box sees of the pace of engines until it is reported to their owners, without
 //! I/O.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -29,7 +29,7 @@
 /// What a box has seen of engines and not reported yet.
 #[derive(Debug, Default)]
 pub struct Collector {
-    engines: HashMap<(PoolName, RunnerName), Observed>,
+    engines: BTreeMap<(PoolName, RunnerName), Observed>,
     firsts: Vec<FirstToken>,
 }
 
--- a/crates/hatchpitch/src/pace/state.rs
+++ b/crates/hatchpitch/src/pace/state.rs
@@ -5,7 +5,7 @@
 //! relies on the pool: the distribution of gaps relative to the mean of their engine, which has
 //! about the same shape on fast and on slow engines.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::histogram::GapHistogram;
@@ -112,12 +112,12 @@
 /// Pace of the engines of one pool.
 #[derive(Debug, Clone, Default)]
 pub struct PoolPace {
-    pub(super) engines: HashMap<RunnerName, EnginePace>,
+    pub(super) engines: BTreeMap<RunnerName, EnginePace>,
     /// Gaps of all engines, scaled to a mean of [`UNIT`].
     pub(super) shape: GapHistogram,
     growth: BatchGrowth,
     /// Prefill rates in tokens per second that were measured on the engines.
-    pub(super) prefill: HashMap<RunnerName, f64>,
+    pub(super) prefill: BTreeMap<RunnerName, f64>,
     /// The engines seen last that are gone.
     pub(super) gone: VecDeque<Learned>,
 }
--- a/crates/hatchpitch/src/routing/objective.rs
+++ b/crates/hatchpitch/src/routing/objective.rs
@@ -5,7 +5,7 @@
 //! placed by its risk on each engine and by the risk that it adds to the streams that run there,
 //! and requests that keep no pause leave the better engines to those that do.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::ids::{AttemptId, RunnerName};
@@ -43,7 +43,7 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct PausePlacement {
     pub(super) pace: PoolPace,
-    pub(super) streams: HashMap<RunnerName, HashMap<AttemptId, PauseObjective>>,
+    pub(super) streams: BTreeMap<RunnerName, BTreeMap<AttemptId, PauseObjective>>,
     /// Smoothed objective of the streams placed last.
     typical: Option<PauseObjective>,
 }
