--- a/crates/hatchpitch/tests/overload/engine.rs
+++ b/crates/hatchpitch/tests/overload/engine.rs
@@ -10,6 +10,13 @@
 const STEP_MS: (f64, f64) = (7.0, 0.12);
 /// Largest number of generations that run concurrently.
 const MAX_BATCH: usize = 24;
+/// Number of tokens that an event of a stream holds. The first event holds the first token alone.
+const EVENT_TOKENS: f64 = 4.0;
+/// An engine with slow moments takes this many times as long for this part of each period, in
+/// milliseconds.
+const SLOW_FACTOR: f64 = 2.5;
+const SLOW_MS: f64 = 90.0;
+const SLOW_PERIOD_MS: f64 = 600.0;
 
 /// A generation on an engine.
 #[derive(Debug, Clone)]
@@ -40,6 +47,10 @@
         }
     }
 
+    fn events(&self) -> f64 {
+        ((self.decoded.min(self.output) - 1.0) / EVENT_TOKENS).floor()
+    }
+
     fn is_prefilled(&self) -> bool {
         self.prefilled >= self.prompt
     }
@@ -50,6 +61,8 @@
 pub struct TickReport {
     /// Requests whose first token was produced.
     pub first_tokens: Vec<usize>,
+    /// Requests of which an event was sent, except the first event.
+    pub events: Vec<usize>,
     /// Requests that completed, with the number of output tokens.
     pub completed: Vec<(usize, u64)>,
     /// Requests that were preempted after their first token, which pauses their stream.
@@ -68,18 +81,20 @@
     pub jobs: Vec<Job>,
     /// Number of preemptions so far.
     pub preempted: usize,
+    /// Time since the start of its current period, in milliseconds, if it has slow moments.
+    pub slow_phase: Option<f64>,
 }
 
 impl Engine {
     pub fn new(domain: usize, speed: f64, memory: f64) -> Self {
-        Self { domain, speed, memory, jobs: Vec::new(), preempted: 0 }
+        Self { domain, speed, memory, jobs: Vec::new(), preempted: 0, slow_phase: None }
     }
 
     /// Simulates `ms` milliseconds of work.
     pub fn tick(&mut self, ms: f64) -> TickReport {
         self.admit();
         let mut report = TickReport::default();
-        let ms = ms * self.speed;
+        let ms = ms * self.speed * self.slow_moment(ms);
         let prefilling = self.jobs.iter().any(|job| job.runs && !job.is_prefilled());
         let (prefill_ms, decode_ms) =
             if prefilling { (ms * PREFILL_SHARE, ms * (1.0 - PREFILL_SHARE)) } else { (0.0, ms) };
@@ -93,10 +108,12 @@
                 left -= prefilled;
                 continue;
             }
-            let before = job.decoded;
+            let (before, events) = (job.decoded, job.events());
             job.decoded += decode_ms / step;
             if before < 1.0 && job.decoded >= 1.0 {
                 report.first_tokens.push(job.request);
+            } else if before >= 1.0 && job.events() > events {
+                report.events.push(job.request);
             }
         }
         let is_complete = |job: &&Job| job.decoded >= job.output;
@@ -107,6 +124,13 @@
         report
     }
 
+    /// Advances the period of slow moments, and returns the factor of the speed.
+    fn slow_moment(&mut self, ms: f64) -> f64 {
+        let Some(phase) = &mut self.slow_phase else { return 1.0 };
+        *phase = (*phase + ms) % SLOW_PERIOD_MS;
+        if *phase < SLOW_MS { 1.0 / SLOW_FACTOR } else { 1.0 }
+    }
+
     fn used(&self) -> f64 {
         self.jobs.iter().filter(|job| job.runs).map(|job| job.prompt + job.decoded).sum()
     }
--- a/crates/hatchpitch/tests/overload/fleet.rs
+++ b/crates/hatchpitch/tests/overload/fleet.rs
@@ -5,12 +5,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hatchpitch::admission::{AdmissionConfig, Policy as Decisions};
+use hatchpitch::admission::{AdmissionConfig, Pick, Policy as Decisions};
 use hatchpitch::dispatch::owners::{shard_count, shard_of};
 use hatchpitch::dispatch::search::Search;
 use hatchpitch::dispatch::{
     Decision, OwnerChoice, PoolScheduler, Quote, SlotRequest, Step, verify,
 };
+use hatchpitch::pace::Collector;
+use hatchpitch::routing::objective::HIGH_LOAD;
 use hatchpitch::routing::state::RunnerSpec;
 use hatchpitch::routing::{RoutingConfig, RunReport, Verdict};
 use rand::rngs::StdRng;
@@ -23,6 +25,12 @@
 /// Time from a quote to the slot request that follows it: two calls between boxes, including their
 /// handling.
 const CALL_MS: u64 = 6;
+/// Longest pause between two events of a stream.
+pub const MAX_GAP_MS: u64 = 180;
+/// Interval of the reports of the pace of engines.
+const PACE_REPORT_MS: u64 = 250;
+/// Pool of the engines.
+const POOL: &str = "p";
 
 /// Assignment of engines to owners, which decide where a request runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +68,8 @@
     pub completed: bool,
     /// Whether the stream paused because the generation was preempted.
     pub paused: bool,
+    /// Longest time between two events.
+    pub longest_gap_ms: u64,
     /// Time from arrival to the refusal.
     pub refused_after_ms: Option<u64>,
 }
@@ -71,6 +81,8 @@
     Drains { engine: usize },
     /// The engine accepts new work again.
     Resumes { engine: usize },
+    /// The engine accepts no new work, and another one with a new name starts in its place.
+    Replaced { engine: usize },
 }
 
 /// A request that searches for a slot.
@@ -97,6 +109,8 @@
     cost: u64,
     started_ms: u64,
     first_ms: Option<u64>,
+    /// Time of the last event.
+    event_ms: u64,
 }
 
 /// The simulated fleet.
@@ -109,6 +123,15 @@
     policy: Policy,
     /// Number of failure domains.
     domains: usize,
+    /// Relative speeds of the engines, in turn.
+    speeds: Vec<f64>,
+    /// Number of shards in each failure domain.
+    shards: Vec<usize>,
+    /// How owners pick one of their engines.
+    pick: Pick,
+    /// What each box has seen of the pace of engines; request `i` is relayed by box `i` modulo
+    /// their number.
+    collectors: Vec<Collector>,
     /// Engines that accept no new work.
     draining: BTreeSet<usize>,
     start: Instant,
@@ -138,12 +161,12 @@
         let created: Vec<Engine> = (0..engines)
             .map(|i| Engine::new(i % domains, speeds[i % speeds.len()], memory as f64))
             .collect();
+        let in_domain = |domain| created.iter().filter(|e| e.domain == domain).count();
+        let shards: Vec<usize> = (0..domains).map(|d| shard_count(in_domain(d))).collect();
         let owner_of: Vec<usize> = match policy {
             Policy::OwnerPerEngine => (0..engines).collect(),
             Policy::Sharded => {
-                let in_domain = |domain| created.iter().filter(|e| e.domain == domain).count();
-                let shard =
-                    |i: usize| shard_of(&name(i), shard_count(in_domain(created[i].domain)));
+                let shard = |i: usize| shard_of(&name(i), shards[created[i].domain]);
                 (0..engines).map(|i| shard(i) * domains + created[i].domain).collect()
             }
         };
@@ -154,18 +177,35 @@
             lines: Vec::new(),
             policy,
             domains,
+            speeds: speeds.to_vec(),
+            shards,
+            pick: Pick::LeastLoaded,
+            collectors: Vec::new(),
             draining: BTreeSet::new(),
             start: Instant::now(),
             rng: StdRng::seed_from_u64(7),
         };
-        let routing =
-            RoutingConfig { memory: Decisions::default().memory, ..RoutingConfig::default() };
-        fleet.lines =
-            (0..owners).map(|_| PoolScheduler::new(AdmissionConfig::default(), routing)).collect();
-        (0..owners).for_each(|owner| fleet.sync(owner, 0));
+        fleet.open_lines(owners);
         fleet
     }
 
+    /// Sets how owners pick one of their engines, and the number of boxes that relay streams.
+    pub fn with_pick(mut self, pick: Pick, boxes: usize) -> Self {
+        self.pick = pick;
+        self.collectors = (0..boxes).map(|_| Collector::default()).collect();
+        self.open_lines(self.lines.len());
+        self
+    }
+
+    /// Replaces the queues of the owners by empty ones.
+    fn open_lines(&mut self, owners: usize) {
+        let memory = Decisions::default().memory;
+        let routing = RoutingConfig { memory, pick: self.pick, ..RoutingConfig::default() };
+        self.lines =
+            (0..owners).map(|_| PoolScheduler::new(AdmissionConfig::default(), routing)).collect();
+        (0..owners).for_each(|owner| self.sync(owner, 0));
+    }
+
     /// Simulates a load with the given events until `end_ms`. Returns the result of each request.
     ///
     /// # Panics
@@ -214,9 +254,17 @@
                 self.lines.iter_mut().for_each(|line| line.tick(now));
             }
             self.tick_engines(load, ms, &mut results, &mut running);
+            if ms % PACE_REPORT_MS == 0 && !self.collectors.is_empty() {
+                (0..self.lines.len()).for_each(|owner| self.sync(owner, ms));
+                self.report_pace(ms);
+            }
             self.collect_answers(load, ms, &mut waiting, &mut running, &mut results);
             self.time_out(load, ms, &mut waiting, &mut results);
         }
+        if !self.collectors.is_empty() {
+            // Engines that were replaced leave the tables with the next change of the fleet.
+            (0..self.lines.len()).for_each(|owner| self.sync(owner, end_ms));
+        }
         for line in &self.lines {
             verify::verify(line).unwrap();
         }
@@ -298,8 +346,9 @@
     ) {
         let want = want(request, req);
         let cost = self.lines[owner].cost(&want);
-        running.insert(request, Run { owner, want, cost, started_ms: ms, first_ms: None });
-        let engine: usize = spec.name[1..].parse().unwrap();
+        let run = Run { owner, want, cost, started_ms: ms, first_ms: None, event_ms: ms };
+        running.insert(request, run);
+        let engine = index(&spec.name);
         self.engines[engine].jobs.push(Job::new(request, req.prompt, req.output));
     }
 
@@ -318,6 +367,20 @@
                 results[request].first_ms.get_or_insert(since);
                 if let Some(run) = running.get_mut(&request) {
                     run.first_ms.get_or_insert(ms);
+                    run.event_ms = ms;
+                    let took = Duration::from_millis(ms - run.started_ms);
+                    if let Some(relay) = relay_of(&mut self.collectors, request) {
+                        relay.record_first(POOL, &name(engine), &run.want.id, took);
+                    }
+                }
+            }
+            for request in report.events {
+                let Some(run) = running.get_mut(&request) else { continue };
+                let gap = ms - std::mem::replace(&mut run.event_ms, ms);
+                results[request].longest_gap_ms = results[request].longest_gap_ms.max(gap);
+                if let Some(relay) = relay_of(&mut self.collectors, request) {
+                    let now = self.start + Duration::from_millis(ms);
+                    relay.record_gap(POOL, &name(engine), Duration::from_millis(gap), now);
                 }
             }
             for request in report.paused {
@@ -377,6 +440,39 @@
         }
     }
 
+    /// Reports what the boxes have seen of the pace of engines to the owners.
+    fn report_pace(&mut self, ms: u64) {
+        let now = self.at(ms);
+        if self.pick != Pick::Objective {
+            return;
+        }
+        for collector in &mut self.collectors {
+            let owner_of = |name: &str| Some(addr(self.owner_of[index(name)]));
+            for (owner, report) in collector.take(owner_of, now) {
+                self.lines[owner_at(owner)].update(now, |table| {
+                    for engine in &report.engines {
+                        table.observe_gaps(&engine.runner, &engine.gaps, now);
+                    }
+                    for first in &report.firsts {
+                        table.record_first_token(&first.runner, &first.id, first.took);
+                    }
+                });
+            }
+        }
+    }
+
+    /// Starts an engine in the failure domain of another one, and returns its owner.
+    fn start_engine(&mut self, replaced: usize) -> usize {
+        let (engine, old) = (self.engines.len(), &self.engines[replaced]);
+        let (domain, phase) = (old.domain, old.slow_phase);
+        let speed = self.speeds[engine % self.speeds.len()];
+        let mut started = Engine::new(domain, speed, old.memory);
+        started.slow_phase = phase;
+        self.engines.push(started);
+        self.owner_of.push(shard_of(&name(engine), self.shards[domain]) * self.domains + domain);
+        self.owner_of[engine]
+    }
+
     fn apply(&mut self, event: Event, ms: u64) {
         let engine = match event {
             Event::Drains { engine } => {
@@ -387,6 +483,12 @@
                 self.draining.remove(&engine);
                 engine
             }
+            Event::Replaced { engine } => {
+                self.draining.insert(engine);
+                let owner = self.start_engine(engine);
+                self.sync(owner, ms);
+                engine
+            }
         };
         self.sync(self.owner_of[engine], ms);
     }
@@ -429,7 +531,8 @@
             near.iter_mut().for_each(|choice| choice.near = true);
             return Search::new(near, accepts, true, || self.rng.random());
         }
-        Search::new(choices.into_values(), accepts, true, || self.rng.random())
+        let search = Search::new(choices.into_values(), accepts, true, || self.rng.random());
+        if self.pick == Pick::Objective { search.with_good_load(HIGH_LOAD) } else { search }
     }
 
     fn at(&self, ms: u64) -> Instant {
@@ -441,6 +544,16 @@
     format!("e{engine}")
 }
 
+fn index(engine: &str) -> usize {
+    engine[1..].parse().unwrap()
+}
+
+/// Returns the collector of the box that relays a request, if boxes collect the pace of engines.
+fn relay_of(collectors: &mut [Collector], request: usize) -> Option<&mut Collector> {
+    let boxes = collectors.len();
+    collectors.get_mut(request.checked_rem(boxes)?)
+}
+
 fn want(request: usize, req: &Request) -> SlotRequest {
     SlotRequest {
         id: request.to_string(),
@@ -451,6 +564,8 @@
         max_tokens: 1_104,
         near: Some(req.domain.to_string()),
         accepts: Some(Duration::from_millis(req.target_ms / 2)),
+        max_gap: Some(Duration::from_millis(MAX_GAP_MS)),
+        event_tokens: 4,
         ..SlotRequest::default()
     }
 }
--- a/crates/hatchpitch/tests/overload/loads.rs
+++ b/crates/hatchpitch/tests/overload/loads.rs
@@ -119,3 +119,13 @@
     events.sort_by_key(|(at, _)| *at);
     events
 }
+
+/// Returns events that replace a sixth of the engines every few seconds, the oldest ones first.
+pub fn rolling_replacements(length_ms: u64, engines: usize) -> Vec<(u64, Event)> {
+    let rounds = (1_500..length_ms).step_by(DRAIN_INTERVAL_MS as usize).enumerate();
+    let sixth = engines / 6;
+    let events = rounds.flat_map(|(round, at)| {
+        (round * sixth..(round + 1) * sixth).map(move |engine| (at, Event::Replaced { engine }))
+    });
+    events.collect()
+}
