Drop the older gaps of an engine whose recent ones differ

With a half-life of 4 s it took 2.5 s until an engine whose gaps grew from 30-90 to 70-190 ms counted as slow, and 11.25 s until one that recovered did not: 8 % of gaps over the limit have to decay to 0.7 %, and an engine lives for about 20 s. A factor of 1.4 gave 2.25 and 11.5 s.

--- a/crates/hatchpitch/src/pace/state.rs
+++ b/crates/hatchpitch/src/pace/state.rs
@@ -14,6 +14,13 @@
 /// Time in which the weight of an engine's gaps halves: engines slow down and recover within
 /// seconds.
 const HALF_LIFE: Duration = Duration::from_secs(4);
+/// The same for the gaps that show whether an engine has become slow or has recovered.
+const RECENT_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Weight of recent gaps from which on they are compared with the others.
+const MIN_RECENT: f64 = 24.0;
+/// Factor between the mean of the recent gaps and that of all from which on the older ones are
+/// dropped.
+const CHANGE_FACTOR: f64 = 1.25;
 /// Gaps from which on the mean gap of an engine is used: three streams for a few events each.
 const MIN_GAPS: f64 = 12.0;
 /// Weight of the shape of the pool in the estimate of an engine, in gaps.
@@ -43,6 +50,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct EnginePace {
     pub(super) gaps: GapHistogram,
+    /// The gaps of about the last second.
+    recent: GapHistogram,
     /// Mean number of generations that ran while the gaps were observed.
     running: f64,
     updated: Instant,
@@ -61,9 +70,21 @@
     fn decay(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
         self.gaps.decay((-elapsed / HALF_LIFE.as_secs_f64()).exp2());
+        self.recent.decay((-elapsed / RECENT_HALF_LIFE.as_secs_f64()).exp2());
         self.updated = now.max(self.updated);
     }
 
+    /// Drops the older gaps if the recent ones show that the engine has become slow or has
+    /// recovered.
+    fn drop_outdated(&mut self) {
+        let (Some(all), Some(recent)) = (self.gaps.mean(), self.recent.mean()) else { return };
+        let change = recent.as_secs_f64() / all.as_secs_f64();
+        let is_changed = !(1.0 / CHANGE_FACTOR..=CHANGE_FACTOR).contains(&change);
+        if is_changed && self.recent.count() >= MIN_RECENT {
+            self.gaps = self.recent.clone();
+        }
+    }
+
     /// Returns the mean gap in seconds, once enough gaps are known.
     fn mean(&self) -> Option<f64> {
         let known = self.gaps.count() >= MIN_GAPS;
@@ -131,6 +152,7 @@
         let running = running as f64;
         let engine = self.engines.entry(runner.to_owned()).or_insert_with(|| EnginePace {
             gaps: GapHistogram::default(),
+            recent: GapHistogram::default(),
             running,
             updated: now,
         });
@@ -142,6 +164,8 @@
         let (known, added) = (engine.gaps.count(), gaps.count());
         engine.running += (running - engine.running) * added / (known + added);
         engine.gaps.merge(gaps);
+        engine.recent.merge(gaps);
+        engine.drop_outdated();
         if let Some(mean) = engine.mean() {
             self.shape.merge_scaled(gaps, UNIT.as_secs_f64() / mean);
             if self.shape.count() > MAX_SHAPE_WEIGHT {
