--- a/crates/hatchpitch/src/pace/collector.rs
+++ b/crates/hatchpitch/src/pace/collector.rs
@@ -1,7 +1,7 @@
 //! Collects what a box sees of the pace of engines until it is reported to their owners, without
 //! I/O.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -42,7 +42,7 @@
 pub struct Collector {
     /// Whether placement uses reports; if not, nothing is recorded.
     is_enabled: bool,
-    engines: HashMap<EngineKey, Observed>,
+    engines: BTreeMap<EngineKey, Observed>,
     firsts: Vec<FirstToken>,
 }
 
@@ -50,7 +50,7 @@
     /// Creates an empty collector. It records nothing unless `pick` places by reports.
     pub fn new(pick: Pick) -> Self {
         let is_enabled = pick == Pick::Objective;
-        Self { is_enabled, engines: HashMap::new(), firsts: Vec::new() }
+        Self { is_enabled, engines: BTreeMap::new(), firsts: Vec::new() }
     }
 
     /// Returns whether anything is recorded.
--- a/crates/hatchpitch/src/pace/state.rs
+++ b/crates/hatchpitch/src/pace/state.rs
@@ -5,7 +5,7 @@
 //! relies on the pool: the distribution of gaps relative to the mean of their engine, which has
 //! about the same shape on fast and on slow engines.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::histogram::GapHistogram;
@@ -14,6 +14,13 @@
 /// Time in which the weight of an engine's gaps halves: engines slow down and recover within
 /// seconds.
 const HALF_LIFE: Duration = Duration::from_secs(4);
+/// The same for the gaps that show whether an engine has become slow or has recovered.
+const RECENT_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Weight of recent gaps from which on they are compared with the others.
+const MIN_RECENT: f64 = 24.0;
+/// Factor between the mean of the recent gaps and that of all from which on the older ones are
+/// dropped.
+const CHANGE_FACTOR: f64 = 1.25;
 /// Gaps from which on the mean gap of an engine is used: three streams for a few events each.
 const MIN_GAPS: f64 = 12.0;
 /// Weight of the shape of the pool in the estimate of an engine, in gaps.
@@ -43,6 +50,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct EnginePace {
     pub(super) gaps: GapHistogram,
+    /// The gaps of about the last second.
+    recent: GapHistogram,
     /// Mean number of generations that ran while the gaps were observed.
     running: f64,
     updated: Instant,
@@ -61,9 +70,21 @@
     fn decay(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
         self.gaps.decay((-elapsed / HALF_LIFE.as_secs_f64()).exp2());
+        self.recent.decay((-elapsed / RECENT_HALF_LIFE.as_secs_f64()).exp2());
         self.updated = now.max(self.updated);
     }
 
+    /// Drops the older gaps if the recent ones show that the engine has become slow or has
+    /// recovered.
+    fn drop_outdated(&mut self) {
+        let (Some(all), Some(recent)) = (self.gaps.mean(), self.recent.mean()) else { return };
+        let change = recent.as_secs_f64() / all.as_secs_f64();
+        let is_changed = !(1.0 / CHANGE_FACTOR..=CHANGE_FACTOR).contains(&change);
+        if is_changed && self.recent.count() >= MIN_RECENT {
+            self.gaps = self.recent.clone();
+        }
+    }
+
     /// Returns the mean gap in seconds, once enough gaps are known.
     fn mean(&self) -> Option<f64> {
         let known = self.gaps.count() >= MIN_GAPS;
@@ -112,12 +133,12 @@
 /// Pace of the engines of one pool.
 #[derive(Debug, Clone, Default)]
 pub struct PoolPace {
-    pub(super) engines: HashMap<RunnerName, EnginePace>,
+    pub(super) engines: BTreeMap<RunnerName, EnginePace>,
     /// Gaps of all engines, scaled to a mean of [`UNIT`].
     pub(super) shape: GapHistogram,
     growth: BatchGrowth,
     /// Prefill rates in tokens per second that were measured on the engines.
-    pub(super) prefill: HashMap<RunnerName, f64>,
+    pub(super) prefill: BTreeMap<RunnerName, f64>,
     /// The engines seen last that are gone.
     pub(super) gone: VecDeque<Learned>,
 }
@@ -131,6 +152,7 @@
         let running = running as f64;
         let engine = self.engines.entry(runner.to_owned()).or_insert_with(|| EnginePace {
             gaps: GapHistogram::default(),
+            recent: GapHistogram::default(),
             running,
             updated: now,
         });
@@ -142,6 +164,8 @@
         let (known, added) = (engine.gaps.count(), gaps.count());
         engine.running += (running - engine.running) * added / (known + added);
         engine.gaps.merge(gaps);
+        engine.recent.merge(gaps);
+        engine.drop_outdated();
         if let Some(mean) = engine.mean() {
             self.shape.merge_scaled(gaps, UNIT.as_secs_f64() / mean);
             if self.shape.count() > MAX_SHAPE_WEIGHT {
@@ -175,10 +199,13 @@
         let Some((engine, mean)) = engine.and_then(|engine| Some((engine, engine.mean()?))) else {
             return self.unknown_risk(runner, limit);
         };
-        let more = running as f64 - engine.running;
-        let factor = (1.0 + self.growth.per_generation() * more).max(0.5);
         let elapsed = now.saturating_duration_since(engine.updated).as_secs_f64();
         let weight = engine.gaps.count() * (-elapsed / HALF_LIFE.as_secs_f64()).exp2();
+        if weight < MIN_GAPS {
+            return self.unknown_risk(runner, limit);
+        }
+        let more = running as f64 - engine.running;
+        let factor = (1.0 + self.growth.per_generation() * more).max(0.5);
         let own = engine.gaps.share_above(limit.div_f64(factor));
         let shape = self.shape_risk(limit, mean * factor);
         (own * weight + shape * SHAPE_WEIGHT) / (weight + SHAPE_WEIGHT)
