Measure the pause during a move, and copy a run again before its final copy

A move paused streams for 150 to 200 ms, and nothing told which of its steps took the time. The line "move of a generation" now holds the times to the turn and to the slot and of each copy, the line "first event after a move" and the histogram hatchpitch_move_pause_seconds hold the pause.

A final copy is as long as the run's output during the copy before it, and as the queue at the links. Repeated copies take no permit in advance of a rate limit. Nothing is copied for a stream that has ended.

--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -24,6 +24,8 @@
     Stall,
     /// Time spent waiting for admission.
     Wait,
+    /// From the last event of a generation before it is moved to its first one after.
+    MovePause,
 }
 
 /// Events that are counted.
@@ -200,6 +202,7 @@
         Timing::TokenGap => "hatchpitch_token_gap_seconds",
         Timing::Stall => "hatchpitch_stall_seconds",
         Timing::Wait => "hatchpitch_admission_wait_seconds",
+        Timing::MovePause => "hatchpitch_move_pause_seconds",
     }
 }
 
--- a/crates/hatchpitch/src/moves/mod.rs
+++ b/crates/hatchpitch/src/moves/mod.rs
@@ -4,8 +4,10 @@
 //! is made while the run continues; the stream is stopped only for the final copy, which is small.
 //! If the final copy had to queue behind copies of other generations, the stream would pause for
 //! all of them. The runner's owner therefore grants turns, so that one generation at a time is
-//! moved, from its first copy to its final one.
+//! moved, from its first copy to its final one. A run whose copy took long is copied again before it
+//! is stopped ([`copies`]).
 
+pub mod copies;
 pub mod messages;
 pub mod mover;
 pub mod state;
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -9,6 +9,7 @@
 use futures_channel::oneshot;
 use hatchpitch_net::clock;
 
+use super::copies::copies_again;
 use super::task::Turn;
 use crate::dispatch::SlotRequest;
 use crate::grants::Slot;
@@ -38,6 +39,8 @@
     pub source: SocketAddr,
     /// Handle of the copy at the source.
     pub handle: String,
+    /// When the source was told to stop the run.
+    pub stopped_at: Instant,
 }
 
 /// Outcome of a move.
@@ -61,6 +64,8 @@
     pub addr: SocketAddr,
     /// Failure domain of the runner. Copies within it take half the time.
     pub failure_domain: FailureDomainName,
+    /// When this box learned that the runner is shutting down.
+    pub leaving_since: Instant,
 }
 
 /// What a generation needs at the runner that it is moved to.
@@ -109,20 +114,22 @@
 ) -> Moving {
     let (tx, outcome) = oneshot::channel();
     let stopping = Rc::new(Cell::new(false));
-    let mover = Mover {
+    let mut mover = Mover {
         relay: relay.clone(),
         req: req.clone(),
         source,
         needs,
         stopping: stopping.clone(),
         id: new_id(),
+        times: MoveTimes::default(),
+        outcome: tx,
     };
     compio::runtime::spawn(async move {
         let started = clock::now();
         let outcome = mover.run().await;
         mover.log(&outcome, started);
         // If the stream has ended, the unsent outcome is dropped, which releases its slot.
-        let _ = tx.send(outcome);
+        let _ = mover.outcome.send(outcome);
     })
     .detach();
     Moving { outcome, stopping }
@@ -135,15 +142,29 @@
     needs: MoveNeeds,
     stopping: Rc<Cell<bool>>,
     id: String,
+    times: MoveTimes,
+    /// Canceled once the stream has ended.
+    outcome: oneshot::Sender<MoveOutcome>,
+}
+
+/// Durations of the steps of a move, in order; those of steps not reached are `None`.
+#[derive(Debug, Default)]
+struct MoveTimes {
+    to_turn: Option<Duration>,
+    to_slot: Option<Duration>,
+    /// Copies of the running generation that were made.
+    copies: Vec<Duration>,
+    final_copy: Option<Duration>,
 }
 
 impl Mover {
-    async fn run(&self) -> MoveOutcome {
-        let turn = self.turn();
+    async fn run(&mut self) -> MoveOutcome {
+        let (turn, asked) = (self.turn(), clock::now());
         if !turn.wait().await {
             turn.release();
             return MoveOutcome::Stays("the turn did not come".to_owned());
         }
+        self.times.to_turn = Some(clock::since(asked));
         let outcome = self.copy_and_stop().await;
         turn.release();
         outcome
@@ -154,25 +175,32 @@
         Turn::new(cx, runner, self.id.clone(), self.needs.at_stake)
     }
 
-    async fn copy_and_stop(&self) -> MoveOutcome {
+    async fn copy_and_stop(&mut self) -> MoveOutcome {
+        if let Err(cause) = self.check_running() {
+            return MoveOutcome::Stays(cause);
+        }
+        let asked = clock::now();
         let slot = match self.obtain_slot().await {
             Ok(slot) => slot,
             Err(cause) => return MoveOutcome::Stays(cause),
         };
-        if let Err(cause) = self.first_copy(slot.addr).await {
+        self.times.to_slot = Some(clock::since(asked));
+        if let Err(cause) = self.copy_running(slot.addr).await {
             return MoveOutcome::Stays(cause);
         }
         if let Err(cause) = self.obtain_permit().await {
             return MoveOutcome::Stays(cause.to_owned());
         }
         self.stopping.set(true);
-        let source = self.source.addr;
-        match self.copy(slot.addr, true).await {
+        let (source, stopped_at) = (self.source.addr, clock::now());
+        let copied = self.final_copy(slot.addr).await;
+        self.times.final_copy = Some(clock::since(stopped_at));
+        match copied {
             Ok(CopyAnswer { handle }) => {
-                MoveOutcome::Moved(Moved { slot: Some(Box::new(slot)), source, handle })
+                MoveOutcome::Moved(Moved { slot: Some(Box::new(slot)), source, handle, stopped_at })
             }
             Err(CopyFailure::NoRoom { handle: Some(handle) }) => {
-                MoveOutcome::Moved(Moved { slot: None, source, handle })
+                MoveOutcome::Moved(Moved { slot: None, source, handle, stopped_at })
             }
             Err(CopyFailure::NoSuchRun) => {
                 MoveOutcome::Stays("it ended before it was stopped".to_owned())
@@ -181,12 +209,59 @@
         }
     }
 
-    async fn first_copy(&self, to: SocketAddr) -> Result<(), String> {
+    /// Returns an error if the stream has ended, so that a copy would only occupy the link.
+    fn check_running(&self) -> Result<(), String> {
+        match self.outcome.is_canceled() {
+            true => Err("the stream ended before its move".to_owned()),
+            false => Ok(()),
+        }
+    }
+
+    /// Copies the run while it continues: once, and again while that shortens the final copy.
+    async fn copy_running(&mut self, to: SocketAddr) -> Result<(), String> {
+        self.first_copy(to).await?;
+        while copies_again(&self.times.copies, clock::since(self.source.leaving_since)) {
+            self.check_running()?;
+            // A repeated copy never takes a permit in advance: a final copy may need it.
+            if !upstream_signals::take_spare(&self.relay.cx, &self.source.runner) {
+                return Ok(());
+            }
+            let (sent, limit) = (clock::now(), self.times.copies.last().copied());
+            match self.copy(to, false, limit.unwrap_or(COPY_LIMIT)).await {
+                Ok(_) => self.times.copies.push(clock::since(sent)),
+                // The source holds an earlier copy, and the final one transfers the rest.
+                Err(CopyFailure::Busy | CopyFailure::Unclear(_)) => return Ok(()),
+                Err(err) => return Err(err.to_string()),
+            }
+        }
+        self.check_running()
+    }
+
+    /// Stops the run and makes the final copy. A source that is busy with a copy has not stopped
+    /// the run: a repeated copy that this box no longer waits for may still be in progress.
+    async fn final_copy(&self, to: SocketAddr) -> Result<CopyAnswer, CopyFailure> {
+        let mut copied = self.copy(to, true, COPY_LIMIT).await;
+        for _ in 1..MAX_COPY_ATTEMPTS {
+            if !matches!(copied, Err(CopyFailure::Busy)) || self.obtain_permit().await.is_err() {
+                break;
+            }
+            compio::time::sleep(COPY_RETRY_DELAY).await;
+            copied = self.copy(to, true, COPY_LIMIT).await;
+        }
+        copied
+    }
+
+    async fn first_copy(&mut self, to: SocketAddr) -> Result<(), String> {
         let mut last = String::new();
         for _ in 0..MAX_COPY_ATTEMPTS {
+            self.check_running()?;
             self.obtain_permit().await?;
-            match self.copy(to, false).await {
-                Ok(_) => return Ok(()),
+            let sent = clock::now();
+            match self.copy(to, false, COPY_LIMIT).await {
+                Ok(_) => {
+                    self.times.copies.push(clock::since(sent));
+                    return Ok(());
+                }
                 Err(err @ (CopyFailure::NoSuchRun | CopyFailure::Busy)) => last = err.to_string(),
                 Err(err) => return Err(err.to_string()),
             }
@@ -204,19 +279,24 @@
 
     /// Orders the source to copy the run to another runner. With `stop`, this is the final copy,
     /// for which the source stops the run.
-    async fn copy(&self, to: SocketAddr, stop: bool) -> Result<CopyAnswer, CopyFailure> {
+    async fn copy(
+        &self,
+        to: SocketAddr,
+        stop: bool,
+        limit: Duration,
+    ) -> Result<CopyAnswer, CopyFailure> {
         let order = CopyOrder { request: self.req.id.clone(), to, stop };
         let upstream = self.relay.cx.upstream(&self.source.runner, self.source.addr);
         let copied = (self.relay.protocol.copy)(upstream, order);
         let sent = clock::now();
-        match compio::time::timeout(COPY_LIMIT, copied).await {
+        match compio::time::timeout(limit, copied).await {
             Ok(reply) => {
                 let (cx, runner) = (&self.relay.cx, &self.source.runner);
                 upstream_limits::record(cx, runner, reply.signals.limit, sent);
                 upstream_signals::record_background(cx, runner, reply.signals);
                 reply.outcome
             }
-            Err(_) => Err(CopyFailure::Unclear(format!("no answer within {COPY_LIMIT:?}"))),
+            Err(_) => Err(CopyFailure::Unclear(format!("no answer within {limit:?}"))),
         }
     }
 
@@ -262,10 +342,17 @@
             MoveOutcome::Stays(cause) => ("stays", "", cause.as_str()),
             MoveOutcome::Lost(cause) => ("lost", "", cause.as_str()),
         };
+        let times = &self.times;
+        let millis = |took: &Duration| took.as_millis() as u64;
+        let copies: Vec<u64> = times.copies.iter().map(millis).collect();
         log::info!(
             request = self.req.id.as_str(), upstream = self.source.runner.as_str(), to = to,
             outcome = outcome, cause = cause, at_stake = self.needs.at_stake,
             in_memory = self.needs.in_memory, took_ms = clock::since(started).as_millis(),
+            leaving_ms = clock::since(self.source.leaving_since).as_millis(),
+            to_turn_ms:? = times.to_turn.as_ref().map(millis),
+            to_slot_ms:? = times.to_slot.as_ref().map(millis), copies_ms:? = copies,
+            final_copy_ms:? = times.final_copy.as_ref().map(millis),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "move of a generation"
         );
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -102,12 +102,14 @@
     next_move: Instant,
     /// Version of the roster that `leaving` was read from.
     roster_version: u64,
-    /// Whether the runner is about to shut down.
-    leaving: bool,
+    /// When the runner was found to be about to shut down; `None` while it is not.
+    leaving_since: Option<Instant>,
     /// Time from the receipt of the request to its first event.
     first_event: Option<Duration>,
     last_progress: Instant,
     longest_gap: Duration,
+    /// When the run was told to stop, until the first event after its resumption.
+    resumed: Option<Instant>,
     /// Whether an event came on the current link.
     link_has_events: bool,
     /// Delays the shutdown of the process until the stream has ended.
@@ -167,7 +169,8 @@
             moves: 0,
             next_move: now,
             roster_version: 0,
-            leaving: false,
+            leaving_since: None,
+            resumed: None,
             first_event: None,
             last_progress: now,
             longest_gap: Duration::ZERO,
@@ -334,7 +337,8 @@
             return;
         }
         self.refresh_leaving();
-        if !self.leaving || self.moves >= MAX_MOVES || clock::now() < self.next_move {
+        let Some(leaving_since) = self.leaving_since else { return };
+        if self.moves >= MAX_MOVES || clock::now() < self.next_move {
             return;
         }
         if let Some(left) = upstream_signals::backoff_remaining(&self.relay.cx, &self.slot.runner) {
@@ -353,6 +357,7 @@
             runner: self.slot.runner.clone(),
             addr: self.slot.addr,
             failure_domain: self.slot.failure_domain.clone(),
+            leaving_since,
         };
         let needs = MoveNeeds {
             at_stake,
@@ -370,7 +375,8 @@
             let record = roster.get(&self.slot.runner);
             // Some runners deregister at once, and keep serving for as long as those that announce
             // their shutdown.
-            self.leaving = record.is_none_or(|record| record.phase == Phase::Leaving);
+            let leaves = record.is_none_or(|record| record.phase == Phase::Leaving);
+            self.leaving_since = leaves.then(|| self.leaving_since.unwrap_or_else(clock::now));
         }
     }
 
@@ -400,20 +406,22 @@
     async fn resume(&mut self, moved: Moved) -> Result<Incoming, String> {
         self.roster_version = 0;
         self.next_move = clock::now() + MOVE_DELAY;
-        let Moved { slot, source, handle } = moved;
-        let left = slot.map(|slot| std::mem::replace(&mut self.slot, *slot));
+        let Moved { slot, source, handle, stopped_at } = moved;
+        self.resumed = Some(stopped_at);
+        let left =
+            slot.map(|slot| (std::mem::replace(&mut self.slot, *slot), self.leaving_since.take()));
         let failure = match self.send_resume(source, handle.clone()).await {
             Ok(body) => return Ok(body),
             Err(failure) => failure,
         };
         match (failure, left) {
-            (ResumeFailure::NotRun(cause), Some(left)) => {
+            (ResumeFailure::NotRun(cause), Some((left, leaving_since))) => {
                 log::info!(
                     request = self.req.id.as_str(), upstream = self.slot.runner.as_str(),
                     back_at = left.runner.as_str(), cause = cause.as_str();
                     "copy was not accepted; the run resumes at its previous runner"
                 );
-                self.slot = left;
+                (self.slot, self.leaving_since) = (left, leaving_since);
                 let (cx, runner) = (&self.relay.cx, &self.slot.runner);
                 upstream_signals::wait_for_backoff(cx, runner, MOVE_TIMEOUT).await;
                 upstream_signals::obtain_in_advance(cx, runner).await?;
@@ -501,6 +509,15 @@
             self.slot.record_first_token();
             metrics.time(Timing::FirstToken, route, priority, clock::since(self.req.received));
         } else {
+            if let Some(stopped_at) = self.resumed.take() {
+                metrics.time(Timing::MovePause, route, priority, gap);
+                log::info!(
+                    request = self.req.id.as_str(), upstream = self.slot.runner.as_str(),
+                    moves = self.moves, pause_ms = gap.as_millis(),
+                    since_stop_ms = clock::since(stopped_at).as_millis();
+                    "first event after a move"
+                );
+            }
             metrics.time(Timing::TokenGap, route, priority, gap);
             self.longest_gap = self.longest_gap.max(gap);
             if gap > STALL_THRESHOLD {
@@ -554,7 +571,7 @@
             request = self.req.id.as_str(), content:% = self.content,
             route = self.req.route.name.as_str(), upstream = self.slot.runner.as_str(), outcome = outcome, cause = cause,
             framed = !self.framing.is_until_close(), events = self.splitter.events(), moves = self.moves,
-            leaving = self.leaving,
+            leaving = self.leaving_since.is_some(),
             first_event_ms = self.first_event.unwrap_or_default().as_millis(),
             longest_gap_ms = self.longest_gap.as_millis(),
             since_last_ms = clock::since(self.last_progress).as_millis(),
