Grant one move at a time the link of its target

Copies queue on the links of both runners, and the turn at the source kept only one of them free. Owners discard waiting moves that were not polled for within 400 ms, at sources too.

--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -109,6 +109,8 @@
     pub intake: Cell<Intake>,
     /// Turns for moving generations off leaving runners.
     pub move_turns: RefCell<Turns>,
+    /// Turns for copying generations to runners, separate from those of the sources.
+    pub target_turns: RefCell<Turns>,
     /// What this box has seen of the pace of engines and not reported to their owners yet.
     pub pace: RefCell<Collector>,
     /// Slots granted to other boxes.
@@ -174,6 +176,7 @@
             retry_budgets: RefCell::default(),
             intake: Cell::new(Intake::Open),
             move_turns: RefCell::default(),
+            target_turns: RefCell::default(),
             pace: RefCell::default(),
             grants: RefCell::default(),
             held_slots: RefCell::default(),
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -10,7 +10,10 @@
 use hatchpitch_net::clock;
 
 use super::copies::copies_again;
+use super::messages::TurnKind;
 use super::task::Turn;
+use super::wait::wait_limit;
+use crate::admission::Pick;
 use crate::dispatch::SlotRequest;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
@@ -152,6 +155,9 @@
 struct MoveTimes {
     to_turn: Option<Duration>,
     to_slot: Option<Duration>,
+    /// Time until the turn at the target was granted, or until the move went ahead without it.
+    to_target: Option<Duration>,
+    has_target: bool,
     /// Copies of the running generation that were made.
     copies: Vec<Duration>,
     final_copy: Option<Duration>,
@@ -159,7 +165,7 @@
 
 impl Mover {
     async fn run(&mut self) -> MoveOutcome {
-        let (turn, asked) = (self.turn(), clock::now());
+        let (turn, asked) = (self.turn(TurnKind::Source, &self.source.runner), clock::now());
         if !turn.wait().await {
             turn.release();
             return MoveOutcome::Stays("the turn did not come".to_owned());
@@ -170,9 +176,23 @@
         outcome
     }
 
-    fn turn(&self) -> Turn {
-        let (cx, runner) = (self.relay.cx.clone(), self.source.runner.clone());
-        Turn::new(cx, runner, self.id.clone(), self.needs.at_stake)
+    fn turn(&self, kind: TurnKind, runner: &RunnerName) -> Turn {
+        let (cx, id) = (self.relay.cx.clone(), self.id.clone());
+        Turn::new(cx, kind, runner.clone(), id, self.needs.at_stake)
+    }
+
+    /// Requests the turn at the target for a bounded time, while the turn at the source is held. A
+    /// move that has the turn at its target waits for no other turn, so no two moves wait for each
+    /// other.
+    async fn target_turn(&mut self, target: &RunnerName) -> Option<Turn> {
+        let limit = wait_limit(clock::since(self.source.leaving_since));
+        if self.relay.cx.settings.policy.pick != Pick::Objective || limit.is_zero() {
+            return None;
+        }
+        let (turn, asked) = (self.turn(TurnKind::Target, target), clock::now());
+        let has_turn = turn.wait_up_to(limit).await;
+        (self.times.to_target, self.times.has_target) = (Some(clock::since(asked)), has_turn);
+        has_turn.then_some(turn)
     }
 
     async fn copy_and_stop(&mut self) -> MoveOutcome {
@@ -185,6 +205,15 @@
             Err(cause) => return MoveOutcome::Stays(cause),
         };
         self.times.to_slot = Some(clock::since(asked));
+        let turn = self.target_turn(&slot.runner).await;
+        let outcome = self.copy_to(slot).await;
+        if let Some(turn) = turn {
+            turn.release();
+        }
+        outcome
+    }
+
+    async fn copy_to(&mut self, slot: Slot) -> MoveOutcome {
         if let Err(cause) = self.copy_running(slot.addr).await {
             return MoveOutcome::Stays(cause);
         }
@@ -351,7 +380,9 @@
             in_memory = self.needs.in_memory, took_ms = clock::since(started).as_millis(),
             leaving_ms = clock::since(self.source.leaving_since).as_millis(),
             to_turn_ms:? = times.to_turn.as_ref().map(millis),
-            to_slot_ms:? = times.to_slot.as_ref().map(millis), copies_ms:? = copies,
+            to_slot_ms:? = times.to_slot.as_ref().map(millis),
+            to_target_ms:? = times.to_target.as_ref().map(millis),
+            has_target = times.has_target, copies_ms:? = copies,
             final_copy_ms:? = times.final_copy.as_ref().map(millis),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "move of a generation"
--- a/crates/hatchpitch/src/moves/state.rs
+++ b/crates/hatchpitch/src/moves/state.rs
@@ -1,4 +1,4 @@
-//! The queues of moves at the runners that are shutting down, without I/O.
+//! The queues of moves at the runners that send or receive copies, without I/O.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -10,11 +10,18 @@
 /// Time without requests after which the queue of a runner is discarded.
 const IDLE_QUEUE_EXPIRY: Duration = Duration::from_secs(30);
 
+/// Time without a poll after which a waiting move is discarded, because its box is dead or its
+/// withdrawal was lost. A poll takes at most 300 ms; a move that is discarded in error queues again
+/// with its next poll.
+const WAITER_EXPIRY: Duration = Duration::from_millis(400);
+
 /// A move that waits for its turn.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Waiter {
     pub(super) id: AttemptId,
     pub(super) at_stake: u64,
+    /// When it was last polled for.
+    polled: Instant,
 }
 
 /// The moves at one runner.
@@ -26,7 +33,7 @@
     last_request: Instant,
 }
 
-/// The turns at all runners that this box owns.
+/// The turns of one kind at all runners that this box owns.
 #[derive(Debug, Clone, Default)]
 pub struct Turns {
     pub(super) queues: BTreeMap<RunnerName, Queue>,
@@ -43,10 +50,11 @@
             last_request: now,
         });
         queue.last_request = now;
-        let known = queue.current.as_ref().is_some_and(|(current, _)| current == id)
-            || queue.waiting.iter().any(|waiter| waiter.id == id);
-        if !known {
-            queue.waiting.push(Waiter { id: id.to_owned(), at_stake });
+        let has_turn = queue.current.as_ref().is_some_and(|(current, _)| current == id);
+        match queue.waiting.iter_mut().find(|waiter| waiter.id == id) {
+            Some(waiter) => waiter.polled = now,
+            None if has_turn => {}
+            None => queue.waiting.push(Waiter { id: id.to_owned(), at_stake, polled: now }),
         }
         queue.advance(now);
         queue.current.as_ref().is_some_and(|(current, _)| current == id)
@@ -70,6 +78,7 @@
         if current.is_some_and(|(_, since)| now.duration_since(*since) < TURN_EXPIRY) {
             return;
         }
+        self.waiting.retain(|waiter| now.duration_since(waiter.polled) < WAITER_EXPIRY);
         let next = self.waiting.iter().enumerate().max_by_key(|(at, waiter)| {
             // Ties go to the earliest request.
             (waiter.at_stake, std::cmp::Reverse(*at))
--- a/crates/hatchpitch/src/moves/task.rs
+++ b/crates/hatchpitch/src/moves/task.rs
@@ -1,13 +1,16 @@
-//! I/O of turns: requests the turn to move a generation off a runner from the runner's owner, and
-//! answers such requests.
+//! I/O of turns: requests the turn to move a generation off a runner or to it from the runner's
+//! owner, and answers such requests.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hatchpitch_net::clock;
 
-use super::messages::{TurnAnswer, TurnDone, TurnRequest};
+use super::messages::{TurnAnswer, TurnDone, TurnKind, TurnRequest};
+use super::state::Turns;
+use super::wait::{WaitStep, next_step};
 use crate::dispatch::owners::owner_of;
 use crate::entry::EntryCx;
 use crate::ids::RunnerName;
@@ -32,6 +35,7 @@
     cx: Rc<EntryCx>,
     /// Address of the box that owns the runner and grants its turns.
     owner: SocketAddr,
+    kind: TurnKind,
     runner: RunnerName,
     /// Id of the move, by which the owner recognizes repeated requests.
     id: String,
@@ -41,13 +45,19 @@
 
 impl Turn {
     /// Creates a request for a turn, without sending it.
-    pub fn new(cx: Rc<EntryCx>, runner: RunnerName, id: String, at_stake: u64) -> Self {
+    pub fn new(
+        cx: Rc<EntryCx>,
+        kind: TurnKind,
+        runner: RunnerName,
+        id: String,
+        at_stake: u64,
+    ) -> Self {
         let owner = {
             let membership = cx.membership.borrow();
             let owner = owner_of(&runner, membership.serving_boxes());
             owner.map_or(cx.settings.boxes_addr, |record| record.box_addr)
         };
-        Self { cx, owner, runner, id, at_stake }
+        Self { cx, owner, kind, runner, id, at_stake }
     }
 
     /// Polls the owner until the move has its turn. Returns whether the move may proceed, which it
@@ -56,7 +66,7 @@
         let started = clock::now();
         let mut failures = 0;
         while clock::since(started) < TURN_WAIT_TIMEOUT && failures < MAX_FAILURES {
-            match self.request().await {
+            match self.request(TURN_CALL_TIMEOUT).await {
                 Some(TurnAnswer::Yours) => return true,
                 Some(TurnAnswer::NotYet) => compio::time::sleep(TURN_POLL_INTERVAL).await,
                 None => failures += 1,
@@ -67,17 +77,34 @@
         failures > 0
     }
 
-    async fn request(&self) -> Option<TurnAnswer> {
+    /// Polls the owner for at most `limit`. Returns whether the move has its turn; if not, the
+    /// request is withdrawn.
+    pub async fn wait_up_to(&self, limit: Duration) -> bool {
+        let started = clock::now();
+        while let Some(left) = limit.checked_sub(clock::since(started)).filter(|l| !l.is_zero()) {
+            let answer = self.request(TURN_CALL_TIMEOUT.min(left)).await;
+            match next_step(answer, clock::since(started), limit) {
+                WaitStep::Granted => return true,
+                WaitStep::Poll => compio::time::sleep(TURN_POLL_INTERVAL).await,
+                WaitStep::GiveUp => break,
+            }
+        }
+        self.release();
+        false
+    }
+
+    async fn request(&self, timeout: Duration) -> Option<TurnAnswer> {
         let cx = &self.cx;
         let req = TurnRequest {
             runner: self.runner.clone(),
             id: self.id.clone(),
             at_stake: self.at_stake,
+            kind: self.kind,
         };
         if self.owner == cx.settings.boxes_addr {
             return Some(answer_turn(cx, &req));
         }
-        match cx.boxes.call(self.owner, TURN_PATH, &req, TURN_CALL_TIMEOUT).await {
+        match cx.boxes.call(self.owner, TURN_PATH, &req, timeout).await {
             Ok(answer) => Some(answer),
             Err(err) => {
                 log::debug!("request for a move turn: {err}");
@@ -89,7 +116,8 @@
     /// Releases the turn, or leaves the queue for it, without waiting for the answer.
     pub fn release(&self) {
         let (cx, owner) = (self.cx.clone(), self.owner);
-        let done = TurnDone { runner: self.runner.clone(), id: self.id.clone() };
+        let (runner, id) = (self.runner.clone(), self.id.clone());
+        let done = TurnDone { runner, id, kind: self.kind };
         if owner == cx.settings.boxes_addr {
             answer_turn_done(&cx, &done);
             return;
@@ -104,9 +132,16 @@
     }
 }
 
+fn turns(cx: &EntryCx, kind: TurnKind) -> &RefCell<Turns> {
+    match kind {
+        TurnKind::Source => &cx.move_turns,
+        TurnKind::Target => &cx.target_turns,
+    }
+}
+
 /// Answers a turn request.
 pub fn answer_turn(cx: &EntryCx, req: &TurnRequest) -> TurnAnswer {
-    let mut turns = cx.move_turns.borrow_mut();
+    let mut turns = turns(cx, req.kind).borrow_mut();
     match turns.request(&req.runner, &req.id, req.at_stake, clock::now()) {
         true => TurnAnswer::Yours,
         false => TurnAnswer::NotYet,
@@ -115,5 +150,5 @@
 
 /// Handles the release of a turn.
 pub fn answer_turn_done(cx: &EntryCx, done: &TurnDone) {
-    cx.move_turns.borrow_mut().release(&done.runner, &done.id, clock::now());
+    turns(cx, done.kind).borrow_mut().release(&done.runner, &done.id, clock::now());
 }
