Wait longer for the turn at a target

With 150 ms and a window of 700 ms after the notice, 58 of 1,589 replayed moves still had a final copy of over 120 ms: moves went ahead behind the copies of others. The bounds of the replay's test are stricter accordingly.

--- a/crates/hatchpitch/src/moves/wait.rs
+++ b/crates/hatchpitch/src/moves/wait.rs
@@ -4,12 +4,13 @@
 
 use super::messages::TurnAnswer;
 
-/// Longest wait for the turn at a target: about the first copy of another generation. The move has
-/// the turn at its source meanwhile, so the other moves of that runner wait as well.
-const MAX_WAIT: Duration = Duration::from_millis(150);
-/// Time from the notice of the source after which moves no longer wait: with the shortest notice
-/// (1,500 ms), a few moves of the same runner may still follow.
-const WAIT_WINDOW: Duration = Duration::from_millis(700);
+/// Longest wait for the turn at a target: about the move of one other generation. With 150 ms and a
+/// window of 700 ms, 58 instead of 18 of 1,589 moves had a long final copy in the replay of
+/// `tests/moves_links.rs`. The turn at the source is held meanwhile and expires after 900 ms.
+const MAX_WAIT: Duration = Duration::from_millis(300);
+/// Time from the notice of the source after which moves no longer wait: a copy may still end before
+/// the shortest notice does (1,500 ms).
+const WAIT_WINDOW: Duration = Duration::from_millis(1_200);
 
 /// Next step of a move that asked for the turn at its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/hatchpitch/tests/moves_links.rs
+++ b/crates/hatchpitch/tests/moves_links.rs
@@ -207,9 +207,9 @@
     let repeats = replays(Rules { repeats: true, target_turns: false });
     let both = replays(Rules { repeats: true, target_turns: true });
     println!("before {before:?}\nrepeated copies {repeats:?}\nand turns at targets {both:?}");
-    assert!(both.long * 2 <= before.long, "{both:?}, before {before:?}");
+    assert!(both.long * 4 <= before.long, "{both:?}, before {before:?}");
     assert!(both.final_copies <= before.final_copies, "{both:?}, before {before:?}");
     let all = before.moved + before.cut;
-    assert!(both.cut <= before.cut + all / 100, "{both:?}, before {before:?}");
+    assert!(both.cut <= before.cut, "{both:?}, before {before:?}");
     assert!(repeats.cut <= before.cut + all / 100, "{repeats:?}, before {before:?}");
 }
--- a/crates/hatchpitch/tests/moves_target.rs
+++ b/crates/hatchpitch/tests/moves_target.rs
@@ -12,7 +12,7 @@
 /// Interval between polls.
 const POLL: Duration = Duration::from_millis(20);
 /// Longest wait for a turn at a target.
-const MAX_WAIT: Duration = Duration::from_millis(150);
+const MAX_WAIT: Duration = Duration::from_millis(300);
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -43,8 +43,8 @@
 #[test]
 fn a_move_waits_for_its_target_only_while_the_notice_of_its_source_allows_it() {
     assert_eq!(wait_limit(Duration::ZERO), MAX_WAIT);
-    assert_eq!(wait_limit(ms(600)), ms(100));
-    assert_eq!(wait_limit(ms(700)), Duration::ZERO);
+    assert_eq!(wait_limit(ms(1_100)), ms(100));
+    assert_eq!(wait_limit(ms(1_200)), Duration::ZERO);
     assert_eq!(wait_limit(ms(5_000)), Duration::ZERO);
 }
 
@@ -109,8 +109,8 @@
     // The first move releases at the owner that it asked, the new owner never sees it.
     old.release("y", "first", start + ms(200));
     assert!(!wait(&mut new, "y", "third", start + ms(200)).0);
-    new.release("y", "second", start + ms(400));
-    assert!(wait(&mut new, "y", "third", start + ms(400)).0);
+    new.release("y", "second", start + ms(600));
+    assert!(wait(&mut new, "y", "third", start + ms(600)).0);
     verify(&old).unwrap();
     verify(&new).unwrap();
 }
