--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -27,6 +27,8 @@
     Wait,
     /// Between consecutive events of one stream on one engine, by the pool of the engine.
     PaceGap,
+    /// From the last event of a generation before it is moved to its first one after.
+    MovePause,
 }
 
 /// Events that are counted.
@@ -225,6 +227,7 @@
         Timing::Stall => "hatchpitch_stall_seconds",
         Timing::Wait => "hatchpitch_admission_wait_seconds",
         Timing::PaceGap => "hatchpitch_pace_gap",
+        Timing::MovePause => "hatchpitch_move_pause_seconds",
     }
 }
 
