--- a/crates/hatchpitch/src/pace/histogram.rs
+++ b/crates/hatchpitch/src/pace/histogram.rs
@@ -19,8 +19,10 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct GapHistogram {
     /// Weight of each bucket that is not empty.
+    #[serde(rename = "b", with = "compact")]
     buckets: BTreeMap<u8, f32>,
     /// Sum of the gaps, in milliseconds.
+    #[serde(rename = "s")]
     sum_ms: f64,
 }
 
@@ -118,3 +120,33 @@
 fn middle_ms(bucket: u8) -> f64 {
     MIN_MS * ((f64::from(bucket) + 0.5) / BUCKETS_PER_OCTAVE).exp2()
 }
+
+/// Encodes weights in three bytes for each bucket.
+mod compact {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    /// Steps per unit of weight. Weights that have not decayed are whole numbers.
+    const STEPS: f32 = 16.0;
+
+    pub fn serialize<S: Serializer>(
+        buckets: &BTreeMap<u8, f32>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let entry = |(bucket, weight): (&u8, &f32)| {
+            let [high, low] = ((weight * STEPS).round() as u16).to_be_bytes();
+            [*bucket, high, low]
+        };
+        let bytes: Vec<u8> = buckets.iter().flat_map(entry).collect();
+        serializer.serialize_bytes(&bytes)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<BTreeMap<u8, f32>, D::Error> {
+        let bytes = serde_bytes::ByteBuf::deserialize(deserializer)?;
+        let weight = |entry: &[u8]| f32::from(u16::from_be_bytes([entry[1], entry[2]])) / STEPS;
+        Ok(bytes.chunks_exact(3).map(|entry| (entry[0], weight(entry))).collect())
+    }
+}
--- a/crates/hatchpitch/src/pace/messages.rs
+++ b/crates/hatchpitch/src/pace/messages.rs
@@ -1,4 +1,6 @@
 //! Reports of the gaps that a box has seen to the owners of the engines.
+//!
+//! Fields of entries have short names in the encoding, since a box sends many entries a second.
 
 use std::time::Duration;
 
@@ -22,10 +24,13 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineGaps {
     /// Pool of the engine.
+    #[serde(rename = "p")]
     pub pool: PoolName,
     /// Life of the engine.
+    #[serde(rename = "r")]
     pub runner: RunnerName,
     /// The gaps.
+    #[serde(rename = "g")]
     pub gaps: GapHistogram,
 }
 
@@ -33,8 +38,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FirstToken {
     /// Pool of the engine.
+    #[serde(rename = "p")]
     pub pool: PoolName,
     /// Life of the engine.
+    #[serde(rename = "r")]
     pub runner: RunnerName,
     /// Attempt that holds the slot.
     pub id: AttemptId,
--- a/crates/hatchpitch/src/pace/state.rs
+++ b/crates/hatchpitch/src/pace/state.rs
@@ -224,6 +224,13 @@
         any_of(self.gap_risk(runner, limit, running, now), events)
     }
 
+    /// Returns the highest risk that at least one of `events` gaps is longer than `limit` on an
+    /// engine seen lately, or 0 if none is known.
+    pub fn highest_risk(&self, limit: Duration, events: f64) -> f64 {
+        let risks = self.recent_risks(limit).into_iter().map(|(_, risk)| any_of(risk, events));
+        risks.fold(0.0, f64::max)
+    }
+
     /// Returns the pace of an engine, if it is known.
     pub fn view(&self, runner: &str, now: Instant) -> Option<PaceView> {
         let engine = self.engines.get(runner)?;
--- a/crates/hatchpitch/src/pace/task.rs
+++ b/crates/hatchpitch/src/pace/task.rs
@@ -17,6 +17,9 @@
 /// Interval between reports: a few events of a stream, and a tenth of the time in which a new
 /// engine fills.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time per entry of a report. An entry takes about 70 bytes, so that reports take less
+/// than 2 KB a second, a tenth of what all control traffic of a box may take.
+const ENTRY_INTERVAL: Duration = Duration::from_millis(40);
 /// Timeout of a report. A later one replaces it.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -26,10 +29,12 @@
         return;
     }
     let mut watch = RiskWatch::default();
+    let mut entries = 0;
     while !stop.is_set() {
-        compio::time::sleep(REPORT_INTERVAL).await;
+        compio::time::sleep(next_interval(entries)).await;
         cx.sync_gates();
         let reports = cx.pace.borrow_mut().take(|runner| cx.owner_addr(runner), clock::now());
+        entries = reports.values().map(|report| report.engines.len() + report.firsts.len()).sum();
         for (owner, report) in reports {
             if owner == cx.settings.boxes_addr {
                 apply(&cx, &report);
@@ -50,6 +55,13 @@
     }
 }
 
+/// Returns the time after which the next reports are sent, given the number of entries in the last
+/// ones.
+pub fn next_interval(entries: usize) -> Duration {
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    ENTRY_INTERVAL.saturating_mul(entries).max(REPORT_INTERVAL)
+}
+
 /// Applies a report to the engines that this box owns, and counts the entries that concern others.
 pub fn apply(cx: &EntryCx, report: &PaceReport) {
     let now = clock::now();
--- a/crates/hatchpitch/src/routing/objective.rs
+++ b/crates/hatchpitch/src/routing/objective.rs
@@ -29,6 +29,9 @@
 /// Generations that are assumed to join an engine while a stream runs there. A stream runs for many
 /// seconds, in which an engine that is picked for its short batch fills up.
 const JOINING: u64 = 3;
+/// Risk from which on engines count as different. Below it, the estimates of equal engines differ by
+/// chance.
+const MIN_RISK: f64 = 0.2;
 /// Smoothing factor of the objective that stands for the streams of the pool; covers about the last
 /// twenty.
 const SMOOTHING: f64 = 0.05;
@@ -83,6 +86,12 @@
         }
     }
 
+    /// Returns whether a typical stream is at risk on any engine that is known.
+    pub(super) fn any_risk(&self) -> bool {
+        let Some(PauseObjective { max_gap, events }) = self.typical else { return false };
+        self.pace.highest_risk(max_gap, events) >= MIN_RISK
+    }
+
     /// Forgets the engines for which `is_kept` returns false.
     pub(super) fn retain(&mut self, is_kept: impl Fn(&str) -> bool) {
         self.pace.retain(&is_kept);
--- a/crates/hatchpitch/src/routing/prefill.rs
+++ b/crates/hatchpitch/src/routing/prefill.rs
@@ -18,14 +18,14 @@
 /// Smoothing factor of the rate; the estimate covers about the last ten runs.
 const SMOOTHING: f64 = 0.1;
 
-/// How an engine's own first runs change the rate that it starts with.
+/// How the first runs of an engine change the rate that it starts with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum InitialRate {
-    /// As any later run: the engines are assumed to be about equal.
+pub enum FirstRuns {
+    /// As any later run: the engines are about equal.
     #[default]
     Smoothed,
-    /// The first run replaces it: engines may differ by much.
-    Replaced,
+    /// They replace it: the engines differ.
+    Replace,
 }
 
 /// Prefill backlog of one engine.
@@ -36,10 +36,9 @@
     updated: Option<Instant>,
     /// Prefill rate in tokens per second, smoothed.
     rate: f64,
-    /// Smoothing factor of the next run.
-    next_smoothing: f64,
-    /// Number of runs that the rate was measured on.
-    measured: u64,
+    /// Prefill rate by the engine's own runs alone, and their number.
+    own_rate: f64,
+    own_runs: u32,
     /// Backlog in tokens at the arrival of each run, including its own prompt.
     backlog_at_arrival: HashMap<AttemptId, f64>,
 }
@@ -57,23 +56,16 @@
             tokens: 0.0,
             updated: None,
             rate,
-            next_smoothing: SMOOTHING,
-            measured: 0,
+            own_rate: rate,
+            own_runs: 0,
             backlog_at_arrival: HashMap::new(),
         }
     }
 
-    /// Sets how the first runs change the initial rate.
-    pub fn with_initial(mut self, initial: InitialRate) -> Self {
-        if initial == InitialRate::Replaced {
-            self.next_smoothing = 1.0;
-        }
-        self
-    }
-
-    /// Returns the rate if it was measured on this engine, in tokens per second.
-    pub fn measured_rate(&self) -> Option<f64> {
-        (self.measured > 0).then_some(self.rate)
+    /// Returns the prefill rate by the engine's own runs alone, in tokens per second, once there is
+    /// one.
+    pub fn own_rate(&self) -> Option<f64> {
+        (self.own_runs > 0).then_some(self.own_rate)
     }
 
     /// Returns the estimated prefill rate, in tokens per second.
@@ -91,16 +83,25 @@
     /// Removes a run that has ended and updates the rate; `first_token` is its time to first token,
     /// if it produced one.
     pub fn remove(&mut self, id: &str, first_token: Option<Duration>) {
+        self.remove_with(id, first_token, FirstRuns::Smoothed);
+    }
+
+    /// Does the same as [`remove`](Self::remove); `first_runs` says how the first runs change the
+    /// rate.
+    pub fn remove_with(&mut self, id: &str, first_token: Option<Duration>, first_runs: FirstRuns) {
         let Some(backlog) = self.backlog_at_arrival.remove(id) else { return };
         let measured = first_token.map(|time| backlog / time.as_secs_f64().max(1e-3));
         if let Some(rate) =
             measured.filter(|rate| (PLAUSIBLE_RATES.0..=PLAUSIBLE_RATES.1).contains(rate))
         {
-            self.rate += (rate - self.rate) * self.next_smoothing;
-            self.measured += 1;
+            self.own_runs = self.own_runs.saturating_add(1);
             // The mean of the first runs, until the estimate covers about the last ten.
-            self.next_smoothing =
-                (self.next_smoothing / (1.0 + self.next_smoothing)).max(SMOOTHING);
+            let own_smoothing = f64::from(self.own_runs).recip().max(SMOOTHING);
+            self.own_rate += (rate - self.own_rate) * own_smoothing;
+            match first_runs {
+                FirstRuns::Smoothed => self.rate += (rate - self.rate) * SMOOTHING,
+                FirstRuns::Replace => self.rate = self.own_rate,
+            }
         }
     }
 
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::objective::{PausePlacement, RiskView};
-use super::prefill::{InitialRate, PrefillBacklog};
+use super::prefill::{FirstRuns, PrefillBacklog};
 pub use super::query::RunnerQuery;
 use super::report::{RunReport, Verdict};
 pub use super::runner::RunnerSpec;
@@ -127,10 +127,6 @@
             runner.configured = false;
         }
         let rates = self.mean_rates();
-        let initial = match self.cfg.pick {
-            Pick::Objective => InitialRate::Replaced,
-            Pick::LeastLoaded | Pick::RoundRobin => InitialRate::Smoothed,
-        };
         for spec in specs {
             let runner = self.runners.entry(spec.name.clone()).or_insert_with(|| RunnerState {
                 spec: spec.clone(),
@@ -144,8 +140,7 @@
                 memory: rates.map(|rates| EngineMemory::at_rate(rates.decode)).unwrap_or_default(),
                 prefill: rates
                     .map(|rates| PrefillBacklog::at_rate(rates.prefill))
-                    .unwrap_or_default()
-                    .with_initial(initial),
+                    .unwrap_or_default(),
                 copies: CopyBacklog::default(),
                 warmup: WarmupLimiter::default(),
                 cold_limit: None,
@@ -257,11 +252,17 @@
 
     /// Records the time from the grant of a slot to the first token of its run, before the run ends.
     pub fn record_first_token(&mut self, name: &str, id: &str, took: Duration) {
-        if let Some(runner) = self.runners.get_mut(name) {
-            runner.prefill.remove(id, Some(took));
-            if let Some(rate) = runner.prefill.measured_rate() {
-                self.pauses.pace.set_prefill_rate(name, rate);
-            }
+        self.end_prefill(name, id, Some(took));
+    }
+
+    /// Records that the prompt of a run was prefilled, or that the run has ended.
+    fn end_prefill(&mut self, name: &str, id: &str, first_token: Option<Duration>) {
+        let Some(runner) = self.runners.get_mut(name) else { return };
+        let first_runs =
+            if self.pauses.any_risk() { FirstRuns::Replace } else { FirstRuns::Smoothed };
+        runner.prefill.remove_with(id, first_token, first_runs);
+        if let Some(rate) = runner.prefill.own_rate() {
+            self.pauses.pace.set_prefill_rate(name, rate);
         }
     }
 
@@ -450,10 +451,7 @@
         let Some(runner) = self.runners.get_mut(name) else { return };
         runner.running = runner.running.saturating_sub(1);
         runner.memory.remove(id, report.tokens, now);
-        runner.prefill.remove(id, report.first);
-        if let Some(rate) = runner.prefill.measured_rate() {
-            self.pauses.pace.set_prefill_rate(name, rate);
-        }
+        self.end_prefill(name, id, report.first);
         self.pauses.end(name, id);
         self.record_rejection(name, report, now);
         let Some(runner) = self.runners.get_mut(name) else { return };
--- a/crates/hatchpitch/tests/pace_histograms.rs
+++ b/crates/hatchpitch/tests/pace_histograms.rs
@@ -11,6 +11,7 @@
 use hatchpitch::admission::memory::Candidate;
 use hatchpitch::admission::{LengthModel, Pick};
 use hatchpitch::pace::histogram::GapHistogram;
+use hatchpitch::pace::task::next_interval;
 use hatchpitch::pace::{Collector, PaceReport, PoolPace};
 use hatchpitch::routing::state::{RunnerQuery, RunnerSpec};
 use hatchpitch::routing::{PauseObjective, RoutingConfig, RunReport, RunnerTable, Verdict};
@@ -131,15 +132,22 @@
             let engine: usize = name[9..13].parse().ok()?;
             Some(SocketAddr::from(([10, 0, 0, 1], (engine / 8 % boxes) as u16)))
         };
-        for ms in (0..seconds * 1_000).step_by(250) {
-            relay.advance(ms as f64 + 250.0, engines, start);
-            let now = start + MS * (ms as u32 + 250);
+        let mut due = start;
+        for ms in (0..seconds * 1_000).step_by(10) {
+            relay.advance(ms as f64 + 10.0, engines, start);
+            let now = start + MS * (ms as u32 + 10);
+            if now < due {
+                continue;
+            }
+            let mut entries = 0;
             for report in relay.collector.take(owner_of, now).into_values() {
+                entries += report.engines.len() + report.firsts.len();
                 let size = rmp_serde::to_vec_named(&report).unwrap().len();
                 relay.sent += size;
                 relay.largest = relay.largest.max(size);
                 assert!(report.engines.len() <= 64 && report.firsts.len() <= 64);
             }
+            due = now + next_interval(entries);
         }
         relay
     }
@@ -165,6 +173,25 @@
     }
 }
 
+#[test]
+fn reports_do_not_take_the_bandwidth_of_other_control_traffic() {
+    let mut rates = Vec::new();
+    for boxes in [12, 71, 300] {
+        let relay = Relay::run(boxes * 5, boxes, 20, 10);
+        let rate = relay.sent as f64 / 10.0;
+        println!(
+            "{boxes} boxes, {} engines, 20 streams: reports of {rate:.0} bytes a second, the \
+             largest {} bytes",
+            boxes * 5,
+            relay.largest
+        );
+        rates.push(rate);
+    }
+    for rate in rates {
+        assert!(rate < 2_000.0, "{rate} bytes a second");
+    }
+}
+
 #[test]
 fn many_streams_do_not_make_a_report_large() {
     let relay = Relay::run(1_000, 1, 2_000, 2);
