--- a/crates/hatchpitch/tests/placement.rs
+++ b/crates/hatchpitch/tests/placement.rs
@@ -371,6 +371,11 @@
     assert_same(Case { has_limit: false, has_slow: false, has_first: false });
 }
 
+#[test]
+fn first_tokens_of_equal_engines_without_risk_do_not_change_decisions() {
+    assert_same(Case { has_limit: true, has_slow: false, has_first: true });
+}
+
 #[test]
 fn requests_of_routes_without_a_pause_are_not_affected_by_slow_engines() {
     assert_same(Case { has_limit: false, has_slow: true, has_first: false });
