Keep requests for brittle services in their order while time is left

Cause: a queued request that had waited longer than the expected wait it accepts (a quarter of its time) was placed behind all others. The queue of an overloaded service settles at that wait, so about half of its requests exceeded it, and many of them were refused at their deadlines.

Change: the wait from which on a request is served last is a field of its own, `SlotRequest::overdue_after`. Requests for brittle services set it to the time that they have left; all others keep `accepts`. The simulation sets the field in the same way.

--- a/crates/hatchpitch/src/admission/state.rs
+++ b/crates/hatchpitch/src/admission/state.rs
@@ -2,8 +2,8 @@
 //!
 //! Requests are served by paid priority and, within a priority, by start-time fair queueing, so
 //! that workspaces of the same priority receive the same service in tokens whatever their demand.
-//! Requests that have waited for longer than their acceptable wait are overdue and come after all
-//! others, since serving them in order would make the requests behind them overdue as well. One in
+//! Requests that have waited for longer than is useful are overdue and come after all others, since
+//! serving them in order would make the requests behind them overdue as well. One in
 //! [`AdmissionConfig::oldest_every`] grants goes to the oldest request, which bounds every wait.
 
 use std::cmp::Reverse;
@@ -54,7 +54,7 @@
     /// Time of arrival.
     pub since: Instant,
     /// Expected wait above which it is refused on arrival. Once it has waited for this long, it is
-    /// overdue.
+    /// overdue, unless [`AdmissionQueue::enqueue_with`] sets another time.
     pub acceptable_wait: Duration,
 }
 
@@ -81,6 +81,8 @@
 pub(super) struct Queued {
     pub(super) waiter: Waiter,
     pub(super) key: OrderKey,
+    /// Wait from which on it is overdue.
+    overdue_after: Duration,
     /// Number of grants to requests behind it, made because no runner had room for it.
     pub(super) bypassed: u32,
 }
@@ -91,7 +93,7 @@
     pub(super) cfg: AdmissionConfig,
     /// Requests that are not overdue.
     pub(super) on_time: BTreeSet<OrderKey>,
-    /// Requests that have waited for longer than their acceptable wait.
+    /// Requests that are overdue.
     pub(super) overdue: BTreeSet<OrderKey>,
     pub(super) queued: BTreeMap<Ticket, Queued>,
     /// Virtual finish time of the last request of each workspace.
@@ -145,12 +147,19 @@
     /// full, the request displaces the one that would be served last, provided that the order is
     /// fair and that one has a lower priority; otherwise it is refused.
     pub fn enqueue(&mut self, waiter: Waiter) -> Enqueued {
+        let overdue_after = waiter.acceptable_wait;
+        self.enqueue_with(waiter, overdue_after)
+    }
+
+    /// Does the same as [`enqueue`](Self::enqueue) for a request that is overdue once it has waited
+    /// for `overdue_after`.
+    pub fn enqueue_with(&mut self, waiter: Waiter, overdue_after: Duration) -> Enqueued {
         let wait = self.expected_wait(&waiter.workspace, waiter.priority);
         if wait > self.cfg.max_wait.min(waiter.acceptable_wait) {
             return Enqueued::Refused;
         }
         if self.queued.len() < self.cfg.max_waiting {
-            return Enqueued::Waiting(self.insert(waiter));
+            return Enqueued::Waiting(self.insert(waiter, overdue_after));
         }
         let last = self.overdue.last().max(self.on_time.last()).copied();
         match last {
@@ -158,17 +167,16 @@
                 if priority < waiter.priority && self.cfg.order == Order::Fair =>
             {
                 self.remove(refused);
-                Enqueued::Displaced { ticket: self.insert(waiter), refused }
+                Enqueued::Displaced { ticket: self.insert(waiter, overdue_after), refused }
             }
             _ => Enqueued::Refused,
         }
     }
 
-    /// Moves requests that have waited for longer than their acceptable wait behind all others.
+    /// Moves requests that are overdue behind all others.
     pub fn demote_overdue(&mut self, now: Instant) {
-        let is_overdue = |queued: &Queued| {
-            now.duration_since(queued.waiter.since) >= queued.waiter.acceptable_wait
-        };
+        let is_overdue =
+            |queued: &Queued| now.duration_since(queued.waiter.since) >= queued.overdue_after;
         for queued in self.queued.values().filter(|queued| is_overdue(queued)) {
             if self.on_time.remove(&queued.key) {
                 self.overdue.insert(queued.key);
@@ -282,13 +290,13 @@
         self.queued.get(&ticket).map_or(0, |queued| queued.bypassed)
     }
 
-    fn insert(&mut self, waiter: Waiter) -> Ticket {
+    fn insert(&mut self, waiter: Waiter, overdue_after: Duration) -> Ticket {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let key = self.order_key(&waiter.workspace, waiter.priority, ticket);
         self.charge(&waiter.workspace, waiter.cost);
         self.on_time.insert(key);
-        self.queued.insert(ticket, Queued { waiter, key, bypassed: 0 });
+        self.queued.insert(ticket, Queued { waiter, key, overdue_after, bypassed: 0 });
         ticket
     }
 
--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -72,6 +72,9 @@
     /// one leads to an immediate refusal.
     #[serde(default)]
     pub accepts: Option<Duration>,
+    /// Wait from which on it is served after all other requests, if that is not `accepts`.
+    #[serde(default)]
+    pub overdue_after: Option<Duration>,
     /// Failure domains whose runners may run it; empty means all.
     #[serde(default)]
     pub within: Vec<FailureDomainName>,
@@ -247,7 +250,8 @@
             since: now,
             acceptable_wait: req.accepts.unwrap_or(Duration::MAX),
         };
-        let ticket = match self.queue.enqueue(waiter) {
+        let overdue_after = req.overdue_after.unwrap_or(waiter.acceptable_wait);
+        let ticket = match self.queue.enqueue_with(waiter, overdue_after) {
             Enqueued::Waiting(ticket) => ticket,
             Enqueued::Displaced { ticket, refused } => {
                 self.refuse(refused, "displaced by a higher priority");
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -241,6 +241,7 @@
             copied: self.needs.in_memory,
             max_wait: Some(SLOT_WAIT),
             accepts: Some(SLOT_WAIT),
+            overdue_after: None,
             within: self.relay.domains_for(&self.req).map_err(|refusal| refusal.cause)?,
             limit_wait: Some(SLOT_WAIT),
             skips_limited: false,
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -338,6 +338,8 @@
         let (needs, aim) = (self.req.generation, self.req.route.answer_aim);
         let settings = &self.relay.cx.settings;
         let refuses_early = needs.is_some() && settings.policy.early_refusal;
+        let waits_as_brittle = !refuses_early && self.relay.cx.is_brittle(&self.service);
+        let brittle_left = waits_as_brittle.then(|| self.req.time_left(clock::now()));
         let want = SlotRequest {
             id: new_id(),
             workspace: self.req.workspace.clone().unwrap_or_default(),
@@ -352,11 +354,11 @@
             accepts: if refuses_early {
                 Some(aim.mul_f64(EXPECTED_WAIT_FRACTION))
             } else {
-                self.relay
-                    .cx
-                    .is_brittle(&self.service)
-                    .then(|| self.req.time_left(clock::now()).mul_f64(BRITTLE_WAIT_FRACTION))
+                brittle_left.map(|left| left.mul_f64(BRITTLE_WAIT_FRACTION))
             },
+            // The queue settles at the accepted wait, so half of its requests exceed it. They are
+            // still worth serving while time is left for them.
+            overdue_after: brittle_left,
             within: self.within.clone(),
             limit_wait: Some(aim.mul_f64(EXPECTED_WAIT_FRACTION)),
             skips_limited: false,
--- a/crates/hatchpitch/tests/deadlines/relay.rs
+++ b/crates/hatchpitch/tests/deadlines/relay.rs
@@ -151,6 +151,7 @@
             avoid: req.tried.clone(),
             near: Some(home.domain.clone()),
             accepts: is_brittle.then(|| left.mul_f64(BRITTLE_WAIT_FRACTION)),
+            overdue_after: is_brittle.then_some(left),
             limit_wait: Some(LIMIT_WAIT),
             sends_here: true,
             only_try: !home.budgets.allows(POOL),
