Estimate waits from the requests that run and the time that each takes

Cause: the expected wait was the number of requests ahead times a smoothed time between past grants. With one or two engines for each owner that time fluctuates, a request takes the lowest of several quotes, and so the queue settled above the accepted wait. Below capacity it then drained slowly, and requests were refused by owners that overestimated. The time also stays as it was while nothing is granted.

Change: the table smooths the time for which successful requests hold their slots. Divided by the requests that run now, it is the time between grants that the engines sustain. The queue uses it as soon as it is known, and the smoothed time between grants before that.

--- a/crates/hatchpitch/src/admission/memory.rs
+++ b/crates/hatchpitch/src/admission/memory.rs
@@ -8,7 +8,7 @@
 //! within the limit at every horizon.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::lengths::LengthModel;
 use crate::engine::EngineLoad;
@@ -103,13 +103,16 @@
         self.running.insert(id, Generation { candidate, started: now });
     }
 
-    /// Removes a generation that has ended; `tokens` is the length of its output, if known.
-    pub fn remove(&mut self, id: &str, tokens: Option<u64>, now: Instant) {
-        let Some(generation) = self.running.remove(id) else { return };
-        let seconds = now.duration_since(generation.started).as_secs_f64();
+    /// Removes a generation that has ended, and returns how long it ran; `tokens` is the length of
+    /// its output, if known.
+    pub fn remove(&mut self, id: &str, tokens: Option<u64>, now: Instant) -> Option<Duration> {
+        let generation = self.running.remove(id)?;
+        let took = now.duration_since(generation.started);
+        let seconds = took.as_secs_f64();
         if let Some(tokens) = tokens.filter(|_| seconds > 0.05) {
             self.rate += (tokens as f64 / seconds - self.rate) * 0.1;
         }
+        Some(took)
     }
 
     /// Sets the size of the memory in tokens, where it is known without a load report.
--- a/crates/hatchpitch/src/admission/state.rs
+++ b/crates/hatchpitch/src/admission/state.rs
@@ -101,7 +101,10 @@
     virtual_time: ServiceTag,
     next_ticket: Ticket,
     grants: u64,
-    /// Smoothed time between grants, for wait estimates.
+    /// Time between grants that the runners sustain, if it is known.
+    service_interval: Option<Duration>,
+    /// Smoothed time between past grants. Estimates use it only while `service_interval` is not
+    /// known, because it does not change while nothing is granted.
     grant_interval: Option<Duration>,
     last_grant: Option<Instant>,
 }
@@ -118,6 +121,7 @@
             virtual_time: 0,
             next_ticket: 0,
             grants: 0,
+            service_interval: None,
             grant_interval: None,
             last_grant: None,
         }
@@ -128,6 +132,11 @@
         self.cfg = cfg;
     }
 
+    /// Sets the time between grants that the runners sustain, or `None` if it is not known.
+    pub fn set_service_interval(&mut self, interval: Option<Duration>) {
+        self.service_interval = interval;
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.queued.len()
@@ -237,7 +246,8 @@
     /// count, so that a workspace below its fair share is not refused because of another
     /// workspace's backlog.
     pub fn expected_wait(&self, workspace: &str, priority: Priority) -> Duration {
-        let Some(interval) = self.grant_interval else { return Duration::ZERO };
+        let interval = self.service_interval.or(self.grant_interval);
+        let Some(interval) = interval else { return Duration::ZERO };
         let key = self.order_key(workspace, priority, Ticket::MAX);
         let ahead = self.on_time.range(..key).take(MAX_COUNTED).count();
         interval.saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX))
--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -228,6 +228,7 @@
         }
         let Some(spec) = pick(&mut self.table, &self.lengths, req, now) else { return Ok(None) };
         self.queue.charge(&req.workspace, self.cost(req));
+        self.queue.set_service_interval(self.table.service_interval());
         Ok(Some(spec))
     }
 
@@ -400,6 +401,7 @@
             let Some(req) = self.waiting.remove(&ticket) else { continue };
             self.answers.push(Answer { ticket, id: req.id, slot: Ok(spec) });
         }
+        self.queue.set_service_interval(self.table.service_interval());
     }
 
     /// Finds the first queued request, in service order, that fits on an engine, and takes a slot
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -165,6 +165,8 @@
     pub rests: bool,
 }
 
+/// Number of runs over which the time that a request holds its slot is smoothed.
+const HOLD_TIME_WEIGHT: u32 = 16;
 /// Minimum retry delay of a request that is restricted to runners without a rate limit and finds
 /// none. Such a request was rejected by several limited runners, which accept requests again at
 /// different times.
@@ -226,6 +228,8 @@
     signals: SharedSignals,
     /// Fraction of the rejections of a brittle runner that this table may cause.
     rejection_share: f64,
+    /// Smoothed time for which a request that succeeded held its slot.
+    hold_time: Option<Duration>,
     pub(super) pauses: PausePlacement,
 }
 
@@ -239,6 +243,7 @@
             picks: 0,
             signals,
             rejection_share: 1.0,
+            hold_time: None,
             pauses: PausePlacement::default(),
         }
     }
@@ -566,6 +571,15 @@
         self.runners.values().any(|r| r.configured && r.serving && query.allows(&r.spec))
     }
 
+    /// Returns the mean time between the ends of requests, which follows from the requests that run
+    /// now and the time that each takes. While requests wait, this is the rate at which the runners
+    /// serve. `None` if nothing runs or no request has ended yet.
+    pub fn service_interval(&self) -> Option<Duration> {
+        let running: u64 = self.runners.values().map(|runner| runner.running).sum();
+        let running = u32::try_from(running).unwrap_or(u32::MAX);
+        self.hold_time?.checked_div(running)
+    }
+
     /// Returns the earliest end of an ejection among the serving runners, if any is ejected.
     pub fn next_readmission(&self) -> Option<Instant> {
         let serving = self.runners.values().filter(|r| r.configured && r.serving);
@@ -577,7 +591,11 @@
         let cfg = self.cfg;
         let Some(runner) = self.runners.get_mut(name) else { return };
         runner.running = runner.running.saturating_sub(1);
-        runner.memory.remove(id, report.tokens, now);
+        let held = runner.memory.remove(id, report.tokens, now);
+        if let Some(held) = held.filter(|_| report.verdict == Verdict::Succeeded) {
+            let smoothed = |old: Duration| (old * (HOLD_TIME_WEIGHT - 1) + held) / HOLD_TIME_WEIGHT;
+            self.hold_time = Some(self.hold_time.map_or(held, smoothed));
+        }
         runner.prefill.remove(id, report.first);
         if let Some(rate) = runner.prefill.measured_rate() {
             self.pauses.pace.set_prefill_rate(name, rate);
