Test the place of requests that waited for longer than they accept

Guards against accepted requests that are placed behind all others while time is left for them, and against wait estimates that stay as they were while nothing is granted.

--- a/crates/hatchpitch/tests/scheduler.rs
+++ b/crates/hatchpitch/tests/scheduler.rs
@@ -127,3 +127,37 @@
     release(&mut scheduler, &request(3, 6_000), now);
     assert_eq!(scheduled(&mut scheduler), ["2"], "a late answer is better than none");
 }
+
+/// Guards against accepted requests that are placed behind all others while time is left for them,
+/// and refused at their deadlines.
+#[test]
+fn requests_with_time_left_keep_their_place_after_the_accepted_wait() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(now);
+    let running = request(1, 9_900);
+    expect_run(&mut scheduler, &running, now);
+    now += PROMPT_TIME;
+    let waiting = SlotRequest { overdue_after: Some(4_000 * MS), ..request(2, 5_000) };
+    expect_wait(&mut scheduler, &waiting, now);
+    now += Duration::from_secs(1);
+    expect_wait(&mut scheduler, &request(3, 6_000), now);
+    release(&mut scheduler, &running, now);
+    assert_eq!(scheduled(&mut scheduler), ["2"]);
+}
+
+/// Guards against estimates that stay as they were while nothing is granted.
+#[test]
+fn the_expected_wait_follows_from_the_requests_that_run() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(now);
+    let running = request(1, 9_900);
+    expect_run(&mut scheduler, &running, now);
+    now += PROMPT_TIME;
+    release(&mut scheduler, &running, now);
+    expect_run(&mut scheduler, &running, now);
+    // No queued request has been granted yet, but one run is known to take as long as a prompt.
+    expect_wait(&mut scheduler, &SlotRequest { accepts: None, ..request(2, 9_900) }, now);
+    assert_eq!(scheduler.expected_wait(&request(52, 9_900), now), PROMPT_TIME);
+    let impatient = request(102, 9_900);
+    assert!(matches!(scheduler.decide(&impatient, now), Decision::Refuse(_)));
+}
