Let an announcement of brittleness expire although runs report it

Cause: a report on a run passes on what its box knows about the upstream, and the owner recorded it with the full validity of ten seconds. Reports thus renewed an announcement without end, owners notified other boxes, and some boxes placed by owners while the others placed by their own counts.

Change: the report also carries the remaining validity, `RunReport::brittle_left`. Reports of boxes of earlier versions do not, and are treated as before. The simulation reports and applies it in the same way.

--- a/crates/hatchpitch/src/grants/slot.rs
+++ b/crates/hatchpitch/src/grants/slot.rs
@@ -123,7 +123,9 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = clock::now();
-        self.report.brittle = self.cx.brittle.borrow().max_rejections(&self.runner, now);
+        let announced = self.cx.brittle.borrow().announcement(&self.runner, now);
+        self.report.brittle = announced.map(|(max_rejections, _)| max_rejections);
+        self.report.brittle_left = announced.map(|(_, left)| left);
         if let GrantSource::Local(permit) = &mut self.source {
             permit.set_report(self.report);
         }
--- a/crates/hatchpitch/src/routing/report.rs
+++ b/crates/hatchpitch/src/routing/report.rs
@@ -37,6 +37,9 @@
     /// Number of rejections a second that the runner bears, if it is brittle.
     #[serde(default)]
     pub brittle: Option<MaxRejections>,
+    /// Remaining validity of that announcement. Boxes of earlier versions do not report it.
+    #[serde(default)]
+    pub brittle_left: Option<Duration>,
 }
 
 impl RunReport {
@@ -47,5 +50,6 @@
         first: None,
         is_rejected: false,
         brittle: None,
+        brittle_left: None,
     };
 }
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -525,7 +525,9 @@
         let mut brittle = self.signals.brittle.borrow_mut();
         if let Some(max) = report.brittle {
             // The box that sent the request notifies the others.
-            brittle.record(name, max, BRITTLE_TTL, now);
+            // A full validity would renew the announcement with each run, without end.
+            let left = report.brittle_left.unwrap_or(BRITTLE_TTL);
+            brittle.record(name, max, left, now);
         }
         let Some(runner) = self.runners.get_mut(name) else { return };
         let Some(max) = brittle.max_rejections(name, now) else {
--- a/crates/hatchpitch/src/upstream_signals/brittle.rs
+++ b/crates/hatchpitch/src/upstream_signals/brittle.rs
@@ -89,8 +89,14 @@
 
     /// Returns the number of rejections a second that an upstream bears, if it is brittle.
     pub fn max_rejections(&self, upstream: &str, now: Instant) -> Option<MaxRejections> {
+        self.announcement(upstream, now).map(|(max_rejections, _)| max_rejections)
+    }
+
+    /// Returns the number of rejections a second that an upstream bears and the remaining validity
+    /// of its announcement, if it is brittle.
+    pub fn announcement(&self, upstream: &str, now: Instant) -> Option<(MaxRejections, Duration)> {
         let brittle = self.upstreams.get(upstream).filter(|brittle| now < brittle.until)?;
-        Some(brittle.max_rejections)
+        Some((brittle.max_rejections, brittle.until.saturating_duration_since(now)))
     }
 
     /// Returns whether no upstream is brittle.
--- a/crates/hatchpitch/tests/brittle.rs
+++ b/crates/hatchpitch/tests/brittle.rs
@@ -121,3 +121,36 @@
     line.release(UPSTREAM, &want(2), 0, served, later);
     assert_eq!(line.take_answers().len(), 1);
 }
+
+/// Guards against announcements that each report of a run renews, so that they never expire.
+#[test]
+fn reports_of_runs_do_not_renew_an_announcement() {
+    let signals = SharedSignals::default();
+    let routing = RoutingConfig::default();
+    let mut line = PoolScheduler::new(Default::default(), routing).with_signals(signals.clone());
+    let now = Instant::now();
+    let spec = RunnerSpec {
+        name: UPSTREAM.to_owned(),
+        addr: ([127, 0, 0, 1], 9).into(),
+        failure_domain: "d".to_owned(),
+        slots: SLOTS,
+        memory: None,
+        copy_rate: f64::INFINITY,
+    };
+    line.update(now, |table| table.sync([spec]));
+    signals.brittle.borrow_mut().record(UPSTREAM, MAX_REJECTIONS, BRITTLE_TTL, now);
+    for second in 0..10 {
+        let now = now + ms(1_000 * second);
+        let want = SlotRequest { id: second.to_string(), ..SlotRequest::default() };
+        assert!(matches!(line.decide(&want, now), Decision::Run(_)), "{second}");
+        let announced = signals.brittle.borrow().announcement(UPSTREAM, now);
+        let report = RunReport {
+            verdict: Verdict::Succeeded,
+            brittle: announced.map(|(max_rejections, _)| max_rejections),
+            brittle_left: announced.map(|(_, left)| left),
+            ..RunReport::RELEASED
+        };
+        line.release(UPSTREAM, &want, 0, report, now);
+    }
+    assert_eq!(signals.brittle.borrow().announcement(UPSTREAM, now + BRITTLE_TTL), None);
+}
--- a/crates/hatchpitch/tests/deadlines/relay.rs
+++ b/crates/hatchpitch/tests/deadlines/relay.rs
@@ -354,7 +354,9 @@
         let (home, want) = (self.requests[request].home, self.requests[request].want.clone());
         let name = self.specs[upstream].name.clone();
         let sim_box = &mut self.boxes[home];
-        let brittle = sim_box.signals.brittle.borrow().max_rejections(&name, now);
+        let announced = sim_box.signals.brittle.borrow().announcement(&name, now);
+        let brittle = announced.map(|(max_rejections, _)| max_rejections);
+        let brittle_left = announced.map(|(_, left)| left);
         if is_rejected
             && !matches!(source, Source::Owner(owner) if owner != home)
             && self.owner_of[upstream] != home
@@ -364,7 +366,8 @@
             let rest = Duration::from_secs_f64(self.scenario.boxes as f64 / per_second);
             sim_box.signals.backoffs.borrow_mut().start(&name, rest, now);
         }
-        let report = RunReport { verdict, is_rejected, brittle, ..RunReport::RELEASED };
+        let report =
+            RunReport { verdict, is_rejected, brittle, brittle_left, ..RunReport::RELEASED };
         match source {
             Source::Owner(owner) if owner != home => {
                 self.post(HOP, Event::Release { owner, id: want.id, report });
--- a/crates/hatchpitch/tests/deadlines/sim_box.rs
+++ b/crates/hatchpitch/tests/deadlines/sim_box.rs
@@ -241,7 +241,8 @@
     pub fn release(&mut self, id: &str, report: RunReport, now: Instant) {
         let Some(Grant { runner, want, cost }) = self.grants.remove(id) else { return };
         if report.brittle.is_some() {
-            self.extend_brittle(&runner, now + BRITTLE_TTL);
+            let left = report.brittle_left.unwrap_or(BRITTLE_TTL);
+            self.extend_brittle(&runner, now + left);
         }
         self.line.release(&runner, &want, cost, report, now);
     }
