Let owners place for 60 s after upstreams stop to announce brittleness

Cause: when the announcements of a service expired, each box placed requests by its own counts again, while the upstreams had no more room than before. Boxes overfilled them, spent their retry budgets on the rejections and refused requests beside free upstreams; requests still queued at owners were granted slots that the others had filled.

Change: owners go on placing, with their queues and refusals, for 60 s after an announcement has expired. The duration is chosen, not measured. The guard against rejections and `max_rejections` still end with the announcement. In the simulation the placement and the accepted waits follow the same condition; its check that no upstream counts as brittle at the end still looks at the announcements.

Limit: the simulations end 25 s and 14.5 s after the last announcement has expired, before the 60 s are over. An overload that goes on unannounced for longer meets the previous behaviour, as do boxes that join in between.

--- a/crates/hatchpitch/src/entry/context/placement.rs
+++ b/crates/hatchpitch/src/entry/context/placement.rs
@@ -28,7 +28,7 @@
     }
 
     /// Returns whether each box admits requests to the engines of a pool or only their owners, as
-    /// they do while one of the engines is brittle.
+    /// they do while one of the engines is brittle and for a while after.
     pub fn placement(&self, pool: &PoolView) -> Placement {
         if self.has_brittle_runner(pool) {
             return Placement::Owner;
@@ -36,7 +36,7 @@
         pool.hosted.map_or(self.settings.policy.placement, |hosted| hosted.placement)
     }
 
-    /// Returns whether an engine of a pool is brittle.
+    /// Returns whether an engine of a pool is brittle or recently was.
     pub fn is_brittle(&self, pool: &str) -> bool {
         let view = self.view.borrow();
         let pool = view.pools.iter().find(|p| p.pool.name == pool);
@@ -45,8 +45,7 @@
 
     fn has_brittle_runner(&self, pool: &PoolView) -> bool {
         let (brittle, now) = (self.brittle.borrow(), clock::now());
-        let is_brittle = |name: &str| brittle.max_rejections(name, now).is_some();
-        !brittle.is_empty() && pool.runners.iter().any(|runner| is_brittle(&runner.name))
+        pool.runners.iter().any(|runner| brittle.is_placed_by_owner(&runner.name, now))
     }
 
     /// Returns how many boxes may be sending to an upstream, each by its own decision. Counts all
--- a/crates/hatchpitch/src/upstream_signals/brittle.rs
+++ b/crates/hatchpitch/src/upstream_signals/brittle.rs
@@ -14,6 +14,9 @@
 /// Time after its last announcement for which an upstream counts as brittle. Requests are rare
 /// where it is hardest pressed, and only their responses carry the announcement.
 pub const BRITTLE_TTL: Duration = Duration::from_secs(10);
+/// Time after the end of an announcement for which owners go on placing requests. The upstream has
+/// no more room than before, and boxes that place by their own counts would overfill it.
+const OWNER_PLACEMENT_TTL: Duration = Duration::from_secs(60);
 /// Extension of an announcement from which on other boxes are notified again.
 const NOTICE_INTERVAL: Duration = Duration::from_secs(3);
 /// Fraction of the rejections that boxes use up. The upstream counts them over other seconds, and
@@ -50,6 +53,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct BrittleUpstreams {
     upstreams: BTreeMap<RunnerName, Brittle>,
+    /// Until when only owners place requests on an upstream that is or was brittle.
+    owner_placement: BTreeMap<RunnerName, Instant>,
     revision: u64,
 }
 
@@ -68,6 +73,13 @@
         if until <= now {
             return false;
         }
+        let places_until = until + OWNER_PLACEMENT_TTL;
+        match self.owner_placement.get_mut(upstream) {
+            Some(known) => *known = places_until.max(*known),
+            None => {
+                self.owner_placement.insert(upstream.to_owned(), places_until);
+            }
+        }
         let Some(known) = self.upstreams.get_mut(upstream) else {
             let brittle = Brittle { max_rejections, until, noticed_until: until };
             self.upstreams.insert(upstream.to_owned(), brittle);
@@ -99,6 +111,12 @@
         Some((brittle.max_rejections, brittle.until.saturating_duration_since(now)))
     }
 
+    /// Returns whether only its owner places requests on an upstream, because it is brittle or
+    /// recently was.
+    pub fn is_placed_by_owner(&self, upstream: &str, now: Instant) -> bool {
+        self.owner_placement.get(upstream).is_some_and(|until| now < *until)
+    }
+
     /// Returns whether no upstream is brittle.
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
@@ -122,9 +140,10 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        let before = self.upstreams.len();
+        let before = self.upstreams.len() + self.owner_placement.len();
         self.upstreams.retain(|_, brittle| now < brittle.until);
-        if self.upstreams.len() < before {
+        self.owner_placement.retain(|_, until| now < *until);
+        if self.upstreams.len() + self.owner_placement.len() < before {
             self.revision += 1;
         }
     }
--- a/crates/hatchpitch/tests/brittle.rs
+++ b/crates/hatchpitch/tests/brittle.rs
@@ -154,3 +154,19 @@
     }
     assert_eq!(signals.brittle.borrow().announcement(UPSTREAM, now + BRITTLE_TTL), None);
 }
+
+/// Guards against boxes that overfill an upstream by their own counts as soon as it stops to say
+/// that it is brittle.
+#[test]
+fn owners_place_for_a_while_after_an_announcement_has_expired() {
+    let (mut brittle, now) = (BrittleUpstreams::default(), Instant::now());
+    assert!(!brittle.is_placed_by_owner(UPSTREAM, now));
+    brittle.record(UPSTREAM, 4, BRITTLE_TTL, now);
+    let expired = now + BRITTLE_TTL;
+    assert_eq!(brittle.max_rejections(UPSTREAM, expired), None);
+    assert!(brittle.is_placed_by_owner(UPSTREAM, expired + ms(30_000)));
+    let revision = brittle.revision(expired);
+    let later = expired + ms(60_000);
+    assert!(!brittle.is_placed_by_owner(UPSTREAM, later));
+    assert_ne!(brittle.revision(later), revision, "the placement changes");
+}
--- a/crates/hatchpitch/tests/deadlines/fleet.rs
+++ b/crates/hatchpitch/tests/deadlines/fleet.rs
@@ -271,7 +271,7 @@
     /// Applies a change of placement, as `EntryCx::sync_gates` does.
     pub fn sync(&mut self, at: usize) {
         let now = self.now();
-        let placement = match self.boxes[at].sees_brittle(&self.specs, now) {
+        let placement = match self.boxes[at].is_placed_by_owners(&self.specs, now) {
             true => Placement::Owner,
             false => Placement::Local,
         };
--- a/crates/hatchpitch/tests/deadlines/relay.rs
+++ b/crates/hatchpitch/tests/deadlines/relay.rs
@@ -142,7 +142,7 @@
         let (now, left) = (self.now(), self.time_left(request));
         let req = &self.requests[request];
         let home = &self.boxes[req.home];
-        let is_brittle = home.sees_brittle(&self.specs, now);
+        let is_brittle = home.is_placed_by_owners(&self.specs, now);
         let want = SlotRequest {
             workspace: (request % WORKSPACES).to_string(),
             priority: 1,
--- a/crates/hatchpitch/tests/deadlines/sim_box.rs
+++ b/crates/hatchpitch/tests/deadlines/sim_box.rs
@@ -128,6 +128,13 @@
         found
     }
 
+    /// Returns whether owners place the requests for any upstream, as
+    /// `EntryCx::has_brittle_runner` does.
+    pub fn is_placed_by_owners(&self, specs: &[RunnerSpec], now: Instant) -> bool {
+        let brittle = self.signals.brittle.borrow();
+        specs.iter().any(|spec| brittle.is_placed_by_owner(&spec.name, now))
+    }
+
     /// Records an announcement; returns whether other boxes are to be told.
     pub fn record_brittle(&mut self, upstream: &str, ttl: Duration, now: Instant) -> bool {
         self.extend_brittle(upstream, now + ttl)
