--- a/crates/hatchpitch/src/entry/context/placement.rs
+++ b/crates/hatchpitch/src/entry/context/placement.rs
@@ -7,6 +7,7 @@
 
 use super::EntryCx;
 use crate::admission::Placement;
+use crate::config::hosted::EngineSpec;
 use crate::config::view::PoolView;
 use crate::membership::Subject;
 
@@ -28,7 +29,7 @@
     }
 
     /// Returns whether each box admits requests to the engines of a pool or only their owners, as
-    /// they do while one of the engines is brittle.
+    /// they do while one of the engines is brittle and for a while after.
     pub fn placement(&self, pool: &PoolView) -> Placement {
         if self.has_brittle_runner(pool) {
             return Placement::Owner;
@@ -36,7 +37,7 @@
         pool.hosted.map_or(self.settings.policy.placement, |hosted| hosted.placement)
     }
 
-    /// Returns whether an engine of a pool is brittle.
+    /// Returns whether an engine of a pool is brittle or recently was.
     pub fn is_brittle(&self, pool: &str) -> bool {
         let view = self.view.borrow();
         let pool = view.pools.iter().find(|p| p.pool.name == pool);
@@ -45,8 +46,17 @@
 
     fn has_brittle_runner(&self, pool: &PoolView) -> bool {
         let (brittle, now) = (self.brittle.borrow(), clock::now());
-        let is_brittle = |name: &str| brittle.max_rejections(name, now).is_some();
-        !brittle.is_empty() && pool.runners.iter().any(|runner| is_brittle(&runner.name))
+        pool.runners.iter().any(|runner| brittle.is_placed_by_owner(&runner.name, now))
+    }
+
+    /// Returns the capacity and features of the engines of a service, if it has engines.
+    pub fn engine(&self, service: &str) -> Option<EngineSpec> {
+        self.config.view().hosted_services.get(service)?.engine.clone()
+    }
+
+    /// Returns the number of output tokens that one event of a stream of a service holds.
+    pub fn event_tokens(&self, service: &str) -> u64 {
+        self.engine(service).map_or(1, |engine| engine.tokens_per_event)
     }
 
     /// Returns how many boxes may be sending to an upstream, each by its own decision. Counts all
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -368,7 +368,7 @@
             at_stake,
             in_memory: needs.prompt + produced,
             max_gap: self.max_gap(),
-            event_tokens: self.engine().map_or(1, |engine| engine.tokens_per_event),
+            event_tokens: self.relay.cx.event_tokens(&self.service),
         };
         self.moving = Some(moves::start(&self.relay, &self.req, source, needs));
     }
@@ -563,12 +563,11 @@
     }
 
     fn tokens_produced(&self) -> u64 {
-        self.splitter.events() * self.engine().map_or(1, |engine| engine.tokens_per_event)
+        self.splitter.events() * self.relay.cx.event_tokens(&self.service)
     }
 
     fn engine(&self) -> Option<EngineSpec> {
-        let view = self.relay.cx.config.view();
-        view.hosted_services.get(&self.service)?.engine.clone()
+        self.relay.cx.engine(&self.service)
     }
 
     fn log(&self, end: &StreamEnd) {
--- a/crates/hatchpitch/tests/deadlines/relay.rs
+++ b/crates/hatchpitch/tests/deadlines/relay.rs
@@ -142,7 +142,7 @@
         let (now, left) = (self.now(), self.time_left(request));
         let req = &self.requests[request];
         let home = &self.boxes[req.home];
-        let is_brittle = home.sees_brittle(&self.specs, now);
+        let is_brittle = home.is_placed_by_owners(&self.specs, now);
         let want = SlotRequest {
             workspace: (request % WORKSPACES).to_string(),
             priority: 1,
@@ -151,6 +151,7 @@
             avoid: req.tried.clone(),
             near: Some(home.domain.clone()),
             accepts: is_brittle.then(|| left.mul_f64(BRITTLE_WAIT_FRACTION)),
+            overdue_after: is_brittle.then_some(left),
             limit_wait: Some(LIMIT_WAIT),
             sends_here: true,
             only_try: !home.budgets.allows(POOL),
@@ -353,7 +354,9 @@
         let (home, want) = (self.requests[request].home, self.requests[request].want.clone());
         let name = self.specs[upstream].name.clone();
         let sim_box = &mut self.boxes[home];
-        let brittle = sim_box.signals.brittle.borrow().max_rejections(&name, now);
+        let announced = sim_box.signals.brittle.borrow().announcement(&name, now);
+        let brittle = announced.map(|(max_rejections, _)| max_rejections);
+        let brittle_left = announced.map(|(_, left)| left);
         if is_rejected
             && !matches!(source, Source::Owner(owner) if owner != home)
             && self.owner_of[upstream] != home
@@ -363,7 +366,8 @@
             let rest = Duration::from_secs_f64(self.scenario.boxes as f64 / per_second);
             sim_box.signals.backoffs.borrow_mut().start(&name, rest, now);
         }
-        let report = RunReport { verdict, is_rejected, brittle, ..RunReport::RELEASED };
+        let report =
+            RunReport { verdict, is_rejected, brittle, brittle_left, ..RunReport::RELEASED };
         match source {
             Source::Owner(owner) if owner != home => {
                 self.post(HOP, Event::Release { owner, id: want.id, report });
