Bound pace reports to 2 KB a second, and let gaps decay by time

At 20 streams the reports took 2.3 to 2.6 KB a second; now each entry of a report delays the next one by 55 ms. Gaps whose owner is not known decayed with each report instead of with time.

--- a/crates/hatchpitch/src/pace/collector.rs
+++ b/crates/hatchpitch/src/pace/collector.rs
@@ -18,9 +18,9 @@
 const MAX_FIRSTS: usize = 1_024;
 /// Age up to which gaps are reported again to a new owner.
 const KEEP: Duration = Duration::from_secs(4);
-/// Factor by which gaps lose weight with each report, once they are reported or while their owner
-/// is not known. At four reports a second, those kept cover about the last [`KEEP`].
-const REPORT_DECAY: f64 = 0.94;
+/// Time in which the weight of gaps halves, once they are reported or while their owner is not
+/// known. Those kept cover about the last [`KEEP`].
+const HALF_LIFE: Duration = Duration::from_millis(2_800);
 
 type EngineKey = (PoolName, RunnerName);
 
@@ -35,6 +35,8 @@
     last: Option<Instant>,
     /// Time of the oldest gap that is not reported.
     waiting_since: Option<Instant>,
+    /// Time up to which the weights have decayed.
+    decayed: Option<Instant>,
 }
 
 /// What a box has seen of engines and not reported yet.
@@ -96,11 +98,12 @@
         self.engines.retain(|_, observed| observed.last.is_some_and(is_recent));
         let mut due: Vec<(&EngineKey, &mut Observed, SocketAddr)> = Vec::new();
         for (key, observed) in &mut self.engines {
-            observed.reported.decay(REPORT_DECAY);
+            let factor = observed.decay_factor(now);
+            observed.reported.decay(factor);
             match owner_of(&key.1) {
                 Some(owner) if observed.is_due(owner) => due.push((key, observed, owner)),
                 Some(_) => {}
-                None => observed.new.decay(REPORT_DECAY),
+                None => observed.new.decay(factor),
             }
         }
         // An engine that found no place in the last report is in the next one.
@@ -124,6 +127,12 @@
 }
 
 impl Observed {
+    /// Returns the factor by which weights decay since the last call.
+    fn decay_factor(&mut self, now: Instant) -> f64 {
+        let elapsed = self.decayed.replace(now).map(|at| now.saturating_duration_since(at));
+        (-elapsed.unwrap_or_default().as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+    }
+
     fn is_new_owner(&self, owner: SocketAddr) -> bool {
         self.owner.is_some_and(|known| known != owner)
     }
--- a/crates/hatchpitch/src/pace/task.rs
+++ b/crates/hatchpitch/src/pace/task.rs
@@ -17,9 +17,10 @@
 /// Interval between reports: a few events of a stream, and a tenth of the time in which a new
 /// engine fills.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-/// Shortest time per entry of a report. An entry takes about 70 bytes, so that reports take less
-/// than 2 KB a second, a tenth of what all control traffic of a box may take.
-const ENTRY_INTERVAL: Duration = Duration::from_millis(40);
+/// Shortest time per entry of a report. An entry takes about 100 bytes with its share of the
+/// message, so that reports take less than 2 KB a second, a tenth of what all control traffic of a
+/// box may take.
+const ENTRY_INTERVAL: Duration = Duration::from_millis(55);
 /// Timeout of a report. A later one replaces it.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
