--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -72,6 +72,9 @@
     /// one leads to an immediate refusal.
     #[serde(default)]
     pub accepts: Option<Duration>,
+    /// Wait from which on it is served after all other requests, if that is not `accepts`.
+    #[serde(default)]
+    pub overdue_after: Option<Duration>,
     /// Failure domains whose runners may run it; empty means all.
     #[serde(default)]
     pub within: Vec<FailureDomainName>,
@@ -225,6 +228,7 @@
         }
         let Some(spec) = pick(&mut self.table, &self.lengths, req, now) else { return Ok(None) };
         self.queue.charge(&req.workspace, self.cost(req));
+        self.queue.set_service_interval(self.table.service_interval());
         Ok(Some(spec))
     }
 
@@ -247,7 +251,8 @@
             since: now,
             acceptable_wait: req.accepts.unwrap_or(Duration::MAX),
         };
-        let ticket = match self.queue.enqueue(waiter) {
+        let overdue_after = req.overdue_after.unwrap_or(waiter.acceptable_wait);
+        let ticket = match self.queue.enqueue_with(waiter, overdue_after) {
             Enqueued::Waiting(ticket) => ticket,
             Enqueued::Displaced { ticket, refused } => {
                 self.refuse(refused, "displaced by a higher priority");
@@ -396,6 +401,7 @@
             let Some(req) = self.waiting.remove(&ticket) else { continue };
             self.answers.push(Answer { ticket, id: req.id, slot: Ok(spec) });
         }
+        self.queue.set_service_interval(self.table.service_interval());
     }
 
     /// Finds the first queued request, in service order, that fits on an engine, and takes a slot
--- a/crates/hatchpitch/tests/deadlines/sim_box.rs
+++ b/crates/hatchpitch/tests/deadlines/sim_box.rs
@@ -128,6 +128,13 @@
         found
     }
 
+    /// Returns whether owners place the requests for any upstream, as
+    /// `EntryCx::has_brittle_runner` does.
+    pub fn is_placed_by_owners(&self, specs: &[RunnerSpec], now: Instant) -> bool {
+        let brittle = self.signals.brittle.borrow();
+        specs.iter().any(|spec| brittle.is_placed_by_owner(&spec.name, now))
+    }
+
     /// Records an announcement; returns whether other boxes are to be told.
     pub fn record_brittle(&mut self, upstream: &str, ttl: Duration, now: Instant) -> bool {
         self.extend_brittle(upstream, now + ttl)
@@ -241,7 +248,8 @@
     pub fn release(&mut self, id: &str, report: RunReport, now: Instant) {
         let Some(Grant { runner, want, cost }) = self.grants.remove(id) else { return };
         if report.brittle.is_some() {
-            self.extend_brittle(&runner, now + BRITTLE_TTL);
+            let left = report.brittle_left.unwrap_or(BRITTLE_TTL);
+            self.extend_brittle(&runner, now + left);
         }
         self.line.release(&runner, &want, cost, report, now);
     }
