Bound what pace reports, moves and estimates do with values of other boxes

Reports to other boxes were delayed by those of the box to itself and by first tokens, without an upper bound; a histogram with zero weights or an infinite sum stayed in the estimate of an engine for its lifetime; a stated pause beyond the range of a duration ended the owner's process; every request with the setting asked more owners under high load, also without risk; a final copy that its source was too busy for counted as lost although the run went on; and the wait estimate counted runs on engines that leave. Reports of a box change nothing at an owner without the setting.

--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -140,6 +140,11 @@
         self.with_line(|line, now| line.update(now, change))
     }
 
+    /// Reads the runner table.
+    pub fn inspect<T>(&self, read: impl FnOnce(&RunnerTable) -> T) -> T {
+        read(self.0.borrow().line.table())
+    }
+
     /// Replaces the limits of the queue.
     pub fn configure(&self, cfg: AdmissionConfig) {
         self.with_line(|line, _| line.configure(cfg));
--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -27,6 +27,9 @@
 /// Requests that may bypass one that does not fit. This is about the number that one engine runs
 /// at once, so that a large request waits for an engine to drain once instead of starving.
 const MAX_BYPASSES: u32 = 16;
+/// Range of the longest pause that a request may state: values outside it have the same effect.
+const MIN_MAX_GAP: Duration = Duration::from_millis(1);
+const MAX_MAX_GAP: Duration = Duration::from_secs(60);
 /// Expected output of a request before any output length was observed, in tokens.
 const DEFAULT_OUTPUT_TOKENS: u64 = 256;
 /// Retry delay while no runner takes work and none has a known time of return: runners announce
@@ -113,7 +116,8 @@
         let expected = lengths.mean_of(&self.kind, DEFAULT_OUTPUT_TOKENS);
         let tokens = expected.min(self.max_tokens as f64);
         let events = tokens / self.event_tokens.max(1) as f64;
-        self.max_gap.map(|max_gap| PauseObjective { max_gap, events })
+        let max_gap = self.max_gap?.clamp(MIN_MAX_GAP, MAX_MAX_GAP);
+        Some(PauseObjective { max_gap, events })
     }
 
     fn asked(&self, lengths: &LengthModel) -> RunnerQuery<'_> {
@@ -336,6 +340,11 @@
         changed
     }
 
+    /// Returns the engine table.
+    pub fn table(&self) -> &RunnerTable {
+        &self.table
+    }
+
     /// Replaces the bounds of the queue.
     pub fn configure(&mut self, cfg: AdmissionConfig) {
         self.queue.configure(cfg);
--- a/crates/hatchpitch/src/entry/context/placement.rs
+++ b/crates/hatchpitch/src/entry/context/placement.rs
@@ -46,7 +46,8 @@
 
     fn has_brittle_runner(&self, pool: &PoolView) -> bool {
         let (brittle, now) = (self.brittle.borrow(), clock::now());
-        pool.runners.iter().any(|runner| brittle.is_placed_by_owner(&runner.name, now))
+        let by_owner = |name: &str| brittle.is_placed_by_owner(name, now);
+        !brittle.places_none_by_owner() && pool.runners.iter().any(|r| by_owner(&r.name))
     }
 
     /// Returns the capacity and features of the engines of a service, if it has engines.
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -143,7 +143,7 @@
 /// Returns the status of a pool at this box.
 fn pool_status(cx: &EntryCx, pool: &PoolView, now: Instant) -> PoolStatus {
     let gate = cx.gate(&pool.pool.name);
-    let (owned, paces) = gate.update(|table| (table.overview(now), paces(table, now)));
+    let (owned, paces) = gate.inspect(|table| (table.overview(now), paces(table, now)));
     let runners = pool.runners.iter().map(|runner| {
         let row = owned.iter().find(|(name, ..)| *name == runner.name);
         let pace = paces.iter().find(|(name, _)| *name == runner.name).and_then(|(_, pace)| *pace);
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -226,7 +226,7 @@
         Timing::TokenGap => "hatchpitch_token_gap_seconds",
         Timing::Stall => "hatchpitch_stall_seconds",
         Timing::Wait => "hatchpitch_admission_wait_seconds",
-        Timing::PaceGap => "hatchpitch_pace_gap",
+        Timing::PaceGap => "hatchpitch_pace_gap_seconds",
         Timing::MovePause => "hatchpitch_move_pause_seconds",
     }
 }
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -221,8 +221,8 @@
             return MoveOutcome::Stays(cause.to_owned());
         }
         self.stopping.set(true);
-        let (source, stopped_at) = (self.source.addr, clock::now());
-        let copied = self.final_copy(slot.addr).await;
+        let source = self.source.addr;
+        let (stopped_at, copied) = self.final_copy(slot.addr).await;
         self.times.final_copy = Some(clock::since(stopped_at));
         match copied {
             Ok(CopyAnswer { handle }) => {
@@ -234,6 +234,11 @@
             Err(CopyFailure::NoSuchRun) => {
                 MoveOutcome::Stays("it ended before it was stopped".to_owned())
             }
+            Err(CopyFailure::Busy) => {
+                // It was not stopped, so the move may be tried again.
+                self.stopping.set(false);
+                MoveOutcome::Stays("the source was busy with a copy".to_owned())
+            }
             Err(err) => MoveOutcome::Lost(err.to_string()),
         }
     }
@@ -268,16 +273,19 @@
 
     /// Stops the run and makes the final copy. A source that is busy with a copy has not stopped
     /// the run: a repeated copy that this box no longer waits for may still be in progress.
-    async fn final_copy(&self, to: SocketAddr) -> Result<CopyAnswer, CopyFailure> {
+    /// Returns the time of the last order as well.
+    async fn final_copy(&self, to: SocketAddr) -> (Instant, Result<CopyAnswer, CopyFailure>) {
+        let mut sent = clock::now();
         let mut copied = self.copy(to, true, COPY_LIMIT).await;
         for _ in 1..MAX_COPY_ATTEMPTS {
             if !matches!(copied, Err(CopyFailure::Busy)) || self.obtain_permit().await.is_err() {
                 break;
             }
             compio::time::sleep(COPY_RETRY_DELAY).await;
+            sent = clock::now();
             copied = self.copy(to, true, COPY_LIMIT).await;
         }
-        copied
+        (sent, copied)
     }
 
     async fn first_copy(&mut self, to: SocketAddr) -> Result<(), String> {
@@ -373,18 +381,17 @@
             MoveOutcome::Lost(cause) => ("lost", "", cause.as_str()),
         };
         let times = &self.times;
-        let millis = |took: &Duration| took.as_millis() as u64;
-        let copies: Vec<u64> = times.copies.iter().map(millis).collect();
+        let millis = |took: Option<Duration>| took.unwrap_or_default().as_millis();
+        let copies: Vec<u128> = times.copies.iter().map(Duration::as_millis).collect();
         log::info!(
             request = self.req.id.as_str(), upstream = self.source.runner.as_str(), to = to,
             outcome = outcome, cause = cause, at_stake = self.needs.at_stake,
             in_memory = self.needs.in_memory, took_ms = clock::since(started).as_millis(),
             leaving_ms = clock::since(self.source.leaving_since).as_millis(),
-            to_turn_ms:? = times.to_turn.as_ref().map(millis),
-            to_slot_ms:? = times.to_slot.as_ref().map(millis),
-            to_target_ms:? = times.to_target.as_ref().map(millis),
+            to_turn_ms = millis(times.to_turn), to_slot_ms = millis(times.to_slot),
+            to_target_ms = millis(times.to_target),
             has_target = times.has_target, copies_ms:? = copies,
-            final_copy_ms:? = times.final_copy.as_ref().map(millis),
+            final_copy_ms = millis(times.final_copy),
             roster = self.relay.cx.upstreams.roster.borrow().version();
             "move of a generation"
         );
--- a/crates/hatchpitch/src/pace/collector.rs
+++ b/crates/hatchpitch/src/pace/collector.rs
@@ -92,6 +92,17 @@
         &mut self,
         owner_of: impl Fn(&str) -> Option<SocketAddr>,
         now: Instant,
+    ) -> BTreeMap<SocketAddr, PaceReport> {
+        self.take_due(owner_of, |_| true, now)
+    }
+
+    /// Takes the reports that are due to owners for which `is_due` returns true. Those to other
+    /// owners are kept.
+    pub fn take_due(
+        &mut self,
+        owner_of: impl Fn(&str) -> Option<SocketAddr>,
+        is_due: impl Fn(&SocketAddr) -> bool,
+        now: Instant,
     ) -> BTreeMap<SocketAddr, PaceReport> {
         let mut reports: BTreeMap<SocketAddr, PaceReport> = BTreeMap::new();
         let is_recent = |last: Instant| now.saturating_duration_since(last) < KEEP;
@@ -101,7 +112,9 @@
             let factor = observed.decay_factor(now);
             observed.reported.decay(factor);
             match owner_of(&key.1) {
-                Some(owner) if observed.is_due(owner) => due.push((key, observed, owner)),
+                Some(owner) if observed.is_due(owner) && is_due(&owner) => {
+                    due.push((key, observed, owner))
+                }
                 Some(_) => {}
                 None => observed.new.decay(factor),
             }
@@ -115,11 +128,16 @@
                 report.engines.push(EngineGaps { pool, runner, gaps });
             }
         }
-        for first in self.firsts.drain(..) {
-            let Some(owner) = owner_of(&first.runner) else { continue };
-            let report = reports.entry(owner).or_default();
-            if report.firsts.len() < MAX_ENTRIES {
-                report.firsts.push(first);
+        for first in std::mem::take(&mut self.firsts) {
+            match owner_of(&first.runner) {
+                Some(owner) if is_due(&owner) => {
+                    let report = reports.entry(owner).or_default();
+                    if report.firsts.len() < MAX_ENTRIES {
+                        report.firsts.push(first);
+                    }
+                }
+                Some(_) => self.firsts.push(first),
+                None => {}
             }
         }
         reports
--- a/crates/hatchpitch/src/pace/histogram.rs
+++ b/crates/hatchpitch/src/pace/histogram.rs
@@ -22,7 +22,7 @@
     #[serde(rename = "b", with = "compact")]
     buckets: BTreeMap<u8, f32>,
     /// Sum of the gaps, in milliseconds.
-    #[serde(rename = "s")]
+    #[serde(rename = "s", deserialize_with = "compact::deserialize_sum")]
     sum_ms: f64,
 }
 
@@ -125,8 +125,11 @@
 mod compact {
     use std::collections::BTreeMap;
 
+    use serde::de::Error;
     use serde::{Deserialize, Deserializer, Serializer};
 
+    use super::LAST_BUCKET;
+
     /// Steps per unit of weight. Weights that have not decayed are whole numbers.
     const STEPS: f32 = 16.0;
 
@@ -146,7 +149,18 @@
         deserializer: D,
     ) -> Result<BTreeMap<u8, f32>, D::Error> {
         let bytes = serde_bytes::ByteBuf::deserialize(deserializer)?;
+        let is_valid = |entry: &[u8]| matches!(entry, [0..=LAST_BUCKET, _, _]);
+        if !bytes.chunks(3).all(is_valid) {
+            return Err(D::Error::custom("buckets: found an invalid entry"));
+        }
         let weight = |entry: &[u8]| f32::from(u16::from_be_bytes([entry[1], entry[2]])) / STEPS;
-        Ok(bytes.chunks_exact(3).map(|entry| (entry[0], weight(entry))).collect())
+        let weights = bytes.chunks_exact(3).map(|entry| (entry[0], weight(entry)));
+        Ok(weights.filter(|(_, weight)| *weight > 0.0).collect())
+    }
+
+    pub fn deserialize_sum<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+        let sum = f64::deserialize(deserializer)?;
+        let is_valid = sum.is_finite() && sum >= 0.0;
+        is_valid.then_some(sum).ok_or_else(|| D::Error::custom("sum of gaps: found no such sum"))
     }
 }
--- a/crates/hatchpitch/src/pace/messages.rs
+++ b/crates/hatchpitch/src/pace/messages.rs
@@ -26,7 +26,7 @@
     /// Pool of the engine.
     #[serde(rename = "p")]
     pub pool: PoolName,
-    /// Life of the engine.
+    /// Name of the engine in its current lifetime.
     #[serde(rename = "r")]
     pub runner: RunnerName,
     /// The gaps.
@@ -40,7 +40,7 @@
     /// Pool of the engine.
     #[serde(rename = "p")]
     pub pool: PoolName,
-    /// Life of the engine.
+    /// Name of the engine in its current lifetime.
     #[serde(rename = "r")]
     pub runner: RunnerName,
     /// Attempt that holds the slot.
--- a/crates/hatchpitch/src/pace/mod.rs
+++ b/crates/hatchpitch/src/pace/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! The box that relays a stream sees the gaps between its events, and the box that owns the engine
 //! decides what runs there. Gaps are therefore reported to the owner while streams run. All state
-//! is soft: it is bound to one life of an engine and is lost with its owner.
+//! is soft: it is bound to one lifetime of an engine and is lost with its owner.
 
 pub mod collector;
 pub mod histogram;
--- a/crates/hatchpitch/src/pace/state.rs
+++ b/crates/hatchpitch/src/pace/state.rs
@@ -146,7 +146,7 @@
 impl PoolPace {
     /// Records gaps of an engine on which `running` generations run.
     pub fn observe(&mut self, runner: &str, gaps: &GapHistogram, running: u64, now: Instant) {
-        if gaps.is_empty() {
+        if gaps.count() <= 0.0 {
             return;
         }
         let running = running as f64;
--- a/crates/hatchpitch/src/pace/task.rs
+++ b/crates/hatchpitch/src/pace/task.rs
@@ -1,6 +1,7 @@
 //! Reports the pace of engines to their owners, and applies such reports.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -20,7 +21,13 @@
 /// Shortest time per entry of a report. An entry takes about 100 bytes with its share of the
 /// message, so that reports take less than 2 KB a second, a tenth of what all control traffic of a
 /// box may take.
-const ENTRY_INTERVAL: Duration = Duration::from_millis(55);
+const ENTRY_INTERVAL: Duration = Duration::from_millis(60);
+/// Longest interval between reports, so that owners learn of a new engine soon. Boxes with more
+/// than 25 engines to report send more than 2 KB a second.
+const MAX_INTERVAL: Duration = Duration::from_millis(1_500);
+/// First tokens in a report to another box. The owner learns the others when the slots are
+/// released.
+const MAX_SENT_FIRSTS: usize = 4;
 /// Timeout of a report. A later one replaces it.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -30,17 +37,23 @@
         return;
     }
     let mut watch = RiskWatch::default();
-    let mut entries = 0;
+    let mut next_remote = clock::now();
     while !stop.is_set() {
-        compio::time::sleep(next_interval(entries)).await;
+        compio::time::sleep(REPORT_INTERVAL).await;
         cx.sync_gates();
-        let reports = cx.pace.borrow_mut().take(|runner| cx.owner_addr(runner), clock::now());
-        entries = reports.values().map(|report| report.engines.len() + report.firsts.len()).sum();
+        let (now, own_addr) = (clock::now(), cx.settings.boxes_addr);
+        let is_remote_due = now >= next_remote;
+        let is_due = |owner: &SocketAddr| is_remote_due || *owner == own_addr;
+        let owner_of = |runner: &str| cx.owner_addr(runner);
+        let mut reports = cx.pace.borrow_mut().take_due(owner_of, is_due, now);
+        if let Some(report) = reports.remove(&own_addr) {
+            apply(&cx, &report);
+        }
+        reports.values_mut().for_each(|report| report.firsts.truncate(MAX_SENT_FIRSTS));
+        if is_remote_due {
+            next_remote = now + next_interval(reports.values().map(PaceReport::len).sum());
+        }
         for (owner, report) in reports {
-            if owner == cx.settings.boxes_addr {
-                apply(&cx, &report);
-                continue;
-            }
             let cx = cx.clone();
             compio::runtime::spawn(async move {
                 cx.metrics.count(Count::PaceReportsSent, "");
@@ -60,14 +73,15 @@
 /// ones.
 pub fn next_interval(entries: usize) -> Duration {
     let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-    ENTRY_INTERVAL.saturating_mul(entries).max(REPORT_INTERVAL)
+    ENTRY_INTERVAL.saturating_mul(entries).clamp(REPORT_INTERVAL, MAX_INTERVAL)
 }
 
 /// Applies a report to the engines that this box owns, and counts the entries that concern others.
 pub fn apply(cx: &EntryCx, report: &PaceReport) {
     let now = clock::now();
-    let gates = cx.gates();
-    let mut dropped = report.engines.len() + report.firsts.len();
+    // Without the setting, reports of boxes that have it change nothing.
+    let gates = if cx.pace.borrow().is_enabled() { cx.gates() } else { Vec::new() };
+    let mut dropped = report.len();
     for pool in report.pools() {
         // No gate is created for a pool that only the report names.
         let Some((_, gate)) = gates.iter().find(|(name, _)| name == pool) else { continue };
@@ -96,6 +110,16 @@
 }
 
 impl PaceReport {
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.engines.len() + self.firsts.len()
+    }
+
+    /// Returns whether there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Returns the pools that the report concerns.
     fn pools(&self) -> BTreeSet<&str> {
         let engines = self.engines.iter().map(|engine| engine.pool.as_str());
@@ -106,7 +130,7 @@
 /// Logs the engines of this box that became slow or recovered.
 fn log_changes(cx: &EntryCx, watch: &mut RiskWatch, now: Instant) {
     for (pool, gate) in cx.gates() {
-        let paces = gate.update(|table| paces(table, now));
+        let paces = gate.inspect(|table| paces(table, now));
         for (name, pace) in &paces {
             let Some((view, risk)) = pace else { continue };
             let message = match watch.observe(&pool, name, *risk, now) {
@@ -133,7 +157,7 @@
     }
     let (mut summary, now) = (PaceSummary::default(), clock::now());
     for (_, gate) in cx.gates() {
-        summary.add(&gate.update(|table| paces(table, now)));
+        summary.add(&gate.inspect(|table| paces(table, now)));
     }
     cx.metrics.pace(&summary);
 }
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -112,7 +112,7 @@
     /// Engine that sent the last event.
     last_engine: RunnerName,
     /// When the run was told to stop, until the first event after its resumption.
-    resumed: Option<Instant>,
+    stopped_at: Option<Instant>,
     /// Whether an event came on the current link.
     link_has_events: bool,
     /// Delays the shutdown of the process until the stream has ended.
@@ -173,7 +173,7 @@
             next_move: now,
             roster_version: 0,
             leaving_since: None,
-            resumed: None,
+            stopped_at: None,
             first_event: None,
             last_progress: now,
             longest_gap: Duration::ZERO,
@@ -412,7 +412,7 @@
         self.roster_version = 0;
         self.next_move = clock::now() + MOVE_DELAY;
         let Moved { slot, source, handle, stopped_at } = moved;
-        self.resumed = Some(stopped_at);
+        self.stopped_at = Some(stopped_at);
         let left =
             slot.map(|slot| (std::mem::replace(&mut self.slot, *slot), self.leaving_since.take()));
         let failure = match self.send_resume(source, handle.clone()).await {
@@ -514,7 +514,7 @@
             self.slot.record_first_token();
             metrics.time(Timing::FirstToken, route, priority, clock::since(self.req.received));
         } else {
-            if let Some(stopped_at) = self.resumed.take() {
+            if let Some(stopped_at) = self.stopped_at.take() {
                 metrics.time(Timing::MovePause, route, priority, gap);
                 log::info!(
                     request = self.req.id.as_str(), upstream = self.slot.runner.as_str(),
--- a/crates/hatchpitch/src/routing/objective.rs
+++ b/crates/hatchpitch/src/routing/objective.rs
@@ -16,9 +16,9 @@
 /// that any other engine with room is preferred: a stream that pauses for too long is worth little
 /// to its caller.
 const MISS_PENALTY: f64 = 3.0;
-/// Load above which a stream looks for a better engine at more owners: its risk is high, or the
-/// engine is almost full.
-pub const HIGH_LOAD: f64 = 0.5 * MISS_PENALTY;
+/// Load above which a stream looks for a better engine at more owners. No engine without risk has
+/// such a load.
+pub const HIGH_LOAD: f64 = MISS_PENALTY;
 /// Load penalty of the best engine beside one on which streams are certain to pause for too long,
 /// for a request that does not have to keep a pause. Half a second of prompts that wait to be
 /// prefilled outweighs it, so that such requests do not become late on slow engines.
@@ -50,7 +50,7 @@
 pub(super) struct PausePlacement {
     pub(super) pace: PoolPace,
     pub(super) streams: BTreeMap<RunnerName, BTreeMap<AttemptId, PauseObjective>>,
-    /// Smoothed objective of the streams placed last.
+    /// Smoothed objective of the streams placed last, while any of them runs.
     typical: Option<PauseObjective>,
 }
 
@@ -84,6 +84,9 @@
                 self.streams.remove(runner);
             }
         }
+        if self.streams.is_empty() {
+            self.typical = None;
+        }
     }
 
     /// Returns whether a typical stream is at risk on any engine that is known.
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -266,7 +266,8 @@
         let first_runs =
             if self.pauses.any_risk() { FirstRuns::Replace } else { FirstRuns::Smoothed };
         runner.prefill.remove_with(id, first_token, first_runs);
-        if let Some(rate) = runner.prefill.own_rate() {
+        let is_used = self.cfg.pick == Pick::Objective;
+        if let Some(rate) = runner.prefill.own_rate().filter(|_| is_used) {
             self.pauses.pace.set_prefill_rate(name, rate);
         }
     }
@@ -397,8 +398,8 @@
     fn record_rejection(&mut self, name: &str, report: RunReport, now: Instant) {
         let mut brittle = self.signals.brittle.borrow_mut();
         if let Some(max) = report.brittle {
-            // The box that sent the request notifies the others.
-            // A full validity would renew the announcement with each run, without end.
+            // The box that sent the request notifies the others. The remaining validity is kept, as
+            // each run would renew the announcement otherwise.
             let left = report.brittle_left.unwrap_or(BRITTLE_TTL);
             brittle.record(name, max, left, now);
         }
@@ -450,7 +451,8 @@
     /// now and the time that each takes. While requests wait, this is the rate at which the runners
     /// serve. `None` if nothing runs or no request has ended yet.
     pub fn service_interval(&self) -> Option<Duration> {
-        let running: u64 = self.runners.values().map(|runner| runner.running).sum();
+        let serving = self.runners.values().filter(|runner| runner.configured && runner.serving);
+        let running: u64 = serving.map(|runner| runner.running).sum();
         let running = u32::try_from(running).unwrap_or(u32::MAX);
         self.hold_time?.checked_div(running)
     }
--- a/crates/hatchpitch/src/upstream_signals/brittle.rs
+++ b/crates/hatchpitch/src/upstream_signals/brittle.rs
@@ -117,6 +117,11 @@
         self.owner_placement.get(upstream).is_some_and(|until| now < *until)
     }
 
+    /// Returns whether no upstream is brittle or recently was.
+    pub fn places_none_by_owner(&self) -> bool {
+        self.owner_placement.is_empty()
+    }
+
     /// Returns whether no upstream is brittle.
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
--- a/crates/hatchpitch/tests/pace_histograms.rs
+++ b/crates/hatchpitch/tests/pace_histograms.rs
@@ -379,3 +379,33 @@
         .run();
     }
 }
+
+/// A histogram as another box may send it.
+#[derive(serde::Serialize)]
+struct RawHistogram {
+    #[serde(rename = "b", with = "serde_bytes")]
+    buckets: Vec<u8>,
+    #[serde(rename = "s")]
+    sum_ms: f64,
+}
+
+fn decode(buckets: &[u8], sum_ms: f64) -> Result<GapHistogram, rmp_serde::decode::Error> {
+    let raw = RawHistogram { buckets: buckets.to_vec(), sum_ms };
+    rmp_serde::from_slice(&rmp_serde::to_vec_named(&raw).unwrap())
+}
+
+#[test]
+fn damaged_histograms_of_other_boxes_do_not_enter_estimates() {
+    let one = [70, 0, 16];
+    assert_eq!(decode(&one, 60.0).unwrap().count(), 1.0);
+    for sum in [f64::INFINITY, f64::NAN, -1.0] {
+        assert!(decode(&one, sum).is_err(), "{sum}");
+    }
+    assert!(decode(&[70, 0], 60.0).is_err(), "a truncated entry");
+    assert!(decode(&[200, 0, 16], 60.0).is_err(), "a bucket that does not exist");
+    let weightless = decode(&[70, 0, 0], 60.0).unwrap();
+    let (mut pace, now) = (PoolPace::default(), Instant::now());
+    pace.observe("e", &weightless, 1, now);
+    assert_eq!(pace.view("e", now), None);
+    pace::verify::verify(&pace, |_| false).unwrap();
+}
