Suspend a box before the whole answer is sent also where the caller is late

Shown by a run: with a caller that sleeps for 2 s at that token the test fails at the same assertion; with an engine that takes 40 ms for a step it passes, with that sleep and without it. All checks are the same.

--- a/crates/e2e/tests/streams.rs
+++ b/crates/e2e/tests/streams.rs
@@ -245,7 +245,11 @@
 
 #[compio::test]
 async fn answer_of_suspended_box_resumes_at_another_box() -> anyhow::Result<()> {
-    let fleet = TestFleet::start(FleetSpec { engines: 1, ..FleetSpec::default() }).await?;
+    // The answer takes seconds after the token at which the box is suspended: a caller that is not
+    // scheduled for 1.4 s would read that token after the box has sent the whole answer.
+    let engine_args = vec!["--step-us".into(), "40000".into()];
+    let spec = FleetSpec { engines: 1, engine_args, ..FleetSpec::default() };
+    let fleet = TestFleet::start(spec).await?;
     let caller = fleet.caller(0);
     let broken = caller.chat(fleet.entry_addrs[0], MODEL, "report len=200", |token| {
         if token.index == 30 {
