Split the relay of streams into forwarding, migration and resumption

What starts migrations is now in relay/migration.rs, what resumes a run in relay/resume.rs, and the state that all requests share in relay/context.rs.

--- a/crates/hatchpitch/src/relay/mod.rs
+++ b/crates/hatchpitch/src/relay/mod.rs
@@ -6,20 +6,24 @@
 //! caller detects that it is incomplete.
 
 pub mod budget;
+mod context;
 pub mod ending;
 pub mod events;
 mod failure;
 pub mod headers;
 pub mod json;
+mod migration;
 pub mod protocol;
 pub mod recent;
 pub mod request;
 pub mod response;
+mod resume;
 pub mod run;
 pub mod run_times;
 pub mod stream;
 
 pub use budget::{RetryBudgets, RetryLimits};
+pub use context::Relay;
 pub use protocol::{Attempt, ResponseKind, Resume, RunnerProtocol};
 pub use request::{GenerationNeeds, HostedRequest};
-pub use run::{Relay, serve};
+pub use run::serve;
--- a/crates/hatchpitch/src/relay/response.rs
+++ b/crates/hatchpitch/src/relay/response.rs
@@ -8,10 +8,10 @@
 use http::{Response, Version, header};
 use hyper::body::Incoming;
 
+use super::context::Relay;
 use super::ending::{EndCheck, Ending, STREAM_STATE_TIMEOUT, open_end_verdict};
 use super::headers::strip_hop_by_hop;
 use super::request::HostedRequest;
-use super::run::Relay;
 use super::stream::BUFFERED_CHUNKS;
 use crate::entry::EntryCx;
 use crate::grants::Slot;
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -10,20 +10,17 @@
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 
-use super::budget::RetryBudgets;
+use super::context::Relay;
 use super::ending::{BUFFERED_STATE_TIMEOUT, EndCheck, Ending, is_event_stream, open_end_verdict};
 use super::failure::{Failure, Next, Untried};
-use super::protocol::{Attempt, ResponseKind, RunnerProtocol};
-use super::recent::RecentServices;
+use super::protocol::{Attempt, ResponseKind};
 use super::request::HostedRequest;
-use super::run_times::RunTimes;
 use super::{response, stream};
 use crate::config::hosted::RunPolicy;
 use crate::dispatch::{Refusal, SlotRequest};
-use crate::entry::EntryCx;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
-use crate::ids::{FailureDomainName, RegionName, RunnerName, ServiceName, new_id};
+use crate::ids::{FailureDomainName, RunnerName, ServiceName, new_id};
 use crate::metrics::{Count, Timing};
 use crate::outcome::{Outcome, Problem};
 use crate::quarantine::ContentId;
@@ -50,9 +47,6 @@
 /// Retry delay while all eligible upstreams are in evacuated failure domains. The end of an
 /// evacuation takes about this long to reach all boxes, and the runners are cold then.
 const EVACUATED_RETRY: Duration = Duration::from_secs(2);
-/// Retry delay if the regions of route and workspace leave no failure domain: configurations
-/// change a few times an hour.
-const NO_REGION_RETRY: Duration = Duration::from_secs(30);
 /// Retry delay after a failure that is expected to be brief.
 const SHORT_RETRY: Duration = Duration::from_millis(250);
 /// Time within which every upstream announces itself again: one heartbeat interval plus
@@ -61,45 +55,6 @@
 /// Interval at which a waiting request checks for a newly announced upstream.
 const UPSTREAM_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// State shared by all requests of hosted routes at one box.
-pub struct Relay {
-    /// Context of the entry box.
-    pub cx: Rc<EntryCx>,
-    /// Protocol of the upstreams.
-    pub protocol: RunnerProtocol,
-    /// Retry budgets, by service.
-    pub budgets: RefCell<RetryBudgets>,
-    /// Run times of requests whose responses were buffered.
-    pub run_times: RefCell<RunTimes>,
-    /// Services whose streams recently ended with their connections.
-    pub open_streams: RefCell<RecentServices>,
-}
-
-impl Relay {
-    /// Returns the failure domains whose upstreams may run a request; an empty list means all.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if the regions of its route and its workspace leave no failure domain.
-    pub fn domains_for(&self, req: &HostedRequest) -> Result<Vec<FailureDomainName>, Refusal> {
-        let (of_route, of_workspace) = (&req.route.regions, &req.regions);
-        let allowed: Vec<RegionName> = match (of_route.is_empty(), of_workspace.is_empty()) {
-            (true, true) => return Ok(Vec::new()),
-            (true, false) => of_workspace.clone(),
-            (false, true) => of_route.clone(),
-            (false, false) => {
-                of_route.iter().filter(|region| of_workspace.contains(region)).cloned().collect()
-            }
-        };
-        let domains = self.cx.domains_in_regions(&allowed);
-        if domains.is_empty() {
-            let cause = "no failure domain lies in a region that the request may run in";
-            return Err(Refusal::new(cause, NO_REGION_RETRY));
-        }
-        Ok(domains)
-    }
-}
-
 /// Handles a request and returns its final response.
 ///
 /// # Errors
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -1,53 +1,38 @@
 //! Forwards a stream of events while it is produced. A migrated generation continues over a link to
 //! another runner; a link is the streaming response of one runner.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodySender, Framing, SendError, clock, read_stream};
+use hatchpitch_net::{Body, BodySender, Framing, clock, read_stream};
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
 
+use super::context::Relay;
 use super::ending::{Ending, STREAM_STATE_TIMEOUT, judge_open_end, open_end_verdict};
 use super::events::EventSplitter;
-use super::protocol::{Attempt, ResponseKind, Resume};
 use super::request::HostedRequest;
 use super::response::adapt_head;
-use super::run::Relay;
 use crate::config::hosted::EngineSpec;
 use crate::entry::context::ActiveGuard;
 use crate::grants::Slot;
 use crate::ids::{RunnerName, ServiceName};
 use crate::metrics::{Count, STALL_THRESHOLD, Timing};
 use crate::moves::mover::Moving;
-use crate::moves::{self, MoveNeeds, MoveOutcome, Moved, SourceRunner};
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunLocation, UpstreamState};
-use crate::registry::Phase;
 use crate::routing::Verdict;
-use crate::upstream_signals::task as upstream_signals;
 
 /// Chunks buffered between upstream and caller.
 pub(super) const BUFFERED_CHUNKS: usize = 32;
 /// Interval at which the connection to the caller is checked while the upstream sends nothing.
 const CALLER_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Fewest remaining tokens for which a generation is migrated: what a runner produces in about the
-/// shortest notice that it gives before it shuts down.
-const MIN_REMAINING_TOKENS: u64 = 160;
-/// Largest number of migrations of one generation, whose runners may leave one after another.
-const MAX_MOVES: u32 = 12;
-/// Delay after a migration, successful or not, before the next one may start.
-const MOVE_DELAY: Duration = Duration::from_millis(100);
-/// Time within which a migration must end after its run was stopped.
-const MOVE_TIMEOUT: Duration = Duration::from_millis(2_000);
-
 /// Reason why a stream ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
-enum StreamEnd {
+pub(super) enum StreamEnd {
     /// The upstream ended it regularly.
     Whole,
     /// Its connection ended between two events, and nothing shows whether the upstream ended it.
@@ -81,40 +66,40 @@
     Response::from_parts(parts, out)
 }
 
-struct EventStream {
-    relay: Rc<Relay>,
-    req: Rc<HostedRequest>,
-    content: ContentId,
-    slot: Slot,
-    service: ServiceName,
-    splitter: EventSplitter,
-    moving: Option<Moving>,
+pub(super) struct EventStream {
+    pub(super) relay: Rc<Relay>,
+    pub(super) req: Rc<HostedRequest>,
+    pub(super) content: ContentId,
+    pub(super) slot: Slot,
+    pub(super) service: ServiceName,
+    pub(super) splitter: EventSplitter,
+    pub(super) moving: Option<Moving>,
     /// Framing of the response to the caller.
-    caller_framing: Framing,
+    pub(super) caller_framing: Framing,
     /// Framing of the response of the current link.
-    framing: Framing,
+    pub(super) framing: Framing,
     /// When the head of the current link was received.
-    link_start: Instant,
+    pub(super) link_start: Instant,
     /// Number of migrations started.
-    moves: u32,
+    pub(super) moves: u32,
     /// Earliest time of the next migration.
-    next_move: Instant,
+    pub(super) next_move: Instant,
     /// Version of the roster that `leaving` was read from.
-    roster_version: u64,
+    pub(super) roster_version: u64,
     /// When the runner was found to be about to shut down; `None` while it is not.
-    leaving_since: Option<Instant>,
+    pub(super) leaving_since: Option<Instant>,
     /// Time from the receipt of the request to its first event.
-    first_event: Option<Duration>,
-    last_progress: Instant,
-    longest_gap: Duration,
+    pub(super) first_event: Option<Duration>,
+    pub(super) last_progress: Instant,
+    pub(super) longest_gap: Duration,
     /// Engine that the longest gap is due to, and whether it fell across a move.
-    longest_gap_at: (RunnerName, bool),
+    pub(super) longest_gap_at: (RunnerName, bool),
     /// Engine that sent the last event.
-    last_engine: RunnerName,
+    pub(super) last_engine: RunnerName,
     /// When the run was told to stop, until the first event after its resumption.
-    stopped_at: Option<Instant>,
+    pub(super) stopped_at: Option<Instant>,
     /// Whether an event came on the current link.
-    link_has_events: bool,
+    pub(super) link_has_events: bool,
     /// Delays the shutdown of the process until the stream has ended.
     _active: ActiveGuard,
 }
@@ -127,27 +112,6 @@
     Closed(StreamEnd),
 }
 
-/// Reason why a run did not resume from a copy.
-enum ResumeFailure {
-    /// The runner did not accept the run, and the copy was not used.
-    NotRun(String),
-    /// The run may have resumed at the runner.
-    MayHaveRun(String),
-}
-
-impl ResumeFailure {
-    fn from_send(err: SendError) -> Self {
-        let cause = err.to_string();
-        if err.is_not_run() { Self::NotRun(cause) } else { Self::MayHaveRun(cause) }
-    }
-
-    fn cause(self) -> String {
-        match self {
-            Self::NotRun(cause) | Self::MayHaveRun(cause) => cause,
-        }
-    }
-}
-
 impl EventStream {
     fn new(
         relay: Rc<Relay>,
@@ -196,19 +160,13 @@
     }
 
     /// Sets the framing of the current link.
-    fn set_framing(&mut self, framing: Framing) {
+    pub(super) fn set_framing(&mut self, framing: Framing) {
         self.framing = framing;
         if framing.is_until_close() {
             self.relay.open_streams.borrow_mut().record(&self.service, clock::now());
         }
     }
 
-    /// Returns whether the generation can be migrated at all.
-    fn may_migrate(&self) -> bool {
-        let moves = self.relay.cx.settings.policy.moves;
-        moves && self.req.generation.is_some() && self.engine().is_some_and(|e| e.moves)
-    }
-
     async fn run(mut self, body: Incoming, mut tx: BodySender) {
         let end = self.forward_links(body, &mut tx).await;
         let tokens = self.tokens_produced();
@@ -327,171 +285,11 @@
 
     /// Records that the runner broke off its run. `started` is when the run is known to have
     /// started there, if at all.
-    fn note_break(&self, started: Option<Instant>) {
+    pub(super) fn note_break(&self, started: Option<Instant>) {
         let place = RunLocation { upstream: &self.slot.runner, addr: self.slot.addr };
         observer::record_interruption(&self.relay.cx, place, self.content, started);
     }
 
-    /// Starts a migration once the runner is about to shut down, and clears one that was abandoned.
-    fn poll_move(&mut self) {
-        if let Some(moving) = &mut self.moving {
-            if moving.has_failed() {
-                self.moving = None;
-                self.next_move = clock::now() + MOVE_DELAY;
-            }
-            return;
-        }
-        self.refresh_leaving();
-        let Some(leaving_since) = self.leaving_since else { return };
-        if self.moves >= MAX_MOVES || clock::now() < self.next_move {
-            return;
-        }
-        if let Some(left) = upstream_signals::backoff_remaining(&self.relay.cx, &self.slot.runner) {
-            self.next_move = clock::now() + left;
-            return;
-        }
-        let Some(needs) = self.req.generation else { return };
-        let produced = self.tokens_produced();
-        let at_stake = needs.max_output.saturating_sub(produced);
-        if produced == 0 || at_stake < MIN_REMAINING_TOKENS || !self.may_migrate() {
-            return;
-        }
-        self.moves += 1;
-        let source = SourceRunner {
-            service: self.service.clone(),
-            runner: self.slot.runner.clone(),
-            addr: self.slot.addr,
-            failure_domain: self.slot.failure_domain.clone(),
-            leaving_since,
-        };
-        let needs = MoveNeeds {
-            at_stake,
-            in_memory: needs.prompt + produced,
-            max_gap: self.max_gap(),
-            event_tokens: self.relay.cx.event_tokens(&self.service),
-        };
-        self.moving = Some(moves::start(&self.relay, &self.req, source, needs));
-    }
-
-    fn refresh_leaving(&mut self) {
-        let roster = self.relay.cx.upstreams.roster.borrow();
-        if self.roster_version != roster.version() {
-            self.roster_version = roster.version();
-            let record = roster.get(&self.slot.runner);
-            // Some runners deregister at once, and keep serving for as long as those that announce
-            // their shutdown.
-            let leaves = record.is_none_or(|record| record.phase == Phase::Leaving);
-            self.leaving_since = leaves.then(|| self.leaving_since.unwrap_or_else(clock::now));
-        }
-    }
-
-    /// Waits for the migration that closed the link, and opens the link to the copy. Returns `None`
-    /// if there was no migration, or if the stream had ended before it.
-    async fn open_next_link(&mut self, closed: &StreamEnd) -> Result<Option<Incoming>, String> {
-        let Some(moving) = self.moving.take() else { return Ok(None) };
-        if !matches!(closed, StreamEnd::Broken(_)) && !moving.is_stopping() {
-            // The run was not stopped, so it has finished; its migration is abandoned.
-            return Ok(None);
-        }
-        let moved = match compio::time::timeout(MOVE_TIMEOUT, moving.outcome).await {
-            Ok(Ok(MoveOutcome::Moved(moved))) => moved,
-            Ok(Ok(MoveOutcome::Stays(_))) => return Ok(None),
-            // The stream of a stopped run is closed without its terminator, so this run was not
-            // stopped. One without a terminator may have been.
-            _ if *closed == StreamEnd::Whole => return Ok(None),
-            Ok(Ok(MoveOutcome::Lost(cause))) => return Err(cause),
-            Ok(Err(_)) | Err(_) => return Err("the move did not end in time".to_owned()),
-        };
-        self.splitter.discard_incomplete();
-        self.resume(moved).await.map(Some)
-    }
-
-    /// Resumes the run at the runner that received the copy. If that runner does not accept it, the
-    /// run resumes where it was stopped, which keeps its state until the copy is used.
-    async fn resume(&mut self, moved: Moved) -> Result<Incoming, String> {
-        self.roster_version = 0;
-        self.next_move = clock::now() + MOVE_DELAY;
-        let Moved { slot, source, handle, stopped_at } = moved;
-        self.stopped_at = Some(stopped_at);
-        let left =
-            slot.map(|slot| (std::mem::replace(&mut self.slot, *slot), self.leaving_since.take()));
-        let failure = match self.send_resume(source, handle.clone()).await {
-            Ok(body) => return Ok(body),
-            Err(failure) => failure,
-        };
-        match (failure, left) {
-            (ResumeFailure::NotRun(cause), Some((left, leaving_since))) => {
-                log::info!(
-                    request = self.req.id.as_str(), upstream = self.slot.runner.as_str(),
-                    back_at = left.runner.as_str(), cause = cause.as_str();
-                    "copy was not accepted; the run resumes at its previous runner"
-                );
-                (self.slot, self.leaving_since) = (left, leaving_since);
-                let (cx, runner) = (&self.relay.cx, &self.slot.runner);
-                upstream_signals::wait_for_backoff(cx, runner, MOVE_TIMEOUT).await;
-                upstream_signals::obtain_in_advance(cx, runner).await?;
-                self.send_resume(source, handle).await.map_err(ResumeFailure::cause)
-            }
-            (failure, _) => Err(failure.cause()),
-        }
-    }
-
-    /// Sends the request to the runner of the current slot, to resume from a copy.
-    async fn send_resume(
-        &mut self,
-        source: SocketAddr,
-        handle: String,
-    ) -> Result<Incoming, ResumeFailure> {
-        if upstream_signals::backoff_remaining(&self.relay.cx, &self.slot.runner).is_some() {
-            return Err(ResumeFailure::NotRun(format!(
-                "resume: {}",
-                upstream_signals::BACKING_OFF
-            )));
-        }
-        let left = self.req.time_left(clock::now());
-        let after = self.splitter.last_id().map(str::to_owned);
-        let resume = Resume { source, handle, after };
-        let encode = |time_left| {
-            let (upstream, resume) = (self.slot.runner.clone(), Some(resume.clone()));
-            (self.relay.protocol.request)(&self.req, &Attempt { upstream, time_left, resume })
-        };
-        self.relay.budgets.borrow_mut().force_withdraw(&self.service);
-        let sent_at = clock::now();
-        let upstream = self.relay.cx.upstream(&self.slot.runner, self.slot.addr);
-        let sent = upstream.send_encoded(&encode, left).await;
-        let sent = sent.map_err(|err| {
-            if !err.is_not_run() && !self.req.time_left(clock::now()).is_zero() {
-                self.note_break(None);
-            }
-            ResumeFailure::from_send(err)
-        });
-        let (parts, body) = sent?.into_parts();
-        let kind = (self.relay.protocol.classify)(&self.req, &parts);
-        let signals = kind.trusted_signals(self.relay.protocol.signals(&parts));
-        upstream_signals::record(&self.relay.cx, &self.slot.runner, signals, sent_at);
-        match kind {
-            ResponseKind::Answer if parts.status.is_success() => {
-                self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
-                self.set_framing(Framing::of_response(&self.req.method, &parts));
-                self.link_start = clock::now();
-                self.link_has_events = false;
-                Ok(body)
-            }
-            ResponseKind::Answer => {
-                Err(ResumeFailure::MayHaveRun(format!("resume answered with {}", parts.status)))
-            }
-            ResponseKind::NotRun { cause, is_replaced } => {
-                if !is_replaced {
-                    self.slot.record_rejection();
-                }
-                Err(ResumeFailure::NotRun(format!("resume: {cause}")))
-            }
-            ResponseKind::Foreign(cause) => {
-                Err(ResumeFailure::MayHaveRun(format!("resume: {cause}")))
-            }
-        }
-    }
-
     async fn deliver(&self, tx: &mut BodySender, events: Bytes) -> Option<StreamEnd> {
         let limit = self.relay.cx.settings.timing.slow_caller;
         match compio::time::timeout(limit, tx.send(events)).await {
@@ -555,18 +353,11 @@
         }
     }
 
-    /// Returns the longest pause that the stream may have, unless it is late already.
-    fn max_gap(&self) -> Option<Duration> {
-        let is_on_time = |first: Duration| first <= self.req.route.answer_aim;
-        let kept = |limit: &Duration| self.longest_gap <= *limit;
-        self.req.max_gap().filter(|limit| kept(limit) && self.first_event.is_none_or(is_on_time))
-    }
-
-    fn tokens_produced(&self) -> u64 {
+    pub(super) fn tokens_produced(&self) -> u64 {
         self.splitter.events() * self.relay.cx.event_tokens(&self.service)
     }
 
-    fn engine(&self) -> Option<EngineSpec> {
+    pub(super) fn engine(&self) -> Option<EngineSpec> {
         self.relay.cx.engine(&self.service)
     }
 
