Answer 504 when a call ends at the same moment as the time of its request

Cause: the call to the upstream and the request have timers that end within microseconds of each other. Where the process gets no processor until both have expired, the inner future is polled first and its error is taken for a break of the upstream. Ruled out: an early inner timer, since it is set from the time that is left, after the outer one.

Evidence: a box that is suspended beyond the time limit answers so each time; the new test fails without the change and passes with it. A run that may have started while no time is left now ends as a request that ran out of time.

--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -188,6 +188,10 @@
             }
             Failure::MayHaveRun { cause } => {
                 self.possible_runs.set(self.possible_runs.get() + 1);
+                // The attempt and the time limit of the request may end at the same moment.
+                if self.req.time_left(clock::now()).is_zero() {
+                    return Next::End(Err(self.timed_out()));
+                }
                 if self.may_repeat() {
                     return Next::TryAnother(None);
                 }
