--- a/crates/hatchpitch/tests/brittle.rs
+++ b/crates/hatchpitch/tests/brittle.rs
@@ -44,6 +44,23 @@
     (rejected.iter().map(within).max().unwrap_or(0), run)
 }
 
+/// Returns a scheduler that owns the upstream, and the signals that it shares.
+fn scheduler(now: Instant) -> (PoolScheduler, SharedSignals) {
+    let signals = SharedSignals::default();
+    let routing = RoutingConfig::default();
+    let mut line = PoolScheduler::new(Default::default(), routing).with_signals(signals.clone());
+    let spec = RunnerSpec {
+        name: UPSTREAM.to_owned(),
+        addr: ([127, 0, 0, 1], 9).into(),
+        failure_domain: "d".to_owned(),
+        slots: SLOTS,
+        memory: None,
+        copy_rate: f64::INFINITY,
+    };
+    line.update(now, |table| table.sync([spec]));
+    (line, signals)
+}
+
 #[test]
 fn rejections_stay_within_what_the_upstream_bears_whatever_room_it_has() {
     for room in 0..=SLOTS {
@@ -94,19 +111,8 @@
 
 #[test]
 fn an_owner_admits_less_after_an_upstream_rejected_a_request() {
-    let signals = SharedSignals::default();
-    let routing = RoutingConfig::default();
-    let mut line = PoolScheduler::new(Default::default(), routing).with_signals(signals.clone());
     let now = Instant::now();
-    let spec = RunnerSpec {
-        name: UPSTREAM.to_owned(),
-        addr: ([127, 0, 0, 1], 9).into(),
-        failure_domain: "d".to_owned(),
-        slots: SLOTS,
-        memory: None,
-        copy_rate: f64::INFINITY,
-    };
-    line.update(now, |table| table.sync([spec]));
+    let (mut line, signals) = scheduler(now);
     let want = |id: u64| SlotRequest { id: id.to_string(), ..SlotRequest::default() };
     for id in 0..4 {
         assert!(matches!(line.decide(&want(id), now), Decision::Run(_)), "{id}");
@@ -125,19 +131,8 @@
 /// Guards against announcements that each report of a run renews, so that they never expire.
 #[test]
 fn reports_of_runs_do_not_renew_an_announcement() {
-    let signals = SharedSignals::default();
-    let routing = RoutingConfig::default();
-    let mut line = PoolScheduler::new(Default::default(), routing).with_signals(signals.clone());
     let now = Instant::now();
-    let spec = RunnerSpec {
-        name: UPSTREAM.to_owned(),
-        addr: ([127, 0, 0, 1], 9).into(),
-        failure_domain: "d".to_owned(),
-        slots: SLOTS,
-        memory: None,
-        copy_rate: f64::INFINITY,
-    };
-    line.update(now, |table| table.sync([spec]));
+    let (mut line, signals) = scheduler(now);
     signals.brittle.borrow_mut().record(UPSTREAM, MAX_REJECTIONS, BRITTLE_TTL, now);
     for second in 0..10 {
         let now = now + ms(1_000 * second);
