Ask boxes that helped before unknown ones

With four of six boxes cut off, its three tries went to such boxes, one of which sent it on a link that it did not know to be lost.

A box that has helped is now always asked first.

Evidence: no_request_asks_unknown_boxes_before_one_that_helped failed on the previous order (draw 0 asked an unknown box) and passes.

--- a/crates/hatchpitch/src/reachability/state.rs
+++ b/crates/hatchpitch/src/reachability/state.rs
@@ -28,8 +28,6 @@
 /// Time for which a box that helped is assumed to respond. One that stands still keeps accepting
 /// connections, and a request that it has received can no longer be sent to another.
 const RESPONSIVE_TIME: Duration = Duration::from_millis(500);
-/// Helpful boxes from which on no further ones are sought, so that the load is spread over a few.
-const MIN_HELPERS: usize = 3;
 
 /// The tables that all tasks of one box share.
 #[derive(Debug, Clone, Default)]
@@ -175,6 +173,9 @@
 impl PeerTable {
     /// Orders boxes by how likely they are to help. `sample` holds some of the others in random
     /// order, and successive values of `draw` spread requests over the boxes that helped before.
+    /// Unknown boxes are asked only after those: one that has lost its links as well may not know
+    /// it yet, and a request that it sent is lost with it. A helper that is busy refuses, so others
+    /// are found when they are needed.
     pub fn order(&self, sample: &[SocketAddr], draw: usize, now: Instant) -> Vec<SocketAddr> {
         let mut helpers: Vec<SocketAddr> = self.helpers(now).collect();
         if !helpers.is_empty() {
@@ -184,9 +185,7 @@
         let others = sample.iter().copied().filter(|addr| !helpers.contains(addr));
         let (avoided, unknown): (Vec<SocketAddr>, Vec<SocketAddr>) =
             others.partition(|addr| self.is_avoided(addr, now));
-        let explores = helpers.len() < MIN_HELPERS && draw.is_multiple_of(MIN_HELPERS + 1);
-        let [first, second] = if explores { [unknown, helpers] } else { [helpers, unknown] };
-        first.into_iter().chain(second).chain(avoided).collect()
+        helpers.into_iter().chain(unknown).chain(avoided).collect()
     }
 
     /// Records that a box reached an upstream for this box.
--- a/crates/hatchpitch/tests/reachability.rs
+++ b/crates/hatchpitch/tests/reachability.rs
@@ -111,6 +111,19 @@
     assert_eq!(peers.order(&sample, 1, later), [addr(1), addr(2), addr(3)]);
 }
 
+/// With four of six boxes cut, each request that asked unknown boxes first was sent to three of
+/// those, one of which sent it on a link that it did not know to be lost.
+#[test]
+fn no_request_asks_unknown_boxes_before_one_that_helped() {
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    peers.record_help(addr(9), now);
+    let sample = [addr(1), addr(2), addr(3), addr(4)];
+    for draw in 0..16 {
+        assert_eq!(peers.order(&sample, draw, now)[0], addr(9), "draw {draw}");
+    }
+}
+
 #[test]
 fn requests_are_spread_over_the_boxes_that_helped() {
     let now = Instant::now();
