Find links to upstreams that accept connections and stay silent

Cause: a link counted as lost only if a connect failed or a probe's connection was closed within 50 ms, and as back as soon as a connection stayed open. On these links neither fails.

Change: while a request waits for its response head, its connection is checked each 100 ms. Evidence against the link is bytes that stay unacknowledged for 300 ms (TCP_INFO), or, where they are acknowledged, an answer that the same upstream gave to another box on a later request of the same kind, later by half of the time that the request has waited. From then on all links of the box are suspect and requests go through other boxes, until a byte is received on a link. Probes send a message that is no request, so that a connect alone restores no silent link and a slow reset is found. A repeatable request is abandoned there, its connection is reset and it is tried again within its attempts and the retry budget; one that may run once goes on waiting. Such a failure is no evidence against the upstream. Boxes that send for others do the same and say so.

The part needs no switch, as it acts only on evidence of a lost link.

--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -19,7 +19,9 @@
 use crate::outcome::text_response;
 use crate::pace::PaceReport;
 use crate::pace::task::{self as pace, PACE_PATH};
+use crate::reachability::messages::AnswersRequest;
 use crate::reachability::task::{self as reachability, FORWARD_PATH};
+use crate::reachability::watch::{ANSWERS_PATH, answer_inquiry};
 use crate::upstream_limits::task::{self as upstream_limits, LIMIT_NOTICES_PATH, PERMIT_PATH};
 use crate::upstream_limits::{LimitNotice, PermitRequest};
 use crate::upstream_signals::task::{self as upstream_signals, BRITTLE_PATH, LEAVING_PATH};
@@ -78,6 +80,8 @@
             .map(|news| cx.boxes.respond(&upstream_signals::receive_brittle_notices(&cx, &news))),
         PACE_PATH => open_message::<PaceReport>(keys, path, &parts.headers, &body)
             .map(|report| cx.boxes.respond(&pace::apply(&cx, &report))),
+        ANSWERS_PATH => open_message::<AnswersRequest>(keys, path, &parts.headers, &body)
+            .map(|req| cx.boxes.respond(&answer_inquiry(&cx, &req))),
         SYNC_PATH => open_message::<GrantSync>(keys, path, &parts.headers, &body)
             .map(|req| cx.boxes.respond(&grants::sync(&cx, &req))),
         _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -337,9 +337,9 @@
                     slot.record_rejection();
                 }
                 if let EngineError::Send(err) = &err {
-                    self.has_path = err.step != SendStep::NoPath;
+                    self.has_path = !matches!(err.step, SendStep::NoPath | SendStep::LinkLost);
                     self.record_runner_failure();
-                    if !err.is_not_run() {
+                    if err.step == SendStep::AwaitHead {
                         self.report_interruption();
                     }
                 }
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -68,6 +68,10 @@
     SentByPeer,
     /// Requests that this box sent to their upstream for another box.
     SentForPeer,
+    /// Pieces of evidence that established connections to an upstream carry nothing.
+    SilentLinks,
+    /// Requests abandoned on such connections, to be sent again through another box.
+    AbandonedSends,
     /// Reports of the pace of engines sent to other boxes.
     PaceReportsSent,
     /// Those of them that were not answered in time, or refused.
@@ -250,6 +254,8 @@
         Count::Quarantined => "hatchpitch_quarantined_total",
         Count::SentByPeer => "hatchpitch_sent_by_peer_total",
         Count::SentForPeer => "hatchpitch_sent_for_peer_total",
+        Count::SilentLinks => "hatchpitch_silent_links_total",
+        Count::AbandonedSends => "hatchpitch_abandoned_sends_total",
         Count::PaceReportsSent => "hatchpitch_pace_reports_sent_total",
         Count::PaceReportsFailed => "hatchpitch_pace_reports_failed_total",
         Count::PaceEntriesDropped => "hatchpitch_pace_entries_dropped_total",
--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -6,13 +6,13 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hatchpitch_net::{Body, Listening, ProbedLink, SendError, SendStep, Upstream, clock};
+use hatchpitch_net::{Body, Listening, SendError, SendStep, Upstream, clock};
 use http::{Request, Response};
 use hyper::body::Incoming;
 
 use super::messages::{ForwardAction, ProbeResult};
-use super::state::PathChange;
 use super::task::{self, PeerAnswer};
+use super::watch::{Link, SendOptions};
 use crate::entry::EntryCx;
 use crate::ids::RunnerName;
 
@@ -23,9 +23,6 @@
 /// Time after which no further box is asked for a request. One that cannot connect answers within
 /// its own connect timeout, and the request may still be served by another upstream.
 const PEER_SEARCH_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which a probe keeps its connection open. A network that resets connections does so
-/// within a few round trips.
-const PROBE_HOLD: Duration = Duration::from_millis(50);
 
 /// Encodes a request for one attempt, given the time left until its response is of no more use.
 pub type Encode<'a> = &'a dyn Fn(Duration) -> Request<Body>;
@@ -107,11 +104,13 @@
             }
         };
         let req = Request::from_parts(parts, bytes);
-        self.send_encoded(&|_| req.clone().map(Body::Full), timeout).await
+        let encode = |_| req.clone().map(Body::Full);
+        self.send_encoded(&encode, timeout, SendOptions::default()).await
     }
 
     /// Sends a request that is encoded for each attempt to send it, of which only the last one can
-    /// have reached the upstream. Waits up to `timeout` for the response head.
+    /// have reached the upstream. Waits up to `timeout` for the response head. A request that may be
+    /// sent again is abandoned if its link turns out to be lost.
     ///
     /// # Errors
     ///
@@ -120,15 +119,16 @@
         &self,
         encode: Encode<'_>,
         timeout: Duration,
+        options: SendOptions<'_>,
     ) -> Result<Response<Incoming>, SendError> {
         let budget = TimeBudget { timeout, end: clock::now() + timeout };
         let Some(detour) = &self.detour else {
-            return self.send_directly(encode, budget).await;
+            return self.send_directly(encode, budget, options).await;
         };
         let paths = &detour.cx.reachability.paths;
         let is_direct = paths.borrow_mut().is_direct(self.addr(), clock::now());
         let failed = if is_direct {
-            match self.send_directly(encode, budget).await {
+            match self.send_directly(encode, budget, options).await {
                 Err(err) if err.is_not_run() => Some(err),
                 result => return result,
             }
@@ -136,7 +136,7 @@
             self.probe();
             None
         };
-        match self.search_peers(detour, encode, budget).await {
+        match self.search_peers(detour, encode, budget, options).await {
             Search::Sent(result) => result,
             Search::UpstreamFailed(cause) => {
                 Err(SendError { step: SendStep::Connect, peer: self.addr(), cause })
@@ -144,7 +144,7 @@
             Search::NoPeer => match failed {
                 Some(err) => Err(detour.without_witness(err)),
                 None => {
-                    let sent = self.send_directly(encode, budget).await;
+                    let sent = self.send_directly(encode, budget, options).await;
                     sent.map_err(|err| detour.without_witness(err))
                 }
             },
@@ -183,10 +183,15 @@
         &self,
         encode: Encode<'_>,
         budget: TimeBudget,
+        options: SendOptions<'_>,
     ) -> Result<Response<Incoming>, SendError> {
         let conn = self.upstream.connect().await.inspect_err(|_| self.record_failure())?;
         let connected = clock::now();
-        let sent = conn.send(encode(budget.left(connected)), budget.timeout).await;
+        let req = encode(budget.left(connected));
+        let sent = match self.link() {
+            Some(link) => link.send(conn, req, budget.timeout, options).await,
+            None => conn.send(req, budget.timeout).await,
+        };
         match &sent {
             Ok(_) => self.record_success(connected),
             Err(err) if err.step == SendStep::Unsent => self.record_failure(),
@@ -202,6 +207,7 @@
         detour: &Detour,
         encode: Encode<'_>,
         budget: TimeBudget,
+        options: SendOptions<'_>,
     ) -> Search {
         let (cx, started) = (&detour.cx, clock::now());
         for peer in task::candidates(cx, PEER_SAMPLE).into_iter().take(MAX_PEERS) {
@@ -214,7 +220,7 @@
                 continue;
             }
             let req = encode(budget.left(clock::now()));
-            let action = match task::encode_action(req, budget.timeout) {
+            let action = match task::encode_action(req, budget.timeout, options) {
                 Ok(action) => action,
                 Err(cause) => {
                     log::warn!(upstream = detour.name.as_str(); "request not forwarded: {cause}");
@@ -227,6 +233,10 @@
                     let step = SendStep::AwaitHead;
                     return Search::Sent(Err(SendError { step, peer: self.addr(), cause }));
                 }
+                PeerAnswer::LinkLost(cause) => {
+                    let step = SendStep::LinkLost;
+                    return Search::Sent(Err(SendError { step, peer: self.addr(), cause }));
+                }
                 PeerAnswer::UpstreamFailed(cause) => return Search::UpstreamFailed(cause),
                 PeerAnswer::NoHelp => {}
             }
@@ -249,41 +259,26 @@
                 reachability.peers.borrow_mut().record_help(peer, clock::now());
                 let change =
                     reachability.paths.borrow_mut().record_peer_success(addr, clock::now());
-                detour.log_change(change, addr);
+                detour.link(self.upstream).log_change(change);
             }
             PeerAnswer::UpstreamFailed(_) => {
                 reachability.paths.borrow_mut().record_peer_failure(addr);
             }
-            PeerAnswer::NoHelp | PeerAnswer::MayHaveRun(_) => {
+            PeerAnswer::NoHelp | PeerAnswer::MayHaveRun(_) | PeerAnswer::LinkLost(_) => {
                 reachability.peers.borrow_mut().record_no_help(peer, clock::now());
             }
         }
         answer
     }
 
-    /// Checks in the background whether this box has a link, at the rate at which paths are probed.
+    fn link(&self) -> Option<Link> {
+        self.detour.as_ref().map(|detour| detour.link(self.upstream))
+    }
+
     fn probe(&self) {
-        let Some(detour) = self.detour.clone() else { return };
-        let now = clock::now();
-        if !detour.cx.reachability.paths.borrow_mut().take_probe(now) {
-            return;
+        if let Some(link) = self.link() {
+            link.probe();
         }
-        let client = self.clone();
-        compio::runtime::spawn(async move {
-            let started = clock::now();
-            let probed = client.upstream.probe(PROBE_HOLD).await;
-            let (addr, now) = (client.addr(), clock::now());
-            let mut paths = detour.cx.reachability.paths.borrow_mut();
-            match probed {
-                ProbedLink::Works => {
-                    let change = paths.record_success(addr, started);
-                    detour.log_change(change, addr);
-                }
-                ProbedLink::Closed => paths.record_reset(addr, now),
-                ProbedLink::NoConnection => paths.record_failure(addr, now),
-            }
-        })
-        .detach();
     }
 
     fn record_failure(&self) {
@@ -296,7 +291,7 @@
         let Some(detour) = &self.detour else { return };
         let change =
             detour.cx.reachability.paths.borrow_mut().record_success(self.addr(), connected);
-        detour.log_change(change, self.addr());
+        detour.link(self.upstream).log_change(change);
     }
 }
 
@@ -309,17 +304,7 @@
         SendError { step, ..err }
     }
 
-    fn log_change(&self, change: Option<PathChange>, addr: SocketAddr) {
-        let upstream = self.name.as_str();
-        match change {
-            Some(PathChange::Broken) => log::warn!(
-                upstream = upstream, addr:% = addr;
-                "no link to an upstream that other boxes reach; requests go through them"
-            ),
-            Some(PathChange::Restored) => {
-                log::info!(upstream = upstream, addr:% = addr; "link to an upstream is back");
-            }
-            None => {}
-        }
+    fn link(&self, path: Upstream) -> Link {
+        Link { cx: self.cx.clone(), name: self.name.clone(), path }
     }
 }
--- a/crates/hatchpitch/src/reachability/messages.rs
+++ b/crates/hatchpitch/src/reachability/messages.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
-use crate::ids::RunnerName;
+use crate::ids::{RequestKind, RunnerName};
 
 /// Asks another box to exchange a message with an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +42,12 @@
     pub body: ByteBuf,
     /// Time limit for receiving the response head.
     pub head_timeout: Duration,
+    /// Kind of the request; empty if it has none.
+    #[serde(default)]
+    pub kind: RequestKind,
+    /// Whether the request may run more than once.
+    #[serde(default)]
+    pub is_repeatable: bool,
 }
 
 /// Tells why there is no response of the upstream.
@@ -51,6 +57,9 @@
     pub not_run: bool,
     /// Whether the failure is evidence against the upstream rather than against this box.
     pub is_conclusive: bool,
+    /// Whether the link that the request was sent on was found to be lost.
+    #[serde(default)]
+    pub link_lost: bool,
     /// Description of the failure.
     pub cause: String,
 }
@@ -63,3 +72,18 @@
     /// Whether a failure is evidence against the upstream rather than against this box.
     pub is_conclusive: bool,
 }
+
+/// Asks another box which requests upstreams answered on its links.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswersRequest {
+    /// Addresses of upstreams and kinds of requests.
+    pub items: Vec<(SocketAddr, RequestKind)>,
+}
+
+/// Answer to an [`AnswersRequest`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswersReply {
+    /// For each item, how long ago the latest request that was answered had been sent, in
+    /// milliseconds.
+    pub ages_ms: Vec<Option<u64>>,
+}
--- a/crates/hatchpitch/src/reachability/mod.rs
+++ b/crates/hatchpitch/src/reachability/mod.rs
@@ -7,11 +7,14 @@
 
 pub mod client;
 pub mod messages;
+pub mod silence;
 pub mod state;
 pub mod task;
 pub mod verify;
+pub mod watch;
 
 pub use client::UpstreamClient;
 pub use messages::{ForwardAction, ForwardFailure, ForwardRequest};
 pub use state::{PathTable, PeerTable, Reachability};
 pub use task::ForwardCounts;
+pub use watch::SendOptions;
--- a/crates/hatchpitch/src/reachability/state.rs
+++ b/crates/hatchpitch/src/reachability/state.rs
@@ -5,6 +5,9 @@
 //! From the first lost link on, a box is assumed to have lost all of them until one works, because
 //! a request that is sent on a lost link may be lost with it. A box is a witness against an upstream
 //! only if its links to others work.
+//!
+//! A link on which connections are established and nothing comes back ([`super::silence`]) is lost
+//! until a byte is received on it: neither a connect nor an open connection shows that it works.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -12,6 +15,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::silence::{AnswerTable, Inquiries};
+
 /// Time after which a failure that nothing has confirmed or refuted is forgotten.
 const FAILURE_TTL: Duration = Duration::from_secs(10);
 /// Time after a success for which the links of this box are assumed to work.
@@ -28,6 +33,9 @@
 /// Time for which a box that helped is assumed to respond. One that stands still keeps accepting
 /// connections, and a request that it has received can no longer be sent to another.
 const RESPONSIVE_TIME: Duration = Duration::from_millis(500);
+/// Time after evidence against one link at which requests are abandoned on the other ones, unless a
+/// byte has been received on one of them: a connect, the hold of a probe and its answer.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(250);
 
 /// The tables that all tasks of one box share.
 #[derive(Debug, Clone, Default)]
@@ -36,6 +44,10 @@
     pub paths: Rc<RefCell<PathTable>>,
     /// Other boxes as helpers.
     pub peers: Rc<RefCell<PeerTable>>,
+    /// Answers of upstreams on links of this box.
+    pub answers: Rc<RefCell<AnswerTable>>,
+    /// Requests that other boxes are asked about.
+    pub inquiries: Rc<RefCell<Inquiries>>,
 }
 
 /// Change that is worth a log line.
@@ -43,6 +55,8 @@
 pub enum PathChange {
     /// This box has no link to the upstream, but another box has.
     Broken,
+    /// Established connections of this box to the upstream carry nothing.
+    Silent,
     /// This box reaches the upstream again.
     Restored,
 }
@@ -52,6 +66,8 @@
     used_at: Instant,
     /// Whether another box reached the upstream.
     is_confirmed: bool,
+    /// Time of the last evidence that connections are established and stay silent.
+    silent_at: Option<Instant>,
 }
 
 /// Paths of this box to upstreams.
@@ -62,6 +78,8 @@
     failing: BTreeMap<SocketAddr, Instant>,
     /// Whether a path was found to be broken since the last direct success.
     pub(super) is_isolated: bool,
+    /// Time of the evidence if that path was silent.
+    pub(super) silent_at: Option<Instant>,
     pub(super) last_failure: Option<Instant>,
     last_success: Option<Instant>,
     next_probe: Option<Instant>,
@@ -110,9 +128,45 @@
         self.failing.clear();
         self.last_success = Some(connected);
         self.is_isolated = false;
+        self.silent_at = None;
         self.broken.remove(&addr).map(|_| PathChange::Restored)
     }
 
+    /// Records a connection opened at `connected` that was established and stayed open, on which
+    /// nothing was received. It shows nothing about links that are silent.
+    pub fn record_connect(&mut self, addr: SocketAddr, connected: Instant) -> Option<PathChange> {
+        let is_silent = self.broken.get(&addr).is_some_and(|path| path.silent_at.is_some());
+        if is_silent || self.silent_at.is_some() {
+            return None;
+        }
+        self.record_success(addr, connected)
+    }
+
+    /// Records evidence that connections to an upstream are established and carry nothing. All
+    /// links of the box are suspect from then on, unless this one was known to be silent.
+    pub fn record_silence(&mut self, addr: SocketAddr, now: Instant) -> Option<PathChange> {
+        if let Some(path) = self.broken.get_mut(&addr).filter(|path| path.silent_at.is_some()) {
+            path.silent_at = Some(now);
+            return None;
+        }
+        self.record_failure(addr, now);
+        let path = BrokenPath { used_at: now, is_confirmed: true, silent_at: Some(now) };
+        self.broken.insert(addr, path);
+        self.is_isolated = true;
+        self.silent_at = Some(now);
+        Some(PathChange::Silent)
+    }
+
+    /// Returns the time at which a repeatable request is abandoned on a connection that was opened
+    /// at `connected`, if its link is suspect because of later evidence.
+    pub fn abandon_at(&self, addr: SocketAddr, connected: Instant) -> Option<Instant> {
+        let own = self.broken.get(&addr).and_then(|path| path.silent_at);
+        let all = self.silent_at.map(|at| at + CONFIRMATION_TIME);
+        let own = own.filter(|at| *at > connected);
+        let all = all.filter(|at| *at > connected + CONFIRMATION_TIME);
+        own.into_iter().chain(all).min()
+    }
+
     /// Records that an upstream could not be reached on a link of this box.
     pub fn record_failure(&mut self, addr: SocketAddr, now: Instant) {
         self.failing.retain(|_, at| now < *at + FAILURE_TTL);
@@ -126,7 +180,7 @@
     /// upstream has failed.
     pub fn record_reset(&mut self, addr: SocketAddr, now: Instant) {
         self.record_failure(addr, now);
-        let path = BrokenPath { used_at: now, is_confirmed: false };
+        let path = BrokenPath { used_at: now, is_confirmed: false, silent_at: None };
         self.broken.entry(addr).or_insert(path);
     }
 
@@ -135,7 +189,8 @@
         if !self.failing.contains_key(&addr) && !self.broken.contains_key(&addr) {
             return None;
         }
-        let path = BrokenPath { used_at: now, is_confirmed: true };
+        let silent_at = self.broken.get(&addr).and_then(|path| path.silent_at);
+        let path = BrokenPath { used_at: now, is_confirmed: true, silent_at };
         let known = self.broken.insert(addr, path);
         if known.is_some_and(|known| known.is_confirmed) {
             return None;
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, Framing, Listening, SendError, clock, open_message, read_body};
+use hatchpitch_net::{
+    Body, Framing, Listening, SendError, SendStep, clock, open_message, read_body,
+};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -15,6 +17,7 @@
 use super::messages::{
     ForwardAction, ForwardFailure, ForwardRequest, ForwardedMessage, ProbeResult,
 };
+use super::watch::{Link, SendOptions};
 use crate::entry::EntryCx;
 use crate::entry::context::Intake;
 use crate::ids::RunnerName;
@@ -54,6 +57,9 @@
     Response(Response<Incoming>),
     /// The request may have reached the upstream. Holds the cause.
     MayHaveRun(String),
+    /// The request may have reached the upstream, and the box found that the link it was sent on is
+    /// lost. Holds the cause.
+    LinkLost(String),
     /// The box has links to upstreams, but not to this one. Holds the cause.
     UpstreamFailed(String),
     /// The box could not be reached, or cannot help. Nothing was sent.
@@ -117,6 +123,7 @@
 pub(super) fn encode_action(
     req: Request<Body>,
     head_timeout: Duration,
+    options: SendOptions<'_>,
 ) -> Result<ForwardAction, &'static str> {
     let (parts, body) = req.into_parts();
     let Body::Full(body) = body else { return Err("its body is a stream") };
@@ -129,6 +136,8 @@
             .collect(),
         body: ByteBuf::from(body.unwrap_or_default()),
         head_timeout,
+        kind: options.kind.to_owned(),
+        is_repeatable: options.is_repeatable,
     }))
 }
 
@@ -165,6 +174,9 @@
         return PeerAnswer::NoHelp;
     }
     match read_failure(res.into_body()).await {
+        Ok(ForwardFailure { link_lost: true, cause, .. }) => {
+            PeerAnswer::LinkLost(format!("through {peer}: {cause}"))
+        }
         Ok(ForwardFailure { not_run: false, cause, .. }) => {
             PeerAnswer::MayHaveRun(format!("through {peer}: {cause}"))
         }
@@ -280,7 +292,7 @@
     let linked = found.iter().find(|(_, listening)| *listening == Listening::Yes);
     let Some((other, _)) = linked else { return false };
     // The failures above may be those of upstreams; one link that works shows that this box has it.
-    paths.record_success(*other, clock::now());
+    paths.record_connect(*other, clock::now());
     true
 }
 
@@ -294,26 +306,31 @@
     let cannot = |cause: &str| ForwardFailure {
         not_run: true,
         is_conclusive: false,
+        link_lost: false,
         cause: cause.to_owned(),
     };
     if cx.intake.get() == Intake::Closed {
         return Err(cannot("the box is stopping"));
     }
+    let path = cx.direct_path(addr, CONNECT_TIMEOUT);
+    let link = Link { cx: cx.clone(), name: upstream.clone(), path };
     if !cx.reachability.paths.borrow_mut().is_direct(addr, clock::now()) {
+        link.probe();
         return Err(cannot("the box has no link to the upstream"));
     }
     if !cx.backoffs.borrow_mut().take(upstream, clock::now()) {
         return Err(cannot("the upstream asked the box for rest"));
     }
-    let head_timeout = message.head_timeout;
+    let (head_timeout, kind) = (message.head_timeout, message.kind.clone());
+    let options = SendOptions { kind: &kind, is_repeatable: message.is_repeatable };
     let Some(req) = decode(message) else { return Err(cannot("the request does not decode")) };
     let method = req.method().clone();
-    let conn = match cx.direct_path(addr, CONNECT_TIMEOUT).connect().await {
+    let conn = match link.path.connect().await {
         Ok(conn) => conn,
         Err(err) => return Err(failure(cx, &err).await),
     };
     let connected = clock::now();
-    let res = match conn.send(req, head_timeout).await {
+    let res = match link.send(conn, req, head_timeout, options).await {
         Ok(res) => res,
         Err(err) => return Err(failure(cx, &err).await),
     };
@@ -329,7 +346,8 @@
         cx.reachability.paths.borrow_mut().record_failure(err.peer, clock::now());
     }
     let is_conclusive = not_run && is_witness(cx, err.peer).await;
-    ForwardFailure { not_run, is_conclusive, cause: err.to_string() }
+    let link_lost = err.step == SendStep::LinkLost;
+    ForwardFailure { not_run, is_conclusive, link_lost, cause: err.to_string() }
 }
 
 /// Records the backoff that the upstream asks for. It may mean the box that sent the request, so
--- a/crates/hatchpitch/src/reachability/verify.rs
+++ b/crates/hatchpitch/src/reachability/verify.rs
@@ -12,5 +12,8 @@
     if has_lost_links && table.last_failure.is_none() {
         return Err("links are lost, but nothing failed on them".to_owned());
     }
+    if table.silent_at.is_some() && !table.is_isolated {
+        return Err("a silent link is recorded, but links are not suspect".to_owned());
+    }
     Ok(())
 }
--- a/crates/hatchpitch/src/relay/failure.rs
+++ b/crates/hatchpitch/src/relay/failure.rs
@@ -13,6 +13,8 @@
     NotRun { cause: String, arrived: bool },
     /// The upstream may have run the request.
     MayHaveRun { cause: String },
+    /// The upstream may have run the request, which was sent on a link that was found to be lost.
+    LinkLost { cause: String },
     /// The upstream ran the request and failed. Holds its response.
     Ran(Response<Body>),
 }
@@ -23,6 +25,7 @@
         match self {
             Self::NotRun { cause, .. } => ("not_run", Cow::Borrowed(cause)),
             Self::MayHaveRun { cause } => ("may_have_run", Cow::Borrowed(cause)),
+            Self::LinkLost { cause } => ("link_lost", Cow::Borrowed(cause)),
             Self::Ran(res) => ("failed", Cow::Owned(res.status().as_str().to_owned())),
         }
     }
--- a/crates/hatchpitch/src/relay/resume.rs
+++ b/crates/hatchpitch/src/relay/resume.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hatchpitch_net::{Framing, SendError, clock};
+use hatchpitch_net::{Framing, SendError, SendStep, clock};
 use hyper::body::Incoming;
 
 use super::migration::MOVE_DELAY;
@@ -11,6 +11,7 @@
 use super::stream::{EventStream, StreamEnd};
 use crate::metrics::Count;
 use crate::moves::{MoveOutcome, Moved};
+use crate::reachability::SendOptions;
 use crate::upstream_signals::task as upstream_signals;
 
 /// Time within which a migration must end after its run was stopped.
@@ -114,9 +115,9 @@
         self.relay.budgets.borrow_mut().force_withdraw(&self.service);
         let sent_at = clock::now();
         let upstream = self.relay.cx.upstream(&self.slot.runner, self.slot.addr);
-        let sent = upstream.send_encoded(&encode, left).await;
+        let sent = upstream.send_encoded(&encode, left, SendOptions::default()).await;
         let sent = sent.map_err(|err| {
-            if !err.is_not_run() && !self.req.time_left(clock::now()).is_zero() {
+            if err.step == SendStep::AwaitHead && !self.req.time_left(clock::now()).is_zero() {
                 self.note_break(None);
             }
             ResumeFailure::from_send(err)
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -25,6 +25,7 @@
 use crate::outcome::{Outcome, Problem};
 use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunLocation};
+use crate::reachability::SendOptions;
 use crate::routing::Verdict;
 use crate::upstream_signals::task as upstream_signals;
 
@@ -145,7 +146,10 @@
                 Err(failure) => failure,
             };
             self.log_attempt(&runner, &failure, started);
-            self.tried.borrow_mut().push(runner);
+            // A lost link says nothing about the upstream, which another box may reach.
+            if !matches!(failure, Failure::LinkLost { .. }) {
+                self.tried.borrow_mut().push(runner);
+            }
             match self.next_step(failure) {
                 Next::TryAnother(failed) => last = failed.or(last),
                 Next::End(Ok(res)) => return Ok(res),
@@ -186,7 +190,7 @@
                 let cause = format!("{cause}; {end}");
                 Next::End(Err(self.refused(Refusal::new(&cause, self.retry_delay()))))
             }
-            Failure::MayHaveRun { cause } => {
+            Failure::MayHaveRun { cause } | Failure::LinkLost { cause } => {
                 self.possible_runs.set(self.possible_runs.get() + 1);
                 // The attempt and the time limit of the request may end at the same moment.
                 if self.req.time_left(clock::now()).is_zero() {
@@ -243,6 +247,16 @@
             && self.withdraw_retry()
     }
 
+    /// Returns how a request may be sent while its link may be found to be lost. It is abandoned
+    /// there only if it could be tried again.
+    fn send_options(&self) -> SendOptions<'_> {
+        let is_repeatable = self.relay.cx.settings.policy.second_tries
+            && self.req.route.runs == RunPolicy::Repeatable
+            && self.possible_runs.get() + 1 < self.req.route.max_upstreams
+            && self.relay.budgets.borrow().allows(&self.service);
+        SendOptions { kind: &self.req.route.name, is_repeatable }
+    }
+
     /// Returns which upstreams are left to try.
     fn untried(&self) -> Untried {
         let (roster, tried) = (self.relay.cx.upstreams.roster.borrow(), self.tried.borrow());
@@ -362,15 +376,15 @@
         self.sent_to.borrow_mut().clone_from(&slot.runner);
         let sent_at = clock::now();
         let upstream = self.relay.cx.upstream(&slot.runner, slot.addr);
-        let sent = upstream.send_encoded(&encode, left).await;
+        let sent = upstream.send_encoded(&encode, left, self.send_options()).await;
         let res = sent.map_err(|err| {
             let verdict = match err.step {
                 SendStep::Connect | SendStep::Unsent => Verdict::Failed,
-                SendStep::NoPath => Verdict::Released,
+                SendStep::NoPath | SendStep::LinkLost => Verdict::Released,
                 SendStep::AwaitHead => Verdict::Faulty,
             };
             slot.finish(verdict, None);
-            if !err.is_not_run() && !self.req.time_left(clock::now()).is_zero() {
+            if err.step == SendStep::AwaitHead && !self.req.time_left(clock::now()).is_zero() {
                 self.note_break(&slot);
             }
             self.send_failure(&err)
@@ -427,6 +441,7 @@
                 Failure::NotRun { cause, arrived: false }
             }
             SendStep::AwaitHead => Failure::MayHaveRun { cause },
+            SendStep::LinkLost => Failure::LinkLost { cause },
         }
     }
 
--- a/crates/hatchpitch/tests/reachability.rs
+++ b/crates/hatchpitch/tests/reachability.rs
@@ -3,8 +3,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use hatchpitch::reachability::messages::{AnswersReply, AnswersRequest};
+use hatchpitch::reachability::silence::{
+    AckWatch, AnswerTable, Evidence, INQUIRY_INTERVAL, Inquiries, MAX_ITEMS, MAX_UNACKNOWLEDGED,
+    WaitingRequest,
+};
 use hatchpitch::reachability::state::PathChange;
+use hatchpitch::reachability::watch::INQUIRY_PEERS;
 use hatchpitch::reachability::{PathTable, PeerTable, verify};
+use hatchpitch_net::Acknowledgements;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -135,3 +142,220 @@
     let asked: std::collections::BTreeSet<SocketAddr> = (0..4).map(first).collect();
     assert_eq!(asked.len(), 4);
 }
+
+/// Returns a table with evidence that connections to an upstream stay silent.
+fn with_silent_link(upstream: SocketAddr, now: Instant) -> PathTable {
+    let mut paths = PathTable::default();
+    assert_eq!(paths.record_silence(upstream, now), Some(PathChange::Silent));
+    verify::verify(&paths).unwrap();
+    paths
+}
+
+/// A box whose connections are established and carry nothing sent all requests on them, as each
+/// probe found the link to work.
+#[test]
+fn a_connect_does_not_restore_links_that_are_silent() {
+    let now = Instant::now();
+    let mut paths = with_silent_link(addr(1), now);
+    for upstream in [addr(1), addr(2)] {
+        assert!(!paths.is_direct(upstream, now));
+        assert_eq!(paths.record_connect(upstream, now + MS), None);
+        assert!(!paths.is_direct(upstream, now + MS));
+    }
+    assert_eq!(paths.record_peer_success(addr(1), now + 2 * MS), None);
+    assert_eq!(paths.record_connect(addr(1), now + 3 * MS), None);
+    assert!(!paths.is_direct(addr(1), now + 3 * MS));
+    verify::verify(&paths).unwrap();
+}
+
+#[test]
+fn a_byte_on_a_later_connection_restores_silent_links_one_by_one() {
+    let now = Instant::now();
+    let mut paths = with_silent_link(addr(1), now);
+    assert_eq!(paths.record_success(addr(2), now - MS), None);
+    assert!(!paths.is_direct(addr(2), now));
+    paths.record_success(addr(2), now + MS);
+    assert!(paths.is_direct(addr(2), now + MS));
+    assert!(!paths.is_direct(addr(1), now + MS));
+    assert_eq!(paths.record_success(addr(1), now + MS), Some(PathChange::Restored));
+    assert!(paths.is_direct(addr(1), now + MS));
+    verify::verify(&paths).unwrap();
+}
+
+#[test]
+fn a_connect_restores_links_that_did_not_connect_before() {
+    let now = Instant::now();
+    let mut paths = with_lost_link(addr(1), now);
+    assert_eq!(paths.record_connect(addr(1), now + MS), Some(PathChange::Restored));
+    assert!(paths.is_direct(addr(1), now + MS));
+}
+
+/// A host that goes down must not divert the requests to all others each time that one of its
+/// connections is found to be silent.
+#[test]
+fn a_known_silent_link_does_not_divert_requests_to_other_upstreams_again() {
+    let now = Instant::now();
+    let mut paths = with_silent_link(addr(1), now);
+    paths.record_success(addr(2), now + MS);
+    assert_eq!(paths.record_silence(addr(1), now + 2 * MS), None);
+    assert!(paths.is_direct(addr(2), now + 3 * MS));
+    assert_eq!(paths.abandon_at(addr(2), now - MS), None);
+    assert_eq!(paths.record_success(addr(1), now + MS), Some(PathChange::Restored));
+}
+
+#[test]
+fn requests_are_abandoned_on_silent_links_only_if_sent_before_the_evidence() {
+    let now = Instant::now();
+    let mut paths = with_silent_link(addr(1), now);
+    assert_eq!(paths.abandon_at(addr(1), now - MS), Some(now));
+    assert_eq!(paths.abandon_at(addr(1), now + MS), None);
+    // Other links have a while to show that they work.
+    let other = paths.abandon_at(addr(2), now - MS).unwrap();
+    assert!(other > now && other < now + 500 * MS);
+    assert_eq!(paths.abandon_at(addr(2), now + MS), None);
+    paths.record_success(addr(3), now + MS);
+    assert_eq!(paths.abandon_at(addr(2), now - MS), None);
+    assert_eq!(paths.abandon_at(addr(1), now - MS), Some(now));
+}
+
+#[test]
+fn a_box_with_silent_links_is_no_witness_against_upstreams() {
+    let now = Instant::now();
+    let mut paths = PathTable::default();
+    paths.record_success(addr(2), now - MS);
+    paths.record_silence(addr(1), now);
+    assert!(!paths.is_witness(addr(1), now));
+    assert!(!paths.is_witness(addr(2), now));
+}
+
+fn acks(are_pending: bool, last_age: Duration) -> Acknowledgements {
+    Acknowledgements { are_pending, last_age }
+}
+
+#[test]
+fn bytes_that_stay_unacknowledged_are_evidence_after_their_time() {
+    let sent = Instant::now();
+    let mut watch = AckWatch::new(sent);
+    for age in [100 * MS, 200 * MS, MAX_UNACKNOWLEDGED - MS] {
+        assert_eq!(watch.observe(acks(true, age), sent + age), None);
+    }
+    let evidence = watch.observe(acks(true, MAX_UNACKNOWLEDGED), sent + MAX_UNACKNOWLEDGED);
+    assert_eq!(evidence, Some(Evidence::Unacknowledged(MAX_UNACKNOWLEDGED)));
+}
+
+#[test]
+fn a_slow_upstream_that_acknowledges_is_no_evidence() {
+    let sent = Instant::now();
+    let mut watch = AckWatch::new(sent);
+    for wait in 1..100 {
+        let wait = wait * 100 * MS;
+        assert_eq!(watch.observe(acks(false, wait), sent + wait), None);
+    }
+}
+
+/// The body of a request may continue after a pause, and be acknowledged piece by piece.
+#[test]
+fn bytes_sent_after_a_pause_have_their_own_time() {
+    let sent = Instant::now();
+    let mut watch = AckWatch::new(sent);
+    assert_eq!(watch.observe(acks(false, 2_000 * MS), sent + 2_000 * MS), None);
+    assert_eq!(watch.observe(acks(true, 2_100 * MS), sent + 2_100 * MS), None);
+    assert_eq!(watch.observe(acks(true, 50 * MS), sent + 2_500 * MS), None);
+    assert!(watch.observe(acks(true, 450 * MS), sent + 2_900 * MS).is_some());
+}
+
+fn waiting(sent: Instant) -> WaitingRequest {
+    WaitingRequest { addr: addr(1), kind: "kind".to_owned(), sent }
+}
+
+#[test]
+fn an_answer_elsewhere_is_evidence_only_with_a_lead_of_half_of_the_wait() {
+    let sent = Instant::now();
+    let asked = sent + 400 * MS;
+    let evidence = Evidence::AnsweredElsewhere { waited: 400 * MS, age: 200 * MS };
+    assert_eq!(waiting(sent).judge(200 * MS, asked), Some(evidence));
+    assert_eq!(waiting(sent).judge(201 * MS, asked), None);
+    assert_eq!(waiting(sent).judge(500 * MS, asked), None);
+}
+
+/// On a loaded machine, requests to an upstream that is silent for 1.2 s were taken for lost, and
+/// one of them ran twice.
+#[test]
+fn no_answer_of_an_upstream_that_is_slow_for_all_boxes_is_evidence() {
+    let sent = Instant::now();
+    for slow in [1_200 * MS, 1_500 * MS] {
+        for waited in (100..=2_300).step_by(100) {
+            // No answered request can have been sent later than the time that answers take.
+            assert_eq!(waiting(sent).judge(slow, sent + waited * MS), None, "{waited} ms");
+        }
+    }
+}
+
+#[test]
+fn refusals_and_requests_of_other_kinds_are_not_compared() {
+    let now = Instant::now();
+    let mut answers = AnswerTable::default();
+    answers.record(addr(1), None, now, now);
+    answers.record(addr(1), Some("other"), now, now);
+    answers.record(addr(2), Some("kind"), now, now);
+    answers.record(addr(3), Some(""), now, now);
+    assert_eq!(answers.age(addr(1), "kind", now), None);
+    assert_eq!(answers.age(addr(3), "", now), None);
+    answers.record(addr(1), Some("kind"), now - 20 * MS, now);
+    answers.record(addr(1), Some("kind"), now - 30 * MS, now);
+    assert_eq!(answers.age(addr(1), "kind", now), Some(20 * MS));
+    assert_eq!(answers.age(addr(1), "kind", now + 60_000 * MS), None);
+}
+
+/// The system sends bytes of a connection from before the end of a cut again only after a while,
+/// when later connections work.
+#[test]
+fn an_answer_to_a_later_request_shows_that_the_link_works() {
+    let now = Instant::now();
+    let mut answers = AnswerTable::default();
+    answers.record(addr(1), None, now, now);
+    assert!(answers.has_since(addr(1), now - MS));
+    assert!(!answers.has_since(addr(1), now + MS));
+    assert!(!answers.has_since(addr(2), now - MS));
+}
+
+#[test]
+fn inquiries_do_not_multiply_with_requests_and_name_those_that_wait_longest() {
+    let start = Instant::now();
+    let mut inquiries = Inquiries::default();
+    let mut asked = Vec::new();
+    for tick in 0..1_000 {
+        let now = start + tick * 10 * MS;
+        for upstream in 0..40 {
+            let sent = start + u32::from(upstream) * MS;
+            let req = WaitingRequest { addr: addr(upstream), ..waiting(sent) };
+            let items = inquiries.add(&req, now);
+            asked.extend((!items.is_empty()).then_some(items));
+        }
+    }
+    // A few at first, then two a second.
+    assert!((20..=24).contains(&asked.len()), "{}", asked.len());
+    assert!(asked.iter().all(|items| items.len() <= MAX_ITEMS));
+    assert!(asked[1].contains(&WaitingRequest { addr: addr(0), ..waiting(start) }));
+}
+
+#[test]
+fn other_boxes_are_not_asked_about_requests_that_have_hardly_waited() {
+    let start = Instant::now();
+    let mut inquiries = Inquiries::default();
+    assert!(inquiries.add(&waiting(start), start + 100 * MS).is_empty());
+    assert_eq!(inquiries.add(&waiting(start), start + 300 * MS), [waiting(start)]);
+}
+
+/// Requests that wait for long are normal where upstreams are slow, so inquiries may go on all day.
+#[test]
+fn inquiries_and_their_answers_stay_under_1_kb_a_second() {
+    let item = (addr(1), "summaries".to_owned());
+    let message = AnswersRequest { items: vec![item; MAX_ITEMS] };
+    let reply = AnswersReply { ages_ms: vec![Some(9_999); MAX_ITEMS] };
+    let bytes = rmp_serde::to_vec_named(&message).unwrap().len()
+        + rmp_serde::to_vec_named(&reply).unwrap().len();
+    let per_second = Duration::from_secs(1).div_duration_f64(INQUIRY_INTERVAL);
+    let total = (bytes * INQUIRY_PEERS) as f64 * per_second;
+    assert!(total < 1_000.0, "{total} bytes a second");
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -10,16 +10,21 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use compio::io::AsyncRead;
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpSocket, TcpStream};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use serde::{Deserialize, Serialize};
 
-use crate::Body;
 use crate::server::set_silence_timeouts;
 use crate::stream::{DEFAULT_IO_BYTES, Stream};
+use crate::{Body, ConnectionMonitor};
+
+/// Message of a probe. It is no request, so an upstream runs nothing for it; HTTP servers answer it
+/// with 400.
+const PROBE_MESSAGE: &[u8] = b"PROBE\r\n\r\n";
 
 /// The step of a call to an upstream at which it failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +38,9 @@
     NoPath,
     /// Bytes of the request may have reached the upstream.
     AwaitHead,
+    /// Bytes of the request may have reached the upstream, and the link that they were sent on was
+    /// found to be lost. The failure is no evidence against the upstream.
+    LinkLost,
 }
 
 /// A failed call to an upstream.
@@ -51,7 +59,7 @@
     pub fn is_not_run(&self) -> bool {
         match self.step {
             SendStep::Connect | SendStep::Unsent | SendStep::NoPath => true,
-            SendStep::AwaitHead => false,
+            SendStep::AwaitHead | SendStep::LinkLost => false,
         }
     }
 }
@@ -78,8 +86,10 @@
 /// Result of a probe of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbedLink {
-    /// The connection stayed open.
-    Works,
+    /// The upstream reacted to a message.
+    Answers,
+    /// The connection stayed open, and nothing came back on it.
+    Silent,
     /// The connection was established, then closed or reset.
     Closed,
     /// No connection was established.
@@ -130,12 +140,32 @@
         Ok(Connection { peer: self.addr, stream })
     }
 
-    /// Probes a connection to the upstream, which is kept open for `hold`.
-    pub async fn probe(&self, hold: Duration) -> ProbedLink {
-        let Ok(mut conn) = self.connect().await else { return ProbedLink::NoConnection };
-        match compio::time::timeout(hold, conn.stream.read(Vec::with_capacity(1))).await {
-            Ok(_) => ProbedLink::Closed,
-            Err(_) => ProbedLink::Works,
+    /// Probes a connection to the upstream: keeps it open for `hold`, then sends a message that is
+    /// no request and waits up to `answer_timeout` for the upstream to react.
+    pub async fn probe(&self, hold: Duration, answer_timeout: Duration) -> ProbedLink {
+        let Ok(conn) = self.connect().await else { return ProbedLink::NoConnection };
+        let monitor = conn.monitor();
+        let mut stream = conn.stream;
+        let read = compio::time::timeout(hold, stream.read(Vec::with_capacity(1))).await;
+        match read {
+            Ok(BufResult(Ok(1..), _)) => return ProbedLink::Answers,
+            Ok(_) => return ProbedLink::Closed,
+            Err(_) => {}
+        }
+        let BufResult(written, _) = stream.write_all(PROBE_MESSAGE).await;
+        if written.is_err() {
+            return ProbedLink::Closed;
+        }
+        let read = compio::time::timeout(answer_timeout, stream.read(Vec::with_capacity(1))).await;
+        match read {
+            // Some servers close the connection without an answer. A connection that was open until
+            // then and is closed in order after the message has carried it.
+            Ok(BufResult(Ok(_), _)) => ProbedLink::Answers,
+            Ok(BufResult(Err(_), _)) => ProbedLink::Closed,
+            Err(_) => {
+                monitor.reset();
+                ProbedLink::Silent
+            }
         }
     }
 
@@ -166,6 +196,11 @@
 }
 
 impl Connection {
+    /// Returns a handle to observe and reset the connection while it is in use.
+    pub fn monitor(&self) -> ConnectionMonitor {
+        ConnectionMonitor::new(&self.stream)
+    }
+
     /// Sends the request and waits up to `head_timeout` for the response head.
     ///
     /// Dropping the returned future or the response body closes the connection.
--- /dev/null
+++ b/crates/net/src/monitor.rs
@@ -0,0 +1,71 @@
+//! State of a connection as the system sees it: whether the peer acknowledges what was sent.
+
+use std::io;
+use std::mem::{self, MaybeUninit};
+use std::net::Shutdown;
+use std::os::fd::AsRawFd;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use socket2::SockRef;
+
+/// Whether the peer of a connection acknowledges what was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Acknowledgements {
+    /// Whether sent bytes have not been acknowledged yet.
+    pub are_pending: bool,
+    /// Time since the last acknowledgement, or since the connection was established.
+    pub last_age: Duration,
+}
+
+/// Handle to the socket of a connection that is in use elsewhere. The socket stays open until the
+/// handle is dropped.
+pub struct ConnectionMonitor(TcpStream);
+
+impl ConnectionMonitor {
+    pub(crate) fn new(stream: &TcpStream) -> Self {
+        Self(stream.clone())
+    }
+
+    /// Returns whether the peer acknowledges what was sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn acknowledgements(&self) -> io::Result<Acknowledgements> {
+        let mut info = MaybeUninit::<libc::tcp_info>::zeroed();
+        let mut len = libc::socklen_t::try_from(mem::size_of::<libc::tcp_info>())
+            .map_err(|_| io::ErrorKind::InvalidInput)?;
+        // SAFETY: the descriptor is open while `self` lives, and the system writes at most `len`
+        // bytes to `info`, which has that size.
+        let result = unsafe {
+            libc::getsockopt(
+                self.0.as_raw_fd(),
+                libc::IPPROTO_TCP,
+                libc::TCP_INFO,
+                info.as_mut_ptr().cast(),
+                &raw mut len,
+            )
+        };
+        if result != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        // SAFETY: all fields are integers, for which zeroed memory is valid.
+        let info = unsafe { info.assume_init() };
+        Ok(Acknowledgements {
+            are_pending: info.tcpi_unacked > 0,
+            last_age: Duration::from_millis(info.tcpi_last_ack_recv.into()),
+        })
+    }
+
+    /// Resets the connection, so that the system does not send again what was not acknowledged.
+    pub fn reset(self) {
+        let socket = SockRef::from(&self.0);
+        // Closing a socket with a linger time of zero resets the connection. The shutdown ends the
+        // operations that keep the socket open; it fails if the connection has ended.
+        if let Err(err) = socket.set_linger(Some(Duration::ZERO)) {
+            log::debug!("set the linger time of a connection: {err}");
+        }
+        let _ = socket.shutdown(Shutdown::Both);
+    }
+}
