Refuse queued requests that can no longer start in time

When engines leave during a burst, a request that was accepted before was refused only after its whole wait, with little time left for its caller to try again. Callers that were refused together were told the same time.

With policy.requeue_checks (off by default), the queue examines up to 32 requests on each change of capacity and each tick, starting with the one that is served last. It refuses those whose expected wait has exceeded twice their remaining time for 200 ms. The limit is the request's max_wait, which then includes the time until its deadline. Refused callers receive times that start at the expected wait and are spread over up to a second, the more urgent and the earlier refused ones first. Refusals by a queue are counted by reason, and each early one is logged with its inputs.

The simulated fleet of that test gains callers that return once; without them it behaves as before.

--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -10,7 +10,9 @@
 use hatchpitch_net::clock;
 
 use super::state::{AdmissionConfig, Ticket};
-use crate::dispatch::{Answer, Decision, PoolScheduler, Quote, Refusal, SlotRequest};
+use crate::dispatch::{
+    Answer, Decision, PoolScheduler, QueueRefusals, Quote, Refusal, SlotRequest,
+};
 use crate::ids::AttemptId;
 use crate::routing::state::RunnerSpec;
 use crate::routing::{RoutingConfig, RunReport, RunnerTable};
@@ -118,10 +120,7 @@
         let limit = want.max_wait.unwrap_or(Duration::MAX);
         let granted = match compio::time::timeout(limit.min(MAX_WAIT), &mut guard.rx).await {
             Ok(granted) => granted,
-            Err(_) => {
-                let retry_after = self.0.borrow().line.retry_after(&want);
-                return Err(Refusal::new("waited as long as the request allows", retry_after));
-            }
+            Err(_) => return Err(self.with_line(|line, now| line.refuse_waited(&want, now))),
         };
         match granted {
             Ok(Ok(spec)) => Ok(self.permit(spec, want, cost)),
@@ -156,6 +155,11 @@
         self.with_line(PoolScheduler::tick);
     }
 
+    /// Returns the numbers of requests that the queue refused since the last call.
+    pub fn take_refusals(&self) -> QueueRefusals {
+        self.0.borrow_mut().line.take_refusals()
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.0.borrow().line.waiting()
--- a/crates/hatchpitch/src/admission/mod.rs
+++ b/crates/hatchpitch/src/admission/mod.rs
@@ -5,6 +5,8 @@
 pub mod lengths;
 pub mod memory;
 pub mod policy;
+pub mod recheck;
+pub mod returns;
 pub mod state;
 pub mod verify;
 
@@ -12,4 +14,5 @@
 pub use lengths::LengthModel;
 pub use memory::{Candidate, MemoryPolicy};
 pub use policy::{Order, Pick, Placement, Policy};
+pub use returns::ReturnSchedule;
 pub use state::{AdmissionConfig, AdmissionQueue, Ticket};
--- a/crates/hatchpitch/src/admission/state.rs
+++ b/crates/hatchpitch/src/admission/state.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::policy::Order;
+use super::recheck::{Place, Sweep};
 use crate::ids::{Priority, WorkspaceName};
 
 /// Identifies a waiting request. Tickets increase in order of arrival.
@@ -29,6 +30,8 @@
     pub oldest_every: u64,
     /// Order in which waiting requests are served.
     pub order: Order,
+    /// Whether waiting requests that can no longer start in time are refused.
+    pub rechecks: bool,
 }
 
 impl Default for AdmissionConfig {
@@ -38,6 +41,7 @@
             max_wait: Duration::from_secs(20),
             oldest_every: 16,
             order: Order::Fair,
+            rechecks: false,
         }
     }
 }
@@ -75,7 +79,7 @@
 }
 
 /// Sort key of a waiting request; the smallest one is served first.
-type OrderKey = (Reverse<Priority>, ServiceTag, Ticket);
+pub(super) type OrderKey = (Reverse<Priority>, ServiceTag, Ticket);
 
 #[derive(Debug, Clone)]
 pub(super) struct Queued {
@@ -83,10 +87,23 @@
     pub(super) key: OrderKey,
     /// Wait from which on it is overdue.
     overdue_after: Duration,
+    /// Whether it is in the set of overdue requests.
+    is_overdue: bool,
+    /// Wait after which it is refused.
+    pub(super) limit: Duration,
+    /// Time since which it is not expected to start within its limit.
+    pub(super) doubtful: Option<Instant>,
     /// Number of grants to requests behind it, made because no runner had room for it.
     pub(super) bypassed: u32,
 }
 
+impl Queued {
+    /// Returns its position in service order.
+    pub(super) fn place(&self) -> Place {
+        (self.is_overdue, self.key)
+    }
+}
+
 /// The waiting requests of one pool.
 #[derive(Debug, Clone)]
 pub struct AdmissionQueue {
@@ -96,13 +113,15 @@
     /// Requests that are overdue.
     pub(super) overdue: BTreeSet<OrderKey>,
     pub(super) queued: BTreeMap<Ticket, Queued>,
+    /// Progress of the check for requests that can no longer start in time.
+    pub(super) sweep: Sweep,
     /// Virtual finish time of the last request of each workspace.
     finish_tags: HashMap<WorkspaceName, ServiceTag>,
     virtual_time: ServiceTag,
     next_ticket: Ticket,
     grants: u64,
     /// Time between grants that the runners sustain, if it is known.
-    service_interval: Option<Duration>,
+    pub(super) service_interval: Option<Duration>,
     /// Smoothed time between past grants. Estimates use it only while `service_interval` is not
     /// known, because it does not change while nothing is granted.
     grant_interval: Option<Duration>,
@@ -117,6 +136,7 @@
             on_time: BTreeSet::new(),
             overdue: BTreeSet::new(),
             queued: BTreeMap::new(),
+            sweep: Sweep::default(),
             finish_tags: HashMap::new(),
             virtual_time: 0,
             next_ticket: 0,
@@ -132,6 +152,11 @@
         self.cfg = cfg;
     }
 
+    /// Returns whether waiting requests that can no longer start in time are refused.
+    pub fn rechecks(&self) -> bool {
+        self.cfg.rechecks
+    }
+
     /// Sets the time between grants that the runners sustain, or `None` if it is not known.
     pub fn set_service_interval(&mut self, interval: Option<Duration>) {
         self.service_interval = interval;
@@ -157,18 +182,23 @@
     /// fair and that one has a lower priority; otherwise it is refused.
     pub fn enqueue(&mut self, waiter: Waiter) -> Enqueued {
         let overdue_after = waiter.acceptable_wait;
-        self.enqueue_with(waiter, overdue_after)
+        self.enqueue_with(waiter, overdue_after, Duration::MAX)
     }
 
     /// Does the same as [`enqueue`](Self::enqueue) for a request that is overdue once it has waited
-    /// for `overdue_after`.
-    pub fn enqueue_with(&mut self, waiter: Waiter, overdue_after: Duration) -> Enqueued {
+    /// for `overdue_after`, and whose caller stops waiting after `limit`.
+    pub fn enqueue_with(
+        &mut self,
+        waiter: Waiter,
+        overdue_after: Duration,
+        limit: Duration,
+    ) -> Enqueued {
         let wait = self.expected_wait(&waiter.workspace, waiter.priority);
         if wait > self.cfg.max_wait.min(waiter.acceptable_wait) {
             return Enqueued::Refused;
         }
         if self.queued.len() < self.cfg.max_waiting {
-            return Enqueued::Waiting(self.insert(waiter, overdue_after));
+            return Enqueued::Waiting(self.insert(waiter, overdue_after, limit));
         }
         let last = self.overdue.last().max(self.on_time.last()).copied();
         match last {
@@ -176,7 +206,7 @@
                 if priority < waiter.priority && self.cfg.order == Order::Fair =>
             {
                 self.remove(refused);
-                Enqueued::Displaced { ticket: self.insert(waiter, overdue_after), refused }
+                Enqueued::Displaced { ticket: self.insert(waiter, overdue_after, limit), refused }
             }
             _ => Enqueued::Refused,
         }
@@ -185,11 +215,14 @@
     /// Moves requests that are overdue behind all others.
     pub fn demote_overdue(&mut self, now: Instant) {
         let is_overdue =
-            |queued: &Queued| now.duration_since(queued.waiter.since) >= queued.overdue_after;
-        for queued in self.queued.values().filter(|queued| is_overdue(queued)) {
-            if self.on_time.remove(&queued.key) {
-                self.overdue.insert(queued.key);
-            }
+            |queued: &&mut Queued| now.duration_since(queued.waiter.since) >= queued.overdue_after;
+        let on_time = self.queued.values_mut().filter(|queued| !queued.is_overdue);
+        for queued in on_time.filter(is_overdue) {
+            self.on_time.remove(&queued.key);
+            self.overdue.insert(queued.key);
+            self.sweep.remove(queued);
+            queued.is_overdue = true;
+            self.sweep.add(queued);
         }
     }
 
@@ -300,21 +333,31 @@
         self.queued.get(&ticket).map_or(0, |queued| queued.bypassed)
     }
 
-    fn insert(&mut self, waiter: Waiter, overdue_after: Duration) -> Ticket {
+    fn insert(&mut self, waiter: Waiter, overdue_after: Duration, limit: Duration) -> Ticket {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let key = self.order_key(&waiter.workspace, waiter.priority, ticket);
         self.charge(&waiter.workspace, waiter.cost);
         self.on_time.insert(key);
-        self.queued.insert(ticket, Queued { waiter, key, overdue_after, bypassed: 0 });
+        let queued = Queued {
+            waiter,
+            key,
+            overdue_after,
+            is_overdue: false,
+            limit,
+            doubtful: None,
+            bypassed: 0,
+        };
+        self.sweep.add(&queued);
+        self.queued.insert(ticket, queued);
         ticket
     }
 
     fn remove(&mut self, ticket: Ticket) -> Option<Queued> {
         let queued = self.queued.remove(&ticket)?;
-        if !self.on_time.remove(&queued.key) {
-            self.overdue.remove(&queued.key);
-        }
+        let order = if queued.is_overdue { &mut self.overdue } else { &mut self.on_time };
+        order.remove(&queued.key);
+        self.sweep.remove(&queued);
         Some(queued)
     }
 
--- a/crates/hatchpitch/src/admission/verify.rs
+++ b/crates/hatchpitch/src/admission/verify.rs
@@ -26,5 +26,5 @@
             return Err(format!("the sort key of request {ticket} has another priority"));
         }
     }
-    Ok(())
+    queue.sweep.verify(queue.queued.values())
 }
--- a/crates/hatchpitch/src/dispatch/mod.rs
+++ b/crates/hatchpitch/src/dispatch/mod.rs
@@ -16,5 +16,5 @@
 pub mod verify;
 
 pub use owners::OwnerMap;
-pub use scheduler::{Answer, Decision, PoolScheduler, Refusal, SlotRequest};
+pub use scheduler::{Answer, Decision, PoolScheduler, QueueRefusals, Refusal, SlotRequest};
 pub use search::{OwnerChoice, Quote, Step};
--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -15,6 +15,8 @@
 use super::search::Quote;
 use crate::admission::lengths::LengthModel;
 use crate::admission::memory::Candidate;
+use crate::admission::recheck::Untimely;
+use crate::admission::returns::ReturnSchedule;
 use crate::admission::state::{AdmissionConfig, AdmissionQueue, Enqueued, Ticket, Waiter};
 use crate::ids::{AttemptId, FailureDomainName, Priority, RequestKind, RunnerName, WorkspaceName};
 use crate::routing::state::{Closed, RunnerQuery, RunnerSpec};
@@ -39,11 +41,17 @@
 pub const AT_LIMIT: &str = "every upstream that could take it is at the limit that it names";
 /// Cause of a refusal if every eligible runner is in a rest period or at its rate limit.
 pub const RESTING: &str = "every upstream that could take it asked for rest or is at its limit";
+/// Cause of a refusal if no eligible runner takes work.
+pub const NO_RUNNER: &str = "no runner of the pool takes work";
+/// Cause of a refusal if a queued request can no longer start in time.
+pub const UNTIMELY: &str = "the request can no longer start within the time that it allows";
 /// Range of the jitter added to retry delays that end with the same rest period, so that the load
 /// on an upstream rises gradually when the period ends.
 const REST_JITTER: Duration = Duration::from_millis(250);
 /// Shortest retry delay while no runner takes work: an earlier retry would find the same state.
 const MIN_RETRY: Duration = Duration::from_secs(1);
+/// Shortest retry delay after a refusal of the queue whose callers are told when to return.
+const MIN_RETURN: Duration = Duration::from_millis(250);
 
 /// A request for a slot on an engine, as sent to the owner of the engine.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -187,6 +195,19 @@
     pub(super) waiting: BTreeMap<Ticket, SlotRequest>,
     lengths: LengthModel,
     answers: Vec<Answer>,
+    returns: ReturnSchedule,
+    refusals: QueueRefusals,
+}
+
+/// Numbers of requests refused by the queue, by reason.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QueueRefusals {
+    /// Refused on arrival, because the expected wait was too long or the queue was full.
+    pub on_arrival: u64,
+    /// Refused while they waited, because they could no longer start in time.
+    pub untimely: u64,
+    /// Refused after they had waited for as long as they or the pool allow.
+    pub waited: u64,
 }
 
 impl PoolScheduler {
@@ -198,6 +219,8 @@
             waiting: BTreeMap::new(),
             lengths: LengthModel::default(),
             answers: Vec::new(),
+            returns: ReturnSchedule::default(),
+            refusals: QueueRefusals::default(),
         }
     }
 
@@ -256,14 +279,16 @@
             acceptable_wait: req.accepts.unwrap_or(Duration::MAX),
         };
         let overdue_after = req.overdue_after.unwrap_or(waiter.acceptable_wait);
-        let ticket = match self.queue.enqueue_with(waiter, overdue_after) {
+        let limit = req.max_wait.or(req.overdue_after).unwrap_or(Duration::MAX);
+        let ticket = match self.queue.enqueue_with(waiter, overdue_after, limit) {
             Enqueued::Waiting(ticket) => ticket,
             Enqueued::Displaced { ticket, refused } => {
-                self.refuse(refused, "displaced by a higher priority");
+                self.refuse(refused, "displaced by a higher priority", now);
                 ticket
             }
             Enqueued::Refused => {
-                let retry_after = self.retry_after(req);
+                self.refusals.on_arrival += 1;
+                let retry_after = self.retry_after(req, Duration::ZERO, now);
                 let cause = "more wait than can be served in time";
                 return Decision::Refuse(Refusal::new(cause, retry_after));
             }
@@ -354,7 +379,8 @@
     /// times a second.
     pub fn tick(&mut self, now: Instant) {
         for ticket in self.queue.expire(now) {
-            self.refuse(ticket, "waited as long as the pool allows");
+            self.refusals.waited += 1;
+            self.refuse(ticket, "waited as long as the pool allows", now);
         }
         if !self.table.any_serving() {
             let refusal = self.no_runner_refusal(now);
@@ -381,9 +407,26 @@
         Some(closed)
     }
 
-    /// Returns the retry delay for a refused request.
-    pub fn retry_after(&self, req: &SlotRequest) -> Duration {
-        self.queue.retry_after(&req.workspace, req.priority)
+    /// Returns the retry delay for a refused request, which is at least `wait`.
+    fn retry_after(&mut self, req: &SlotRequest, wait: Duration, now: Instant) -> Duration {
+        if !self.queue.rechecks() {
+            return self.queue.retry_after(&req.workspace, req.priority);
+        }
+        let expected = self.queue.expected_wait(&req.workspace, req.priority);
+        let wait = wait.max(expected).max(MIN_RETURN);
+        self.returns.assign(req.priority, wait, self.table.service_interval(), now)
+    }
+
+    /// Returns the refusal of a request that has waited for as long as it allows.
+    pub fn refuse_waited(&mut self, req: &SlotRequest, now: Instant) -> Refusal {
+        self.refusals.waited += 1;
+        let retry_after = self.retry_after(req, Duration::ZERO, now);
+        Refusal::new("waited as long as the request allows", retry_after)
+    }
+
+    /// Returns the numbers of requests refused since the last call.
+    pub fn take_refusals(&mut self) -> QueueRefusals {
+        std::mem::take(&mut self.refusals)
     }
 
     /// Returns the number of queued requests.
@@ -411,6 +454,41 @@
             self.answers.push(Answer { ticket, id: req.id, slot: Ok(spec) });
         }
         self.queue.set_service_interval(self.table.service_interval());
+        if self.queue.rechecks() {
+            let found = self.queue.find_untimely(now);
+            // Removed together, so that none of them counts for the time of return of another.
+            for untimely in &found {
+                self.queue.cancel(untimely.ticket);
+            }
+            // Those in front return first.
+            for untimely in found.iter().rev() {
+                self.refuse_untimely(untimely, now);
+            }
+        }
+    }
+
+    /// Examines the next queued requests, and returns the ids of those that can no longer start in
+    /// time. They stay in the queue.
+    pub fn find_untimely(&mut self, now: Instant) -> Vec<(AttemptId, Untimely)> {
+        let found = self.queue.find_untimely(now).into_iter();
+        found.filter_map(|u| Some((self.waiting.get(&u.ticket)?.id.clone(), u))).collect()
+    }
+
+    /// Refuses a request that was removed from the queue because it can no longer start in time.
+    fn refuse_untimely(&mut self, untimely: &Untimely, now: Instant) {
+        let Some(req) = self.waiting.remove(&untimely.ticket) else { return };
+        self.refusals.untimely += 1;
+        let retry_after = self.retry_after(&req, untimely.expected, now);
+        log::info!(
+            run = req.id.as_str(), priority = req.priority, ahead = untimely.ahead,
+            expected_ms = untimely.expected.as_millis(), left_ms = untimely.left.as_millis(),
+            waited_ms = untimely.waited.as_millis(),
+            estimate_age_ms = untimely.doubtful.as_millis(),
+            retry_after_ms = retry_after.as_millis();
+            "a queued request is refused because it cannot start in time"
+        );
+        let slot = Err(Refusal::new(UNTIMELY, retry_after));
+        self.answers.push(Answer { ticket: untimely.ticket, id: req.id, slot });
     }
 
     /// Finds the first queued request, in service order, that fits on an engine, and takes a slot
@@ -442,9 +520,9 @@
         None
     }
 
-    fn refuse(&mut self, ticket: Ticket, cause: &str) {
+    fn refuse(&mut self, ticket: Ticket, cause: &str, now: Instant) {
         if let Some(req) = self.waiting.remove(&ticket) {
-            let retry_after = self.retry_after(&req);
+            let retry_after = self.retry_after(&req, Duration::ZERO, now);
             let slot = Err(Refusal::new(cause, retry_after));
             self.answers.push(Answer { ticket, id: req.id, slot });
         }
@@ -472,7 +550,7 @@
     fn no_runner_refusal(&self, now: Instant) -> Refusal {
         let until = self.table.next_readmission().map(|at| at.saturating_duration_since(now));
         let retry_after = until.unwrap_or(NO_RUNNER_RETRY).max(MIN_RETRY);
-        Refusal::new("no runner of the pool takes work", retry_after)
+        Refusal::new(NO_RUNNER, retry_after)
     }
 }
 
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -10,7 +10,7 @@
 use hatchpitch_net::{BoxClient, Upstream, clock};
 use http::StatusCode;
 
-use crate::admission::{AdmissionConfig, Gate, Placement};
+use crate::admission::{AdmissionConfig, Gate, Placement, ReturnSchedule};
 use crate::claims::ClaimClient;
 use crate::config::feed::ConfigCell;
 use crate::config::view::PoolView;
@@ -129,6 +129,8 @@
     /// The configuration in force, with the announced upstreams that serve and without evacuated
     /// ones.
     view: RefCell<Rc<FleetView>>,
+    /// Times of return of the callers that this box refused, by pool.
+    pub returns: RefCell<HashMap<PoolName, ReturnSchedule>>,
     /// Inputs from which the gates were last configured.
     gate_inputs: Cell<GateInputs>,
     /// Failure domains whose evacuation has ended, with the time at which this box learned of it.
@@ -186,6 +188,7 @@
             upstreams,
             reported_config_number: Cell::new(0),
             view: RefCell::default(),
+            returns: RefCell::default(),
             gate_inputs: Cell::default(),
             reopened: RefCell::default(),
             started: clock::now(),
@@ -223,7 +226,11 @@
     /// Creates a gate with the policies of the settings.
     fn new_gate(&self) -> Gate {
         let policy = self.settings.policy;
-        let admission = AdmissionConfig { order: policy.order, ..AdmissionConfig::default() };
+        let admission = AdmissionConfig {
+            order: policy.order,
+            rechecks: policy.requeue_checks,
+            ..AdmissionConfig::default()
+        };
         let routing = RoutingConfig {
             ejects: policy.ejection,
             pick: policy.pick,
@@ -318,6 +325,7 @@
             max_waiting: usize::try_from(pool.pool.max_waiting).unwrap_or(usize::MAX),
             max_wait: self.settings.timing.max_wait,
             order: self.settings.policy.order,
+            rechecks: self.settings.policy.requeue_checks,
             ..AdmissionConfig::default()
         });
         let placement = self.placement(pool);
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -205,6 +205,7 @@
 impl OwnerSearch {
     async fn run(self) -> Result<Slot, Refusal> {
         let mut search = self.search();
+        let mut by_owner = false;
         loop {
             let (owner, ask) = match search.step() {
                 Step::Quote(owners) => {
@@ -213,18 +214,33 @@
                 }
                 Step::Take(owner) => (owner, Ask::Now),
                 Step::Wait(owner) => (owner, Ask::Wait),
-                Step::Refuse(refusal) => return Err(refusal),
+                Step::Refuse(refusal) if by_owner => return Err(refusal),
+                Step::Refuse(refusal) => return Err(self.with_return_time(refusal)),
                 Step::DecideLocally => return self.admit_without_owner().await,
             };
             match self.ask_owner(owner, ask).await {
                 OwnerReply::Slot(slot) => return Ok(*slot),
                 OwnerReply::Busy(wait) => search.record_busy(owner, wait),
-                OwnerReply::Refused(refusal) => search.record_refusal(refusal),
+                OwnerReply::Refused(refusal) => {
+                    by_owner = true;
+                    search.record_refusal(refusal);
+                }
                 OwnerReply::Quoted(_) | OwnerReply::Unavailable => {}
             }
         }
     }
 
+    /// Spreads the times of return of the callers that this box refuses by the quotes of owners.
+    fn with_return_time(&self, mut refusal: Refusal) -> Refusal {
+        if self.cx.settings.policy.requeue_checks {
+            let mut returns = self.cx.returns.borrow_mut();
+            let schedule = returns.entry(self.pool.clone()).or_default();
+            let (wait, priority) = (refusal.retry_after, self.want.priority);
+            refusal.retry_after = schedule.assign(priority, wait, None, clock::now());
+        }
+        refusal
+    }
+
     fn search(&self) -> Search {
         let near = self.want.near.as_deref();
         let within = |addr| self.want.within.iter().any(|domain| self.cx.owns_in(domain, addr));
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -74,6 +74,12 @@
     PaceReportsFailed,
     /// Entries of received reports that concern no engine of this box.
     PaceEntriesDropped,
+    /// Requests that a queue of this box refused on arrival.
+    QueueRefusedOnArrival,
+    /// Queued requests that were refused because they could no longer start in time.
+    QueueRefusedUntimely,
+    /// Queued requests that were refused after their whole wait.
+    QueueRefusedAfterWait,
 }
 
 /// Gap between tokens above which a stream counts as stalled.
@@ -253,5 +259,8 @@
         Count::PaceReportsSent => "hatchpitch_pace_reports_sent_total",
         Count::PaceReportsFailed => "hatchpitch_pace_reports_failed_total",
         Count::PaceEntriesDropped => "hatchpitch_pace_entries_dropped_total",
+        Count::QueueRefusedOnArrival => "hatchpitch_queue_refused_on_arrival_total",
+        Count::QueueRefusedUntimely => "hatchpitch_queue_refused_untimely_total",
+        Count::QueueRefusedAfterWait => "hatchpitch_queue_refused_after_wait_total",
     }
 }
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -299,6 +299,9 @@
         let refuses_early = needs.is_some() && settings.policy.early_refusal;
         let waits_as_brittle = !refuses_early && self.relay.cx.is_brittle(&self.service);
         let brittle_left = waits_as_brittle.then(|| self.req.time_left(clock::now()));
+        let max_wait = needs.map(|_| aim.mul_f64(MAX_WAIT_FACTOR));
+        // The owner has to know when it is too late for the request.
+        let until_end = settings.policy.requeue_checks.then(|| self.req.time_left(clock::now()));
         let want = SlotRequest {
             id: new_id(),
             workspace: self.req.workspace.clone().unwrap_or_default(),
@@ -309,7 +312,7 @@
             avoid: self.tried.borrow().clone(),
             near: settings.policy.near.then(|| settings.failure_domain.clone()),
             copied: 0,
-            max_wait: needs.map(|_| aim.mul_f64(MAX_WAIT_FACTOR)),
+            max_wait: max_wait.into_iter().chain(until_end).min(),
             accepts: if refuses_early {
                 Some(aim.mul_f64(EXPECTED_WAIT_FRACTION))
             } else {
--- a/crates/hatchpitch/src/routing/task.rs
+++ b/crates/hatchpitch/src/routing/task.rs
@@ -10,6 +10,7 @@
 use crate::entry::EntryCx;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::task;
+use crate::metrics::Count;
 use crate::upstream_signals::task as upstream_signals;
 
 /// Polling interval for the load report of one runner.
@@ -30,7 +31,18 @@
                 compio::runtime::spawn(async move { poll_load(&cx, &runner).await }).detach();
             }
             cx.apply_membership(&pool.pool.name);
-            cx.gate(&pool.pool.name).tick();
+            let gate = cx.gate(&pool.pool.name);
+            gate.tick();
+            let refusals = gate.take_refusals();
+            for (count, n) in [
+                (Count::QueueRefusedOnArrival, refusals.on_arrival),
+                (Count::QueueRefusedUntimely, refusals.untimely),
+                (Count::QueueRefusedAfterWait, refusals.waited),
+            ] {
+                if n > 0 {
+                    cx.metrics.count_many(count, &pool.pool.name, n);
+                }
+            }
         }
         compio::time::sleep(REPORT_PERIOD).await;
     }
--- a/crates/hatchpitch/tests/overload/fleet.rs
+++ b/crates/hatchpitch/tests/overload/fleet.rs
@@ -1,6 +1,8 @@
 //! Simulates a fleet that serves a load under the decisions of `dispatch`, without sockets: owners
 //! with their queues, engines, and requests whose calls to owners take time.
 
+mod callers;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -18,6 +20,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use self::callers::{Callers, no_owner};
 use crate::engine::{Engine, Job};
 
 /// Time step of the simulation.
@@ -134,6 +137,10 @@
     collectors: Vec<Collector>,
     /// Engines that accept no new work.
     draining: BTreeSet<usize>,
+    /// Callers that return after refusals, if they are simulated.
+    callers: Option<Callers>,
+    /// Whether queues refuse requests that can no longer start in time.
+    rechecks: bool,
     start: Instant,
     rng: StdRng,
 }
@@ -182,6 +189,8 @@
             pick: Pick::LeastLoaded,
             collectors: Vec::new(),
             draining: BTreeSet::new(),
+            callers: None,
+            rechecks: false,
             start: Instant::now(),
             rng: StdRng::seed_from_u64(7),
         };
@@ -201,8 +210,8 @@
     fn open_lines(&mut self, owners: usize) {
         let memory = Decisions::default().memory;
         let routing = RoutingConfig { memory, pick: self.pick, ..RoutingConfig::default() };
-        self.lines =
-            (0..owners).map(|_| PoolScheduler::new(AdmissionConfig::default(), routing)).collect();
+        let admission = AdmissionConfig { rechecks: self.rechecks, ..AdmissionConfig::default() };
+        self.lines = (0..owners).map(|_| PoolScheduler::new(admission, routing)).collect();
         (0..owners).for_each(|owner| self.sync(owner, 0));
     }
 
@@ -222,6 +231,7 @@
         let mut waiting: BTreeMap<(usize, u64), Waiting> = BTreeMap::new();
         let mut running: HashMap<usize, Run> = HashMap::new();
         let (mut next, mut event) = (0, 0);
+        self.start_callers(load);
         for ms in (0..end_ms).step_by(TICK_MS as usize) {
             while events.get(event).is_some_and(|(at, _)| *at <= ms) {
                 self.apply(events[event].1, ms);
@@ -252,14 +262,16 @@
             if ms % 20 == 0 {
                 let now = self.at(ms);
                 self.lines.iter_mut().for_each(|line| line.tick(now));
+                self.observe_untimely(ms);
             }
             self.tick_engines(load, ms, &mut results, &mut running);
             if ms % PACE_REPORT_MS == 0 && !self.collectors.is_empty() {
                 (0..self.lines.len()).for_each(|owner| self.sync(owner, ms));
                 self.report_pace(ms);
             }
-            self.collect_answers(load, ms, &mut waiting, &mut running, &mut results);
-            self.time_out(load, ms, &mut waiting, &mut results);
+            let (searching, results) = (&mut searching, &mut results);
+            self.collect_answers(load, ms, &mut waiting, &mut running, results, searching);
+            self.time_out(load, ms, &mut waiting, results, searching);
         }
         if !self.collectors.is_empty() {
             // Engines that were replaced leave the tables with the next change of the fleet.
@@ -284,8 +296,7 @@
         running: &mut HashMap<usize, Run>,
     ) {
         let (now, req) = (self.at(ms), &load[current.request]);
-        let want = want(current.request, req);
-        let mut call_ms = 0;
+        let want = self.want(current.request, req, ms);
         match current.step.clone() {
             Step::Quote(owners) => {
                 let quotes: Vec<(SocketAddr, Quote)> = owners
@@ -293,7 +304,6 @@
                     .filter_map(|a| Some((a, self.lines[owner_at(a)].quote(&want, now).ok()?)))
                     .collect();
                 current.search.record_quotes(quotes);
-                call_ms = CALL_MS;
             }
             Step::Take(a) => {
                 let owner = owner_at(a);
@@ -307,7 +317,6 @@
                     }
                     Err(_) => {}
                 }
-                call_ms = CALL_MS;
             }
             Step::Wait(a) => {
                 let owner = owner_at(a);
@@ -316,21 +325,28 @@
                         return self.start_run(current.request, req, owner, &spec, ms, running);
                     }
                     Decision::Wait(ticket) => {
-                        let until_ms = ms + req.target_ms * 2;
+                        let until_ms = ms + self.limit_ms(current.request, req, ms);
                         let entry = Waiting { request: current.request, until_ms };
                         waiting.insert((owner, ticket), entry);
                         return;
                     }
-                    Decision::Refuse(refusal) => current.search.record_refusal(refusal),
+                    Decision::Refuse(refusal) => {
+                        let refusal = (refusal, true);
+                        return self.end(current.request, req, ms, refusal, results, searching);
+                    }
                 }
             }
-            Step::Refuse(_) | Step::DecideLocally => {
-                results[current.request].refused_after_ms = Some(ms - req.at_ms);
-                return;
+            Step::Refuse(refusal) => {
+                let refusal = (refusal, false);
+                return self.end(current.request, req, ms, refusal, results, searching);
+            }
+            Step::DecideLocally => {
+                let refusal = (no_owner(), true);
+                return self.end(current.request, req, ms, refusal, results, searching);
             }
         }
         current.step = current.search.step();
-        current.at_ms = ms + call_ms;
+        current.at_ms = ms + CALL_MS;
         searching.push_back(current);
     }
 
@@ -344,7 +360,7 @@
         ms: u64,
         running: &mut HashMap<usize, Run>,
     ) {
-        let want = want(request, req);
+        let want = self.want(request, req, ms);
         let cost = self.lines[owner].cost(&want);
         let run = Run { owner, want, cost, started_ms: ms, first_ms: None, event_ms: ms };
         running.insert(request, run);
@@ -410,6 +426,7 @@
         waiting: &mut BTreeMap<(usize, u64), Waiting>,
         running: &mut HashMap<usize, Run>,
         results: &mut [RequestResult],
+        searching: &mut VecDeque<Searching>,
     ) {
         for owner in 0..self.lines.len() {
             for answer in self.lines[owner].take_answers() {
@@ -417,7 +434,10 @@
                 let Some(Waiting { request, .. }) = entry else { continue };
                 match answer.slot {
                     Ok(spec) => self.start_run(request, &load[request], owner, &spec, ms, running),
-                    Err(_) => results[request].refused_after_ms = Some(ms - load[request].at_ms),
+                    Err(refusal) => {
+                        let refusal = (refusal, true);
+                        self.end(request, &load[request], ms, refusal, results, searching);
+                    }
                 }
             }
         }
@@ -430,13 +450,17 @@
         ms: u64,
         waiting: &mut BTreeMap<(usize, u64), Waiting>,
         results: &mut [RequestResult],
+        searching: &mut VecDeque<Searching>,
     ) {
         let expired: Vec<(usize, u64)> =
             waiting.iter().filter(|(_, w)| w.until_ms <= ms).map(|(key, _)| *key).collect();
         for key in expired {
             let Some(entry) = waiting.remove(&key) else { continue };
             self.lines[key.0].cancel(key.1);
-            results[entry.request].refused_after_ms = Some(ms - load[entry.request].at_ms);
+            let (req, now) = (&load[entry.request], self.at(ms));
+            let want = self.want(entry.request, req, ms);
+            let refusal = (self.lines[key.0].refuse_waited(&want, now), true);
+            self.end(entry.request, req, ms, refusal, results, searching);
         }
     }
 
--- a/crates/hatchpitch/tests/overload/main.rs
+++ b/crates/hatchpitch/tests/overload/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod fleet;
 mod loads;
+mod loss;
 mod pace;
 
 use fleet::{Event, Fleet, Policy, Request, RequestResult};
