Ask other owners when a queue loses its last engine

A request that waited at an owner whose engines all left, as in the evacuation of a failure domain, was refused, although other owners had engines, and was told to return after at least a second and mostly after five, which is too late for most callers.

With policy.requeue_checks, the owner answers that it is not the owner, as it does for new requests then, and the box continues its search at other owners. The time that the request has waited reduces all waits that it accepts, so that it does not take the place of requests with more time left.

--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -118,6 +118,13 @@
         !self.avoid.contains(runner) && (self.within.is_empty() || self.within.contains(domain))
     }
 
+    /// Reduces the waits that it accepts by a time that it has already waited elsewhere.
+    pub fn charge_wait(&mut self, waited: Duration) {
+        for limit in [&mut self.max_wait, &mut self.accepts, &mut self.overdue_after] {
+            *limit = limit.map(|limit| limit.saturating_sub(waited));
+        }
+    }
+
     /// Returns the pause that its stream has to keep, if any. A request that continues elsewhere may
     /// produce at most `max_tokens` more.
     fn objective(&self, lengths: &LengthModel) -> Option<PauseObjective> {
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -14,7 +14,7 @@
 };
 use super::slot::{Slot, send_release};
 use crate::admission::{Gate, Permit, Pick, Placement};
-use crate::dispatch::scheduler::{AT_LIMIT, RESTING, unavailable_refusal};
+use crate::dispatch::scheduler::{AT_LIMIT, NO_RUNNER, RESTING, unavailable_refusal};
 use crate::dispatch::search::Search;
 use crate::dispatch::{OwnerChoice, Quote, Refusal, SlotRequest, Step};
 use crate::entry::EntryCx;
@@ -203,7 +203,7 @@
 }
 
 impl OwnerSearch {
-    async fn run(self) -> Result<Slot, Refusal> {
+    async fn run(mut self) -> Result<Slot, Refusal> {
         let mut search = self.search();
         let mut by_owner = false;
         loop {
@@ -218,6 +218,7 @@
                 Step::Refuse(refusal) => return Err(self.with_return_time(refusal)),
                 Step::DecideLocally => return self.admit_without_owner().await,
             };
+            let asked = clock::now();
             match self.ask_owner(owner, ask).await {
                 OwnerReply::Slot(slot) => return Ok(*slot),
                 OwnerReply::Busy(wait) => search.record_busy(owner, wait),
@@ -225,11 +226,19 @@
                     by_owner = true;
                     search.record_refusal(refusal);
                 }
-                OwnerReply::Quoted(_) | OwnerReply::Unavailable => {}
+                OwnerReply::Quoted(_) => {}
+                OwnerReply::Unavailable => self.charge_wait(clock::since(asked)),
             }
         }
     }
 
+    /// Reduces the waits that the request accepts by the time spent at an owner that cannot serve it.
+    fn charge_wait(&mut self, waited: Duration) {
+        if self.cx.settings.policy.requeue_checks {
+            self.want.charge_wait(waited);
+        }
+    }
+
     /// Spreads the times of return of the callers that this box refuses by the quotes of owners.
     fn with_return_time(&self, mut refusal: Refusal) -> Refusal {
         if self.cx.settings.policy.requeue_checks {
@@ -401,6 +410,10 @@
         Ok(None) if ask != Ask::Wait => return GrantDecision::Busy(gate.expected_wait(want)),
         Ok(None) => match gate.admit(want.clone()).await {
             Ok(permit) => permit,
+            // The engines left while the request waited; those of other owners may have room.
+            Err(refusal) if cx.settings.policy.requeue_checks && refusal.cause == NO_RUNNER => {
+                return GrantDecision::NotOwner;
+            }
             Err(refusal) => return GrantDecision::Refused(refusal),
         },
         Err(_) => return GrantDecision::NotOwner,
--- a/crates/hatchpitch/tests/overload/fleet/callers.rs
+++ b/crates/hatchpitch/tests/overload/fleet/callers.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use hatchpitch::admission::ReturnSchedule;
-use hatchpitch::dispatch::scheduler::UNTIMELY;
+use hatchpitch::dispatch::scheduler::{NO_RUNNER, UNTIMELY};
 use hatchpitch::dispatch::{Refusal, SlotRequest};
 
-use super::{Fleet, Request, RequestResult, Searching};
+use super::{CALL_MS, Fleet, Request, RequestResult, Searching};
 
 /// Multiple of the target time to the first token after which callers disconnect.
 const DEADLINE_FACTOR: u64 = 4;
@@ -32,6 +32,8 @@
 pub struct Callers {
     /// Time at which each request was sent last.
     sent_ms: Vec<u64>,
+    /// Time that each attempt has waited in queues that lost their engines.
+    charged_ms: Vec<u64>,
     /// Refusals of each request.
     pub refusals: Vec<Vec<CallerRefusal>>,
     /// Time at which each attempt was found to be unable to start in time, if queues only observe.
@@ -100,6 +102,7 @@
     pub(super) fn start_callers(&mut self, load: &[Request]) {
         if let Some(callers) = &mut self.callers {
             callers.sent_ms = load.iter().map(|req| req.at_ms).collect();
+            callers.charged_ms = vec![0; load.len()];
             callers.refusals = vec![Vec::new(); load.len()];
         }
     }
@@ -112,8 +115,12 @@
     }
 
     pub(super) fn want(&self, request: usize, req: &Request, ms: u64) -> SlotRequest {
-        let limit = Duration::from_millis(self.limit_ms(request, req, ms));
-        SlotRequest { max_wait: Some(limit), ..super::want(request, req) }
+        let mut want = super::want(request, req);
+        if let Some(callers) = &self.callers {
+            want.charge_wait(Duration::from_millis(callers.charged_ms[request]));
+        }
+        want.max_wait = Some(Duration::from_millis(self.limit_ms(request, req, ms)));
+        want
     }
 
     /// Ends an attempt of a request that was refused, by an owner or by its own box. Its caller
@@ -127,6 +134,12 @@
         results: &mut [RequestResult],
         searching: &mut VecDeque<Searching>,
     ) {
+        if self.rechecks && by_owner && refusal.cause == NO_RUNNER {
+            if let Some(callers) = &mut self.callers {
+                callers.charged_ms[request] = ms - callers.sent_ms[request];
+            }
+            return self.send(request, req, ms + CALL_MS, searching);
+        }
         results[request].refused_after_ms = Some(ms - req.at_ms);
         let Some(callers) = &mut self.callers else { return };
         let sent_ms = callers.sent_ms[request];
@@ -153,6 +166,7 @@
         }
         let at_ms = ms + after_ms;
         callers.sent_ms[request] = at_ms;
+        callers.charged_ms[request] = 0;
         results[request].refused_after_ms = None;
         self.send(request, req, at_ms, searching);
     }
