--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -14,7 +14,7 @@
 };
 use super::slot::{Slot, send_release};
 use crate::admission::{Gate, Permit, Pick, Placement};
-use crate::dispatch::scheduler::{AT_LIMIT, RESTING, unavailable_refusal};
+use crate::dispatch::scheduler::{AT_LIMIT, NO_RUNNER, RESTING, unavailable_refusal};
 use crate::dispatch::search::Search;
 use crate::dispatch::{OwnerChoice, Quote, Refusal, SlotRequest, Step};
 use crate::entry::EntryCx;
@@ -203,8 +203,9 @@
 }
 
 impl OwnerSearch {
-    async fn run(self) -> Result<Slot, Refusal> {
+    async fn run(mut self) -> Result<Slot, Refusal> {
         let mut search = self.search();
+        let mut by_owner = false;
         loop {
             let (owner, ask) = match search.step() {
                 Step::Quote(owners) => {
@@ -213,18 +214,42 @@
                 }
                 Step::Take(owner) => (owner, Ask::Now),
                 Step::Wait(owner) => (owner, Ask::Wait),
-                Step::Refuse(refusal) => return Err(refusal),
+                Step::Refuse(refusal) if by_owner => return Err(refusal),
+                Step::Refuse(refusal) => return Err(self.with_return_time(refusal)),
                 Step::DecideLocally => return self.admit_without_owner().await,
             };
+            let asked = clock::now();
             match self.ask_owner(owner, ask).await {
                 OwnerReply::Slot(slot) => return Ok(*slot),
                 OwnerReply::Busy(wait) => search.record_busy(owner, wait),
-                OwnerReply::Refused(refusal) => search.record_refusal(refusal),
-                OwnerReply::Quoted(_) | OwnerReply::Unavailable => {}
+                OwnerReply::Refused(refusal) => {
+                    by_owner = true;
+                    search.record_refusal(refusal);
+                }
+                OwnerReply::Quoted(_) => {}
+                OwnerReply::Unavailable => self.charge_wait(clock::since(asked)),
             }
         }
     }
 
+    /// Reduces the waits that the request accepts by the time spent at an owner that cannot serve it.
+    fn charge_wait(&mut self, waited: Duration) {
+        if self.cx.settings.policy.requeue_checks {
+            self.want.charge_wait(waited);
+        }
+    }
+
+    /// Spreads the times of return of the callers that this box refuses by the quotes of owners.
+    fn with_return_time(&self, mut refusal: Refusal) -> Refusal {
+        if self.cx.settings.policy.requeue_checks {
+            let mut returns = self.cx.returns.borrow_mut();
+            let schedule = returns.entry(self.pool.clone()).or_default();
+            let (wait, priority) = (refusal.retry_after, self.want.priority);
+            refusal.retry_after = schedule.assign(priority, wait, None, clock::now());
+        }
+        refusal
+    }
+
     fn search(&self) -> Search {
         let near = self.want.near.as_deref();
         let within = |addr| self.want.within.iter().any(|domain| self.cx.owns_in(domain, addr));
@@ -385,6 +410,10 @@
         Ok(None) if ask != Ask::Wait => return GrantDecision::Busy(gate.expected_wait(want)),
         Ok(None) => match gate.admit(want.clone()).await {
             Ok(permit) => permit,
+            // The engines left while the request waited; those of other owners may have room.
+            Err(refusal) if cx.settings.policy.requeue_checks && refusal.cause == NO_RUNNER => {
+                return GrantDecision::NotOwner;
+            }
             Err(refusal) => return GrantDecision::Refused(refusal),
         },
         Err(_) => return GrantDecision::NotOwner,
