Continue streams from standby copies when their engine is lost

A move needs a notice.

Change, with policy.standby_copies (off) and for services whose engines offer backups: - Before a stream of at least 32 expected events is sent, one owner of engines in other failure domains is asked once for a standby, for at most 10 ms, and the request names its address in Kv-Backup. Owners in other boxes are asked 1.5 times a second at most, so that the messages (496 bytes for each standby) stay below their part of the control traffic. - SlotRequest::standby marks the slot. The owner grants it where, with it, at most half of the memory is expected to be in use and nothing waits. It counts as memory, not as a place, pace or load. A request that fits nowhere beside the standbys is placed as if there were none. - When the link of a stream breaks, the run resumes at the standby after the last delivered event, once. It does not if an event without an id was delivered last, if the engine is silent and may run on, if the domain is evacuated or the content is quarantined, or after a move, which releases the standby. The owner adopts an ordinary slot under a new id with the message for slots whose owner changed, which is repeated until it is answered, and the slot of the standby is released.

Evidence: platform/tests/standby.rs (10 process tests). With the policy off, 7 of them fail, among them the one of a crash in the middle of a stream (the caller gets 15 of 40 events). Trials without the check of ids, of silence and without the release by a move fail one test each.

--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -39,6 +39,8 @@
 pub const AT_LIMIT: &str = "every upstream that could take it is at the limit that it names";
 /// Cause of a refusal if every eligible runner is in a rest period or at its rate limit.
 pub const RESTING: &str = "every upstream that could take it asked for rest or is at its limit";
+/// Cause of the refusal of a standby.
+const NO_STANDBY_ROOM: &str = "no engine has memory to spare for a standby";
 /// Range of the jitter added to retry delays that end with the same rest period, so that the load
 /// on an upstream rises gradually when the period ends.
 const REST_JITTER: Duration = Duration::from_millis(250);
@@ -102,6 +104,10 @@
     /// Number of output tokens that an event of its stream holds.
     #[serde(default)]
     pub event_tokens: u64,
+    /// Whether the slot is for a standby copy of a run on another engine. It is granted only where
+    /// memory is plentiful, and never queued.
+    #[serde(default)]
+    pub standby: bool,
 }
 
 impl SlotRequest {
@@ -227,6 +233,9 @@
         if !self.table.any_serving_for(&req.asked(&self.lengths)) {
             return Err(self.no_runner_refusal(now));
         }
+        if req.standby {
+            return Ok(self.place_standby(req, now));
+        }
         if self.must_queue(req) {
             return Ok(None);
         }
@@ -236,10 +245,22 @@
         Ok(Some(spec))
     }
 
+    /// Takes a slot for a standby copy if nothing waits and the memory of an engine is plentiful.
+    fn place_standby(&mut self, req: &SlotRequest, now: Instant) -> Option<RunnerSpec> {
+        if !self.queue.is_empty() {
+            return None;
+        }
+        let query = req.asked(&self.lengths);
+        self.table.pick_standby(&query, &req.candidate(), &self.lengths, now)
+    }
+
     /// Takes a slot for the request, queues it or refuses it.
     pub fn decide(&mut self, req: &SlotRequest, now: Instant) -> Decision {
         match self.place(req, now) {
             Ok(Some(spec)) => return Decision::Run(spec),
+            Ok(None) if req.standby => {
+                return Decision::Refuse(Refusal::new(NO_STANDBY_ROOM, MIN_RETRY));
+            }
             Ok(None) => {}
             Err(refusal) => return Decision::Refuse(refusal),
         }
@@ -293,6 +314,9 @@
     /// Accounts for a slot that another owner granted at `since`. Returns the engine, or `None` if
     /// it is not one of this scheduler's.
     pub fn adopt(&mut self, runner: &str, req: &SlotRequest, since: Instant) -> Option<RunnerSpec> {
+        if req.standby {
+            return self.table.adopt_standby(runner, &req.id, &req.candidate(), since);
+        }
         let spec = self.table.adopt(runner, &req.asked(&self.lengths), &req.candidate(), since)?;
         self.queue.charge(&req.workspace, self.cost(req));
         Some(spec)
@@ -391,8 +415,12 @@
         self.queue.len()
     }
 
-    /// Returns the expected cost of a request, in tokens of prompt and output.
+    /// Returns the expected cost of a request, in tokens of prompt and output. A standby costs
+    /// nothing, as the run is charged where it runs.
     pub fn cost(&self, req: &SlotRequest) -> u64 {
+        if req.standby {
+            return 0;
+        }
         req.prompt + self.lengths.mean(DEFAULT_OUTPUT_TOKENS).min(req.max_tokens)
     }
 
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -68,6 +68,14 @@
     SentByPeer,
     /// Requests that this box sent to their upstream for another box.
     SentForPeer,
+    /// Slots obtained for standby copies of streams.
+    StandbysTaken,
+    /// Requests for such a slot that were refused, or not answered in time.
+    StandbysRefused,
+    /// Broken streams that continued at their standby.
+    StandbysUsed,
+    /// Broken streams that could not continue at their standby.
+    StandbysInVain,
     /// Reports of the pace of engines sent to other boxes.
     PaceReportsSent,
     /// Those of them that were not answered in time, or refused.
@@ -250,6 +258,10 @@
         Count::Quarantined => "hatchpitch_quarantined_total",
         Count::SentByPeer => "hatchpitch_sent_by_peer_total",
         Count::SentForPeer => "hatchpitch_sent_for_peer_total",
+        Count::StandbysTaken => "hatchpitch_standbys_taken_total",
+        Count::StandbysRefused => "hatchpitch_standbys_refused_total",
+        Count::StandbysUsed => "hatchpitch_standbys_used_total",
+        Count::StandbysInVain => "hatchpitch_standbys_in_vain_total",
         Count::PaceReportsSent => "hatchpitch_pace_reports_sent_total",
         Count::PaceReportsFailed => "hatchpitch_pace_reports_failed_total",
         Count::PaceEntriesDropped => "hatchpitch_pace_entries_dropped_total",
--- a/crates/hatchpitch/src/relay/mod.rs
+++ b/crates/hatchpitch/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod context;
 pub mod ending;
 pub mod events;
+mod failover;
 mod failure;
 pub mod headers;
 pub mod json;
