--- a/crates/hatchpitch/src/dispatch/mod.rs
+++ b/crates/hatchpitch/src/dispatch/mod.rs
@@ -11,10 +11,12 @@
 //! `grants` and [`Gate`](crate::admission::Gate) carry out the decisions.
 
 pub mod owners;
+pub mod request;
 pub mod scheduler;
 pub mod search;
 pub mod verify;
 
 pub use owners::OwnerMap;
-pub use scheduler::{Answer, Decision, PoolScheduler, QueueRefusals, Refusal, SlotRequest};
+pub use request::{Refusal, SlotRequest};
+pub use scheduler::{Answer, Decision, PoolScheduler, QueueRefusals};
 pub use search::{OwnerChoice, Quote, Step};
--- a/crates/hatchpitch/src/dispatch/search.rs
+++ b/crates/hatchpitch/src/dispatch/search.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::scheduler::Refusal;
+use super::request::Refusal;
 
 /// Owners in the request's own failure domain that are asked for quotes per round. Two choices
 /// give most of the benefit of load-aware balancing; more only add traffic.
