Continue a stream at its standby only if its engine has exited

Such engines are kept, and releases go by the request. The new test of tests/standby.rs covers both. - A resume at a standby waited until the deadline of the request, and also started for a caller that had left. It is given up after 2 s, and not started then.

--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -234,6 +234,9 @@
         report: RunReport,
         now: Instant,
     ) {
+        if req.standby {
+            return self.release_standby(runner, &req.id, now);
+        }
         self.table.give_back(runner, &req.id, report, now);
         if let Some(tokens) = report.tokens {
             self.lengths.observe(&req.kind, tokens);
@@ -244,10 +247,18 @@
 
     /// Releases a slot that was not used, and refunds its charge.
     pub fn release_unused(&mut self, runner: &str, req: &SlotRequest, cost: u64, now: Instant) {
+        if req.standby {
+            return self.release_standby(runner, &req.id, now);
+        }
         self.queue.correct(&req.workspace, cost, 0);
         self.release_abandoned(runner, &req.id, now);
     }
 
+    fn release_standby(&mut self, runner: &str, id: &str, now: Instant) {
+        self.table.give_back_standby(runner, id);
+        self.schedule_queued(now);
+    }
+
     /// Releases a slot whose request was cancelled before it received the slot. The charge stays.
     pub fn release_abandoned(&mut self, runner: &str, id: &str, now: Instant) {
         self.table.give_back(runner, id, RunReport::RELEASED, now);
--- a/crates/hatchpitch/src/relay/failover.rs
+++ b/crates/hatchpitch/src/relay/failover.rs
@@ -1,6 +1,8 @@
 //! Continues a stream whose engine was lost from its standby copy.
 
-use hatchpitch_net::clock;
+use std::time::Duration;
+
+use hatchpitch_net::{BodySender, Listening, clock};
 use hyper::body::Incoming;
 
 use super::migration::MOVE_DELAY;
@@ -14,11 +16,20 @@
 use crate::standby::plan::{BrokenStream, check_failover};
 use crate::upstream_signals::task as upstream_signals;
 
+/// Time within which an engine refuses a connection if it has exited.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time within which a run must resume at its standby. Callers give up a stream after a pause of
+/// two seconds.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 impl EventStream {
     /// Continues a broken stream at its standby, if it has one. No other standby is sought after
     /// that, so a stream is continued in this way at most once. Returns `None` if the stream ends.
-    pub(super) async fn fail_over(&mut self, end: &StreamEnd) -> Option<Incoming> {
+    pub(super) async fn fail_over(&mut self, end: &StreamEnd, tx: &BodySender) -> Option<Incoming> {
         let StreamEnd::Broken(broken) = end else { return None };
+        if tx.is_closed() {
+            return None;
+        }
         let standby = self.standby.take()?;
         let (left, to) = (self.slot.runner.clone(), standby.runner.clone());
         let (held_for, started) = (standby.held_for(), clock::now());
@@ -43,9 +54,11 @@
 
     async fn continue_at(&mut self, standby: Slot) -> Result<Incoming, String> {
         let cx = self.relay.cx.clone();
+        let is_source_gone = self.is_source_gone().await;
         check_failover(BrokenStream {
             has_resume_point: self.splitter.has_resume_point(),
             is_source_silent: self.is_link_silent,
+            is_source_gone,
             is_out_of_time: self.req.time_left(clock::now()).is_zero(),
             is_evacuated: cx.is_evacuated(&standby.failure_domain),
             is_held: observer::check(&cx, &self.content).is_err(),
@@ -58,7 +71,9 @@
         drop(standby);
         let left = std::mem::replace(&mut self.slot, slot);
         let handle = self.req.id.clone();
-        match self.send_resume(source, handle).await {
+        let resumed = compio::time::timeout(RESUME_TIMEOUT, self.send_resume(source, handle)).await;
+        let timed_out = || Err(ResumeFailure::MayHaveRun("no answer in time".to_owned()));
+        match resumed.unwrap_or_else(|_| timed_out()) {
             Ok(body) => {
                 (self.leaving_since, self.roster_version) = (None, 0);
                 self.next_move = clock::now() + MOVE_DELAY;
@@ -71,6 +86,23 @@
         }
     }
 
+    /// Returns whether the engine of the broken link has exited: nothing listens at its address, or
+    /// another lifetime does.
+    async fn is_source_gone(&self) -> bool {
+        let (cx, runner) = (&self.relay.cx, &self.slot.runner);
+        let listening = cx.upstream(runner, self.slot.addr);
+        let listening = compio::time::timeout(CHECK_TIMEOUT, listening.listening()).await;
+        match listening {
+            Ok(Listening::No) => true,
+            Ok(Listening::Yes) => {
+                let roster = cx.upstreams.roster.borrow();
+                let mut others = roster.serving().filter(|record| record.addr == self.slot.addr);
+                others.any(|record| record.life() != *runner)
+            }
+            Ok(Listening::Unclear) | Err(_) => false,
+        }
+    }
+
     /// Returns the request for the slot of the rest of the generation.
     fn remainder_request(&self) -> SlotRequest {
         let produced = self.tokens_produced();
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -225,7 +225,7 @@
                 Ok(None) => self.judge_link(closed).await,
                 Err(cause) => StreamEnd::Broken(cause),
             };
-            body = match self.fail_over(&end).await {
+            body = match self.fail_over(&end, tx).await {
                 Some(next) => next,
                 None => return self.finish(end, tx).await,
             };
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -157,7 +157,9 @@
             }
             runner.spec = spec;
         }
-        self.runners.retain(|_, runner| runner.configured || runner.running > 0);
+        self.runners.retain(|_, runner| {
+            runner.configured || runner.running > 0 || runner.memory.has_standbys()
+        });
         let runners = &self.runners;
         self.pauses.retain(|name| runners.contains_key(name));
     }
@@ -500,13 +502,17 @@
         serving.filter_map(|r| r.ejected_until).min()
     }
 
+    /// Gives back the slot of a standby copy. One that is not known changes nothing.
+    pub fn give_back_standby(&mut self, name: &str, id: &str) {
+        if let Some(runner) = self.runners.get_mut(name) {
+            runner.memory.remove_standby(id);
+        }
+    }
+
     /// Gives a slot back and applies the report of its run.
     pub fn give_back(&mut self, name: &str, id: &str, report: RunReport, now: Instant) {
         let cfg = self.cfg;
         let Some(runner) = self.runners.get_mut(name) else { return };
-        if runner.memory.remove_standby(id) {
-            return;
-        }
         runner.running = runner.running.saturating_sub(1);
         let held = runner.memory.remove(id, report.tokens, now);
         if let Some(held) = held.filter(|_| report.verdict == Verdict::Succeeded) {
--- a/crates/hatchpitch/src/standby/plan.rs
+++ b/crates/hatchpitch/src/standby/plan.rs
@@ -91,6 +91,9 @@
     /// Whether its link was given up because its engine is silent. The engine may be running on,
     /// and nothing shows when it stops.
     pub is_source_silent: bool,
+    /// Whether its engine no longer listens. One that does may be running on: a reset of the link
+    /// shows nothing of the engine.
+    pub is_source_gone: bool,
     /// Whether its time is over.
     pub is_out_of_time: bool,
     /// Whether the failure domain of its standby is evacuated.
@@ -111,6 +114,9 @@
     if stream.is_source_silent {
         return Err("the engine is silent and may still run it");
     }
+    if !stream.is_source_gone {
+        return Err("the engine still listens, or does not respond");
+    }
     if stream.is_out_of_time {
         return Err("the time of the request is over");
     }
--- a/crates/hatchpitch/tests/standby.rs
+++ b/crates/hatchpitch/tests/standby.rs
@@ -367,6 +367,7 @@
     let stream = BrokenStream {
         has_resume_point: true,
         is_source_silent: false,
+        is_source_gone: true,
         is_out_of_time: false,
         is_evacuated: false,
         is_held: false,
@@ -375,6 +376,7 @@
     let cases = [
         BrokenStream { has_resume_point: false, ..stream },
         BrokenStream { is_source_silent: true, ..stream },
+        BrokenStream { is_source_gone: false, ..stream },
         BrokenStream { is_out_of_time: true, ..stream },
         BrokenStream { is_evacuated: true, ..stream },
         BrokenStream { is_held: true, ..stream },
@@ -440,3 +442,23 @@
     let read: GrantRequest = serde_json::from_value(known).unwrap();
     assert!(!read.want.standby);
 }
+
+/// Guards against one run too many on an engine whose standby is released after its owner lost and
+/// regained it.
+#[test]
+fn the_release_of_an_unknown_standby_leaves_the_count_of_runs() {
+    let now = Instant::now();
+    let mut line = PoolScheduler::new(Default::default(), RoutingConfig::default());
+    let engine = || spec("e", "d", 4);
+    line.update(now, |table| table.sync([engine()]));
+    let standby = SlotRequest { id: "s".to_owned(), standby: true, ..SlotRequest::default() };
+    let run = SlotRequest { id: "r".to_owned(), ..SlotRequest::default() };
+    assert!(matches!(line.decide(&standby, now), Decision::Run(_)));
+    line.update(now, |table| table.sync([]));
+    line.update(now, |table| table.sync([engine()]));
+    assert!(matches!(line.decide(&run, now), Decision::Run(_)));
+    line.release("e", &standby, 0, RunReport::RELEASED, now);
+    line.release("e", &standby, 0, RunReport::RELEASED, now);
+    let running = line.table().overview(now).iter().map(|(_, running, _)| *running).sum::<u64>();
+    assert_eq!(running, 1);
+}
