Revert standby copies of streams and the keys of two parts that did not pay

The copies take memory that requests need: more prompts are preempted and read again, at up to half of an engine's memory.

--- a/crates/hatchpitch/src/admission/memory.rs
+++ b/crates/hatchpitch/src/admission/memory.rs
@@ -25,8 +25,6 @@
 /// Number of recent reports over which the minimum of the unattributed use is taken. A lagging
 /// report still includes generations that have ended, so a single one overestimates it.
 const REPORT_WINDOW: usize = 4;
-/// Largest share of the memory that is expected to be in use where a standby copy is kept.
-const MAX_STANDBY_USE: f64 = 0.5;
 
 /// Rule by which one more generation is admitted to an engine's memory.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -63,45 +61,28 @@
     }
 }
 
-/// A generation that runs on the engine, or whose standby copy the engine holds.
+/// A generation that runs on the engine.
 #[derive(Debug, Clone)]
 struct Generation {
     candidate: Candidate,
     started: Instant,
 }
 
-/// Whether the memory of standby copies counts as used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StandbyUse {
-    /// It does.
-    Counted,
-    /// It does not: requests take precedence over standby copies.
-    Ignored,
-}
-
 /// Memory of one engine as estimated by its owner.
 #[derive(Debug, Clone)]
 pub struct EngineMemory {
     running: HashMap<AttemptId, Generation>,
-    /// Generations that run elsewhere and whose copies are kept here.
-    standbys: HashMap<AttemptId, Generation>,
     /// Decode rate of one generation in tokens per second, smoothed.
     rate: f64,
     /// Size of the memory in tokens, once it is known.
     limit: Option<u64>,
-    /// Use in the latest reports beyond that of `running` and `standbys`, in tokens.
+    /// Use in the latest reports beyond that of `running`, in tokens.
     unattributed: Vec<f64>,
 }
 
 impl Default for EngineMemory {
     fn default() -> Self {
-        Self {
-            running: HashMap::new(),
-            standbys: HashMap::new(),
-            rate: INITIAL_RATE,
-            limit: None,
-            unattributed: Vec::new(),
-        }
+        Self { running: HashMap::new(), rate: INITIAL_RATE, limit: None, unattributed: Vec::new() }
     }
 }
 
@@ -122,21 +103,6 @@
         self.running.insert(id, Generation { candidate, started: now });
     }
 
-    /// Adds the standby copy of a generation that has started elsewhere.
-    pub fn add_standby(&mut self, id: AttemptId, candidate: Candidate, now: Instant) {
-        self.standbys.insert(id, Generation { candidate, started: now });
-    }
-
-    /// Removes a standby copy. Returns whether it was there.
-    pub fn remove_standby(&mut self, id: &str) -> bool {
-        self.standbys.remove(id).is_some()
-    }
-
-    /// Returns whether there are any standby copies.
-    pub fn has_standbys(&self) -> bool {
-        !self.standbys.is_empty()
-    }
-
     /// Removes a generation that has ended, and returns how long it ran; `tokens` is the length of
     /// its output, if known.
     pub fn remove(&mut self, id: &str, tokens: Option<u64>, now: Instant) -> Option<Duration> {
@@ -157,46 +123,20 @@
     /// Applies a load report of the engine.
     pub fn report(&mut self, load: &EngineLoad, now: Instant) {
         self.limit = Some(load.memory_limit);
-        let held = self.running.values().chain(self.standbys.values());
-        let known: f64 = held.map(|g| self.memory_use(g, now)).sum();
+        let known: f64 = self.running.values().map(|g| self.memory_use(g, now)).sum();
         self.unattributed.push((load.memory_used as f64 - known).max(0.0));
         if self.unattributed.len() > REPORT_WINDOW {
             self.unattributed.remove(0);
         }
     }
 
-    /// Returns the estimated fraction of the memory that is in use by generations that run here, or
-    /// 0 if its size is not known.
+    /// Returns the estimated fraction of the memory that is in use, or 0 if its size is not known.
     pub fn utilization(&self, now: Instant) -> f64 {
-        self.utilization_with(StandbyUse::Ignored, now)
-    }
-
-    fn utilization_with(&self, standbys: StandbyUse, now: Instant) -> f64 {
         let Some(limit) = self.limit else { return 0.0 };
-        let known: f64 = self.counted(standbys).map(|g| self.memory_use(g, now)).sum();
+        let known: f64 = self.running.values().map(|g| self.memory_use(g, now)).sum();
         (known + self.unattributed_use()) / limit.max(1) as f64
     }
 
-    /// Returns the generations whose memory counts.
-    fn counted(&self, standbys: StandbyUse) -> impl Iterator<Item = &Generation> {
-        let standbys = (standbys == StandbyUse::Counted).then_some(&self.standbys);
-        self.running.values().chain(standbys.into_iter().flat_map(HashMap::values))
-    }
-
-    /// Returns the fraction of the memory that is expected to be in use with one more standby copy,
-    /// or `None` if the copy is not to be kept here: the size of the memory is not known, or more
-    /// than [`MAX_STANDBY_USE`] would be in use at some horizon.
-    pub fn standby_use(
-        &self,
-        candidate: &Candidate,
-        lengths: &LengthModel,
-        now: Instant,
-    ) -> Option<f64> {
-        let allowed = self.limit? as f64 * MAX_STANDBY_USE;
-        let fits = self.fits_survival(0.0, candidate, lengths, now, allowed, StandbyUse::Counted);
-        fits.then(|| self.utilization_with(StandbyUse::Counted, now))
-    }
-
     /// Returns whether one more generation fits. Takes time proportional to the running generations
     /// times the horizons.
     pub fn fits(
@@ -205,35 +145,23 @@
         candidate: &Candidate,
         lengths: &LengthModel,
         now: Instant,
-    ) -> bool {
-        self.fits_with(policy, candidate, lengths, now, StandbyUse::Counted)
-    }
-
-    /// Returns whether one more generation fits, with or without the standby copies.
-    pub fn fits_with(
-        &self,
-        policy: MemoryPolicy,
-        candidate: &Candidate,
-        lengths: &LengthModel,
-        now: Instant,
-        standbys: StandbyUse,
     ) -> bool {
         let Some(limit) = self.limit else { return true };
         let limit = limit as f64;
         match policy {
             MemoryPolicy::Unlimited => true,
             MemoryPolicy::Watermark(share) => {
-                self.utilization_with(standbys, now) + candidate.prompt as f64 / limit <= share
+                self.utilization(now) + candidate.prompt as f64 / limit <= share
             }
             MemoryPolicy::Quantile(share) => {
-                let all = self.counted(standbys).map(|g| &g.candidate).chain([candidate]);
+                let all = self.running.values().map(|g| &g.candidate).chain([candidate]);
                 let reservation = |c: &Candidate| {
                     (c.prompt + lengths.quantile(&c.kind, share).min(c.max_output)) as f64
                 };
                 self.unattributed_use() + all.map(reservation).sum::<f64>() <= limit
             }
             MemoryPolicy::Survival(deviations) => {
-                self.fits_survival(deviations, candidate, lengths, now, limit, standbys)
+                self.fits_survival(deviations, candidate, lengths, now, limit)
             }
         }
     }
@@ -245,9 +173,8 @@
         lengths: &LengthModel,
         now: Instant,
         limit: f64,
-        standbys: StandbyUse,
     ) -> bool {
-        let others = self.counted(standbys).map(|g| (&g.candidate, self.output_tokens(g, now)));
+        let others = self.running.values().map(|g| (&g.candidate, self.output_tokens(g, now)));
         // Each generation with its output so far and the probability of getting that far.
         let terms: Vec<(&Candidate, f64, f64)> = others
             .chain([(candidate, 0.0)])
--- a/crates/hatchpitch/src/admission/policy.rs
+++ b/crates/hatchpitch/src/admission/policy.rs
@@ -63,10 +63,6 @@
     pub quotes: bool,
     /// Whether failing upstreams are ejected, that is, get no work for a while.
     pub ejection: bool,
-    /// Whether streams are moved off engines that became slow.
-    pub slow_moves: bool,
-    /// Whether streams get standby copies, from which they continue if their engine is lost.
-    pub standby_copies: bool,
     /// Whether queued requests that can no longer be served are refused before their wait is over.
     pub requeue_checks: bool,
 }
@@ -84,8 +80,6 @@
         near: false,
         quotes: false,
         ejection: false,
-        slow_moves: false,
-        standby_copies: false,
         requeue_checks: false,
     };
 }
@@ -103,8 +97,6 @@
             near: true,
             quotes: true,
             ejection: true,
-            slow_moves: false,
-            standby_copies: false,
             requeue_checks: false,
         }
     }
--- a/crates/hatchpitch/src/dispatch/request.rs
+++ b/crates/hatchpitch/src/dispatch/request.rs
@@ -73,10 +73,6 @@
     /// Number of output tokens that an event of its stream holds.
     #[serde(default)]
     pub event_tokens: u64,
-    /// Whether the slot is for a standby copy of a run on another engine. It is granted only where
-    /// memory is plentiful, and never queued.
-    #[serde(default)]
-    pub standby: bool,
 }
 
 impl SlotRequest {
--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -39,8 +39,6 @@
 pub const NO_RUNNER: &str = "no runner of the pool takes work";
 /// Cause of a refusal if a queued request can no longer start in time.
 pub const UNTIMELY: &str = "the request can no longer start within the time that it allows";
-/// Cause of the refusal of a standby.
-const NO_STANDBY_ROOM: &str = "no engine has memory to spare for a standby";
 /// Range of the jitter added to retry delays that end with the same rest period, so that the load
 /// on an upstream rises gradually when the period ends.
 const REST_JITTER: Duration = Duration::from_millis(250);
@@ -134,9 +132,6 @@
         if !self.table.any_serving_for(&req.asked(&self.lengths)) {
             return Err(self.no_runner_refusal(now));
         }
-        if req.standby {
-            return Ok(self.place_standby(req, now));
-        }
         if self.must_queue(req) {
             return Ok(None);
         }
@@ -146,22 +141,10 @@
         Ok(Some(spec))
     }
 
-    /// Takes a slot for a standby copy if nothing waits and the memory of an engine is plentiful.
-    fn place_standby(&mut self, req: &SlotRequest, now: Instant) -> Option<RunnerSpec> {
-        if !self.queue.is_empty() {
-            return None;
-        }
-        let query = req.asked(&self.lengths);
-        self.table.pick_standby(&query, &req.candidate(), &self.lengths, now)
-    }
-
     /// Takes a slot for the request, queues it or refuses it.
     pub fn decide(&mut self, req: &SlotRequest, now: Instant) -> Decision {
         match self.place(req, now) {
             Ok(Some(spec)) => return Decision::Run(spec),
-            Ok(None) if req.standby => {
-                return Decision::Refuse(Refusal::new(NO_STANDBY_ROOM, MIN_RETRY));
-            }
             Ok(None) => {}
             Err(refusal) => return Decision::Refuse(refusal),
         }
@@ -217,9 +200,6 @@
     /// Accounts for a slot that another owner granted at `since`. Returns the engine, or `None` if
     /// it is not one of this scheduler's.
     pub fn adopt(&mut self, runner: &str, req: &SlotRequest, since: Instant) -> Option<RunnerSpec> {
-        if req.standby {
-            return self.table.adopt_standby(runner, &req.id, &req.candidate(), since);
-        }
         let spec = self.table.adopt(runner, &req.asked(&self.lengths), &req.candidate(), since)?;
         self.queue.charge(&req.workspace, self.cost(req));
         Some(spec)
@@ -234,9 +214,6 @@
         report: RunReport,
         now: Instant,
     ) {
-        if req.standby {
-            return self.release_standby(runner, &req.id, now);
-        }
         self.table.give_back(runner, &req.id, report, now);
         if let Some(tokens) = report.tokens {
             self.lengths.observe(&req.kind, tokens);
@@ -247,18 +224,10 @@
 
     /// Releases a slot that was not used, and refunds its charge.
     pub fn release_unused(&mut self, runner: &str, req: &SlotRequest, cost: u64, now: Instant) {
-        if req.standby {
-            return self.release_standby(runner, &req.id, now);
-        }
         self.queue.correct(&req.workspace, cost, 0);
         self.release_abandoned(runner, &req.id, now);
     }
 
-    fn release_standby(&mut self, runner: &str, id: &str, now: Instant) {
-        self.table.give_back_standby(runner, id);
-        self.schedule_queued(now);
-    }
-
     /// Releases a slot whose request was cancelled before it received the slot. The charge stays.
     pub fn release_abandoned(&mut self, runner: &str, id: &str, now: Instant) {
         self.table.give_back(runner, id, RunReport::RELEASED, now);
@@ -347,12 +316,8 @@
         self.queue.len()
     }
 
-    /// Returns the expected cost of a request, in tokens of prompt and output. A standby costs
-    /// nothing, as the run is charged where it runs.
+    /// Returns the expected cost of a request, in tokens of prompt and output.
     pub fn cost(&self, req: &SlotRequest) -> u64 {
-        if req.standby {
-            return 0;
-        }
         req.prompt + self.lengths.mean(DEFAULT_OUTPUT_TOKENS).min(req.max_tokens)
     }
 
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -151,7 +151,7 @@
     let status = match err {
         BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
         BodyError::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
-        BodyError::Closed | BodyError::Broken(_) | BodyError::Silent(_) => StatusCode::BAD_REQUEST,
+        BodyError::Closed | BodyError::Broken(_) => StatusCode::BAD_REQUEST,
     };
     Problem::not_run(status, "bad_request", format!("request body: {err}"))
 }
--- a/crates/hatchpitch/src/grants/held.rs
+++ b/crates/hatchpitch/src/grants/held.rs
@@ -25,9 +25,6 @@
     pub want: SlotRequest,
     /// Time of the grant.
     pub since: Instant,
-    /// Whether the owner knows of the slot. One that it did not grant is reported to it until it has
-    /// adopted the slot.
-    pub is_known: bool,
     /// Whether this box granted the slot; its own gate then accounts for it until the release.
     pub granted_here: bool,
 }
@@ -47,21 +44,6 @@
         self.0.remove(id)
     }
 
-    /// Records a slot for the attempt `want` on the engine of another slot, of which its owner does
-    /// not know yet. Returns false if this box does not hold the other slot.
-    pub fn insert_beside(&mut self, other: &str, want: SlotRequest, now: Instant) -> bool {
-        let Some(other) = self.0.get(other) else { return false };
-        let held = HeldSlot {
-            want: want.clone(),
-            since: now,
-            is_known: false,
-            granted_here: false,
-            ..other.clone()
-        };
-        self.0.insert(want.id, held);
-        true
-    }
-
     /// Returns the attempts whose slots each owner accounts for.
     pub fn by_owner(&self) -> BTreeMap<SocketAddr, Vec<AttemptId>> {
         let mut owners: BTreeMap<SocketAddr, Vec<AttemptId>> = BTreeMap::new();
@@ -82,8 +64,7 @@
     ) -> BTreeMap<SocketAddr, Vec<AdoptedSlot>> {
         let mut reassigned: BTreeMap<SocketAddr, Vec<AdoptedSlot>> = BTreeMap::new();
         for held in self.0.values_mut() {
-            let is_new = |owner: &SocketAddr| *owner != held.owner || !held.is_known;
-            let Some(owner) = owner_of(&held.runner).filter(is_new) else {
+            let Some(owner) = owner_of(&held.runner).filter(|owner| *owner != held.owner) else {
                 continue;
             };
             if owner == own_addr && held.granted_here {
@@ -106,7 +87,7 @@
         let mut released = Vec::new();
         for id in ids {
             match self.0.get_mut(&id) {
-                Some(held) => (held.owner, held.is_known) = (owner, true),
+                Some(held) => held.owner = owner,
                 None => released.push(id),
             }
         }
--- a/crates/hatchpitch/src/grants/slot.rs
+++ b/crates/hatchpitch/src/grants/slot.rs
@@ -7,9 +7,8 @@
 use hatchpitch_net::clock;
 
 use super::messages::ReleaseRequest;
-use super::task::{CALL_TIMEOUT, RELEASE_PATH, hand_over_once, release};
+use super::task::{CALL_TIMEOUT, RELEASE_PATH, release};
 use crate::admission::Permit;
-use crate::dispatch::SlotRequest;
 use crate::entry::EntryCx;
 use crate::ids::{AttemptId, FailureDomainName, RunnerName};
 use crate::routing::{RunReport, Verdict};
@@ -86,19 +85,6 @@
         }
     }
 
-    /// Takes another slot on the engine of this one, which its owner adopts without a decision.
-    /// Returns `None` if no owner accounts for this slot.
-    pub fn take_another(&self, want: SlotRequest) -> Option<Self> {
-        let (cx, id) = (&self.cx, want.id.clone());
-        if !cx.held_slots.borrow_mut().insert_beside(&self.id, want, clock::now()) {
-            return None;
-        }
-        let notified = cx.clone();
-        compio::runtime::spawn(async move { hand_over_once(&notified).await }).detach();
-        let domain = self.failure_domain.clone();
-        Some(Self::from_owner(cx, id, self.runner.clone(), self.addr, domain))
-    }
-
     /// Creates a slot that this box granted to itself.
     pub(super) fn local(cx: &Rc<EntryCx>, id: AttemptId, permit: Permit) -> Self {
         Self {
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -106,20 +106,6 @@
     pool.is_some_and(|pool| cx.placement(pool) == Placement::Owner)
 }
 
-/// Obtains a slot for a standby copy from one owner, which answers at once.
-pub async fn obtain_standby(
-    cx: &Rc<EntryCx>,
-    pool: &str,
-    want: SlotRequest,
-    owner: SocketAddr,
-) -> Option<Slot> {
-    let search = OwnerSearch { cx: cx.clone(), pool: pool.to_owned(), want };
-    match search.ask_owner(owner, Ask::Now).await {
-        OwnerReply::Slot(slot) => Some(*slot),
-        _ => None,
-    }
-}
-
 /// Waits until at least one eligible engine accepts work from this box.
 async fn await_accepting_runner(
     cx: &EntryCx,
@@ -326,7 +312,7 @@
         match answer {
             Ok(GrantAnswer::Granted { runner, addr, failure_domain, counted }) => {
                 let slot = self.slot_from_owner(owner, runner, addr, failure_domain);
-                if counted || self.want.standby {
+                if counted {
                     OwnerReply::Slot(Box::new(slot))
                 } else {
                     self.with_limit_permit(slot).await
@@ -394,7 +380,6 @@
             runner: runner.to_owned(),
             want: self.want.clone(),
             since: clock::now(),
-            is_known: true,
             granted_here: owner == self.cx.settings.boxes_addr,
         };
         self.cx.held_slots.borrow_mut().insert(self.want.id.clone(), held);
@@ -433,10 +418,6 @@
         },
         Err(_) => return GrantDecision::NotOwner,
     };
-    // Nothing is sent to the engine of a standby, so no rate limit applies.
-    if want.standby {
-        return GrantDecision::Permit(Box::new(admitted));
-    }
     match confirm_limit(cx, admitted, want).await {
         Ok(permit) => GrantDecision::Permit(Box::new(permit)),
         Err(wait) => GrantDecision::Busy(wait),
@@ -493,37 +474,34 @@
 pub async fn hand_over(cx: Rc<EntryCx>, stop: Stop) {
     while !stop.is_set() {
         compio::time::sleep(HAND_OVER_INTERVAL).await;
-        hand_over_once(&cx).await;
-    }
-}
-
-/// Reports the slots that this box holds to the owners that do not know of them yet.
-pub(super) async fn hand_over_once(cx: &Rc<EntryCx>) {
-    cx.sync_gates();
-    let own_addr = cx.settings.boxes_addr;
-    let owner_of = |runner: &str| cx.owner_addr(runner);
-    let reassigned = cx.held_slots.borrow_mut().reassigned(own_addr, owner_of, clock::now());
-    for (owner, slots) in reassigned {
-        let (count, holder) = (slots.len(), cx.settings.name.clone());
-        let req = AdoptRequest { holder, slots };
-        let answer = if owner == own_addr {
-            Ok(adopt(cx, req))
-        } else {
-            cx.boxes.call::<_, AdoptAnswer>(owner, ADOPT_PATH, &req, CALL_TIMEOUT).await
-        };
-        match answer {
-            Ok(AdoptAnswer { adopted }) if adopted.is_empty() => {
-                log::debug!("hand-over of slots: {owner} does not consider itself the owner yet");
-            }
-            Ok(AdoptAnswer { adopted }) => {
-                log::info!(owner:%, slots = count, adopted = adopted.len(); "slots handed over");
-                let released = cx.held_slots.borrow_mut().mark_adopted(owner, adopted);
-                for id in released {
-                    let report = RunReport::RELEASED;
-                    send_release(cx, owner, ReleaseRequest { id, report });
+        cx.sync_gates();
+        let own_addr = cx.settings.boxes_addr;
+        let owner_of = |runner: &str| cx.owner_addr(runner);
+        let reassigned = cx.held_slots.borrow_mut().reassigned(own_addr, owner_of, clock::now());
+        for (owner, slots) in reassigned {
+            let (count, holder) = (slots.len(), cx.settings.name.clone());
+            let req = AdoptRequest { holder, slots };
+            let answer = if owner == own_addr {
+                Ok(adopt(&cx, req))
+            } else {
+                cx.boxes.call::<_, AdoptAnswer>(owner, ADOPT_PATH, &req, CALL_TIMEOUT).await
+            };
+            match answer {
+                Ok(AdoptAnswer { adopted }) if adopted.is_empty() => {
+                    log::debug!(
+                        "hand-over of slots: {owner} does not consider itself the owner yet"
+                    );
+                }
+                Ok(AdoptAnswer { adopted }) => {
+                    log::info!(owner:%, slots = count, adopted = adopted.len(); "slots handed over");
+                    let released = cx.held_slots.borrow_mut().mark_adopted(owner, adopted);
+                    for id in released {
+                        let report = RunReport::RELEASED;
+                        send_release(&cx, owner, ReleaseRequest { id, report });
+                    }
                 }
+                Err(err) => log::debug!("hand-over of slots: {err}; retried at the next check"),
             }
-            Err(err) => log::debug!("hand-over of slots: {err}; retried at the next check"),
         }
     }
 }
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -38,7 +38,6 @@
 pub mod security;
 pub mod settings;
 pub mod signals;
-pub mod standby;
 pub mod streams;
 pub mod trace;
 pub mod upstream_limits;
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -72,14 +72,6 @@
     SilentLinks,
     /// Requests abandoned on such connections, to be sent again through another box.
     AbandonedSends,
-    /// Slots obtained for standby copies of streams.
-    StandbysTaken,
-    /// Requests for such a slot that were refused, or not answered in time.
-    StandbysRefused,
-    /// Broken streams that continued at their standby.
-    StandbysUsed,
-    /// Broken streams that could not continue at their standby.
-    StandbysInVain,
     /// Reports of the pace of engines sent to other boxes.
     PaceReportsSent,
     /// Those of them that were not answered in time, or refused.
@@ -270,10 +262,6 @@
         Count::SentForPeer => "hatchpitch_sent_for_peer_total",
         Count::SilentLinks => "hatchpitch_silent_links_total",
         Count::AbandonedSends => "hatchpitch_abandoned_sends_total",
-        Count::StandbysTaken => "hatchpitch_standbys_taken_total",
-        Count::StandbysRefused => "hatchpitch_standbys_refused_total",
-        Count::StandbysUsed => "hatchpitch_standbys_used_total",
-        Count::StandbysInVain => "hatchpitch_standbys_in_vain_total",
         Count::PaceReportsSent => "hatchpitch_pace_reports_sent_total",
         Count::PaceReportsFailed => "hatchpitch_pace_reports_failed_total",
         Count::PaceEntriesDropped => "hatchpitch_pace_entries_dropped_total",
--- a/crates/hatchpitch/src/moves/mover.rs
+++ b/crates/hatchpitch/src/moves/mover.rs
@@ -366,7 +366,6 @@
             only_try: true,
             max_gap: self.needs.max_gap,
             event_tokens: self.needs.event_tokens,
-            standby: false,
         };
         let slot = obtain(cx, &self.source.service, want).await;
         slot.map_err(|refusal| refusal.cause)
--- a/crates/hatchpitch/src/relay/context.rs
+++ b/crates/hatchpitch/src/relay/context.rs
@@ -9,11 +9,9 @@
 use super::recent::RecentServices;
 use super::request::HostedRequest;
 use super::run_times::RunTimes;
-use crate::admission::lengths::LengthModel;
 use crate::dispatch::Refusal;
 use crate::entry::EntryCx;
 use crate::ids::{FailureDomainName, RegionName};
-use crate::standby::plan::AskLimiter;
 
 /// Retry delay if the regions of route and workspace leave no failure domain: configurations
 /// change a few times an hour.
@@ -31,10 +29,6 @@
     pub run_times: RefCell<RunTimes>,
     /// Services whose streams recently ended with their connections.
     pub open_streams: RefCell<RecentServices>,
-    /// Lengths of complete streams, by route. Used to choose the streams that get a standby.
-    pub lengths: RefCell<LengthModel>,
-    /// Limit on the standbys that other boxes are asked for.
-    pub standby_asks: RefCell<AskLimiter>,
 }
 
 impl Relay {
--- a/crates/hatchpitch/src/relay/events.rs
+++ b/crates/hatchpitch/src/relay/events.rs
@@ -10,8 +10,6 @@
     scanned: usize,
     events: u64,
     last_id: Option<String>,
-    /// Whether an event without an id followed the last one with an id.
-    last_lacks_id: bool,
     out_of_order: bool,
 }
 
@@ -57,11 +55,6 @@
         self.last_id.as_deref()
     }
 
-    /// Returns whether a run that continues after [`EventSplitter::last_id`] repeats no event.
-    pub fn has_resume_point(&self) -> bool {
-        !self.last_lacks_id
-    }
-
     /// Discards an incomplete event, which the next link sends again in full.
     pub fn discard_incomplete(&mut self) {
         self.buf.clear();
@@ -75,12 +68,8 @@
 
     fn note_event(&mut self, from: usize, to: usize) {
         self.events += 1;
-        let (mut has_id, mut has_fields) = (false, false);
         for line in self.buf[from..to].split(|b| matches!(b, b'\n' | b'\r')) {
-            // Blocks of blank lines and comments are not events.
-            has_fields |= !line.is_empty() && !line.starts_with(b":");
             if let Some(value) = line.strip_prefix(b"id:") {
-                has_id = true;
                 let value = String::from_utf8_lossy(value);
                 let id = value.trim();
                 let number = |id: &str| id.parse::<u64>().ok();
@@ -90,7 +79,6 @@
                 self.last_id = Some(id.to_owned());
             }
         }
-        self.last_lacks_id = has_fields && !has_id || !has_fields && self.last_lacks_id;
     }
 }
 
--- a/crates/hatchpitch/src/relay/mod.rs
+++ b/crates/hatchpitch/src/relay/mod.rs
@@ -9,7 +9,6 @@
 mod context;
 pub mod ending;
 pub mod events;
-mod failover;
 mod failure;
 pub mod headers;
 pub mod json;
--- a/crates/hatchpitch/src/relay/protocol.rs
+++ b/crates/hatchpitch/src/relay/protocol.rs
@@ -25,8 +25,6 @@
     pub time_left: Duration,
     /// The copy from which a stopped run resumes; `None` for a new run.
     pub resume: Option<Resume>,
-    /// Address of the engine that is to hold a standby copy of the run, if any.
-    pub standby: Option<SocketAddr>,
 }
 
 /// The copy from which a stopped run resumes.
--- a/crates/hatchpitch/src/relay/resume.rs
+++ b/crates/hatchpitch/src/relay/resume.rs
@@ -18,7 +18,7 @@
 const MOVE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Reason why a run did not resume from a copy.
-pub(super) enum ResumeFailure {
+enum ResumeFailure {
     /// The runner did not accept the run, and the copy was not used.
     NotRun(String),
     /// The run may have resumed at the runner.
@@ -31,7 +31,7 @@
         if err.is_not_run() { Self::NotRun(cause) } else { Self::MayHaveRun(cause) }
     }
 
-    pub(super) fn cause(self) -> String {
+    fn cause(self) -> String {
         match self {
             Self::NotRun(cause) | Self::MayHaveRun(cause) => cause,
         }
@@ -66,8 +66,6 @@
     /// Resumes the run at the runner that received the copy. If that runner does not accept it, the
     /// run resumes where it was stopped, which keeps its state until the copy is used.
     async fn resume(&mut self, moved: Moved) -> Result<Incoming, String> {
-        // The standby holds a copy of the run that was stopped; its engine no longer extends it.
-        self.standby = None;
         self.roster_version = 0;
         self.next_move = clock::now() + MOVE_DELAY;
         let Moved { slot, source, handle, stopped_at } = moved;
@@ -96,7 +94,7 @@
     }
 
     /// Sends the request to the runner of the current slot, to resume from a copy.
-    pub(super) async fn send_resume(
+    async fn send_resume(
         &mut self,
         source: SocketAddr,
         handle: String,
@@ -112,8 +110,7 @@
         let resume = Resume { source, handle, after };
         let encode = |time_left| {
             let (upstream, resume) = (self.slot.runner.clone(), Some(resume.clone()));
-            let attempt = Attempt { upstream, time_left, resume, standby: None };
-            (self.relay.protocol.request)(&self.req, &attempt)
+            (self.relay.protocol.request)(&self.req, &Attempt { upstream, time_left, resume })
         };
         self.relay.budgets.borrow_mut().force_withdraw(&self.service);
         let sent_at = clock::now();
@@ -135,7 +132,6 @@
                 self.set_framing(Framing::of_response(&self.req.method, &parts));
                 self.link_start = clock::now();
                 self.link_has_events = false;
-                self.is_link_silent = false;
                 Ok(body)
             }
             ResponseKind::Answer => {
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -15,7 +15,6 @@
 use super::failure::{Failure, Next, Untried};
 use super::protocol::{Attempt, ResponseKind};
 use super::request::HostedRequest;
-use super::stream::StreamSlots;
 use super::{response, stream};
 use crate::config::hosted::RunPolicy;
 use crate::dispatch::{Refusal, SlotRequest};
@@ -28,7 +27,6 @@
 use crate::quarantine::observer::{self, RunLocation};
 use crate::reachability::SendOptions;
 use crate::routing::Verdict;
-use crate::standby::task as standby;
 use crate::upstream_signals::task as upstream_signals;
 
 /// Largest response that is buffered, in bytes. A larger one is streamed to the caller.
@@ -142,9 +140,8 @@
                 return last
                     .map_or_else(|| Err(self.refused(Refusal::new(cause, SHORT_RETRY))), Ok);
             }
-            let standby = self.obtain_standby(&slot).await;
             let (runner, started) = (slot.runner.clone(), clock::now());
-            let failure = match self.attempt(StreamSlots { run: slot, standby }).await {
+            let failure = match self.attempt(slot).await {
                 Ok(res) => return Ok(res),
                 Err(failure) => failure,
             };
@@ -345,7 +342,6 @@
             only_try: !self.relay.budgets.borrow().allows(&self.service),
             max_gap: self.req.max_gap(),
             event_tokens: self.relay.cx.event_tokens(&self.service),
-            standby: false,
         };
         let started = clock::now();
         if self.await_upstreams(started).await == Untried::Evacuated {
@@ -372,22 +368,11 @@
         }
     }
 
-    async fn obtain_standby(&self, slot: &Slot) -> Option<Slot> {
-        let avoid = self.tried.borrow().clone();
-        standby::obtain(&self.relay, &self.req, &self.service, slot, &self.within, &avoid).await
-    }
-
     /// Sends the request to one upstream.
-    async fn attempt(&self, slots: StreamSlots) -> Result<Response<Body>, Failure> {
-        let StreamSlots { run: mut slot, standby } = slots;
+    async fn attempt(&self, mut slot: Slot) -> Result<Response<Body>, Failure> {
         let left = self.req.time_left(clock::now());
         let encode = |time_left| {
-            let attempt = Attempt {
-                upstream: slot.runner.clone(),
-                time_left,
-                resume: None,
-                standby: standby.as_ref().map(|standby| standby.addr),
-            };
+            let attempt = Attempt { upstream: slot.runner.clone(), time_left, resume: None };
             (self.relay.protocol.request)(&self.req, &attempt)
         };
         self.in_flight.set(true);
@@ -438,7 +423,7 @@
                 self.req.clone(),
                 self.content,
                 &self.service,
-                StreamSlots { run: slot, standby },
+                slot,
                 parts,
                 body,
             ));
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodyError, BodySender, Framing, clock, read_stream};
+use hatchpitch_net::{Body, BodySender, Framing, clock, read_stream};
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
@@ -46,28 +46,20 @@
     OutOfTime,
 }
 
-/// The slots of one run.
-pub(super) struct StreamSlots {
-    /// Slot on the engine that runs it.
-    pub(super) run: Slot,
-    /// Slot for its standby copy, on another engine.
-    pub(super) standby: Option<Slot>,
-}
-
 /// Forwards a stream of events. Only complete events are sent to the caller.
 pub(super) fn forward(
     relay: &Rc<Relay>,
     req: Rc<HostedRequest>,
     content: ContentId,
     service: &str,
-    slots: StreamSlots,
+    slot: Slot,
     mut parts: Parts,
     body: Incoming,
 ) -> Response<Body> {
     let framing = Framing::of_response(&req.method, &parts);
     adapt_head(&mut parts);
     let (tx, out) = Body::stream(BUFFERED_CHUNKS);
-    let mut stream = EventStream::new(relay.clone(), req, content, service.to_owned(), slots);
+    let mut stream = EventStream::new(relay.clone(), req, content, service.to_owned(), slot);
     stream.start(framing);
     let out = out.framed(stream.caller_framing);
     compio::runtime::spawn(stream.run(body, tx)).detach();
@@ -79,8 +71,6 @@
     pub(super) req: Rc<HostedRequest>,
     pub(super) content: ContentId,
     pub(super) slot: Slot,
-    /// Slot for the standby copy, from which the run continues if its link breaks.
-    pub(super) standby: Option<Slot>,
     pub(super) service: ServiceName,
     pub(super) splitter: EventSplitter,
     pub(super) moving: Option<Moving>,
@@ -110,8 +100,6 @@
     pub(super) stopped_at: Option<Instant>,
     /// Whether an event came on the current link.
     pub(super) link_has_events: bool,
-    /// Whether the current link was given up because its engine is silent.
-    pub(super) is_link_silent: bool,
     /// Delays the shutdown of the process until the stream has ended.
     _active: ActiveGuard,
 }
@@ -130,9 +118,8 @@
         req: Rc<HostedRequest>,
         content: ContentId,
         service: ServiceName,
-        slots: StreamSlots,
+        slot: Slot,
     ) -> Self {
-        let StreamSlots { run: slot, standby } = slots;
         let active = relay.cx.begin_request();
         let (now, runner) = (clock::now(), slot.runner.clone());
         Self {
@@ -140,7 +127,6 @@
             req,
             content,
             slot,
-            standby,
             service,
             splitter: EventSplitter::default(),
             moving: None,
@@ -158,7 +144,6 @@
             longest_gap_at: (runner.clone(), false),
             last_engine: runner,
             link_has_events: false,
-            is_link_silent: false,
             _active: active,
         }
     }
@@ -169,9 +154,8 @@
     fn start(&mut self, framing: Framing) {
         self.set_framing(framing);
         let now = clock::now();
-        let may_continue_elsewhere = self.may_migrate() || self.standby.is_some();
         let may_become_open =
-            may_continue_elsewhere && self.relay.open_streams.borrow().contains(&self.service, now);
+            self.may_migrate() && self.relay.open_streams.borrow().contains(&self.service, now);
         self.caller_framing = if may_become_open { Framing::UntilClose } else { framing };
     }
 
@@ -190,7 +174,6 @@
             StreamEnd::Whole => {
                 self.relay.cx.metrics.count(Count::Done, &self.req.route.name);
                 self.slot.finish(Verdict::Succeeded, Some(tokens));
-                self.record_length(tokens);
                 tx.finish();
             }
             StreamEnd::Open(state) => {
@@ -217,17 +200,10 @@
                 LinkEnd::Over(end) => return end,
                 LinkEnd::Closed(end) => end,
             };
-            let end = match self.open_next_link(&closed).await {
-                Ok(Some(next)) => {
-                    body = next;
-                    continue;
-                }
-                Ok(None) => self.judge_link(closed).await,
-                Err(cause) => StreamEnd::Broken(cause),
-            };
-            body = match self.fail_over(&end, tx).await {
-                Some(next) => next,
-                None => return self.finish(end, tx).await,
+            body = match self.open_next_link(&closed).await {
+                Ok(Some(next)) => next,
+                Ok(None) => return self.finish_link(closed, tx).await,
+                Err(cause) => return StreamEnd::Broken(cause),
             };
         }
     }
@@ -245,10 +221,7 @@
                 Err(_) => continue,
                 Ok(Ok(Some(chunk))) => chunk,
                 Ok(Ok(None)) => return LinkEnd::Closed(self.regular_end()),
-                Ok(Err(err)) => {
-                    self.is_link_silent = matches!(err, BodyError::Silent(_));
-                    return LinkEnd::Closed(StreamEnd::Broken(err.to_string()));
-                }
+                Ok(Err(err)) => return LinkEnd::Closed(StreamEnd::Broken(err.to_string())),
             };
             let Some(events) = self.splitter.push(&chunk) else { continue };
             if self.splitter.out_of_order() {
@@ -272,8 +245,8 @@
         }
     }
 
-    /// Judges how a link ended that no migration follows, and records it.
-    async fn judge_link(&self, closed: StreamEnd) -> StreamEnd {
+    /// Ends the stream as its last link ended.
+    async fn finish_link(&mut self, closed: StreamEnd, tx: &mut BodySender) -> StreamEnd {
         let end = match closed {
             StreamEnd::Open(_) => self.judge_open_end().await,
             end => end,
@@ -283,11 +256,6 @@
             StreamEnd::Broken(_) => self.note_break(Some(self.link_start)),
             _ => {}
         }
-        end
-    }
-
-    /// Ends the stream as its last link ended.
-    async fn finish(&mut self, end: StreamEnd, tx: &mut BodySender) -> StreamEnd {
         if matches!(end, StreamEnd::Whole | StreamEnd::Open(_))
             && let Some(remainder) = self.splitter.take_remainder()
         {
@@ -385,13 +353,6 @@
         }
     }
 
-    /// Records the length of a complete generation, to choose the streams that get a standby.
-    fn record_length(&self, tokens: u64) {
-        if self.relay.cx.settings.policy.standby_copies && self.req.generation.is_some() {
-            self.relay.lengths.borrow_mut().observe(&self.req.route.name, tokens);
-        }
-    }
-
     pub(super) fn tokens_produced(&self) -> u64 {
         self.splitter.events() * self.relay.cx.event_tokens(&self.service)
     }
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -15,10 +15,10 @@
 use super::runner::{CopyBacklog, RunnerState};
 use super::warmup::{ColdLimit, WarmupLimiter};
 use crate::admission::lengths::LengthModel;
-use crate::admission::memory::{Candidate, EngineMemory, MemoryPolicy, StandbyUse};
+use crate::admission::memory::{Candidate, EngineMemory, MemoryPolicy};
 use crate::admission::policy::Pick;
 use crate::engine::EngineLoad;
-use crate::ids::{AttemptId, RunnerName};
+use crate::ids::RunnerName;
 use crate::pace::GapHistogram;
 use crate::pace::state::PaceView;
 use crate::upstream_signals::brittle::BRITTLE_TTL;
@@ -157,9 +157,7 @@
             }
             runner.spec = spec;
         }
-        self.runners.retain(|_, runner| {
-            runner.configured || runner.running > 0 || runner.memory.has_standbys()
-        });
+        self.runners.retain(|_, runner| runner.configured || runner.running > 0);
         let runners = &self.runners;
         self.pauses.retain(|name| runners.contains_key(name));
     }
@@ -238,38 +236,6 @@
         Some(spec)
     }
 
-    /// Picks the runner with the least memory in use that has room for a standby copy, and takes a
-    /// slot for it.
-    pub fn pick_standby(
-        &mut self,
-        query: &RunnerQuery<'_>,
-        candidate: &Candidate,
-        lengths: &LengthModel,
-        now: Instant,
-    ) -> Option<RunnerSpec> {
-        let has_queue = |r: &RunnerState| r.load.as_ref().is_some_and(|load| load.waiting > 0);
-        let open = self.runners.values_mut();
-        let open = open.filter(|r| r.takes_work(now) && query.allows(&r.spec) && !has_queue(r));
-        let in_use = open.filter_map(|r| Some((r.memory.standby_use(candidate, lengths, now)?, r)));
-        let (_, best) = in_use.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        best.memory.add_standby(query.id.clone(), candidate.clone(), now);
-        Some(best.spec.clone())
-    }
-
-    /// Accounts for a standby copy that has been on a runner since `since`, and returns the runner,
-    /// or `None` if it is not configured.
-    pub fn adopt_standby(
-        &mut self,
-        name: &str,
-        id: &AttemptId,
-        candidate: &Candidate,
-        since: Instant,
-    ) -> Option<RunnerSpec> {
-        let runner = self.runners.get_mut(name).filter(|runner| runner.configured)?;
-        runner.memory.add_standby(id.clone(), candidate.clone(), since);
-        Some(runner.spec.clone())
-    }
-
     fn record_objective(&mut self, name: &str, query: &RunnerQuery<'_>) {
         if let Some(objective) = query.objective.filter(|_| self.cfg.pick == Pick::Objective) {
             self.pauses.start(name, query.id, objective);
@@ -366,15 +332,10 @@
             .collect();
         open.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         // The memory check costs far more than the sort, so runners are checked in order.
-        let fits = |name: &RunnerName, standbys| {
-            let memory = &self.runners[name].memory;
-            (standbys == StandbyUse::Counted || memory.has_standbys())
-                && memory.fits_with(cfg.memory, candidate, lengths, now, standbys)
-        };
-        let find = |standbys| open.iter().find(|(.., name)| fits(name, standbys));
-        // No request waits because of standby copies.
-        let found = find(StandbyUse::Counted).or_else(|| find(StandbyUse::Ignored));
-        found.map(|(score, _, name)| (*score, (*name).clone()))
+        let fits =
+            |name: &RunnerName| self.runners[name].memory.fits(cfg.memory, candidate, lengths, now);
+        let found = open.into_iter().find(|(.., name)| fits(name));
+        found.map(|(score, _, name)| (score, name.clone()))
     }
 
     /// Returns the risks that streams pause for too long on the runners that a request may get.
@@ -502,13 +463,6 @@
         serving.filter_map(|r| r.ejected_until).min()
     }
 
-    /// Gives back the slot of a standby copy. One that is not known changes nothing.
-    pub fn give_back_standby(&mut self, name: &str, id: &str) {
-        if let Some(runner) = self.runners.get_mut(name) {
-            runner.memory.remove_standby(id);
-        }
-    }
-
     /// Gives a slot back and applies the report of its run.
     pub fn give_back(&mut self, name: &str, id: &str, report: RunReport, now: Instant) {
         let cfg = self.cfg;
--- a/crates/hatchpitch/src/settings/policy.rs
+++ b/crates/hatchpitch/src/settings/policy.rs
@@ -22,8 +22,6 @@
     near: Option<bool>,
     quotes: Option<bool>,
     ejection: Option<bool>,
-    slow_moves: Option<bool>,
-    standby_copies: Option<bool>,
     requeue_checks: Option<bool>,
 }
 
@@ -81,8 +79,6 @@
         near: raw.near.unwrap_or(default.near),
         quotes: raw.quotes.unwrap_or(default.quotes),
         ejection: raw.ejection.unwrap_or(default.ejection),
-        slow_moves: raw.slow_moves.unwrap_or(default.slow_moves),
-        standby_copies: raw.standby_copies.unwrap_or(default.standby_copies),
         requeue_checks: raw.requeue_checks.unwrap_or(default.requeue_checks),
     }
 }
--- a/crates/hatchpitch/tests/hand_over.rs
+++ b/crates/hatchpitch/tests/hand_over.rs
@@ -49,7 +49,6 @@
         runner: runner.to_owned(),
         want: want(runner, 3_000),
         since,
-        is_known: true,
         granted_here: owner == 1,
     }
 }
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -8,7 +8,6 @@
 
 use std::cell::Cell;
 use std::fmt;
-use std::io::{self, ErrorKind};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -173,8 +172,6 @@
     TooSlow(Duration),
     /// The connection failed or the framing is invalid.
     Broken(String),
-    /// The connection was given up because the peer is silent, and may still be sending.
-    Silent(String),
 }
 
 impl fmt::Display for BodyError {
@@ -184,7 +181,6 @@
             Self::TooLarge(max) => write!(f, "body larger than {max} bytes"),
             Self::TooSlow(limit) => write!(f, "body not complete within {limit:?}"),
             Self::Broken(cause) => write!(f, "body broken: {cause}"),
-            Self::Silent(cause) => write!(f, "body broken, its peer is silent: {cause}"),
         }
     }
 }
@@ -225,26 +221,9 @@
         let Some(frame) = body.frame().await else {
             return Ok(None);
         };
-        let frame = frame.map_err(|err| broken_error(&err))?;
+        let frame = frame.map_err(|err| BodyError::Broken(err.to_string()))?;
         if let Ok(data) = frame.into_data() {
             return Ok(Some(data));
         }
     }
 }
-
-/// Returns the error for a body that broke. The kernel ends a connection with these kinds of errors
-/// if its peer no longer acknowledges; otherwise the peer itself has ended it.
-fn broken_error(err: &hyper::Error) -> BodyError {
-    let mut source = std::error::Error::source(err);
-    while let Some(cause) = source {
-        let kind = cause.downcast_ref::<io::Error>().map(io::Error::kind);
-        if let Some(
-            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable,
-        ) = kind
-        {
-            return BodyError::Silent(err.to_string());
-        }
-        source = cause.source();
-    }
-    BodyError::Broken(err.to_string())
-}
