Don't recheck queues while engines are ejected, resting or at their limits

A replay of seven of eight engines that are ejected for a moment refused requests before this change and refuses none with it (tests/recheck.rs). Times of return are bounded by 30 s whatever another box quotes.

--- a/crates/hatchpitch/src/admission/returns.rs
+++ b/crates/hatchpitch/src/admission/returns.rs
@@ -13,6 +13,8 @@
 /// Upper bound on the time between two callers that were refused at the same place. Callers follow
 /// a time only up to a third of what is left for them.
 const MAX_SPREAD: Duration = Duration::from_secs(1);
+/// Longest time of return that is assigned, whatever wait another box quotes.
+const MAX_RETURN: Duration = Duration::from_secs(30);
 /// Steps in which the remaining spread is used: times of further callers move closer together
 /// instead of exceeding it.
 const SPREAD_STEPS: u32 = 16;
@@ -37,6 +39,7 @@
         interval: Option<Duration>,
         now: Instant,
     ) -> Duration {
+        let wait = wait.min(MAX_RETURN);
         let (earliest, latest) = (now + wait, now + wait + MAX_SPREAD);
         let free = self.next.range(priority..).map(|(_, at)| *at).max();
         let at = free.map_or(earliest, |free| free.clamp(earliest, latest));
--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -336,7 +336,9 @@
             self.answers.push(Answer { ticket, id: req.id, slot: Ok(spec) });
         }
         self.queue.set_service_interval(self.table.service_interval());
-        if self.queue.rechecks() {
+        // While runners rest, are at their limits or are ejected, few requests run, so that the
+        // time between grants tells nothing of what they sustain.
+        if self.queue.rechecks() && !self.table.has_closed(now) {
             let found = self.queue.find_untimely(now);
             // Removed together, so that none of them counts for the time of return of another.
             for untimely in &found {
--- a/crates/hatchpitch/src/routing/state.rs
+++ b/crates/hatchpitch/src/routing/state.rs
@@ -18,7 +18,7 @@
 use crate::admission::memory::{Candidate, EngineMemory, MemoryPolicy};
 use crate::admission::policy::Pick;
 use crate::engine::EngineLoad;
-use crate::ids::RunnerName;
+use crate::ids::{Priority, RunnerName};
 use crate::pace::GapHistogram;
 use crate::pace::state::PaceView;
 use crate::upstream_signals::brittle::BRITTLE_TTL;
@@ -457,6 +457,19 @@
         self.hold_time?.checked_div(running)
     }
 
+    /// Returns whether any serving runner takes no work for now although it will again: it is
+    /// ejected, in a rest period or at its rate limit.
+    pub fn has_closed(&self, now: Instant) -> bool {
+        let (limits, rests) = (self.signals.limits.borrow(), self.signals.backoffs.borrow());
+        let is_closed = |runner: &RunnerState| {
+            let name = &runner.spec.name;
+            runner.ejected_until.is_some_and(|until| now < until)
+                || !rests.admits(name, now)
+                || !limits.opens_in(name, Priority::MAX, now).is_zero()
+        };
+        self.runners.values().any(|runner| runner.configured && runner.serving && is_closed(runner))
+    }
+
     /// Returns the earliest end of an ejection among the serving runners, if any is ejected.
     pub fn next_readmission(&self) -> Option<Instant> {
         let serving = self.runners.values().filter(|r| r.configured && r.serving);
--- a/crates/hatchpitch/tests/recheck.rs
+++ b/crates/hatchpitch/tests/recheck.rs
@@ -288,3 +288,34 @@
         assert!(time >= wait && time <= wait + Duration::from_secs(1), "{i}: {time:?}");
     }
 }
+
+/// Guards against refusals while engines are ejected for a moment, when few requests run and the
+/// estimate of the wait is far too long.
+#[test]
+fn a_short_ejection_of_engines_refuses_nothing() {
+    let start = Instant::now();
+    let cfg = AdmissionConfig { rechecks: true, ..AdmissionConfig::default() };
+    let mut scheduler = PoolScheduler::new(cfg, RoutingConfig::default());
+    scheduler.update(start, |table| table.sync((0..8).map(engine)));
+    let Decision::Run(spec) = scheduler.decide(&request(0), start) else { panic!("no slot") };
+    let report = RunReport { verdict: Verdict::Succeeded, ..RunReport::RELEASED };
+    let now = start + 500 * MS;
+    scheduler.release(&spec.name, &request(0), 0, report, now);
+    let running: Vec<_> = (1..=8)
+        .map(|id| match scheduler.decide(&request(id), now) {
+            Decision::Run(spec) => (spec.name, id),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    for id in 9..29 {
+        assert!(matches!(scheduler.decide(&request(id), now), Decision::Wait(_)), "{id}");
+    }
+    let failed = RunReport { verdict: Verdict::Failed, ..RunReport::RELEASED };
+    for (name, id) in &running[1..] {
+        scheduler.release(name, &request(*id), 0, failed, now);
+    }
+    for step in 0..=15 {
+        scheduler.tick(now + step * STEP);
+        assert_eq!(scheduler.take_answers(), []);
+    }
+}
