Ask other boxes only about requests that still wait, in rotation

An entry of Inquiries was removed only by the next inquiry, so a request that had ended was still asked about, and an answer to a later request elsewhere became evidence against a working link. The three longest waits were also named each time, so that upstreams which are slow for all boxes hid a lost link to another one.

Entries that were not checked again within two check intervals are dropped. An inquiry names the longest wait and those that were not named for the longest time.

The two new tests failed before: the ended request was named, and 3 of 10 upstreams were ever named.

--- a/crates/hatchpitch/src/reachability/silence.rs
+++ b/crates/hatchpitch/src/reachability/silence.rs
@@ -16,6 +16,8 @@
 
 use crate::ids::RequestKind;
 
+/// Interval at which a connection is checked while a response head is awaited.
+pub const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which sent bytes have to be unacknowledged to be evidence: above a few round trips and
 /// a delayed acknowledgement.
 pub const MAX_UNACKNOWLEDGED: Duration = Duration::from_millis(300);
@@ -29,6 +31,9 @@
 /// Inquiries that a box may make at the shortest interval after a time without any: the lead that is
 /// evidence grows with each of them.
 const INQUIRY_BURST: u32 = 4;
+/// Time since its last check after which a request has ended. A request that waits is checked once
+/// in [`CHECK_INTERVAL`].
+const MAX_CHECK_AGE: Duration = CHECK_INTERVAL.saturating_mul(2);
 /// Waiting requests that one inquiry names.
 pub const MAX_ITEMS: usize = 3;
 /// Lead of an answered request over a waiting one that is evidence, as a fraction of the time that
@@ -154,25 +159,42 @@
     }
 }
 
+#[derive(Debug, Clone, Copy)]
+struct OldestWait {
+    sent: Instant,
+    checked_at: Instant,
+    /// Time of the last inquiry that named it.
+    asked_at: Option<Instant>,
+}
+
+impl OldestWait {
+    fn waits(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.checked_at) <= MAX_CHECK_AGE
+    }
+}
+
 /// Collects the waiting requests of a box for its next inquiry.
 #[derive(Debug, Clone, Default)]
 pub struct Inquiries {
-    /// When the oldest waiting request of each kind at each upstream was sent.
-    waiting: BTreeMap<(SocketAddr, RequestKind), Instant>,
+    /// The oldest waiting request of each kind at each upstream.
+    waiting: BTreeMap<(SocketAddr, RequestKind), OldestWait>,
     last: Option<Instant>,
     /// Time up to which the inquiries so far use up the mean rate.
     used_until: Option<Instant>,
 }
 
 impl Inquiries {
-    /// Adds a request whose bytes are acknowledged. Returns the requests to ask other boxes about
-    /// if an inquiry is due; those that wait on are added again.
+    /// Adds a request whose bytes are acknowledged, each time that it is checked. Returns the
+    /// requests to ask other boxes about if an inquiry is due.
     pub fn add(&mut self, req: &WaitingRequest, now: Instant) -> Vec<WaitingRequest> {
         if now < req.sent + MIN_INQUIRY_WAIT {
             return Vec::new();
         }
-        let oldest = self.waiting.entry((req.addr, req.kind.clone())).or_insert(req.sent);
-        *oldest = req.sent.min(*oldest);
+        let new = OldestWait { sent: req.sent, checked_at: now, asked_at: None };
+        let oldest = self.waiting.entry((req.addr, req.kind.clone())).or_insert(new);
+        if req.sent <= oldest.sent || !oldest.waits(now) {
+            *oldest = OldestWait { asked_at: oldest.asked_at, ..new };
+        }
         let used_until = self.used_until.map_or(now, |at| at.max(now));
         let is_early = self.last.is_some_and(|at| now < at + MIN_INQUIRY_INTERVAL);
         if is_early || used_until > now + INQUIRY_INTERVAL * (INQUIRY_BURST - 1) {
@@ -180,11 +202,23 @@
         }
         self.last = Some(now);
         self.used_until = Some(used_until + INQUIRY_INTERVAL);
-        let waiting = std::mem::take(&mut self.waiting).into_iter();
-        let mut items: Vec<WaitingRequest> =
-            waiting.map(|((addr, kind), sent)| WaitingRequest { addr, kind, sent }).collect();
-        items.sort_by_key(|item| item.sent);
-        items.truncate(MAX_ITEMS);
-        items
+        self.waiting.retain(|_, wait| wait.waits(now));
+        self.select(now)
+    }
+
+    /// Selects the requests that an inquiry at `now` names: the one that has waited longest, and
+    /// those that no inquiry has named for the longest time.
+    fn select(&mut self, now: Instant) -> Vec<WaitingRequest> {
+        let mut waiting: Vec<_> = self.waiting.iter_mut().collect();
+        waiting.sort_by_key(|(_, wait)| wait.sent);
+        if let Some((_, others)) = waiting.split_first_mut() {
+            others.sort_by_key(|(_, wait)| wait.asked_at);
+        }
+        let named = waiting.into_iter().take(MAX_ITEMS);
+        let items = named.map(|((addr, kind), wait)| {
+            wait.asked_at = Some(now);
+            WaitingRequest { addr: *addr, kind: kind.clone(), sent: wait.sent }
+        });
+        items.collect()
     }
 }
--- a/crates/hatchpitch/src/reachability/watch.rs
+++ b/crates/hatchpitch/src/reachability/watch.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 
 use super::messages::{AnswersReply, AnswersRequest};
-use super::silence::{AckWatch, Evidence, WaitingRequest};
+use super::silence::{AckWatch, CHECK_INTERVAL, Evidence, WaitingRequest};
 use super::state::PathChange;
 use crate::entry::EntryCx;
 use crate::ids::RunnerName;
@@ -17,8 +17,6 @@
 
 /// Path of requests for the answers that another box got.
 pub const ANSWERS_PATH: &str = "/box/answers";
-/// Interval at which a connection is checked while a response head is awaited.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Other boxes that are asked in one inquiry.
 pub const INQUIRY_PEERS: usize = 4;
 /// Time limit for their answers: many round trips between failure domains.
--- a/crates/hatchpitch/tests/reachability.rs
+++ b/crates/hatchpitch/tests/reachability.rs
@@ -359,3 +359,38 @@
     let total = (bytes * INQUIRY_PEERS) as f64 * per_second;
     assert!(total < 1_000.0, "{total} bytes a second");
 }
+
+/// A request that had ended stayed in the next inquiry, and the answer of another box to a later one
+/// was taken for evidence.
+#[test]
+fn other_boxes_are_not_asked_about_requests_that_have_ended() {
+    let start = Instant::now();
+    let mut inquiries = Inquiries::default();
+    let other = |sent| WaitingRequest { addr: addr(2), ..waiting(sent) };
+    assert_eq!(inquiries.add(&other(start), start + 300 * MS), [other(start)]);
+    assert!(inquiries.add(&waiting(start), start + 400 * MS).is_empty());
+    let later = start + 5_000 * MS;
+    assert_eq!(inquiries.add(&other(start), later), [other(start)]);
+    // The oldest request of a kind has ended while later ones wait on.
+    assert!(inquiries.add(&waiting(start), later + 100 * MS).is_empty());
+    let recent = waiting(start + MS);
+    assert!(inquiries.add(&recent, later + 150 * MS).is_empty());
+    assert_eq!(inquiries.add(&recent, later + 400 * MS), [recent]);
+}
+
+/// Three upstreams that are slow for all boxes hid a lost link to a fourth one.
+#[test]
+fn long_waits_do_not_keep_others_out_of_inquiries() {
+    let start = Instant::now();
+    let mut inquiries = Inquiries::default();
+    let mut named = std::collections::BTreeSet::new();
+    for tick in 3..50 {
+        let now = start + tick * 100 * MS;
+        for upstream in 0..10 {
+            let sent = start + u32::from(upstream) * MS;
+            let req = WaitingRequest { addr: addr(upstream), ..waiting(sent) };
+            named.extend(inquiries.add(&req, now).into_iter().map(|item| item.addr));
+        }
+    }
+    assert_eq!(named.len(), 10);
+}
