Don't take a stall of the event loop for unacknowledged bytes

AckWatch counted the time of unacknowledged bytes from its own creation. On a box whose event loop stalls for 350 ms before it writes, the first check found bytes that had just been written, and took them for 300 ms of silence.

The time now starts at the first check that finds unacknowledged bytes, less at most one check interval, and ends when all are acknowledged. The interval keeps the time to find a link that is cut from the start at 300 ms.

The new test failed before with Unacknowledged(350ms) at the first check.

--- a/crates/hatchpitch/src/reachability/silence.rs
+++ b/crates/hatchpitch/src/reachability/silence.rs
@@ -66,23 +66,29 @@
 pub struct AckWatch {
     /// Last time at which nothing was known to be unacknowledged.
     settled: Instant,
+    /// Time from which on bytes are taken to be unacknowledged.
+    pending_since: Option<Instant>,
 }
 
 impl AckWatch {
     /// Creates a watch for a connection on which a request is sent at `now`.
     pub fn new(now: Instant) -> Self {
-        Self { settled: now }
+        Self { settled: now, pending_since: None }
     }
 
     /// Records the state of the connection. Returns evidence if bytes have been unacknowledged for
     /// [`MAX_UNACKNOWLEDGED`].
     pub fn observe(&mut self, acks: Acknowledgements, now: Instant) -> Option<Evidence> {
         if !acks.are_pending {
-            self.settled = now;
+            *self = Self::new(now);
             return None;
         }
+        // Where the event loop has stalled, the bytes may have been written just before this
+        // observation, so no more than one interval counts before the first one.
+        let earliest = now.checked_sub(CHECK_INTERVAL).unwrap_or(now).max(self.settled);
+        let since = *self.pending_since.get_or_insert(earliest);
         // The last acknowledgement may be older than the first unacknowledged byte.
-        let pending = now.saturating_duration_since(self.settled).min(acks.last_age);
+        let pending = now.saturating_duration_since(since).min(acks.last_age);
         (pending >= MAX_UNACKNOWLEDGED).then_some(Evidence::Unacknowledged(pending))
     }
 }
--- a/crates/hatchpitch/tests/reachability.rs
+++ b/crates/hatchpitch/tests/reachability.rs
@@ -394,3 +394,14 @@
     }
     assert_eq!(named.len(), 10);
 }
+
+/// A box whose event loop had stalled took bytes that it had just written for silence.
+#[test]
+fn a_stall_of_the_box_before_the_first_look_is_no_evidence() {
+    let sent = Instant::now();
+    let mut watch = AckWatch::new(sent);
+    assert_eq!(watch.observe(acks(true, 350 * MS), sent + 350 * MS), None);
+    assert_eq!(watch.observe(acks(false, MS), sent + 450 * MS), None);
+    assert_eq!(watch.observe(acks(true, 350 * MS), sent + 800 * MS), None);
+    assert!(watch.observe(acks(true, 650 * MS), sent + 1_100 * MS).is_some());
+}
