Confirm the evidence of other boxes on the link itself

An upstream that stands still for 1.2 s and goes on may answer another box a moment before this one. This was acted on at once, so that a repeatable request was abandoned and ran twice.

A box that learns that an upstream answered elsewhere now probes its own link, with a message that is no request, and records the silence only if nothing comes back within 250 ms or no connection is established.

--- a/crates/hatchpitch/src/reachability/silence.rs
+++ b/crates/hatchpitch/src/reachability/silence.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::Acknowledgements;
+use hatchpitch_net::{Acknowledgements, ProbedLink};
 
 use crate::ids::RequestKind;
 
@@ -61,6 +61,19 @@
     },
 }
 
+impl Evidence {
+    /// Returns whether the evidence is acted on after a probe of the link; `None` without one. An
+    /// upstream that stood still may answer another box a moment before this one.
+    pub fn is_confirmed_by(&self, probed: Option<ProbedLink>) -> bool {
+        match self {
+            Self::Unacknowledged(_) => true,
+            Self::AnsweredElsewhere { .. } => {
+                matches!(probed, Some(ProbedLink::Silent | ProbedLink::NoConnection))
+            }
+        }
+    }
+}
+
 /// Watches whether what was sent on one connection is acknowledged.
 #[derive(Debug)]
 pub struct AckWatch {
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -35,7 +35,7 @@
 const UNFRAMED: &str = "unframed";
 /// Time limit for connecting to another box, and for a box to connect to an upstream for another
 /// one: many round trips between failure domains.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time limit for a box to show that it responds: many round trips between failure domains.
 const PING_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time limit for the answer to a probe: three connects, and round trips.
--- a/crates/hatchpitch/src/reachability/watch.rs
+++ b/crates/hatchpitch/src/reachability/watch.rs
@@ -1,5 +1,6 @@
 //! Sends requests on links of this box and watches the links while their responses are awaited.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,7 @@
 use super::messages::{AnswersReply, AnswersRequest};
 use super::silence::{AckWatch, CHECK_INTERVAL, Evidence, WaitingRequest};
 use super::state::PathChange;
+use super::task::CONNECT_TIMEOUT;
 use crate::entry::EntryCx;
 use crate::ids::RunnerName;
 use crate::metrics::Count;
@@ -27,6 +29,10 @@
 /// Time limit for the reaction to the message of a probe, which a busy upstream may delay.
 const PROBE_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The same for a probe that confirms the evidence of another box. The upstream has just answered
+/// there, and a longer time leaves more requests on a link that is lost.
+const CONFIRMATION_ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// What a request allows while its response head is awaited.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct SendOptions<'a> {
@@ -197,6 +203,7 @@
         let calls = peers.iter().map(|peer| {
             cx.boxes.call::<_, AnswersReply>(*peer, ANSWERS_PATH, &message, INQUIRY_TIMEOUT)
         });
+        let mut found = BTreeMap::new();
         for reply in join_all(calls).await {
             let ages = match reply {
                 Ok(AnswersReply { ages_ms }) => ages_ms,
@@ -208,14 +215,35 @@
             for (item, age) in items.iter().zip(ages) {
                 let age = age.map(Duration::from_millis);
                 if let Some(evidence) = age.and_then(|age| item.judge(age, asked)) {
-                    record_evidence(&cx, item, evidence);
+                    found.entry(item.addr).or_insert((item, evidence));
                 }
             }
         }
+        join_all(found.into_values().map(|(item, evidence)| confirm(&cx, item, evidence))).await;
     })
     .detach();
 }
 
+/// Records the evidence of another box if a probe confirms it.
+async fn confirm(cx: &EntryCx, req: &WaitingRequest, evidence: Evidence) {
+    let started = clock::now();
+    let path = cx.direct_path(req.addr, CONNECT_TIMEOUT);
+    let probed = path.probe(PROBE_HOLD, CONFIRMATION_ANSWER_TIMEOUT).await;
+    if evidence.is_confirmed_by(Some(probed)) {
+        record_evidence(cx, req, evidence);
+        return;
+    }
+    log::debug!("evidence of another box against the link to {}: probe: {probed:?}", req.addr);
+    let mut paths = cx.reachability.paths.borrow_mut();
+    match probed {
+        ProbedLink::Answers => {
+            paths.record_success(req.addr, started);
+        }
+        ProbedLink::Closed => paths.record_reset(req.addr, clock::now()),
+        ProbedLink::Silent | ProbedLink::NoConnection => {}
+    }
+}
+
 /// Answers another box that asks which requests were answered on links of this one.
 pub fn answer_inquiry(cx: &EntryCx, req: &AnswersRequest) -> AnswersReply {
     let (answers, now) = (cx.reachability.answers.borrow(), clock::now());
--- a/crates/hatchpitch/tests/reachability.rs
+++ b/crates/hatchpitch/tests/reachability.rs
@@ -11,7 +11,7 @@
 use hatchpitch::reachability::state::PathChange;
 use hatchpitch::reachability::watch::INQUIRY_PEERS;
 use hatchpitch::reachability::{PathTable, PeerTable, verify};
-use hatchpitch_net::Acknowledgements;
+use hatchpitch_net::{Acknowledgements, ProbedLink};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -405,3 +405,19 @@
     assert_eq!(watch.observe(acks(true, 350 * MS), sent + 800 * MS), None);
     assert!(watch.observe(acks(true, 650 * MS), sent + 1_100 * MS).is_some());
 }
+
+/// An upstream stood still for 1.2 s and then answered another box a moment earlier than this one.
+/// The request here was abandoned, and ran twice.
+#[test]
+fn an_answer_elsewhere_after_a_freeze_is_acted_on_only_if_the_link_itself_stays_silent() {
+    let sent = Instant::now();
+    // The other box sent its request 700 ms later, and was answered first after the thaw.
+    let evidence = waiting(sent).judge(500 * MS, sent + 1_200 * MS).unwrap();
+    assert!(!evidence.is_confirmed_by(None));
+    assert!(!evidence.is_confirmed_by(Some(ProbedLink::Answers)));
+    assert!(!evidence.is_confirmed_by(Some(ProbedLink::Closed)));
+    assert!(evidence.is_confirmed_by(Some(ProbedLink::Silent)));
+    assert!(evidence.is_confirmed_by(Some(ProbedLink::NoConnection)));
+    // Unacknowledged bytes are evidence on the link itself.
+    assert!(Evidence::Unacknowledged(MAX_UNACKNOWLEDGED).is_confirmed_by(None));
+}
