Let other links show that they work before requests are abandoned on them

The task that recorded evidence against a link probed this link at once. It took the box's only probe for 500 ms, so no other link could show that it works before requests on it were abandoned after 250 ms. Answers on connections from before the evidence did not count either.

Evidence now makes a probe due at once and leaves it to the other links for 250 ms. A response head that is received after the evidence keeps the requests on its link from being abandoned, unless the evidence is against this link.

Both new tests failed before: the silent link took the probe, and a request on a link that had carried a byte had a time to be abandoned.

--- a/crates/hatchpitch/src/reachability/state.rs
+++ b/crates/hatchpitch/src/reachability/state.rs
@@ -10,7 +10,7 @@
 //! until a byte is received on it: neither a connect nor an open connection shows that it works.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -80,6 +80,8 @@
     pub(super) is_isolated: bool,
     /// Time of the evidence if that path was silent.
     pub(super) silent_at: Option<Instant>,
+    /// Upstreams from which a byte was received since that evidence.
+    heard: BTreeSet<SocketAddr>,
     pub(super) last_failure: Option<Instant>,
     last_success: Option<Instant>,
     next_probe: Option<Instant>,
@@ -129,6 +131,7 @@
         self.last_success = Some(connected);
         self.is_isolated = false;
         self.silent_at = None;
+        self.heard.clear();
         self.broken.remove(&addr).map(|_| PathChange::Restored)
     }
 
@@ -154,14 +157,27 @@
         self.broken.insert(addr, path);
         self.is_isolated = true;
         self.silent_at = Some(now);
+        self.heard.clear();
+        // The last probe may have been that of a link which is known to be lost.
+        self.next_probe = Some(now);
         Some(PathChange::Silent)
     }
 
+    /// Records a byte received at `now` on a connection of any age. After evidence against another
+    /// link it shows that this one still carries what was sent on it, but not that new connections
+    /// work.
+    pub fn record_byte(&mut self, addr: SocketAddr, now: Instant) {
+        if self.silent_at.is_some_and(|at| now > at) {
+            self.heard.insert(addr);
+        }
+    }
+
     /// Returns the time at which a repeatable request is abandoned on a connection that was opened
     /// at `connected`, if its link is suspect because of later evidence.
     pub fn abandon_at(&self, addr: SocketAddr, connected: Instant) -> Option<Instant> {
         let own = self.broken.get(&addr).and_then(|path| path.silent_at);
-        let all = self.silent_at.map(|at| at + CONFIRMATION_TIME);
+        let is_heard = self.heard.contains(&addr);
+        let all = self.silent_at.filter(|_| !is_heard).map(|at| at + CONFIRMATION_TIME);
         let own = own.filter(|at| *at > connected);
         let all = all.filter(|at| *at > connected + CONFIRMATION_TIME);
         own.into_iter().chain(all).min()
@@ -205,6 +221,15 @@
         self.failing.remove(&addr);
     }
 
+    /// Returns whether the path to an upstream should be probed now, and records the probe. Right
+    /// after evidence against a link, the probe is left to the other ones, on which requests are
+    /// abandoned unless it shows that they work.
+    pub fn take_probe_of(&mut self, addr: SocketAddr, now: Instant) -> bool {
+        let is_silent = self.broken.get(&addr).is_some_and(|path| path.silent_at.is_some());
+        let is_recent = self.silent_at.is_some_and(|at| now < at + CONFIRMATION_TIME);
+        !(is_silent && is_recent) && self.take_probe(now)
+    }
+
     /// Returns whether a path should be probed now, and records the probe.
     pub fn take_probe(&mut self, now: Instant) -> bool {
         let is_due = self.next_probe.is_none_or(|at| now >= at);
--- a/crates/hatchpitch/src/reachability/watch.rs
+++ b/crates/hatchpitch/src/reachability/watch.rs
@@ -110,6 +110,7 @@
     ) -> Result<Response<Incoming>, SendError> {
         match result {
             Ok(res) => {
+                self.cx.reachability.paths.borrow_mut().record_byte(req.addr, clock::now());
                 let kind = res.status().is_success().then_some(req.kind.as_str());
                 let mut answers = self.cx.reachability.answers.borrow_mut();
                 answers.record(req.addr, kind, req.sent, clock::now());
@@ -128,7 +129,8 @@
 
     /// Checks in the background whether this box has a link, at the rate at which paths are probed.
     pub(super) fn probe(&self) {
-        if !self.cx.reachability.paths.borrow_mut().take_probe(clock::now()) {
+        let paths = &self.cx.reachability.paths;
+        if !paths.borrow_mut().take_probe_of(self.path.addr, clock::now()) {
             return;
         }
         let link = self.clone();
--- a/crates/hatchpitch/tests/reachability.rs
+++ b/crates/hatchpitch/tests/reachability.rs
@@ -421,3 +421,36 @@
     // Unacknowledged bytes are evidence on the link itself.
     assert!(Evidence::Unacknowledged(MAX_UNACKNOWLEDGED).is_confirmed_by(None));
 }
+
+/// The probe of the silent link itself took the box's only probe for 500 ms, while requests on
+/// working links were abandoned after 250 ms.
+#[test]
+fn another_link_than_the_silent_one_is_probed_first() {
+    let now = Instant::now();
+    let mut paths = PathTable::default();
+    assert!(paths.take_probe(now - MS));
+    paths.record_silence(addr(1), now);
+    assert!(!paths.take_probe_of(addr(1), now + MS));
+    assert!(paths.take_probe_of(addr(2), now + MS));
+    assert!(!paths.take_probe_of(addr(3), now + 2 * MS));
+    assert!(paths.take_probe_of(addr(1), now + 600 * MS));
+    verify::verify(&paths).unwrap();
+}
+
+/// Requests on working links were abandoned where all answers since the evidence came on
+/// connections from before it.
+#[test]
+fn requests_are_not_abandoned_on_a_link_that_carried_a_byte_after_the_evidence() {
+    let now = Instant::now();
+    let mut paths = PathTable::default();
+    paths.record_byte(addr(3), now - MS);
+    paths.record_silence(addr(1), now);
+    for upstream in [addr(1), addr(2)] {
+        paths.record_byte(upstream, now + MS);
+    }
+    assert_eq!(paths.abandon_at(addr(2), now - MS), None);
+    assert!(paths.abandon_at(addr(3), now - MS).is_some());
+    assert_eq!(paths.abandon_at(addr(1), now - MS), Some(now));
+    assert!(!paths.is_direct(addr(2), now + MS));
+    verify::verify(&paths).unwrap();
+}
