Blame an upstream that goes down after its link was silent

An address with evidence of silence was kept as a broken path when a connect to it failed, so this box never counted as having a link to it, and an upstream that had gone down could not be ejected.

A failed connect drops the entry if the box is not isolated. A connection that is established and then reset does not.

The new test failed before: is_witness was false after the failed connect.

--- a/crates/hatchpitch/src/reachability/state.rs
+++ b/crates/hatchpitch/src/reachability/state.rs
@@ -183,8 +183,17 @@
         own.into_iter().chain(all).min()
     }
 
-    /// Records that an upstream could not be reached on a link of this box.
+    /// Records that an upstream could not be reached on a link of this box. If other links work, the
+    /// link is not taken to be silent any more, so that the upstream can be blamed.
     pub fn record_failure(&mut self, addr: SocketAddr, now: Instant) {
+        let is_silent = self.broken.get(&addr).is_some_and(|path| path.silent_at.is_some());
+        if is_silent && !self.is_isolated {
+            self.broken.remove(&addr);
+        }
+        self.note_failure(addr, now);
+    }
+
+    fn note_failure(&mut self, addr: SocketAddr, now: Instant) {
         self.failing.retain(|_, at| now < *at + FAILURE_TTL);
         self.broken.retain(|_, path| now < path.used_at + BROKEN_TTL);
         self.failing.insert(addr, now);
@@ -195,7 +204,7 @@
     /// connection would be lost, so the next one goes through another box, which shows whether the
     /// upstream has failed.
     pub fn record_reset(&mut self, addr: SocketAddr, now: Instant) {
-        self.record_failure(addr, now);
+        self.note_failure(addr, now);
         let path = BrokenPath { used_at: now, is_confirmed: false, silent_at: None };
         self.broken.entry(addr).or_insert(path);
     }
--- a/crates/hatchpitch/tests/reachability.rs
+++ b/crates/hatchpitch/tests/reachability.rs
@@ -454,3 +454,21 @@
     assert!(!paths.is_direct(addr(2), now + MS));
     verify::verify(&paths).unwrap();
 }
+
+/// An upstream that had been silent and then went down was never blamed or ejected: no box counted
+/// as having a link to it.
+#[test]
+fn an_upstream_that_goes_down_after_its_link_was_silent_can_be_blamed() {
+    let now = Instant::now();
+    let mut paths = with_silent_link(addr(1), now);
+    // While the box is isolated, a failed connect is no news of the upstream.
+    paths.record_failure(addr(1), now + MS);
+    assert!(!paths.is_link_known(addr(1)));
+    paths.record_success(addr(2), now + 2 * MS);
+    // A connection that is established and reset is a link that does not work.
+    paths.record_reset(addr(1), now + 3 * MS);
+    assert!(!paths.is_link_known(addr(1)));
+    paths.record_failure(addr(1), now + 4 * MS);
+    assert!(paths.is_witness(addr(1), now + 5 * MS));
+    verify::verify(&paths).unwrap();
+}
