Judge a witness after the connect that makes it one

is_witness returned true after a connect to another upstream, even if links had become suspect while it was awaited and the connect was ignored. The upstream could be blamed by a box without links.

The result is now whether anything is known against the link at that time.

The new test failed before, when the connect alone made a witness.

--- a/crates/hatchpitch/src/reachability/state.rs
+++ b/crates/hatchpitch/src/reachability/state.rs
@@ -105,6 +105,19 @@
         has_links && self.is_link_known(addr) && recent.all(|(failed, _)| *failed == addr)
     }
 
+    /// Records a connection to `other` that was established at `connected`. Returns whether the
+    /// failure of this box at `addr` is evidence against that upstream.
+    pub fn record_witness(
+        &mut self,
+        other: SocketAddr,
+        addr: SocketAddr,
+        connected: Instant,
+    ) -> bool {
+        self.record_connect(other, connected);
+        // Links may have become suspect while the connection was awaited.
+        self.is_link_known(addr)
+    }
+
     /// Returns whether nothing is known against the link to an upstream.
     pub fn is_link_known(&self, addr: SocketAddr) -> bool {
         !self.is_isolated && !self.broken.contains_key(&addr)
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -292,8 +292,7 @@
     let linked = found.iter().find(|(_, listening)| *listening == Listening::Yes);
     let Some((other, _)) = linked else { return false };
     // The failures above may be those of upstreams; one link that works shows that this box has it.
-    paths.record_connect(*other, clock::now());
-    true
+    paths.record_witness(*other, addr, clock::now())
 }
 
 /// Sends a request of another box.
--- a/crates/hatchpitch/tests/reachability.rs
+++ b/crates/hatchpitch/tests/reachability.rs
@@ -472,3 +472,13 @@
     assert!(paths.is_witness(addr(1), now + 5 * MS));
     verify::verify(&paths).unwrap();
 }
+
+/// A box whose links became suspect while it tried one of them said that it was a witness.
+#[test]
+fn a_connect_during_which_links_became_suspect_makes_no_witness() {
+    let now = Instant::now();
+    let mut paths = PathTable::default();
+    assert!(paths.record_witness(addr(2), addr(1), now));
+    paths.record_silence(addr(3), now + MS);
+    assert!(!paths.record_witness(addr(2), addr(1), now + 2 * MS));
+}
