--- a/crates/hatchpitch/src/reachability/state.rs
+++ b/crates/hatchpitch/src/reachability/state.rs
@@ -10,7 +10,7 @@
 //! until a byte is received on it: neither a connect nor an open connection shows that it works.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -80,6 +80,8 @@
     pub(super) is_isolated: bool,
     /// Time of the evidence if that path was silent.
     pub(super) silent_at: Option<Instant>,
+    /// Upstreams from which a byte was received since that evidence.
+    heard: BTreeSet<SocketAddr>,
     pub(super) last_failure: Option<Instant>,
     last_success: Option<Instant>,
     next_probe: Option<Instant>,
@@ -103,6 +105,19 @@
         has_links && self.is_link_known(addr) && recent.all(|(failed, _)| *failed == addr)
     }
 
+    /// Records a connection to `other` that was established at `connected`. Returns whether the
+    /// failure of this box at `addr` is evidence against that upstream.
+    pub fn record_witness(
+        &mut self,
+        other: SocketAddr,
+        addr: SocketAddr,
+        connected: Instant,
+    ) -> bool {
+        self.record_connect(other, connected);
+        // Links may have become suspect while the connection was awaited.
+        self.is_link_known(addr)
+    }
+
     /// Returns whether nothing is known against the link to an upstream.
     pub fn is_link_known(&self, addr: SocketAddr) -> bool {
         !self.is_isolated && !self.broken.contains_key(&addr)
@@ -129,6 +144,7 @@
         self.last_success = Some(connected);
         self.is_isolated = false;
         self.silent_at = None;
+        self.heard.clear();
         self.broken.remove(&addr).map(|_| PathChange::Restored)
     }
 
@@ -154,21 +170,43 @@
         self.broken.insert(addr, path);
         self.is_isolated = true;
         self.silent_at = Some(now);
+        self.heard.clear();
+        // The last probe may have been that of a link which is known to be lost.
+        self.next_probe = Some(now);
         Some(PathChange::Silent)
     }
 
+    /// Records a byte received at `now` on a connection of any age. After evidence against another
+    /// link it shows that this one still carries what was sent on it, but not that new connections
+    /// work.
+    pub fn record_byte(&mut self, addr: SocketAddr, now: Instant) {
+        if self.silent_at.is_some_and(|at| now > at) {
+            self.heard.insert(addr);
+        }
+    }
+
     /// Returns the time at which a repeatable request is abandoned on a connection that was opened
     /// at `connected`, if its link is suspect because of later evidence.
     pub fn abandon_at(&self, addr: SocketAddr, connected: Instant) -> Option<Instant> {
         let own = self.broken.get(&addr).and_then(|path| path.silent_at);
-        let all = self.silent_at.map(|at| at + CONFIRMATION_TIME);
+        let is_heard = self.heard.contains(&addr);
+        let all = self.silent_at.filter(|_| !is_heard).map(|at| at + CONFIRMATION_TIME);
         let own = own.filter(|at| *at > connected);
         let all = all.filter(|at| *at > connected + CONFIRMATION_TIME);
         own.into_iter().chain(all).min()
     }
 
-    /// Records that an upstream could not be reached on a link of this box.
+    /// Records that an upstream could not be reached on a link of this box. If other links work, the
+    /// link is not taken to be silent any more, so that the upstream can be blamed.
     pub fn record_failure(&mut self, addr: SocketAddr, now: Instant) {
+        let is_silent = self.broken.get(&addr).is_some_and(|path| path.silent_at.is_some());
+        if is_silent && !self.is_isolated {
+            self.broken.remove(&addr);
+        }
+        self.note_failure(addr, now);
+    }
+
+    fn note_failure(&mut self, addr: SocketAddr, now: Instant) {
         self.failing.retain(|_, at| now < *at + FAILURE_TTL);
         self.broken.retain(|_, path| now < path.used_at + BROKEN_TTL);
         self.failing.insert(addr, now);
@@ -179,7 +217,7 @@
     /// connection would be lost, so the next one goes through another box, which shows whether the
     /// upstream has failed.
     pub fn record_reset(&mut self, addr: SocketAddr, now: Instant) {
-        self.record_failure(addr, now);
+        self.note_failure(addr, now);
         let path = BrokenPath { used_at: now, is_confirmed: false, silent_at: None };
         self.broken.entry(addr).or_insert(path);
     }
@@ -205,6 +243,15 @@
         self.failing.remove(&addr);
     }
 
+    /// Returns whether the path to an upstream should be probed now, and records the probe. Right
+    /// after evidence against a link, the probe is left to the other ones, on which requests are
+    /// abandoned unless it shows that they work.
+    pub fn take_probe_of(&mut self, addr: SocketAddr, now: Instant) -> bool {
+        let is_silent = self.broken.get(&addr).is_some_and(|path| path.silent_at.is_some());
+        let is_recent = self.silent_at.is_some_and(|at| now < at + CONFIRMATION_TIME);
+        !(is_silent && is_recent) && self.take_probe(now)
+    }
+
     /// Returns whether a path should be probed now, and records the probe.
     pub fn take_probe(&mut self, now: Instant) -> bool {
         let is_due = self.next_probe.is_none_or(|at| now >= at);
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -35,7 +35,7 @@
 const UNFRAMED: &str = "unframed";
 /// Time limit for connecting to another box, and for a box to connect to an upstream for another
 /// one: many round trips between failure domains.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time limit for a box to show that it responds: many round trips between failure domains.
 const PING_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time limit for the answer to a probe: three connects, and round trips.
@@ -292,8 +292,7 @@
     let linked = found.iter().find(|(_, listening)| *listening == Listening::Yes);
     let Some((other, _)) = linked else { return false };
     // The failures above may be those of upstreams; one link that works shows that this box has it.
-    paths.record_connect(*other, clock::now());
-    true
+    paths.record_witness(*other, addr, clock::now())
 }
 
 /// Sends a request of another box.
--- a/crates/hatchpitch/tests/reachability.rs
+++ b/crates/hatchpitch/tests/reachability.rs
@@ -11,7 +11,7 @@
 use hatchpitch::reachability::state::PathChange;
 use hatchpitch::reachability::watch::INQUIRY_PEERS;
 use hatchpitch::reachability::{PathTable, PeerTable, verify};
-use hatchpitch_net::Acknowledgements;
+use hatchpitch_net::{Acknowledgements, ProbedLink};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -359,3 +359,126 @@
     let total = (bytes * INQUIRY_PEERS) as f64 * per_second;
     assert!(total < 1_000.0, "{total} bytes a second");
 }
+
+/// A request that had ended stayed in the next inquiry, and the answer of another box to a later one
+/// was taken for evidence.
+#[test]
+fn other_boxes_are_not_asked_about_requests_that_have_ended() {
+    let start = Instant::now();
+    let mut inquiries = Inquiries::default();
+    let other = |sent| WaitingRequest { addr: addr(2), ..waiting(sent) };
+    assert_eq!(inquiries.add(&other(start), start + 300 * MS), [other(start)]);
+    assert!(inquiries.add(&waiting(start), start + 400 * MS).is_empty());
+    let later = start + 5_000 * MS;
+    assert_eq!(inquiries.add(&other(start), later), [other(start)]);
+    // The oldest request of a kind has ended while later ones wait on.
+    assert!(inquiries.add(&waiting(start), later + 100 * MS).is_empty());
+    let recent = waiting(start + MS);
+    assert!(inquiries.add(&recent, later + 150 * MS).is_empty());
+    assert_eq!(inquiries.add(&recent, later + 400 * MS), [recent]);
+}
+
+/// Three upstreams that are slow for all boxes hid a lost link to a fourth one.
+#[test]
+fn long_waits_do_not_keep_others_out_of_inquiries() {
+    let start = Instant::now();
+    let mut inquiries = Inquiries::default();
+    let mut named = std::collections::BTreeSet::new();
+    for tick in 3..50 {
+        let now = start + tick * 100 * MS;
+        for upstream in 0..10 {
+            let sent = start + u32::from(upstream) * MS;
+            let req = WaitingRequest { addr: addr(upstream), ..waiting(sent) };
+            named.extend(inquiries.add(&req, now).into_iter().map(|item| item.addr));
+        }
+    }
+    assert_eq!(named.len(), 10);
+}
+
+/// A box whose event loop had stalled took bytes that it had just written for silence.
+#[test]
+fn a_stall_of_the_box_before_the_first_look_is_no_evidence() {
+    let sent = Instant::now();
+    let mut watch = AckWatch::new(sent);
+    assert_eq!(watch.observe(acks(true, 350 * MS), sent + 350 * MS), None);
+    assert_eq!(watch.observe(acks(false, MS), sent + 450 * MS), None);
+    assert_eq!(watch.observe(acks(true, 350 * MS), sent + 800 * MS), None);
+    assert!(watch.observe(acks(true, 650 * MS), sent + 1_100 * MS).is_some());
+}
+
+/// An upstream stood still for 1.2 s and then answered another box a moment earlier than this one.
+/// The request here was abandoned, and ran twice.
+#[test]
+fn an_answer_elsewhere_after_a_freeze_is_acted_on_only_if_the_link_itself_stays_silent() {
+    let sent = Instant::now();
+    // The other box sent its request 700 ms later, and was answered first after the thaw.
+    let evidence = waiting(sent).judge(500 * MS, sent + 1_200 * MS).unwrap();
+    assert!(!evidence.is_confirmed_by(None));
+    assert!(!evidence.is_confirmed_by(Some(ProbedLink::Answers)));
+    assert!(!evidence.is_confirmed_by(Some(ProbedLink::Closed)));
+    assert!(evidence.is_confirmed_by(Some(ProbedLink::Silent)));
+    assert!(evidence.is_confirmed_by(Some(ProbedLink::NoConnection)));
+    // Unacknowledged bytes are evidence on the link itself.
+    assert!(Evidence::Unacknowledged(MAX_UNACKNOWLEDGED).is_confirmed_by(None));
+}
+
+/// The probe of the silent link itself took the box's only probe for 500 ms, while requests on
+/// working links were abandoned after 250 ms.
+#[test]
+fn another_link_than_the_silent_one_is_probed_first() {
+    let now = Instant::now();
+    let mut paths = PathTable::default();
+    assert!(paths.take_probe(now - MS));
+    paths.record_silence(addr(1), now);
+    assert!(!paths.take_probe_of(addr(1), now + MS));
+    assert!(paths.take_probe_of(addr(2), now + MS));
+    assert!(!paths.take_probe_of(addr(3), now + 2 * MS));
+    assert!(paths.take_probe_of(addr(1), now + 600 * MS));
+    verify::verify(&paths).unwrap();
+}
+
+/// Requests on working links were abandoned where all answers since the evidence came on
+/// connections from before it.
+#[test]
+fn requests_are_not_abandoned_on_a_link_that_carried_a_byte_after_the_evidence() {
+    let now = Instant::now();
+    let mut paths = PathTable::default();
+    paths.record_byte(addr(3), now - MS);
+    paths.record_silence(addr(1), now);
+    for upstream in [addr(1), addr(2)] {
+        paths.record_byte(upstream, now + MS);
+    }
+    assert_eq!(paths.abandon_at(addr(2), now - MS), None);
+    assert!(paths.abandon_at(addr(3), now - MS).is_some());
+    assert_eq!(paths.abandon_at(addr(1), now - MS), Some(now));
+    assert!(!paths.is_direct(addr(2), now + MS));
+    verify::verify(&paths).unwrap();
+}
+
+/// An upstream that had been silent and then went down was never blamed or ejected: no box counted
+/// as having a link to it.
+#[test]
+fn an_upstream_that_goes_down_after_its_link_was_silent_can_be_blamed() {
+    let now = Instant::now();
+    let mut paths = with_silent_link(addr(1), now);
+    // While the box is isolated, a failed connect is no news of the upstream.
+    paths.record_failure(addr(1), now + MS);
+    assert!(!paths.is_link_known(addr(1)));
+    paths.record_success(addr(2), now + 2 * MS);
+    // A connection that is established and reset is a link that does not work.
+    paths.record_reset(addr(1), now + 3 * MS);
+    assert!(!paths.is_link_known(addr(1)));
+    paths.record_failure(addr(1), now + 4 * MS);
+    assert!(paths.is_witness(addr(1), now + 5 * MS));
+    verify::verify(&paths).unwrap();
+}
+
+/// A box whose links became suspect while it tried one of them said that it was a witness.
+#[test]
+fn a_connect_during_which_links_became_suspect_makes_no_witness() {
+    let now = Instant::now();
+    let mut paths = PathTable::default();
+    assert!(paths.record_witness(addr(2), addr(1), now));
+    paths.record_silence(addr(3), now + MS);
+    assert!(!paths.record_witness(addr(2), addr(1), now + 2 * MS));
+}
