--- a/crates/hatchpitch/src/admission/recheck.rs
+++ b/crates/hatchpitch/src/admission/recheck.rs
@@ -6,7 +6,7 @@
 //!
 //! Each step examines a bounded number of requests, from the one that is served last towards the
 //! front, and the next step continues there. A request whose expected wait exceeds its remaining
-//! time by a margin is doubtful, and is refused once it has been doubtful for [`DOUBT_TIME`].
+//! time by a margin is doubtful, and is refused once it has been doubtful for 200 ms.
 //! Doubtful requests do not count as ahead of others, because they are expected to be refused: a
 //! request with a longer limit behind them can still be served.
 
