--- a/crates/hatchpitch/tests/recheck.rs
+++ b/crates/hatchpitch/tests/recheck.rs
@@ -187,9 +187,9 @@
     }
 }
 
-/// Queues 20 requests at eight engines that take 500 ms for each, lets seven leave, and ticks for
-/// 300 ms. Returns the scheduler and the refusals, with their times.
-fn lose_engines(rechecks: bool) -> (PoolScheduler, Vec<(String, Duration, Duration)>) {
+/// Returns a scheduler with eight engines that take 500 ms for a request and run one each, and with
+/// 20 queued requests; also the engines and ids of the running requests, and the current time.
+fn busy_scheduler(rechecks: bool) -> (PoolScheduler, Vec<(String, u64)>, Instant) {
     let start = Instant::now();
     let cfg = AdmissionConfig { rechecks, ..AdmissionConfig::default() };
     let mut scheduler = PoolScheduler::new(cfg, RoutingConfig::default());
@@ -198,12 +198,22 @@
     let report = RunReport { verdict: Verdict::Succeeded, ..RunReport::RELEASED };
     let now = start + 500 * MS;
     scheduler.release(&spec.name, &request(0), 0, report, now);
+    let mut running = Vec::new();
     for id in 1..=8 {
-        assert!(matches!(scheduler.decide(&request(id), now), Decision::Run(_)), "{id}");
+        let decision = scheduler.decide(&request(id), now);
+        let Decision::Run(spec) = decision else { panic!("{id}: {decision:?}") };
+        running.push((spec.name, id));
     }
     for id in 9..29 {
         assert!(matches!(scheduler.decide(&request(id), now), Decision::Wait(_)), "{id}");
     }
+    (scheduler, running, now)
+}
+
+/// Lets seven of the engines of a busy scheduler leave, and ticks for 300 ms. Returns the scheduler
+/// and the refusals, with their times.
+fn lose_engines(rechecks: bool) -> (PoolScheduler, Vec<(String, Duration, Duration)>) {
+    let (mut scheduler, _, now) = busy_scheduler(rechecks);
     scheduler.update(now, |table| table.sync([engine(0)]));
     let mut refused = Vec::new();
     for step in 0..=15 {
@@ -293,23 +303,7 @@
 /// estimate of the wait is far too long.
 #[test]
 fn a_short_ejection_of_engines_refuses_nothing() {
-    let start = Instant::now();
-    let cfg = AdmissionConfig { rechecks: true, ..AdmissionConfig::default() };
-    let mut scheduler = PoolScheduler::new(cfg, RoutingConfig::default());
-    scheduler.update(start, |table| table.sync((0..8).map(engine)));
-    let Decision::Run(spec) = scheduler.decide(&request(0), start) else { panic!("no slot") };
-    let report = RunReport { verdict: Verdict::Succeeded, ..RunReport::RELEASED };
-    let now = start + 500 * MS;
-    scheduler.release(&spec.name, &request(0), 0, report, now);
-    let running: Vec<_> = (1..=8)
-        .map(|id| match scheduler.decide(&request(id), now) {
-            Decision::Run(spec) => (spec.name, id),
-            other => panic!("{other:?}"),
-        })
-        .collect();
-    for id in 9..29 {
-        assert!(matches!(scheduler.decide(&request(id), now), Decision::Wait(_)), "{id}");
-    }
+    let (mut scheduler, running, now) = busy_scheduler(true);
     let failed = RunReport { verdict: Verdict::Failed, ..RunReport::RELEASED };
     for (name, id) in &running[1..] {
         scheduler.release(name, &request(*id), 0, failed, now);
