Name the suspected parts of prompts in the line of a crash

The incident's lines could not tell whether the crashing requests had a part in common. A box remembers which parts it saw answered within 30 s, at the end or after a second of events, and lists the others beside the contents of the runs that a crash interrupted. Nothing is decided on them yet.

--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -25,8 +25,8 @@
 use crate::ids::{Digest, Priority, new_id};
 use crate::metrics::Count;
 use crate::outcome::{OUTCOME_HEADER, Outcome, Problem};
-use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunLocation};
+use crate::quarantine::{Causes, ContentId};
 use crate::relay::ending::{BUFFERED_STATE_TIMEOUT, EndCheck, Ending};
 use crate::trace::{Span, TRACEPARENT};
 use crate::upstream_limits::task as upstream_limits;
@@ -108,8 +108,9 @@
         call.path.as_bytes(),
         &call.body,
     ]);
-    observer::check(&cx, &content)?;
-    let dispatch = CallDispatch { cx, service, call, content, priority: workspace.priority, span };
+    let causes = Causes::from(content);
+    observer::check(&cx, &causes)?;
+    let dispatch = CallDispatch { cx, service, call, causes, priority: workspace.priority, span };
     if route.repeatable {
         return dispatch.send_repeatable().await;
     }
@@ -122,7 +123,7 @@
     service: &'a ServiceView,
     call: AppCall,
     /// Identifies the content of the call; does not depend on the idempotency key.
-    content: ContentId,
+    causes: Causes,
     /// Priority of the workspace.
     priority: Priority,
     span: Span,
@@ -160,7 +161,7 @@
                 }
             }
             // Other calls with this content may have crashed upstreams in the meantime.
-            if let Err(quarantined) = observer::check(&self.cx, &self.content) {
+            if let Err(quarantined) = observer::check(&self.cx, &self.causes) {
                 return Err(if ran {
                     self.problem(Some(quarantined.message), true)
                 } else {
@@ -315,14 +316,14 @@
         let sent = self.exchange(upstream, &span.traceparent()).await;
         match &sent {
             Ok(answer) if !answer.framing.is_until_close() => {
-                observer::record_answer(&self.cx, self.content);
+                observer::record_answer(&self.cx, &self.causes);
             }
             Ok(_) => self.cx.metrics.count(Count::OpenEnded, &self.service.service.name),
             Err(failure) => {
                 span.note("error", &failure.cause);
                 if failure.ran {
                     let location = RunLocation { upstream: &upstream.name, addr: upstream.addr };
-                    observer::record_interruption(&self.cx, location, self.content, None);
+                    observer::record_interruption(&self.cx, location, &self.causes, None);
                 }
             }
         }
@@ -359,7 +360,7 @@
         let body = body.map_err(|err| broken(&err.to_string()))?;
         check.push(&body);
         let location = RunLocation { upstream: &upstream.name, addr };
-        match check.judge(&self.cx, location, self.content, BUFFERED_STATE_TIMEOUT).await {
+        match check.judge(&self.cx, location, &self.causes, BUFFERED_STATE_TIMEOUT).await {
             Ending::Truncated(cause) => return Err(broken(cause)),
             Ending::Complete | Ending::Open(_) => {}
         }
--- a/crates/hatchpitch/src/entry/completions.rs
+++ b/crates/hatchpitch/src/entry/completions.rs
@@ -1,5 +1,6 @@
 //! Serves `POST /v1/chat/completions`, `POST /v1/completions` and `GET /v1/responses/<token>`.
 
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 use crate::logging::unix_ms;
 use crate::metrics::Count;
 use crate::outcome::{OUTCOME_HEADER, Outcome, Problem, json_response};
+use crate::quarantine::causes::MAX_PARTS;
+use crate::quarantine::{ContentId, PartName, PromptParts};
 use crate::security::ResponseToken;
 use crate::streams::StreamStep;
 use crate::trace::Span;
@@ -60,6 +63,16 @@
     Parts(Vec<ChatPart>),
 }
 
+impl ChatContent {
+    /// Returns the text of all parts.
+    fn text(&self) -> Cow<'_, str> {
+        match self {
+            Self::Text(text) => text.into(),
+            Self::Parts(parts) => parts.iter().map(|part| part.text.as_str()).collect(),
+        }
+    }
+}
+
 /// One part of a message. A part without text counts as empty.
 #[derive(Debug, Deserialize)]
 struct ChatPart {
@@ -108,6 +121,7 @@
         pool: token.pool.clone(),
         model: pool.pool.model.clone(),
         prompt: String::new(),
+        parts: None,
         max_tokens: pool.pool.max_tokens,
         seed: None,
         is_streamed: true,
@@ -145,6 +159,7 @@
         workspace: workspace.name.clone(),
         priority: workspace.priority,
         pool: pool.name.clone(),
+        parts: prompt_parts(&body, chat),
         model: body.model,
         prompt,
         max_tokens: max_tokens.min(pool.max_tokens),
@@ -176,15 +191,28 @@
     for message in &body.messages {
         prompt.push_str(&message.role);
         prompt.push_str(": ");
-        match &message.content {
-            ChatContent::Text(text) => prompt.push_str(text),
-            ChatContent::Parts(parts) => parts.iter().for_each(|part| prompt.push_str(&part.text)),
-        }
+        prompt.push_str(&message.content.text());
         prompt.push('\n');
     }
     Ok(prompt)
 }
 
+/// Returns the parts of the prompt of a chat: one for each message, named by a digest of its role and
+/// text. The last messages of a long conversation are one part.
+fn prompt_parts(body: &CompletionBody, chat: bool) -> Option<PromptParts> {
+    let name = |messages: &[ChatMessage]| -> PartName {
+        let texts: Vec<Cow<'_, str>> = messages.iter().map(|it| it.content.text()).collect();
+        let texts = messages.iter().zip(&texts);
+        let fields: Vec<&[u8]> =
+            texts.flat_map(|(it, text)| [it.role.as_bytes(), text.as_bytes()]).collect();
+        ContentId::of(&fields).to_string()
+    };
+    let (first, rest) = body.messages.split_at(body.messages.len().min(MAX_PARTS - 1));
+    let rest = (!rest.is_empty()).then_some(rest);
+    let names = || first.chunks(1).chain(rest).map(name).collect();
+    chat.then(|| PromptParts::new(body.model.clone(), Some(names())))
+}
+
 /// Counts a stream of a workspace, or refuses it if the workspace has as many as it may.
 fn begin_stream(cx: &Rc<EntryCx>, workspace: &Workspace) -> Result<StreamGuard, Problem> {
     cx.begin_stream(&workspace.name, workspace.max_streams).ok_or_else(|| {
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -14,8 +14,8 @@
 use crate::ids::{GenerationId, PoolName, Priority, RunnerName, WorkspaceName, new_id};
 use crate::metrics::{Count, STALL_THRESHOLD, Timing};
 use crate::outcome::Problem;
-use crate::quarantine::ContentId;
 use crate::quarantine::observer::{self, RunLocation};
+use crate::quarantine::{Causes, ContentId, PromptParts};
 use crate::reachability::UpstreamClient;
 use crate::routing::Verdict;
 use crate::streams::{Phase, StreamLimits, StreamState, StreamStep};
@@ -46,6 +46,8 @@
     pub model: String,
     /// The prompt.
     pub prompt: String,
+    /// The parts that the prompt is composed of, if it was sent in parts.
+    pub parts: Option<PromptParts>,
     /// Maximum length of the output, in tokens.
     pub max_tokens: u64,
     /// Sampling seed for reproducible output.
@@ -71,6 +73,11 @@
         ])
     }
 
+    /// Returns what the request holds that may crash a runner of the pool.
+    fn causes(&self) -> Causes {
+        Causes::new(self.content(), &self.pool, &self.workspace, self.parts.as_ref())
+    }
+
     /// Returns the estimated length of the prompt, in tokens.
     pub fn prompt_tokens(&self) -> u64 {
         self.prompt.chars().count() as u64 / CHARS_PER_TOKEN + 1
@@ -106,8 +113,8 @@
     reader: Option<EventReader>,
     /// Runners that failed and are not chosen again.
     failed_runners: Vec<RunnerName>,
-    /// Identity of the requested content; `None` if another box started the answer.
-    content: Option<ContentId>,
+    /// What it holds that may crash a runner; `None` if another box started the answer.
+    causes: Option<Causes>,
     /// Time of the first token of the current generation, if there was one.
     first_token_at: Option<Instant>,
     /// Delay before the next attempt to reconnect.
@@ -136,8 +143,8 @@
         stream_guard: StreamGuard,
     ) -> Result<Self, StartError> {
         cx.retry_budgets.borrow_mut().earn(&job.workspace, &job.pool);
-        let content = job.content();
-        observer::check(&cx, &content).map_err(StartError::Quarantined)?;
+        let causes = job.causes();
+        observer::check(&cx, &causes).map_err(StartError::Quarantined)?;
         let started = clock::now();
         let slot = obtain_slot(&cx, &job, &[], &span).await.map_err(StartError::Refused)?;
         cx.metrics.time(Timing::Wait, &job.pool, job.priority, clock::since(started));
@@ -152,7 +159,7 @@
             slot: Some(slot),
             reader: None,
             failed_runners: Vec::new(),
-            content: Some(content),
+            causes: Some(causes),
             first_token_at: None,
             relink_delay: RELINK_DELAY,
             ran: false,
@@ -188,7 +195,7 @@
             slot: None,
             reader: None,
             failed_runners: Vec::new(),
-            content: None,
+            causes: None,
             first_token_at: None,
             relink_delay: RELINK_DELAY,
             ran: true,
@@ -443,14 +450,14 @@
 
     /// Returns the problem if the request is quarantined.
     fn check_quarantine(&self) -> Result<(), Problem> {
-        self.content.map_or(Ok(()), |content| observer::check(&self.cx, &content))
+        self.causes.as_ref().map_or(Ok(()), |causes| observer::check(&self.cx, causes))
     }
 
     /// Reports to the quarantine observer that the runner interrupted the answer.
     fn report_interruption(&self) {
-        let Some(content) = self.content else { return };
+        let Some(causes) = &self.causes else { return };
         let location = RunLocation { upstream: &self.runner, addr: self.upstream.addr() };
-        observer::record_interruption(&self.cx, location, content, self.first_token_at);
+        observer::record_interruption(&self.cx, location, causes, self.first_token_at);
     }
 
     /// Finishes the slot with the verdict that its runner failed, unless this box has no path to it.
@@ -484,8 +491,8 @@
     /// Records a completed answer and finishes the slot.
     fn record_finish(&mut self, tokens: u64) {
         self.cx.metrics.count(Count::Done, &self.job.pool);
-        if let Some(content) = self.content {
-            observer::record_answer(&self.cx, content);
+        if let Some(causes) = &self.causes {
+            observer::record_answer(&self.cx, causes);
         }
         self.span.note("tokens", tokens);
         if let Some(slot) = self.slot.as_mut() {
--- a/crates/hatchpitch/src/outcome.rs
+++ b/crates/hatchpitch/src/outcome.rs
@@ -84,10 +84,13 @@
         Self { status, kind, message, outcome: Outcome::NotRun, retry_after: None }
     }
 
-    /// Creates a problem for a request that is refused because requests with the same content
-    /// crashed upstreams.
-    pub fn quarantined() -> Self {
-        let message = "requests with this content crashed the upstreams that ran them";
+    /// Creates a problem for a request that is refused because requests with the same content, or with
+    /// the described part of its prompt, crashed upstreams.
+    pub fn quarantined(part: Option<&str>) -> Self {
+        let message = match part {
+            Some(part) => format!("requests with {part} crashed the upstreams that ran them"),
+            None => "requests with this content crashed the upstreams that ran them".to_owned(),
+        };
         Self::not_run(StatusCode::SERVICE_UNAVAILABLE, "quarantined", message)
     }
 
--- a/crates/hatchpitch/src/quarantine/mod.rs
+++ b/crates/hatchpitch/src/quarantine/mod.rs
@@ -1,6 +1,8 @@
 //! Quarantine of requests that crash the upstreams that run them.
 //!
-//! Requests that crash upstreams are told apart from requests that merely ran at the same time.
+//! Requests that crash upstreams are told apart from requests that merely ran at the same time. What
+//! crashes upstreams may be a request's whole content, or a part of its prompt that other requests
+//! have as well.
 //!
 //! An entry box records the runs that are interrupted on an upstream and finds out whether the
 //! upstream crashed. It reports crashes to the control leader, which commits them to the replicated
@@ -9,6 +11,7 @@
 //! evacuated failure domains: with the configuration feed, and with the upstream updates that every
 //! entry box follows.
 
+pub mod causes;
 pub mod content;
 pub mod messages;
 pub mod observer;
@@ -17,6 +20,7 @@
 pub mod state;
 pub mod verify;
 
+pub use causes::{Causes, PartName, PromptParts};
 pub use content::ContentId;
 pub use messages::{Crash, CrashedRun, Evidence, QuarantineList, Revision};
 pub use observer::Observer;
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -1,18 +1,20 @@
 //! Detects upstream crashes at an entry box, and reports them to the control leader.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::{Listening, clock};
 
+use super::causes::Causes;
 use super::content::ContentId;
 use super::messages::{Crash, CrashedRun, Evidence, MAX_REPORTED, MAX_RUNS_PER_CRASH};
 use super::open_ends::{OPEN_END_WINDOW, OpenEnds, REPLACEMENT_TIMEOUT};
-use super::recent::RecentAnswers;
+use super::recent::{RecentAnswers, RecentCauses};
 use super::state::Ledger;
+use crate::claims::state::LogTime;
 use crate::control::leader::LeaderClient;
 use crate::entry::EntryCx;
 use crate::ids::RunnerName;
@@ -76,6 +78,8 @@
     interrupted: RefCell<BTreeMap<RunnerName, Vec<CrashedRun>>>,
     /// Responses that ended with their connection.
     open_ends: RefCell<OpenEnds>,
+    /// Causes of the runs that were interrupted or whose responses ended with their connection.
+    causes: RefCell<RecentCauses>,
     /// Evidence that is still to be reported.
     unreported: RefCell<Evidence>,
     /// Whether a task that reports evidence is running.
@@ -84,7 +88,7 @@
     isolated_since: Cell<Option<Instant>>,
     /// Ledger of the observations of this box alone.
     local: RefCell<Ledger>,
-    /// Contents that were answered recently through this box.
+    /// Causes that were answered recently through this box.
     recent: RefCell<RecentAnswers>,
 }
 
@@ -95,28 +99,45 @@
     }
 }
 
-/// Refuses a held content, unless it was answered recently through this box: then the answer is
-/// reported, which releases the content at every box.
+/// Refuses a request with a held cause, unless that was answered recently through this box: then the
+/// answer is reported, which releases the cause at every box.
 ///
 /// # Errors
 ///
 /// Returns the refusal, with a retry delay.
-pub fn check(cx: &Rc<EntryCx>, content: &ContentId) -> Result<(), Problem> {
-    let listed = cx.config.quarantine().held_until(content);
-    // Without control boxes the observations of all boxes are not combined; three crashes seen by
-    // this box suffice for a hold.
-    let local = || cx.quarantine.local.borrow().list().held_until(content);
-    let held = listed.or_else(|| cx.quarantine.is_isolated().then(local).flatten());
-    let Some(until) = held else { return Ok(()) };
-    if cx.quarantine.recent.borrow().contains(content, clock::now()) {
-        report_answer(cx, *content);
+pub fn check(cx: &Rc<EntryCx>, causes: &Causes) -> Result<(), Problem> {
+    let Some((cause, until)) = find_held(cx, causes) else { return Ok(()) };
+    if cx.quarantine.recent.borrow().contains(&cause, clock::now()) {
+        report_answers(cx, [cause].into());
         return Ok(());
     }
     let left = Duration::from_millis(until.saturating_sub(unix_ms()));
     let left = left.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
     cx.metrics.count(Count::Quarantined, "");
-    log::info!(content:% = content, left_s = left.as_secs(); "held request refused");
-    Err(Problem::quarantined().retry_after(left))
+    let part = causes.describe_part(&cause);
+    log::info!(
+        content:% = causes.content(), cause:% = cause, part = part.as_deref().unwrap_or(""),
+        workspace = causes.workspace().as_str(), left_s = left.as_secs();
+        "held request refused"
+    );
+    Err(Problem::quarantined(part.as_deref()).retry_after(left))
+}
+
+/// Returns whether a request has a held cause.
+pub fn is_held(cx: &EntryCx, causes: &Causes) -> bool {
+    find_held(cx, causes).is_some()
+}
+
+fn find_held(cx: &EntryCx, causes: &Causes) -> Option<(ContentId, LogTime)> {
+    // Without control boxes the observations of all boxes are not combined; three crashes seen by
+    // this box suffice for a hold.
+    let local = || {
+        let local = cx.quarantine.local.borrow();
+        local.list().held_until(&causes.content())
+    };
+    let listed = cx.config.quarantine().held_until(&causes.content());
+    let held = listed.or_else(|| cx.quarantine.is_isolated().then(local).flatten());
+    Some((causes.content(), held?))
 }
 
 /// Records that a run was interrupted, and starts to investigate its upstream. `started_at` is the
@@ -124,10 +145,12 @@
 pub fn record_interruption(
     cx: &Rc<EntryCx>,
     location: RunLocation<'_>,
-    content: ContentId,
+    causes: &Causes,
     started_at: Option<Instant>,
 ) {
-    let run = CrashedRun { content, ran_for: started_at.map(clock::since).unwrap_or_default() };
+    let ran_for = started_at.map(clock::since).unwrap_or_default();
+    let run = CrashedRun { content: causes.content(), ran_for };
+    cx.quarantine.causes.borrow_mut().record(causes);
     // Responses that ended just before may have been cut short by the same crash.
     let ended = cx.quarantine.open_ends.borrow().recent(location.upstream, clock::now());
     record_interrupted(cx, location, std::iter::once(run).chain(ended));
@@ -200,13 +223,15 @@
 pub fn record_open_end(
     cx: &Rc<EntryCx>,
     location: RunLocation<'_>,
-    content: ContentId,
+    causes: &Causes,
     started_at: Option<Instant>,
 ) {
     if is_leaving(cx, location.upstream) {
         return;
     }
-    let run = CrashedRun { content, ran_for: started_at.map(clock::since).unwrap_or_default() };
+    let ran_for = started_at.map(clock::since).unwrap_or_default();
+    let run = CrashedRun { content: causes.content(), ran_for };
+    cx.quarantine.causes.borrow_mut().record(causes);
     if cx.quarantine.open_ends.borrow_mut().record(location.upstream, run, clock::now()) {
         let (cx, upstream, addr) = (cx.clone(), location.upstream.to_owned(), location.addr);
         compio::runtime::spawn(async move { watch(&cx, &upstream, addr).await }).detach();
@@ -233,32 +258,53 @@
             }
             let answered = open_ends.borrow_mut().record_listening(upstream, clock::now());
             if is_unreplaced(cx, upstream) {
-                answered.into_iter().for_each(|content| record_answer(cx, content));
+                answered.into_iter().for_each(|content| record_confirmed(cx, content));
             }
         }
         goes_on = open_ends.borrow_mut().keeps_watch(upstream, clock::now());
     }
 }
 
-/// Records that an upstream answered a content completely, and reports it if required.
-pub fn record_answer(cx: &Rc<EntryCx>, content: ContentId) {
-    cx.quarantine.recent.borrow_mut().record(content, clock::now());
-    if is_tracked(cx, &content) {
-        report_answer(cx, content);
-    }
+/// Records that an upstream answered a request completely, and reports it if required.
+pub fn record_answer(cx: &Rc<EntryCx>, causes: &Causes) {
+    record_answers(cx, causes.ids());
+}
+
+/// Records that an upstream has answered a request for long enough that no part of its prompt crashes
+/// upstreams when they begin with it, and reports it if required.
+pub fn record_progress(cx: &Rc<EntryCx>, causes: &Causes) {
+    record_answers(cx, causes.parts());
+}
+
+/// Records that the response to a content, which left its end open, was complete.
+fn record_confirmed(cx: &Rc<EntryCx>, content: ContentId) {
+    let causes = cx.quarantine.causes.borrow().get(&content).cloned();
+    record_answer(cx, &causes.unwrap_or_else(|| content.into()));
+}
+
+fn record_answers(cx: &Rc<EntryCx>, answered: impl Iterator<Item = ContentId>) {
+    let now = clock::now();
+    let mut recent = cx.quarantine.recent.borrow_mut();
+    let tracked = answered.inspect(|cause| recent.record(*cause, now));
+    let tracked: BTreeSet<ContentId> = tracked.filter(|cause| is_tracked(cx, cause)).collect();
+    drop(recent);
+    report_answers(cx, tracked);
 }
 
-/// Returns whether answers to a content are to be reported.
-fn is_tracked(cx: &EntryCx, content: &ContentId) -> bool {
-    cx.quarantine.local.borrow().list().wants_answer_reports(content)
-        || cx.config.quarantine().wants_answer_reports(content)
+/// Returns whether answers to a cause are to be reported.
+fn is_tracked(cx: &EntryCx, cause: &ContentId) -> bool {
+    cx.quarantine.local.borrow().list().wants_answer_reports(cause)
+        || cx.config.quarantine().wants_answer_reports(cause)
 }
 
-/// Reports a complete answer to a content that is suspected or held.
-fn report_answer(cx: &Rc<EntryCx>, content: ContentId) {
-    let answered = Evidence { answered: [content].into(), ..Evidence::default() };
-    log::info!(content:% = content; "a request that was suspected is answered");
-    submit(cx, answered);
+/// Reports answers to causes that are suspected or held.
+fn report_answers(cx: &Rc<EntryCx>, answered: BTreeSet<ContentId>) {
+    if answered.is_empty() {
+        return;
+    }
+    let causes: Vec<String> = answered.iter().map(ContentId::to_string).collect();
+    log::info!(causes = causes.join(",").as_str(); "requests that were suspected are answered");
+    submit(cx, Evidence { answered, ..Evidence::default() });
 }
 
 /// Returns whether an upstream has announced that it leaves.
@@ -286,14 +332,24 @@
     // A restarted upstream must not confirm the responses of the one that crashed.
     cx.quarantine.open_ends.borrow_mut().clear(&upstream);
     let contents: Vec<String> = runs.iter().map(|run| run.content.to_string()).collect();
+    let parts: Vec<String> = suspected_parts(cx, &runs).iter().map(ContentId::to_string).collect();
     log::warn!(
-        upstream = life.as_str(), runs = runs.len(), contents = contents.join(",").as_str();
+        upstream = life.as_str(), runs = runs.len(), contents = contents.join(",").as_str(),
+        parts = parts.join(",").as_str();
         "an upstream crashed under these requests"
     );
     cx.metrics.count(Count::Crashes, "");
     submit(cx, Evidence { crashes: vec![Crash { life, runs }], ..Evidence::default() });
 }
 
+/// Returns the parts of the prompts of crashed runs that were not answered recently.
+fn suspected_parts(cx: &EntryCx, runs: &[CrashedRun]) -> BTreeSet<ContentId> {
+    let (recent, now) = (cx.quarantine.recent.borrow(), clock::now());
+    let known = cx.quarantine.causes.borrow();
+    let causes = runs.iter().filter_map(|run| known.get(&run.content));
+    causes.flat_map(Causes::parts).filter(|part| !recent.contains(part, now)).collect()
+}
+
 /// Looks at an upstream after each interruption, until it is found to have crashed or the last
 /// interruption is too long ago.
 async fn find_crash(cx: &Rc<EntryCx>, upstream: &str, addr: SocketAddr) -> Option<Crash> {
--- a/crates/hatchpitch/src/quarantine/recent.rs
+++ b/crates/hatchpitch/src/quarantine/recent.rs
@@ -7,15 +7,20 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::causes::Causes;
 use super::content::ContentId;
 
 /// Time for which an answer clears its content. A popular content is answered many times in it; a
 /// content that starts to crash upstreams is detected later by this time.
 pub const ANSWER_VALIDITY: Duration = Duration::from_secs(30);
-/// Maximum number of stored answers, 48 bytes each: 30 s at 130 answers per second.
-pub const MAX_RECENT_ANSWERS: usize = 4_096;
+/// Maximum number of stored answers, 48 bytes each: 30 s at 50 answers per second to prompts of four
+/// parts.
+pub const MAX_RECENT_ANSWERS: usize = 8_192;
+/// Maximum number of requests whose causes are stored, about 300 bytes each. They are looked up within
+/// seconds, and only requests that were interrupted or left their end open are stored.
+const MAX_RECENT_CAUSES: usize = 1_024;
 
-/// Contents that one box answered recently.
+/// Causes that one box answered recently.
 #[derive(Debug, Default)]
 pub struct RecentAnswers {
     last: BTreeMap<ContentId, Instant>,
@@ -56,3 +61,31 @@
         self.last.is_empty()
     }
 }
+
+/// Causes of recent requests, by whole content.
+#[derive(Debug, Default)]
+pub struct RecentCauses {
+    causes: BTreeMap<ContentId, Causes>,
+    order: VecDeque<ContentId>,
+}
+
+impl RecentCauses {
+    /// Stores the causes of a request that has a prompt, and drops the oldest ones in excess.
+    pub fn record(&mut self, causes: &Causes) {
+        if causes.parts().next().is_none() {
+            return;
+        }
+        if self.causes.insert(causes.content(), causes.clone()).is_none() {
+            self.order.push_back(causes.content());
+        }
+        while self.order.len() > MAX_RECENT_CAUSES {
+            let first = self.order.pop_front();
+            first.and_then(|first| self.causes.remove(&first));
+        }
+    }
+
+    /// Returns the causes of the request with this content.
+    pub fn get(&self, content: &ContentId) -> Option<&Causes> {
+        self.causes.get(content)
+    }
+}
--- a/crates/hatchpitch/src/relay/ending.rs
+++ b/crates/hatchpitch/src/relay/ending.rs
@@ -14,7 +14,7 @@
 
 use super::json::JsonNesting;
 use crate::entry::EntryCx;
-use crate::quarantine::ContentId;
+use crate::quarantine::Causes;
 use crate::quarantine::observer::{self, RunLocation, UpstreamState};
 use crate::routing::Verdict;
 
@@ -84,7 +84,7 @@
         &self,
         cx: &Rc<EntryCx>,
         location: RunLocation<'_>,
-        content: ContentId,
+        causes: &Causes,
         limit: Duration,
     ) -> Ending {
         if !self.framing.is_until_close() {
@@ -93,7 +93,7 @@
         if self.json.as_ref().is_some_and(JsonNesting::is_open) {
             return Ending::Truncated("the connection ended inside a JSON document");
         }
-        judge_open_end(cx, location, content, None, limit).await
+        judge_open_end(cx, location, causes, None, limit).await
     }
 }
 
@@ -103,7 +103,7 @@
 pub async fn judge_open_end(
     cx: &Rc<EntryCx>,
     location: RunLocation<'_>,
-    content: ContentId,
+    causes: &Causes,
     started_at: Option<Instant>,
     limit: Duration,
 ) -> Ending {
@@ -111,10 +111,10 @@
     let state = probed.await.unwrap_or(UpstreamState::Unclear);
     match state {
         UpstreamState::Stopped => {
-            observer::record_interruption(cx, location, content, started_at);
+            observer::record_interruption(cx, location, causes, started_at);
         }
         UpstreamState::Listening | UpstreamState::Unclear => {
-            observer::record_open_end(cx, location, content, started_at);
+            observer::record_open_end(cx, location, causes, started_at);
         }
     }
     Ending::Open(state)
--- a/crates/hatchpitch/src/relay/migration.rs
+++ b/crates/hatchpitch/src/relay/migration.rs
@@ -6,6 +6,7 @@
 
 use super::stream::EventStream;
 use crate::moves::{self, MoveNeeds, SourceRunner};
+use crate::quarantine::observer;
 use crate::registry::Phase;
 use crate::upstream_signals::task as upstream_signals;
 
@@ -47,6 +48,10 @@
         if produced == 0 || at_stake < MIN_REMAINING_TOKENS || !self.may_migrate() {
             return;
         }
+        if observer::is_held(&self.relay.cx, &self.causes) {
+            // It may crash the runner that it is migrated to.
+            return;
+        }
         self.moves += 1;
         let source = SourceRunner {
             service: self.service.clone(),
--- a/crates/hatchpitch/src/relay/request.rs
+++ b/crates/hatchpitch/src/relay/request.rs
@@ -9,7 +9,7 @@
 
 use crate::config::hosted::{HostedRoute, RunPolicy, Urgency};
 use crate::ids::{Priority, RegionName, WorkspaceName};
-use crate::quarantine::ContentId;
+use crate::quarantine::{Causes, ContentId, PromptParts};
 
 /// Resources that a generation needs, as declared by the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +46,8 @@
     pub deadline: Instant,
     /// Resources that it needs, if it is a generation.
     pub generation: Option<GenerationNeeds>,
+    /// The parts of its prompt, if the caller names them.
+    pub prompt: Option<PromptParts>,
 }
 
 impl HostedRequest {
@@ -80,6 +82,12 @@
         ])
     }
 
+    /// Returns what the request holds that may crash an upstream of a service.
+    pub fn causes(&self, service: &str) -> Causes {
+        let workspace = self.workspace.as_deref().unwrap_or_default();
+        Causes::new(self.content(), service, workspace, self.prompt.as_ref())
+    }
+
     /// Returns the priority used by admission; larger values are served first.
     pub fn priority(&self) -> Priority {
         Priority::MAX - self.urgency
--- a/crates/hatchpitch/src/relay/response.rs
+++ b/crates/hatchpitch/src/relay/response.rs
@@ -16,7 +16,7 @@
 use crate::entry::EntryCx;
 use crate::grants::Slot;
 use crate::metrics::Count;
-use crate::quarantine::ContentId;
+use crate::quarantine::Causes;
 use crate::quarantine::observer::{self, RunLocation};
 use crate::routing::Verdict;
 
@@ -33,21 +33,22 @@
     parts.version = Version::HTTP_11;
 }
 
-/// Streams a response that is too large to be buffered: first the bytes received so far, then the
-/// rest of the body as it arrives.
+/// Streams a response that is too large to be buffered: first the bytes received so far, which `begun`
+/// holds, then the rest of the body as it arrives.
 pub(super) fn forward(
     relay: &Rc<Relay>,
     req: &Rc<HostedRequest>,
+    causes: Rc<Causes>,
     mut slot: Slot,
-    mut parts: Parts,
-    first: Bytes,
+    begun: Response<Bytes>,
     mut check: EndCheck,
     mut body: Incoming,
 ) -> Response<Body> {
+    let (mut parts, first) = begun.into_parts();
     adapt_head(&mut parts);
     let (mut tx, out) = Body::stream(BUFFERED_CHUNKS);
     let out = out.framed(check.framing());
-    let (cx, content) = (relay.cx.clone(), req.content());
+    let cx = relay.cx.clone();
     let (active, end) = (relay.cx.begin_request(), req.end());
     let route = req.route.name.clone();
     compio::runtime::spawn(async move {
@@ -58,7 +59,7 @@
         let ending = match compio::time::timeout(left, forwarded).await {
             Ok(Ok(())) => {
                 let left = end.saturating_duration_since(clock::now()).min(STREAM_STATE_TIMEOUT);
-                Ok(check.judge(&cx, place, content, left).await.at_announced())
+                Ok(check.judge(&cx, place, &causes, left).await.at_announced())
             }
             Ok(Err(err)) => Err(err.to_string()),
             // Dropping the sender breaks the response off.
@@ -67,7 +68,7 @@
         match ending {
             Ok(Ending::Complete) => {
                 slot.finish(Verdict::Succeeded, None);
-                observer::record_answer(&cx, content);
+                observer::record_answer(&cx, &causes);
                 tx.finish();
             }
             Ok(Ending::Open(state)) => {
@@ -75,10 +76,10 @@
                 slot.finish(open_end_verdict(state), None);
                 tx.finish();
             }
-            Ok(Ending::Truncated(cause)) => break_off(&cx, place, content, cause, tx),
+            Ok(Ending::Truncated(cause)) => break_off(&cx, place, &causes, cause, tx),
             // The error may stem from a caller that disconnected. The observer tells this apart by
             // checking the upstream, which still serves then.
-            Err(cause) => break_off(&cx, place, content, &cause, tx),
+            Err(cause) => break_off(&cx, place, &causes, &cause, tx),
         }
         drop(active);
     })
@@ -90,12 +91,12 @@
 fn break_off(
     cx: &Rc<EntryCx>,
     place: RunLocation<'_>,
-    content: ContentId,
+    causes: &Causes,
     cause: &str,
     tx: BodySender,
 ) {
     log::info!(upstream = place.upstream; "large response was not forwarded: {cause}");
-    observer::record_interruption(cx, place, content, None);
+    observer::record_interruption(cx, place, causes, None);
     tx.abort();
 }
 
--- a/crates/hatchpitch/src/relay/resume.rs
+++ b/crates/hatchpitch/src/relay/resume.rs
@@ -11,6 +11,7 @@
 use super::stream::{EventStream, StreamEnd};
 use crate::metrics::Count;
 use crate::moves::{MoveOutcome, Moved};
+use crate::quarantine::observer;
 use crate::reachability::SendOptions;
 use crate::upstream_signals::task as upstream_signals;
 
@@ -60,6 +61,9 @@
             Ok(Err(_)) | Err(_) => return Err("the move did not end in time".to_owned()),
         };
         self.splitter.discard_incomplete();
+        if observer::is_held(&self.relay.cx, &self.causes) {
+            return Err("its request was held while it was moved".to_owned());
+        }
         self.resume(moved).await.map(Some)
     }
 
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -23,7 +23,7 @@
 use crate::ids::{FailureDomainName, RunnerName, ServiceName, new_id};
 use crate::metrics::{Count, Timing};
 use crate::outcome::{Outcome, Problem};
-use crate::quarantine::ContentId;
+use crate::quarantine::Causes;
 use crate::quarantine::observer::{self, RunLocation};
 use crate::reachability::SendOptions;
 use crate::routing::Verdict;
@@ -82,7 +82,7 @@
 struct Run {
     relay: Rc<Relay>,
     req: Rc<HostedRequest>,
-    content: ContentId,
+    causes: Rc<Causes>,
     service: ServiceName,
     /// Failure domains whose upstreams may run the request; empty means all.
     within: Vec<FailureDomainName>,
@@ -103,11 +103,11 @@
 impl Run {
     fn new(relay: Rc<Relay>, req: Rc<HostedRequest>) -> Self {
         let service = req.route.choose_service(&mut rand::rng()).to_owned();
-        let content = req.content();
+        let causes = Rc::new(req.causes(&service));
         Self {
             relay,
             req,
-            content,
+            causes,
             service,
             within: Vec::new(),
             tried: RefCell::default(),
@@ -166,9 +166,9 @@
             && self.relay.run_times.borrow().is_too_late(&self.req.route.name, waited, left)
     }
 
-    /// Refuses a request whose content is quarantined because it crashed upstreams.
+    /// Refuses a request with a content or a part of its prompt that is held for crashing upstreams.
     fn check_quarantine(&self) -> Result<(), Problem> {
-        observer::check(&self.relay.cx, &self.content).map_err(|problem| {
+        observer::check(&self.relay.cx, &self.causes).map_err(|problem| {
             match self.possible_runs.get() {
                 0 => problem,
                 _ => Problem::unknown(StatusCode::BAD_GATEWAY, "upstream_lost", problem.message),
@@ -176,10 +176,11 @@
         })
     }
 
-    /// Records that an upstream broke off the run.
-    fn note_break(&self, slot: &Slot) {
+    /// Records that an upstream broke off the run. `started` is when the run is known to have started
+    /// there, if at all.
+    fn note_break(&self, slot: &Slot, started: Option<Instant>) {
         let place = RunLocation { upstream: &slot.runner, addr: slot.addr };
-        observer::record_interruption(&self.relay.cx, place, self.content, None);
+        observer::record_interruption(&self.relay.cx, place, &self.causes, started);
     }
 
     /// Decides how to continue after an attempt that gave no final response.
@@ -388,7 +389,7 @@
             };
             slot.finish(verdict, None);
             if err.step == SendStep::AwaitHead && !self.req.time_left(clock::now()).is_zero() {
-                self.note_break(&slot);
+                self.note_break(&slot, None);
             }
             self.send_failure(&err)
         })?;
@@ -421,7 +422,7 @@
             return Ok(stream::forward(
                 &self.relay,
                 self.req.clone(),
-                self.content,
+                self.causes.clone(),
                 &self.service,
                 slot,
                 parts,
@@ -457,7 +458,7 @@
         mut check: EndCheck,
         mut body: Incoming,
     ) -> Result<Response<Body>, Failure> {
-        let mut buf = BytesMut::new();
+        let (mut buf, started) = (BytesMut::new(), clock::now());
         loop {
             match read_stream(&mut body).await {
                 Ok(Some(chunk)) => {
@@ -465,16 +466,18 @@
                     buf.extend_from_slice(&chunk);
                 }
                 Ok(None) => break,
-                Err(err) => return Err(self.broken_response(&mut slot, &err.to_string())),
+                Err(err) => {
+                    return Err(self.broken_response(&mut slot, started, &err.to_string()));
+                }
             }
             if buf.len() > MAX_BUFFERED_RESPONSE {
-                let first = buf.freeze();
+                let begun = Response::from_parts(parts, buf.freeze());
                 return Ok(response::forward(
                     &self.relay,
                     &self.req,
+                    self.causes.clone(),
                     slot,
-                    parts,
-                    first,
+                    begun,
                     check,
                     body,
                 ));
@@ -483,17 +486,19 @@
         let place = RunLocation { upstream: &slot.runner, addr: slot.addr };
         // A response that is there must not be lost to the time limit of the request.
         let limit = (self.req.time_left(clock::now()) / 2).min(BUFFERED_STATE_TIMEOUT);
-        let ending = check.judge(&self.relay.cx, place, self.content, limit).await;
+        let ending = check.judge(&self.relay.cx, place, &self.causes, limit).await;
         let verdict = match ending.at_announced() {
             Ending::Complete => {
-                observer::record_answer(&self.relay.cx, self.content);
+                observer::record_answer(&self.relay.cx, &self.causes);
                 Verdict::Succeeded
             }
             Ending::Open(state) => {
                 self.relay.cx.metrics.count(Count::OpenEnded, &self.req.route.name);
                 open_end_verdict(state)
             }
-            Ending::Truncated(cause) => return Err(self.broken_response(&mut slot, cause)),
+            Ending::Truncated(cause) => {
+                return Err(self.broken_response(&mut slot, started, cause));
+            }
         };
         let failed = parts.status.is_server_error();
         slot.finish(if failed { Verdict::Released } else { verdict }, None);
@@ -502,9 +507,9 @@
     }
 
     /// Records that the upstream broke off its response.
-    fn broken_response(&self, slot: &mut Slot, cause: &str) -> Failure {
+    fn broken_response(&self, slot: &mut Slot, started: Instant, cause: &str) -> Failure {
         slot.finish(Verdict::Faulty, None);
-        self.note_break(slot);
+        self.note_break(slot, Some(started));
         Failure::MayHaveRun { cause: format!("{}: {cause}", slot.runner) }
     }
 
@@ -539,7 +544,7 @@
     fn log_attempt(&self, runner: &str, failure: &Failure, started: Instant) {
         let (outcome, cause) = failure.describe();
         log::info!(
-            request = self.req.id.as_str(), content:% = self.content,
+            request = self.req.id.as_str(), content:% = self.causes.content(),
             route = self.req.route.name.as_str(), service = self.service.as_str(),
             upstream = runner, outcome = outcome, cause = &*cause,
             took_ms = clock::since(started).as_millis(),
@@ -555,7 +560,7 @@
             Err(problem) => (problem.status, problem.outcome, problem.message.as_str()),
         };
         log::info!(
-            request = self.req.id.as_str(), content:% = self.content,
+            request = self.req.id.as_str(), content:% = self.causes.content(),
             route = self.req.route.name.as_str(), service = self.service.as_str(),
             workspace = self.req.workspace.as_deref().unwrap_or(""),
             urgency = self.req.urgency, status = status.as_u16(), outcome = outcome.as_str(),
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -21,8 +21,9 @@
 use crate::ids::{RunnerName, ServiceName};
 use crate::metrics::{Count, STALL_THRESHOLD, Timing};
 use crate::moves::mover::Moving;
-use crate::quarantine::ContentId;
+use crate::quarantine::Causes;
 use crate::quarantine::observer::{self, RunLocation, UpstreamState};
+use crate::quarantine::state::START_WINDOW;
 use crate::routing::Verdict;
 
 /// Chunks buffered between upstream and caller.
@@ -50,7 +51,7 @@
 pub(super) fn forward(
     relay: &Rc<Relay>,
     req: Rc<HostedRequest>,
-    content: ContentId,
+    causes: Rc<Causes>,
     service: &str,
     slot: Slot,
     mut parts: Parts,
@@ -59,7 +60,7 @@
     let framing = Framing::of_response(&req.method, &parts);
     adapt_head(&mut parts);
     let (tx, out) = Body::stream(BUFFERED_CHUNKS);
-    let mut stream = EventStream::new(relay.clone(), req, content, service.to_owned(), slot);
+    let mut stream = EventStream::new(relay.clone(), req, causes, service.to_owned(), slot);
     stream.start(framing);
     let out = out.framed(stream.caller_framing);
     compio::runtime::spawn(stream.run(body, tx)).detach();
@@ -69,7 +70,7 @@
 pub(super) struct EventStream {
     pub(super) relay: Rc<Relay>,
     pub(super) req: Rc<HostedRequest>,
-    pub(super) content: ContentId,
+    pub(super) causes: Rc<Causes>,
     pub(super) slot: Slot,
     pub(super) service: ServiceName,
     pub(super) splitter: EventSplitter,
@@ -100,6 +101,8 @@
     pub(super) stopped_at: Option<Instant>,
     /// Whether an event came on the current link.
     pub(super) link_has_events: bool,
+    /// Whether the run has gone on for longer than its prompt takes to crash a runner.
+    has_outlived_start: bool,
     /// Delays the shutdown of the process until the stream has ended.
     _active: ActiveGuard,
 }
@@ -116,7 +119,7 @@
     fn new(
         relay: Rc<Relay>,
         req: Rc<HostedRequest>,
-        content: ContentId,
+        causes: Rc<Causes>,
         service: ServiceName,
         slot: Slot,
     ) -> Self {
@@ -125,7 +128,7 @@
         Self {
             relay,
             req,
-            content,
+            causes,
             slot,
             service,
             splitter: EventSplitter::default(),
@@ -144,6 +147,7 @@
             longest_gap_at: (runner.clone(), false),
             last_engine: runner,
             link_has_events: false,
+            has_outlived_start: false,
             _active: active,
         }
     }
@@ -252,7 +256,7 @@
             end => end,
         };
         match &end {
-            StreamEnd::Whole => observer::record_answer(&self.relay.cx, self.content),
+            StreamEnd::Whole => observer::record_answer(&self.relay.cx, &self.causes),
             StreamEnd::Broken(_) => self.note_break(Some(self.link_start)),
             _ => {}
         }
@@ -270,7 +274,7 @@
         let place = RunLocation { upstream: &self.slot.runner, addr: self.slot.addr };
         let started = Some(self.link_start);
         let limit = self.req.time_left(clock::now()).min(STREAM_STATE_TIMEOUT);
-        let ending = judge_open_end(&self.relay.cx, place, self.content, started, limit).await;
+        let ending = judge_open_end(&self.relay.cx, place, &self.causes, started, limit).await;
         match ending.at_announced() {
             Ending::Complete => StreamEnd::Whole,
             Ending::Truncated(cause) => StreamEnd::Broken(cause.to_owned()),
@@ -287,7 +291,7 @@
     /// started there, if at all.
     pub(super) fn note_break(&self, started: Option<Instant>) {
         let place = RunLocation { upstream: &self.slot.runner, addr: self.slot.addr };
-        observer::record_interruption(&self.relay.cx, place, self.content, started);
+        observer::record_interruption(&self.relay.cx, place, &self.causes, started);
     }
 
     async fn deliver(&self, tx: &mut BodySender, events: Bytes) -> Option<StreamEnd> {
@@ -305,6 +309,13 @@
     fn note_progress(&mut self) {
         let gap = clock::since(self.last_progress);
         self.record_pace(gap);
+        if !self.has_outlived_start
+            && self.link_has_events
+            && clock::since(self.link_start) >= START_WINDOW
+        {
+            self.has_outlived_start = true;
+            observer::record_progress(&self.relay.cx, &self.causes);
+        }
         let (metrics, route) = (&self.relay.cx.metrics, &self.req.route.name);
         let priority = self.req.priority();
         if self.first_event.is_none() {
@@ -370,7 +381,7 @@
             StreamEnd::OutOfTime => ("out_of_time", ""),
         };
         log::info!(
-            request = self.req.id.as_str(), content:% = self.content,
+            request = self.req.id.as_str(), content:% = self.causes.content(),
             route = self.req.route.name.as_str(), upstream = self.slot.runner.as_str(), outcome = outcome, cause = cause,
             framed = !self.framing.is_until_close(), events = self.splitter.events(), moves = self.moves,
             leaving = self.leaving_since.is_some(),
