Hold parts of prompts that crash upstreams

Callers whose prompts shared a part with crashing ones saw their answers broken off for as long as those came: a crash was counted against the whole contents of the requests that it interrupted, and no two of the crashing requests had the same content, so no count passed one.

The ledger now counts causes: the whole content of a request and each part of its prompt that the observing box did not see answered within 30 s. A part is held after three crashes, at once where boxes have had half a second to report an answer to it; boxes review each new list for that. Crashes at one moment count once if the part can't have caused all of that moment. A part is held for one workspace until it crashed upstreams for others as well, and only together with the causes that were in all of its runs until an answer or a crash tells them apart. Whole contents are held as before.

--- a/crates/cli/src/commands/quarantine.rs
+++ b/crates/cli/src/commands/quarantine.rs
@@ -28,7 +28,16 @@
     }
     let rows: Vec<Vec<String>> = held
         .iter()
-        .map(|request| vec![request.content.clone(), request.left_s.to_string()])
+        .map(|held| {
+            vec![
+                held.content.clone(),
+                held.left_s.to_string(),
+                if held.is_part { "part" } else { "request" }.to_owned(),
+                held.crashes.to_string(),
+                held.workspace.clone().unwrap_or_else(|| "all".to_owned()),
+                held.with.join(","),
+            ]
+        })
         .collect();
-    format_table(&["CONTENT", "SECONDS LEFT"], &rows)
+    format_table(&["CONTENT", "SECONDS LEFT", "KIND", "CRASHES", "WORKSPACE", "WITH"], &rows)
 }
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -10,6 +10,7 @@
 use hatchpitch_net::{BoxClient, clock};
 
 use super::machine::{Command, Machine, Order, Reply};
+use super::quarantine;
 use crate::config::feed::ConfigCell;
 use crate::ids::RunnerName;
 use crate::logging::unix_ms;
@@ -178,7 +179,11 @@
                 let machine = applied.machine.borrow();
                 applied.config.replace(&machine.config);
                 let evacuations_changed = applied.config.set_evacuations(&machine.evacuations);
+                let quarantine = applied.config.quarantine();
                 let quarantine_changed = applied.config.set_quarantine(machine.quarantine.list());
+                if quarantine_changed {
+                    quarantine::log_changes(&quarantine, &machine.quarantine);
+                }
                 if applied.config.number() != before || evacuations_changed || quarantine_changed {
                     applied.registry.wake();
                 }
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -29,9 +29,9 @@
 pub const MAX_BODY: usize = 64 * 1024 * 1024;
 /// Time within which a request body must arrive.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Interval between checks for held requests whose term has expired: a thousandth of the shortest
-/// term.
-const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(600);
+/// Interval between checks for held requests whose term has expired, and for decisions that are due:
+/// a part of prompts may crash several upstreams a second until it is held.
+const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between confirmations of the configuration while this box leads. Also the interval at
 /// which a box without a log checks whether a leader has contacted it.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
@@ -155,8 +155,8 @@
     }
 }
 
-/// Proposes an order without effect when the term of a held request has expired: applying any order
-/// advances the time of the state machine, which expires the request.
+/// Proposes an order without effect when the term of a held request has expired or a decision on one
+/// is due: applying any order advances the time of the state machine, which makes it.
 async fn expire_held_requests(cx: &ControlCx) {
     loop {
         compio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -22,6 +22,7 @@
 use crate::membership::state::{Membership, MembershipConfig};
 use crate::membership::task as membership_task;
 use crate::pace::task as pace;
+use crate::quarantine::observer;
 use crate::registry::follow::{self, FollowCallbacks};
 use crate::routing::task as routing;
 use crate::settings::EntrySettings;
@@ -146,7 +147,9 @@
         }),
         quarantine: Rc::new(move || quarantine_revision_cx.config.quarantine().revision),
         quarantined: Rc::new(move |list| {
-            quarantine_cx.config.set_quarantine(list);
+            if quarantine_cx.config.set_quarantine(list) {
+                observer::review_list(&quarantine_cx);
+            }
         }),
     };
     let name = cx.settings.name.clone();
--- a/crates/hatchpitch/src/quarantine/messages.rs
+++ b/crates/hatchpitch/src/quarantine/messages.rs
@@ -5,8 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::causes::{Causes, MAX_PARTS};
 use super::content::ContentId;
 use crate::claims::state::LogTime;
+use crate::ids::WorkspaceName;
 use crate::registry::LifeName;
 
 /// Revision number of a [`QuarantineList`]; a larger number is newer.
@@ -39,13 +41,26 @@
     pub runs: Vec<CrashedRun>,
 }
 
+/// The parts of a prompt that are suspected along with its whole content.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectedParts {
+    /// Workspace of the request.
+    pub workspace: WorkspaceName,
+    /// Parts that the observing box did not see answered recently.
+    pub parts: BTreeSet<ContentId>,
+}
+
 /// Observations of one box, as reported to the control leader.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
     /// Observed crashes.
     pub crashes: Vec<Crash>,
-    /// Held or watched contents that an upstream answered completely.
+    /// Held or watched causes that an upstream answered: whole contents completely, parts of prompts
+    /// at least for longer than they take to crash one.
     pub answered: BTreeSet<ContentId>,
+    /// Parts of the prompts of crashed runs, by whole content.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub prompts: BTreeMap<ContentId, SuspectedParts>,
 }
 
 impl Evidence {
@@ -58,6 +73,7 @@
     pub fn merge(&mut self, later: Self) {
         self.crashes.extend(later.crashes);
         self.answered.extend(later.answered);
+        self.prompts.extend(later.prompts);
         self.enforce_limits();
     }
 
@@ -73,27 +89,63 @@
         while self.answered.len() > MAX_REPORTED {
             self.answered.pop_first();
         }
+        let runs = self.crashes.iter().flat_map(|crash| &crash.runs);
+        let contents: BTreeSet<ContentId> = runs.map(|run| run.content).collect();
+        self.prompts.retain(|content, _| contents.contains(content));
+        for prompt in self.prompts.values_mut() {
+            while prompt.parts.len() > MAX_PARTS {
+                prompt.parts.pop_last();
+            }
+        }
+    }
+}
+
+/// What limits the hold of a part of prompts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condition {
+    /// The only workspace whose requests are refused; `None` for all workspaces.
+    pub workspace: Option<WorkspaceName>,
+    /// Causes that were in all crashed runs with the part, so that each of them may be the one that
+    /// crashes upstreams. Only requests that hold them as well are refused.
+    pub with: BTreeSet<ContentId>,
+}
+
+impl Condition {
+    fn applies_to(&self, causes: &Causes) -> bool {
+        self.workspace.as_ref().is_none_or(|only| only == causes.workspace())
+            && self.with.iter().all(|other| causes.contains(other))
     }
 }
 
-/// List of held and watched contents that control boxes distribute to entry boxes.
+/// List of held and watched causes that control boxes distribute to entry boxes.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineList {
     /// Revision number of the list; 0 before the first change.
     pub revision: Revision,
-    /// Held contents, which entry boxes refuse, with the time at which the hold ends.
+    /// Held causes, with the time at which the hold ends. Entry boxes refuse requests that have one.
     pub held: BTreeMap<ContentId, LogTime>,
-    /// Contents under suspicion, whose complete answers entry boxes report.
+    /// Causes under suspicion, whose answers entry boxes report.
     pub watched: BTreeSet<ContentId>,
+    /// Conditions of holds that are limited.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub conditions: BTreeMap<ContentId, Condition>,
 }
 
 impl QuarantineList {
-    /// Returns the time until which a content is held, if it is held.
+    /// Returns the time until which a cause is held, if it is held.
     pub fn held_until(&self, content: &ContentId) -> Option<LogTime> {
         self.held.get(content).copied()
     }
 
-    /// Returns whether entry boxes report complete answers to a content.
+    /// Returns a held cause of a request that is to be refused, and the time until which it is held.
+    pub fn find_held(&self, causes: &Causes) -> Option<(ContentId, LogTime)> {
+        let applies =
+            |id: &ContentId| self.conditions.get(id).is_none_or(|limit| limit.applies_to(causes));
+        let held = causes.ids().filter_map(|id| Some((id, self.held_until(&id)?)));
+        held.filter(|(id, _)| applies(id)).max_by_key(|(_, until)| *until)
+    }
+
+    /// Returns whether entry boxes report answers to a cause.
     pub fn wants_answer_reports(&self, content: &ContentId) -> bool {
         self.held.contains_key(content) || self.watched.contains(content)
     }
--- a/crates/hatchpitch/src/quarantine/mod.rs
+++ b/crates/hatchpitch/src/quarantine/mod.rs
@@ -11,8 +11,10 @@
 //! evacuated failure domains: with the configuration feed, and with the upstream updates that every
 //! entry box follows.
 
+mod blame;
 pub mod causes;
 pub mod content;
+pub mod holds;
 pub mod messages;
 pub mod observer;
 pub mod open_ends;
@@ -22,6 +24,8 @@
 
 pub use causes::{Causes, PartName, PromptParts};
 pub use content::ContentId;
-pub use messages::{Crash, CrashedRun, Evidence, QuarantineList, Revision};
+pub use messages::{
+    Condition, Crash, CrashedRun, Evidence, QuarantineList, Revision, SuspectedParts,
+};
 pub use observer::Observer;
 pub use state::Ledger;
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -10,7 +10,9 @@
 
 use super::causes::Causes;
 use super::content::ContentId;
-use super::messages::{Crash, CrashedRun, Evidence, MAX_REPORTED, MAX_RUNS_PER_CRASH};
+use super::messages::{
+    Crash, CrashedRun, Evidence, MAX_REPORTED, MAX_RUNS_PER_CRASH, SuspectedParts,
+};
 use super::open_ends::{OPEN_END_WINDOW, OpenEnds, REPLACEMENT_TIMEOUT};
 use super::recent::{RecentAnswers, RecentCauses};
 use super::state::Ledger;
@@ -46,6 +48,10 @@
 /// Time without a successful report after which this box relies on its own observations; it is
 /// longer than an election takes.
 const ISOLATED_AFTER: Duration = Duration::from_secs(2);
+/// Time for each box of the fleet over which the boxes spread the reports of their recent answers,
+/// since the first one makes the others needless, and its bound.
+const REPORT_SPREAD_PER_BOX: Duration = Duration::from_millis(2);
+const MAX_REPORT_SPREAD: Duration = Duration::from_millis(200);
 /// Minimum and maximum of the retry delay sent with a refusal.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_secs(1), Duration::from_secs(86_400));
@@ -90,6 +96,8 @@
     local: RefCell<Ledger>,
     /// Causes that were answered recently through this box.
     recent: RefCell<RecentAnswers>,
+    /// Recently answered causes that a task is about to report.
+    announced: RefCell<BTreeSet<ContentId>>,
 }
 
 impl Observer {
@@ -132,12 +140,12 @@
     // Without control boxes the observations of all boxes are not combined; three crashes seen by
     // this box suffice for a hold.
     let local = || {
-        let local = cx.quarantine.local.borrow();
-        local.list().held_until(&causes.content())
+        let mut local = cx.quarantine.local.borrow_mut();
+        local.expire(unix_ms());
+        local.list().find_held(causes)
     };
-    let listed = cx.config.quarantine().held_until(&causes.content());
-    let held = listed.or_else(|| cx.quarantine.is_isolated().then(local).flatten());
-    Some((causes.content(), held?))
+    let listed = cx.config.quarantine().find_held(causes);
+    listed.or_else(|| cx.quarantine.is_isolated().then(local).flatten())
 }
 
 /// Records that a run was interrupted, and starts to investigate its upstream. `started_at` is the
@@ -307,6 +315,32 @@
     submit(cx, Evidence { answered, ..Evidence::default() });
 }
 
+/// Reports which causes on a new list were answered recently through this box. The boxes that report
+/// crashes may not have seen these answers.
+pub fn review_list(cx: &Rc<EntryCx>) {
+    let (list, now) = (cx.config.quarantine(), clock::now());
+    let mut announced = cx.quarantine.announced.borrow_mut();
+    let recent = cx.quarantine.recent.borrow();
+    let listed = list.watched.iter().chain(list.held.keys());
+    let answered = listed.filter(|cause| recent.contains(cause, now) && announced.insert(**cause));
+    let answered: Vec<ContentId> = answered.copied().collect();
+    if answered.is_empty() {
+        return;
+    }
+    let boxes = cx.membership.borrow().serving_boxes().count();
+    let spread = REPORT_SPREAD_PER_BOX.saturating_mul(u32::try_from(boxes).unwrap_or(u32::MAX));
+    let delay = spread.min(MAX_REPORT_SPREAD).mul_f64(rand::random());
+    let cx = cx.clone();
+    compio::runtime::spawn(async move {
+        compio::time::sleep(delay).await;
+        let still_listed = |cause: &ContentId| is_tracked(&cx, cause);
+        let reported: BTreeSet<ContentId> = answered.iter().copied().filter(still_listed).collect();
+        report_answers(&cx, reported);
+        cx.quarantine.announced.borrow_mut().retain(|cause| !answered.contains(cause));
+    })
+    .detach();
+}
+
 /// Returns whether an upstream has announced that it leaves.
 fn is_leaving(cx: &EntryCx, life: &str) -> bool {
     let roster = cx.upstreams.roster.borrow();
@@ -331,23 +365,30 @@
     merge_runs(&mut runs, suspects(cx, ended));
     // A restarted upstream must not confirm the responses of the one that crashed.
     cx.quarantine.open_ends.borrow_mut().clear(&upstream);
+    let prompts = suspected_parts(cx, &runs);
     let contents: Vec<String> = runs.iter().map(|run| run.content.to_string()).collect();
-    let parts: Vec<String> = suspected_parts(cx, &runs).iter().map(ContentId::to_string).collect();
+    let parts = prompts.values().flat_map(|prompt| &prompt.parts);
+    let parts: Vec<String> = parts.map(ContentId::to_string).collect();
     log::warn!(
         upstream = life.as_str(), runs = runs.len(), contents = contents.join(",").as_str(),
         parts = parts.join(",").as_str();
         "an upstream crashed under these requests"
     );
     cx.metrics.count(Count::Crashes, "");
-    submit(cx, Evidence { crashes: vec![Crash { life, runs }], ..Evidence::default() });
+    submit(cx, Evidence { crashes: vec![Crash { life, runs }], prompts, ..Evidence::default() });
 }
 
 /// Returns the parts of the prompts of crashed runs that were not answered recently.
-fn suspected_parts(cx: &EntryCx, runs: &[CrashedRun]) -> BTreeSet<ContentId> {
+fn suspected_parts(cx: &EntryCx, runs: &[CrashedRun]) -> BTreeMap<ContentId, SuspectedParts> {
     let (recent, now) = (cx.quarantine.recent.borrow(), clock::now());
     let known = cx.quarantine.causes.borrow();
     let causes = runs.iter().filter_map(|run| known.get(&run.content));
-    causes.flat_map(Causes::parts).filter(|part| !recent.contains(part, now)).collect()
+    let prompts = causes.map(|causes| {
+        let parts = causes.parts().filter(|part| !recent.contains(part, now)).collect();
+        let workspace = causes.workspace().clone();
+        (causes.content(), SuspectedParts { workspace, parts })
+    });
+    prompts.filter(|(_, prompt)| !prompt.parts.is_empty()).collect()
 }
 
 /// Looks at an upstream after each interruption, until it is found to have crashed or the last
--- a/crates/hatchpitch/src/quarantine/verify.rs
+++ b/crates/hatchpitch/src/quarantine/verify.rs
@@ -1,7 +1,7 @@
 //! Checks the invariants of [`Ledger`].
 
-use super::messages::MAX_RUNS_PER_CRASH;
-use super::state::{Ledger, MAX_CRASHES, MAX_KNOWN, MAX_WATCHED};
+use super::messages::Condition;
+use super::state::{Ledger, MAX_CRASHES, MAX_KNOWN, MAX_SUSPECTS_PER_CRASH, MAX_WATCHED};
 
 /// Checks the invariants of a single state.
 ///
@@ -17,12 +17,15 @@
                 ));
             }
         }
-        if crash.runs.len() > MAX_RUNS_PER_CRASH {
+        if crash.runs.len() > MAX_SUSPECTS_PER_CRASH {
             return Err(format!(
-                "crash of {life} has {} runs, more than the limit",
+                "crash of {life} has {} suspects, more than the limit",
                 crash.runs.len()
             ));
         }
+        if crash.prompts.len() > MAX_SUSPECTS_PER_CRASH {
+            return Err(format!("crash of {life} has {} prompts", crash.prompts.len()));
+        }
     }
     for (content, lives) in &ledger.suspects {
         let ran = |life: &String| {
@@ -40,6 +43,17 @@
     if !held.map(|(content, known)| (content, &known.until)).eq(list.held.iter()) {
         return Err("held contents of the list differ from those of the ledger".to_owned());
     }
+    let conditions = ledger
+        .known
+        .iter()
+        .filter(|(_, known)| known.is_held && known.condition != Condition::default());
+    if !conditions.map(|(cause, known)| (cause, &known.condition)).eq(list.conditions.iter()) {
+        return Err("conditions of the list differ from those of the ledger".to_owned());
+    }
+    let mut suspects = ledger.parts.iter().chain(ledger.deferred.keys());
+    if let Some(cause) = suspects.find(|cause| !ledger.suspects.contains_key(cause)) {
+        return Err(format!("{cause} is kept as a suspect, but no crash of it is known"));
+    }
     if list.watched.len() > MAX_WATCHED || list.watched.iter().any(|c| list.held.contains_key(c)) {
         return Err("list watches too many contents, or a held content".to_owned());
     }
