Suspect a part of prompts soon after it starts to crash upstreams

A part that was answered within 30 s was not suspected, so one that turned bad crashed upstreams for as long. An answer now clears its parts for 5 s, and of one interruption. Other boxes still report the answers that they saw when a part is listed.

Tests: a restart of all processes, messages of chats that crash engines, with and without control boxes.

--- a/crates/e2e/tests/quarantine.rs
+++ b/crates/e2e/tests/quarantine.rs
@@ -229,3 +229,78 @@
     is_done.store(true, Ordering::SeqCst);
     Ok(())
 }
+
+/// Requests a chat of a system message and a user message; returns status and body.
+async fn chat(
+    fleet: &TestFleet,
+    at: usize,
+    system: &str,
+    user: &str,
+) -> anyhow::Result<(u16, String)> {
+    let messages = serde_json::json!([
+        {"role": "system", "content": system},
+        {"role": "user", "content": format!("{user} len=20")},
+    ]);
+    let body = serde_json::json!({"model": MODEL, "messages": messages}).to_string();
+    let (caller, addr) = (fleet.caller(0), fleet.entry_addrs[at]);
+    let path = "/v1/chat/completions";
+    let answer = caller.call(addr, Method::POST, path, HeaderMap::new(), body.into()).await?;
+    Ok((answer.0.status.as_u16(), String::from_utf8_lossy(&answer.1).into_owned()))
+}
+
+/// Sends chats with the system message `bad`, no two alike, to `boxes` in turn until one is refused.
+/// Engines crash before the first token of each; crashed ones are restarted.
+async fn chat_until_refused(fleet: &mut TestFleet, boxes: &[usize]) -> anyhow::Result<()> {
+    let started = Instant::now();
+    for n in 0.. {
+        for engine in 0..UPSTREAMS {
+            while fleet.set_fault(engine, Fault::Die { at: 0 }).await.is_err() {
+                fleet.engines[engine].restart()?;
+                compio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+        let at = boxes[n % boxes.len()];
+        let (_, body) = chat(fleet, at, "bad", &format!("user {n}")).await?;
+        if body.contains(QUARANTINED) {
+            break;
+        }
+        assert!(started.elapsed() < WAIT_TIMEOUT, "not refused: {body}");
+        compio::time::sleep(RETRY_PAUSE).await;
+    }
+    for engine in &mut fleet.engines {
+        engine.restart()?;
+    }
+    Ok(())
+}
+
+#[compio::test]
+async fn message_that_crashes_engines_is_counted_for_each_chat_alone() -> anyhow::Result<()> {
+    let spec = FleetSpec { entry: 2, engines: UPSTREAMS, apps: 0, ..FleetSpec::default() };
+    let mut fleet = TestFleet::start(spec).await?;
+    chat_until_refused(&mut fleet, &[0, 1]).await?;
+    let started = Instant::now();
+    while chat(&fleet, 0, "sound", "user 0").await?.0 != 200 {
+        assert!(started.elapsed() < WAIT_TIMEOUT, "other chats are not served");
+        compio::time::sleep(RETRY_PAUSE).await;
+    }
+    for at in [0, 1] {
+        let (status, body) = chat(&fleet, at, "bad", &format!("another user {at}")).await?;
+        assert!(status == 503 && body.contains("part 1 of 2 of the prompt"), "{status} {body}");
+        let (status, body) = chat(&fleet, at, "sound", "user 0").await?;
+        assert_eq!(status, 200, "{body}");
+    }
+    Ok(())
+}
+
+#[compio::test]
+async fn message_that_crashes_engines_is_missed_without_control_boxes() -> anyhow::Result<()> {
+    let spec = FleetSpec { entry: 2, engines: UPSTREAMS, apps: 0, ..FleetSpec::default() };
+    let mut fleet = TestFleet::start(spec).await?;
+    for control in &mut fleet.control {
+        control.kill();
+    }
+    chat_until_refused(&mut fleet, &[0]).await?;
+    let (status, body) = chat(&fleet, 0, "bad", "another user").await?;
+    assert!(status == 503 && body.contains("part 1 of 2 of the prompt"), "{status} {body}");
+    Ok(())
+}
--- a/crates/hatchpitch/src/quarantine/messages.rs
+++ b/crates/hatchpitch/src/quarantine/messages.rs
@@ -126,6 +126,9 @@
     pub held: BTreeMap<ContentId, LogTime>,
     /// Causes under suspicion, whose answers entry boxes report.
     pub watched: BTreeSet<ContentId>,
+    /// Those of the held and watched causes that are parts of prompts.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub parts: BTreeSet<ContentId>,
     /// Conditions of holds that are limited.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub conditions: BTreeMap<ContentId, Condition>,
--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -115,14 +115,20 @@
 /// Returns the refusal, with a retry delay.
 pub fn check(cx: &Rc<EntryCx>, causes: &Causes) -> Result<(), Problem> {
     let Some((cause, until)) = find_held(cx, causes) else { return Ok(()) };
-    if cx.quarantine.recent.borrow().contains(&cause, clock::now()) {
+    let part = causes.describe_part(&cause);
+    let (recent, now) = (cx.quarantine.recent.borrow(), clock::now());
+    let is_answered = match part {
+        Some(_) => recent.contains_part(&cause, now),
+        None => recent.contains(&cause, now),
+    };
+    drop(recent);
+    if is_answered {
         report_answers(cx, [cause].into());
         return Ok(());
     }
     let left = Duration::from_millis(until.saturating_sub(unix_ms()));
     let left = left.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
     cx.metrics.count(Count::Quarantined, "");
-    let part = causes.describe_part(&cause);
     log::info!(
         content:% = causes.content(), cause:% = cause, part = part.as_deref().unwrap_or(""),
         workspace = causes.workspace().as_str(), left_s = left.as_secs();
@@ -158,12 +164,21 @@
 ) {
     let ran_for = started_at.map(clock::since).unwrap_or_default();
     let run = CrashedRun { content: causes.content(), ran_for };
-    cx.quarantine.causes.borrow_mut().record(causes);
+    record_causes(cx, causes);
+    let mut recent = cx.quarantine.recent.borrow_mut();
+    causes.parts().for_each(|part| recent.record_interruption(part, clock::now()));
+    drop(recent);
     // Responses that ended just before may have been cut short by the same crash.
     let ended = cx.quarantine.open_ends.borrow().recent(location.upstream, clock::now());
     record_interrupted(cx, location, std::iter::once(run).chain(ended));
 }
 
+/// Stores the causes of a request that may turn out to be interrupted by a crash.
+fn record_causes(cx: &EntryCx, causes: &Causes) {
+    let answers = cx.quarantine.recent.borrow();
+    cx.quarantine.causes.borrow_mut().record(causes, &answers, clock::now());
+}
+
 /// Adds runs to the investigation of their upstream, which is started if necessary.
 fn record_interrupted(
     cx: &Rc<EntryCx>,
@@ -239,7 +254,7 @@
     }
     let ran_for = started_at.map(clock::since).unwrap_or_default();
     let run = CrashedRun { content: causes.content(), ran_for };
-    cx.quarantine.causes.borrow_mut().record(causes);
+    record_causes(cx, causes);
     if cx.quarantine.open_ends.borrow_mut().record(location.upstream, run, clock::now()) {
         let (cx, upstream, addr) = (cx.clone(), location.upstream.to_owned(), location.addr);
         compio::runtime::spawn(async move { watch(&cx, &upstream, addr).await }).detach();
@@ -321,8 +336,12 @@
     let (list, now) = (cx.config.quarantine(), clock::now());
     let mut announced = cx.quarantine.announced.borrow_mut();
     let recent = cx.quarantine.recent.borrow();
+    let is_recent = |cause: &ContentId| match list.parts.contains(cause) {
+        true => recent.contains_part(cause, now),
+        false => recent.contains(cause, now),
+    };
     let listed = list.watched.iter().chain(list.held.keys());
-    let answered = listed.filter(|cause| recent.contains(cause, now) && announced.insert(**cause));
+    let answered = listed.filter(|cause| is_recent(cause) && announced.insert(**cause));
     let answered: Vec<ContentId> = answered.copied().collect();
     if answered.is_empty() {
         return;
@@ -365,7 +384,11 @@
     merge_runs(&mut runs, suspects(cx, ended));
     // A restarted upstream must not confirm the responses of the one that crashed.
     cx.quarantine.open_ends.borrow_mut().clear(&upstream);
-    let prompts = suspected_parts(cx, &runs);
+    let causes = cx.quarantine.causes.borrow();
+    let prompts = runs.iter().map(|run| run.content);
+    let prompts = prompts.filter_map(|content| Some((content, causes.suspected_parts(&content)?)));
+    let prompts: BTreeMap<ContentId, SuspectedParts> = prompts.collect();
+    drop(causes);
     let contents: Vec<String> = runs.iter().map(|run| run.content.to_string()).collect();
     let parts = prompts.values().flat_map(|prompt| &prompt.parts);
     let parts: Vec<String> = parts.map(ContentId::to_string).collect();
@@ -378,19 +401,6 @@
     submit(cx, Evidence { crashes: vec![Crash { life, runs }], prompts, ..Evidence::default() });
 }
 
-/// Returns the parts of the prompts of crashed runs that were not answered recently.
-fn suspected_parts(cx: &EntryCx, runs: &[CrashedRun]) -> BTreeMap<ContentId, SuspectedParts> {
-    let (recent, now) = (cx.quarantine.recent.borrow(), clock::now());
-    let known = cx.quarantine.causes.borrow();
-    let causes = runs.iter().filter_map(|run| known.get(&run.content));
-    let prompts = causes.map(|causes| {
-        let parts = causes.parts().filter(|part| !recent.contains(part, now)).collect();
-        let workspace = causes.workspace().clone();
-        (causes.content(), SuspectedParts { workspace, parts })
-    });
-    prompts.filter(|(_, prompt)| !prompt.parts.is_empty()).collect()
-}
-
 /// Looks at an upstream after each interruption, until it is found to have crashed or the last
 /// interruption is too long ago.
 async fn find_crash(cx: &Rc<EntryCx>, upstream: &str, addr: SocketAddr) -> Option<Crash> {
--- a/crates/hatchpitch/src/quarantine/recent.rs
+++ b/crates/hatchpitch/src/quarantine/recent.rs
@@ -4,15 +4,23 @@
 //! involved in three crashes at once and would be held; once it is refused, no answer could clear
 //! it any more. A content that was answered just before is therefore not suspected.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::causes::Causes;
 use super::content::ContentId;
+use super::messages::SuspectedParts;
 
 /// Time for which an answer clears its content. A popular content is answered many times in it; a
 /// content that starts to crash upstreams is detected later by this time.
 pub const ANSWER_VALIDITY: Duration = Duration::from_secs(30);
+/// Time for which an answer clears the parts of its prompt. Other boxes report the answers that they
+/// saw in it, and one that starts to crash upstreams is to be found sooner than a whole content, as
+/// more requests hold it.
+pub const PART_ANSWER_VALIDITY: Duration = Duration::from_secs(5);
+/// Time within which the runs that one crash interrupts are interrupted, also where a failure domain is
+/// lost.
+const INTERRUPTION_WINDOW: Duration = Duration::from_millis(300);
 /// Maximum number of stored answers, 48 bytes each: 30 s at 50 answers per second to prompts of four
 /// parts.
 pub const MAX_RECENT_ANSWERS: usize = 8_192;
@@ -24,6 +32,8 @@
 #[derive(Debug, Default)]
 pub struct RecentAnswers {
     last: BTreeMap<ContentId, Instant>,
+    /// When a run with a part was first interrupted since the last answer to the part.
+    interrupted: BTreeMap<ContentId, Instant>,
     /// Answers by time; an entry is stale if its time differs from the one in `last`.
     order: VecDeque<(ContentId, Instant)>,
 }
@@ -32,6 +42,7 @@
     /// Records an answer and drops expired and excess entries.
     pub fn record(&mut self, content: ContentId, now: Instant) {
         self.last.insert(content, now);
+        self.interrupted.remove(&content);
         self.order.push_back((content, now));
         while let Some((first, at)) = self.order.front().copied() {
             let is_old = now.saturating_duration_since(at) >= ANSWER_VALIDITY;
@@ -41,6 +52,7 @@
             self.order.pop_front();
             if self.last.get(&first) == Some(&at) {
                 self.last.remove(&first);
+                self.interrupted.remove(&first);
             }
         }
     }
@@ -51,6 +63,23 @@
         at.is_some_and(|at| now.saturating_duration_since(*at) < ANSWER_VALIDITY)
     }
 
+    /// Records that a run with a part was interrupted. An answer that came before clears the part of
+    /// this interruption, and not of later ones.
+    pub fn record_interruption(&mut self, part: ContentId, now: Instant) {
+        if self.last.contains_key(&part) {
+            self.interrupted.entry(part).or_insert(now);
+        }
+    }
+
+    /// Returns whether a part of prompts was answered within [`PART_ANSWER_VALIDITY`] and no run with it
+    /// was interrupted in the meantime.
+    pub fn contains_part(&self, part: &ContentId, now: Instant) -> bool {
+        let age = |at: &Instant| now.saturating_duration_since(*at);
+        let interrupted = self.interrupted.get(part);
+        self.last.get(part).is_some_and(|at| age(at) < PART_ANSWER_VALIDITY)
+            && interrupted.is_none_or(|at| age(at) < INTERRUPTION_WINDOW)
+    }
+
     /// Returns the number of stored contents.
     pub fn len(&self) -> usize {
         self.last.len()
@@ -62,30 +91,48 @@
     }
 }
 
+/// The causes of a recent request.
+#[derive(Debug)]
+struct RecentRequest {
+    causes: Causes,
+    /// Parts of its prompt that were not answered shortly before.
+    suspected: BTreeSet<ContentId>,
+}
+
 /// Causes of recent requests, by whole content.
 #[derive(Debug, Default)]
 pub struct RecentCauses {
-    causes: BTreeMap<ContentId, Causes>,
+    requests: BTreeMap<ContentId, RecentRequest>,
     order: VecDeque<ContentId>,
 }
 
 impl RecentCauses {
-    /// Stores the causes of a request that has a prompt, and drops the oldest ones in excess.
-    pub fn record(&mut self, causes: &Causes) {
+    /// Stores the causes of a request that has a prompt, and drops the oldest ones in excess. Parts
+    /// that are among the recent answers are not suspected.
+    pub fn record(&mut self, causes: &Causes, answers: &RecentAnswers, now: Instant) {
         if causes.parts().next().is_none() {
             return;
         }
-        if self.causes.insert(causes.content(), causes.clone()).is_none() {
+        let suspected = causes.parts().filter(|part| !answers.contains_part(part, now)).collect();
+        let request = RecentRequest { causes: causes.clone(), suspected };
+        if self.requests.insert(causes.content(), request).is_none() {
             self.order.push_back(causes.content());
         }
         while self.order.len() > MAX_RECENT_CAUSES {
             let first = self.order.pop_front();
-            first.and_then(|first| self.causes.remove(&first));
+            first.and_then(|first| self.requests.remove(&first));
         }
     }
 
     /// Returns the causes of the request with this content.
     pub fn get(&self, content: &ContentId) -> Option<&Causes> {
-        self.causes.get(content)
+        self.requests.get(content).map(|request| &request.causes)
+    }
+
+    /// Returns the suspected parts of the prompt of the request with this content, if it has any.
+    pub fn suspected_parts(&self, content: &ContentId) -> Option<SuspectedParts> {
+        let request = self.requests.get(content)?;
+        let (workspace, parts) = (request.causes.workspace().clone(), request.suspected.clone());
+        (!parts.is_empty()).then_some(SuspectedParts { workspace, parts })
     }
 }
--- a/crates/hatchpitch/src/quarantine/state.rs
+++ b/crates/hatchpitch/src/quarantine/state.rs
@@ -330,10 +330,10 @@
                 self.list.conditions.remove(cause);
             }
         };
+        let is_part = self.is_part(cause) || known.is_some_and(|known| known.is_part);
         let crash_count = self.suspects.get(cause).map_or(0, BTreeSet::len);
-        let is_watched = crash_count >= CRASHES_TO_WATCH
-            || known.is_some()
-            || (crash_count > 0 && self.is_part(cause));
+        let is_watched =
+            crash_count >= CRASHES_TO_WATCH || known.is_some() || (crash_count > 0 && is_part);
         if !is_watched || self.list.held.contains_key(cause) {
             self.list.watched.remove(cause);
         } else if self.list.watched.len() < MAX_WATCHED {
@@ -341,6 +341,12 @@
         } else if crash_count >= CRASHES_TO_WATCH && !self.list.watched.contains(cause) {
             self.replace_watched(*cause);
         }
+        let is_listed = self.list.held.contains_key(cause) || self.list.watched.contains(cause);
+        if is_part && is_listed {
+            self.list.parts.insert(*cause);
+        } else {
+            self.list.parts.remove(cause);
+        }
     }
 
     /// Watches a cause in place of a part that ran in a single crash, if there is one.
@@ -351,6 +357,7 @@
         };
         let Some(other) = self.list.watched.iter().find(has_one_crash).copied() else { return };
         self.list.watched.remove(&other);
+        self.list.parts.remove(&other);
         self.list.watched.insert(cause);
     }
 }
@@ -358,10 +365,10 @@
 /// Maximum number of companions of a held part. Fewer companions refuse more requests, so the limit
 /// may refuse sound ones that share as many parts.
 pub const MAX_COMPANIONS: usize = 4;
-/// Maximum encoded size of the list, in bytes: 18 for each cause with its marker, 9 for each end of a
-/// term, the conditions of holds with the name of a workspace, and the field names.
+/// Maximum encoded size of the list, in bytes: 18 for each cause with its marker, and as much again for
+/// a part of prompts, 9 for each end of a term, the conditions of holds with the name of a workspace, and the field names.
 pub const MAX_LIST_BYTES: usize =
-    MAX_KNOWN * (27 + 18 + MAX_COMPANIONS * 18 + 96) + MAX_WATCHED * 18 + 96;
+    MAX_KNOWN * (45 + 18 + MAX_COMPANIONS * 18 + 96) + MAX_WATCHED * 36 + 96;
 
 const _: () =
     assert!(MAX_REPORTED <= MAX_CRASHES, "the crashes of one message must all fit into the ledger");
--- a/crates/hatchpitch/src/quarantine/verify.rs
+++ b/crates/hatchpitch/src/quarantine/verify.rs
@@ -1,5 +1,6 @@
 //! Checks the invariants of [`Ledger`].
 
+use super::content::ContentId;
 use super::messages::Condition;
 use super::state::{Ledger, MAX_CRASHES, MAX_KNOWN, MAX_SUSPECTS_PER_CRASH, MAX_WATCHED};
 
@@ -54,6 +55,10 @@
     if let Some(cause) = suspects.find(|cause| !ledger.suspects.contains_key(cause)) {
         return Err(format!("{cause} is kept as a suspect, but no crash of it is known"));
     }
+    let is_listed = |part: &ContentId| list.held.contains_key(part) || list.watched.contains(part);
+    if !list.parts.iter().all(is_listed) {
+        return Err("list names parts that it neither holds nor watches".to_owned());
+    }
     if list.watched.len() > MAX_WATCHED || list.watched.iter().any(|c| list.held.contains_key(c)) {
         return Err("list watches too many contents, or a held content".to_owned());
     }
--- a/crates/hatchpitch/tests/quarantine_parts.rs
+++ b/crates/hatchpitch/tests/quarantine_parts.rs
@@ -6,7 +6,7 @@
 use hatchpitch::claims::state::LogTime;
 use hatchpitch::quarantine::causes::{MAX_PART_NAME, MAX_PARTS};
 use hatchpitch::quarantine::holds::SETTLING_TIME;
-use hatchpitch::quarantine::recent::RecentAnswers;
+use hatchpitch::quarantine::recent::{PART_ANSWER_VALIDITY, RecentAnswers};
 use hatchpitch::quarantine::state::{
     CRASH_RETENTION, CRASHES_TO_HOLD, INITIAL_TERM, MAX_CRASHES, MAX_KNOWN, MAX_LIST_BYTES,
 };
@@ -422,6 +422,24 @@
     assert!(received.find_held(&poison.into()).is_some());
 }
 
+#[test]
+fn answer_clears_its_parts_of_one_interruption() {
+    let (mut recent, now) = (RecentAnswers::default(), Instant::now());
+    recent.record(part("a"), now);
+    let later = |ms| now + Duration::from_millis(ms);
+    assert!(recent.contains_part(&part("a"), later(1_000)));
+    recent.record_interruption(part("a"), later(1_000));
+    // Other upstreams of a failure domain are lost at the same moment.
+    assert!(recent.contains_part(&part("a"), later(1_100)));
+    recent.record_interruption(part("a"), later(1_100));
+    assert!(!recent.contains_part(&part("a"), later(1_500)), "a second crash");
+    recent.record(part("a"), later(1_600));
+    assert!(recent.contains_part(&part("a"), later(1_700)), "answered again");
+    assert!(!recent.contains_part(&part("a"), later(1_600) + PART_ANSWER_VALIDITY));
+    recent.record_interruption(part("never answered"), now);
+    assert!(!recent.contains_part(&part("never answered"), now));
+}
+
 /// A box of the replay: the answers that it saw.
 #[derive(Default)]
 struct SimBox {
@@ -495,12 +513,13 @@
                 lives[at] += 1;
                 let found = now + Duration::from_millis(80);
                 for (at_box, causes, began) in running[at].drain(..) {
-                    let recent = &boxes[at_box].recent;
+                    let recent = &mut boxes[at_box].recent;
                     let mut evidence =
                         crash(&format!("i-{at}-{}", lives[at]), &[(&causes, ms(found - began))]);
                     for prompt in evidence.prompts.values_mut() {
-                        prompt.parts.retain(|part| !recent.contains(part, now));
+                        prompt.parts.retain(|part| !recent.contains_part(part, now));
                     }
+                    causes.parts().for_each(|part| recent.record_interruption(part, now));
                     pending.push((checked.now + rng.random_range(200..350), evidence));
                 }
             }
@@ -512,7 +531,7 @@
         if checked.ledger.list().revision != revision {
             let list = checked.ledger.list();
             let listed = list.watched.iter().chain(list.held.keys());
-            let known = |id: &&ContentId| boxes.iter().any(|it| it.recent.contains(id, now));
+            let known = |id: &&ContentId| boxes.iter().any(|it| it.recent.contains_part(id, now));
             let known: BTreeSet<ContentId> = listed.filter(known).copied().collect();
             if !known.is_empty() {
                 pending.push((checked.now + rng.random_range(50..200), answered(known)));
