Review parts of prompts alone when a list arrives, and only crashes interrupt their answers

A box reported its recent answers to whole contents as well, which would clear one that was answered shortly before it began to crash upstreams; those are cleared by answers after their crashes, as before. Runs that a leaving upstream interrupts took the recent answers of their parts away.

--- a/crates/hatchpitch/src/quarantine/observer.rs
+++ b/crates/hatchpitch/src/quarantine/observer.rs
@@ -96,7 +96,7 @@
     local: RefCell<Ledger>,
     /// Causes that were answered recently through this box.
     recent: RefCell<RecentAnswers>,
-    /// Recently answered causes that a task is about to report.
+    /// Recently answered parts of prompts that a task is about to report.
     announced: RefCell<BTreeSet<ContentId>>,
 }
 
@@ -162,6 +162,10 @@
     causes: &Causes,
     started_at: Option<Instant>,
 ) {
+    if is_leaving(cx, location.upstream) {
+        // A leaving upstream interrupts the runs that it cannot finish; that is no crash.
+        return;
+    }
     let ran_for = started_at.map(clock::since).unwrap_or_default();
     let run = CrashedRun { content: causes.content(), ran_for };
     record_causes(cx, causes);
@@ -186,7 +190,6 @@
     runs: impl IntoIterator<Item = CrashedRun>,
 ) {
     if is_leaving(cx, location.upstream) {
-        // A leaving upstream interrupts the runs that it cannot finish; that is no crash.
         return;
     }
     let suspects = suspects(cx, runs);
@@ -326,22 +329,18 @@
         return;
     }
     let causes: Vec<String> = answered.iter().map(ContentId::to_string).collect();
-    log::info!(causes = causes.join(",").as_str(); "requests that were suspected are answered");
+    log::info!(content = causes.join(",").as_str(); "a request that was suspected is answered");
     submit(cx, Evidence { answered, ..Evidence::default() });
 }
 
-/// Reports which causes on a new list were answered recently through this box. The boxes that report
-/// crashes may not have seen these answers.
+/// Reports which parts of prompts on a new list were answered recently through this box. The boxes that
+/// report crashes may not have seen these answers.
 pub fn review_list(cx: &Rc<EntryCx>) {
     let (list, now) = (cx.config.quarantine(), clock::now());
     let mut announced = cx.quarantine.announced.borrow_mut();
     let recent = cx.quarantine.recent.borrow();
-    let is_recent = |cause: &ContentId| match list.parts.contains(cause) {
-        true => recent.contains_part(cause, now),
-        false => recent.contains(cause, now),
-    };
-    let listed = list.watched.iter().chain(list.held.keys());
-    let answered = listed.filter(|cause| is_recent(cause) && announced.insert(**cause));
+    let is_recent = |part: &&ContentId| recent.contains_part(part, now);
+    let answered = list.parts.iter().filter(is_recent).filter(|part| announced.insert(**part));
     let answered: Vec<ContentId> = answered.copied().collect();
     if answered.is_empty() {
         return;
