--- a/crates/hatchpitch/src/quarantine/causes.rs
+++ b/crates/hatchpitch/src/quarantine/causes.rs
@@ -61,18 +61,19 @@
         workspace: &str,
         prompt: Option<&PromptParts>,
     ) -> Self {
-        let mut parts: Vec<Part> = Vec::new();
-        if let Some(PromptParts { model, names }) = prompt {
-            let scope = [b"part" as &[u8], service.as_bytes(), model.as_bytes()];
-            for name in names.iter().flatten() {
-                let id = ContentId::of(&[scope[0], scope[1], scope[2], name.as_bytes()]);
-                parts.push(Part { id, name: name.clone() });
-            }
-            if names.is_none() {
-                let scope = [b"unlisted" as &[u8], service.as_bytes(), workspace.as_bytes()];
-                parts.push(Part { id: ContentId::of(&scope), name: UNLISTED.to_owned() });
-            }
-        }
+        let part = |PromptParts { model, .. }: &PromptParts, name: &PartName| {
+            let scope = [b"part", service.as_bytes(), model.as_bytes(), name.as_bytes()];
+            Part { id: ContentId::of(&scope), name: name.clone() }
+        };
+        let unlisted = || {
+            let scope = [b"unlisted", service.as_bytes(), workspace.as_bytes()];
+            Part { id: ContentId::of(&scope), name: UNLISTED.to_owned() }
+        };
+        let parts = prompt.map(|prompt| match &prompt.names {
+            Some(names) => names.iter().map(|name| part(prompt, name)).collect(),
+            None => vec![unlisted()],
+        });
+        let parts = parts.unwrap_or_default();
         Self { content, workspace: workspace.to_owned(), parts }
     }
 
--- a/crates/hatchpitch/src/quarantine/state.rs
+++ b/crates/hatchpitch/src/quarantine/state.rs
@@ -1,7 +1,7 @@
 //! Detection of requests that crash upstreams, as a deterministic state machine without I/O.
 //!
 //! A cause is what may crash an upstream: the whole content of a request, or a part of its prompt.
-//! Both are counted here in the same way; [`super::blame`] weighs crashes, [`super::holds`] decides.
+//! Both are counted here in the same way; `blame` weighs crashes, [`super::holds`] decides.
 //!
 //! The scenario: a request crashes every upstream that starts to run it, within about 100 ms, and
 //! is retried about once a second, at any box and with new ids. Other requests that run on the same
