--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 mod crash_at_end;
 mod fleet;
 mod forgotten_end;
+mod large_bodies;
 mod net;
 mod queued_at_stop;
 mod runner;
@@ -56,6 +57,7 @@
         "queued_at_stop" => queued_at_stop::play(&mut record, trouble),
         "forgotten_end" => forgotten_end::play(&mut record, trouble),
         "crash_at_end" => crash_at_end::play(&mut record, trouble),
+        "large_bodies" => large_bodies::play(&mut record, trouble),
         _ => Verdict::NotRun,
     };
     let (text, code) = match verdict {
