--- a/review/standins/crash_at_end.rs
+++ b/review/standins/crash_at_end.rs
@@ -184,7 +184,7 @@
         }
     }
     std::thread::sleep(Duration::from_secs(4));
-    if !(0..3).all(|at| fleet.is_ready(at)) {
+    if !fleet.await_ready() {
         record.note("a machine is not ready");
         return Verdict::NotRun;
     }
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -205,7 +205,19 @@
         None
     }
 
-    pub fn is_ready(&self, at: usize) -> bool {
+    /// Waits until all machines say that they are ready; returns whether they do.
+    pub fn await_ready(&self) -> bool {
+        let started = Instant::now();
+        while !(0..self.machines.len()).all(|at| self.is_ready(at)) {
+            if started.elapsed() > Duration::from_secs(20) {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        true
+    }
+
+    fn is_ready(&self, at: usize) -> bool {
         let to = self.addr(at, self.ports.ready);
         let answer = net::call(to, "GET", "/ready", "", "", Duration::from_secs(1));
         answer.is_ok_and(|(head, _)| head.status() == 200)
--- a/review/standins/large_bodies.rs
+++ b/review/standins/large_bodies.rs
@@ -45,6 +45,10 @@
         Runner::start(ip, &id, "wuno96b", &zone, 6, work, runs.clone()).register(control.clone());
     }
     std::thread::sleep(Duration::from_secs(4));
+    if !fleet.await_ready() {
+        record.note("a machine is not ready");
+        return Verdict::NotRun;
+    }
     let front = fleet.front(0);
     let pid = fleet.machines[0].entry.as_ref().map_or(0, std::process::Child::id);
     record.note(format!(
--- a/review/standins/slow_reader.rs
+++ b/review/standins/slow_reader.rs
@@ -50,7 +50,7 @@
         Runner::start(ip, &id, "wuno96b", &zone, 6, work, runs.clone()).register(control.clone());
     }
     std::thread::sleep(Duration::from_secs(4));
-    if !(0..3).all(|at| fleet.is_ready(at)) {
+    if !fleet.await_ready() {
         record.note("a machine is not ready");
         return Verdict::NotRun;
     }
