Refuse requests that a stopping box cannot serve in time

Callers whose requests waited in a box that was stopped lost their connections when it was killed: with 18 places and 24 unsafe requests of 12 s, six waited for 8.0 s after the signal, reached no upstream and got no answer. So did requests sent after the signal, and those whose bodies were still being read.

The shutdown waited for all requests, and nothing told the waiting ones that their time was over. That a wait was only too long for the queue is ruled out: its limit, 20 s, is longer than the 8 s that the process had, and a request that waits for a rest, a permit or its body passes no queue.

The box now knows when it will be killed. Requests in the box's own queues whose expected wait is more than twice the time left are refused at once. The refusal is a "not run" with a retry delay of zero, since any other box takes the request into its queue.

--- a/crates/hatchpitch/src/admission/gate.rs
+++ b/crates/hatchpitch/src/admission/gate.rs
@@ -155,6 +155,12 @@
         self.with_line(PoolScheduler::tick);
     }
 
+    /// Refuses waiting requests of this box that are not expected to start within the time that
+    /// `time_to_start` returns for their kind.
+    pub fn refuse_late(&self, refusal: &Refusal, time_to_start: impl Fn(&str) -> Option<Duration>) {
+        self.with_line(|line, _| line.refuse_late(refusal, time_to_start));
+    }
+
     /// Returns the numbers of requests that the queue refused since the last call.
     pub fn take_refusals(&self) -> QueueRefusals {
         self.0.borrow_mut().line.take_refusals()
--- a/crates/hatchpitch/src/admission/recheck.rs
+++ b/crates/hatchpitch/src/admission/recheck.rs
@@ -19,7 +19,7 @@
 /// Factor by which the expected wait must exceed the remaining time. The estimate is a mean over
 /// requests of all lengths, of which few run at each engine: with 1.5, up to a ninth of the requests
 /// that were found could still be served late.
-const MARGIN: f64 = 2.0;
+pub const MARGIN: f64 = 2.0;
 /// Time by which the expected wait must exceed the remaining time in addition.
 const MIN_EXCESS: Duration = Duration::from_millis(100);
 /// Time for which a request must be doubtful before it is refused. Changes of the fleet arrive one
--- a/crates/hatchpitch/src/admission/state.rs
+++ b/crates/hatchpitch/src/admission/state.rs
@@ -286,6 +286,14 @@
         interval.saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX))
     }
 
+    /// Returns the waiting requests in service order, each with its expected wait. Empty while the
+    /// time between grants that the runners sustain is not known.
+    pub fn expected_starts(&self) -> Vec<(Ticket, Duration)> {
+        let Some(interval) = self.service_interval else { return Vec::new() };
+        let in_order = self.on_time.iter().chain(&self.overdue).zip(0_u32..);
+        in_order.map(|((_, _, ticket), ahead)| (*ticket, interval * ahead)).collect()
+    }
+
     /// Returns the time after which a refused caller should retry.
     pub fn retry_after(&self, workspace: &str, priority: Priority) -> Duration {
         self.expected_wait(workspace, priority).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -14,7 +14,7 @@
 use super::request::{DEFAULT_OUTPUT_TOKENS, Refusal, SlotRequest};
 use super::search::Quote;
 use crate::admission::lengths::LengthModel;
-use crate::admission::recheck::Untimely;
+use crate::admission::recheck::{MARGIN, Untimely};
 use crate::admission::returns::ReturnSchedule;
 use crate::admission::state::{AdmissionConfig, AdmissionQueue, Enqueued, Ticket, Waiter};
 use crate::ids::{AttemptId, RequestKind};
@@ -37,6 +37,8 @@
 pub const RESTING: &str = "every upstream that could take it asked for rest or is at its limit";
 /// Cause of a refusal if no eligible runner takes work.
 pub const NO_RUNNER: &str = "no runner of the pool takes work";
+/// Cause of a refusal if the expected wait is longer than the request accepts.
+pub const LONG_WAIT: &str = "more wait than can be served in time";
 /// Cause of a refusal if a queued request can no longer start in time.
 pub const UNTIMELY: &str = "the request can no longer start within the time that it allows";
 /// Range of the jitter added to retry delays that end with the same rest period, so that the load
@@ -171,8 +173,7 @@
             Enqueued::Refused => {
                 self.refusals.on_arrival += 1;
                 let retry_after = self.retry_after(req, Duration::ZERO, now);
-                let cause = "more wait than can be served in time";
-                return Decision::Refuse(Refusal::new(cause, retry_after));
+                return Decision::Refuse(Refusal::new(LONG_WAIT, retry_after));
             }
         };
         self.waiting.insert(ticket, req.clone());
@@ -375,6 +376,28 @@
         self.answers.push(Answer { ticket: untimely.ticket, id: req.id, slot });
     }
 
+    /// Refuses queued requests of this box whose expected wait exceeds the time that is left for a
+    /// request of their kind to start, if there is such a limit.
+    pub fn refuse_late(
+        &mut self,
+        refusal: &Refusal,
+        time_to_start: impl Fn(&str) -> Option<Duration>,
+    ) {
+        for (ticket, expected) in self.queue.expected_starts() {
+            let Some(req) = self.waiting.get(&ticket).filter(|req| req.sends_here) else {
+                continue;
+            };
+            let Some(left) = time_to_start(&req.kind) else { continue };
+            if expected <= left.mul_f64(MARGIN) {
+                continue;
+            }
+            self.queue.cancel(ticket);
+            if let Some(req) = self.waiting.remove(&ticket) {
+                self.answers.push(Answer { ticket, id: req.id, slot: Err(refusal.clone()) });
+            }
+        }
+    }
+
     /// Finds the first queued request, in service order, that fits on an engine, and takes a slot
     /// for it.
     fn next_fitting(&mut self, now: Instant) -> Option<(Ticket, RunnerSpec)> {
--- a/crates/hatchpitch/src/dispatch/search.rs
+++ b/crates/hatchpitch/src/dispatch/search.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::request::Refusal;
+use super::scheduler::LONG_WAIT;
 
 /// Owners in the request's own failure domain that are asked for quotes per round. Two choices
 /// give most of the benefit of load-aware balancing; more only add traffic.
@@ -151,9 +152,7 @@
         }
         self.busy.sort_unstable_by(|a, b| b.cmp(a));
         match self.busy.pop() {
-            Some((wait, _)) if wait > self.accepts => {
-                Step::Refuse(Refusal::new("more wait than can be served in time", wait))
-            }
+            Some((wait, _)) if wait > self.accepts => Step::Refuse(Refusal::new(LONG_WAIT, wait)),
             Some((_, owner)) => Step::Wait(owner),
             None => Step::DecideLocally,
         }
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -21,6 +21,7 @@
 use crate::config::view::{FleetView, ServiceView};
 use crate::config::{ServiceUpstream, Workspace};
 use crate::dispatch::scheduler::RESTING;
+use crate::drain::Stopping;
 use crate::engine::adapter::head_signals;
 use crate::ids::{Digest, Priority, new_id};
 use crate::metrics::Count;
@@ -152,7 +153,13 @@
         let mut last_cause = None;
         let mut ran = false;
         let mut candidates = self.candidates();
-        while let Some(upstream) = self.next_upstream(&mut candidates).await {
+        loop {
+            let upstream = match self.wait_for_upstream(&mut candidates).await {
+                Ok(Some(upstream)) => upstream,
+                Ok(None) => break,
+                Err(Stopping) if ran => return Err(self.problem(last_cause, true)),
+                Err(stopping) => return Err(stopping.problem()),
+            };
             match self.send(&upstream).await {
                 Ok(answer) => return Ok(answer_response(answer)),
                 Err(failure) => {
@@ -184,8 +191,11 @@
         let asked_at = clock::now();
         let mut claim_guard = ClaimGuard::new(self.cx.clone(), id, claim.attempt.clone());
         let span = self.span.child("claim");
-        let outcome = self.cx.claims.claim(&claim).await;
+        let claimed =
+            self.cx.drain.wait(&self.service.service.name, self.cx.claims.claim(&claim)).await;
         drop(span);
+        // The claim may have been committed nevertheless; dropping `claim_guard` settles it.
+        let outcome = claimed.map_err(Stopping::problem)?;
         match outcome {
             Some(ClaimOutcome::Granted) => {}
             None => {
@@ -215,7 +225,9 @@
     async fn run_claimed(&self, claim_guard: &mut ClaimGuard) -> Result<Response<Body>, Problem> {
         let mut last_cause = None;
         let mut candidates = self.candidates();
-        while let Some(upstream) = self.next_upstream(&mut candidates).await {
+        while let Some(upstream) =
+            self.wait_for_upstream(&mut candidates).await.map_err(Stopping::problem)?
+        {
             claim_guard.settlement = Settlement::Unknown;
             match self.send(&upstream).await {
                 Ok(answer) => {
@@ -239,6 +251,15 @@
         Candidates { remaining, attempts: 0, denied_permits: 0, available_in: None }
     }
 
+    /// Returns the next upstream as [`Self::next_upstream`] does, unless the box stops before the
+    /// call could be served.
+    async fn wait_for_upstream(
+        &self,
+        candidates: &mut Candidates,
+    ) -> Result<Option<ServiceUpstream>, Stopping> {
+        self.cx.drain.wait(&self.service.service.name, self.next_upstream(candidates)).await
+    }
+
     /// Returns the next upstream that the call may be sent to, after obtaining a permit for it.
     async fn next_upstream(&self, candidates: &mut Candidates) -> Option<ServiceUpstream> {
         if candidates.attempts >= MAX_ATTEMPTS {
@@ -313,9 +334,11 @@
     async fn send(&self, upstream: &ServiceUpstream) -> Result<AppAnswer, AppFailure> {
         let mut span = self.span.child("app.call");
         span.note("upstream", &upstream.name);
+        let mut timer = self.cx.drain.start_run(&self.service.service.name);
         let sent = self.exchange(upstream, &span.traceparent()).await;
         match &sent {
             Ok(answer) if !answer.framing.is_until_close() => {
+                timer.succeed(clock::now());
                 observer::record_answer(&self.cx, &self.causes);
             }
             Ok(_) => self.cx.metrics.count(Count::OpenEnded, &self.service.service.name),
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -16,6 +16,7 @@
 use super::operators;
 use crate::config::{FleetView, Workspace};
 use crate::discovery::{self, Endpoints};
+use crate::drain::Stopping;
 use crate::metrics::Count;
 use crate::outcome::{Outcome, Problem, json_response, text_response};
 use crate::pace::task as pace;
@@ -100,12 +101,12 @@
         "/v1/chat/completions" | "/v1/completions" => {
             require_method(Method::POST, &req)?;
             let chat = path.contains("chat");
-            let body = read_request_body(cx, req.into_body()).await?;
+            let body = read_request_body(cx, &workspace.name, req.into_body()).await?;
             completions::serve(cx.clone(), &view, workspace, &body, chat, span).await
         }
         _ => match path.strip_prefix("/apps/").map(split_service_name) {
             Some((service, rest)) => {
-                let call = read_app_call(cx, req, rest.to_owned()).await?;
+                let call = read_app_call(cx, service, req, rest.to_owned()).await?;
                 apps::serve(cx.clone(), &view, workspace, service, call, span).await
             }
             None => {
@@ -128,11 +129,12 @@
 /// Reads a request to a service. `path` is the path below the service name.
 async fn read_app_call(
     cx: &EntryCx,
+    service: &str,
     req: Request<Incoming>,
     path: String,
 ) -> Result<AppCall, Problem> {
     let (parts, incoming) = req.into_parts();
-    let body = read_request_body(cx, incoming).await?;
+    let body = read_request_body(cx, service, incoming).await?;
     let path = match parts.uri.query() {
         Some(query) => format!("{path}?{query}"),
         None => path,
@@ -140,10 +142,12 @@
     Ok(AppCall { method: parts.method, path, headers: parts.headers, body })
 }
 
-/// Reads a request body within the limits of the settings.
-async fn read_request_body(cx: &EntryCx, incoming: Incoming) -> Result<Bytes, Problem> {
+/// Reads the body of a request of a kind within the limits of the settings.
+async fn read_request_body(cx: &EntryCx, kind: &str, incoming: Incoming) -> Result<Bytes, Problem> {
     let max = cx.settings.limits.max_body;
-    read_body(incoming, max, cx.settings.timing.body_timeout).await.map_err(body_problem)
+    let body = read_body(incoming, max, cx.settings.timing.body_timeout);
+    let body = cx.drain.wait(kind, body).await.map_err(Stopping::problem)?;
+    body.map_err(body_problem)
 }
 
 /// Returns the problem for a request body that could not be read.
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -17,6 +17,7 @@
 use crate::config::{FleetView, Runner};
 use crate::control::leader::LeaderClient;
 use crate::dispatch::owners::OwnerMap;
+use crate::drain::{Drain, Stopping};
 use crate::evacuation::Revision;
 use crate::grants::{GrantTable, HeldSlots};
 use crate::ids::{ConfigNumber, FailureDomainName, PoolName, RegionName, WorkspaceName};
@@ -107,6 +108,8 @@
     pub retry_budgets: RefCell<RetryBudgets>,
     /// Whether new work is accepted.
     pub intake: Cell<Intake>,
+    /// The graceful shutdown.
+    pub drain: Drain,
     /// Turns for moving generations off leaving runners.
     pub move_turns: RefCell<Turns>,
     /// Turns for copying generations to runners, separate from those of the sources.
@@ -159,6 +162,7 @@
         let pace = RefCell::new(Collector::new(settings.policy.pick));
         Rc::new(Self {
             tracer: Tracer::new(settings.name.clone()),
+            drain: Drain::new(settings.timing.stop_limit),
             settings,
             config: ConfigCell::new(boxes.backlog().clone()),
             membership,
@@ -436,16 +440,21 @@
     /// start the configuration may be missing until the control boxes have elected a leader, and a
     /// late answer is better for callers than a refusal. For a caller with a time limit the wait is
     /// shorter, so that it can still try another box.
-    pub async fn await_config(&self, caller_timeout: Option<Duration>) {
+    ///
+    /// # Errors
+    ///
+    /// Returns a problem if this box stops and the request cannot be served any more.
+    pub async fn await_config(&self, caller_timeout: Option<Duration>) -> Result<(), Problem> {
         let limit = caller_timeout.map_or(MAX_CONFIG_WAIT, |timeout| {
             (timeout / CONFIG_WAIT_DIVISOR).min(MAX_CONFIG_WAIT)
         });
         let started = clock::now();
-        while (self.config.number() == 0 || !self.config_is_fresh())
-            && clock::since(started) < limit
-        {
-            compio::time::sleep(CONFIG_POLL_INTERVAL).await;
+        let is_missing = || self.config.number() == 0 || !self.config_is_fresh();
+        while is_missing() && clock::since(started) < limit {
+            let pause = compio::time::sleep(CONFIG_POLL_INTERVAL);
+            self.drain.wait("", pause).await.map_err(Stopping::problem)?;
         }
+        Ok(())
     }
 
     /// Checks that the box is not stopping and that its configuration is fresh.
@@ -455,9 +464,7 @@
     /// Returns the problem with which new work is refused, with the time after which to retry.
     pub fn check_intake(&self) -> Result<(), Problem> {
         if self.intake.get() == Intake::Closed {
-            let message = "this box is stopping; use another one";
-            let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "stopping", message);
-            return Err(problem.retry_after(Duration::ZERO));
+            return Err(Stopping.problem());
         }
         if self.config.number() == 0 {
             let message = "this box knows no configuration yet";
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -13,6 +13,7 @@
 use super::{boxes, callers};
 use crate::backlog_monitor;
 use crate::config::feed;
+use crate::drain;
 use crate::essential::spawn_essential;
 use crate::grants::task as grants;
 use crate::ids::ConfigNumber;
@@ -82,7 +83,9 @@
     signals::on_sighup(move || reloaded(&reload_cx), stop.clone());
 
     signals::stop_requested().await?;
+    cx.drain.begin(clock::now());
     begin_drain(&cx);
+    compio::runtime::spawn(drain::task::run(cx.clone(), stop)).detach();
     let second_stop = signals::stop_requested().fuse();
     let drained = drained(&cx).fuse();
     futures_util::pin_mut!(second_stop, drained);
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -574,5 +574,6 @@
         sends_here: true,
         ..SlotRequest::default()
     };
-    grants::task::obtain(cx, &job.pool, req).await
+    let obtained = cx.drain.wait(&job.workspace, grants::task::obtain(cx, &job.pool, req)).await;
+    obtained.unwrap_or_else(|stopping| Err(stopping.refusal()))
 }
--- a/crates/hatchpitch/src/grants/slot.rs
+++ b/crates/hatchpitch/src/grants/slot.rs
@@ -9,6 +9,8 @@
 use super::messages::ReleaseRequest;
 use super::task::{CALL_TIMEOUT, RELEASE_PATH, release};
 use crate::admission::Permit;
+use crate::dispatch::SlotRequest;
+use crate::drain::RunTimer;
 use crate::entry::EntryCx;
 use crate::ids::{AttemptId, FailureDomainName, RunnerName};
 use crate::routing::{RunReport, Verdict};
@@ -27,6 +29,8 @@
     source: GrantSource,
     /// Time of the grant.
     since: Instant,
+    /// Counts the run in the estimates of run times.
+    timer: RunTimer,
     report: RunReport,
 }
 
@@ -42,6 +46,9 @@
     /// Sets the verdict on the engine and the number of output tokens in the report that is sent
     /// with the release.
     pub fn finish(&mut self, verdict: Verdict, tokens: Option<u64>) {
+        if verdict == Verdict::Succeeded {
+            self.timer.succeed(clock::now());
+        }
         self.report.verdict = verdict;
         self.report.tokens = tokens;
     }
@@ -86,15 +93,16 @@
     }
 
     /// Creates a slot that this box granted to itself.
-    pub(super) fn local(cx: &Rc<EntryCx>, id: AttemptId, permit: Permit) -> Self {
+    pub(super) fn local(cx: &Rc<EntryCx>, want: &SlotRequest, permit: Permit) -> Self {
         Self {
             cx: cx.clone(),
             runner: permit.runner.name.clone(),
             addr: permit.runner.addr,
             failure_domain: permit.runner.failure_domain.clone(),
-            id,
+            id: want.id.clone(),
             source: GrantSource::Local(Box::new(permit)),
             since: clock::now(),
+            timer: cx.drain.start_run(&want.kind),
             report: RunReport::RELEASED,
         }
     }
@@ -102,7 +110,7 @@
     /// Creates a slot that the owner of the engine granted.
     pub(super) fn from_owner(
         cx: &Rc<EntryCx>,
-        id: AttemptId,
+        want: &SlotRequest,
         runner: RunnerName,
         addr: SocketAddr,
         failure_domain: FailureDomainName,
@@ -112,9 +120,10 @@
             runner,
             addr,
             failure_domain,
-            id,
+            id: want.id.clone(),
             source: GrantSource::Owner,
             since: clock::now(),
+            timer: cx.drain.start_run(&want.kind),
             report: RunReport::RELEASED,
         }
     }
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -157,7 +157,7 @@
     loop {
         let permit = cx.gate(pool).admit(want.clone()).await?;
         match confirm_limit(cx, permit, &want).await {
-            Ok(permit) => return Ok(Slot::local(cx, want.id, permit)),
+            Ok(permit) => return Ok(Slot::local(cx, &want, permit)),
             Err(wait) if want.skips_limited => return Err(Refusal::new(AT_LIMIT, wait)),
             Err(_) => denied += 1,
         }
@@ -272,12 +272,11 @@
     async fn admit_without_owner(&self) -> Result<Slot, Refusal> {
         log::info!(run = self.want.id.as_str(), pool = self.pool.as_str(); "no owner in reach; this box decides");
         let gate = self.cx.fallback_gate(&self.pool);
-        let id = self.want.id.clone();
         let permit = gate.try_admit(&self.want)?;
         let none = || Refusal::new("no owner of the pool's engines answers", NO_OWNER_RETRY_AFTER);
         let confirmed = confirm_limit(&self.cx, permit.ok_or_else(none)?, &self.want).await;
         let permit = confirmed.map_err(|wait| Refusal::new(AT_LIMIT, wait))?;
-        Ok(Slot::local(&self.cx, id, permit))
+        Ok(Slot::local(&self.cx, &self.want, permit))
     }
 
     /// Requests quotes from owners concurrently. Owners that do not answer are omitted.
@@ -357,7 +356,7 @@
         failure_domain: FailureDomainName,
     ) -> Slot {
         self.record_held(owner, &runner);
-        Slot::from_owner(&self.cx, self.want.id.clone(), runner, addr, failure_domain)
+        Slot::from_owner(&self.cx, &self.want, runner, addr, failure_domain)
     }
 
     async fn ask_local(&self, ask: Ask) -> OwnerReply {
@@ -365,7 +364,7 @@
             GrantDecision::Quote(load) => OwnerReply::Quoted(Quote::Room(load)),
             GrantDecision::Permit(permit) => {
                 self.record_held(self.cx.settings.boxes_addr, &permit.runner.name);
-                OwnerReply::Slot(Box::new(Slot::local(&self.cx, self.want.id.clone(), *permit)))
+                OwnerReply::Slot(Box::new(Slot::local(&self.cx, &self.want, *permit)))
             }
             GrantDecision::Busy(wait) => OwnerReply::Busy(wait),
             GrantDecision::Refused(refusal) => OwnerReply::Refused(refusal),
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control;
 pub mod discovery;
 pub mod dispatch;
+pub mod drain;
 pub mod engine;
 pub mod entry;
 pub mod essential;
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -17,7 +17,9 @@
 use super::request::HostedRequest;
 use super::{response, stream};
 use crate::config::hosted::RunPolicy;
+use crate::dispatch::scheduler::LONG_WAIT;
 use crate::dispatch::{Refusal, SlotRequest};
+use crate::drain::Stopping;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
 use crate::ids::{FailureDomainName, RunnerName, ServiceName, new_id};
@@ -125,7 +127,8 @@
             if let Err(problem) = self.check_quarantine() {
                 return last.ok_or(problem);
             }
-            let slot = match self.acquire_slot().await {
+            let acquired = self.relay.cx.drain.wait(&self.req.route.name, self.acquire_slot());
+            let slot = match acquired.await.unwrap_or_else(|stopping| Err(stopping.refusal())) {
                 Ok(slot) => slot,
                 Err(refusal) => {
                     return last.map_or_else(|| Err(self.refused_after_tries(refusal)), Ok);
@@ -315,6 +318,12 @@
         let waits_as_brittle = !refuses_early && self.relay.cx.is_brittle(&self.service);
         let brittle_left = waits_as_brittle.then(|| self.req.time_left(clock::now()));
         let max_wait = needs.map(|_| aim.mul_f64(MAX_WAIT_FACTOR));
+        let time_to_start = self.relay.cx.drain.time_to_start(&self.req.route.name, clock::now());
+        let accepts = if refuses_early {
+            Some(aim.mul_f64(EXPECTED_WAIT_FRACTION))
+        } else {
+            brittle_left.map(|left| left.mul_f64(BRITTLE_WAIT_FRACTION))
+        };
         // The owner has to know when it is too late for the request.
         let until_end = settings.policy.requeue_checks.then(|| self.req.time_left(clock::now()));
         let want = SlotRequest {
@@ -328,11 +337,7 @@
             near: settings.policy.near.then(|| settings.failure_domain.clone()),
             copied: 0,
             max_wait: max_wait.into_iter().chain(until_end).min(),
-            accepts: if refuses_early {
-                Some(aim.mul_f64(EXPECTED_WAIT_FRACTION))
-            } else {
-                brittle_left.map(|left| left.mul_f64(BRITTLE_WAIT_FRACTION))
-            },
+            accepts: accepts.into_iter().chain(time_to_start).min(),
             // The queue settles at the accepted wait, so half of its requests exceed it. They are
             // still worth serving while time is left for them.
             overdue_after: brittle_left,
@@ -349,7 +354,13 @@
             let cause = "all upstreams of the service are in evacuated failure domains";
             return Err(Refusal::new(cause, EVACUATED_RETRY));
         }
-        let slot = obtain(&self.relay.cx, &self.service, want).await;
+        let slot = obtain(&self.relay.cx, &self.service, want).await.map_err(|refusal| {
+            let is_stopping = time_to_start.is_some_and(|left| accepts.is_none_or(|a| left < a));
+            match is_stopping && refusal.cause == LONG_WAIT {
+                true => Stopping.refusal(),
+                false => refusal,
+            }
+        });
         let (metrics, priority) = (&self.relay.cx.metrics, self.req.priority());
         metrics.time(Timing::Wait, &self.service, priority, clock::since(started));
         self.waited.set(self.waited.get() + clock::since(started));
--- a/crates/hatchpitch/src/settings/entry.rs
+++ b/crates/hatchpitch/src/settings/entry.rs
@@ -56,6 +56,7 @@
     head_timeout_ms: Option<Spanned<u64>>,
     endpoints_max_age_ms: Option<Spanned<u64>>,
     stop_grace_ms: Option<Spanned<u64>>,
+    stop_limit_ms: Option<Spanned<u64>>,
     config_max_age_ms: Option<Spanned<u64>>,
     max_wait_ms: Option<Spanned<u64>>,
     slow_caller_ms: Option<Spanned<u64>>,
@@ -86,6 +87,9 @@
     pub endpoints_max_age: Duration,
     /// How long a stopping box accepts new work; always longer than `endpoints_max_age`.
     pub stop_grace: Duration,
+    /// Time after which a stopping process ends or is killed, whatever is in progress; always
+    /// longer than `stop_grace`.
+    pub stop_limit: Duration,
     /// Maximum time since the last confirmation of the configuration; beyond it, new work is
     /// refused.
     pub config_max_age: Duration,
@@ -111,6 +115,7 @@
             head_timeout: Duration::from_secs(10),
             endpoints_max_age: Duration::from_secs(5),
             stop_grace: Duration::from_secs(7),
+            stop_limit: Duration::from_secs(3_600),
             config_max_age: Duration::from_secs(10),
             max_wait: Duration::from_secs(20),
             slow_caller: Duration::from_secs(15),
@@ -274,6 +279,7 @@
             default.endpoints_max_age,
         ),
         stop_grace: ms("stop_grace_ms", &raw.stop_grace_ms, 1_000..=900_000, default.stop_grace),
+        stop_limit: ms("stop_limit_ms", &raw.stop_limit_ms, 1_000..=86_400_000, default.stop_limit),
         config_max_age: ms(
             "config_max_age_ms",
             &raw.config_max_age_ms,
@@ -299,5 +305,10 @@
         let found = format!("{} ms", timing.stop_grace.as_millis());
         check.report(span, "timing.stop_grace_ms", found, "more than endpoints_max_age_ms");
     }
+    if timing.stop_limit <= timing.stop_grace {
+        let span = raw.stop_limit_ms.as_ref().map_or(0..0, Spanned::span);
+        let found = format!("{} ms", timing.stop_limit.as_millis());
+        check.report(span, "timing.stop_limit_ms", found, "more than stop_grace_ms");
+    }
     timing
 }
