Let further stop signals and early ones change nothing

A second SIGTERM cut off all requests in progress: with four requests at work and four waiting, all of 2.5 s, a SIGHUP and a second SIGTERM half a second apart left the callers without answers. Between the two signals, and while the process started, none of its listeners was registered: by reading, a SIGTERM would have killed it at once.

Cause: the second signal was taken for an order to end at once, and each wait for a signal registered its own listener, which restored the signal's default action when it was dropped. Both are unnecessary, since a process that is to end at once can be killed.

The signals are received from before the listeners are bound until the process ends. A stop during the start is served once the start is over; further signals are logged.

a_further_stop_signal_or_reload_cuts_requests_off failed on the code before (the callers got no answers) and passes now.

--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -23,7 +23,7 @@
 use crate::replication::disk::Disk;
 use crate::replication::{NodeId, Storage, bootstrap, task};
 use crate::settings::ControlSettings;
-use crate::signals;
+use crate::signals::{self, StopSignals};
 
 /// Maximum size of a request body from another box, in bytes.
 pub const MAX_BODY: usize = 64 * 1024 * 1024;
@@ -67,6 +67,7 @@
     reloaded: impl Fn(&Rc<ControlCx>) + 'static,
 ) -> anyhow::Result<()> {
     signals::prevent_sighup_termination().await;
+    let mut stop_signals = StopSignals::listen().await.context("stop signals")?;
     let disk = settings.data_folder.as_deref().map(open_disk).transpose()?;
     let id = disk.as_ref().map_or(Ok(NO_IDENTITY), bootstrap::identity)?;
     let (own, listen_ip) = (&settings.own, settings.listen_ip);
@@ -91,7 +92,7 @@
         Some(disk) => run_log(&cx, disk, stop.clone()).boxed_local(),
         None => follow_core(&cx, stop.clone()).boxed_local(),
     };
-    let ended = select(work, Box::pin(signals::stop_requested()));
+    let ended = select(work, Box::pin(stop_signals.next()));
     match ended.await {
         Either::Left((failed, _)) => failed?,
         Either::Right((asked, _)) => {
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -27,7 +27,7 @@
 use crate::registry::follow::{self, FollowCallbacks};
 use crate::routing::task as routing;
 use crate::settings::EntrySettings;
-use crate::signals;
+use crate::signals::{self, StopSignals};
 use crate::upstream_limits::task as upstream_limits;
 
 /// Time allowed for the feed to deliver a configuration that a control box reports, before it is
@@ -58,6 +58,7 @@
     reloaded: impl Fn(&Rc<EntryCx>) + 'static,
 ) -> anyhow::Result<()> {
     signals::prevent_sighup_termination().await;
+    let mut stop_signals = StopSignals::listen().await.context("stop signals")?;
     let listen_ip = settings.listen_ip;
     let callers = bind(bind_addr(settings.callers_addr, listen_ip)).await;
     let callers = callers.context("callers' listener")?;
@@ -82,17 +83,13 @@
     let reload_cx = cx.clone();
     signals::on_sighup(move || reloaded(&reload_cx), stop.clone());
 
-    signals::stop_requested().await?;
+    stop_signals.next().await?;
+    compio::runtime::spawn(stop_signals.log_further()).detach();
     cx.drain.begin(clock::now());
     begin_drain(&cx);
     compio::runtime::spawn(drain::task::run(cx.clone(), stop)).detach();
-    let second_stop = signals::stop_requested().fuse();
-    let drained = drained(&cx).fuse();
-    futures_util::pin_mut!(second_stop, drained);
-    futures_util::select! {
-        () = drained => log::info!("every request has its answer"),
-        _ = second_stop => log::warn!("cut short with {} requests in progress", cx.active()),
-    }
+    drained(&cx).await;
+    log::info!("every request has its answer");
     drop(stop_handle);
     listener::wait_closed(listeners).await;
     Ok(())
