Count an answer as given when its last byte has left

Callers behind slow links lost the ends of their answers when their box was stopped: eight callers at 100 KB/s, answers of 770 KB, a signal 0.5 s after the requests; the process ended 4.06 s after the signal, with 3.9 s of its time left, and all eight got about 702 KB.

Cause: a request counted as in progress until the HTTP library had its answer. After that the process gave its listeners 1 s. What a slow caller had not read was in buffers of the process by then. The upstreams had written their answers within 35 ms, so that they are ruled out.

Connections now track their answers until all buffers of the process are empty and, once the process stops, until the system has the acknowledgement of the last byte. The process ends when all are given or its time is over, and logs what it leaves. Connections on which no answer is due are closed at once; before, an unused one held its listener for the whole second. A connection whose request had a body is read until its caller closes it, for up to 2 s: closing it with unread input would reset it and could lose the refusal of a body that is still being sent.

--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -7,7 +7,7 @@
 use anyhow::Context as _;
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
-use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, clock, serve, stop_pair};
+use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, clock, stop_pair};
 
 use super::context::ControlCx;
 use super::machine::Order;
@@ -16,7 +16,7 @@
 use crate::commands::task as commands;
 use crate::config::feed;
 use crate::essential::spawn_essential;
-use crate::listener::{self, ExtraListener, bind_addr};
+use crate::listener::{ExtraListener, Listeners, bind_addr};
 use crate::logging::unix_ms;
 use crate::registry::peers;
 use crate::replication::bootstrap::BootstrapOutcome;
@@ -42,6 +42,8 @@
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between checks for the next leader during a hand-over.
 const HAND_OVER_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time that calls of operators and of boxes in progress get when a control process stops.
+const STOP_TIMEOUT: Duration = Duration::from_secs(1);
 /// Identity of a box without a disk; no replica has this identity.
 const NO_IDENTITY: NodeId = 0;
 
@@ -80,11 +82,10 @@
     log::info!("control box {} serves operators at {}", own.name, own.operators_addr);
     let (stop_handle, stop) = stop_pair();
     let limits = ServerLimits::default();
-    let mut listeners = vec![
-        compio::runtime::spawn(serve(operators, limits, operators_handler(&cx), stop.clone())),
-        compio::runtime::spawn(serve(boxes, limits, boxes_handler(&cx), stop.clone())),
-    ];
-    listeners.extend(listener::open(extra(&cx), listen_ip, &stop).await?);
+    let mut listeners = Listeners::new(stop.clone());
+    listeners.serve_callers(operators, limits, operators_handler(&cx));
+    listeners.serve_boxes(boxes, limits, boxes_handler(&cx));
+    listeners.open(extra(&cx), listen_ip).await?;
     spawn_tasks(&cx, &stop);
     let reload_cx = cx.clone();
     signals::on_sighup(move || reloaded(&reload_cx), stop.clone());
@@ -101,7 +102,9 @@
         }
     }
     drop(stop_handle);
-    listener::wait_closed(listeners).await;
+    if compio::time::timeout(STOP_TIMEOUT, listeners.wait_closed()).await.is_err() {
+        log::warn!("calls in progress are left as the time limit of {STOP_TIMEOUT:?} is over");
+    }
     Ok(())
 }
 
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -7,7 +7,8 @@
 
 use anyhow::Context as _;
 use futures_util::FutureExt;
-use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, clock, serve, stop_pair};
+use futures_util::future::{Either, select};
+use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, clock, stop_pair};
 
 use super::context::{EntryCx, Intake};
 use super::{boxes, callers};
@@ -17,7 +18,7 @@
 use crate::essential::spawn_essential;
 use crate::grants::task as grants;
 use crate::ids::ConfigNumber;
-use crate::listener::{self, ExtraListener, bind_addr};
+use crate::listener::{ExtraListener, Listeners, bind_addr};
 use crate::logging::unix_ms;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::state::{Membership, MembershipConfig};
@@ -37,7 +38,11 @@
 /// Interval at which startup and shutdown check whether they can proceed.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Runs an entry process until it is asked to stop and every request in progress has its answer.
+/// Time before the end of a stopping process at which it logs what it leaves.
+const REPORT_TIME: Duration = Duration::from_millis(250);
+
+/// Runs an entry process until it is asked to stop and every request in progress has its answer, or
+/// until the time that it has for this is over.
 ///
 /// # Errors
 ///
@@ -69,29 +74,42 @@
     log::info!("entry box {} serves callers at {}", cx.settings.name, cx.settings.callers_addr);
 
     let (stop_handle, stop) = stop_pair();
-    let mut listeners = vec![
-        compio::runtime::spawn(serve(
-            callers,
-            server_limits(&cx),
-            callers_handler(&cx),
-            stop.clone(),
-        )),
-        compio::runtime::spawn(serve(boxes, server_limits(&cx), boxes_handler(&cx), stop.clone())),
-    ];
-    listeners.extend(listener::open(extra(&cx), listen_ip, &stop).await?);
+    let mut listeners = Listeners::new(stop.clone());
+    listeners.serve_callers(callers, server_limits(&cx), callers_handler(&cx));
+    listeners.serve_boxes(boxes, server_limits(&cx), boxes_handler(&cx));
+    listeners.open(extra(&cx), listen_ip).await?;
     spawn_tasks(&cx, &stop);
     let reload_cx = cx.clone();
     signals::on_sighup(move || reloaded(&reload_cx), stop.clone());
 
     stop_signals.next().await?;
     compio::runtime::spawn(stop_signals.log_further()).detach();
-    cx.drain.begin(clock::now());
+    let begun = clock::now();
+    cx.drain.begin(begun);
     begin_drain(&cx);
     compio::runtime::spawn(drain::task::run(cx.clone(), stop)).detach();
-    drained(&cx).await;
-    log::info!("every request has its answer");
-    drop(stop_handle);
-    listener::wait_closed(listeners).await;
+    let pending = listeners.pending();
+    let finished = async {
+        drained(&cx).await;
+        log::info!("every request has its answer; {} are being sent", pending.count());
+        drop(stop_handle);
+        listeners.wait_closed().await;
+    };
+    let limit = cx.settings.timing.stop_limit;
+    let report = async {
+        compio::time::sleep(limit.saturating_sub(REPORT_TIME)).await;
+        let (active, pending) = (cx.active(), pending.count());
+        log::warn!(
+            active = active, pending = pending;
+            "cut short with {active} requests in progress and {pending} answers not sent whole, as \
+             the time limit of {limit:?} is over"
+        );
+        compio::time::sleep(limit.saturating_sub(clock::since(begun))).await;
+    };
+    match select(Box::pin(finished), Box::pin(report)).await {
+        Either::Left(((), _)) => log::info!("stopped {:?} after the signal", clock::since(begun)),
+        Either::Right(((), _)) => {}
+    }
     Ok(())
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! errors tell whether a request can have reached the peer ([`Upstream`]), and
 //! signed messages between boxes ([`BoxClient`]).
 
+pub mod answers;
 pub mod backlog;
 pub mod body;
 pub mod client;
@@ -17,6 +18,7 @@
 pub mod stop;
 mod stream;
 
+pub use answers::PendingAnswers;
 pub use backlog::{Backlog, Waiting};
 pub use body::{Body, BodyError, BodySender, read_body, read_stream};
 pub use client::{Connection, Listening, ProbedLink, SendError, SendStep, Upstream};
@@ -24,5 +26,5 @@
 pub use keys::{KeyId, KeyRing, SigningKey};
 pub use monitor::{Acknowledgements, ConnectionMonitor};
 pub use rpc::{BoxClient, CallError, CallStep, Traffic, open_message, rmp_response};
-pub use server::{Handler, ServerLimits, bind, query_value, serve};
+pub use server::{Handler, ServerLimits, bind, query_value, serve, serve_answers};
 pub use stop::{Stop, StopHandle, stop_pair};
--- a/crates/net/src/monitor.rs
+++ b/crates/net/src/monitor.rs
@@ -18,6 +18,21 @@
     pub last_age: Duration,
 }
 
+/// Returns the number of bytes that were sent on a connection and not acknowledged by its peer.
+///
+/// # Errors
+///
+/// Returns the system's error.
+pub(crate) fn unacknowledged_bytes(stream: &TcpStream) -> io::Result<usize> {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open while `stream` lives, and the system writes one integer.
+    let result = unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    if result != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(usize::try_from(bytes).unwrap_or(0))
+}
+
 /// Handle to the socket of a connection that is in use elsewhere. The socket stays open until the
 /// handle is dropped.
 pub struct ConnectionMonitor(TcpStream);
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -20,8 +20,9 @@
 
 use socket2::{SockRef, TcpKeepalive};
 
+use crate::answers::{AnswerTracker, TrackedBody};
 use crate::stream::{DEFAULT_IO_BYTES, Stream};
-use crate::{Body, Stop};
+use crate::{Body, PendingAnswers, Stop, monitor};
 
 /// Handles one request; the address is that of the caller.
 pub type Handler =
@@ -107,8 +108,19 @@
 }
 
 /// Serves connections until `stop` is set, then lets requests in progress finish and returns once
-/// every connection is closed.
+/// every connection is closed. Connections on which no answer is due are closed immediately.
 pub async fn serve(listener: TcpListener, limits: ServerLimits, handler: Handler, stop: Stop) {
+    serve_answers(listener, limits, handler, PendingAnswers::default(), stop).await;
+}
+
+/// Serves connections as [`serve`] does and counts the answers that are due in `pending`.
+pub async fn serve_answers(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: Handler,
+    pending: PendingAnswers,
+    stop: Stop,
+) {
     let open = Rc::new(Cell::new(0_usize));
     loop {
         let accepted = match select(Box::pin(listener.accept()), Box::pin(stop.wait())).await {
@@ -118,7 +130,9 @@
         match accepted {
             Ok((stream, peer)) if open.get() < limits.connections => {
                 open.set(open.get() + 1);
-                let task = serve_connection(stream, peer, limits, handler.clone(), stop.clone());
+                let tracker = Rc::new(AnswerTracker::new(pending.clone()));
+                let handler = handler.clone();
+                let task = serve_connection(stream, peer, limits, handler, tracker, stop.clone());
                 let open = open.clone();
                 compio::runtime::spawn(async move {
                     task.await;
@@ -142,12 +156,13 @@
     }
 }
 
-/// Serves one connection until it ends or `stop` is set and its request has finished.
+/// Serves one connection until it ends or `stop` is set and its caller has the answer that is due.
 async fn serve_connection(
     stream: TcpStream,
     peer: SocketAddr,
     limits: ServerLimits,
     handler: Handler,
+    tracker: Rc<AnswerTracker>,
     stop: Stop,
 ) {
     if let Err(err) = stream.set_nodelay(true) {
@@ -157,36 +172,73 @@
         log::debug!("set TCP timeouts for {peer}: {err}");
     }
     let reset = ResetOnClose::new(&stream);
+    let has_body = Cell::new(false);
     let service = service_fn(|req: Request<Incoming>| {
         let version = req.version();
+        has_body.set(!req.body().is_end_stream());
+        tracker.begin();
         let answer = handler(req, peer);
-        let reset = &reset;
-        async move { Ok::<_, Infallible>(prepare_framing(answer.await, version, reset)) }
+        let (reset, tracker) = (&reset, tracker.clone());
+        async move {
+            let res = prepare_framing(answer.await, version, reset);
+            Ok::<_, Infallible>(res.map(|body| TrackedBody::new(body, tracker)))
+        }
     });
     let conn = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.buffer)
-        .serve_connection(Stream::new(stream, limits.io_bytes), service);
+        .serve_connection(Stream::new(stream, limits.io_bytes).tracked(tracker.clone()), service);
     let mut conn = Box::pin(conn);
     let ended = match select(conn.as_mut(), Box::pin(stop.wait())).await {
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
             conn.as_mut().graceful_shutdown();
-            conn.as_mut().await
+            let Some(ended) = finish_answer(conn.as_mut(), &tracker).await else { return };
+            ended
         }
     };
     drop(conn);
     match ended {
-        Ok(()) if reset.is_set.get() => {
+        Ok(()) => {
+            // The caller may still be sending a body that was refused.
+            let lingers = reset.is_set.get() || has_body.get();
             reset.set(false);
-            drain(reset.socket).await;
+            if stop.is_set() {
+                tracker.begin();
+                await_sent(&reset.socket).await;
+            }
+            if lingers {
+                drain(reset.socket).await;
+            }
         }
-        Ok(()) => {}
         Err(err) => log::debug!("connection from {peer} ended: {err}"),
     }
 }
 
+/// Drives a connection until it ends. Returns `None` as soon as no answer is due on it: it would
+/// stay open until its caller sends a request.
+async fn finish_answer<T>(
+    mut conn: impl Future<Output = T> + Unpin,
+    tracker: &AnswerTracker,
+) -> Option<T> {
+    loop {
+        match compio::time::timeout(RETRY_INTERVAL, &mut conn).await {
+            Ok(ended) => return Some(ended),
+            Err(_) if !tracker.is_pending() => return None,
+            Err(_) => {}
+        }
+    }
+}
+
+/// Waits until the peer has acknowledged all that was sent. The system closes the connection if the
+/// peer stops acknowledging.
+async fn await_sent(socket: &TcpStream) {
+    while monitor::unacknowledged_bytes(socket).is_ok_and(|bytes| bytes > 0) {
+        compio::time::sleep(RETRY_INTERVAL).await;
+    }
+}
+
 /// Reads and discards what the caller sends until it closes the connection, for up to
 /// [`DRAIN_TIMEOUT`]. Closing a socket with unread input resets its connection, and the caller may
 /// lose the end of a response that it has not read yet.
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use compio::io::compat::AsyncStream;
@@ -13,6 +14,8 @@
 use futures_util::{AsyncBufRead, AsyncWrite};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use crate::answers::AnswerTracker;
+
 /// Default size of one read or write, in bytes. Larger sizes made no measurable difference.
 pub(crate) const DEFAULT_IO_BYTES: usize = 8 * 1024;
 /// Most bytes buffered for the socket, per connection. A window of this size carries 100 Mbit/s at
@@ -21,12 +24,23 @@
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 /// A TCP connection with bounded buffers.
-pub(crate) struct Stream(Pin<Box<AsyncStream<TcpStream>>>);
+pub(crate) struct Stream {
+    io: Pin<Box<AsyncStream<TcpStream>>>,
+    /// Told when all written bytes have left the buffers, if the connection serves requests.
+    tracker: Option<Rc<AnswerTracker>>,
+}
 
 impl Stream {
     /// Wraps a connected socket; `io_bytes` is the typical size of one read or write, in bytes.
     pub(crate) fn new(socket: TcpStream, io_bytes: usize) -> Self {
-        Self(Box::pin(AsyncStream::with_limits(io_bytes, MAX_BUFFER_BYTES, socket)))
+        let io = Box::pin(AsyncStream::with_limits(io_bytes, MAX_BUFFER_BYTES, socket));
+        Self { io, tracker: None }
+    }
+
+    /// Tells `tracker` when all written bytes have left the buffers.
+    pub(crate) fn tracked(mut self, tracker: Rc<AnswerTracker>) -> Self {
+        self.tracker = Some(tracker);
+        self
     }
 }
 
@@ -36,10 +50,10 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let received = ready!(self.0.as_mut().poll_fill_buf(cx))?;
+        let received = ready!(self.io.as_mut().poll_fill_buf(cx))?;
         let len = received.len().min(buf.remaining());
         buf.put_slice(&received[..len]);
-        self.0.as_mut().consume(len);
+        self.io.as_mut().consume(len);
         Poll::Ready(Ok(()))
     }
 }
@@ -50,7 +64,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.0.as_mut().poll_write(cx, buf)
+        self.io.as_mut().poll_write(cx, buf)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -63,14 +77,18 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.0.as_mut().poll_write_vectored(cx, bufs)
+        self.io.as_mut().poll_write_vectored(cx, bufs)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_flush(cx)
+        ready!(self.io.as_mut().poll_flush(cx))?;
+        if let Some(tracker) = &self.tracker {
+            tracker.record_flush();
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_close(cx)
+        self.io.as_mut().poll_close(cx)
     }
 }
