Hand a queue over when the engine gets another owner

Callers whose requests waited for an engine got 503 with a retry delay of 5 s when the box that owned the engine stopped, although the engine was sound and had a new owner. A box that joined had the same effect, as engines move to it.

Cause: the former owner loses its engines and takes the queue for one whose engines have all left. With that refusal it answered the boxes that had asked for a slot, which passed it on. The engines are ruled out: they ran the next requests.

An owner whose pool has other owners now answers that it owns no engine any more. The box that asked looks for the new owner 50 ms later and waits there; since the request was accepted once, it is not refused for its expected wait again, and the time that it waited counts. Boxes of before understand the answer and go on as they do for an owner that they cannot reach.

a_queue_is_refused_when_the_box_that_holds_it_stops failed on the code before ("no runner of the pool takes work", retry after 5,000 ms) and passes now. FleetSpec got the number of slots of an engine, without which no queue forms in a test fleet.

--- a/crates/bench/src/policies.rs
+++ b/crates/bench/src/policies.rs
@@ -131,6 +131,7 @@
             "head_timeout_ms = 60000".into(),
             format!("[policy]\n{settings}"),
         ],
+        ..FleetSpec::default()
     };
     let fleet = TestFleet::start(shape).await.context("starting the test fleet")?;
     let trace = generate(cfg.fleet, seed, capacity(cfg.fleet) * cfg.load, cfg.seconds);
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -47,6 +47,8 @@
     pub engines: usize,
     /// Number of application services.
     pub apps: usize,
+    /// Number of generations that the configuration allows at an engine at once.
+    pub max_batch: u32,
     /// Additional command-line arguments of every engine.
     pub engine_args: Vec<String>,
     /// Lines of the `[timing]` section in the settings of every entry box.
@@ -60,6 +62,7 @@
             entry: 3,
             engines: 2,
             apps: 1,
+            max_batch: 16,
             engine_args: Vec::new(),
             timing: vec!["endpoints_max_age_ms = 1000".into(), "stop_grace_ms = 1500".into()],
         }
@@ -264,8 +267,9 @@
             let _ = write!(
                 text,
                 "\n[[runner]]\nname = \"engine-{i}\"\npool = \"explain\"\naddr = \"{addr}\"\n\
-                 failure_domain = \"{}\"\nmax_batch = 16\n",
-                FAILURE_DOMAINS[i % FAILURE_DOMAINS.len()]
+                 failure_domain = \"{}\"\nmax_batch = {}\n",
+                FAILURE_DOMAINS[i % FAILURE_DOMAINS.len()],
+                self.spec.max_batch
             );
         }
         text.push_str(
--- a/crates/e2e/tests/streams.rs
+++ b/crates/e2e/tests/streams.rs
@@ -199,6 +199,34 @@
     Ok(())
 }
 
+// The owner of an engine refused the requests that waited for it when it stopped.
+#[compio::test]
+async fn a_queue_is_refused_when_the_box_that_holds_it_stops() -> anyhow::Result<()> {
+    let mut fleet =
+        TestFleet::start(FleetSpec { engines: 1, max_batch: 1, ..FleetSpec::default() }).await?;
+    // One of the boxes owns the engine.
+    for i in 0..3 {
+        let mut tasks = Vec::new();
+        for n in 0..6 {
+            let (caller, at) = (fleet.caller(n % 3), fleet.entry_addrs[n % 3]);
+            let prompt = format!("queue {i} {n} len=40");
+            tasks.push(compio::runtime::spawn(async move {
+                caller.chat(at, MODEL, &prompt, |_| true).await
+            }));
+        }
+        compio::time::sleep(Duration::from_millis(300)).await;
+        fleet.entry[i].signal(libc::SIGTERM);
+        for task in tasks {
+            let answer = task.await.expect("the caller task completed")?;
+            assert!(answer.complete, "entry-{i} was stopped: {:?}", answer.error);
+        }
+        assert!(fleet.entry[i].wait_end(WAIT_TIMEOUT).await, "entry-{i} did not exit");
+        fleet.entry[i].restart()?;
+        fleet.wait_in_force(1).await?;
+    }
+    Ok(())
+}
+
 #[compio::test]
 async fn leaving_box_is_not_listed_to_callers() -> anyhow::Result<()> {
     let fleet = TestFleet::start(FleetSpec::default()).await?;
--- a/crates/hatchpitch/src/dispatch/request.rs
+++ b/crates/hatchpitch/src/dispatch/request.rs
@@ -88,6 +88,16 @@
         }
     }
 
+    /// Adjusts the waits of a request that goes on waiting at another owner. It was accepted, so it
+    /// is not refused for its expected wait again.
+    pub fn continue_wait(&mut self, waited: Duration) {
+        self.overdue_after = self.overdue_after.or(self.accepts.take());
+        self.accepts = None;
+        for limit in [&mut self.max_wait, &mut self.overdue_after] {
+            *limit = limit.map(|limit| limit.saturating_sub(waited));
+        }
+    }
+
     /// Returns the pause that its stream has to keep, if any. A request that continues elsewhere may
     /// produce at most `max_tokens` more.
     pub(super) fn objective(&self, lengths: &LengthModel) -> Option<PauseObjective> {
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -122,6 +122,8 @@
     cx.intake.set(Intake::Leaving);
     let actions = cx.membership.borrow_mut().leave(clock::now());
     membership_task::perform(&cx.membership, &cx.boxes, actions);
+    // Hands the engines of this box, and the requests that wait for them, to their new owners.
+    cx.sync_gates();
     let cx = cx.clone();
     compio::runtime::spawn(async move {
         compio::time::sleep(cx.settings.timing.stop_grace).await;
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -13,7 +13,7 @@
     ReleaseRequest,
 };
 use super::slot::{Slot, send_release};
-use crate::admission::{Gate, Permit, Pick, Placement};
+use crate::admission::{Permit, Pick, Placement};
 use crate::dispatch::scheduler::{AT_LIMIT, NO_RUNNER, RESTING, unavailable_refusal};
 use crate::dispatch::search::Search;
 use crate::dispatch::{OwnerChoice, Quote, Refusal, SlotRequest, Step};
@@ -37,6 +37,9 @@
 /// Interval between checks for engines that changed owner: a tenth of the time in which a new owner
 /// fills an engine that it believes to be empty.
 const HAND_OVER_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for the news of new owners to arrive, before a request that waited at a former owner looks
+/// for them.
+const HAND_OVER_DELAY: Duration = Duration::from_millis(50);
 /// Timeout of a quote; a box that takes longer is skipped.
 const QUOTE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of a call that does not queue for a slot.
@@ -198,14 +201,16 @@
     /// No slot is available; the duration is the expected wait.
     Busy(Duration),
     Refused(Refusal),
-    /// The owner did not answer, or no longer owns engines of the pool.
+    /// The box owns no engines of the pool, or no longer.
+    NotOwner,
+    /// The owner did not answer.
     Unavailable,
 }
 
 impl OwnerSearch {
     async fn run(mut self) -> Result<Slot, Refusal> {
         let mut search = self.search();
-        let mut by_owner = false;
+        let (mut by_owner, mut hand_overs) = (false, 0);
         loop {
             let (owner, ask) = match search.step() {
                 Step::Quote(owners) => {
@@ -227,7 +232,16 @@
                     search.record_refusal(refusal);
                 }
                 OwnerReply::Quoted(_) => {}
-                OwnerReply::Unavailable => self.charge_wait(clock::since(asked)),
+                OwnerReply::NotOwner if ask == Ask::Wait && hand_overs < MAX_ATTEMPTS => {
+                    // The owner left while the request waited; its engines have other owners now.
+                    hand_overs += 1;
+                    compio::time::sleep(HAND_OVER_DELAY).await;
+                    self.want.continue_wait(clock::since(asked));
+                    search = self.search();
+                }
+                OwnerReply::NotOwner | OwnerReply::Unavailable => {
+                    self.charge_wait(clock::since(asked));
+                }
             }
         }
     }
@@ -285,7 +299,10 @@
             match self.ask_owner(owner, Ask::Quote).await {
                 OwnerReply::Quoted(quote) => Some((owner, quote)),
                 OwnerReply::Busy(wait) => Some((owner, Quote::Busy(wait))),
-                OwnerReply::Slot(_) | OwnerReply::Refused(_) | OwnerReply::Unavailable => None,
+                OwnerReply::Slot(_)
+                | OwnerReply::Refused(_)
+                | OwnerReply::NotOwner
+                | OwnerReply::Unavailable => None,
             }
         });
         let answers = futures_util::future::join_all(requests).await;
@@ -320,7 +337,7 @@
             Ok(GrantAnswer::Quoted { load }) => OwnerReply::Quoted(Quote::Room(load)),
             Ok(GrantAnswer::Busy { wait }) => OwnerReply::Busy(wait),
             Ok(GrantAnswer::Refused(refusal)) => OwnerReply::Refused(refusal),
-            Ok(GrantAnswer::NotOwner) => OwnerReply::Unavailable,
+            Ok(GrantAnswer::NotOwner) => OwnerReply::NotOwner,
             Err(err) => {
                 log::debug!("grant request: {err}");
                 OwnerReply::Unavailable
@@ -360,7 +377,7 @@
     }
 
     async fn ask_local(&self, ask: Ask) -> OwnerReply {
-        match decide(&self.cx, &self.cx.gate(&self.pool), &self.want, ask).await {
+        match decide(&self.cx, &self.pool, &self.want, ask).await {
             GrantDecision::Quote(load) => OwnerReply::Quoted(Quote::Room(load)),
             GrantDecision::Permit(permit) => {
                 self.record_held(self.cx.settings.boxes_addr, &permit.runner.name);
@@ -368,7 +385,7 @@
             }
             GrantDecision::Busy(wait) => OwnerReply::Busy(wait),
             GrantDecision::Refused(refusal) => OwnerReply::Refused(refusal),
-            GrantDecision::NotOwner => OwnerReply::Unavailable,
+            GrantDecision::NotOwner => OwnerReply::NotOwner,
         }
     }
 
@@ -396,7 +413,13 @@
     NotOwner,
 }
 
-async fn decide(cx: &Rc<EntryCx>, gate: &Gate, want: &SlotRequest, ask: Ask) -> GrantDecision {
+/// Returns whether another box owns engines of a pool.
+fn has_other_owners(cx: &EntryCx, pool: &str) -> bool {
+    cx.owners_of(pool).keys().any(|owner| *owner != cx.settings.boxes_addr)
+}
+
+async fn decide(cx: &Rc<EntryCx>, pool: &str, want: &SlotRequest, ask: Ask) -> GrantDecision {
+    let gate = cx.gate(pool);
     if ask == Ask::Quote {
         return match gate.quote(want) {
             Ok(Quote::Room(load)) => GrantDecision::Quote(load),
@@ -409,8 +432,12 @@
         Ok(None) if ask != Ask::Wait => return GrantDecision::Busy(gate.expected_wait(want)),
         Ok(None) => match gate.admit(want.clone()).await {
             Ok(permit) => permit,
-            // The engines left while the request waited; those of other owners may have room.
-            Err(refusal) if cx.settings.policy.requeue_checks && refusal.cause == NO_RUNNER => {
+            // The engines left while the request waited, or they have another owner now, because a
+            // box joined or this one stops.
+            Err(refusal)
+                if refusal.cause == NO_RUNNER
+                    && (cx.settings.policy.requeue_checks || has_other_owners(cx, pool)) =>
+            {
                 return GrantDecision::NotOwner;
             }
             Err(refusal) => return GrantDecision::Refused(refusal),
@@ -426,7 +453,7 @@
 /// Answers the grant request of another box.
 pub async fn answer(cx: &Rc<EntryCx>, req: GrantRequest) -> GrantAnswer {
     cx.sync_gates();
-    let permit = match decide(cx, &cx.gate(&req.pool), &req.want, req.ask).await {
+    let permit = match decide(cx, &req.pool, &req.want, req.ask).await {
         GrantDecision::Quote(load) => return GrantAnswer::Quoted { load },
         GrantDecision::Permit(permit) => *permit,
         GrantDecision::Busy(wait) => return GrantAnswer::Busy { wait },
