Release a slot whose request was given up before its grant arrived

A request that is given up while its box asks the owner of an engine for a slot, because its caller left, its time is over or its box stops, may get the slot nevertheless. The owner kept such a slot for the box until a sync did not list it, 4 to 6 s later by the intervals, while other requests waited.

The box that asked now sends the release as soon as it gives up. An owner at which the request still waits ignores it and sees the end of the call instead. The case is found by reading; there is no test that shows the race.

--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -324,7 +324,9 @@
             Ask::Now => CALL_TIMEOUT,
             Ask::Quote => QUOTE_TIMEOUT,
         };
+        let withdrawal = Withdrawal::new(&self.cx, owner, ask, &self.want.id);
         let answer = self.cx.boxes.call::<_, GrantAnswer>(owner, GRANT_PATH, &req, limit).await;
+        withdrawal.cancel();
         match answer {
             Ok(GrantAnswer::Granted { runner, addr, failure_domain, counted }) => {
                 let slot = self.slot_from_owner(owner, runner, addr, failure_domain);
@@ -402,6 +404,33 @@
     }
 }
 
+/// Releases the slot that an owner may have granted, if the request is given up before the answer
+/// of the owner arrives. Otherwise the slot would stay unused until a later sync.
+struct Withdrawal {
+    /// Box that asks, the owner and the attempt; `None` if there is nothing to release.
+    asked: Option<(Rc<EntryCx>, SocketAddr, AttemptId)>,
+}
+
+impl Withdrawal {
+    fn new(cx: &Rc<EntryCx>, owner: SocketAddr, ask: Ask, id: &AttemptId) -> Self {
+        let takes_slot = ask != Ask::Quote;
+        Self { asked: takes_slot.then(|| (cx.clone(), owner, id.clone())) }
+    }
+
+    /// Keeps the slot.
+    fn cancel(mut self) {
+        self.asked = None;
+    }
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        if let Some((cx, owner, id)) = self.asked.take() {
+            send_release(&cx, owner, ReleaseRequest { id, report: RunReport::RELEASED });
+        }
+    }
+}
+
 /// Decision of an owner on a grant request of its own or of another box.
 enum GrantDecision {
     /// Load of the engine that the request would get.
