Keep a stopping box until answers for other boxes have passed through it

A caller at a box without a link to the upstream got 502 for an unsafe request of 6 s when the box that had sent it on was stopped: that one ended 4 s after its signal, with half of its time left.

Cause: requests that a box sends for others did not count as in progress. They do now, until the last byte of the answer has been passed on.

answers_for_other_boxes_are_cut_off_with_the_box_that_stops failed on the code before (502, connection closed before message completed) and passes now.

--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -98,7 +98,10 @@
         let (parts, body) = req.into_parts();
         let bytes = match body {
             Body::Full(bytes) => bytes,
-            body @ (Body::Stream(_) | Body::Incoming(_) | Body::UntilClose(_)) => {
+            body @ (Body::Stream(_)
+            | Body::Incoming(_)
+            | Body::UntilClose(_)
+            | Body::Guarded(..)) => {
                 // A body that can be read only once is sent only once.
                 return self.upstream.send(Request::from_parts(parts, body), timeout).await;
             }
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -232,13 +232,17 @@
     };
     match action {
         ForwardAction::Probe => cx.boxes.respond(&answer_probe(cx, addr).await),
-        ForwardAction::Send(message) => match send(cx, &upstream, addr, message).await {
-            Ok(res) => {
-                cx.metrics.count(Count::SentForPeer, "");
-                res
+        ForwardAction::Send(message) => {
+            // Delays the shutdown of the process until the whole answer has been passed on.
+            let active = cx.begin_request();
+            match send(cx, &upstream, addr, message).await {
+                Ok(res) => {
+                    cx.metrics.count(Count::SentForPeer, "");
+                    res.map(|body| body.guarded(active))
+                }
+                Err(failure) => cx.boxes.respond(&failure),
             }
-            Err(failure) => cx.boxes.respond(&failure),
-        },
+        }
     }
 }
 
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -6,6 +6,7 @@
 //! connection would mark the end of the message, so that the reader does not mistake a
 //! truncated body for a complete one.
 
+use std::any::Any;
 use std::cell::Cell;
 use std::fmt;
 use std::pin::Pin;
@@ -33,6 +34,17 @@
     Incoming(Incoming),
     /// A body of a response whose end only the end of the connection marks.
     UntilClose(Box<Body>),
+    /// A body that keeps a guard until it has been read or dropped.
+    Guarded(Box<Body>, BodyGuard),
+}
+
+/// A value that is dropped with the body that holds it.
+pub struct BodyGuard(#[expect(dead_code, reason = "held until it is dropped")] Box<dyn Any>);
+
+impl fmt::Debug for BodyGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("BodyGuard")
+    }
 }
 
 /// Receiving end of a streaming body.
@@ -73,9 +85,18 @@
         }
     }
 
+    /// Returns the body with a guard that is dropped with it.
+    pub fn guarded(self, guard: impl Any) -> Self {
+        Self::Guarded(Box::new(self), BodyGuard(Box::new(guard)))
+    }
+
     /// Returns whether only the end of the connection marks the end of the body.
     pub fn is_until_close(&self) -> bool {
-        matches!(self, Self::UntilClose(_))
+        match self {
+            Self::UntilClose(_) => true,
+            Self::Guarded(body, _) => body.is_until_close(),
+            Self::Full(_) | Self::Stream(_) | Self::Incoming(_) => false,
+        }
     }
 }
 
@@ -140,7 +161,9 @@
             Self::Incoming(body) => {
                 Pin::new(body).poll_frame(cx).map_err(|err| BodyError::Broken(err.to_string()))
             }
-            Self::UntilClose(body) => Pin::new(body.as_mut()).poll_frame(cx),
+            Self::UntilClose(body) | Self::Guarded(body, _) => {
+                Pin::new(body.as_mut()).poll_frame(cx)
+            }
         }
     }
 
@@ -149,6 +172,7 @@
             Self::Full(bytes) => bytes.is_none(),
             Self::Stream(_) | Self::UntilClose(_) => false,
             Self::Incoming(body) => body.is_end_stream(),
+            Self::Guarded(body, _) => body.is_end_stream(),
         }
     }
 
@@ -157,6 +181,7 @@
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
             Self::Stream(_) | Self::UntilClose(_) => SizeHint::default(),
             Self::Incoming(body) => body.size_hint(),
+            Self::Guarded(body, _) => body.size_hint(),
         }
     }
 }
