Give calls at a stopping control process up to 5 s

Waiting for all listeners of a control process for 1 s in total left the listener of operators less time than before, when each listener had its own second after the others. Calls of operators take 3 s at the most; a control process on which none is due ends as early as before.

The shutdown of an entry process is a function of its own.

--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -42,8 +42,9 @@
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between checks for the next leader during a hand-over.
 const HAND_OVER_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Time that calls of operators and of boxes in progress get when a control process stops.
-const STOP_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that calls of operators in progress get when a control process stops: longer than any of
+/// them takes, and well below the time after which platforms kill.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Identity of a box without a disk; no replica has this identity.
 const NO_IDENTITY: NodeId = 0;
 
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -8,7 +8,9 @@
 use anyhow::Context as _;
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
-use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, clock, stop_pair};
+use hatchpitch_net::{
+    BoxClient, Handler, PendingAnswers, ServerLimits, Stop, StopHandle, bind, clock, stop_pair,
+};
 
 use super::context::{EntryCx, Intake};
 use super::{boxes, callers};
@@ -37,7 +39,6 @@
 const FEED_DELIVERY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval at which startup and shutdown check whether they can proceed.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Time before the end of a stopping process at which it logs what it leaves.
 const REPORT_TIME: Duration = Duration::from_millis(250);
 
@@ -84,33 +85,41 @@
 
     stop_signals.next().await?;
     compio::runtime::spawn(stop_signals.log_further()).detach();
+    shut_down(&cx, listeners, stop_handle, stop).await;
+    Ok(())
+}
+
+/// Shuts the process down: returns once every caller has its answer, or when the time limit is over.
+async fn shut_down(cx: &Rc<EntryCx>, listeners: Listeners, stop_handle: StopHandle, stop: Stop) {
     let begun = clock::now();
     cx.drain.begin(begun);
-    begin_drain(&cx);
+    begin_drain(cx);
     compio::runtime::spawn(drain::task::run(cx.clone(), stop)).detach();
     let pending = listeners.pending();
     let finished = async {
-        drained(&cx).await;
+        drained(cx).await;
         log::info!("every request has its answer; {} are being sent", pending.count());
         drop(stop_handle);
         listeners.wait_closed().await;
     };
-    let limit = cx.settings.timing.stop_limit;
-    let report = async {
-        compio::time::sleep(limit.saturating_sub(REPORT_TIME)).await;
-        let (active, pending) = (cx.active(), pending.count());
-        log::warn!(
-            active = active, pending = pending;
-            "cut short with {active} requests in progress and {pending} answers not sent whole, as \
-             the time limit of {limit:?} is over"
-        );
-        compio::time::sleep(limit.saturating_sub(clock::since(begun))).await;
-    };
-    match select(Box::pin(finished), Box::pin(report)).await {
+    match select(Box::pin(finished), Box::pin(await_stop_limit(cx, &pending))).await {
         Either::Left(((), _)) => log::info!("stopped {:?} after the signal", clock::since(begun)),
         Either::Right(((), _)) => {}
     }
-    Ok(())
+}
+
+/// Waits until the time limit of a shutdown that begins now is over. Logs shortly before what is
+/// left then, as the platform may kill the process at that time.
+async fn await_stop_limit(cx: &EntryCx, pending: &PendingAnswers) {
+    let limit = cx.settings.timing.stop_limit;
+    compio::time::sleep(limit.saturating_sub(REPORT_TIME)).await;
+    let (active, pending) = (cx.active(), pending.count());
+    log::warn!(
+        active = active, pending = pending;
+        "cut short with {active} requests in progress and {pending} answers not sent whole, as \
+         the time limit of {limit:?} is over"
+    );
+    compio::time::sleep(REPORT_TIME.min(limit)).await;
 }
 
 /// Begins the graceful shutdown: announces that this box leaves, so that it is no longer listed for
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -205,6 +205,7 @@
             let lingers = reset.is_set.get() || has_body.get();
             reset.set(false);
             if stop.is_set() {
+                // The answer is due until the caller's system has all of it.
                 tracker.begin();
                 await_sent(&reset.socket).await;
             }
