Look for the new owner of an engine until the news of it has arrived

A request whose queue was handed over looked for the new owner once, 50 ms later. It now searches up to 20 times, 50 ms apart, before it decides by itself.

--- a/crates/hatchpitch/src/drain/state.rs
+++ b/crates/hatchpitch/src/drain/state.rs
@@ -73,11 +73,6 @@
         }
     }
 
-    /// Returns whether the shutdown has begun.
-    pub fn has_begun(&self) -> bool {
-        self.begun.get().is_some()
-    }
-
     /// Returns when the process ends or is killed, if the shutdown has begun.
     pub fn ends_at(&self) -> Option<Instant> {
         self.begun.get().map(|begun| begun + self.limit)
--- a/crates/hatchpitch/src/grants/mod.rs
+++ b/crates/hatchpitch/src/grants/mod.rs
@@ -11,6 +11,7 @@
 pub mod slot;
 pub mod state;
 pub mod task;
+mod withdrawal;
 
 pub use held::{HeldSlot, HeldSlots};
 pub use messages::{
--- a/crates/hatchpitch/src/grants/task.rs
+++ b/crates/hatchpitch/src/grants/task.rs
@@ -13,6 +13,7 @@
     ReleaseRequest,
 };
 use super::slot::{Slot, send_release};
+use super::withdrawal::Withdrawal;
 use crate::admission::{Permit, Pick, Placement};
 use crate::dispatch::scheduler::{AT_LIMIT, NO_RUNNER, RESTING, unavailable_refusal};
 use crate::dispatch::search::Search;
@@ -37,9 +38,12 @@
 /// Interval between checks for engines that changed owner: a tenth of the time in which a new owner
 /// fills an engine that it believes to be empty.
 const HAND_OVER_INTERVAL: Duration = Duration::from_millis(200);
-/// Time for the news of new owners to arrive, before a request that waited at a former owner looks
-/// for them.
+/// Delay before a request that waited at a former owner looks for the new one: the news of it
+/// travels meanwhile.
 const HAND_OVER_DELAY: Duration = Duration::from_millis(50);
+/// Searches for the new owner. With [`HAND_OVER_DELAY`] they take as long as the news does on busy
+/// machines, a second.
+const MAX_HAND_OVER_SEARCHES: usize = 20;
 /// Timeout of a quote; a box that takes longer is skipped.
 const QUOTE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of a call that does not queue for a slot.
@@ -210,7 +214,7 @@
 impl OwnerSearch {
     async fn run(mut self) -> Result<Slot, Refusal> {
         let mut search = self.search();
-        let (mut by_owner, mut hand_overs) = (false, 0);
+        let (mut by_owner, mut hand_over_searches) = (false, 0);
         loop {
             let (owner, ask) = match search.step() {
                 Step::Quote(owners) => {
@@ -221,6 +225,14 @@
                 Step::Wait(owner) => (owner, Ask::Wait),
                 Step::Refuse(refusal) if by_owner => return Err(refusal),
                 Step::Refuse(refusal) => return Err(self.with_return_time(refusal)),
+                Step::DecideLocally
+                    if (1..MAX_HAND_OVER_SEARCHES).contains(&hand_over_searches) =>
+                {
+                    hand_over_searches += 1;
+                    compio::time::sleep(HAND_OVER_DELAY).await;
+                    search = self.search();
+                    continue;
+                }
                 Step::DecideLocally => return self.admit_without_owner().await,
             };
             let asked = clock::now();
@@ -232,9 +244,11 @@
                     search.record_refusal(refusal);
                 }
                 OwnerReply::Quoted(_) => {}
-                OwnerReply::NotOwner if ask == Ask::Wait && hand_overs < MAX_ATTEMPTS => {
-                    // The owner left while the request waited; its engines have other owners now.
-                    hand_overs += 1;
+                OwnerReply::NotOwner
+                    if ask == Ask::Wait && hand_over_searches < MAX_HAND_OVER_SEARCHES =>
+                {
+                    // The engines got another owner while the request waited.
+                    hand_over_searches += 1;
                     compio::time::sleep(HAND_OVER_DELAY).await;
                     self.want.continue_wait(clock::since(asked));
                     search = self.search();
@@ -404,33 +418,6 @@
     }
 }
 
-/// Releases the slot that an owner may have granted, if the request is given up before the answer
-/// of the owner arrives. Otherwise the slot would stay unused until a later sync.
-struct Withdrawal {
-    /// Box that asks, the owner and the attempt; `None` if there is nothing to release.
-    asked: Option<(Rc<EntryCx>, SocketAddr, AttemptId)>,
-}
-
-impl Withdrawal {
-    fn new(cx: &Rc<EntryCx>, owner: SocketAddr, ask: Ask, id: &AttemptId) -> Self {
-        let takes_slot = ask != Ask::Quote;
-        Self { asked: takes_slot.then(|| (cx.clone(), owner, id.clone())) }
-    }
-
-    /// Keeps the slot.
-    fn cancel(mut self) {
-        self.asked = None;
-    }
-}
-
-impl Drop for Withdrawal {
-    fn drop(&mut self) {
-        if let Some((cx, owner, id)) = self.asked.take() {
-            send_release(&cx, owner, ReleaseRequest { id, report: RunReport::RELEASED });
-        }
-    }
-}
-
 /// Decision of an owner on a grant request of its own or of another box.
 enum GrantDecision {
     /// Load of the engine that the request would get.
