--- a/crates/hatchpitch/tests/drain.rs
+++ b/crates/hatchpitch/tests/drain.rs
@@ -18,6 +18,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 const KIND: &str = "k";
 
+// Guards against refusing what nothing is known of, and against refusing it too late to be heard.
 #[test]
 fn requests_of_an_unknown_kind_may_start_until_shortly_before_the_end() {
     let drain = Drain::new(LIMIT);
@@ -32,6 +33,7 @@
     assert!(drain.is_too_late(KIND, now + 2 * LIMIT));
 }
 
+// Guards against estimates that know only runs that have ended.
 #[test]
 fn the_estimate_follows_runs_that_ended_and_runs_in_progress() {
     let estimates: Rc<RefCell<RunEstimates>> = Rc::default();
@@ -77,6 +79,7 @@
     }
 }
 
+// A request at the end of a long queue was kept although its place showed that it came too late.
 #[test]
 fn requests_far_behind_in_a_queue_wait_until_the_box_is_killed() {
     let (mut line, start) = (scheduler(1), clock::now());
