Estimate run times only while a box stops

Each request asked for the estimate of its kind up to three times, which walks half of the runs in progress, although a box that is not stopping has no use for it. The estimate is now made after that check; the results are the same.

--- a/crates/hatchpitch/src/drain/state.rs
+++ b/crates/hatchpitch/src/drain/state.rs
@@ -81,9 +81,10 @@
     /// Returns the time that is left for a request of a kind to start, so that it can be served
     /// before the process ends; `None` if the box is not stopping.
     pub fn time_to_start(&self, kind: &str, now: Instant) -> Option<Duration> {
+        let ends_at = self.ends_at()?;
         let run = self.estimates.borrow().estimate(kind, now);
         let answer_time = ANSWER_TIME.min(self.limit / ANSWER_FRACTION);
-        Some(self.ends_at()?.saturating_duration_since(now + run.max(answer_time)))
+        Some(ends_at.saturating_duration_since(now + run.max(answer_time)))
     }
 
     /// Returns whether it is too late for a request of a kind to start.
