--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -8,7 +8,7 @@
 use hatchpitch::reachability::UpstreamClient;
 use hatchpitch_e2e::fleet::MODEL;
 use hatchpitch_e2e::{FleetSpec, TestFleet};
-use hatchpitch_net::Upstream;
+use hatchpitch_net::{MemoryBudget, Upstream};
 
 use crate::report::{histogram, millis, print_table};
 
@@ -58,7 +58,7 @@
     times: &mut Latencies,
 ) -> anyhow::Result<()> {
     let upstream = Upstream { addr, connect_timeout: Duration::from_secs(1), source: None };
-    let upstream = UpstreamClient::direct(upstream);
+    let upstream = UpstreamClient::direct(upstream, MemoryBudget::default());
     let id = hatchpitch::ids::new_id();
     let req = GenerateRequest {
         generation: id.clone(),
--- a/crates/e2e/tests/first_start.rs
+++ b/crates/e2e/tests/first_start.rs
@@ -14,11 +14,11 @@
 use hatchpitch::replication::{Envelope, Members, Message, NodeId, Peer};
 use hatchpitch_e2e::Process;
 use hatchpitch_e2e::fleet::{OPERATOR_KEY, WAIT_TIMEOUT};
-use hatchpitch_net::keys::to_hex;
 use hatchpitch_net::{
     BoxClient, Handler, KeyRing, ServerLimits, SigningKey, Stop, bind, open_message, read_body,
     rmp_response, serve, stop_pair,
 };
+use hatchpitch_net::{Reservation, keys::to_hex};
 
 const SECRET: &str = "a secret that only the boxes share";
 /// Identities of the peers that the test simulates.
@@ -68,7 +68,9 @@
         let peers = peers.clone();
         async move {
             let (parts, body) = req.into_parts();
-            let body = read_body(body, 1 << 20, WAIT_TIMEOUT).await.unwrap_or_default();
+            let body = read_body(body, 1 << 20, WAIT_TIMEOUT, Reservation::uncounted())
+                .await
+                .unwrap_or_default();
             match open_message::<Hello>(&keys(), HELLO_PATH, &parts.headers, &body) {
                 Ok(from) if parts.uri.path() == HELLO_PATH => {
                     peers.own.set(Some(from.id));
--- a/crates/hatchpitch/src/commands/task.rs
+++ b/crates/hatchpitch/src/commands/task.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::{Stop, Upstream, clock};
+use hatchpitch_net::{MemoryBudget, Stop, Upstream, clock};
 use http::StatusCode;
 
 use super::state::{CommandAction, CommandConfig, CommandScheduler, SendOutcome, Target};
@@ -37,8 +37,8 @@
     while !stop.is_set() {
         compio::time::sleep(TICK_INTERVAL).await;
         for action in due_actions(&cx, &shared) {
-            let shared = shared.clone();
-            compio::runtime::spawn(perform(shared, action)).detach();
+            let (shared, memory) = (shared.clone(), cx.boxes.memory().clone());
+            compio::runtime::spawn(perform(shared, memory, action)).detach();
         }
     }
 }
@@ -87,11 +87,11 @@
     targets
 }
 
-async fn perform(shared: SharedLeaderState, action: CommandAction) {
+async fn perform(shared: SharedLeaderState, memory: MemoryBudget, action: CommandAction) {
     match action {
         CommandAction::Read { runner, addr } => {
             let holdings =
-                adapter::get_json::<EngineHoldings>(&upstream(addr), HOLDINGS_PATH).await;
+                adapter::get_json::<EngineHoldings>(&upstream(addr, memory), HOLDINGS_PATH).await;
             if let Err(err) = &holdings {
                 log::debug!("failed to read the holdings of engine {runner}: {err}");
             }
@@ -106,7 +106,7 @@
                 command.sequence,
                 command.order
             );
-            let outcome = send(addr, &command).await;
+            let outcome = send(addr, memory, &command).await;
             if let Some(leading) = shared.borrow_mut().as_mut() {
                 leading.scheduler.on_sent(&runner, &outcome, clock::now());
             }
@@ -116,8 +116,8 @@
 
 /// Sends a command. The connection is closed at the deadline, so that the command cannot arrive
 /// later.
-async fn send(addr: SocketAddr, command: &EngineCommand) -> SendOutcome {
-    let upstream = upstream(addr);
+async fn send(addr: SocketAddr, memory: MemoryBudget, command: &EngineCommand) -> SendOutcome {
+    let upstream = upstream(addr, memory);
     let sent = adapter::post_json(&upstream, COMMANDS_PATH, command);
     match compio::time::timeout(CommandConfig::default().deadline, sent).await {
         Ok(Ok(body)) => match serde_json::from_slice(&body) {
@@ -129,7 +129,7 @@
     }
 }
 
-fn upstream(addr: SocketAddr) -> UpstreamClient {
+fn upstream(addr: SocketAddr, memory: MemoryBudget) -> UpstreamClient {
     let connect_timeout = CommandConfig::default().deadline;
-    UpstreamClient::direct(Upstream { addr, connect_timeout, source: None })
+    UpstreamClient::direct(Upstream { addr, connect_timeout, source: None }, memory)
 }
--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hatchpitch_net::{Body, clock, open_message, read_body};
+use hatchpitch_net::{Body, Holder, clock, open_message, read_body};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
@@ -38,7 +38,8 @@
         return text_response(StatusCode::METHOD_NOT_ALLOWED, "method: expected POST");
     }
     let (parts, incoming) = req.into_parts();
-    let body = match read_body(incoming, MAX_BODY, BODY_TIMEOUT).await {
+    let held = cx.open_memory(Holder::BoxMessage, parts.uri.path());
+    let body = match read_body(incoming, MAX_BODY, BODY_TIMEOUT, held).await {
         Ok(body) => body,
         Err(err) => return text_response(StatusCode::BAD_REQUEST, err.to_string()),
     };
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::lock::Mutex;
-use hatchpitch_net::{BoxClient, clock};
+use hatchpitch_net::{BoxClient, Holder, Origin, Reservation, clock};
 
 use super::machine::{Command, Machine, Order, Reply};
 use super::quarantine;
@@ -111,6 +111,11 @@
         })
     }
 
+    /// Opens an empty reservation for bytes on the given path or route.
+    pub fn open_memory(&self, holder: Holder, path: &str) -> Reservation {
+        self.boxes.memory().open(holder, Origin { path: path.to_owned(), ..Origin::default() })
+    }
+
     /// Calls `read` with the applied state and returns its result.
     pub fn with_machine<T>(&self, read: impl FnOnce(&Machine) -> T) -> T {
         read(&self.machine.borrow())
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -7,7 +7,9 @@
 use anyhow::Context as _;
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
-use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, bind, clock, stop_pair};
+use hatchpitch_net::{
+    BoxClient, Handler, MemoryBudget, ServerLimits, Stop, bind, clock, stop_pair,
+};
 
 use super::context::ControlCx;
 use super::machine::Order;
@@ -18,6 +20,7 @@
 use crate::essential::spawn_essential;
 use crate::listener::{ExtraListener, Listeners, bind_addr};
 use crate::logging::unix_ms;
+use crate::memory_monitor;
 use crate::registry::peers;
 use crate::replication::bootstrap::BootstrapOutcome;
 use crate::replication::disk::Disk;
@@ -77,14 +80,15 @@
     let operators = bind(bind_addr(own.operators_addr, listen_ip)).await;
     let operators = operators.context("operators' listener")?;
     let boxes = bind(bind_addr(own.boxes_addr, listen_ip)).await.context("boxes' listener")?;
-    let client = BoxClient::new(settings.box_keys.clone())?;
+    let memory = MemoryBudget::new(settings.memory);
+    let client = BoxClient::new(settings.box_keys.clone())?.with_memory(memory.clone());
     let cx = ControlCx::new(settings, id, client);
     let own = &cx.settings.own;
     log::info!("control box {} serves operators at {}", own.name, own.operators_addr);
     let (stop_handle, stop) = stop_pair();
-    let limits = ServerLimits::default();
+    let limits = ServerLimits { memory, ..ServerLimits::default() };
     let mut listeners = Listeners::new(stop.clone());
-    listeners.serve_callers(operators, limits, operators_handler(&cx));
+    listeners.serve_callers(operators, limits.clone(), operators_handler(&cx));
     listeners.serve_boxes(boxes, limits, boxes_handler(&cx));
     listeners.open(extra(&cx), listen_ip).await?;
     spawn_tasks(&cx, &stop);
@@ -119,6 +123,8 @@
         spawn_essential("members", join::run(cx.clone(), stop.clone()));
     }
     spawn_essential("pressure", backlog_monitor::run(cx.boxes.clone(), stop.clone()));
+    let memory = cx.boxes.memory().clone();
+    spawn_essential("memory", memory_monitor::run(memory, stop.clone()));
     let leader_cx = cx.clone();
     let has_no_leader = move || leader_cx.has_no_leader();
     let renewal = peers::run(cx.registry.clone(), cx.registry_peers(), has_no_leader, stop.clone());
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use hatchpitch_net::keys::to_hex;
-use hatchpitch_net::{Body, query_value, read_body};
+use hatchpitch_net::{Body, Holder, query_value, read_body};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -203,9 +203,10 @@
 }
 
 /// Reads a submitted fleet file from the body of a request.
-async fn read_fleet_file(req: Request<Incoming>) -> Result<FleetFile, Problem> {
+async fn read_fleet_file(cx: &ControlCx, req: Request<Incoming>) -> Result<FleetFile, Problem> {
     let name = query_value(req.uri(), "file").unwrap_or("fleet").to_owned();
-    let body = read_body(req.into_body(), MAX_FLEET_FILE, BODY_TIMEOUT).await;
+    let held = cx.open_memory(Holder::RequestBody, req.uri().path());
+    let body = read_body(req.into_body(), MAX_FLEET_FILE, BODY_TIMEOUT, held).await;
     let body = body.map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
     let text = String::from_utf8(body.to_vec())
         .map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
@@ -226,7 +227,7 @@
     req: Request<Incoming>,
     operator: &str,
 ) -> Result<Response<Body>, Problem> {
-    let file = read_fleet_file(req).await?;
+    let file = read_fleet_file(cx, req).await?;
     let _guard = cx.submit_lock.lock().await;
     let fleet = match check_fleet(&file) {
         Ok(fleet) => fleet,
@@ -277,7 +278,7 @@
 
 /// Returns the changes that a fleet file would make, without applying them.
 async fn diff(cx: &Rc<ControlCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
-    let fleet = match check_fleet(&read_fleet_file(req).await?) {
+    let fleet = match check_fleet(&read_fleet_file(cx, req).await?) {
         Ok(fleet) => fleet,
         Err(rejection) => return Ok(*rejection),
     };
--- a/crates/hatchpitch/src/engine/adapter.rs
+++ b/crates/hatchpitch/src/engine/adapter.rs
@@ -264,7 +264,7 @@
     if res.status() == StatusCode::OK {
         return Ok(EventReader { body: res.into_body(), buf: BytesMut::new() });
     }
-    Err(read_refusal(res.status(), res.into_body()).await)
+    Err(read_refusal(upstream, res).await)
 }
 
 /// Returns the signals about its upstream in a response head.
@@ -282,14 +282,17 @@
     on_head(head_signals(&res));
     let status = res.status();
     if !status.is_success() {
-        return Err(read_refusal(status, res.into_body()).await);
+        return Err(read_refusal(upstream, res).await);
     }
-    read_body(res.into_body(), MAX_ANSWER, CALL_TIMEOUT).await.map_err(EngineError::Body)
+    let held = upstream.open_answer("engine");
+    read_body(res.into_body(), MAX_ANSWER, CALL_TIMEOUT, held).await.map_err(EngineError::Body)
 }
 
 /// Reads an error response; an undecodable body counts as possibly run.
-async fn read_refusal(status: StatusCode, body: Incoming) -> EngineError {
-    let text = match read_body(body, MAX_ANSWER, CALL_TIMEOUT).await {
+async fn read_refusal(upstream: &UpstreamClient, res: Response<Incoming>) -> EngineError {
+    let status = res.status();
+    let held = upstream.open_answer("engine");
+    let text = match read_body(res.into_body(), MAX_ANSWER, CALL_TIMEOUT, held).await {
         Ok(text) => text,
         Err(err) => return EngineError::Body(err),
     };
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -363,7 +363,9 @@
         let req = self.request(addr, traceparent);
         let timeout = self.service.service.timeout;
         let sent_at = clock::now();
-        let res = self.cx.upstream(&upstream.name, addr).send(req, timeout).await;
+        let client = self.cx.upstream(&upstream.name, addr);
+        let held = client.open_answer(&self.call.path);
+        let res = client.send(req, timeout).await;
         let res = res.map_err(AppFailure::from)?;
         upstream_signals::record(&self.cx, &upstream.name, head_signals(&res), sent_at);
         let status = res.status();
@@ -379,7 +381,7 @@
         let (parts, body) = res.into_parts();
         let mut check = EndCheck::new(&self.call.method, &parts);
         let broken = |cause: &str| AppFailure { cause: format!("{addr}: {cause}"), ran: true };
-        let body = read_body(body, MAX_ANSWER, timeout).await;
+        let body = read_body(body, MAX_ANSWER, timeout, held).await;
         let body = body.map_err(|err| broken(&err.to_string()))?;
         check.push(&body);
         let location = RunLocation { upstream: &upstream.name, addr };
--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use hatchpitch_net::{Body, open_message, read_body};
+use hatchpitch_net::{Body, Holder, open_message, read_body};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -37,7 +37,8 @@
         return reachability::answer(&cx, parts, incoming).await;
     }
     let settings = &cx.settings;
-    let read = read_body(incoming, settings.limits.max_body, settings.timing.body_timeout);
+    let held = cx.open_memory(Holder::BoxMessage, parts.uri.path());
+    let read = read_body(incoming, settings.limits.max_body, settings.timing.body_timeout, held);
     let body = match read.await {
         Ok(body) => body,
         Err(err) => return body_problem(err).into_response(),
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -4,9 +4,10 @@
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodyError, clock, query_value, read_body};
+use hatchpitch_net::{Body, BodyError, Holder, clock, query_value, read_body};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -25,6 +26,9 @@
 
 /// Maximum length of a request target (path and query), in bytes.
 const MAX_TARGET: usize = 4_096;
+/// Retry delay of a request whose body found no room: other boxes may have some, and bodies are
+/// released as their requests are answered.
+pub const NO_ROOM_RETRY: Duration = Duration::from_secs(1);
 
 /// Handles one request from a caller or operator.
 pub async fn handle(cx: Rc<EntryCx>, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
@@ -145,19 +149,25 @@
 /// Reads the body of a request of a kind within the limits of the settings.
 async fn read_request_body(cx: &EntryCx, kind: &str, incoming: Incoming) -> Result<Bytes, Problem> {
     let max = cx.settings.limits.max_body;
-    let body = read_body(incoming, max, cx.settings.timing.body_timeout);
+    let held = cx.open_memory(Holder::RequestBody, kind);
+    let body = read_body(incoming, max, cx.settings.timing.body_timeout, held);
     let body = cx.drain.wait(kind, body).await.map_err(Stopping::problem)?;
     body.map_err(body_problem)
 }
 
 /// Returns the problem for a request body that could not be read.
 pub fn body_problem(err: BodyError) -> Problem {
+    let message = format!("request body: {err}");
     let status = match err {
         BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
         BodyError::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+        BodyError::NoRoom(_) => {
+            return Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_room", message)
+                .retry_after(NO_ROOM_RETRY);
+        }
         BodyError::Closed | BodyError::Broken(_) => StatusCode::BAD_REQUEST,
     };
-    Problem::not_run(status, "bad_request", format!("request body: {err}"))
+    Problem::not_run(status, "bad_request", message)
 }
 
 /// Returns a problem if the request does not use `method`.
--- a/crates/hatchpitch/src/entry/completions.rs
+++ b/crates/hatchpitch/src/entry/completions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodySender};
+use hatchpitch_net::{Body, BodySender, Holder};
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use serde::Deserialize;
 
@@ -292,7 +292,8 @@
         chat,
     };
     let token = token.seal(&cx.settings.box_keys);
-    let (tx, body) = Body::stream(MAX_BUFFERED_EVENTS);
+    let held = cx.open_memory(Holder::Answer, &generation.job().pool);
+    let (tx, body) = Body::stream(MAX_BUFFERED_EVENTS, held);
     let active = cx.begin_request();
     compio::runtime::spawn(async move {
         stream_to_caller(&cx, generation, first, &format, tx).await;
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -9,7 +9,8 @@
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
 use hatchpitch_net::{
-    BoxClient, Handler, PendingAnswers, ServerLimits, Stop, StopHandle, bind, clock, stop_pair,
+    BoxClient, Handler, MemoryBudget, PendingAnswers, ServerLimits, Stop, StopHandle, bind, clock,
+    stop_pair,
 };
 
 use super::context::{EntryCx, Intake};
@@ -25,6 +26,7 @@
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::state::{Membership, MembershipConfig};
 use crate::membership::task as membership_task;
+use crate::memory_monitor;
 use crate::pace::task as pace;
 use crate::quarantine::observer;
 use crate::registry::follow::{self, FollowCallbacks};
@@ -69,7 +71,8 @@
     let callers = bind(bind_addr(settings.callers_addr, listen_ip)).await;
     let callers = callers.context("callers' listener")?;
     let boxes = bind(bind_addr(settings.boxes_addr, listen_ip)).await.context("boxes' listener")?;
-    let client = BoxClient::new(settings.box_keys.clone())?;
+    let memory = MemoryBudget::new(settings.limits.memory);
+    let client = BoxClient::new(settings.box_keys.clone())?.with_memory(memory);
     let membership = Rc::new(RefCell::new(new_membership(&settings)));
     let cx = EntryCx::new(settings, membership, client);
     log::info!("entry box {} serves callers at {}", cx.settings.name, cx.settings.callers_addr);
@@ -185,6 +188,8 @@
     let upstreams = follow::run(name, followed, cx.boxes.clone(), callbacks, stop.clone());
     spawn_essential("upstreams", upstreams);
     spawn_essential("pressure", backlog_monitor::run(cx.boxes.clone(), stop.clone()));
+    let memory = cx.boxes.memory().clone();
+    spawn_essential("memory", memory_monitor::run(memory, stop.clone()));
     spawn_essential("configuration", follow_config(cx.clone(), stop.clone()));
     spawn_essential("routing", routing::run(cx.clone(), stop.clone()));
     spawn_essential("grants", grants::run(cx.clone(), stop.clone()));
@@ -247,7 +252,11 @@
 }
 
 fn server_limits(cx: &EntryCx) -> ServerLimits {
-    ServerLimits { connections: cx.settings.limits.max_connections, ..ServerLimits::default() }
+    ServerLimits {
+        connections: cx.settings.limits.max_connections,
+        memory: cx.boxes.memory().clone(),
+        ..ServerLimits::default()
+    }
 }
 
 fn callers_handler(cx: &Rc<EntryCx>) -> Handler {
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use hatchpitch_net::{Body, clock, read_body};
+use hatchpitch_net::{Body, Holder, clock, read_body};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -111,7 +111,8 @@
         "/ops/drain" => {
             require_method(Method::POST, &req)?;
             let timeout = cx.settings.timing.body_timeout;
-            read_body(req.into_body(), 1_024, timeout).await.map_err(body_problem)?;
+            let held = cx.open_memory(Holder::RequestBody, &path);
+            read_body(req.into_body(), 1_024, timeout, held).await.map_err(body_problem)?;
             log::info!("drain ordered by operator {operator}");
             daemon::begin_drain(cx);
             Ok(json_response(StatusCode::ACCEPTED, &status(cx), Outcome::Done))
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod listener;
 pub mod logging;
 pub mod membership;
+pub mod memory_monitor;
 pub mod metrics;
 pub mod moves;
 pub mod outcome;
--- a/crates/hatchpitch/src/metrics.rs
+++ b/crates/hatchpitch/src/metrics.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hatchpitch_net::{BoxClient, Traffic};
+use hatchpitch_net::memory::Usage;
+use hatchpitch_net::{BoxClient, Holder, Traffic};
 use hdrhistogram::Histogram;
 
 use crate::evacuation::Evacuations;
@@ -101,6 +102,8 @@
     gauges: BTreeMap<&'static str, f64>,
     /// Traffic with other boxes, by path.
     traffic: BTreeMap<String, Traffic>,
+    /// Usage of the memory budget, by holder.
+    memory: BTreeMap<Holder, Usage>,
 }
 
 /// Metrics of one process; clones share the same values.
@@ -144,7 +147,12 @@
         let sum = |of: fn(&Traffic) -> u64| traffic.values().map(of).sum::<u64>() as f64;
         self.gauge("hatchpitch_box_calls", sum(|traffic| traffic.calls));
         self.gauge("hatchpitch_box_body_bytes", sum(|traffic| traffic.body_bytes));
-        self.0.borrow_mut().traffic = traffic;
+        self.gauge("hatchpitch_memory_budget_bytes", boxes.memory().limit() as f64);
+        self.gauge("hatchpitch_memory_limit_bytes", boxes.memory().process_limit() as f64);
+        let mut inner = self.0.borrow_mut();
+        inner.traffic = traffic;
+        inner.memory = boxes.memory().usage();
+        drop(inner);
         self.gauge("hatchpitch_box_messages_waiting", waiting.messages as f64);
         self.gauge("hatchpitch_box_bytes_waiting", waiting.bytes as f64);
         self.gauge("hatchpitch_box_bytes_waiting_peak", waiting.peak_bytes as f64);
@@ -194,6 +202,13 @@
             let bytes = traffic.body_bytes;
             let _ = writeln!(out, "hatchpitch_box_path_body_bytes{{{label}}} {bytes}");
         }
+        for (holder, usage) in &inner.memory {
+            let label = format!("holder=\"{}\"", holder.as_str());
+            let _ = writeln!(out, "hatchpitch_memory_bytes{{{label}}} {}", usage.bytes);
+            let _ = writeln!(out, "hatchpitch_memory_peak_bytes{{{label}}} {}", usage.peak_bytes);
+            let _ = writeln!(out, "hatchpitch_memory_refused_total{{{label}}} {}", usage.refused);
+            let _ = writeln!(out, "hatchpitch_memory_revoked_total{{{label}}} {}", usage.revoked);
+        }
         let mut previous = "";
         for ((timing, pool, priority), histogram) in &inner.timings {
             let name = timing_metric(*timing);
--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -6,7 +6,10 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hatchpitch_net::{Body, Listening, SendError, SendStep, Upstream, clock};
+use hatchpitch_net::{
+    Body, Holder, Listening, MemoryBudget, Origin, Reservation, SendError, SendStep, Upstream,
+    clock,
+};
 use http::{Request, Response};
 use hyper::body::Incoming;
 
@@ -48,6 +51,7 @@
 pub struct UpstreamClient {
     upstream: Upstream,
     detour: Option<Detour>,
+    memory: MemoryBudget,
 }
 
 /// What is needed to reach the upstream through other boxes.
@@ -69,13 +73,14 @@
 
 impl UpstreamClient {
     /// Creates a client that reaches the upstream only on the links of this box.
-    pub fn direct(upstream: Upstream) -> Self {
-        Self { upstream, detour: None }
+    pub fn direct(upstream: Upstream, memory: MemoryBudget) -> Self {
+        Self { upstream, detour: None, memory }
     }
 
     /// Creates a client that also reaches the upstream through other boxes.
     pub fn new(cx: &Rc<EntryCx>, name: &str, upstream: Upstream) -> Self {
-        Self { upstream, detour: Some(Detour { cx: cx.clone(), name: name.to_owned() }) }
+        let detour = Some(Detour { cx: cx.clone(), name: name.to_owned() });
+        Self { upstream, detour, memory: cx.boxes.memory().clone() }
     }
 
     /// Returns the address of the upstream.
@@ -83,6 +88,12 @@
         self.upstream.addr
     }
 
+    /// Opens a reservation for an answer of the upstream.
+    pub fn open_answer(&self, path: &str) -> Reservation {
+        let origin = Origin { path: path.to_owned(), ..Origin::peer(self.upstream.addr) };
+        self.memory.open(Holder::Answer, origin)
+    }
+
     /// Sends a request and waits up to `timeout` for the response head.
     ///
     /// Dropping the returned future or the response body closes the connection.
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use hatchpitch_net::{
-    Body, Framing, Listening, SendError, SendStep, clock, open_message, read_body,
+    Body, Framing, Holder, Listening, Reservation, SendError, SendStep, clock, open_message,
+    read_body,
 };
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
@@ -173,7 +174,8 @@
         log::debug!("request not forwarded: {peer} answered with {}", res.status());
         return PeerAnswer::NoHelp;
     }
-    match read_failure(res.into_body()).await {
+    let held = cx.open_memory(Holder::BoxMessage, FORWARD_PATH);
+    match read_failure(res.into_body(), held).await {
         Ok(ForwardFailure { link_lost: true, cause, .. }) => {
             PeerAnswer::LinkLost(format!("through {peer}: {cause}"))
         }
@@ -191,8 +193,8 @@
     }
 }
 
-async fn read_failure(body: Incoming) -> Result<ForwardFailure, String> {
-    let bytes = read_body(body, MAX_FAILURE, FAILURE_TIMEOUT).await;
+async fn read_failure(body: Incoming, held: Reservation) -> Result<ForwardFailure, String> {
+    let bytes = read_body(body, MAX_FAILURE, FAILURE_TIMEOUT, held).await;
     let bytes = bytes.map_err(|err| err.to_string())?;
     rmp_serde::from_slice(&bytes).map_err(|err| err.to_string())
 }
@@ -219,7 +221,8 @@
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "too many requests of other boxes");
     };
     let timeout = cx.settings.timing.body_timeout;
-    let body = match read_body(body, MAX_FORWARD_BYTES, timeout).await {
+    let held = cx.open_memory(Holder::BoxMessage, FORWARD_PATH);
+    let body = match read_body(body, MAX_FORWARD_BYTES, timeout, held).await {
         Ok(body) => body,
         Err(err) => return text_response(StatusCode::BAD_REQUEST, err.to_string()),
     };
--- a/crates/hatchpitch/src/relay/migration.rs
+++ b/crates/hatchpitch/src/relay/migration.rs
@@ -35,7 +35,9 @@
         }
         self.refresh_leaving();
         let Some(leaving_since) = self.leaving_since else { return };
-        if self.moves >= MAX_MOVES || clock::now() < self.next_move {
+        // The next runner would send the event again of which a piece was passed on.
+        let is_blocked = self.splitter.is_in_pieces();
+        if self.moves >= MAX_MOVES || clock::now() < self.next_move || is_blocked {
             return;
         }
         if let Some(left) = upstream_signals::backoff_remaining(&self.relay.cx, &self.slot.runner) {
--- a/crates/hatchpitch/src/relay/response.rs
+++ b/crates/hatchpitch/src/relay/response.rs
@@ -1,9 +1,12 @@
 //! Forwards responses of upstreams without interpreting their bodies, buffered or streamed.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodyError, BodySender, Framing, clock, read_stream};
+use hatchpitch_net::{
+    Body, BodyError, BodySender, Framing, Origin, Reservation, clock, read_stream,
+};
 use http::response::Parts;
 use http::{Response, Version, header};
 use hyper::body::Incoming;
@@ -33,20 +36,34 @@
     parts.version = Version::HTTP_11;
 }
 
-/// Streams a response that is too large to be buffered: first the bytes received so far, which `begun`
-/// holds, then the rest of the body as it arrives.
+/// Returns the origin of what an upstream answers to a request.
+pub(super) fn origin(req: &HostedRequest, upstream: SocketAddr) -> Origin {
+    Origin { peer: Some(upstream), request: req.id.clone(), path: req.route.name.clone() }
+}
+
+/// The part of a response that was received before it is streamed.
+pub(super) struct BegunResponse {
+    pub(super) parts: Parts,
+    /// Bytes of the body.
+    pub(super) bytes: Bytes,
+    /// Memory of these bytes.
+    pub(super) held: Reservation,
+}
+
+/// Streams a response that is too large to be buffered: first the bytes received so far, then the rest
+/// of the body as it arrives.
 pub(super) fn forward(
     relay: &Rc<Relay>,
     req: &Rc<HostedRequest>,
     causes: Rc<Causes>,
     mut slot: Slot,
-    begun: Response<Bytes>,
+    begun: BegunResponse,
     mut check: EndCheck,
     mut body: Incoming,
 ) -> Response<Body> {
-    let (mut parts, first) = begun.into_parts();
+    let BegunResponse { mut parts, bytes: first, held } = begun;
     adapt_head(&mut parts);
-    let (mut tx, out) = Body::stream(BUFFERED_CHUNKS);
+    let (mut tx, out) = Body::stream(BUFFERED_CHUNKS, held);
     let out = out.framed(check.framing());
     let cx = relay.cx.clone();
     let (active, end) = (relay.cx.begin_request(), req.end());
@@ -106,7 +123,7 @@
     body: &mut Incoming,
     tx: &mut BodySender,
 ) -> Result<(), BodyError> {
-    tx.send(first).await?;
+    tx.send_counted(first).await?;
     while let Some(chunk) = read_stream(body).await? {
         check.push(&chunk);
         tx.send(chunk).await?;
--- a/crates/hatchpitch/src/relay/resume.rs
+++ b/crates/hatchpitch/src/relay/resume.rs
@@ -60,6 +60,9 @@
             Ok(Ok(MoveOutcome::Lost(cause))) => return Err(cause),
             Ok(Err(_)) | Err(_) => return Err("the move did not end in time".to_owned()),
         };
+        if self.splitter.is_in_pieces() {
+            return Err("it was moved inside an event that was passed on in pieces".to_owned());
+        }
         self.splitter.discard_incomplete();
         if observer::is_held(&self.relay.cx, &self.causes) {
             return Err("its request was held while it was moved".to_owned());
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use hatchpitch_net::{Body, Framing, SendError, SendStep, clock, read_stream};
+use hatchpitch_net::{
+    Body, Framing, Holder, Origin, Reservation, SendError, SendStep, clock, read_stream,
+};
 use http::response::Parts;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
@@ -15,11 +17,13 @@
 use super::failure::{Failure, Next, Untried};
 use super::protocol::{Attempt, ResponseKind};
 use super::request::HostedRequest;
+use super::response::BegunResponse;
 use super::{response, stream};
 use crate::config::hosted::RunPolicy;
 use crate::dispatch::scheduler::LONG_WAIT;
 use crate::dispatch::{Refusal, SlotRequest};
 use crate::drain::Stopping;
+use crate::entry::callers::NO_ROOM_RETRY;
 use crate::grants::Slot;
 use crate::grants::task::obtain;
 use crate::ids::{FailureDomainName, RunnerName, ServiceName, new_id};
@@ -73,8 +77,13 @@
         Err(refusal) => Err(run.refused(refusal)),
         Ok(within) => {
             run.within = within;
-            let result = compio::time::timeout(left, run.try_upstreams()).await;
-            result.unwrap_or_else(|_| Err(run.timed_out()))
+            match run.reserve_stream() {
+                Err(problem) => Err(problem),
+                Ok(()) => {
+                    let result = compio::time::timeout(left, run.try_upstreams()).await;
+                    result.unwrap_or_else(|_| Err(run.timed_out()))
+                }
+            }
         }
     };
     run.log(&result);
@@ -100,6 +109,8 @@
     sent_to: RefCell<RunnerName>,
     /// Framing of the last response of an upstream; `None` before the first one.
     framing: Cell<Option<Framing>>,
+    /// Memory of the connections of a stream, until it is passed on to the stream.
+    stream_held: RefCell<Option<Reservation>>,
 }
 
 impl Run {
@@ -118,6 +129,24 @@
             in_flight: Cell::new(false),
             sent_to: RefCell::default(),
             framing: Cell::new(None),
+            stream_held: RefCell::default(),
+        }
+    }
+
+    /// Reserves the memory of a stream before its request runs, as it could not be refused later.
+    fn reserve_stream(&self) -> Result<(), Problem> {
+        if self.req.route.runs != RunPolicy::Stream {
+            return Ok(());
+        }
+        let origin =
+            Origin { request: self.req.id.clone(), path: self.req.route.name.clone(), peer: None };
+        let memory = self.relay.cx.boxes.memory();
+        match memory.reserve(Holder::Event, origin, stream::CONNECTION_BYTES) {
+            Ok(held) => {
+                *self.stream_held.borrow_mut() = Some(held);
+                Ok(())
+            }
+            Err(err) => Err(self.refused(Refusal::new(&err.to_string(), NO_ROOM_RETRY))),
         }
     }
 
@@ -436,8 +465,8 @@
                 self.causes.clone(),
                 &self.service,
                 slot,
-                parts,
-                body,
+                Response::from_parts(parts, body),
+                self.stream_held.take(),
             ));
         }
         let read = self.read_response(slot, parts, check, body).await;
@@ -461,7 +490,7 @@
     }
 
     /// Buffers a response until it is complete, so that a broken one can still be retried. One that
-    /// exceeds [`MAX_BUFFERED_RESPONSE`] is streamed instead.
+    /// exceeds [`MAX_BUFFERED_RESPONSE`], or for which there is no room, is streamed instead.
     async fn read_response(
         &self,
         mut slot: Slot,
@@ -470,19 +499,22 @@
         mut body: Incoming,
     ) -> Result<Response<Body>, Failure> {
         let (mut buf, started) = (BytesMut::new(), clock::now());
+        let origin = response::origin(&self.req, slot.addr);
+        let held = self.relay.cx.boxes.memory().open(Holder::Answer, origin);
         loop {
-            match read_stream(&mut body).await {
+            let has_room = match read_stream(&mut body).await {
                 Ok(Some(chunk)) => {
                     check.push(&chunk);
                     buf.extend_from_slice(&chunk);
+                    held.resize(buf.len()).is_ok()
                 }
                 Ok(None) => break,
                 Err(err) => {
                     return Err(self.broken_response(&mut slot, started, &err.to_string()));
                 }
-            }
-            if buf.len() > MAX_BUFFERED_RESPONSE {
-                let begun = Response::from_parts(parts, buf.freeze());
+            };
+            if buf.len() > MAX_BUFFERED_RESPONSE || !has_room {
+                let begun = BegunResponse { parts, bytes: buf.freeze(), held };
                 return Ok(response::forward(
                     &self.relay,
                     &self.req,
@@ -513,7 +545,7 @@
         };
         let failed = parts.status.is_server_error();
         slot.finish(if failed { Verdict::Released } else { verdict }, None);
-        let res = response::buffered_response(parts, buf.freeze(), check.framing());
+        let res = response::buffered_response(parts, held.attach(buf), check.framing());
         if failed { Err(Failure::Ran(res)) } else { Ok(res) }
     }
 
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -5,16 +5,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodySender, Framing, clock, read_stream};
+use hatchpitch_net::{Body, BodySender, Framing, Holder, Reservation, clock, read_stream};
 use http::Response;
-use http::response::Parts;
 use hyper::body::Incoming;
 
 use super::context::Relay;
 use super::ending::{Ending, STREAM_STATE_TIMEOUT, judge_open_end, open_end_verdict};
 use super::events::EventSplitter;
 use super::request::HostedRequest;
-use super::response::adapt_head;
+use super::response::{self, adapt_head};
 use crate::config::hosted::EngineSpec;
 use crate::entry::context::ActiveGuard;
 use crate::grants::Slot;
@@ -28,6 +27,11 @@
 
 /// Chunks buffered between upstream and caller.
 pub(super) const BUFFERED_CHUNKS: usize = 32;
+/// Memory of the connections of a stream to its upstream and its caller, in bytes.
+pub(super) const CONNECTION_BYTES: usize = 32 * 1024;
+/// Size up to which the incomplete event of a stream is part of the memory of its connection, in
+/// bytes.
+const USUAL_EVENT_BYTES: usize = 4 * 1024;
 /// Interval at which the connection to the caller is checked while the upstream sends nothing.
 const CALLER_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -54,13 +58,16 @@
     causes: Rc<Causes>,
     service: &str,
     slot: Slot,
-    mut parts: Parts,
-    body: Incoming,
+    res: Response<Incoming>,
+    held: Option<Reservation>,
 ) -> Response<Body> {
+    let (mut parts, body) = res.into_parts();
     let framing = Framing::of_response(&req.method, &parts);
     adapt_head(&mut parts);
-    let (tx, out) = Body::stream(BUFFERED_CHUNKS);
-    let mut stream = EventStream::new(relay.clone(), req, causes, service.to_owned(), slot);
+    let origin = response::origin(&req, slot.addr);
+    let memory = relay.cx.boxes.memory().clone();
+    let (tx, out) = Body::stream(BUFFERED_CHUNKS, memory.open(Holder::Answer, origin));
+    let mut stream = EventStream::new(relay.clone(), req, causes, service.to_owned(), slot, held);
     stream.start(framing);
     let out = out.framed(stream.caller_framing);
     compio::runtime::spawn(stream.run(body, tx)).detach();
@@ -74,6 +81,8 @@
     pub(super) slot: Slot,
     pub(super) service: ServiceName,
     pub(super) splitter: EventSplitter,
+    /// Memory of the connections, and of the incomplete event in the splitter.
+    event_held: Reservation,
     pub(super) moving: Option<Moving>,
     /// Framing of the response to the caller.
     pub(super) caller_framing: Framing,
@@ -122,16 +131,23 @@
         causes: Rc<Causes>,
         service: ServiceName,
         slot: Slot,
+        held: Option<Reservation>,
     ) -> Self {
         let active = relay.cx.begin_request();
         let (now, runner) = (clock::now(), slot.runner.clone());
+        let splitter = EventSplitter::new(relay.cx.settings.limits.max_event);
+        let origin = response::origin(&req, slot.addr);
+        let event_held =
+            held.unwrap_or_else(|| relay.cx.boxes.memory().open(Holder::Event, origin.clone()));
+        event_held.set_origin(origin);
         Self {
             relay,
             req,
             causes,
             slot,
             service,
-            splitter: EventSplitter::default(),
+            splitter,
+            event_held,
             moving: None,
             caller_framing: Framing::Delimited,
             framing: Framing::Delimited,
@@ -227,7 +243,13 @@
                 Ok(Ok(None)) => return LinkEnd::Closed(self.regular_end()),
                 Ok(Err(err)) => return LinkEnd::Closed(StreamEnd::Broken(err.to_string())),
             };
-            let Some(events) = self.splitter.push(&chunk) else { continue };
+            let was_in_pieces = self.splitter.is_in_pieces();
+            let events = self.splitter.push(&chunk).or_else(|| self.piece_without_room());
+            let Some(events) = events else { continue };
+            self.reserve_event();
+            if self.splitter.is_in_pieces() && !was_in_pieces {
+                self.log_large_event();
+            }
             if self.splitter.out_of_order() {
                 return LinkEnd::Over(StreamEnd::Broken("events out of order".to_owned()));
             }
@@ -238,6 +260,27 @@
         }
     }
 
+    /// Reserves the memory of the incomplete event. Returns a piece of it if there is no room.
+    fn piece_without_room(&mut self) -> Option<Bytes> {
+        if self.reserve_event() { None } else { self.splitter.take_piece() }
+    }
+
+    /// Reserves the memory of the incomplete event; returns whether there is room.
+    fn reserve_event(&self) -> bool {
+        let buffered = self.splitter.buffered();
+        let is_usual = buffered <= USUAL_EVENT_BYTES && self.event_held.bytes() <= CONNECTION_BYTES;
+        is_usual || self.event_held.resize(CONNECTION_BYTES + buffered).is_ok()
+    }
+
+    fn log_large_event(&self) {
+        log::warn!(
+            request = self.req.id.as_str(), route = self.req.route.name.as_str(),
+            upstream = self.slot.runner.as_str(), events = self.splitter.events(),
+            limit = self.relay.cx.settings.limits.max_event;
+            "an event is passed on in pieces, as it exceeds the limit or memory is short"
+        );
+    }
+
     /// Returns how a link ended whose connection or message ended in order.
     fn regular_end(&self) -> StreamEnd {
         match self.framing {
--- a/crates/hatchpitch/src/settings/control.rs
+++ b/crates/hatchpitch/src/settings/control.rs
@@ -26,6 +26,7 @@
     operators_addr: Spanned<String>,
     listen_ip: Option<Spanned<String>>,
     data_folder: PathBuf,
+    memory_mb: Option<Spanned<u64>>,
     #[serde(default)]
     peer: Vec<RawPeer>,
     box_keys: Spanned<Vec<RawBoxKey>>,
@@ -80,6 +81,8 @@
     pub operators: Vec<Operator>,
     /// Known failure domains in addition to those of the fleet file.
     pub failure_domains: BTreeSet<FailureDomainName>,
+    /// Limit of the memory of the process, in bytes.
+    pub memory: usize,
     /// Log level.
     pub log_level: LevelFilter,
 }
@@ -113,6 +116,7 @@
             let found = format!("{:?} twice", pair[0].name);
             check.report(raw.name.span(), "peer.name", found, "each control box once");
         }
+        let memory_mb = shared::memory_mb(&mut check, "memory_mb", &raw.memory_mb);
         let default = ReplicaConfig::default();
         let elects_at_once = raw.elects_at_once.unwrap_or(default.elects_at_once);
         let replica = ReplicaConfig { elects_at_once, ..default };
@@ -127,6 +131,7 @@
             box_keys,
             operators,
             failure_domains,
+            memory: memory_mb << 20,
             log_level,
         })
     }
--- a/crates/hatchpitch/src/settings/entry.rs
+++ b/crates/hatchpitch/src/settings/entry.rs
@@ -14,6 +14,7 @@
 use super::shared::{self, RawBoxKey};
 use crate::admission::Policy;
 use crate::ids::{BoxName, FailureDomainName, RegionName};
+use crate::relay::events::DEFAULT_MAX_EVENT;
 
 /// The settings file before validation.
 #[derive(Debug, Deserialize)]
@@ -43,6 +44,8 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawLimits {
+    memory_mb: Option<Spanned<u64>>,
+    max_event_bytes: Option<Spanned<u64>>,
     max_body_bytes: Option<Spanned<u64>>,
     max_connections: Option<Spanned<u64>>,
     feed_fanout: Option<Spanned<u64>>,
@@ -66,6 +69,10 @@
 /// Resource limits of an entry process.
 #[derive(Debug, Clone, Copy)]
 pub struct EntryLimits {
+    /// Limit of the memory of the process, in bytes.
+    pub memory: usize,
+    /// Size from which an event is passed on in pieces before it is complete, in bytes.
+    pub max_event: usize,
     /// Maximum size of a request body, in bytes.
     pub max_body: usize,
     /// Maximum number of open connections per listener.
@@ -103,7 +110,13 @@
 
 impl Default for EntryLimits {
     fn default() -> Self {
-        Self { max_body: 1 << 20, max_connections: 4_096, feed_fanout: 8 }
+        Self {
+            memory: shared::DEFAULT_MEMORY_MB << 20,
+            max_event: DEFAULT_MAX_EVENT,
+            max_body: 1 << 20,
+            max_connections: 4_096,
+            feed_fanout: 8,
+        }
     }
 }
 
@@ -229,6 +242,14 @@
         usize::try_from(number(check, key, raw, allowed, default as u64)).unwrap_or(usize::MAX)
     };
     EntryLimits {
+        memory: size("limits.memory_mb", &raw.memory_mb, shared::MEMORY_MB, default.memory >> 20)
+            << 20,
+        max_event: size(
+            "limits.max_event_bytes",
+            &raw.max_event_bytes,
+            1_024..=64 << 20,
+            default.max_event,
+        ),
         max_body: size(
             "limits.max_body_bytes",
             &raw.max_body_bytes,
--- a/crates/hatchpitch/src/settings/shared.rs
+++ b/crates/hatchpitch/src/settings/shared.rs
@@ -10,6 +10,11 @@
 
 use super::diagnostic::Checker;
 
+/// Limit of the memory of a process whose settings name none, in MiB.
+pub(super) const DEFAULT_MEMORY_MB: usize = 256;
+/// Allowed limits of the memory of a process, in MiB.
+pub(super) const MEMORY_MB: std::ops::RangeInclusive<u64> = 64..=1 << 20;
+
 pub(super) const ADDR: &str = "an address such as \"127.0.0.1:7001\"";
 
 /// A key shared by the boxes; its secret is stored in a separate file.
@@ -62,3 +67,10 @@
     let expected = "off, error, warn, info, debug or trace";
     check.parse("log_level", raw, expected).unwrap_or(LevelFilter::Info)
 }
+
+/// Returns the limit of the memory of a process, in MiB, after checking its range.
+pub(super) fn memory_mb(check: &mut Checker, key: &str, raw: &Option<Spanned<u64>>) -> usize {
+    let Some(raw) = raw else { return DEFAULT_MEMORY_MB };
+    check.range(key, raw, MEMORY_MB);
+    usize::try_from(*raw.get_ref()).unwrap_or(DEFAULT_MEMORY_MB)
+}
--- a/crates/hatchpitch/tests/feed_size.rs
+++ b/crates/hatchpitch/tests/feed_size.rs
@@ -11,8 +11,8 @@
 use hatchpitch::config::hosted::{HostedRoute, RunPolicy, Target};
 use hatchpitch::config::{ConfigState, FeedRequest};
 use hatchpitch_net::{
-    BoxClient, Handler, KeyRing, ServerLimits, SigningKey, bind, open_message, read_body, serve,
-    stop_pair,
+    BoxClient, Handler, KeyRing, Reservation, ServerLimits, SigningKey, bind, open_message,
+    read_body, serve, stop_pair,
 };
 use sha2::{Digest as _, Sha256};
 
@@ -81,7 +81,10 @@
         let (cell, client) = (cell.clone(), client.clone());
         async move {
             let (parts, body) = req.into_parts();
-            let body: Bytes = read_body(body, 1 << 20, Duration::from_secs(9)).await.unwrap();
+            let body: Bytes =
+                read_body(body, 1 << 20, Duration::from_secs(9), Reservation::uncounted())
+                    .await
+                    .unwrap();
             let req: FeedRequest =
                 open_message(client.keys(), FEED_PATH, &parts.headers, &body).unwrap();
             client.respond(&cell.answer(&req).await)
--- a/crates/hatchpitch/tests/relay.rs
+++ b/crates/hatchpitch/tests/relay.rs
@@ -112,3 +112,55 @@
     budgets.force_withdraw("s");
     assert_eq!(allowed_retries(&mut budgets, 100), 2);
 }
+
+/// An event without end must not take as much memory as it has bytes.
+#[test]
+fn an_event_without_end_is_buffered_up_to_the_limit() {
+    let mut splitter = EventSplitter::new(10_000);
+    let (mut sent, mut passed, mut largest) = (0, 0, 0);
+    forward(&mut splitter, "id: 1\ndata: ");
+    for _ in 0..1_000 {
+        passed += forward(&mut splitter, &"x".repeat(997)).len();
+        sent += 997;
+        largest = largest.max(splitter.buffered());
+    }
+    assert!(largest <= 11_000, "{largest} bytes are buffered");
+    assert!(passed + 11_000 > sent, "{passed} of {sent} bytes were passed on");
+    assert!(splitter.is_inside_event() && splitter.is_in_pieces());
+    assert_eq!((splitter.events(), splitter.last_id()), (0, Some("1")));
+}
+
+/// Bytes that are lost, repeated or reordered between the pieces of an event damage it.
+#[test]
+fn a_large_event_in_pieces_has_the_bytes_events_and_ids_of_the_stream() {
+    arbtest::arbtest(|u| {
+        let mut text = String::new();
+        for id in 1..=u.int_in_range(1..=6)? {
+            let end = *u.choose(&["\n", "\r\n"])?;
+            text += &format!("id: {id}{end}");
+            for _ in 0..u.int_in_range(0..=4)? {
+                let word = *u.choose(&["id: 99", "x", ": id: 98 ", "data"])?;
+                text += &format!("data: {}{end}", word.repeat(u.int_in_range(0..=900)?));
+            }
+            text += end;
+        }
+        let mut splitter = EventSplitter::new(u.int_in_range(1..=2_500)?);
+        let (mut rest, mut passed) = (text.as_str(), String::new());
+        while !rest.is_empty() {
+            let cut = u.int_in_range(1..=rest.len().min(700))?;
+            passed += &forward(&mut splitter, &rest[..cut]);
+            if u.ratio(1, 5)? {
+                let piece = splitter.take_piece();
+                passed += std::str::from_utf8(piece.as_deref().unwrap_or_default()).unwrap();
+            }
+            rest = &rest[cut..];
+        }
+        let ids: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+        assert_eq!(passed, text);
+        assert_eq!(splitter.events(), ids.len() as u64);
+        assert_eq!(splitter.last_id(), ids.last().copied());
+        assert!(!splitter.out_of_order());
+        assert!(!splitter.is_in_pieces());
+        Ok(())
+    });
+}
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -7,21 +7,24 @@
 //! truncated body for a complete one.
 
 use std::any::Any;
-use std::cell::Cell;
 use std::fmt;
-use std::pin::Pin;
-use std::rc::Rc;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures_channel::mpsc;
-use futures_util::{SinkExt, StreamExt};
+use bytes::Bytes;
+use futures_util::future::{Either, select};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::Framing;
+use crate::chunks::{self, BodyReceiver, BodySender};
+use crate::memory::{MemoryError, Reservation, SMALL_RESERVATION};
+
+/// Longest wait for room for a body that is being received. The wait applies backpressure to its
+/// sender; room that has not come by then is taken by bodies whose requests are being served.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A body that a handler returns or a client sends.
 #[derive(Debug)]
@@ -47,33 +50,17 @@
     }
 }
 
-/// Receiving end of a streaming body.
-#[derive(Debug)]
-pub struct BodyReceiver {
-    rx: mpsc::Receiver<Bytes>,
-    is_finished: Rc<Cell<bool>>,
-}
-
-/// Sending end of a streaming body. The bounded channel provides backpressure. Dropping it ends the
-/// body with an error, which tells the reader that it is truncated.
-#[derive(Debug)]
-pub struct BodySender {
-    tx: mpsc::Sender<Bytes>,
-    is_finished: Rc<Cell<bool>>,
-}
-
 impl Body {
     /// Creates an empty body.
     pub fn empty() -> Self {
         Self::Full(None)
     }
 
-    /// Creates a streaming body that buffers `depth` chunks, and one more for its sender.
-    pub fn stream(depth: usize) -> (BodySender, Self) {
-        let (tx, rx) = mpsc::channel(depth);
-        let is_finished = Rc::new(Cell::new(false));
-        let sender = BodySender { tx, is_finished: is_finished.clone() };
-        (sender, Self::Stream(BodyReceiver { rx, is_finished }))
+    /// Creates a streaming body that buffers `depth` chunks, which `held` counts until the
+    /// connection has taken them.
+    pub fn stream(depth: usize, held: Reservation) -> (BodySender, Self) {
+        let (tx, rx) = chunks::channel(depth, held);
+        (tx, Self::Stream(rx))
     }
 
     /// Returns the body with this framing, which is for responses only.
@@ -118,30 +105,6 @@
     }
 }
 
-impl BodySender {
-    /// Sends one chunk, waiting while the channel is full.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`BodyError::Closed`] when the reader has closed the body.
-    pub async fn send(&mut self, chunk: Bytes) -> Result<(), BodyError> {
-        self.tx.send(chunk).await.map_err(|_| BodyError::Closed)
-    }
-
-    /// Ends the body, which is complete.
-    pub fn finish(self) {
-        self.is_finished.set(true);
-    }
-
-    /// Ends the body with an error, as dropping the sender does.
-    pub fn abort(self) {}
-
-    /// Returns whether the reader has closed the body.
-    pub fn is_closed(&self) -> bool {
-        self.tx.is_closed()
-    }
-}
-
 impl HttpBody for Body {
     type Data = Bytes;
     type Error = BodyError;
@@ -152,12 +115,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Stream(body) => match body.rx.poll_next_unpin(cx) {
-                Poll::Ready(None) if !body.is_finished.get() => {
-                    Poll::Ready(Some(Err(BodyError::Broken("the rest is missing".to_owned()))))
-                }
-                polled => polled.map(|chunk| chunk.map(|chunk| Ok(Frame::data(chunk)))),
-            },
+            Self::Stream(body) => {
+                body.poll_chunk(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+            }
             Self::Incoming(body) => {
                 Pin::new(body).poll_frame(cx).map_err(|err| BodyError::Broken(err.to_string()))
             }
@@ -195,16 +155,25 @@
     TooLarge(usize),
     /// The body was not complete within this time.
     TooSlow(Duration),
+    /// There is no room for it in the memory of this process.
+    NoRoom(MemoryError),
     /// The connection failed or the framing is invalid.
     Broken(String),
 }
 
+impl From<MemoryError> for BodyError {
+    fn from(err: MemoryError) -> Self {
+        Self::NoRoom(err)
+    }
+}
+
 impl fmt::Display for BodyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Closed => write!(f, "the peer closed the body"),
             Self::TooLarge(max) => write!(f, "body larger than {max} bytes"),
             Self::TooSlow(limit) => write!(f, "body not complete within {limit:?}"),
+            Self::NoRoom(err) => write!(f, "{err}"),
             Self::Broken(cause) => write!(f, "body broken: {cause}"),
         }
     }
@@ -212,27 +181,62 @@
 
 impl std::error::Error for BodyError {}
 
-/// Reads a complete body of at most `max` bytes within `limit`.
+/// Reads a complete body of at most `max` bytes within `limit`. The result keeps `held`, which counts
+/// its bytes, until its last clone is dropped.
 ///
 /// # Errors
 ///
-/// Returns a [`BodyError`] if a limit is exceeded or the connection fails.
-pub async fn read_body(body: Incoming, max: usize, limit: Duration) -> Result<Bytes, BodyError> {
-    match compio::time::timeout(limit, collect(body, max)).await {
-        Ok(read) => read,
-        Err(_) => Err(BodyError::TooSlow(limit)),
-    }
+/// Returns a [`BodyError`] if a limit is exceeded, there is no room, or the connection fails. A body
+/// that announces its length is not read at all if it is too large or there is no room.
+pub async fn read_body(
+    body: Incoming,
+    max: usize,
+    limit: Duration,
+    held: Reservation,
+) -> Result<Bytes, BodyError> {
+    let buf = match compio::time::timeout(limit, collect(body, max, &held)).await {
+        Ok(read) => read?,
+        Err(_) => return Err(BodyError::TooSlow(limit)),
+    };
+    Ok(if buf.is_empty() { Bytes::new() } else { held.attach(buf) })
 }
 
-async fn collect(mut body: Incoming, max: usize) -> Result<Bytes, BodyError> {
-    let mut buf = BytesMut::new();
-    while let Some(chunk) = read_stream(&mut body).await? {
+async fn collect(mut body: Incoming, max: usize, held: &Reservation) -> Result<Vec<u8>, BodyError> {
+    let announced = HttpBody::size_hint(&body).exact().unwrap_or(0);
+    let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+    if announced > max {
+        return Err(BodyError::TooLarge(max));
+    }
+    if !held.can_hold(announced) {
+        // Room for it would never come.
+        return Err(BodyError::TooLarge(held.limit()));
+    }
+    held.grow(announced, ROOM_TIMEOUT).await?;
+    let mut buf = Vec::with_capacity(announced);
+    while let Some(chunk) = read_held(&mut body, held).await? {
         if buf.len() + chunk.len() > max {
             return Err(BodyError::TooLarge(max));
         }
+        let len = buf.len() + chunk.len();
+        if len > buf.capacity() {
+            let capacity = len.max(buf.capacity() * 2).min(max);
+            held.grow(capacity.saturating_sub(held.bytes()), ROOM_TIMEOUT).await?;
+            buf.reserve_exact(capacity - buf.len());
+        }
         buf.extend_from_slice(&chunk);
     }
-    Ok(buf.freeze())
+    Ok(buf)
+}
+
+/// Reads the next chunk of a body until its reservation is taken back.
+async fn read_held(body: &mut Incoming, held: &Reservation) -> Result<Option<Bytes>, BodyError> {
+    if held.bytes() <= SMALL_RESERVATION {
+        return read_stream(body).await;
+    }
+    match select(pin!(read_stream(body)), pin!(held.revoked())).await {
+        Either::Left((chunk, _)) => chunk,
+        Either::Right(((), _)) => Err(MemoryError::Revoked.into()),
+    }
 }
 
 /// Reads the next chunk of a body; `None` marks its regular end, which is the end of the connection
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -26,6 +26,10 @@
 /// with 400.
 const PROBE_MESSAGE: &[u8] = b"PROBE\r\n\r\n";
 
+/// Size limit of the HTTP library's buffer of a connection, in bytes. It bounds the heads and chunks
+/// that an upstream sends faster than they are passed on.
+const MAX_HTTP_BUFFER: usize = 32 * 1024;
+
 /// The step of a call to an upstream at which it failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendStep {
@@ -214,7 +218,10 @@
         head_timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         let fail = |step, cause: String| SendError { step, peer: self.peer, cause };
-        let handshake = http1::handshake(Stream::new(self.stream, DEFAULT_IO_BYTES)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HTTP_BUFFER)
+            .handshake(Stream::new(self.stream, DEFAULT_IO_BYTES))
+            .await;
         let (mut tx, conn) = handshake.map_err(|err| fail(SendStep::Connect, err.to_string()))?;
         compio::runtime::spawn(async move {
             if let Err(err) = conn.await {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,10 +8,13 @@
 pub mod answers;
 pub mod backlog;
 pub mod body;
+mod chunks;
 pub mod client;
 pub mod clock;
+mod connection_memory;
 pub mod framing;
 pub mod keys;
+pub mod memory;
 pub mod monitor;
 pub mod rpc;
 pub mod server;
@@ -20,10 +23,12 @@
 
 pub use answers::PendingAnswers;
 pub use backlog::{Backlog, Waiting};
-pub use body::{Body, BodyError, BodySender, read_body, read_stream};
+pub use body::{Body, BodyError, read_body, read_stream};
+pub use chunks::BodySender;
 pub use client::{Connection, Listening, ProbedLink, SendError, SendStep, Upstream};
 pub use framing::Framing;
 pub use keys::{KeyId, KeyRing, SigningKey};
+pub use memory::{Holder, MemoryBudget, MemoryError, Origin, Reservation, Revoked};
 pub use monitor::{Acknowledgements, ConnectionMonitor};
 pub use rpc::{BoxClient, CallError, CallStep, Traffic, open_message, rmp_response};
 pub use server::{Handler, ServerLimits, bind, query_value, serve, serve_answers};
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{Backlog, Body, KeyRing, SendError, SendStep, Upstream};
+use crate::{Backlog, Body, KeyRing, MemoryBudget, SendError, SendStep, Upstream};
 
 /// Header that carries the signature of a message between boxes.
 pub const SIGNATURE_HEADER: &str = "x-hatchpitch-signature";
@@ -62,6 +62,7 @@
     keys: KeyRing,
     traffic: Rc<RefCell<BTreeMap<String, Traffic>>>,
     backlog: Backlog,
+    memory: MemoryBudget,
 }
 
 /// Traffic of a [`BoxClient`] on one path, without message headers.
@@ -81,7 +82,24 @@
     /// Returns the HTTP library's error if its client cannot be built.
     pub fn new(keys: KeyRing) -> anyhow::Result<Self> {
         let http = cyper::Client::builder().no_proxy().build()?;
-        Ok(Self { http, keys, traffic: Rc::default(), backlog: Backlog::default() })
+        Ok(Self {
+            http,
+            keys,
+            traffic: Rc::default(),
+            backlog: Backlog::default(),
+            memory: MemoryBudget::default(),
+        })
+    }
+
+    /// Takes the memory of messages from `memory`.
+    pub fn with_memory(mut self, memory: MemoryBudget) -> Self {
+        self.memory = memory;
+        self
+    }
+
+    /// Returns the memory budget of the process.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.memory
     }
 
     /// Returns the keys that this client signs with.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -21,15 +21,16 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::answers::{AnswerTracker, TrackedBody};
+use crate::connection_memory::ConnectionMemory;
 use crate::stream::{DEFAULT_IO_BYTES, Stream};
-use crate::{Body, PendingAnswers, Stop, monitor};
+use crate::{Body, MemoryBudget, PendingAnswers, Stop, monitor};
 
 /// Handles one request; the address is that of the caller.
 pub type Handler =
     Rc<dyn Fn(Request<Incoming>, SocketAddr) -> LocalBoxFuture<'static, Response<Body>>>;
 
 /// Resource limits of one listener.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ServerLimits {
     /// Maximum number of open connections; further ones are closed when accepted.
     pub connections: usize,
@@ -40,6 +41,8 @@
     /// Typical size of one read or write, in bytes. An idle connection holds twice this much in
     /// buffers.
     pub io_bytes: usize,
+    /// Budget from which connections and the heads of requests take their memory.
+    pub memory: MemoryBudget,
 }
 
 impl Default for ServerLimits {
@@ -49,6 +52,7 @@
             header_timeout: Duration::from_secs(10),
             buffer: 64 * 1024,
             io_bytes: DEFAULT_IO_BYTES,
+            memory: MemoryBudget::default(),
         }
     }
 }
@@ -71,7 +75,7 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Size of one read while a connection is drained, in bytes.
-const DRAIN_BYTES: usize = 1_024;
+const DRAIN_BYTES: usize = 16 * 1024;
 
 /// Delay before the accept loop retries after an error such as too many open files. Also the
 /// polling interval for open connections at shutdown.
@@ -131,8 +135,18 @@
             Ok((stream, peer)) if open.get() < limits.connections => {
                 open.set(open.get() + 1);
                 let tracker = Rc::new(AnswerTracker::new(pending.clone()));
-                let handler = handler.clone();
-                let task = serve_connection(stream, peer, limits, handler, tracker, stop.clone());
+                let (limits, handler, stop) = (limits.clone(), handler.clone(), stop.clone());
+                let task = async move {
+                    let opened = ConnectionMemory::open(&limits.memory, peer, limits.io_bytes);
+                    match opened.await {
+                        Ok(memory) => {
+                            let memory = Rc::new(memory);
+                            let conn = AcceptedConnection { stream, peer, tracker, memory };
+                            serve_connection(conn, limits, handler, stop).await;
+                        }
+                        Err(err) => log::warn!(peer:% = peer; "connection not served: {err}"),
+                    }
+                };
                 let open = open.clone();
                 compio::runtime::spawn(async move {
                     task.await;
@@ -156,15 +170,23 @@
     }
 }
 
-/// Serves one connection until it ends or `stop` is set and its caller has the answer that is due.
-async fn serve_connection(
+/// A connection and what is kept for it.
+struct AcceptedConnection {
     stream: TcpStream,
     peer: SocketAddr,
+    tracker: Rc<AnswerTracker>,
+    memory: Rc<ConnectionMemory>,
+}
+
+/// Serves one connection until it ends, `stop` is set and its caller has the answer that is due, or
+/// the memory of a request head that is being received is taken back.
+async fn serve_connection(
+    conn: AcceptedConnection,
     limits: ServerLimits,
     handler: Handler,
-    tracker: Rc<AnswerTracker>,
     stop: Stop,
 ) {
+    let AcceptedConnection { stream, peer, tracker, memory } = conn;
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("set TCP_NODELAY for {peer}: {err}");
     }
@@ -177,6 +199,7 @@
         let version = req.version();
         has_body.set(!req.body().is_end_stream());
         tracker.begin();
+        memory.end_head();
         let answer = handler(req, peer);
         let (reset, tracker) = (&reset, tracker.clone());
         async move {
@@ -188,15 +211,20 @@
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.buffer)
-        .serve_connection(Stream::new(stream, limits.io_bytes).tracked(tracker.clone()), service);
+        .serve_connection(
+            Stream::new(stream, limits.io_bytes).tracked(tracker.clone(), memory.clone()),
+            service,
+        );
     let mut conn = Box::pin(conn);
-    let ended = match select(conn.as_mut(), Box::pin(stop.wait())).await {
+    let interrupted = select(Box::pin(stop.wait()), Box::pin(memory.revoked()));
+    let ended = match select(conn.as_mut(), interrupted).await {
         Either::Left((ended, _)) => ended,
-        Either::Right(_) => {
+        Either::Right((Either::Left(_), _)) => {
             conn.as_mut().graceful_shutdown();
             let Some(ended) = finish_answer(conn.as_mut(), &tracker).await else { return };
             ended
         }
+        Either::Right((Either::Right(_), _)) => return,
     };
     drop(conn);
     match ended {
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -15,6 +15,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 
 use crate::answers::AnswerTracker;
+use crate::connection_memory::ConnectionMemory;
 
 /// Default size of one read or write, in bytes. Larger sizes made no measurable difference.
 pub(crate) const DEFAULT_IO_BYTES: usize = 8 * 1024;
@@ -28,20 +29,36 @@
     io: Pin<Box<AsyncStream<TcpStream>>>,
     /// Told when all written bytes have left the buffers, if the connection serves requests.
     tracker: Option<Rc<AnswerTracker>>,
+    /// Counts the bytes of heads, if the connection serves requests.
+    memory: Option<Rc<ConnectionMemory>>,
 }
 
 impl Stream {
     /// Wraps a connected socket; `io_bytes` is the typical size of one read or write, in bytes.
     pub(crate) fn new(socket: TcpStream, io_bytes: usize) -> Self {
         let io = Box::pin(AsyncStream::with_limits(io_bytes, MAX_BUFFER_BYTES, socket));
-        Self { io, tracker: None }
+        Self { io, tracker: None, memory: None }
     }
 
-    /// Tells `tracker` when all written bytes have left the buffers.
-    pub(crate) fn tracked(mut self, tracker: Rc<AnswerTracker>) -> Self {
+    /// Tells `tracker` when all written bytes have left the buffers, and counts the bytes of heads in
+    /// `memory`.
+    pub(crate) fn tracked(
+        mut self,
+        tracker: Rc<AnswerTracker>,
+        memory: Rc<ConnectionMemory>,
+    ) -> Self {
         self.tracker = Some(tracker);
+        self.memory = Some(memory);
         self
     }
+
+    /// Counts received bytes that belong to the head of the next request.
+    fn count_head(&self, len: usize) -> io::Result<()> {
+        match (&self.memory, &self.tracker) {
+            (Some(memory), Some(tracker)) if !tracker.is_pending() => memory.add_head_bytes(len),
+            _ => Ok(()),
+        }
+    }
 }
 
 impl Read for Stream {
@@ -54,6 +71,7 @@
         let len = received.len().min(buf.remaining());
         buf.put_slice(&received[..len]);
         self.io.as_mut().consume(len);
+        self.count_head(len)?;
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/net/tests/endings.rs
+++ b/crates/net/tests/endings.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt as _;
-use hatchpitch_net::{Body, Framing, Handler, ServerLimits, Stop, bind, serve, stop_pair};
+use hatchpitch_net::{
+    Body, Framing, Handler, Reservation, ServerLimits, Stop, bind, serve, stop_pair,
+};
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 use http::{HeaderValue, Method, Response, StatusCode};
@@ -22,7 +24,7 @@
 
 /// Sends two pieces of a body, and drops the sender between them if `is_cut`.
 fn body(framing: Framing, is_cut: bool) -> Body {
-    let (mut tx, body) = Body::stream(1);
+    let (mut tx, body) = Body::stream(1, Reservation::uncounted());
     compio::runtime::spawn(async move {
         tx.send(Bytes::from("first ")).await.unwrap();
         compio::time::sleep(PAUSE).await;
--- a/crates/net/tests/steps.rs
+++ b/crates/net/tests/steps.rs
@@ -5,7 +5,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use hatchpitch_net::{Body, SendError, SendStep, Upstream, read_body};
+use hatchpitch_net::{Body, Reservation, SendError, SendStep, Upstream, read_body};
 use http::Request;
 
 const LIMIT: Duration = Duration::from_millis(300);
@@ -92,6 +92,6 @@
 async fn a_body_that_breaks_off_is_not_an_answer() {
     let (addr, peer) = start(Peer::ReadAllAndSendPartialBody);
     let res = call(addr).await.unwrap();
-    assert!(read_body(res.into_body(), 1_000, LIMIT).await.is_err());
+    assert!(read_body(res.into_body(), 1_000, LIMIT, Reservation::uncounted()).await.is_err());
     peer.join().unwrap();
 }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,7 +8,7 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use hatchpitch_net::{Body, Framing, Upstream, read_body, read_stream};
+use hatchpitch_net::{Body, Framing, Reservation, Upstream, read_body, read_stream};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -114,7 +114,14 @@
             let message = (self.cx.run.wire.addresses)(DOMAINS[0]);
             let upstream = Upstream { addr, connect_timeout: CONNECT_TIMEOUT, source: None };
             let answer = upstream.send(message, CONNECT_TIMEOUT).await.ok()?;
-            let body = read_body(answer.into_body(), MAX_ANSWER, CONNECT_TIMEOUT).await.ok()?;
+            let body = read_body(
+                answer.into_body(),
+                MAX_ANSWER,
+                CONNECT_TIMEOUT,
+                Reservation::uncounted(),
+            )
+            .await
+            .ok()?;
             *self.addresses.borrow_mut() =
                 (Instant::now(), (self.cx.run.wire.read_addresses)(&body));
         }
@@ -207,7 +214,7 @@
 
 /// Reads the answer to a plain request.
 async fn read_plain(body: Incoming, req: &CallerRequest, framing: Framing) -> Outcome {
-    match read_body(body, MAX_ANSWER, ANSWER_TIMEOUT).await {
+    match read_body(body, MAX_ANSWER, ANSWER_TIMEOUT, Reservation::uncounted()).await {
         Ok(text) => judge_plain(&req.id, &String::from_utf8_lossy(&text), framing),
         Err(err) => Outcome::Broken(err.to_string()),
     }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::future::join;
-use hatchpitch_net::{Body, Upstream, read_body};
+use hatchpitch_net::{Body, Reservation, Upstream, read_body};
 use http::{Request, StatusCode, header};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -154,7 +154,10 @@
                 addr = authority_and_path.split('/').next()?.parse().ok()?;
                 continue;
             }
-            let body = read_body(res.into_body(), MAX_ANSWER, CALL_TIMEOUT).await.ok()?;
+            let body =
+                read_body(res.into_body(), MAX_ANSWER, CALL_TIMEOUT, Reservation::uncounted())
+                    .await
+                    .ok()?;
             return Some(Answer { status, body });
         }
         None
--- a/crates/soak/src/upstreams/delivery.rs
+++ b/crates/soak/src/upstreams/delivery.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodySender, Framing};
+use hatchpitch_net::{Body, BodySender, Framing, Reservation};
 
 use super::runs::RunState;
 use super::{AnswerFault, Instance};
@@ -36,7 +36,7 @@
             let delivers = self.fault == AnswerFault::None && !self.instance.died.get();
             return if delivers { Body::from(text) } else { aborted_body() };
         }
-        let (tx, body) = Body::stream(BUFFERED_CHUNKS);
+        let (tx, body) = Body::stream(BUFFERED_CHUNKS, Reservation::uncounted());
         compio::runtime::spawn(self.send_halves(tx, text)).detach();
         body.framed(Framing::UntilClose)
     }
@@ -58,7 +58,7 @@
 
     /// Starts to send the events of a run, and returns the body.
     pub(super) fn send_events(self, run: Rc<RunState>) -> Body {
-        let (tx, body) = Body::stream(BUFFERED_CHUNKS);
+        let (tx, body) = Body::stream(BUFFERED_CHUNKS, Reservation::uncounted());
         let framing = self.framing;
         compio::runtime::spawn(self.generate_events(tx, run)).detach();
         body.framed(framing)
@@ -109,7 +109,7 @@
 
 /// Returns a body that is aborted at once.
 pub(super) fn aborted_body() -> Body {
-    let (tx, body) = Body::stream(1);
+    let (tx, body) = Body::stream(1, Reservation::uncounted());
     tx.abort();
     body
 }
--- a/crates/soak/src/upstreams/runs.rs
+++ b/crates/soak/src/upstreams/runs.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::{Body, read_body};
+use hatchpitch_net::{Body, Reservation, read_body};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use rand::Rng;
@@ -49,7 +49,8 @@
     pub(super) async fn answer(&self, slot: &Slot, req: Request<Incoming>) -> Response<Body> {
         let (parts, body) = req.into_parts();
         let reply = |reply: Reply| (self.cx.wire.reply)(&reply);
-        let Ok(body) = read_body(body, MAX_REQUEST, ACK_TIMEOUT).await else {
+        let Ok(body) = read_body(body, MAX_REQUEST, ACK_TIMEOUT, Reservation::uncounted()).await
+        else {
             return reply(Reply::Unknown);
         };
         let Some(instance) = self.current(slot.index) else { return reply(Reply::WrongInstance) };
--- a/crates/standins/src/app.rs
+++ b/crates/standins/src/app.rs
@@ -9,7 +9,7 @@
 use compio::net::TcpListener;
 use futures_util::FutureExt;
 use hatchpitch::outcome::text_response;
-use hatchpitch_net::{Body, Framing, Handler, ServerLimits, Stop, read_body, serve};
+use hatchpitch_net::{Body, Framing, Handler, Reservation, ServerLimits, Stop, read_body, serve};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -121,7 +121,9 @@
     async fn quote(&self, req: Request<Incoming>) -> Response<Body> {
         let key = req.headers().get("idempotency-key").and_then(|v| v.to_str().ok());
         let key = key.unwrap_or("").to_owned();
-        let Ok(body) = read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+        let Ok(body) =
+            read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT, Reservation::uncounted()).await
+        else {
             return text_response(StatusCode::BAD_REQUEST, "body not read");
         };
         let fault = self.fault.replace(AppFault::None);
@@ -144,7 +146,9 @@
     }
 
     async fn set_fault(&self, req: Request<Incoming>) -> Response<Body> {
-        let Ok(body) = read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+        let Ok(body) =
+            read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT, Reservation::uncounted()).await
+        else {
             return text_response(StatusCode::BAD_REQUEST, "body not read");
         };
         match serde_json::from_slice(&body) {
@@ -162,7 +166,7 @@
     let AppFault::Unframed { ending, content_type } = fault else {
         return text_response(StatusCode::OK, text);
     };
-    let (mut tx, body) = Body::stream(1);
+    let (mut tx, body) = Body::stream(1, Reservation::uncounted());
     compio::runtime::spawn(async move {
         let whole = Bytes::from(text);
         let half = whole.len() / 2;
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -9,7 +9,7 @@
 use futures_util::{Stream, StreamExt};
 use hatchpitch::discovery::Endpoints;
 use hatchpitch::outcome::ProblemBody;
-use hatchpitch_net::{Body, BodyError, Framing, Upstream, read_body, read_stream};
+use hatchpitch_net::{Body, BodyError, Framing, Reservation, Upstream, read_body, read_stream};
 use http::{HeaderMap, Method, Request, Response, header};
 use hyper::body::Incoming;
 use serde::Deserialize;
@@ -191,7 +191,7 @@
         body: Bytes,
     ) -> anyhow::Result<(http::response::Parts, Bytes)> {
         let (parts, incoming) = self.send(at, method, path, headers, body).await?.into_parts();
-        let body = read_body(incoming, MAX_BODY, HEAD_TIMEOUT).await?;
+        let body = read_body(incoming, MAX_BODY, HEAD_TIMEOUT, Reservation::uncounted()).await?;
         Ok((parts, body))
     }
 
@@ -247,7 +247,7 @@
 /// Reads a whole response body; returns an error if the status is not a success.
 async fn read_success_body(res: Response<Incoming>) -> anyhow::Result<Bytes> {
     let status = res.status();
-    let body = read_body(res.into_body(), MAX_BODY, HEAD_TIMEOUT).await?;
+    let body = read_body(res.into_body(), MAX_BODY, HEAD_TIMEOUT, Reservation::uncounted()).await?;
     if !status.is_success() {
         bail!("{status}: {}", String::from_utf8_lossy(&body));
     }
@@ -266,7 +266,8 @@
     answer.error = None;
     answer.end = BodyEnd::Unread;
     if !res.status().is_success() {
-        let body = read_body(res.into_body(), MAX_BODY, HEAD_TIMEOUT).await?;
+        let body =
+            read_body(res.into_body(), MAX_BODY, HEAD_TIMEOUT, Reservation::uncounted()).await?;
         answer.error = serde_json::from_slice(&body).ok();
         return Ok(answer);
     }
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -14,7 +14,8 @@
 use hatchpitch::logging::unix_ms;
 use hatchpitch::outcome::text_response;
 use hatchpitch_net::{
-    Body, BodySender, Framing, Handler, ServerLimits, Stop, query_value, read_body, serve,
+    Body, BodySender, Framing, Handler, Reservation, ServerLimits, Stop, query_value, read_body,
+    serve,
 };
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -211,7 +212,7 @@
 
     /// Returns a response that streams a generation from token `from` on.
     fn stream(self: Rc<Self>, id: String, attempt: String, from: u64) -> Response<Body> {
-        let (tx, body) = Body::stream(8);
+        let (tx, body) = Body::stream(8, Reservation::uncounted());
         let last_sent = Instant::now();
         let fault = self.take_stream_fault();
         let framing = match fault {
@@ -550,7 +551,8 @@
 }
 
 async fn read_json<T: serde::de::DeserializeOwned>(req: Request<Incoming>) -> Option<T> {
-    let body = read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT).await.ok()?;
+    let body =
+        read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT, Reservation::uncounted()).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/crates/standins/src/signals.rs
+++ b/crates/standins/src/signals.rs
@@ -8,7 +8,7 @@
 use futures_util::FutureExt;
 use hatchpitch::engine::adapter::SIGNAL_HEADERS;
 use hatchpitch::outcome::{OUTCOME_HEADER, Outcome, text_response};
-use hatchpitch_net::{Body, Handler, read_body};
+use hatchpitch_net::{Body, Handler, Reservation, read_body};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
@@ -97,7 +97,9 @@
 
 /// Decodes a control request's body and passes the value to `apply`.
 async fn set<T: DeserializeOwned>(req: Request<Incoming>, apply: impl FnOnce(T)) -> Response<Body> {
-    let Ok(body) = read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT).await else {
+    let Ok(body) =
+        read_body(req.into_body(), MAX_BODY, BODY_TIMEOUT, Reservation::uncounted()).await
+    else {
         return text_response(StatusCode::BAD_REQUEST, "body not read");
     };
     match serde_json::from_slice(&body) {
