--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -5,9 +5,11 @@
 //! can have left this process. Each request uses a connection of its own, so a
 //! late answer is never read as that of the next request.
 
+use std::cell::Cell;
 use std::fmt;
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
 use compio::BufResult;
@@ -29,6 +31,8 @@
 /// Size limit of the HTTP library's buffer of a connection, in bytes. It bounds the heads and chunks
 /// that an upstream sends faster than they are passed on.
 const MAX_HTTP_BUFFER: usize = 32 * 1024;
+/// Longest response head together with the interim responses before it, in bytes.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
 
 /// The step of a call to an upstream at which it failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -218,10 +222,9 @@
         head_timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         let fail = |step, cause: String| SendError { step, peer: self.peer, cause };
-        let handshake = http1::Builder::new()
-            .max_buf_size(MAX_HTTP_BUFFER)
-            .handshake(Stream::new(self.stream, DEFAULT_IO_BYTES))
-            .await;
+        let head_left = Rc::new(Cell::new(MAX_HEAD_BYTES));
+        let stream = Stream::new(self.stream, DEFAULT_IO_BYTES).with_head_limit(head_left.clone());
+        let handshake = http1::Builder::new().max_buf_size(MAX_HTTP_BUFFER).handshake(stream).await;
         let (mut tx, conn) = handshake.map_err(|err| fail(SendStep::Connect, err.to_string()))?;
         compio::runtime::spawn(async move {
             if let Err(err) = conn.await {
@@ -230,7 +233,10 @@
         })
         .detach();
         match compio::time::timeout(head_timeout, tx.try_send_request(req)).await {
-            Ok(Ok(res)) => Ok(res),
+            Ok(Ok(res)) => {
+                head_left.set(usize::MAX);
+                Ok(res)
+            }
             Ok(Err(mut err)) => {
                 let step = match err.take_message() {
                     Some(_) => SendStep::Unsent,
