Verify the head of a message between boxes before its body is read

A box read the body of a message, 64 MB at most, before it looked at the signature, which covers path and body: 20 connections with unsigned bodies of 60 MB took a control process to 1,150 MB. Messages that were queued for other boxes, and answers of theirs without a length, were held without being counted.

A further header signs path and length; `BoxClient::receive` verifies it before it reads the body, and refuses a message without a valid one with 401. Queued messages and answers take their size from the budget; answers are read within a limit.

--- a/crates/net/src/backlog.rs
+++ b/crates/net/src/backlog.rs
@@ -2,13 +2,15 @@
 //!
 //! A message stays in memory until its connection has accepted it, so a slow
 //! reader or many simultaneous requests show up here before they show up in the
-//! memory usage of the process.
+//! memory usage of the process. Each message takes its size from the memory budget.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 
+use crate::memory::{Holder, MemoryBudget, MemoryError, Origin, Reservation};
+
 /// Queued bytes above which no further large message should be queued. A link of 100 Mbit/s sends
 /// this many in 84 ms, so heartbeats queued behind them still arrive in time. It also bounds the
 /// memory for large messages to this plus one message, however many boxes request them.
@@ -27,7 +29,10 @@
 
 /// Counts the queued messages of one process; clones share the counters.
 #[derive(Debug, Clone, Default)]
-pub struct Backlog(Arc<Counters>);
+pub struct Backlog {
+    counters: Arc<Counters>,
+    memory: MemoryBudget,
+}
 
 // The counters are atomic because `Bytes::from_owner` requires a `Send` owner, which is dropped
 // wherever the last handle to its bytes is.
@@ -41,7 +46,8 @@
 /// Owner of a message's bytes; subtracts the message from the backlog when dropped.
 struct QueuedMessage {
     message: Vec<u8>,
-    backlog: Backlog,
+    counters: Arc<Counters>,
+    _held: Reservation,
 }
 
 impl AsRef<[u8]> for QueuedMessage {
@@ -52,18 +58,28 @@
 
 impl Drop for QueuedMessage {
     fn drop(&mut self) {
-        self.backlog.0.messages.fetch_sub(1, Ordering::Relaxed);
-        self.backlog.0.bytes.fetch_sub(self.message.len(), Ordering::Relaxed);
+        self.counters.messages.fetch_sub(1, Ordering::Relaxed);
+        self.counters.bytes.fetch_sub(self.message.len(), Ordering::Relaxed);
     }
 }
 
 impl Backlog {
+    /// Creates an empty backlog whose messages take their size from `memory`.
+    pub fn new(memory: MemoryBudget) -> Self {
+        Self { counters: Arc::default(), memory }
+    }
+
+    /// Returns the memory budget of the process.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.memory
+    }
+
     /// Returns the current counts.
     pub fn waiting(&self) -> Waiting {
         Waiting {
-            messages: self.0.messages.load(Ordering::Relaxed),
-            bytes: self.0.bytes.load(Ordering::Relaxed),
-            peak_bytes: self.0.peak_bytes.load(Ordering::Relaxed),
+            messages: self.counters.messages.load(Ordering::Relaxed),
+            bytes: self.counters.bytes.load(Ordering::Relaxed),
+            peak_bytes: self.counters.peak_bytes.load(Ordering::Relaxed),
         }
     }
 
@@ -72,11 +88,18 @@
         self.waiting().bytes <= LARGE_MESSAGE_THRESHOLD
     }
 
-    /// Adds a message to the backlog until the returned bytes are dropped.
-    pub fn count(&self, message: Vec<u8>) -> Bytes {
-        self.0.messages.fetch_add(1, Ordering::Relaxed);
-        let bytes = self.0.bytes.fetch_add(message.len(), Ordering::Relaxed) + message.len();
-        self.0.peak_bytes.fetch_max(bytes, Ordering::Relaxed);
-        Bytes::from_owner(QueuedMessage { message, backlog: self.clone() })
+    /// Adds a message for `path` to the backlog until the returned bytes are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`MemoryError`] if the budget has no room for the message.
+    pub fn count(&self, path: &str, message: Vec<u8>) -> Result<Bytes, MemoryError> {
+        let origin = Origin { path: path.to_owned(), ..Origin::default() };
+        let held = self.memory.reserve(Holder::BoxMessage, origin, message.len())?;
+        let counters = self.counters.clone();
+        counters.messages.fetch_add(1, Ordering::Relaxed);
+        let bytes = counters.bytes.fetch_add(message.len(), Ordering::Relaxed) + message.len();
+        counters.peak_bytes.fetch_max(bytes, Ordering::Relaxed);
+        Ok(Bytes::from_owner(QueuedMessage { message, counters, _held: held }))
     }
 }
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -8,19 +8,29 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{Backlog, Body, KeyRing, MemoryBudget, SendError, SendStep, Upstream};
+use crate::receive::UnverifiedPool;
+use crate::{
+    Backlog, Body, Holder, KeyRing, MemoryBudget, MemoryError, Origin, SendError, SendStep,
+    Upstream,
+};
 
 /// Header that carries the signature of a message between boxes.
 pub const SIGNATURE_HEADER: &str = "x-hatchpitch-signature";
+/// Header that carries the signature of the path and the length of a message, which the receiver
+/// verifies before it reads the body. Boxes of earlier versions do not send it.
+pub const HEAD_SIGNATURE_HEADER: &str = "x-hatchpitch-head-signature";
 /// Purpose under which messages between boxes are signed.
 const SIGNATURE_PURPOSE: &str = "box-message";
-/// Largest accepted response from another box, in bytes.
-const MAX_ANSWER: usize = 64 * 1024 * 1024;
+/// Purpose under which the heads of messages between boxes are signed.
+const HEAD_PURPOSE: &str = "box-message-head";
+/// Largest accepted response from another box, in bytes, unless the client has other limits.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
 const CONTENT_TYPE: &str = "application/msgpack";
 
 /// The step of a call to another box at which it failed.
@@ -62,7 +72,9 @@
     keys: KeyRing,
     traffic: Rc<RefCell<BTreeMap<String, Traffic>>>,
     backlog: Backlog,
-    memory: MemoryBudget,
+    pub(crate) unverified: UnverifiedPool,
+    /// Returns the size of the largest accepted response to a call to a path, in bytes.
+    max_answer: fn(&str) -> usize,
 }
 
 /// Traffic of a [`BoxClient`] on one path, without message headers.
@@ -87,19 +99,26 @@
             keys,
             traffic: Rc::default(),
             backlog: Backlog::default(),
-            memory: MemoryBudget::default(),
+            unverified: UnverifiedPool::default(),
+            max_answer: |_| MAX_ANSWER,
         })
     }
 
     /// Takes the memory of messages from `memory`.
     pub fn with_memory(mut self, memory: MemoryBudget) -> Self {
-        self.memory = memory;
+        self.backlog = Backlog::new(memory);
+        self
+    }
+
+    /// Accepts responses to calls to a path up to the size in bytes that `max_answer` returns for it.
+    pub fn with_answer_limits(mut self, max_answer: fn(&str) -> usize) -> Self {
+        self.max_answer = max_answer;
         self
     }
 
     /// Returns the memory budget of the process.
     pub fn memory(&self) -> &MemoryBudget {
-        &self.memory
+        self.backlog.memory()
     }
 
     /// Returns the keys that this client signs with.
@@ -118,10 +137,20 @@
     }
 
     /// Creates a MessagePack response to another box and counts it in the backlog until it is sent.
+    /// Responds with 503 if the memory budget has no room for it.
     pub fn respond<A: Serialize>(&self, answer: &A) -> Response<Body> {
-        match rmp_serde::to_vec_named(answer) {
-            Ok(bytes) => message_response(self.backlog.count(bytes)),
-            Err(err) => text_response(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()),
+        let bytes = match rmp_serde::to_vec_named(answer) {
+            Ok(bytes) => bytes,
+            Err(err) => {
+                return text_response(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string());
+            }
+        };
+        match self.backlog.count("answer", bytes) {
+            Ok(bytes) => message_response(bytes),
+            Err(err) => {
+                log::info!("no answer to another box: {err}");
+                text_response(StatusCode::SERVICE_UNAVAILABLE, &err.to_string())
+            }
         }
     }
 
@@ -174,18 +203,24 @@
     ) -> Result<Response<Incoming>, SendError> {
         let unsent = |cause| SendError { step: SendStep::Unsent, peer, cause };
         let body = rmp_serde::to_vec_named(message).map_err(|err| unsent(err.to_string()))?;
-        let signature = self.keys.sign(SIGNATURE_PURPOSE, &[path.as_bytes(), &body]);
-        let signature = HeaderValue::from_str(&signature).map_err(|err| unsent(err.to_string()))?;
+        let value = |signature: String| {
+            HeaderValue::from_str(&signature).map_err(|err| unsent(err.to_string()))
+        };
+        let signature = value(self.keys.sign(SIGNATURE_PURPOSE, &[path.as_bytes(), &body]))?;
+        let head_signature = value(sign_head(&self.keys, path, body.len()))?;
         let host =
             HeaderValue::from_str(&peer.to_string()).map_err(|err| unsent(err.to_string()))?;
-        self.record_traffic(path, 1, body.len());
-        let mut req = Request::new(Body::from(self.backlog.count(body)));
+        let len = body.len();
+        let queued = self.backlog.count(path, body).map_err(|err| unsent(err.to_string()))?;
+        self.record_traffic(path, 1, len);
+        let mut req = Request::new(Body::from(queued));
         *req.method_mut() = Method::POST;
         *req.uri_mut() = Uri::from_static(path);
         let headers = req.headers_mut();
         headers.insert(header::HOST, host);
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(CONTENT_TYPE));
         headers.insert(SIGNATURE_HEADER, signature);
+        headers.insert(HEAD_SIGNATURE_HEADER, head_signature);
         Upstream { addr: peer, connect_timeout, source: None }.send(req, head_timeout).await
     }
 
@@ -197,20 +232,21 @@
     ) -> Result<Bytes, CallError> {
         let fail = |step, cause: String| CallError { step, peer, cause };
         let send_failed = |err: cyper::Error| fail(CallStep::Send, error_chain(&err));
-        self.record_traffic(path, 1, body.len());
+        let len = body.len();
         let signature = self.keys.sign(SIGNATURE_PURPOSE, &[path.as_bytes(), &body]);
+        let queued = self.backlog.count(path, body);
+        let queued = queued.map_err(|err| fail(CallStep::Send, err.to_string()))?;
+        self.record_traffic(path, 1, len);
         let req = self
             .http
             .post(format!("http://{peer}{path}"))
             .and_then(|req| req.header(header::CONTENT_TYPE, CONTENT_TYPE))
             .and_then(|req| req.header(SIGNATURE_HEADER, signature))
+            .and_then(|req| req.header(HEAD_SIGNATURE_HEADER, sign_head(&self.keys, path, len)))
             .map_err(send_failed)?;
-        let res = req.body(self.backlog.count(body)).send().await.map_err(send_failed)?;
+        let res = req.body(queued).send().await.map_err(send_failed)?;
         let status = res.status();
-        if res.content_length().is_some_and(|len| len > MAX_ANSWER as u64) {
-            return Err(fail(CallStep::Decode, format!("answer larger than {MAX_ANSWER} bytes")));
-        }
-        let bytes = res.bytes().await.map_err(send_failed)?;
+        let bytes = self.read_answer(peer, path, res).await?;
         self.record_traffic(path, 0, bytes.len());
         if status != StatusCode::OK {
             let text = String::from_utf8_lossy(&bytes).into_owned();
@@ -218,6 +254,53 @@
         }
         Ok(bytes)
     }
+
+    /// Reads the body of a response, which is counted in the memory budget until the result is
+    /// dropped.
+    async fn read_answer(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        mut res: cyper::Response,
+    ) -> Result<Bytes, CallError> {
+        let fail = |step, cause: String| CallError { step, peer, cause };
+        let max = (self.max_answer)(path);
+        let too_large = || fail(CallStep::Decode, format!("answer larger than {max} bytes"));
+        let announced = usize::try_from(res.content_length().unwrap_or(0)).unwrap_or(usize::MAX);
+        if announced > max {
+            return Err(too_large());
+        }
+        let origin = Origin { path: path.to_owned(), ..Origin::peer(peer) };
+        let no_room = |err: MemoryError| fail(CallStep::Send, err.to_string());
+        let held = self.memory().reserve(Holder::BoxMessage, origin, announced);
+        let held = held.map_err(no_room)?;
+        let mut buf = Vec::with_capacity(announced);
+        while let Some(chunk) = res.next().await {
+            let chunk = chunk.map_err(|err| fail(CallStep::Send, error_chain(&err)))?;
+            let len = buf.len() + chunk.len();
+            if len > max {
+                return Err(too_large());
+            }
+            if len > buf.capacity() {
+                let capacity = len.max(buf.capacity() * 2).min(max);
+                held.resize(capacity).map_err(no_room)?;
+                buf.reserve_exact(capacity - buf.len());
+            }
+            buf.extend_from_slice(&chunk);
+        }
+        Ok(held.attach(buf))
+    }
+}
+
+/// Signs the path and the length of a message.
+pub fn sign_head(keys: &KeyRing, path: &str, len: usize) -> String {
+    keys.sign(HEAD_PURPOSE, &[path.as_bytes(), &(len as u64).to_be_bytes()])
+}
+
+/// Returns whether `signature` was made by [`sign_head`] with a key of the ring for this path and
+/// length.
+pub fn verify_head(keys: &KeyRing, path: &str, len: u64, signature: &str) -> bool {
+    keys.verify(HEAD_PURPOSE, &[path.as_bytes(), &len.to_be_bytes()], signature)
 }
 
 /// Formats an error together with its sources.
@@ -232,7 +315,8 @@
     text
 }
 
-/// Verifies the signature of a message from another box and decodes it.
+/// Verifies the signature of a message from another box and decodes it. Programs that hold bodies of
+/// unknown senders only within limits use [`BoxClient::receive`] instead.
 ///
 /// # Errors
 ///
@@ -244,21 +328,38 @@
     headers: &HeaderMap,
     body: &[u8],
 ) -> Result<Q, Box<Response<Body>>> {
+    verify_body(keys, path, headers, body)?;
+    decode_message(path, body)
+}
+
+/// Verifies the signature of the path and the body of a message.
+pub(crate) fn verify_body(
+    keys: &KeyRing,
+    path: &str,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Result<(), Box<Response<Body>>> {
     let signature = headers.get(SIGNATURE_HEADER).and_then(|value| value.to_str().ok());
     let signed =
         signature.is_some_and(|s| keys.verify(SIGNATURE_PURPOSE, &[path.as_bytes(), body], s));
-    if !signed {
-        return Err(Box::new(text_response(
-            StatusCode::UNAUTHORIZED,
-            "unknown or missing box signature",
-        )));
-    }
+    if signed { Ok(()) } else { Err(Box::new(unknown_sender())) }
+}
+
+pub(crate) fn decode_message<Q: DeserializeOwned>(
+    path: &str,
+    body: &[u8],
+) -> Result<Q, Box<Response<Body>>> {
     rmp_serde::from_slice(body).map_err(|err| {
         let text = format!("{path}: message does not decode: {err}");
         Box::new(text_response(StatusCode::BAD_REQUEST, &text))
     })
 }
 
+/// Returns the response to a message whose signature is missing or invalid.
+pub(crate) fn unknown_sender() -> Response<Body> {
+    text_response(StatusCode::UNAUTHORIZED, "unknown or missing box signature")
+}
+
 /// Creates a MessagePack response to another box.
 pub fn rmp_response<A: Serialize>(answer: &A) -> Response<Body> {
     match rmp_serde::to_vec_named(answer) {
@@ -274,7 +375,7 @@
     res
 }
 
-fn text_response(status: StatusCode, text: &str) -> Response<Body> {
+pub(crate) fn text_response(status: StatusCode, text: &str) -> Response<Body> {
     let mut res = Response::new(Body::from(text.to_owned()));
     *res.status_mut() = status;
     res
