Count the copies of a request that is sent through another box

The decoded copy of a forwarded request, up to 16 MB, stayed until the upstream had read it without being counted, and so did the copy that the asking box encodes. Both take their size from the budget now; without room, the request is refused with 503, and the asking box gives up asking others.

--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hatchpitch_net::{
@@ -234,6 +235,12 @@
                 continue;
             }
             let req = encode(budget.left(clock::now()));
+            // The action is a copy of the request, which is kept until the other box has answered.
+            let held = cx.open_memory(Holder::BoxMessage, task::FORWARD_PATH);
+            if let Err(err) = held.resize(body_len(&req)) {
+                log::info!(upstream = detour.name.as_str(); "request not forwarded: {err}");
+                break;
+            }
             let action = match task::encode_action(req, budget.timeout, options) {
                 Ok(action) => action,
                 Err(cause) => {
@@ -322,3 +329,11 @@
         Link { cx: self.cx.clone(), name: self.name.clone(), path }
     }
 }
+
+/// Returns the size of the body of a request that can be sent again, in bytes.
+fn body_len(req: &Request<Body>) -> usize {
+    match req.body() {
+        Body::Full(bytes) => bytes.as_ref().map_or(0, Bytes::len),
+        Body::Stream(_) | Body::Incoming(_) | Body::UntilClose(_) | Body::Guarded(..) => 0,
+    }
+}
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -5,10 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use hatchpitch_net::{
-    Body, Framing, Holder, Listening, Reservation, SendError, SendStep, clock, open_message,
-    read_body,
+    Body, Framing, Holder, Listening, Reservation, SendError, SendStep, clock, read_body,
 };
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
@@ -50,7 +48,7 @@
 /// Requests that a box sends to upstreams for others at one time.
 const MAX_FORWARDS: usize = 512;
 /// Total size of these requests while they are being received and sent, in bytes.
-const MAX_FORWARD_BYTES: usize = 16 * 1024 * 1024;
+pub const MAX_FORWARD_BYTES: usize = 16 * 1024 * 1024;
 
 /// Answer of another box that was asked to send a request.
 pub enum PeerAnswer {
@@ -221,14 +219,18 @@
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "too many requests of other boxes");
     };
     let timeout = cx.settings.timing.body_timeout;
-    let held = cx.open_memory(Holder::BoxMessage, FORWARD_PATH);
-    let body = match read_body(body, MAX_FORWARD_BYTES, timeout, held).await {
-        Ok(body) => body,
-        Err(err) => return text_response(StatusCode::BAD_REQUEST, err.to_string()),
+    let message = match cx.boxes.receive(&parts, body, MAX_FORWARD_BYTES, timeout).await {
+        Ok(message) => message,
+        Err(refusal) => return *refusal,
     };
-    let opened =
-        open_message::<ForwardRequest>(&cx.settings.box_keys, FORWARD_PATH, &parts.headers, &body);
-    drop(body);
+    // The decoded request is a copy, which is kept until the upstream has it.
+    let held = cx.open_memory(Holder::BoxMessage, FORWARD_PATH);
+    if let Err(err) = held.resize(message.size()) {
+        log::info!("request of another box refused: {err}");
+        return text_response(StatusCode::SERVICE_UNAVAILABLE, err.to_string());
+    }
+    let opened = message.decode::<ForwardRequest>();
+    drop(message);
     let ForwardRequest { upstream, addr, action } = match opened {
         Ok(req) => req,
         Err(refusal) => return *refusal,
@@ -238,7 +240,7 @@
         ForwardAction::Send(message) => {
             // Delays the shutdown of the process until the whole answer has been passed on.
             let active = cx.begin_request();
-            match send(cx, &upstream, addr, message).await {
+            match send(cx, &upstream, addr, message, held).await {
                 Ok(res) => {
                     cx.metrics.count(Count::SentForPeer, "");
                     res.map(|body| body.guarded(active))
@@ -308,6 +310,7 @@
     upstream: &RunnerName,
     addr: SocketAddr,
     message: ForwardedMessage,
+    held: Reservation,
 ) -> Result<Response<Body>, ForwardFailure> {
     let cannot = |cause: &str| ForwardFailure {
         not_run: true,
@@ -329,7 +332,9 @@
     }
     let (head_timeout, kind) = (message.head_timeout, message.kind.clone());
     let options = SendOptions { kind: &kind, is_repeatable: message.is_repeatable };
-    let Some(req) = decode(message) else { return Err(cannot("the request does not decode")) };
+    let Some(req) = decode(message, held) else {
+        return Err(cannot("the request does not decode"));
+    };
     let method = req.method().clone();
     let conn = match link.path.connect().await {
         Ok(conn) => conn,
@@ -366,14 +371,15 @@
     }
 }
 
-fn decode(message: ForwardedMessage) -> Option<Request<Body>> {
+/// Decodes a request, whose body keeps `held` until the upstream has it.
+fn decode(message: ForwardedMessage, held: Reservation) -> Option<Request<Body>> {
     let mut headers = HeaderMap::with_capacity(message.headers.len());
     for (name, value) in message.headers {
         let name = header::HeaderName::from_bytes(name.as_bytes()).ok()?;
         headers.append(name, HeaderValue::from_bytes(&value).ok()?);
     }
-    let body = Bytes::from(message.body.into_vec());
-    let body = if body.is_empty() { Body::empty() } else { Body::from(body) };
+    let body = message.body.into_vec();
+    let body = if body.is_empty() { Body::empty() } else { Body::from(held.attach(body)) };
     let mut req = Request::new(body);
     *req.method_mut() = message.method.parse().ok()?;
     *req.uri_mut() = message.target.parse().ok()?;
