Limit each kind of message between boxes by itself

Every path accepted 64 MB at a control process, before the signature was known. Each path now has a limit of its own, which a signed head cannot exceed, and a stranger gets 401 without its body being read. Batches of the log are filled up to 256 KiB, so that they stay within theirs.

Red before, with the tests on (cargo test -p hatchpitch): a_control_process_holds_no_bodies_of_strangers: `/box/log: "http/1.1 400 ...` after the 10 s for a body; each_kind_of_message_between_boxes_has_a_limit_of_ its_own: `/box/claim: ""`, no answer as the body was waited for.

--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -3,13 +3,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hatchpitch_net::{Body, Holder, clock, open_message, read_body};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hatchpitch_net::{Body, ReceivedMessage, clock};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use serde::de::DeserializeOwned;
 
 use super::context::{ControlCx, ProposeError};
-use super::daemon::{BODY_TIMEOUT, MAX_BODY};
+use super::daemon::BODY_TIMEOUT;
 use super::join::{self, JOIN_PATH, JoinRequest};
 use super::leader::LeaderAnswer;
 use super::machine::{Order, Reply};
@@ -18,6 +17,7 @@
 use crate::claims::{ClaimOutcome, ClaimRequest, SettleRequest};
 use crate::config::FeedRequest;
 use crate::config::feed::FEED_PATH;
+use crate::message_limits::max_body;
 use crate::outcome::text_response;
 use crate::quarantine::Evidence;
 use crate::quarantine::observer::EVIDENCE_PATH;
@@ -38,34 +38,36 @@
         return text_response(StatusCode::METHOD_NOT_ALLOWED, "method: expected POST");
     }
     let (parts, incoming) = req.into_parts();
-    let held = cx.open_memory(Holder::BoxMessage, parts.uri.path());
-    let body = match read_body(incoming, MAX_BODY, BODY_TIMEOUT, held).await {
-        Ok(body) => body,
-        Err(err) => return text_response(StatusCode::BAD_REQUEST, err.to_string()),
-    };
-    let request =
-        BoxRequest { cx: &cx, path: parts.uri.path(), headers: &parts.headers, body: &body };
-    request.answer().await.unwrap_or_else(|rejection| *rejection)
+    let Some(max) = max_body(parts.uri.path()) else { return no_such_path() };
+    match cx.boxes.receive(&parts, incoming, max, BODY_TIMEOUT).await {
+        Ok(message) => {
+            let request = BoxRequest { cx: &cx, message };
+            request.answer().await.unwrap_or_else(|rejection| *rejection)
+        }
+        Err(rejection) => *rejection,
+    }
+}
+
+fn no_such_path() -> Response<Body> {
+    text_response(StatusCode::NOT_FOUND, "no such path")
 }
 
-/// A request whose body has arrived and whose signature is not verified yet.
+/// A request whose signature is verified.
 struct BoxRequest<'a> {
     cx: &'a Rc<ControlCx>,
-    path: &'a str,
-    headers: &'a HeaderMap,
-    body: &'a [u8],
+    message: ReceivedMessage,
 }
 
 impl BoxRequest<'_> {
-    /// Verifies, decodes and serves the request.
+    /// Decodes and serves the request.
     async fn answer(&self) -> HandlerResult {
-        match self.path {
+        match self.message.path() {
             FEED_PATH => {
-                let req = self.open::<FeedRequest>()?;
+                let req = self.message.decode::<FeedRequest>()?;
                 Ok(self.cx.boxes.respond(&self.cx.config.answer(&req).await))
             }
             CLAIM_PATH => {
-                let req = self.open::<ClaimRequest>()?;
+                let req = self.message.decode::<ClaimRequest>()?;
                 self.propose_order(Order::Claim(req), |reply| match reply {
                     Reply::Claim(outcome) => outcome,
                     Reply::Config(_)
@@ -77,12 +79,12 @@
                 .await
             }
             LOG_PATH => {
-                let batch = self.open::<LogBatch>()?;
+                let batch = self.message.decode::<LogBatch>()?;
                 self.receive_batch(batch);
                 Ok(self.cx.boxes.respond(&()))
             }
             PART_PATH => {
-                let part = self.open::<LogPart>()?;
+                let part = self.message.decode::<LogPart>()?;
                 let (answer, complete) = self.cx.log_parts.borrow_mut().take(part, clock::now());
                 if let Some(message) = complete {
                     self.receive_batch(decode(&message)?);
@@ -90,7 +92,7 @@
                 Ok(self.cx.boxes.respond(&answer))
             }
             FOLLOW_PATH => {
-                let req = self.open::<FollowRequest>()?;
+                let req = self.message.decode::<FollowRequest>()?;
                 let in_force = || self.cx.config.in_force();
                 let has_room = || self.cx.boxes.backlog().has_room();
                 let answer = self.cx.registry.answer(&req, in_force, has_room).await;
@@ -103,7 +105,7 @@
                 Ok(self.cx.boxes.respond(&answer))
             }
             NEWS_PATH => {
-                let news = self.open::<RegistryNews>()?;
+                let news = self.message.decode::<RegistryNews>()?;
                 let new_peer = self.cx.record_control_peers(&news);
                 self.cx.registry.apply_news(news);
                 if let Some(peer) = new_peer {
@@ -112,23 +114,23 @@
                 Ok(self.cx.boxes.respond(&()))
             }
             JOIN_PATH => {
-                let req = self.open::<JoinRequest>()?;
+                let req = self.message.decode::<JoinRequest>()?;
                 Ok(self.cx.boxes.respond(&join::answer(self.cx, req)))
             }
             HELLO_PATH => {
-                self.open::<Hello>()?;
+                self.message.decode::<Hello>()?;
                 Ok(self.cx.boxes.respond(&self.cx.hello()))
             }
             SETTLE_PATH => {
-                let req = self.open::<SettleRequest>()?;
+                let req = self.message.decode::<SettleRequest>()?;
                 self.propose_order(Order::Settle(req), |_| ()).await
             }
             EVIDENCE_PATH => {
-                let mut evidence = self.open::<Evidence>()?;
+                let mut evidence = self.message.decode::<Evidence>()?;
                 evidence.enforce_limits();
                 self.propose_order(Order::Crashes(evidence), |_| ()).await
             }
-            _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
+            _ => Err(Box::new(no_such_path())),
         }
     }
 
@@ -165,11 +167,6 @@
         .detach();
     }
 
-    /// Verifies the signature of the request and decodes its body.
-    fn open<Q: DeserializeOwned>(&self) -> Result<Q, Box<Response<Body>>> {
-        open_message(&self.cx.settings.box_keys, self.path, self.headers, self.body)
-    }
-
     /// Proposes an order to the replicated log and converts its reply into the response; a box that
     /// does not lead names the leader instead.
     async fn propose_order<A: serde::Serialize>(
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -21,6 +21,7 @@
 use crate::listener::{ExtraListener, Listeners, bind_addr};
 use crate::logging::unix_ms;
 use crate::memory_monitor;
+use crate::message_limits::max_answer;
 use crate::registry::peers;
 use crate::replication::bootstrap::BootstrapOutcome;
 use crate::replication::disk::Disk;
@@ -28,8 +29,6 @@
 use crate::settings::ControlSettings;
 use crate::signals::{self, StopSignals};
 
-/// Maximum size of a request body from another box, in bytes.
-pub const MAX_BODY: usize = 64 * 1024 * 1024;
 /// Time within which a request body must arrive.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval between checks for held requests whose term has expired, and for decisions that are due:
@@ -81,7 +80,9 @@
     let operators = operators.context("operators' listener")?;
     let boxes = bind(bind_addr(own.boxes_addr, listen_ip)).await.context("boxes' listener")?;
     let memory = MemoryBudget::new(settings.memory);
-    let client = BoxClient::new(settings.box_keys.clone())?.with_memory(memory.clone());
+    let client = BoxClient::new(settings.box_keys.clone())?
+        .with_memory(memory.clone())
+        .with_answer_limits(max_answer);
     let cx = ControlCx::new(settings, id, client);
     let own = &cx.settings.own;
     log::info!("control box {} serves operators at {}", own.name, own.operators_addr);
--- a/crates/hatchpitch/src/entry/boxes.rs
+++ b/crates/hatchpitch/src/entry/boxes.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
-use hatchpitch_net::{Body, Holder, open_message, read_body};
+use hatchpitch_net::Body;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use super::callers::{body_problem, require_method};
+use super::callers::require_method;
 use super::context::EntryCx;
 use crate::config::FeedRequest;
 use crate::config::feed::FEED_PATH;
@@ -14,6 +14,7 @@
 use crate::grants::task::{self as grants, ADOPT_PATH, GRANT_PATH, RELEASE_PATH, SYNC_PATH};
 use crate::membership::messages::{Gossip, ProbeRequest};
 use crate::membership::task::{self as membership, GOSSIP_PATH, PING_PATH, PROBE_PATH};
+use crate::message_limits::max_body;
 use crate::moves::task::{self as turns, TURN_DONE_PATH, TURN_PATH};
 use crate::moves::{TurnDone, TurnRequest};
 use crate::outcome::text_response;
@@ -36,56 +37,67 @@
     if parts.uri.path() == FORWARD_PATH {
         return reachability::answer(&cx, parts, incoming).await;
     }
-    let settings = &cx.settings;
-    let held = cx.open_memory(Holder::BoxMessage, parts.uri.path());
-    let read = read_body(incoming, settings.limits.max_body, settings.timing.body_timeout, held);
-    let body = match read.await {
-        Ok(body) => body,
-        Err(err) => return body_problem(err).into_response(),
+    let Some(max) = max_body(parts.uri.path()) else { return no_such_path() };
+    let timeout = cx.settings.timing.body_timeout;
+    let message = match cx.boxes.receive(&parts, incoming, max, timeout).await {
+        Ok(message) => message,
+        Err(refusal) => return *refusal,
     };
-    let path = parts.uri.path();
-    let keys = &cx.settings.box_keys;
-    let answer = match path {
-        GOSSIP_PATH => open_message::<Gossip>(keys, path, &parts.headers, &body)
+    let answer = match message.path() {
+        GOSSIP_PATH => message
+            .decode::<Gossip>()
             .map(|gossip| cx.boxes.respond(&membership::answer(&cx.membership, &cx.boxes, gossip))),
-        PING_PATH => {
-            open_message::<()>(keys, path, &parts.headers, &body).map(|()| cx.boxes.respond(&()))
-        }
-        PROBE_PATH => match open_message::<ProbeRequest>(keys, path, &parts.headers, &body) {
+        PING_PATH => message.decode::<()>().map(|()| cx.boxes.respond(&())),
+        PROBE_PATH => match message.decode::<ProbeRequest>() {
             Ok(req) => Ok(cx.boxes.respond(&membership::probe(&cx.boxes, req).await)),
             Err(refusal) => Err(refusal),
         },
-        FEED_PATH => match open_message::<FeedRequest>(keys, path, &parts.headers, &body) {
+        FEED_PATH => match message.decode::<FeedRequest>() {
             Ok(req) => Ok(cx.boxes.respond(&cx.config.answer(&req).await)),
             Err(refusal) => Err(refusal),
         },
-        GRANT_PATH => match open_message::<GrantRequest>(keys, path, &parts.headers, &body) {
+        GRANT_PATH => match message.decode::<GrantRequest>() {
             Ok(req) => Ok(cx.boxes.respond(&grants::answer(&cx, req).await)),
             Err(refusal) => Err(refusal),
         },
-        RELEASE_PATH => open_message::<ReleaseRequest>(keys, path, &parts.headers, &body)
+        RELEASE_PATH => message
+            .decode::<ReleaseRequest>()
             .map(|req| cx.boxes.respond(&grants::release(&cx, &req))),
-        TURN_PATH => open_message::<TurnRequest>(keys, path, &parts.headers, &body)
+        TURN_PATH => message
+            .decode::<TurnRequest>()
             .map(|req| cx.boxes.respond(&turns::answer_turn(&cx, &req))),
-        TURN_DONE_PATH => open_message::<TurnDone>(keys, path, &parts.headers, &body)
+        TURN_DONE_PATH => message
+            .decode::<TurnDone>()
             .map(|done| cx.boxes.respond(&turns::answer_turn_done(&cx, &done))),
-        ADOPT_PATH => open_message::<AdoptRequest>(keys, path, &parts.headers, &body)
-            .map(|req| cx.boxes.respond(&grants::adopt(&cx, req))),
-        PERMIT_PATH => open_message::<PermitRequest>(keys, path, &parts.headers, &body)
+        ADOPT_PATH => {
+            message.decode::<AdoptRequest>().map(|req| cx.boxes.respond(&grants::adopt(&cx, req)))
+        }
+        PERMIT_PATH => message
+            .decode::<PermitRequest>()
             .map(|req| cx.boxes.respond(&upstream_limits::answer(&cx, &req))),
-        LIMIT_NOTICES_PATH => open_message::<Vec<LimitNotice>>(keys, path, &parts.headers, &body)
+        LIMIT_NOTICES_PATH => message
+            .decode::<Vec<LimitNotice>>()
             .map(|news| cx.boxes.respond(&upstream_limits::receive_notices(&cx, &news))),
-        LEAVING_PATH => open_message::<Vec<LeavingNotice>>(keys, path, &parts.headers, &body)
+        LEAVING_PATH => message
+            .decode::<Vec<LeavingNotice>>()
             .map(|news| cx.boxes.respond(&upstream_signals::receive_leaving_notices(&cx, &news))),
-        BRITTLE_PATH => open_message::<Vec<BrittleNotice>>(keys, path, &parts.headers, &body)
+        BRITTLE_PATH => message
+            .decode::<Vec<BrittleNotice>>()
             .map(|news| cx.boxes.respond(&upstream_signals::receive_brittle_notices(&cx, &news))),
-        PACE_PATH => open_message::<PaceReport>(keys, path, &parts.headers, &body)
+        PACE_PATH => message
+            .decode::<PaceReport>()
             .map(|report| cx.boxes.respond(&pace::apply(&cx, &report))),
-        ANSWERS_PATH => open_message::<AnswersRequest>(keys, path, &parts.headers, &body)
+        ANSWERS_PATH => message
+            .decode::<AnswersRequest>()
             .map(|req| cx.boxes.respond(&answer_inquiry(&cx, &req))),
-        SYNC_PATH => open_message::<GrantSync>(keys, path, &parts.headers, &body)
-            .map(|req| cx.boxes.respond(&grants::sync(&cx, &req))),
-        _ => Err(Box::new(text_response(StatusCode::NOT_FOUND, "no such path"))),
+        SYNC_PATH => {
+            message.decode::<GrantSync>().map(|req| cx.boxes.respond(&grants::sync(&cx, &req)))
+        }
+        _ => Err(Box::new(no_such_path())),
     };
     answer.unwrap_or_else(|refusal| *refusal)
 }
+
+fn no_such_path() -> Response<Body> {
+    text_response(StatusCode::NOT_FOUND, "no such path")
+}
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -27,6 +27,7 @@
 use crate::membership::state::{Membership, MembershipConfig};
 use crate::membership::task as membership_task;
 use crate::memory_monitor;
+use crate::message_limits::max_answer;
 use crate::pace::task as pace;
 use crate::quarantine::observer;
 use crate::registry::follow::{self, FollowCallbacks};
@@ -72,7 +73,9 @@
     let callers = callers.context("callers' listener")?;
     let boxes = bind(bind_addr(settings.boxes_addr, listen_ip)).await.context("boxes' listener")?;
     let memory = MemoryBudget::new(settings.limits.memory);
-    let client = BoxClient::new(settings.box_keys.clone())?.with_memory(memory);
+    let client = BoxClient::new(settings.box_keys.clone())?
+        .with_memory(memory)
+        .with_answer_limits(max_answer);
     let membership = Rc::new(RefCell::new(new_membership(&settings)));
     let cx = EntryCx::new(settings, membership, client);
     log::info!("entry box {} serves callers at {}", cx.settings.name, cx.settings.callers_addr);
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod logging;
 pub mod membership;
 pub mod memory_monitor;
+pub mod message_limits;
 pub mod metrics;
 pub mod moves;
 pub mod outcome;
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -23,6 +23,11 @@
 
 /// Path of batches of messages between replicas.
 pub const LOG_PATH: &str = "/box/log";
+/// Size of the commands in a batch above which it takes no further message, in bytes.
+const BATCH_BYTES: usize = 256 * 1024;
+/// Maximum size of an encoded [`LogBatch`], in bytes. Earlier versions fill batches without a limit;
+/// a batch above this one is lost, and its receiver repeats its request.
+pub const MAX_BATCH_MESSAGE: usize = 2 * 1024 * 1024;
 /// Capacity of the queue of small messages to one replica. Messages beyond it are dropped.
 const SEND_QUEUE: usize = 256;
 /// Extra capacity of the queue of large messages to one replica, behind the one in flight. A second
@@ -490,8 +495,12 @@
     mut rx: mpsc::Receiver<Envelope>,
 ) {
     while let Some(first) = rx.next().await {
+        let mut bytes = first.message.payload_len();
         let mut envelopes = vec![first];
-        while let Ok(next) = rx.try_recv() {
+        while bytes <= BATCH_BYTES
+            && let Ok(next) = rx.try_recv()
+        {
+            bytes += next.message.payload_len();
             envelopes.push(next);
         }
         let batch = LogBatch { reply_to, envelopes };
--- a/crates/hatchpitch/src/replication/transfer.rs
+++ b/crates/hatchpitch/src/replication/transfer.rs
@@ -18,7 +18,9 @@
 pub const PART_PATH: &str = "/box/log-part";
 /// Size of a part in bytes. A link of 10 Mbit/s transfers it in 52 ms, far below the call timeout.
 const PART_BYTES: usize = 64 * 1024;
-/// Maximum size of a reassembled message, in bytes; the same limit applies to undivided messages.
+/// Maximum size of an encoded [`LogPart`], in bytes: its content and its other fields.
+pub const MAX_PART_MESSAGE: usize = PART_BYTES + 1024;
+/// Maximum size of a reassembled message, in bytes.
 const MAX_MESSAGE_BYTES: u64 = 64 * 1024 * 1024;
 /// Maximum number of messages under reassembly: one per peer in a large group of control boxes.
 const MAX_PARTIALS: usize = 16;
