Count messages of the log while they are received and sent

Batches that wait for the replica, messages that are put together from parts, and entries that are queued for a slow replica were held without being counted. Each takes its size from the budget, a large message twice its size for the copy that is decoded or encoded. Without room, the first part of a large message is refused and a batch gets 503; their senders repeat them. Heartbeats and votes need no room here.

The test of the reassembly compares the bytes of the complete message as before; they arrive together with their reservation now.

--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hatchpitch_net::{Body, ReceivedMessage, clock};
+use hatchpitch_net::{Body, Holder, ReceivedMessage, Reservation, clock};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -28,7 +28,7 @@
 use crate::replication::messages::{Envelope, LogBatch};
 use crate::replication::restart::answer_for_former_identity;
 use crate::replication::task::{LOG_PATH, SEND_TIMEOUT};
-use crate::replication::transfer::{LogPart, PART_PATH};
+use crate::replication::transfer::{CompleteMessage, LogPart, PART_PATH};
 
 type HandlerResult = Result<Response<Body>, Box<Response<Body>>>;
 
@@ -80,14 +80,22 @@
             }
             LOG_PATH => {
                 let batch = self.message.decode::<LogBatch>()?;
-                self.receive_batch(batch);
+                let bytes = batch.envelopes.iter().map(|e| e.message.payload_len()).sum();
+                let held = self.cx.open_memory(Holder::Transfer, LOG_PATH);
+                held.resize(bytes).map_err(|err| {
+                    Box::new(text_response(StatusCode::SERVICE_UNAVAILABLE, err.to_string()))
+                })?;
+                self.receive_batch(batch, held);
                 Ok(self.cx.boxes.respond(&()))
             }
             PART_PATH => {
                 let part = self.message.decode::<LogPart>()?;
                 let (answer, complete) = self.cx.log_parts.borrow_mut().take(part, clock::now());
-                if let Some(message) = complete {
-                    self.receive_batch(decode(&message)?);
+                if let Some(CompleteMessage { bytes, held }) = complete {
+                    let batch = decode(&bytes)?;
+                    held.shrink(bytes.len());
+                    drop(bytes);
+                    self.receive_batch(batch, held);
                 }
                 Ok(self.cx.boxes.respond(&answer))
             }
@@ -136,7 +144,7 @@
 
     /// Passes messages to the replica. Before it is started, a message from a leader only shows
     /// that this box was added to the group.
-    fn receive_batch(&self, batch: LogBatch) {
+    fn receive_batch(&self, batch: LogBatch, held: Reservation) {
         let own = self.cx.id;
         for envelope in batch.envelopes.iter().filter(|e| e.to != own) {
             if let Some(answer) = answer_for_former_identity(envelope) {
@@ -144,7 +152,7 @@
             }
         }
         match self.cx.log() {
-            Some(log) => log.receive(batch),
+            Some(log) => log.receive(batch, held),
             None => {
                 let mut to_own = batch.envelopes.iter().filter(|e| e.to == own);
                 if to_own.any(|e| e.message.is_from_leader()) {
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -96,18 +96,18 @@
             id,
             config: ConfigCell::new(boxes.backlog().clone()),
             metrics: Metrics::default(),
-            boxes,
             contacted_by_leader: Cell::new(false),
             changing_members: Cell::new(false),
             submit_lock: Mutex::new(()),
             registry: Rc::new(RegistryCell::new(rand::random())),
             outbox: Rc::default(),
-            log_parts: RefCell::default(),
+            log_parts: RefCell::new(Reassembler::new(boxes.memory().clone())),
             core_hello: RefCell::default(),
             control_peers: RefCell::default(),
             refused_ids: RefCell::default(),
             machine: RefCell::new(Machine::new()),
             log: OnceCell::new(),
+            boxes,
         })
     }
 
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -11,7 +11,7 @@
 
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
-use hatchpitch_net::{BoxClient, Stop, clock};
+use hatchpitch_net::{BoxClient, Holder, MemoryError, Origin, Reservation, Stop, clock};
 
 use super::disk::Disk;
 use super::membership::{ChangeError, MemberChange};
@@ -76,8 +76,9 @@
 
 /// Input of the driver.
 pub enum Input {
-    /// A message from another replica, and the address to which answers are sent.
-    Received(Envelope, SocketAddr),
+    /// A message from another replica, the address to which answers are sent, and the memory of its
+    /// batch until the replica has all of it.
+    Received(Envelope, SocketAddr, Rc<Reservation>),
     /// Proposes an encoded command.
     Propose(Vec<u8>, oneshot::Sender<ProposeReply>),
     /// Hands leadership over; answers whether another replica was asked to lead.
@@ -125,11 +126,13 @@
         sent.is_ok() && rx.await.unwrap_or(false)
     }
 
-    /// Queues messages from another box.
-    pub fn receive(&self, batch: LogBatch) {
+    /// Queues messages from another box, which `held` counts.
+    pub fn receive(&self, batch: LogBatch, held: Reservation) {
+        let held = Rc::new(held);
         for envelope in batch.envelopes {
+            let input = Input::Received(envelope, batch.reply_to, held.clone());
             // The channel is closed only while the process stops; the sender will use another box.
-            let _ = self.tx.unbounded_send(Input::Received(envelope, batch.reply_to));
+            let _ = self.tx.unbounded_send(input);
         }
     }
 
@@ -152,8 +155,15 @@
 
 /// Channels to the tasks that send messages to one replica.
 struct Senders {
-    small: mpsc::Sender<Envelope>,
-    large: mpsc::Sender<Envelope>,
+    small: mpsc::Sender<Outgoing>,
+    large: mpsc::Sender<Outgoing>,
+}
+
+/// A message that is queued to be sent.
+struct Outgoing {
+    envelope: Envelope,
+    /// Memory of its entries or state, and of their encoded copy if it is large.
+    held: Option<Reservation>,
 }
 
 struct Driver {
@@ -291,11 +301,11 @@
     fn handle_input(&mut self, input: Input) {
         let now = clock::now();
         match input {
-            Input::Received(Envelope { from, to, message }, reply_to) if to == self.id => {
+            Input::Received(Envelope { from, to, message }, reply_to, _) if to == self.id => {
                 self.reply_addrs.insert(from, reply_to);
                 self.replica.borrow_mut().receive(from, message, now);
             }
-            Input::Received(Envelope { to, .. }, _) => {
+            Input::Received(Envelope { to, .. }, ..) => {
                 log::debug!("dropped a message for replica {to}: this is another replica");
             }
             Input::Propose(command, reply) => self.propose(command, reply, now),
@@ -445,32 +455,51 @@
             Senders { small, large }
         });
         let sender = if is_large { &mut senders.large } else { &mut senders.small };
-        if let Err(err) = sender.try_send(envelope)
-            && err.is_full()
-        {
-            log::debug!("dropped a message to replica {to}: its send queue is full");
-            if is_large {
-                // The receiver of this channel belongs to this driver, so sending cannot fail.
-                let _ = self.large_done_tx.unbounded_send(to);
-            }
+        let dropped = match reserve(&self.client, &envelope.message, is_large) {
+            Ok(held) => match sender.try_send(Outgoing { envelope, held }) {
+                Err(err) if err.is_full() => "its send queue is full".to_owned(),
+                // The channel is closed only if the task has ended with the process.
+                Ok(()) | Err(_) => return,
+            },
+            Err(err) => err.to_string(),
+        };
+        log::debug!("dropped a message to replica {to}: {dropped}");
+        if is_large {
+            // The receiver of this channel belongs to this driver, so sending cannot fail.
+            let _ = self.large_done_tx.unbounded_send(to);
         }
     }
 }
 
+/// Reserves the memory of a message that is queued; a heartbeat or a vote needs none.
+fn reserve(
+    client: &BoxClient,
+    message: &Message,
+    is_large: bool,
+) -> Result<Option<Reservation>, MemoryError> {
+    let copies = if is_large { 2 } else { 1 };
+    let bytes = message.payload_len() * copies;
+    if bytes == 0 {
+        return Ok(None);
+    }
+    let origin = Origin { path: LOG_PATH.to_owned(), ..Origin::default() };
+    client.memory().reserve(Holder::Transfer, origin, bytes).map(Some)
+}
+
 /// Sends large messages to one replica, one at a time, and reports to `done` when each was
 /// delivered or lost. Returns when `rx` is closed.
 async fn send_large(
     client: BoxClient,
     reply_to: SocketAddr,
     addr: SocketAddr,
-    mut rx: mpsc::Receiver<Envelope>,
+    mut rx: mpsc::Receiver<Outgoing>,
     done: mpsc::UnboundedSender<NodeId>,
 ) {
-    while let Some(envelope) = rx.next().await {
+    while let Some(Outgoing { envelope, held }) = rx.next().await {
         let (from, to, started) = (envelope.from, envelope.to, clock::now());
         let bytes = envelope.message.payload_len();
         let batch = LogBatch { reply_to, envelopes: vec![envelope] };
-        let sent = transfer::send(&client, addr, from, rand::random(), batch).await;
+        let sent = transfer::send(&client, addr, from, rand::random(), batch, held).await;
         let (peer, took_ms) = (addr.to_string(), clock::since(started).as_millis());
         match sent {
             Ok(arrived) => log::info!(
@@ -492,16 +521,17 @@
     client: BoxClient,
     reply_to: SocketAddr,
     addr: SocketAddr,
-    mut rx: mpsc::Receiver<Envelope>,
+    mut rx: mpsc::Receiver<Outgoing>,
 ) {
     while let Some(first) = rx.next().await {
-        let mut bytes = first.message.payload_len();
-        let mut envelopes = vec![first];
+        let mut bytes = first.envelope.message.payload_len();
+        let (mut envelopes, mut held) = (vec![first.envelope], vec![first.held]);
         while bytes <= BATCH_BYTES
             && let Ok(next) = rx.try_recv()
         {
-            bytes += next.message.payload_len();
-            envelopes.push(next);
+            bytes += next.envelope.message.payload_len();
+            envelopes.push(next.envelope);
+            held.push(next.held);
         }
         let batch = LogBatch { reply_to, envelopes };
         if let Err(err) = client.call::<_, ()>(addr, LOG_PATH, &batch, SEND_TIMEOUT).await {
--- a/crates/hatchpitch/src/replication/transfer.rs
+++ b/crates/hatchpitch/src/replication/transfer.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::{BoxClient, CallError};
+use hatchpitch_net::{BoxClient, CallError, Holder, MemoryBudget, Origin, Reservation};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -22,6 +22,9 @@
 pub const MAX_PART_MESSAGE: usize = PART_BYTES + 1024;
 /// Maximum size of a reassembled message, in bytes.
 const MAX_MESSAGE_BYTES: u64 = 64 * 1024 * 1024;
+/// Ratio of the memory that a message takes until the replica has it to its size: its bytes, and its
+/// decoded copy.
+const MEMORY_FACTOR: usize = 2;
 /// Maximum number of messages under reassembly: one per peer in a large group of control boxes.
 const MAX_PARTIALS: usize = 16;
 /// Time without a new part after which an incomplete message is discarded: a few failed calls.
@@ -62,27 +65,49 @@
     total: usize,
     bytes: Vec<u8>,
     last_part_at: Instant,
+    held: Reservation,
+}
+
+/// A complete message.
+#[derive(Debug)]
+pub struct CompleteMessage {
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+    /// Memory for its bytes and its decoded copy.
+    pub held: Reservation,
 }
 
 /// Reassembles large messages from their parts; holds at most one message per sender.
 #[derive(Debug, Default)]
 pub struct Reassembler {
     partials: BTreeMap<NodeId, Partial>,
+    memory: MemoryBudget,
 }
 
 impl Reassembler {
-    /// Adds a part. Returns the complete message together with the answer to its last part.
-    pub fn take(&mut self, part: LogPart, now: Instant) -> (PartAnswer, Option<Vec<u8>>) {
+    /// Creates a reassembler that takes the memory of its messages from `memory`.
+    pub fn new(memory: MemoryBudget) -> Self {
+        Self { partials: BTreeMap::new(), memory }
+    }
+
+    /// Adds a part. Returns the complete message together with the answer to its last part. Refuses
+    /// a message for which there is no memory, so that its sender repeats it later.
+    pub fn take(&mut self, part: LogPart, now: Instant) -> (PartAnswer, Option<CompleteMessage>) {
         self.partials.retain(|_, partial| now.duration_since(partial.last_part_at) < IDLE_TIMEOUT);
         let LogPart { from, transfer, total, offset, bytes } = part;
         if offset == 0 {
             let accepted = total <= MAX_MESSAGE_BYTES
                 && (self.partials.len() < MAX_PARTIALS || self.partials.contains_key(&from));
-            if !accepted {
-                return (PartAnswer::Refused, None);
-            }
-            let partial =
-                Partial { transfer, total: total as usize, bytes: Vec::new(), last_part_at: now };
+            // A message that its sender has given up makes room for the next one.
+            self.partials.remove(&from);
+            let total = total as usize;
+            let held = match accepted {
+                true => self.reserve(total),
+                false => None,
+            };
+            let Some(held) = held else { return (PartAnswer::Refused, None) };
+            let bytes = Vec::with_capacity(total);
+            let partial = Partial { transfer, total, bytes, last_part_at: now, held };
             self.partials.insert(from, partial);
         }
         let next = self.partials.get_mut(&from).filter(|partial| {
@@ -100,12 +125,23 @@
         if partial.bytes.len() < partial.total {
             return (PartAnswer::Taken, None);
         }
-        let message = self.partials.remove(&from).map(|partial| partial.bytes);
+        let complete = self.partials.remove(&from);
+        let message = complete.map(|Partial { bytes, held, .. }| CompleteMessage { bytes, held });
         (PartAnswer::Taken, message)
     }
+
+    fn reserve(&self, total: usize) -> Option<Reservation> {
+        let origin = Origin { path: PART_PATH.to_owned(), ..Origin::default() };
+        let held = self.memory.reserve(Holder::Transfer, origin, total * MEMORY_FACTOR);
+        held.inspect_err(|err| {
+            log::warn!(bytes = total; "large message of the log refused for now: {err}");
+        })
+        .ok()
+    }
 }
 
-/// Sends a message in parts. Returns whether the receiver accepted all of them; stops at the first
+/// Sends a message in parts. `held` counts the message and its encoded copy; the former is dropped
+/// before the first part is sent. Returns whether the receiver accepted all of them; stops at the first
 /// one that it refuses.
 ///
 /// # Errors
@@ -117,9 +153,13 @@
     from: NodeId,
     transfer: TransferId,
     batch: LogBatch,
+    held: Option<Reservation>,
 ) -> Result<bool, CallError> {
     let message = rmp_serde::to_vec_named(&batch).expect("log messages can always be encoded");
     drop(batch);
+    if let Some(held) = &held {
+        held.shrink(held.bytes() / 2);
+    }
     let total = message.len() as u64;
     let mut offset = 0;
     for bytes in message.chunks(PART_BYTES) {
--- a/crates/hatchpitch/tests/memory_holders.rs
+++ b/crates/hatchpitch/tests/memory_holders.rs
@@ -16,7 +16,7 @@
 use hatchpitch::control::{boxes, operators};
 use hatchpitch::replication::messages::{Entry, Envelope, LogBatch, LogEnd, Message, Payload};
 use hatchpitch::replication::task::{self, Applier};
-use hatchpitch::replication::transfer::LogPart;
+use hatchpitch::replication::transfer::{LogPart, PartAnswer, Reassembler};
 use hatchpitch::replication::{Members, Peer, ReplicaConfig, Storage, disk::Disk};
 use hatchpitch::settings::{ControlPeer, ControlSettings};
 use hatchpitch_net::memory::Usage;
@@ -181,6 +181,88 @@
     let encoded = rmp_serde::to_vec_named(&part).unwrap();
     assert!(encoded.len() <= hatchpitch::message_limits::max_body("/box/log-part").unwrap());
 }
+
+/// Parts of large messages of the log that are put together are not counted.
+#[test]
+fn parts_of_the_log_are_counted_and_refused_without_room() {
+    let (memory, now) = (MemoryBudget::new(PROCESS_LIMIT), Instant::now());
+    let mut reassembler = Reassembler::new(memory.clone());
+    let part = |transfer, offset| LogPart {
+        from: 1,
+        transfer,
+        total: 4 * MB as u64,
+        offset,
+        bytes: ByteBuf::from(vec![0; 2 * MB]),
+    };
+    assert_eq!(reassembler.take(part(1, 0), now).0, PartAnswer::Taken);
+    assert!(usage(&memory, Holder::Transfer).bytes >= 8 * MB, "a message and its decoded copy");
+    let (answer, complete) = reassembler.take(part(1, 2 * MB as u64), now);
+    assert_eq!(answer, PartAnswer::Taken);
+    assert!(usage(&memory, Holder::Transfer).bytes >= 8 * MB, "until the replica has it");
+    drop(complete);
+    assert_eq!(usage(&memory, Holder::Transfer).bytes, 0);
+    let filler = fill(&memory);
+    assert_eq!(reassembler.take(part(2, 0), now).0, PartAnswer::Refused);
+    drop(filler);
+    assert_eq!(reassembler.take(part(3, 0), now).0, PartAnswer::Taken, "the sender repeats it");
+}
+
+/// Batches of the log wait for the replica without being counted, and a full budget keeps heartbeats
+/// and votes from it.
+#[test]
+fn received_batches_of_the_log_are_counted_and_heartbeats_pass_a_full_budget() {
+    let (addr, _, memory) = start_control();
+    let send = |batch: &LogBatch| {
+        let body = rmp_serde::to_vec_named(batch).unwrap();
+        ask_signed(addr, "/box/log", body.len(), &body)
+    };
+    assert!(send(&append(MB)).starts_with("http/1.1 200"));
+    let peak = usage(&memory, Holder::Transfer).peak_bytes;
+    assert!(peak >= MB, "{peak} bytes of a batch of 1 MiB");
+    let _filler = fill(&memory);
+    assert!(send(&append(MB)).starts_with("http/1.1 503"), "the sender repeats it");
+    assert!(send(&append(0)).starts_with("http/1.1 200"), "a heartbeat");
+}
+
+/// Messages of the log that are queued for a slow replica are not counted.
+#[test]
+fn messages_of_the_log_are_counted_while_they_are_sent() {
+    let silent = TcpListener::bind(addr(0)).unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let memory = MemoryBudget::new(PROCESS_LIMIT);
+    let peer = |name: &str, boxes_addr| Peer {
+        name: name.to_owned(),
+        boxes_addr,
+        operators_addr: addr(2),
+    };
+    let members = Members {
+        voters: BTreeMap::from([(1, peer("a", addr(1)))]),
+        learners: BTreeMap::from([(2, peer("b", silent.local_addr().unwrap()))]),
+    };
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let disk = Disk::folder(folder.path()).unwrap();
+        Storage::create(&disk, members).unwrap();
+        let applier = Applier {
+            apply: Box::new(|_| Vec::new()),
+            snapshot: Box::new(Vec::new),
+            restore: Box::new(|_| Ok(())),
+            applied: Box::new(|| {}),
+        };
+        let (_stop_handle, stop) = stop_pair();
+        let cfg = ReplicaConfig::default();
+        let log = task::start(disk, 1, cfg, applier, client(&memory), addr(1), stop).unwrap();
+        let started = Instant::now();
+        while log.propose(vec![7; 2 * MB]).await.is_err() {
+            assert!(started.elapsed() < TIMEOUT, "the only voter becomes the leader");
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        while usage(&memory, Holder::Transfer).peak_bytes < 4 * MB {
+            assert!(started.elapsed() < 2 * TIMEOUT, "{:?}", usage(&memory, Holder::Transfer));
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
+
 fn route(n: usize) -> Entity {
     Entity::HostedRoute(HostedRoute {
         name: format!("route-{n}"),
--- a/crates/hatchpitch/tests/replication/transfer.rs
+++ b/crates/hatchpitch/tests/replication/transfer.rs
@@ -16,6 +16,16 @@
     LogPart { from, transfer, total: message.len() as u64, offset: at as u64, bytes }
 }
 
+/// Adds a part; returns the answer and the bytes of a complete message.
+fn take(
+    reassembler: &mut Reassembler,
+    part: LogPart,
+    now: Instant,
+) -> (PartAnswer, Option<Vec<u8>>) {
+    let (answer, complete) = reassembler.take(part, now);
+    (answer, complete.map(|message| message.bytes))
+}
+
 #[test]
 fn message_is_reassembled_only_from_consecutive_parts() {
     arbtest::arbtest(|u: &mut Unstructured<'_>| {
@@ -35,13 +45,13 @@
             let next = part(from as NodeId, *transfer, message, *arrived, len);
             if wrong && next.offset > 1 {
                 let misplaced = LogPart { offset: next.offset - 1, ..next };
-                assert_eq!(reassembler.take(misplaced, now), (PartAnswer::Refused, None));
+                assert_eq!(take(&mut reassembler, misplaced, now), (PartAnswer::Refused, None));
                 *arrived = message.len();
                 continue;
             }
             *arrived = (*arrived + len).min(message.len());
             let whole = (*arrived == message.len()).then(|| message.clone());
-            assert_eq!(reassembler.take(next, now), (PartAnswer::Taken, whole));
+            assert_eq!(take(&mut reassembler, next, now), (PartAnswer::Taken, whole));
         }
         Ok(())
     });
