Count parts of a configuration at the boxes that send and receive them

Parts that a box keeps for others, decompressed parts, and the changes merged so far were not counted. A part for which there is no room is requested again, and the transfer goes on where it was. Parts are not kept for others without room.

The new test was red on its first run, as it looked at the cache after its cell was gone; it was not run on the code before, whose interface it does not fit.

--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -19,7 +19,7 @@
 use futures_channel::oneshot;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hatchpitch_net::{Backlog, BoxClient, Stop, clock};
+use hatchpitch_net::{Backlog, BoxClient, Holder, Origin, Reservation, Stop, clock};
 
 use super::entity::EntityKey;
 use super::messages::{Delta, FeedAnswer, FeedRequest, Rest};
@@ -57,6 +57,10 @@
 /// 10 Mbit/s link transmits in 21 ms; an incompressible part takes 210 ms.
 const PACKED_PART_BYTES: usize = 256 * 1024;
 
+/// Ratio of the memory that received changes take until they are in force to their encoded size: the
+/// decoded entities, and the allocations of their fields.
+const DECODED_FACTOR: usize = 2;
+
 /// The configuration in force at this box, shared by the tasks of one thread.
 pub struct ConfigCell {
     inner: RefCell<Inner>,
@@ -79,8 +83,8 @@
 
 struct Inner {
     state: ConfigState,
-    /// The parts received so far of a newer configuration.
-    transfer: Option<Transfer>,
+    /// The parts received so far of a newer configuration, and their memory.
+    transfer: Option<(Transfer, Reservation)>,
     /// Recently sent parts of the configuration in force.
     parts: PartCache,
     view: Rc<FleetView>,
@@ -140,6 +144,11 @@
         self.transferring.get()
     }
 
+    fn open_memory(&self) -> Reservation {
+        let origin = Origin { path: FEED_PATH.to_owned(), ..Origin::default() };
+        self.backlog.memory().open(Holder::Transfer, origin)
+    }
+
     fn begin_transfer(&self) -> Option<TransferGuard<'_>> {
         (!self.transferring.replace(true)).then(|| TransferGuard(self))
     }
@@ -150,7 +159,7 @@
         let hold = if unconfirmed { hold.min(UNCONFIRMED_HOLD) } else { hold };
         let inner = self.inner.borrow();
         let (have, after) =
-            inner.transfer.as_ref().map_or((inner.state.number(), None), Transfer::next);
+            inner.transfer.as_ref().map_or((inner.state.number(), None), |(it, _)| it.next());
         let evacuations = inner.evacuations.revision();
         let quarantine = inner.quarantine.revision;
         FeedRequest {
@@ -252,7 +261,11 @@
         inner.waiters.retain(|tx| !tx.is_canceled());
         let is_behind = inner.state.number() > req.have;
         let withheld = is_behind && !self.backlog.has_room();
-        let part = if is_behind && !withheld { inner.part(req) } else { OutgoingPart::default() };
+        let part = if is_behind && !withheld {
+            inner.part(req, &self.backlog)
+        } else {
+            OutgoingPart::default()
+        };
         log_part(req, inner.state.number(), &part, withheld);
         FeedAnswer {
             number: inner.state.number(),
@@ -282,9 +295,12 @@
         mut answer: FeedAnswer,
         round_trip: Duration,
     ) -> anyhow::Result<FetchOutcome> {
+        let unpacking = self.open_memory();
+        let mut size = PART_BYTES;
         if let Some(packed) = answer.packed.take() {
-            answer.delta = packed.delta()?;
+            (answer.delta, size) = packed.delta(&unpacking)?;
         }
+        drop(unpacking);
         let mut inner = self.inner.borrow_mut();
         if let Some(evacuations) = &answer.evacuations {
             inner.set_evacuations(evacuations);
@@ -303,17 +319,27 @@
         let (number, digest) = (answer.number, answer.digest);
         if number > inner.state.number() {
             let have = inner.state.number();
-            let transfer = inner.transfer.get_or_insert_with(|| Transfer::new(have));
+            let (transfer, held) =
+                inner.transfer.get_or_insert_with(|| (Transfer::new(have), self.open_memory()));
+            // A part for which there is no room is requested again.
+            held.try_grow(size * DECODED_FACTOR)?;
             let (snapshot, delta) = match transfer.process(req, answer) {
-                PartOutcome::Unavailable => return Ok(FetchOutcome::NoProgress),
+                PartOutcome::Unavailable => {
+                    held.shrink(size * DECODED_FACTOR);
+                    return Ok(FetchOutcome::NoProgress);
+                }
                 PartOutcome::Restart => {
                     inner.transfer = None;
                     return Ok(FetchOutcome::NoProgress);
                 }
-                PartOutcome::Duplicate | PartOutcome::Incomplete => return Ok(FetchOutcome::Part),
+                PartOutcome::Duplicate => {
+                    held.shrink(size * DECODED_FACTOR);
+                    return Ok(FetchOutcome::Part);
+                }
+                PartOutcome::Incomplete => return Ok(FetchOutcome::Part),
                 PartOutcome::Complete { snapshot, delta } => (snapshot, delta),
             };
-            inner.transfer = None;
+            let _held = inner.transfer.take();
             inner.state.install(number, digest, snapshot, &delta)?;
             inner.publish();
         } else if digest != inner.state.digest() {
@@ -350,7 +376,7 @@
 
 impl Inner {
     /// Returns the requested part.
-    fn part(&mut self, req: &FeedRequest) -> OutgoingPart {
+    fn part(&mut self, req: &FeedRequest, backlog: &Backlog) -> OutgoingPart {
         let (state, after) = (&self.state, req.after.as_ref());
         if !req.unpacks {
             let Part { snapshot, delta, end } = state.part_since(req.have, after, PART_BYTES);
@@ -358,7 +384,8 @@
             return OutgoingPart { snapshot, delta, packed: None, entities, end };
         }
         let make = || state.part_since(req.have, after, PACKED_PART_BYTES);
-        let PackedPart { snapshot, delta, entities, end } = self.parts.get(req.have, after, make);
+        let part = self.parts.get(backlog.memory(), req.have, after, make);
+        let PackedPart { snapshot, delta, entities, end } = part;
         OutgoingPart { snapshot, delta: Delta::default(), packed: Some(delta), entities, end }
     }
 
--- a/crates/hatchpitch/src/config/packed.rs
+++ b/crates/hatchpitch/src/config/packed.rs
@@ -9,9 +9,11 @@
 
 use flate2::Compression;
 use flate2::write::{DeflateDecoder, DeflateEncoder};
+use hatchpitch_net::{Holder, MemoryBudget, Origin, Reservation};
 use serde::{Deserialize, Serialize};
 
 use super::entity::EntityKey;
+use super::feed::FEED_PATH;
 use super::messages::Delta;
 use super::state::Part;
 use crate::ids::ConfigNumber;
@@ -44,28 +46,39 @@
         self.0.len()
     }
 
-    /// Decompresses and decodes the changes.
+    /// Decompresses and decodes the changes, whose size `held` counts while they are decoded.
+    /// Returns them together with their decompressed size.
     ///
     /// # Errors
     ///
-    /// Returns an error if the bytes are not a compressed delta, or if they decompress to more
-    /// than the limit of a message between boxes.
-    pub fn delta(&self) -> anyhow::Result<Delta> {
-        let mut decoder = DeflateDecoder::new(BoundedBuffer(Vec::new()));
+    /// Returns an error if the bytes are not a compressed delta, if they decompress to more than the
+    /// limit of a message between boxes, or if there is no room for them.
+    pub fn delta(&self, held: &Reservation) -> anyhow::Result<(Delta, usize)> {
+        let mut decoder = DeflateDecoder::new(BoundedBuffer { bytes: Vec::new(), held });
         decoder.write_all(&self.0)?;
-        Ok(rmp_serde::from_slice(&decoder.finish()?.0)?)
+        let unpacked = decoder.finish()?.bytes;
+        Ok((rmp_serde::from_slice(&unpacked)?, unpacked.len()))
     }
 }
 
-/// A buffer of at most [`MAX_UNPACKED`] bytes; writing more is an error.
-struct BoundedBuffer(Vec<u8>);
+/// A buffer of at most [`MAX_UNPACKED`] bytes that a reservation counts; writing more is an error.
+struct BoundedBuffer<'a> {
+    bytes: Vec<u8>,
+    held: &'a Reservation,
+}
 
-impl std::io::Write for BoundedBuffer {
+impl std::io::Write for BoundedBuffer<'_> {
     fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
-        if self.0.len() + buf.len() > MAX_UNPACKED {
+        let len = self.bytes.len() + buf.len();
+        if len > MAX_UNPACKED {
             return Err(std::io::Error::other(format!("more than {MAX_UNPACKED} bytes unpacked")));
         }
-        self.0.extend_from_slice(buf);
+        if len > self.bytes.capacity() {
+            let capacity = len.max(self.bytes.capacity() * 2);
+            self.held.resize(capacity).map_err(std::io::Error::other)?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(buf);
         Ok(buf.len())
     }
 
@@ -97,30 +110,44 @@
 
 /// A cache of recently requested parts of the configuration in force; the oldest is evicted.
 #[derive(Debug, Default)]
-pub struct PartCache(VecDeque<(PartKey, PackedPart)>);
+pub struct PartCache(VecDeque<CachedPart>);
+
+#[derive(Debug)]
+struct CachedPart {
+    key: PartKey,
+    part: PackedPart,
+    _held: Reservation,
+}
 
 /// Identifies a part: the number that its changes start from, and the key of the entity before it.
 type PartKey = (ConfigNumber, Option<EntityKey>);
 
 impl PartCache {
     /// Returns the part of the changes since `have` that begins after `after`; calls `make` if it
-    /// is not cached.
+    /// is not cached. Parts for which `memory` has no room are not cached.
     pub fn get(
         &mut self,
+        memory: &MemoryBudget,
         have: ConfigNumber,
         after: Option<&EntityKey>,
         make: impl FnOnce() -> Part,
     ) -> PackedPart {
-        let cached =
-            self.0.iter().find(|((since, key), _)| *since == have && key.as_ref() == after);
-        if let Some((_, part)) = cached {
-            return part.clone();
+        let cached = self.0.iter().find(|it| it.key.0 == have && it.key.1.as_ref() == after);
+        if let Some(cached) = cached {
+            return cached.part.clone();
         }
         let part = PackedPart::from(make());
         if self.0.len() >= MAX_CACHED_PARTS {
             self.0.pop_front();
         }
-        self.0.push_back(((have, after.cloned()), part.clone()));
+        let origin = Origin { path: FEED_PATH.to_owned(), ..Origin::default() };
+        match memory.reserve(Holder::Transfer, origin, part.delta.packed_len()) {
+            Ok(held) => {
+                let key = (have, after.cloned());
+                self.0.push_back(CachedPart { key, part: part.clone(), _held: held });
+            }
+            Err(err) => log::debug!("part of a configuration not cached: {err}"),
+        }
         part
     }
 
--- a/crates/hatchpitch/tests/feed_parts/packed.rs
+++ b/crates/hatchpitch/tests/feed_parts/packed.rs
@@ -6,6 +6,7 @@
 use hatchpitch::config::packed::PackedDelta;
 use hatchpitch::config::{ConfigState, Delta, Entity, EntityKey, FeedAnswer, FeedRequest, Rest};
 use hatchpitch::ids::ConfigNumber;
+use hatchpitch_net::Reservation;
 
 use super::{apply, client, domain, request};
 
@@ -15,6 +16,10 @@
 /// incompressible part.
 const MAX_BACKLOG: usize = 1024 * 1024 + 300 * 1024;
 
+fn unpack(packed: &PackedDelta) -> anyhow::Result<Delta> {
+    packed.delta(&Reservation::uncounted()).map(|(delta, _)| delta)
+}
+
 fn ask(cell: &ConfigCell, req: &FeedRequest) -> FeedAnswer {
     cell.answer(req).now_or_never().expect("the answer is not delayed")
 }
@@ -27,7 +32,7 @@
         let req = FeedRequest { unpacks, ..request(have, after.as_ref()) };
         let answer = ask(cell, &req);
         assert!(answer.packed.is_none() || answer.delta == Delta::default(), "changes sent twice");
-        let delta = answer.packed.map_or(answer.delta, |packed| packed.delta().unwrap());
+        let delta = answer.packed.map_or(answer.delta, |packed| unpack(&packed).unwrap());
         whole.upserts.extend(delta.upserts);
         whole.removals.extend(delta.removals);
         parts += 1;
@@ -111,8 +116,8 @@
         let encoded = rmp_serde::to_vec(&serde_bytes::ByteBuf::from(bytes)).unwrap();
         let packed: PackedDelta = rmp_serde::from_slice(&encoded).unwrap();
         // Decompression ends for any input, and whatever decodes must survive a round trip.
-        if let Ok(delta) = packed.delta() {
-            assert_eq!(PackedDelta::new(&delta).delta().unwrap(), delta);
+        if let Ok(delta) = unpack(&packed) {
+            assert_eq!(unpack(&PackedDelta::new(&delta)).unwrap(), delta);
         }
         Ok(())
     });
--- a/crates/hatchpitch/tests/memory_holders.rs
+++ b/crates/hatchpitch/tests/memory_holders.rs
@@ -279,4 +279,47 @@
         resumable: false,
         regions: Vec::new(),
     })
+}
+
+/// Parts of a configuration are neither counted at the box that sends them nor at the one that
+/// receives them, and a box without room for one never gets it.
+#[test]
+fn parts_of_a_configuration_are_counted_and_requested_again_without_room() {
+    let memories = [MemoryBudget::new(PROCESS_LIMIT), MemoryBudget::new(PROCESS_LIMIT)];
+    let [sending, receiving] = &memories;
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let sender = client(sending);
+        let source = Rc::new(feed::ConfigCell::new(sender.backlog().clone()));
+        let mut state = ConfigState::default();
+        let fleet = Fleet::new(1, (0..8_000).map(route));
+        let change = state.prepare(&fleet, "o").unwrap();
+        state.apply(change).unwrap();
+        source.replace(&state);
+        let listener = bind(addr(0)).await.unwrap();
+        let parent = listener.local_addr().unwrap();
+        let handler: Handler = Rc::new(move |req, _| {
+            let (source, sender) = (source.clone(), sender.clone());
+            async move {
+                let (parts, body) = req.into_parts();
+                let message = sender.receive(&parts, body, MB, TIMEOUT).await.unwrap();
+                sender.respond(&source.answer(&message.decode().unwrap()).await)
+            }
+            .boxed_local()
+        });
+        let (_stop_handle, stop) = stop_pair();
+        compio::runtime::spawn(serve(listener, ServerLimits::default(), handler, stop)).detach();
+        let receiver = client(receiving);
+        let cell = feed::ConfigCell::new(receiver.backlog().clone());
+        let own = "box".to_owned();
+        let filler = fill(receiving);
+        feed::fetch(&own, &cell, &receiver, parent, Duration::ZERO).await;
+        assert_eq!(cell.number(), 0, "no room for a part");
+        drop(filler);
+        feed::fetch(&own, &cell, &receiver, parent, Duration::ZERO).await;
+        assert_eq!(cell.number(), 1, "the transfer continues");
+        let cached = usage(sending, Holder::Transfer).bytes;
+        assert!(cached > 10_000, "{cached} bytes of cached parts");
+    });
+    assert!(usage(receiving, Holder::Transfer).peak_bytes >= 2 * MB, "parts of 1.5 MB");
+    assert_eq!(usage(receiving, Holder::Transfer).bytes, 0, "all parts are in force");
 }
