--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -6,8 +6,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures_util::lock::Mutex;
-use hatchpitch_net::{BoxClient, Holder, Origin, Reservation, clock};
+use hatchpitch_net::{
+    BodyError, BoxClient, Holder, MemoryError, Origin, Reservation, clock, read_body,
+};
+use hyper::body::{Body as _, Incoming};
 
 use super::machine::{Command, Machine, Order, Reply};
 use super::quarantine;
@@ -33,6 +37,14 @@
     Unknown(String),
 }
 
+/// Ratio of the memory that decoding and submitting a configuration takes to the size of its text: a
+/// copy of the text, the decoded tree, the entities, and the encoded change.
+const DECODING_FACTOR: usize = 4;
+/// Part of the memory budget that texts of configurations may take together, so that reads and
+/// messages between boxes pass while many are submitted.
+const CONFIG_SHARE: usize = 2;
+/// Longest wait for that memory; callers try another box after 1 s.
+const DECODING_PATIENCE: Duration = Duration::from_millis(500);
 /// Minimum interval between two log lines about refused announcements of the same id.
 const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(60);
 /// Maximum number of ids whose refused announcements are logged within that interval.
@@ -86,6 +98,27 @@
     machine: RefCell<Machine>,
     /// Replica of the log; unset until it is started.
     log: OnceCell<ReplicaHandle>,
+    /// Total size of the texts of configurations that are being received and submitted, in bytes.
+    config_bytes: Rc<Cell<usize>>,
+}
+
+/// Text of a configuration that an operator submits.
+pub struct ConfigText {
+    /// The text.
+    pub text: Bytes,
+    _counted: ConfigBytes,
+}
+
+/// Size of a text, which is part of the total until it is dropped.
+struct ConfigBytes {
+    total: Rc<Cell<usize>>,
+    len: usize,
+}
+
+impl Drop for ConfigBytes {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.len);
+    }
 }
 
 impl ControlCx {
@@ -107,6 +140,7 @@
             refused_ids: RefCell::default(),
             machine: RefCell::new(Machine::new()),
             log: OnceCell::new(),
+            config_bytes: Rc::default(),
             boxes,
         })
     }
@@ -116,6 +150,62 @@
         self.boxes.memory().open(holder, Origin { path: path.to_owned(), ..Origin::default() })
     }
 
+    /// Reads a configuration of at most `max` bytes from the body of a request within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`BodyError`] if a limit is exceeded, there is no room, or the connection fails.
+    pub async fn read_config(
+        &self,
+        path: &str,
+        body: Incoming,
+        max: usize,
+        limit: Duration,
+    ) -> Result<ConfigText, BodyError> {
+        let announced = body.size_hint().exact().and_then(|len| usize::try_from(len).ok());
+        let len = announced.unwrap_or(max);
+        if len > max {
+            return Err(BodyError::TooLarge(max));
+        }
+        if !self.boxes.memory().can_hold(len.saturating_mul(DECODING_FACTOR)) {
+            return Err(BodyError::TooLarge(self.boxes.memory().limit() / DECODING_FACTOR));
+        }
+        let share = self.boxes.memory().limit() / CONFIG_SHARE;
+        let total = self.config_bytes.get() + len;
+        if self.config_bytes.get() > 0 && total > share {
+            return Err(MemoryError::Exhausted(len).into());
+        }
+        self.config_bytes.set(total);
+        let counted = ConfigBytes { total: self.config_bytes.clone(), len };
+        let held = self.open_memory(Holder::RequestBody, path);
+        let text = read_body(body, max, limit, held).await?;
+        Ok(ConfigText { text, _counted: counted })
+    }
+
+    /// Reserves the memory that decoding and submitting a configuration takes, waiting a while for
+    /// room.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`BodyError`] if no room came.
+    pub async fn reserve_decoding(&self, text: &ConfigText) -> Result<Reservation, BodyError> {
+        let held = self.open_memory(Holder::Transfer, "configuration");
+        let bytes = text.text.len().saturating_mul(DECODING_FACTOR);
+        held.grow(bytes, DECODING_PATIENCE).await?;
+        Ok(held)
+    }
+
+    /// Waits a while for the memory of an answer of `len` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`BodyError`] if no room came.
+    pub async fn reserve_answer(&self, path: &str, len: usize) -> Result<Reservation, BodyError> {
+        let held = self.open_memory(Holder::Answer, path);
+        held.grow(len, DECODING_PATIENCE).await?;
+        Ok(held)
+    }
+
     /// Calls `read` with the applied state and returns its result.
     pub fn with_machine<T>(&self, read: impl FnOnce(&Machine) -> T) -> T {
         read(&self.machine.borrow())
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 
 use hatchpitch_net::keys::to_hex;
-use hatchpitch_net::{Body, Holder, query_value, read_body};
+use hatchpitch_net::{Body, Reservation, query_value};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 
-use super::context::{ControlCx, ProposeError};
+use super::context::{ConfigText, ControlCx, ProposeError};
 use super::daemon::BODY_TIMEOUT;
 use super::evacuate::{EvacuateError, evacuate};
 use super::machine::Order;
@@ -18,6 +18,7 @@
 use crate::config::check::MAX_FLEET_FILE;
 use crate::config::view::find_key;
 use crate::config::{ApplyOutcome, Entity, EntityKey, Fleet, load_fleet};
+use crate::entry::callers::body_problem;
 use crate::evacuation::{EvacuationOrder, Evacuations, Revision};
 use crate::ids::{BoxName, ConfigNumber, FailureDomainName};
 use crate::outcome::{Outcome, Problem, json_response, text_response};
@@ -199,23 +200,28 @@
 /// A submitted fleet file that is not validated yet.
 struct FleetFile {
     name: String,
-    text: String,
+    body: ConfigText,
 }
 
 /// Reads a submitted fleet file from the body of a request.
 async fn read_fleet_file(cx: &ControlCx, req: Request<Incoming>) -> Result<FleetFile, Problem> {
     let name = query_value(req.uri(), "file").unwrap_or("fleet").to_owned();
-    let held = cx.open_memory(Holder::RequestBody, req.uri().path());
-    let body = read_body(req.into_body(), MAX_FLEET_FILE, BODY_TIMEOUT, held).await;
-    let body = body.map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
-    let text = String::from_utf8(body.to_vec())
-        .map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
-    Ok(FleetFile { name, text })
+    let path = req.uri().path().to_owned();
+    let body = cx.read_config(&path, req.into_body(), MAX_FLEET_FILE, BODY_TIMEOUT).await;
+    let body = body.map_err(body_problem)?;
+    str::from_utf8(&body.text).map_err(|err| Problem::bad_request(format!("fleet file: {err}")))?;
+    Ok(FleetFile { name, body })
+}
+
+/// Reserves the memory that a fleet file takes until it is submitted.
+async fn reserve_decoding(cx: &ControlCx, file: &FleetFile) -> Result<Reservation, Problem> {
+    cx.reserve_decoding(&file.body).await.map_err(body_problem)
 }
 
 /// Validates a fleet file. On failure, returns a response that lists all problems.
 fn check_fleet(file: &FleetFile) -> Result<Fleet, Box<Response<Body>>> {
-    load_fleet(&file.name, &file.text).map_err(|problems| {
+    let text = str::from_utf8(&file.body.text).unwrap_or_default();
+    load_fleet(&file.name, text).map_err(|problems| {
         let body = FileProblems { problems: problems.0 };
         Box::new(json_response(StatusCode::UNPROCESSABLE_ENTITY, &body, Outcome::NotRun))
     })
@@ -229,6 +235,7 @@
 ) -> Result<Response<Body>, Problem> {
     let file = read_fleet_file(cx, req).await?;
     let _guard = cx.submit_lock.lock().await;
+    let _held = reserve_decoding(cx, &file).await?;
     let fleet = match check_fleet(&file) {
         Ok(fleet) => fleet,
         Err(rejection) => return Ok(*rejection),
@@ -278,7 +285,9 @@
 
 /// Returns the changes that a fleet file would make, without applying them.
 async fn diff(cx: &Rc<ControlCx>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
-    let fleet = match check_fleet(&read_fleet_file(cx, req).await?) {
+    let file = read_fleet_file(cx, req).await?;
+    let _held = reserve_decoding(cx, &file).await?;
+    let fleet = match check_fleet(&file) {
         Ok(fleet) => fleet,
         Err(rejection) => return Ok(*rejection),
     };
--- a/crates/hatchpitch/tests/memory_holders.rs
+++ b/crates/hatchpitch/tests/memory_holders.rs
@@ -322,4 +322,26 @@
     });
     assert!(usage(receiving, Holder::Transfer).peak_bytes >= 2 * MB, "parts of 1.5 MB");
     assert_eq!(usage(receiving, Holder::Transfer).bytes, 0, "all parts are in force");
-}
+}
+
+/// A configuration takes several times its size while it is decoded, which nothing counts.
+#[test]
+fn a_configuration_is_counted_with_its_decoded_form_and_refused_without_room() {
+    let (_, addr, memory) = start_control();
+    let file = format!("# {}\nnumber = 1\n", "x".repeat(2 * MB));
+    let len = file.len().to_string();
+    let bearer = format!("Bearer {OPERATOR_KEY}");
+    let headers = [("Content-Length", len.as_str()), ("Authorization", bearer.as_str())];
+    let send = || ask(addr, "POST /ops/diff", &headers, file.as_bytes());
+    let answer = send();
+    assert!(!answer.starts_with("http/1.1 503"), "{answer:?}");
+    let (text, decoded) = (usage(&memory, Holder::RequestBody), usage(&memory, Holder::Transfer));
+    assert!(text.peak_bytes >= 2 * MB, "{text:?}");
+    assert!(decoded.peak_bytes >= 8 * MB, "{decoded:?}");
+    let _filler = fill(&memory);
+    let answer = send();
+    assert!(answer.starts_with("http/1.1 503") && answer.contains("retry-after"), "{answer:?}");
+    let headers = [("Authorization", bearer.as_str())];
+    let answer = ask(addr, "GET /ops/status", &headers, &[]);
+    assert!(answer.starts_with("http/1.1 200"), "reads pass: {answer:?}");
+}
