Give a connection's place back when its handler panics

A handler that panicked cost its listener one place for good: after as many panics as the listener has places, it refused every connection, and a process asked to stop waited for connections that were gone until it was killed. The count was lowered after the connection's task, which a panic skips. A guard lowers it now, also while a panic unwinds.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -129,14 +129,13 @@
         };
         match accepted {
             Ok((stream, peer)) if open.get() < limits.connections => {
-                open.set(open.get() + 1);
+                let place = OpenConnection::new(&open);
                 let tracker = Rc::new(AnswerTracker::new(pending.clone()));
                 let handler = handler.clone();
                 let task = serve_connection(stream, peer, limits, handler, tracker, stop.clone());
-                let open = open.clone();
                 compio::runtime::spawn(async move {
+                    let _place = place;
                     task.await;
-                    open.set(open.get() - 1);
                 })
                 .detach();
             }
@@ -156,6 +155,23 @@
     }
 }
 
+/// The place of a connection in the count of open ones, which it gives back when it is dropped: also
+/// if its handler panics.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Serves one connection until it ends or `stop` is set and its caller has the answer that is due.
 async fn serve_connection(
     stream: TcpStream,
