Bound the time until an upstream is warm

Entry boxes add the time to an instant in the task that follows a control box, which ended with a panic, so that the box was not followed any more; control boxes add a tolerance to it in the handler of the heartbeat. Neither sum holds every duration.

Only records by name, as boxes of earlier versions ask for them, carry the longer times.

--- a/crates/hatchpitch/src/registry/messages.rs
+++ b/crates/hatchpitch/src/registry/messages.rs
@@ -48,6 +48,10 @@
     pub born: Option<Birth>,
 }
 
+/// Longest time until an upstream is warm that is taken from an announcement; longer ones count as
+/// this. No upstream takes a day, and an instant cannot hold every duration.
+pub const MAX_WARM_IN: Duration = Duration::from_secs(24 * 3_600);
+
 /// Greatest sequence number at which an incarnation counts as new. It is 2 because the first
 /// announcement may have been lost.
 const MAX_NEW_SEQUENCE: u64 = 2;
@@ -58,6 +62,11 @@
         life_name(&self.id, self.born)
     }
 
+    /// Bounds the time until the upstream is warm, so that it can be added to an instant.
+    pub(super) fn bounded(self) -> Self {
+        Self { warm_in: self.warm_in.min(MAX_WARM_IN), ..self }
+    }
+
     /// Returns whether the incarnation has just started, so that any other one at its address has
     /// ended. An unknown incarnation with a greater sequence number may be an earlier one whose
     /// announcement was delayed.
--- a/crates/hatchpitch/src/registry/roster.rs
+++ b/crates/hatchpitch/src/registry/roster.rs
@@ -220,6 +220,8 @@
         epoch: Epoch,
         now: Instant,
     ) {
+        // A control box of an earlier version passes on what upstreams announced.
+        let record = record.bounded();
         let life = record.life();
         if self.ended.contains_key(&life) {
             return;
--- a/crates/hatchpitch/src/registry/table.rs
+++ b/crates/hatchpitch/src/registry/table.rs
@@ -148,6 +148,7 @@
 
     /// Applies an announcement that was sent to any control box.
     pub fn announce(&mut self, record: UpstreamRecord, now: Instant) -> Announced {
+        let record = record.bounded();
         let life = record.life();
         if self.has_ended(&record, &life, now) || self.is_address_taken(&record, &life, now) {
             return Announced::Stale;
--- /dev/null
+++ b/crates/hatchpitch/tests/extreme_values/main.rs
@@ -0,0 +1,3 @@
+//! Values of peers, callers, operators and the log that no arithmetic may panic on.
+
+mod registry;
