Apply claims with any run limit

The end of a claim was computed by an addition that overflows for a run limit near 2^64 ms. With overflow checks, applying the claim panics in the log's task on every control box, again at each start; without them, the claim ends at once and the request may run twice. The sums saturate now.

--- a/crates/hatchpitch/src/claims/state.rs
+++ b/crates/hatchpitch/src/claims/state.rs
@@ -91,7 +91,7 @@
             content: req.content,
             attempt: req.attempt.clone(),
             status: ClaimStatus::Running,
-            until: now + millis(req.run_limit),
+            until: now.saturating_add(millis(req.run_limit)),
         };
         self.upsert(req.id.clone(), claim);
         ClaimOutcome::Granted
@@ -113,7 +113,7 @@
             Settlement::Done(answer) => ClaimStatus::Done(self.drop_oversized_body(answer)),
             Settlement::Unknown => ClaimStatus::Unknown,
         };
-        let until = now + millis(self.cfg.keep);
+        let until = now.saturating_add(millis(self.cfg.keep));
         let claim = Claim { status, until, ..existing.clone() };
         self.upsert(req.id.clone(), claim);
     }
@@ -151,7 +151,7 @@
             let running = self.claims.get(&id).filter(|c| c.status == ClaimStatus::Running);
             match running.cloned() {
                 Some(claim) => {
-                    let until = until + millis(self.cfg.keep);
+                    let until = until.saturating_add(millis(self.cfg.keep));
                     self.upsert(id, Claim { status: ClaimStatus::Unknown, until, ..claim });
                 }
                 None => self.remove_claim(&id),
@@ -174,5 +174,5 @@
 }
 
 fn millis(duration: Duration) -> LogTime {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX / 4)
+    u64::try_from(duration.as_millis()).unwrap_or(LogTime::MAX)
 }
--- a/crates/hatchpitch/tests/extreme_values/main.rs
+++ b/crates/hatchpitch/tests/extreme_values/main.rs
@@ -1,3 +1,4 @@
 //! Values of peers, callers, operators and the log that no arithmetic may panic on.
 
+mod claims;
 mod registry;
