Choose a service by weights whose sum exceeds 32 bits

The decoder adds up weights in 64 bits, the choice did in 32: with overflow checks, each request of such a route lost its connection; without them, the sum wrapped and some services got no requests. The choice uses 64 bits as well.

--- a/crates/hatchpitch/src/config/hosted.rs
+++ b/crates/hatchpitch/src/config/hosted.rs
@@ -71,13 +71,15 @@
 impl HostedRoute {
     /// Chooses one of the services at random, by weight.
     pub fn choose_service(&self, rng: &mut impl Rng) -> &str {
-        let sum: u32 = self.targets.iter().map(|target| target.weight).sum();
+        let weights = self.targets.iter().map(|target| u64::from(target.weight));
+        let sum: u64 = weights.sum();
         let mut draw = rng.random_range(0..sum.max(1));
         for target in &self.targets {
-            if draw < target.weight {
+            let weight = u64::from(target.weight);
+            if draw < weight {
                 return &target.service;
             }
-            draw -= target.weight;
+            draw -= weight;
         }
         self.targets.last().map_or("", |target| &target.service)
     }
--- a/crates/hatchpitch/tests/extreme_values/main.rs
+++ b/crates/hatchpitch/tests/extreme_values/main.rs
@@ -2,3 +2,4 @@
 
 mod claims;
 mod registry;
+mod weights;
