Compare numbers of services as they are encoded

The digest of a configuration is that of its encoding, while a change holds the entities that compare unequal. -0.0 equals 0.0 but is encoded otherwise, so a configuration that changes one to the other was logged with a digest that its content does not have: with debug assertions, applying it panics in the log's task on every control box, again at each start. Numbers are compared by their bits now, as the digest does.

--- a/crates/hatchpitch/src/config/hosted.rs
+++ b/crates/hatchpitch/src/config/hosted.rs
@@ -86,7 +86,7 @@
 }
 
 /// Capacity and features of the engines of a service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Maximum number of concurrent generations.
     pub slots: u64,
@@ -106,6 +106,20 @@
     pub copy_life: Duration,
 }
 
+impl PartialEq for EngineSpec {
+    /// Compares numbers as they are encoded, since the digest of a configuration is that of its
+    /// encoding: -0.0 differs from 0.0, and NaN equals itself.
+    fn eq(&self, other: &Self) -> bool {
+        let fields = |engine: &Self| {
+            let Self { slots, memory_tokens, token_bytes, link_mbps, .. } = *engine;
+            let Self { moves, backups, tokens_per_event, copy_life, .. } = *engine;
+            let sizes = (slots, memory_tokens, token_bytes, tokens_per_event);
+            (sizes, link_mbps.to_bits(), moves, backups, copy_life)
+        };
+        fields(self) == fields(other)
+    }
+}
+
 impl Eq for EngineSpec {}
 
 impl EngineSpec {
@@ -133,7 +147,7 @@
 }
 
 /// Reduced capacity of a service's upstreams after a start.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct ColdStart {
     /// How long an upstream stays cold after it started.
     pub lasts: Duration,
@@ -141,6 +155,13 @@
     pub rate: f64,
 }
 
+impl PartialEq for ColdStart {
+    /// Compares numbers as they are encoded, as for [`EngineSpec`].
+    fn eq(&self, other: &Self) -> bool {
+        (self.lasts, self.rate.to_bits()) == (other.lasts, other.rate.to_bits())
+    }
+}
+
 impl Eq for ColdStart {}
 
 /// Limits for callers of hosted routes.
--- a/crates/hatchpitch/tests/extreme_values/main.rs
+++ b/crates/hatchpitch/tests/extreme_values/main.rs
@@ -3,3 +3,4 @@
 mod claims;
 mod registry;
 mod weights;
+mod zero;
