Bound the times of a configuration where it is put to use

A configuration may hold durations that an instant cannot: a route's time limit or the idle timeout of 1e22 ms was accepted, and from then on each request of a caller lost its connection without an answer, as the sum of a time and an instant panicked. Restarts changed nothing, since the configuration is in the log. The view of a configuration bounds its times to a year, so those that are in a log already do no harm either; the accepted content stays as it is.

--- a/crates/hatchpitch/src/config/hosted.rs
+++ b/crates/hatchpitch/src/config/hosted.rs
@@ -68,7 +68,21 @@
     pub regions: Vec<RegionName>,
 }
 
+/// Longest time that is taken from a configuration. Accepted configurations may hold any duration,
+/// but an instant cannot, and no request or upstream takes a year.
+const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 3_600);
+
 impl HostedRoute {
+    /// Bounds the times, so that they can be added to an instant.
+    pub(super) fn bounded(self) -> Self {
+        Self {
+            time_limit: self.time_limit.min(MAX_TIME),
+            answer_aim: self.answer_aim.min(MAX_TIME),
+            gap_aim: self.gap_aim.map(|aim| aim.min(MAX_TIME)),
+            ..self
+        }
+    }
+
     /// Chooses one of the services at random, by weight.
     pub fn choose_service(&self, rng: &mut impl Rng) -> &str {
         let weights = self.targets.iter().map(|target| u64::from(target.weight));
@@ -146,6 +160,19 @@
     pub cold: Option<ColdStart>,
 }
 
+impl HostedService {
+    /// Bounds the times, so that they can be added to an instant.
+    pub(super) fn bounded(mut self) -> Self {
+        if let Some(engine) = &mut self.engine {
+            engine.copy_life = engine.copy_life.min(MAX_TIME);
+        }
+        if let Some(cold) = &mut self.cold {
+            cold.lasts = cold.lasts.min(MAX_TIME);
+        }
+        self
+    }
+}
+
 /// Reduced capacity of a service's upstreams after a start.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct ColdStart {
@@ -176,3 +203,14 @@
     /// Time that a connection may stay idle between requests.
     pub idle_timeout: Duration,
 }
+
+impl HostedLimits {
+    /// Bounds the times, so that they can be added to an instant.
+    pub(super) fn bounded(self) -> Self {
+        Self {
+            header_timeout: self.header_timeout.min(MAX_TIME),
+            idle_timeout: self.idle_timeout.min(MAX_TIME),
+            ..self
+        }
+    }
+}
--- a/crates/hatchpitch/src/config/view.rs
+++ b/crates/hatchpitch/src/config/view.rs
@@ -126,12 +126,12 @@
             }
             Entity::HostedRoute(e) => {
                 let routes = self.hosted_routes.entry(e.host.clone()).or_default();
-                routes.push(Rc::new(e.clone()));
+                routes.push(Rc::new(e.clone().bounded()));
             }
             Entity::HostedService(e) => {
-                self.hosted_services.insert(e.name.clone(), Rc::new(e.clone()));
+                self.hosted_services.insert(e.name.clone(), Rc::new(e.clone().bounded()));
             }
-            Entity::HostedLimits(e) => self.hosted_limits = Some(e.clone()),
+            Entity::HostedLimits(e) => self.hosted_limits = Some(e.clone().bounded()),
         }
     }
 
--- a/crates/hatchpitch/tests/extreme_values/main.rs
+++ b/crates/hatchpitch/tests/extreme_values/main.rs
@@ -1,6 +1,7 @@
 //! Values of peers, callers, operators and the log that no arithmetic may panic on.
 
 mod claims;
+mod config;
 mod registry;
 mod weights;
 mod zero;
