Add numbers of tokens without overflow

Callers name the tokens of their prompt and output in a header, any 64-bit number. Their sum overflowed in the admission of the request: with overflow checks, it lost its connection; without them, it counted as a short one. The sums saturate now.

--- a/crates/hatchpitch/src/admission/lengths.rs
+++ b/crates/hatchpitch/src/admission/lengths.rs
@@ -129,6 +129,6 @@
 
     /// Returns the mean output length of the pool in tokens, or `default` before the first sample.
     pub fn mean(&self, default: u64) -> u64 {
-        if self.pool.total > 0.0 { self.mean as u64 + 1 } else { default }
+        if self.pool.total > 0.0 { (self.mean as u64).saturating_add(1) } else { default }
     }
 }
--- a/crates/hatchpitch/src/admission/memory.rs
+++ b/crates/hatchpitch/src/admission/memory.rs
@@ -156,7 +156,8 @@
             MemoryPolicy::Quantile(share) => {
                 let all = self.running.values().map(|g| &g.candidate).chain([candidate]);
                 let reservation = |c: &Candidate| {
-                    (c.prompt + lengths.quantile(&c.kind, share).min(c.max_output)) as f64
+                    c.prompt.saturating_add(lengths.quantile(&c.kind, share).min(c.max_output))
+                        as f64
                 };
                 self.unattributed_use() + all.map(reservation).sum::<f64>() <= limit
             }
--- a/crates/hatchpitch/src/dispatch/scheduler.rs
+++ b/crates/hatchpitch/src/dispatch/scheduler.rs
@@ -218,7 +218,7 @@
         self.table.give_back(runner, &req.id, report, now);
         if let Some(tokens) = report.tokens {
             self.lengths.observe(&req.kind, tokens);
-            self.queue.correct(&req.workspace, cost, req.prompt + tokens);
+            self.queue.correct(&req.workspace, cost, req.prompt.saturating_add(tokens));
         }
         self.schedule_queued(now);
     }
@@ -319,7 +319,8 @@
 
     /// Returns the expected cost of a request, in tokens of prompt and output.
     pub fn cost(&self, req: &SlotRequest) -> u64 {
-        req.prompt + self.lengths.mean(DEFAULT_OUTPUT_TOKENS).min(req.max_tokens)
+        let output = self.lengths.mean(DEFAULT_OUTPUT_TOKENS).min(req.max_tokens);
+        req.prompt.saturating_add(output)
     }
 
     /// Returns whether queued requests go first. A running generation that is migrated bypasses the
--- a/crates/hatchpitch/src/relay/migration.rs
+++ b/crates/hatchpitch/src/relay/migration.rs
@@ -62,7 +62,7 @@
         };
         let needs = MoveNeeds {
             at_stake,
-            in_memory: needs.prompt + produced,
+            in_memory: needs.prompt.saturating_add(produced),
             max_gap: self.max_gap(),
             event_tokens: self.relay.cx.event_tokens(&self.service),
         };
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -365,7 +365,7 @@
     }
 
     pub(super) fn tokens_produced(&self) -> u64 {
-        self.splitter.events() * self.relay.cx.event_tokens(&self.service)
+        self.splitter.events().saturating_mul(self.relay.cx.event_tokens(&self.service))
     }
 
     pub(super) fn engine(&self) -> Option<EngineSpec> {
--- a/crates/hatchpitch/tests/extreme_values/main.rs
+++ b/crates/hatchpitch/tests/extreme_values/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod config;
+mod lengths;
 mod registry;
 mod weights;
 mod zero;
