Follow a control box again after its task panicked

Each control box is followed by a task of its own, which no one watched: after a panic in it, the box counted as followed for good. Once this had happened for each of them, the entry process ran on without news of upstreams, evacuations and held requests. A panic is logged now, and the next search follows the box again.

--- a/crates/hatchpitch/src/registry/follow.rs
+++ b/crates/hatchpitch/src/registry/follow.rs
@@ -11,6 +11,7 @@
 
 use super::messages::{Detail, FollowAnswer, FollowRequest};
 use super::roster::Roster;
+use crate::essential::spawn_watched;
 use crate::evacuation::{Evacuations, Revision};
 use crate::ids::{BoxName, ConfigNumber};
 use crate::limits::backoff;
@@ -164,9 +165,16 @@
     while !stop.is_set() {
         for source in followed.candidates(&own) {
             if followed.running.borrow_mut().insert(source) {
+                let restarted = followed.clone();
                 let (own, followed, client) = (own.clone(), followed.clone(), client.clone());
                 let task = follow(own, source, followed, client, callbacks.clone(), stop.clone());
-                compio::runtime::spawn(task).detach();
+                spawn_watched(task, move || {
+                    log::error!(
+                        source:% = source;
+                        "the task that follows a control box panicked; it is followed anew"
+                    );
+                    restarted.running.borrow_mut().remove(&source);
+                });
             }
         }
         compio::time::sleep(DISCOVERY_INTERVAL).await;
