Drop messages of replicas that no log can hold

Terms and indexes near 2^64 overflow when the next one is computed, entries that do not follow each other fail an assertion, and so do entries in place of committed ones. Each of them ended the control process in the task of its log, and a term that was adopted ends it again after each start. Such messages are checked when they arrive, dropped and logged; the assertions stay. Random commands of the log, with clocks that step by 2,400 s, needed no change.

No message of a sound replica is like this.

--- a/crates/hatchpitch/src/replication/append.rs
+++ b/crates/hatchpitch/src/replication/append.rs
@@ -208,6 +208,11 @@
         round: Round,
         now: Instant,
     ) {
+        if self.contradicts_commit(&entries) {
+            // Either log lost entries that a majority held. This one keeps what it has.
+            log::error!("replica {from:016x} sent entries in place of committed ones; dropped");
+            return;
+        }
         self.record_leader_contact(from, now);
         let (matched, index) = self.store_entries(prev, entries);
         if matched {
@@ -217,6 +222,13 @@
         self.send(from, reply);
     }
 
+    /// Returns whether one of the entries differs from a committed one.
+    fn contradicts_commit(&self, entries: &[Entry]) -> bool {
+        let committed = entries.iter().filter(|entry| entry.index <= self.commit);
+        let known = committed.filter_map(|entry| Some((entry, self.log.term_at(entry.index)?)));
+        known.into_iter().any(|(entry, term)| term != entry.term)
+    }
+
     /// Stores the entries that follow `prev`. Returns whether the log matches the leader's, and the
     /// last matching index or, on a mismatch, the one after which the leader should try next.
     fn store_entries(&mut self, prev: LogEnd, entries: Vec<Entry>) -> (bool, Index) {
--- a/crates/hatchpitch/src/replication/messages.rs
+++ b/crates/hatchpitch/src/replication/messages.rs
@@ -189,7 +189,45 @@
     },
 }
 
+/// Greatest term or index that a message may hold. No group reaches it, and a few more fit into the
+/// type.
+const MAX_NUMBER: u64 = u64::MAX / 2;
+
 impl Message {
+    /// Checks what holds for every message of a replica, whatever it has missed.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong: a term or index is too great, or entries do not follow each other.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let (end, last) = match self {
+            Self::PreVote { end, .. } | Self::Vote { end, .. } | Self::Install { end, .. } => {
+                (*end, end.index)
+            }
+            Self::Append { prev, entries, commit, .. } => {
+                (*prev, entries.iter().map(|entry| entry.index).fold(*commit, Index::max))
+            }
+            Self::AppendReply { index, .. } => (LogEnd { term: 0, index: *index }, *index),
+            _ => (LogEnd { term: 0, index: 0 }, 0),
+        };
+        if self.term().max(end.term).max(end.index).max(last) > MAX_NUMBER {
+            return Err("a term or an index is too great");
+        }
+        if let Self::Append { term, prev, entries, .. } = self {
+            let mut before = *prev;
+            if before.index == 0 && before.term != 0 {
+                return Err("the entry before the first one has a term");
+            }
+            for entry in entries {
+                if entry.index != before.index + 1 || !(before.term..=*term).contains(&entry.term) {
+                    return Err("its entries do not follow each other");
+                }
+                before = LogEnd { term: entry.term, index: entry.index };
+            }
+        }
+        Ok(())
+    }
+
     /// Returns whether only leaders send such a message, and only to members.
     pub fn is_from_leader(&self) -> bool {
         matches!(self, Self::Append { .. } | Self::Install { .. })
--- a/crates/hatchpitch/src/replication/state.rs
+++ b/crates/hatchpitch/src/replication/state.rs
@@ -290,6 +290,10 @@
 
     /// Processes a message.
     pub fn receive(&mut self, from: NodeId, message: Message, now: Instant) {
+        if let Err(cause) = message.check() {
+            log::warn!("dropped a message of replica {from:016x}: {cause}");
+            return;
+        }
         if message.has_term() {
             if self.reject_stale_term(from, &message) {
                 return;
--- a/crates/hatchpitch/tests/extreme_values/main.rs
+++ b/crates/hatchpitch/tests/extreme_values/main.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod config;
 mod lengths;
+mod log;
 mod registry;
 mod weights;
 mod zero;
