Process any age of a confirmation in the feed

The age that another box reports was added to the time of the answer, in the task that follows the configuration and whose panic ends the process. The sum saturates; an age that no instant can hold confirms nothing, as before. A sound box reports no such age.

--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -299,7 +299,7 @@
         }
         // The parent sent the answer at most `round_trip - held` ago.
         let transit = round_trip.saturating_sub(answer.held);
-        let age = answer.confirmed_age.map(|age| age + transit);
+        let age = answer.confirmed_age.map(|age| age.saturating_add(transit));
         let (number, digest) = (answer.number, answer.digest);
         if number > inner.state.number() {
             let have = inner.state.number();
--- a/crates/hatchpitch/tests/extreme_values/main.rs
+++ b/crates/hatchpitch/tests/extreme_values/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod config;
+mod feed;
 mod lengths;
 mod log;
 mod registry;
