Bound the waits for permits that a decider names

The wait and its spread were multiplied, added and added to an instant as the other box sent them. They are held to the bounds that the bucket of a decider keeps to. A sound box names no such wait.

--- a/crates/hatchpitch/src/upstream_limits/bucket.rs
+++ b/crates/hatchpitch/src/upstream_limits/bucket.rs
@@ -35,9 +35,9 @@
 /// to keep the load on the decider low.
 const RETRIES_PER_PERMIT: f64 = 2.0;
 /// Maximum spread of the retries. Callers give up within a few seconds.
-const MAX_SPREAD: Duration = Duration::from_secs(2);
+pub(super) const MAX_SPREAD: Duration = Duration::from_secs(2);
 /// Maximum reported time until a permit is available.
-const MAX_WAIT: Duration = Duration::from_secs(60);
+pub(super) const MAX_WAIT: Duration = Duration::from_secs(60);
 /// Tolerance for rounding errors in the level.
 const EPSILON: f64 = 1e-6;
 
--- a/crates/hatchpitch/src/upstream_limits/table.rs
+++ b/crates/hatchpitch/src/upstream_limits/table.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::bucket::Bucket;
+use super::bucket::{Bucket, MAX_SPREAD, MAX_WAIT};
 use super::messages::{AgedObservation, PermitAnswer, PermitKind, PermitRequest};
 use super::observation::{LimitObservation, RateLimit};
 use crate::ids::{Priority, RunnerName};
@@ -410,6 +410,8 @@
             }
             // A uniform draw from 0 to twice the spread has the spread as its mean.
             PermitAnswer::Denied { opens_in, spread } => {
+                // The bucket of a decider keeps to the same bounds.
+                let (opens_in, spread) = (opens_in.min(MAX_WAIT), spread.min(MAX_SPREAD));
                 (opens_in + spread.mul_f64(2.0 * draw), priority)
             }
             PermitAnswer::NotDecider => (NOT_DECIDER_RETRY, Priority::MAX),
--- a/crates/hatchpitch/tests/extreme_values/main.rs
+++ b/crates/hatchpitch/tests/extreme_values/main.rs
@@ -5,6 +5,7 @@
 mod feed;
 mod lengths;
 mod log;
+mod permits;
 mod registry;
 mod weights;
 mod zero;
