--- a/crates/hatchpitch/tests/extreme_values/registry.rs
+++ b/crates/hatchpitch/tests/extreme_values/registry.rs
@@ -22,10 +22,10 @@
     }
 }
 
-/// Guards against an entry process that ends at each start because a control box reports an upstream
+/// Guards against an entry process that is blind because a control box reports an upstream
 /// that is warm in more time than an instant can hold.
 #[test]
-fn a_heartbeat_with_an_extreme_time_until_warm_ends_no_entry_process() {
+fn an_extreme_time_until_warm_does_not_end_the_task_that_follows_a_control_box() {
     let now = Instant::now();
     let cell = RegistryCell::new(1);
     cell.change(|table| table.announce(record(Duration::ZERO, 1), now));
