--- a/crates/hatchpitch/src/config/hosted.rs
+++ b/crates/hatchpitch/src/config/hosted.rs
@@ -68,23 +68,39 @@
     pub regions: Vec<RegionName>,
 }
 
+/// Longest time that is taken from a configuration. Accepted configurations may hold any duration,
+/// but an instant cannot, and no request or upstream takes a year.
+const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 3_600);
+
 impl HostedRoute {
+    /// Bounds the times, so that they can be added to an instant.
+    pub(super) fn bounded(self) -> Self {
+        Self {
+            time_limit: self.time_limit.min(MAX_TIME),
+            answer_aim: self.answer_aim.min(MAX_TIME),
+            gap_aim: self.gap_aim.map(|aim| aim.min(MAX_TIME)),
+            ..self
+        }
+    }
+
     /// Chooses one of the services at random, by weight.
     pub fn choose_service(&self, rng: &mut impl Rng) -> &str {
-        let sum: u32 = self.targets.iter().map(|target| target.weight).sum();
+        let weights = self.targets.iter().map(|target| u64::from(target.weight));
+        let sum: u64 = weights.sum();
         let mut draw = rng.random_range(0..sum.max(1));
         for target in &self.targets {
-            if draw < target.weight {
+            let weight = u64::from(target.weight);
+            if draw < weight {
                 return &target.service;
             }
-            draw -= target.weight;
+            draw -= weight;
         }
         self.targets.last().map_or("", |target| &target.service)
     }
 }
 
 /// Capacity and features of the engines of a service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Maximum number of concurrent generations.
     pub slots: u64,
@@ -104,6 +120,20 @@
     pub copy_life: Duration,
 }
 
+impl PartialEq for EngineSpec {
+    /// Compares numbers as they are encoded, since the digest of a configuration is that of its
+    /// encoding: -0.0 differs from 0.0, and NaN equals itself.
+    fn eq(&self, other: &Self) -> bool {
+        let fields = |engine: &Self| {
+            let Self { slots, memory_tokens, token_bytes, link_mbps, .. } = *engine;
+            let Self { moves, backups, tokens_per_event, copy_life, .. } = *engine;
+            let sizes = (slots, memory_tokens, token_bytes, tokens_per_event);
+            (sizes, link_mbps.to_bits(), moves, backups, copy_life)
+        };
+        fields(self) == fields(other)
+    }
+}
+
 impl Eq for EngineSpec {}
 
 impl EngineSpec {
@@ -130,8 +160,21 @@
     pub cold: Option<ColdStart>,
 }
 
+impl HostedService {
+    /// Bounds the times, so that they can be added to an instant.
+    pub(super) fn bounded(mut self) -> Self {
+        if let Some(engine) = &mut self.engine {
+            engine.copy_life = engine.copy_life.min(MAX_TIME);
+        }
+        if let Some(cold) = &mut self.cold {
+            cold.lasts = cold.lasts.min(MAX_TIME);
+        }
+        self
+    }
+}
+
 /// Reduced capacity of a service's upstreams after a start.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct ColdStart {
     /// How long an upstream stays cold after it started.
     pub lasts: Duration,
@@ -139,6 +182,13 @@
     pub rate: f64,
 }
 
+impl PartialEq for ColdStart {
+    /// Compares numbers as they are encoded, as for [`EngineSpec`].
+    fn eq(&self, other: &Self) -> bool {
+        (self.lasts, self.rate.to_bits()) == (other.lasts, other.rate.to_bits())
+    }
+}
+
 impl Eq for ColdStart {}
 
 /// Limits for callers of hosted routes.
@@ -153,3 +203,14 @@
     /// Time that a connection may stay idle between requests.
     pub idle_timeout: Duration,
 }
+
+impl HostedLimits {
+    /// Bounds the times, so that they can be added to an instant.
+    pub(super) fn bounded(self) -> Self {
+        Self {
+            header_timeout: self.header_timeout.min(MAX_TIME),
+            idle_timeout: self.idle_timeout.min(MAX_TIME),
+            ..self
+        }
+    }
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -133,10 +133,11 @@
         };
         match accepted {
             Ok((stream, peer)) if open.get() < limits.connections => {
-                open.set(open.get() + 1);
+                let place = OpenConnection::new(&open);
                 let tracker = Rc::new(AnswerTracker::new(pending.clone()));
                 let (limits, handler, stop) = (limits.clone(), handler.clone(), stop.clone());
-                let task = async move {
+                compio::runtime::spawn(async move {
+                    let _place = place;
                     let opened = ConnectionMemory::open(&limits.memory, peer, limits.io_bytes);
                     match opened.await {
                         Ok(memory) => {
@@ -146,11 +147,6 @@
                         }
                         Err(err) => log::warn!(peer:% = peer; "connection not served: {err}"),
                     }
-                };
-                let open = open.clone();
-                compio::runtime::spawn(async move {
-                    task.await;
-                    open.set(open.get() - 1);
                 })
                 .detach();
             }
@@ -170,6 +166,23 @@
     }
 }
 
+/// The place of a connection in the count of open ones, which it gives back when it is dropped: also
+/// if its handler panics.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A connection and what is kept for it.
 struct AcceptedConnection {
     stream: TcpStream,
