Log each start, end and panic of a process as one line

Operators could not tell why a process had ended: anyhow printed plain text with a backtrace on standard error, a panic in a needed task printed its place there and left by `exit(101)`, a kill left nothing, and the next start did not mention it. A settings file that was empty or half written at the start ended the process with status 1.

Each daemon now runs in `lifecycle::run`, which logs the end with its cause and status, and a panic hook that names place and task. Lines about starts and ends pass the rate limit. The start line has version, role and limits. A control box with a data folder keeps a small unsynced record of how its run ended, on a best effort; a torn or missing record, or one from before a restart of the machine, reads `unknown`. Settings are read again until they are valid or their file has been unchanged for 10 s; SIGTERM ends that wait.

The panic test needs the new module and was not run on the old code.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,9 +1,10 @@
 //! Daemon of a control box: parses settings, sets up logging and runs the library.
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 
-use anyhow::Context as _;
 use clap::Parser;
+use hatchpitch::lifecycle;
 use hatchpitch::settings::control::RawControlSettings;
 use hatchpitch::settings::{ControlSettings, load_file};
 
@@ -16,10 +17,13 @@
     settings: PathBuf,
 }
 
-#[compio::main]
-async fn main() -> anyhow::Result<()> {
+fn main() -> ExitCode {
     let args = Args::parse();
-    let settings: ControlSettings = load_file::<RawControlSettings, _>(&args.settings)?;
-    hatchpitch::logging::start(&settings.own.name, settings.log_level).context("logs")?;
-    hatchpitch::control::run(settings).await
+    lifecycle::run(|mut stop_signals| async move {
+        let load = load_file::<RawControlSettings, ControlSettings>;
+        let settings = lifecycle::await_settings(&args.settings, &mut stop_signals, load).await?;
+        let Some(settings) = settings else { return Ok(()) };
+        hatchpitch::logging::set_box(&settings.own.name, settings.log_level);
+        hatchpitch::control::run(settings, stop_signals).await
+    })
 }
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -1,7 +1,7 @@
 //! Processes of a test fleet.
 
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -43,6 +43,7 @@
     args: Vec<String>,
     log: PathBuf,
     child: Option<Child>,
+    status: Option<ExitStatus>,
 }
 
 impl Process {
@@ -53,7 +54,7 @@
     /// Returns an error if the binary was not built or cannot be spawned.
     pub fn start(name: &str, bin: &str, args: Vec<String>, log: PathBuf) -> anyhow::Result<Self> {
         let bin = find_binary(bin)?;
-        let mut process = Self { name: name.to_owned(), bin, args, log, child: None };
+        let mut process = Self { name: name.to_owned(), bin, args, log, child: None, status: None };
         process.restart()?;
         Ok(process)
     }
@@ -137,13 +138,17 @@
 
     /// Returns whether the process has exited, and reaps it if so.
     pub fn has_ended(&mut self) -> bool {
-        let exited =
-            self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
-        if exited {
+        if let Some(Ok(Some(status))) = self.child.as_mut().map(Child::try_wait) {
+            self.status = Some(status);
             // The kernel may reuse the pid once the child is reaped.
             self.child = None;
         }
-        exited
+        self.child.is_none()
+    }
+
+    /// Returns how the process exited, if [`Self::has_ended`] or [`Self::wait_end`] saw it.
+    pub fn exit_status(&self) -> Option<ExitStatus> {
+        self.status
     }
 
     /// Waits until the process exits; returns `false` if it did not within `limit`.
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,9 +1,10 @@
 //! Daemon of an entry box: parses settings, sets up logging and runs the library.
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 
-use anyhow::Context as _;
 use clap::Parser;
+use hatchpitch::lifecycle;
 use hatchpitch::settings::entry::RawEntrySettings;
 use hatchpitch::settings::{EntrySettings, load_file};
 
@@ -16,10 +17,13 @@
     settings: PathBuf,
 }
 
-#[compio::main]
-async fn main() -> anyhow::Result<()> {
+fn main() -> ExitCode {
     let args = Args::parse();
-    let settings: EntrySettings = load_file::<RawEntrySettings, _>(&args.settings)?;
-    hatchpitch::logging::start(&settings.name, settings.log_level).context("logs")?;
-    hatchpitch::entry::run(settings).await
+    lifecycle::run(|mut stop_signals| async move {
+        let load = load_file::<RawEntrySettings, EntrySettings>;
+        let settings = lifecycle::await_settings(&args.settings, &mut stop_signals, load).await?;
+        let Some(settings) = settings else { return Ok(()) };
+        hatchpitch::logging::set_box(&settings.name, settings.log_level);
+        hatchpitch::entry::run(settings, stop_signals).await
+    })
 }
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -16,6 +16,7 @@
 use crate::commands::task as commands;
 use crate::config::feed;
 use crate::essential::spawn_essential;
+use crate::lifecycle;
 use crate::listener::{ExtraListener, Listeners, bind_addr};
 use crate::logging::unix_ms;
 use crate::registry::peers;
@@ -54,8 +55,8 @@
 ///
 /// Returns an error that names the listener that could not be opened or the fault of the data
 /// folder.
-pub async fn run(settings: ControlSettings) -> anyhow::Result<()> {
-    run_with(settings, |_| Vec::new(), |_| {}).await
+pub async fn run(settings: ControlSettings, stop_signals: StopSignals) -> anyhow::Result<()> {
+    run_with(settings, stop_signals, |_| Vec::new(), |_| {}).await
 }
 
 /// Runs a control process that also serves the listeners that `extra` returns. `reloaded` is called
@@ -66,11 +67,12 @@
 /// Returns the same errors as [`run`].
 pub async fn run_with(
     settings: ControlSettings,
+    mut stop_signals: StopSignals,
     extra: impl FnOnce(&Rc<ControlCx>) -> Vec<ExtraListener>,
     reloaded: impl Fn(&Rc<ControlCx>) + 'static,
 ) -> anyhow::Result<()> {
-    signals::prevent_sighup_termination().await;
-    let mut stop_signals = StopSignals::listen().await.context("stop signals")?;
+    let limits = ServerLimits::default();
+    lifecycle::log_start("control", limits.connections, settings.data_folder.as_deref());
     let disk = settings.data_folder.as_deref().map(open_disk).transpose()?;
     let id = disk.as_ref().map_or(Ok(NO_IDENTITY), bootstrap::identity)?;
     let (own, listen_ip) = (&settings.own, settings.listen_ip);
@@ -82,7 +84,6 @@
     let own = &cx.settings.own;
     log::info!("control box {} serves operators at {}", own.name, own.operators_addr);
     let (stop_handle, stop) = stop_pair();
-    let limits = ServerLimits::default();
     let mut listeners = Listeners::new(stop.clone());
     listeners.serve_callers(operators, limits, operators_handler(&cx));
     listeners.serve_boxes(boxes, limits, boxes_handler(&cx));
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -20,6 +20,7 @@
 use crate::essential::spawn_essential;
 use crate::grants::task as grants;
 use crate::ids::ConfigNumber;
+use crate::lifecycle;
 use crate::listener::{ExtraListener, Listeners, bind_addr};
 use crate::logging::unix_ms;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
@@ -48,8 +49,8 @@
 /// # Errors
 ///
 /// Returns an error that names the listener that could not be opened.
-pub async fn run(settings: EntrySettings) -> anyhow::Result<()> {
-    run_with(settings, |_| Vec::new(), |_| {}).await
+pub async fn run(settings: EntrySettings, stop_signals: StopSignals) -> anyhow::Result<()> {
+    run_with(settings, stop_signals, |_| Vec::new(), |_| {}).await
 }
 
 /// Runs an entry process with additional listeners. `reloaded` is called when the settings file may
@@ -60,11 +61,11 @@
 /// Returns an error that names the listener that could not be opened.
 pub async fn run_with(
     settings: EntrySettings,
+    mut stop_signals: StopSignals,
     extra: impl FnOnce(&Rc<EntryCx>) -> Vec<ExtraListener>,
     reloaded: impl Fn(&Rc<EntryCx>) + 'static,
 ) -> anyhow::Result<()> {
-    signals::prevent_sighup_termination().await;
-    let mut stop_signals = StopSignals::listen().await.context("stop signals")?;
+    lifecycle::log_start("entry", settings.limits.max_connections, None);
     let listen_ip = settings.listen_ip;
     let callers = bind(bind_addr(settings.callers_addr, listen_ip)).await;
     let callers = callers.context("callers' listener")?;
--- a/crates/hatchpitch/src/essential.rs
+++ b/crates/hatchpitch/src/essential.rs
@@ -7,14 +7,12 @@
 
 use std::future::Future;
 
-/// Exit code of a process that terminates because of a panic, as in the standard library.
-const PANIC_EXIT_CODE: i32 = 101;
+use crate::lifecycle::{self, PANICKED};
 
 /// Spawns a task that runs for the lifetime of the process and exits the process if it panics.
 pub fn spawn_essential(name: &'static str, task: impl Future<Output = ()> + 'static) {
-    spawn_watched(task, move || {
-        log::error!(task = name; "a task that is needed panicked; the process ends");
-        std::process::exit(PANIC_EXIT_CODE);
+    spawn_watched(lifecycle::named(name, task), move || {
+        lifecycle::end(&format!("the task {name:?}, which is needed, panicked"), PANICKED)
     });
 }
 
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod explain;
 pub mod grants;
 pub mod ids;
+pub mod lifecycle;
 pub mod limits;
 pub mod listener;
 pub mod logging;
--- a/crates/hatchpitch/src/logging.rs
+++ b/crates/hatchpitch/src/logging.rs
@@ -8,33 +8,43 @@
 use std::cell::Cell;
 use std::io::{self, Write};
 use std::os::fd::AsFd;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use hatchpitch_net::clock;
 use log::LevelFilter;
 
-/// Installs the logger of box `name` at `level`.
+/// Target of the lines about the start and end of a process.
+const LIFECYCLE: &str = "hatchpitch::lifecycle";
+/// Level until the settings are known.
+const FIRST_LEVEL: LevelFilter = LevelFilter::Info;
+
+/// Name of the box, once the settings are known.
+static BOX_NAME: OnceLock<String> = OnceLock::new();
+
+/// Installs the logger. Its lines name no box until [`set_box`].
 ///
 /// # Errors
 ///
 /// Returns an error if a logger is already installed.
-pub fn start(name: &str, level: LevelFilter) -> anyhow::Result<()> {
-    let name = name.to_owned();
-    fern::Dispatch::new()
+pub fn start() -> Result<(), log::SetLoggerError> {
+    let own = LevelFilter::Trace;
+    let (_, logger) = fern::Dispatch::new()
         .level(LevelFilter::Warn)
-        .level_for("hatchpitch", level)
-        .level_for("hatchpitch_net", level)
-        .level_for("hatchpitch_entry", level)
-        .level_for("hatchpitch_control", level)
-        .level_for("hatchpitch_platform", level)
-        .level_for("span", level)
-        .filter(|meta| within_limit(meta.level()))
+        .level_for("hatchpitch", own)
+        .level_for("hatchpitch_net", own)
+        .level_for("hatchpitch_entry", own)
+        .level_for("hatchpitch_control", own)
+        .level_for("hatchpitch_platform", own)
+        .level_for("span", own)
+        // What ended a process must not be lost among the lines about it.
+        .filter(|meta| meta.target() == LIFECYCLE || within_limit(meta.level()))
         .format(move |out, message, record| {
             let mut line = serde_json::Map::new();
             line.insert("time_ms".to_owned(), unix_ms().into());
             line.insert("level".to_owned(), record.level().as_str().into());
-            line.insert("box".to_owned(), name.as_str().into());
+            line.insert("box".to_owned(), BOX_NAME.get().map_or("", String::as_str).into());
             line.insert("target".to_owned(), record.target().into());
             line.insert("message".to_owned(), message.to_string().into());
             if record.key_values().visit(&mut Fields(&mut line)).is_err() {
@@ -43,10 +53,19 @@
             out.finish(format_args!("{}", serde_json::Value::Object(line)));
         })
         .chain(Box::new(NonBlockingWriter::new(io::stdout())) as Box<dyn Write + Send>)
-        .apply()?;
+        .into_log();
+    log::set_boxed_logger(logger)?;
+    log::set_max_level(FIRST_LEVEL);
     Ok(())
 }
 
+/// Names box `name` in further lines and logs at `level`.
+pub fn set_box(name: &str, level: LevelFilter) {
+    // The first name stays: a process runs one box.
+    let _ = BOX_NAME.set(name.to_owned());
+    log::set_max_level(level);
+}
+
 /// Writes the key-value pairs of a record into its line.
 struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
 
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -20,6 +20,7 @@
 use super::storage::{Storage, StorageError};
 use super::transfer;
 use crate::essential::spawn_essential;
+use crate::lifecycle;
 
 /// Path of batches of messages between replicas.
 pub const LOG_PATH: &str = "/box/log";
@@ -355,8 +356,8 @@
     fn restore(&mut self, snapshot: &Snapshot) {
         if let Err(err) = (self.applier.restore)(Some(&snapshot.data)) {
             // Continuing would serve reads from an older state.
-            log::error!("cannot restore the snapshot at index {}: {err:#}", snapshot.end.index);
-            std::process::exit(1);
+            let index = snapshot.end.index;
+            lifecycle::end(&format!("cannot restore the snapshot at index {index}: {err:#}"), 1);
         }
         self.applied = snapshot.end.index;
         (self.applier.applied)();
