Ignore SIGHUP before the standard library sets a process up

A SIGHUP within the first millisecond of a start ended the process by signal 1: its handling was installed only once the runtime existed.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -4,9 +4,9 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use hatchpitch::lifecycle;
 use hatchpitch::settings::control::RawControlSettings;
 use hatchpitch::settings::{ControlSettings, load_file};
+use hatchpitch::{lifecycle, signals};
 
 /// Stores the durable state of the fleet: configuration and claims.
 #[derive(Debug, Parser)]
@@ -17,6 +17,11 @@
     settings: PathBuf,
 }
 
+/// Runs before the standard library sets up the process, since SIGHUP may arrive that early.
+#[used]
+#[unsafe(link_section = ".init_array")]
+static IGNORE_SIGHUP: extern "C" fn() = signals::ignore_sighup;
+
 fn main() -> ExitCode {
     let args = Args::parse();
     lifecycle::run(|mut stop_signals| async move {
--- a/crates/hatchpitch/src/signals.rs
+++ b/crates/hatchpitch/src/signals.rs
@@ -63,6 +63,15 @@
     StopSignals::listen().await?.next().await
 }
 
+/// Ignores SIGHUP until a listener is registered. For the initializers of an executable: a
+/// supervisor may send the signal before `main`, and its default action ends the process.
+pub extern "C" fn ignore_sighup() {
+    // SAFETY: no handler runs that could interrupt other code.
+    if unsafe { libc::signal(libc::SIGHUP, libc::SIG_IGN) } == libc::SIG_ERR {
+        log::error!("cannot ignore SIGHUP: {}", io::Error::last_os_error());
+    }
+}
+
 /// Prevents SIGHUP from terminating the process from now on. Its default action would do so while
 /// no listener is registered, such as before the first one and between two of them.
 pub async fn prevent_sighup_termination() {
