Go on without a port or a disk that fails at the start

A control process whose disk took no bytes or could not be read at the start, or whose log was damaged, and any process whose port was in use, ended with status 1, and again at each restart. What such a box could have served was missing, and callers saw a system that did not start.

Cause: each step of the start returned its error from `main`.

Ports: each listener is bound again until that succeeds (50 ms, doubling to 2 s) while the others serve. An entry box is ready, and joins the other boxes, once its listeners for callers and boxes are open. A control box touches its disk only once its listener for boxes is open, as before: the process that holds the port may be the former one of this box.

Disk: folder, identity, creation and opening of the log are tried again (`control/replica.rs`), each time from the start, as a failed attempt may have had an effect. A drawn identity is kept until it is durable; a box that can't read its identity draws none. Until the log is open or known to be absent the box sends no introduction, no request to join and no answer to messages of the log: a box without a log that heard "no log" would begin a second one. It serves meanwhile what a box without a disk serves.

Damage: the replica is not started and the files are left alone; the box serves on and says so once a minute. Replacing the identity automatically is not built.

New: gauges `hatchpitch_listeners_unopened`, `hatchpitch_log_waits_for_disk`, `hatchpitch_log_damaged`.

--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -116,6 +116,10 @@
             }
             HELLO_PATH => {
                 self.open::<Hello>()?;
+                if !self.cx.knows_its_log() {
+                    let text = "the log of this box is not open";
+                    return Err(Box::new(text_response(StatusCode::SERVICE_UNAVAILABLE, text)));
+                }
                 Ok(self.cx.boxes.respond(&self.cx.hello()))
             }
             SETTLE_PATH => {
@@ -134,7 +138,11 @@
     /// Passes messages to the replica. Before it is started, a message from a leader only shows
     /// that this box was added to the group.
     fn receive_batch(&self, batch: LogBatch) {
-        let own = self.cx.id;
+        if !self.cx.knows_its_log() {
+            // It may have led or voted under any identity, so it makes no statement.
+            return;
+        }
+        let own = self.cx.id.get();
         for envelope in batch.envelopes.iter().filter(|e| e.to != own) {
             if let Some(answer) = answer_for_former_identity(envelope) {
                 self.send_log(batch.reply_to, answer);
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -13,6 +13,7 @@
 use super::quarantine;
 use crate::config::feed::ConfigCell;
 use crate::ids::RunnerName;
+use crate::listener::Unopened;
 use crate::logging::unix_ms;
 use crate::metrics::Metrics;
 use crate::registry::messages::Epoch;
@@ -51,12 +52,35 @@
     epoch: Epoch,
 }
 
+/// What is known about the log on this box's disk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogState {
+    /// This box has no disk.
+    NoDisk,
+    /// The disk could not be read or written so far, so it may hold a log, which may name this box.
+    Waiting,
+    /// The disk holds no log.
+    Absent,
+    /// The replica of the log runs.
+    Open,
+    /// The log or the identity is damaged; this box takes no part in the log until an operator
+    /// repairs it.
+    Damaged,
+}
+
+/// Identity of a box without a disk, or whose disk was not read yet; no replica has it.
+pub const NO_IDENTITY: NodeId = 0;
+
 /// Shared state of a control process.
 pub struct ControlCx {
     /// Settings of this box.
     pub settings: ControlSettings,
-    /// Identity of the replica on this box's disk.
-    pub id: NodeId,
+    /// Identity of the replica on this box's disk, or [`NO_IDENTITY`].
+    pub id: Cell<NodeId>,
+    /// What is known about the log on this box's disk.
+    pub log_state: Cell<LogState>,
+    /// Listeners of this box that are not open yet.
+    pub unopened: Unopened,
     /// Configuration in force on this box, served by the feed.
     pub config: ConfigCell,
     /// Metrics of this process.
@@ -76,7 +100,7 @@
     pub outbox: Rc<Outbox>,
     /// Replication messages of which parts are still missing.
     pub log_parts: RefCell<Reassembler>,
-    /// Newest introduction of a member of the replication group; set only on a box without a disk.
+    /// Newest introduction of a member of the replication group; set only on a box without a log.
     core_hello: RefCell<Option<Hello>>,
     /// Other control boxes by address, as learned from news about upstreams.
     control_peers: RefCell<BTreeMap<SocketAddr, ControlPeerState>>,
@@ -90,10 +114,16 @@
 
 impl ControlCx {
     /// Creates the shared state, without a log until [`ControlCx::set_log`].
-    pub fn new(settings: ControlSettings, id: NodeId, boxes: BoxClient) -> Rc<Self> {
+    pub fn new(settings: ControlSettings, boxes: BoxClient) -> Rc<Self> {
+        let log_state = match settings.data_folder {
+            Some(_) => LogState::Waiting,
+            None => LogState::NoDisk,
+        };
         Rc::new(Self {
             settings,
-            id,
+            id: Cell::new(NO_IDENTITY),
+            log_state: Cell::new(log_state),
+            unopened: Unopened::default(),
             config: ConfigCell::new(boxes.backlog().clone()),
             metrics: Metrics::default(),
             boxes,
@@ -120,6 +150,7 @@
     pub fn set_log(&self, log: ReplicaHandle) {
         // The daemon starts the log once, so the cell is empty here.
         let _ = self.log.set(log);
+        self.log_state.set(LogState::Open);
     }
 
     /// Returns the replica of the log, or `None` before it is started.
@@ -140,16 +171,22 @@
         self.log().map(|log| log.with(|replica| replica.members().clone()))
     }
 
-    /// Records the introduction of a member of the replication group; for a box without a disk.
+    /// Records the introduction of a member of the replication group; for a box without a log.
     pub fn set_core_hello(&self, hello: Hello) {
         *self.core_hello.borrow_mut() = Some(hello);
     }
 
+    /// Returns whether this box may tell others who it is and whether it has a log. A box that
+    /// doesn't know must not: others that have no log would begin a second one.
+    pub fn knows_its_log(&self) -> bool {
+        !matches!(self.log_state.get(), LogState::Waiting | LogState::Damaged)
+    }
+
     /// Returns the introduction of this box to other control boxes.
     pub fn hello(&self) -> Hello {
         Hello {
             name: self.settings.own.name.clone(),
-            id: self.id,
+            id: self.id.get(),
             members: self.log_members(),
             leader: self.leader(),
             without_disk: self.settings.data_folder.is_none(),
@@ -229,10 +266,10 @@
 
     /// Returns the leader, or `None` if this box knows none.
     pub fn leader(&self) -> Option<Peer> {
-        if self.settings.data_folder.is_none() {
-            return self.core_hello.borrow().as_ref().and_then(|hello| hello.leader.clone());
+        match self.log() {
+            Some(log) => log.with(|replica| replica.members().get(replica.leader()?).cloned()),
+            None => self.core_hello.borrow().as_ref().and_then(|hello| hello.leader.clone()),
         }
-        self.log()?.with(|replica| replica.members().get(replica.leader()?).cloned())
     }
 
     /// Returns the addresses of the other control boxes: members of the replication group, boxes in
--- a/crates/hatchpitch/src/control/join.rs
+++ b/crates/hatchpitch/src/control/join.rs
@@ -14,7 +14,7 @@
 use hatchpitch_net::{Stop, clock};
 use serde::{Deserialize, Serialize};
 
-use super::context::ControlCx;
+use super::context::{ControlCx, LogState};
 use super::repair::{self, RepairError};
 use crate::replication::bootstrap::as_peer;
 use crate::replication::membership::MemberChange;
@@ -128,7 +128,10 @@
     while !stop.is_set() {
         compio::time::sleep(CHECK_INTERVAL).await;
         let Some(log) = cx.log() else {
-            request_join(&cx).await;
+            // Without its log, this box doesn't know whether it is a voter.
+            if cx.log_state.get() == LogState::Absent {
+                request_join(&cx).await;
+            }
             continue;
         };
         if log.with(|replica| replica.leads()) {
@@ -145,7 +148,7 @@
             leader_seen = clock::now();
         }
         if log.with(|replica| {
-            should_request_join(replica.members(), cx.id, clock::since(leader_seen))
+            should_request_join(replica.members(), cx.id.get(), clock::since(leader_seen))
         }) {
             request_join(&cx).await;
         }
@@ -161,7 +164,7 @@
 
 /// Asks the known control boxes in turn until the leader answers.
 async fn request_join(cx: &ControlCx) {
-    let req = JoinRequest { id: cx.id, peer: as_peer(&cx.settings.own) };
+    let req = JoinRequest { id: cx.id.get(), peer: as_peer(&cx.settings.own) };
     let mut targets = cx.peer_addrs();
     let mut next = 0;
     while next < targets.len() {
--- a/crates/hatchpitch/src/control/mod.rs
+++ b/crates/hatchpitch/src/control/mod.rs
@@ -12,6 +12,7 @@
 pub mod quarantine;
 pub mod registrations;
 pub mod repair;
+pub mod replica;
 pub mod submit;
 
 pub use daemon::run;
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 
-use super::context::{ControlCx, ProposeError};
+use super::context::{ControlCx, LogState, ProposeError};
 use super::daemon::BODY_TIMEOUT;
 use super::evacuate::{EvacuateError, evacuate};
 use super::machine::Order;
@@ -155,6 +155,11 @@
 /// Updates the gauges and renders all metrics.
 fn metrics_response(cx: &ControlCx) -> Response<Body> {
     cx.metrics.process(&cx.boxes);
+    cx.metrics.gauge("hatchpitch_listeners_unopened", cx.unopened.count() as f64);
+    let log_state = cx.log_state.get();
+    let flag = |is_set| if is_set { 1.0 } else { 0.0 };
+    cx.metrics.gauge("hatchpitch_log_waits_for_disk", flag(log_state == LogState::Waiting));
+    cx.metrics.gauge("hatchpitch_log_damaged", flag(log_state == LogState::Damaged));
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
     cx.metrics.gauge("hatchpitch_leads", if cx.leads() { 1.0 } else { 0.0 });
     cx.metrics.evacuations(&cx.config.evacuations());
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -185,6 +185,7 @@
 fn metrics(cx: &EntryCx) -> Response<Body> {
     cx.metrics.gauge("hatchpitch_active_requests", cx.active() as f64);
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
+    cx.metrics.gauge("hatchpitch_listeners_unopened", cx.unopened.count() as f64);
     cx.metrics.process(&cx.boxes);
     cx.metrics.quarantine(&cx.config.quarantine());
     pace::update_gauges(cx);
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -22,6 +22,7 @@
 use crate::grants::{GrantTable, HeldSlots};
 use crate::ids::{ConfigNumber, FailureDomainName, PoolName, RegionName, WorkspaceName};
 use crate::limits::RetryBudgets;
+use crate::listener::Unopened;
 use crate::membership::MemberRecord;
 use crate::membership::task::SharedMembership;
 use crate::metrics::Metrics;
@@ -108,6 +109,8 @@
     pub retry_budgets: RefCell<RetryBudgets>,
     /// Whether new work is accepted.
     pub intake: Cell<Intake>,
+    /// Listeners of this box that are not open yet.
+    pub unopened: Unopened,
     /// The graceful shutdown.
     pub drain: Drain,
     /// Turns for moving generations off leaving runners.
@@ -182,6 +185,7 @@
             leaving_notices: NoticeQueue::default(),
             retry_budgets: RefCell::default(),
             intake: Cell::new(Intake::Open),
+            unopened: Unopened::default(),
             move_turns: RefCell::default(),
             pace,
             target_turns: RefCell::default(),
@@ -433,7 +437,10 @@
 
     /// Returns whether callers should be directed to this box.
     pub fn takes_work(&self) -> bool {
-        self.intake.get() == Intake::Open && self.config.number() > 0 && self.config_is_fresh()
+        self.intake.get() == Intake::Open
+            && self.config.number() > 0
+            && self.config_is_fresh()
+            && self.is_reachable()
     }
 
     /// Waits until this box has a fresh configuration, for at most `MAX_CONFIG_WAIT`. After a
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -5,11 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::Context as _;
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
 use hatchpitch_net::{
-    BoxClient, Handler, PendingAnswers, ServerLimits, Stop, StopHandle, bind, clock, stop_pair,
+    BoxClient, Handler, PendingAnswers, ServerLimits, Stop, StopHandle, clock, stop_pair,
 };
 
 use super::context::{EntryCx, Intake};
@@ -21,7 +20,7 @@
 use crate::grants::task as grants;
 use crate::ids::ConfigNumber;
 use crate::lifecycle;
-use crate::listener::{ExtraListener, Listeners, bind_addr};
+use crate::listener::{ExtraListener, Listeners};
 use crate::logging::unix_ms;
 use crate::membership::messages::{MemberRecord, MemberStatus, Subject};
 use crate::membership::state::{Membership, MembershipConfig};
@@ -48,7 +47,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error that names the listener that could not be opened.
+/// Returns an error if the client for other boxes or the signal handlers can't be created.
 pub async fn run(settings: EntrySettings, stop_signals: StopSignals) -> anyhow::Result<()> {
     run_with(settings, stop_signals, |_| Vec::new(), |_| {}).await
 }
@@ -58,7 +57,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error that names the listener that could not be opened.
+/// Returns the same errors as [`run`].
 pub async fn run_with(
     settings: EntrySettings,
     mut stop_signals: StopSignals,
@@ -67,19 +66,17 @@
 ) -> anyhow::Result<()> {
     lifecycle::log_start("entry", settings.limits.max_connections, None);
     let listen_ip = settings.listen_ip;
-    let callers = bind(bind_addr(settings.callers_addr, listen_ip)).await;
-    let callers = callers.context("callers' listener")?;
-    let boxes = bind(bind_addr(settings.boxes_addr, listen_ip)).await.context("boxes' listener")?;
     let client = BoxClient::new(settings.box_keys.clone())?;
     let membership = Rc::new(RefCell::new(new_membership(&settings)));
     let cx = EntryCx::new(settings, membership, client);
     log::info!("entry box {} serves callers at {}", cx.settings.name, cx.settings.callers_addr);
 
     let (stop_handle, stop) = stop_pair();
-    let mut listeners = Listeners::new(stop.clone());
-    listeners.serve_callers(callers, server_limits(&cx), callers_handler(&cx));
-    listeners.serve_boxes(boxes, server_limits(&cx), boxes_handler(&cx));
-    listeners.open(extra(&cx), listen_ip).await?;
+    let mut listeners = Listeners::new(stop.clone(), listen_ip, cx.unopened.clone());
+    let own = &cx.settings;
+    listeners.serve_callers(own.callers_addr, server_limits(&cx), callers_handler(&cx));
+    listeners.serve_boxes(own.boxes_addr, server_limits(&cx), boxes_handler(&cx));
+    listeners.serve_extra(extra(&cx));
     spawn_tasks(&cx, &stop);
     let reload_cx = cx.clone();
     signals::on_sighup(move || reloaded(&reload_cx), stop.clone());
@@ -157,7 +154,9 @@
     let (membership_cx, client, membership_stop) = (cx.clone(), cx.boxes.clone(), stop.clone());
     spawn_essential("membership", async move {
         // Other boxes direct callers to every box they know, so a box joins only once it can serve.
-        while membership_cx.config.confirmed_age().is_none() && !membership_stop.is_set() {
+        let can_serve =
+            || membership_cx.config.confirmed_age().is_some() && membership_cx.is_reachable();
+        while !can_serve() && !membership_stop.is_set() {
             compio::time::sleep(POLL_INTERVAL).await;
         }
         membership_task::run(membership, client, seeds, membership_stop).await;
@@ -194,6 +193,14 @@
     spawn_essential("hand-over", grants::hand_over(cx.clone(), stop.clone()));
 }
 
+impl EntryCx {
+    /// Returns whether the listeners are open at which callers and other boxes expect this box.
+    pub fn is_reachable(&self) -> bool {
+        let callers_addr = self.settings.advertised_addr.unwrap_or(self.settings.callers_addr);
+        !self.unopened.contains(callers_addr) && !self.unopened.contains(self.settings.boxes_addr)
+    }
+}
+
 /// Fetches a configuration from a control box that reported it, unless the feed delivers it first.
 /// It is fetched once, however many control boxes report it.
 fn fetch_config(cx: &Rc<EntryCx>, source: SocketAddr, number: ConfigNumber) {
--- a/crates/hatchpitch/src/lib.rs
+++ b/crates/hatchpitch/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod registry;
 pub mod relay;
 pub mod replication;
+pub mod retry;
 pub mod routing;
 pub mod security;
 pub mod settings;
--- a/crates/hatchpitch/src/listener.rs
+++ b/crates/hatchpitch/src/listener.rs
@@ -1,13 +1,18 @@
 //! The listeners of a daemon, and their orderly end.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::Context as _;
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
+use futures_util::future::{Either, select};
 use hatchpitch_net::{Handler, PendingAnswers, ServerLimits, Stop, bind, serve, serve_answers};
 
+use crate::retry::Retry;
+
 /// How long to wait for a listener for other boxes to close at shutdown. What they wait for is
 /// finished before, or is served by another box.
 const BOXES_SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -28,48 +33,83 @@
     SocketAddr::new(listen_ip.unwrap_or(addr.ip()), addr.port())
 }
 
-/// The listeners of a daemon.
+/// Addresses of the listeners of a daemon that are not open yet; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct Unopened(Rc<RefCell<BTreeSet<SocketAddr>>>);
+
+impl Unopened {
+    /// Returns whether the listener that is advertised as `addr` is not open yet.
+    pub fn contains(&self, addr: SocketAddr) -> bool {
+        self.0.borrow().contains(&addr)
+    }
+
+    /// Returns the number of listeners that are not open yet.
+    pub fn count(&self) -> usize {
+        self.0.borrow().len()
+    }
+}
+
+/// The listeners of a daemon. Each is bound again until that succeeds, since a port may be in use by
+/// a connection of another process for a while, and serves from then on.
 pub struct Listeners {
     stop: Stop,
+    listen_ip: Option<IpAddr>,
+    unopened: Unopened,
     callers: Vec<JoinHandle<()>>,
     boxes: Vec<JoinHandle<()>>,
     pending: PendingAnswers,
 }
 
 impl Listeners {
-    /// Creates listeners that close when `stop` is set.
-    pub fn new(stop: Stop) -> Self {
-        Self { stop, callers: Vec::new(), boxes: Vec::new(), pending: PendingAnswers::default() }
+    /// Creates listeners that close when `stop` is set. Those that are not open yet are in
+    /// `unopened`.
+    pub fn new(stop: Stop, listen_ip: Option<IpAddr>, unopened: Unopened) -> Self {
+        let pending = PendingAnswers::default();
+        Self { stop, listen_ip, unopened, callers: Vec::new(), boxes: Vec::new(), pending }
     }
 
-    /// Serves a listener for callers or operators, whose answers are finished at shutdown.
-    pub fn serve_callers(&mut self, listener: TcpListener, limits: ServerLimits, handler: Handler) {
-        let serving =
-            serve_answers(listener, limits, handler, self.pending.clone(), self.stop.clone());
-        self.callers.push(compio::runtime::spawn(serving));
+    /// Opens a listener for callers or operators, whose answers are finished at shutdown.
+    pub fn serve_callers(&mut self, addr: SocketAddr, limits: ServerLimits, handler: Handler) {
+        let listener = self.open(addr);
+        let (pending, stop) = (self.pending.clone(), self.stop.clone());
+        self.callers.push(compio::runtime::spawn(async move {
+            if let Some(listener) = listener.await {
+                serve_answers(listener, limits, handler, pending, stop).await;
+            }
+        }));
     }
 
-    /// Serves a listener for other boxes.
-    pub fn serve_boxes(&mut self, listener: TcpListener, limits: ServerLimits, handler: Handler) {
-        let serving = serve(listener, limits, handler, self.stop.clone());
-        self.boxes.push(compio::runtime::spawn(serving));
+    /// Opens a listener for other boxes.
+    pub fn serve_boxes(&mut self, addr: SocketAddr, limits: ServerLimits, handler: Handler) {
+        let (listener, stop) = (self.open(addr), self.stop.clone());
+        self.boxes.push(compio::runtime::spawn(async move {
+            if let Some(listener) = listener.await {
+                serve(listener, limits, handler, stop).await;
+            }
+        }));
     }
 
-    /// Binds additional listeners and serves them as those for callers.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if one of them cannot be bound.
-    pub async fn open(
-        &mut self,
-        extra: Vec<ExtraListener>,
-        listen_ip: Option<IpAddr>,
-    ) -> anyhow::Result<()> {
+    /// Opens additional listeners as those for callers.
+    pub fn serve_extra(&mut self, extra: Vec<ExtraListener>) {
         for ExtraListener { addr, limits, handler } in extra {
-            let listener = bind(bind_addr(addr, listen_ip)).await.context("further listener")?;
-            self.serve_callers(listener, limits, handler);
+            self.serve_callers(addr, limits, handler);
+        }
+    }
+
+    /// Returns the listener that is advertised as `addr` once it is bound, or `None` if the daemon
+    /// stops before.
+    fn open(&self, addr: SocketAddr) -> impl Future<Output = Option<TcpListener>> + use<> {
+        let (unopened, stop) = (self.unopened.clone(), self.stop.clone());
+        let local = bind_addr(addr, self.listen_ip);
+        unopened.0.borrow_mut().insert(addr);
+        async move {
+            let bound = Box::pin(bind_until_done(local));
+            let Either::Left((listener, _)) = select(bound, Box::pin(stop.wait())).await else {
+                return None;
+            };
+            unopened.0.borrow_mut().remove(&addr);
+            Some(listener)
         }
-        Ok(())
     }
 
     /// Returns the number of answers that are due to callers and operators or have not been sent to
@@ -88,3 +128,16 @@
         }
     }
 }
+
+async fn bind_until_done(addr: SocketAddr) -> TcpListener {
+    let mut retry = Retry::new(format!("listener at {addr}"));
+    loop {
+        match bind(addr).await {
+            Ok(listener) => {
+                retry.succeeded();
+                return listener;
+            }
+            Err(err) => retry.failed(err).await,
+        }
+    }
+}
--- a/crates/hatchpitch/src/replication/bootstrap.rs
+++ b/crates/hatchpitch/src/replication/bootstrap.rs
@@ -68,16 +68,22 @@
 }
 
 /// Returns the replica id bound to this disk. At the first start, draws a random one and binds it.
+/// Keeps the id in `drawn` until it is durable, for the next attempt.
 ///
 /// # Errors
 ///
-/// Returns a [`StorageError`] if the file cannot be read or written.
-pub fn identity(disk: &Disk) -> Result<NodeId, StorageError> {
-    if let Some(id) = Storage::identity(disk)? {
-        return Ok(id);
-    }
-    let id = rand::rng().random_range(1..=NodeId::MAX);
+/// Returns a [`StorageError`] if the file cannot be read or written. A box whose file can't be read
+/// never draws another id.
+pub fn identity(disk: &Disk, drawn: &mut Option<NodeId>) -> Result<NodeId, StorageError> {
+    let id = match (Storage::identity(disk)?, *drawn) {
+        (Some(id), None) => return Ok(id),
+        // The attempt that failed may have written the file and not synced its name.
+        (Some(id), Some(_)) | (None, Some(id)) => id,
+        (None, None) => rand::rng().random_range(1..=NodeId::MAX),
+    };
+    *drawn = Some(id);
     Storage::bind_identity(disk, id)?;
+    *drawn = None;
     Ok(id)
 }
 
--- a/crates/hatchpitch/src/replication/storage.rs
+++ b/crates/hatchpitch/src/replication/storage.rs
@@ -3,8 +3,8 @@
 //! A record consists of the payload's length, the payload's CRC, the CRC of these two fields, and
 //! the payload. As each batch is a single record, a crash can only tear the last one. The file
 //! `synced` contains the offset up to which the log was synced; it is not synced itself. An invalid
-//! record below that offset, or one that is followed by valid records, is corruption and stops the
-//! process. Any other invalid record at the end is a torn write and is truncated.
+//! record below that offset, or one that is followed by valid records, is corruption, and the
+//! replica does not start. Any other invalid record at the end is a torn write and is truncated.
 //!
 //! Each snapshot starts a new log file. The file's first record is a header that refers to the
 //! snapshot, so that a single rename replaces both.
