Let a stopping control process start no replica

A control process that waited for its disk could open its log while it stopped, after its listener for boxes had closed, so beside a successor. The start of the replica and the confirmations now end with the stop. Found by reading; no run showed it, and no test forces that order.

--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use futures_util::future::{Either, select};
 use hatchpitch_net::{BoxClient, Handler, ServerLimits, Stop, clock, stop_pair};
 
 use super::context::ControlCx;
@@ -91,11 +92,16 @@
         spawn_essential("members", join::run(cx.clone(), stop.clone()));
         let (log_cx, log_stop) = (cx.clone(), stop.clone());
         spawn_essential("replica", async move {
-            replica::start(&log_cx, &folder, &log_stop).await;
-            spawn_essential("commands", commands::run(log_cx.clone(), log_stop));
+            let stopping = Box::pin(log_stop.wait());
+            let started = Box::pin(replica::start(&log_cx, &folder, &log_stop));
+            // Once the listener for boxes is closed, another process may use the disk.
+            if let Either::Left(_) = select(stopping, started).await {
+                return;
+            }
+            spawn_essential("commands", commands::run(log_cx.clone(), log_stop.clone()));
             let expiry_cx = log_cx.clone();
             spawn_essential("held requests", async move { expire_held_requests(&expiry_cx).await });
-            loop {
+            while !log_stop.is_set() {
                 log_cx.confirm_config();
                 compio::time::sleep(CONFIRM_INTERVAL).await;
             }
