Soak: report processes that end without a cause

The soak restarted a process that had ended by itself and only counted it, and an end just before a kill or after a request to stop was not looked at at all. So runs passed although processes ended with a status of their own.

Every child is reaped with its status now, and a status is explained only by a signal that the soak sent: SIGKILL, SIGTERM, or an exit with 0 after SIGTERM. Anything else is a violation that names the process, its status, the time and the last lines of its log.

tests/verify.rs, ends_without_a_cause_are_reported, shows each kind of end red.

--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -1,7 +1,7 @@
 //! Processes of a test fleet.
 
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -43,6 +43,8 @@
     args: Vec<String>,
     log: PathBuf,
     child: Option<Child>,
+    /// How the process ended, until the caller takes it.
+    exit: Option<ExitStatus>,
 }
 
 impl Process {
@@ -53,7 +55,7 @@
     /// Returns an error if the binary was not built or cannot be spawned.
     pub fn start(name: &str, bin: &str, args: Vec<String>, log: PathBuf) -> anyhow::Result<Self> {
         let bin = find_binary(bin)?;
-        let mut process = Self { name: name.to_owned(), bin, args, log, child: None };
+        let mut process = Self { name: name.to_owned(), bin, args, log, child: None, exit: None };
         process.restart()?;
         Ok(process)
     }
@@ -83,7 +85,7 @@
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
-            let _ = child.wait();
+            self.exit = child.wait().ok();
         }
     }
 
@@ -137,13 +139,17 @@
 
     /// Returns whether the process has exited, and reaps it if so.
     pub fn has_ended(&mut self) -> bool {
-        let exited =
-            self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
-        if exited {
-            // The kernel may reuse the pid once the child is reaped.
-            self.child = None;
-        }
-        exited
+        let Some(child) = &mut self.child else { return true };
+        let Ok(Some(status)) = child.try_wait() else { return false };
+        // The kernel may reuse the pid once the child is reaped.
+        self.child = None;
+        self.exit = Some(status);
+        true
+    }
+
+    /// Takes the status with which the process ended, once it was reaped.
+    pub fn take_exit(&mut self) -> Option<ExitStatus> {
+        self.exit.take()
     }
 
     /// Waits until the process exits; returns `false` if it did not within `limit`.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::condition::Party;
 use crate::context::RunCx;
 use crate::proxy::Proxy;
+use crate::record::ProcessEnd;
 use crate::wire::{BoxPlan, Ports, Role};
 
 /// Time after a SIGTERM at which a process is killed, as a platform would do.
@@ -24,18 +25,29 @@
 pub const ALL_ROLES: [Role; 2] = [Role::Control, Role::Entry];
 /// Bytes of a partially written log record: its header and the first bytes of its payload.
 const PARTIAL_RECORD: [u8; 21] = [0xab; 21];
+/// Number of the last lines of a log that are kept when its process ends.
+const LOG_LINES: usize = 3;
 
-/// A process that is restarted when it exits unexpectedly.
+/// A process that is restarted when it ends while it should be running.
 struct ManagedProcess {
     role: Role,
     process: Process,
     /// Number of times that the process was started.
     starts: u64,
+    /// When the process was last started.
+    started: Instant,
     /// Whether the process should be running.
     should_run: bool,
-    /// Whether the process was asked to stop. Its exit is then expected, even if another fault sets
-    /// `should_run` in the meantime.
-    stop_requested: bool,
+    /// Signals that were sent to the process since its last start, and when.
+    signals: Vec<(i32, Instant)>,
+}
+
+impl ManagedProcess {
+    /// Sends a signal and notes it.
+    fn signal(&mut self, signal: i32) {
+        self.signals.push((signal, Instant::now()));
+        self.process.signal(signal);
+    }
 }
 
 /// All boxes of a run.
@@ -45,6 +57,8 @@
     plans: RefCell<Vec<BoxPlan>>,
     processes: RefCell<Vec<Vec<ManagedProcess>>>,
     folder: PathBuf,
+    /// Start of the run.
+    started: Instant,
 }
 
 impl Fleet {
@@ -64,6 +78,7 @@
             processes: RefCell::default(),
             plans: RefCell::new(plans),
             folder: folder.to_owned(),
+            started: Instant::now(),
         });
         for index in 0..boxes {
             fleet.open_proxies(index).await?;
@@ -111,7 +126,9 @@
         let log = self.folder.join(format!("{name}.log"));
         let process = Process::start(&name, self.cx.wire.program, args, log)?;
         self.register(index, &process);
-        Ok(ManagedProcess { role, process, starts: 1, should_run: true, stop_requested: false })
+        let started = Instant::now();
+        let signals = Vec::new();
+        Ok(ManagedProcess { role, process, starts: 1, started, should_run: true, signals })
     }
 
     /// Registers a process as belonging to a box.
@@ -160,7 +177,9 @@
                 self.cx.sources.remove(id);
             }
             managed.process.thaw();
+            managed.signals.push((libc::SIGKILL, Instant::now()));
             managed.process.kill();
+            self.record_end(managed);
         });
     }
 
@@ -171,7 +190,7 @@
         }
         self.for_each_process(index, &ALL_ROLES, |managed| {
             managed.should_run = true;
-            if managed.process.has_ended() {
+            if self.has_ended(managed) {
                 self.restart(index, managed);
             }
         });
@@ -180,7 +199,8 @@
     /// Restarts a process that has exited.
     fn restart(&self, index: usize, managed: &mut ManagedProcess) {
         managed.starts += 1;
-        managed.stop_requested = false;
+        managed.started = Instant::now();
+        managed.signals.clear();
         match managed.process.restart() {
             Ok(()) => self.register(index, &managed.process),
             Err(err) => log::error!("can't start {}: {err:#}", managed.process.name),
@@ -197,7 +217,7 @@
 
     /// Sends a signal to the processes of a box.
     pub fn signal(&self, index: usize, signal: i32) {
-        self.for_each_process(index, &ALL_ROLES, |managed| managed.process.signal(signal));
+        self.for_each_process(index, &ALL_ROLES, |managed| managed.signal(signal));
     }
 
     /// Asks the processes of a box to stop, kills those that exceed the grace period, and restarts
@@ -205,8 +225,7 @@
     pub async fn stop_and_start(&self, index: usize) {
         self.for_each_process(index, &ALL_ROLES, |managed| {
             managed.should_run = false;
-            managed.stop_requested = true;
-            managed.process.signal(libc::SIGTERM);
+            managed.signal(libc::SIGTERM);
         });
         let started = Instant::now();
         while started.elapsed() < STOP_GRACE && !self.have_exited(index) {
@@ -218,7 +237,7 @@
 
     /// Returns whether all processes of a box have exited.
     fn have_exited(&self, index: usize) -> bool {
-        self.processes.borrow_mut()[index].iter_mut().all(|managed| managed.process.has_ended())
+        self.processes.borrow_mut()[index].iter_mut().all(|managed| self.has_ended(managed))
     }
 
     /// Deletes the data folder of a box whose control process is not running.
@@ -249,12 +268,12 @@
         });
     }
 
-    /// Restarts processes that exit unexpectedly, until the run stops.
+    /// Restarts processes that end while they should be running, until the run stops.
     pub async fn supervise(self: Rc<Self>) {
         while !self.cx.stop.is_set() {
             compio::time::sleep(POLL_INTERVAL).await;
             for index in 0..self.boxes() {
-                if self.count_unexpected_exits(index) {
+                if self.record_ends_of(index) {
                     compio::time::sleep(RESTART_DELAY).await;
                     self.restart_exited(index);
                 }
@@ -262,25 +281,49 @@
         }
     }
 
-    /// Counts the unexpected exits of a box's processes. Returns whether any process has to be
-    /// restarted.
-    fn count_unexpected_exits(&self, index: usize) -> bool {
-        let (mut count, mut exited) = (0, false);
+    /// Records the ends of processes that were not noticed yet.
+    pub fn record_ends(&self) {
+        for index in 0..self.boxes() {
+            self.record_ends_of(index);
+        }
+    }
+
+    /// Records the ends of a box's processes. Returns whether any process has to be restarted.
+    fn record_ends_of(&self, index: usize) -> bool {
+        let mut must_restart = false;
         self.for_each_process(index, &ALL_ROLES, |managed| {
-            if managed.should_run && managed.process.has_ended() {
-                exited = true;
-                count += u64::from(!managed.stop_requested);
-            }
+            must_restart |= self.has_ended(managed) && managed.should_run;
+        });
+        must_restart
+    }
+
+    /// Returns whether a process has ended, and records its end when it is first seen.
+    fn has_ended(&self, managed: &mut ManagedProcess) -> bool {
+        let has_ended = managed.process.has_ended();
+        self.record_end(managed);
+        has_ended
+    }
+
+    /// Records the end of a process that was reaped, once.
+    fn record_end(&self, managed: &mut ManagedProcess) {
+        let Some(status) = managed.process.take_exit() else { return };
+        let since_start = |(signal, at): &(i32, Instant)| (*signal, *at - self.started);
+        let log = managed.process.log();
+        let lines: Vec<&str> = log.lines().collect();
+        self.cx.record.ends.borrow_mut().push(ProcessEnd {
+            process: managed.process.name.clone(),
+            status,
+            at: self.started.elapsed(),
+            age: managed.started.elapsed(),
+            signals: managed.signals.iter().map(since_start).collect(),
+            log: lines[lines.len().saturating_sub(LOG_LINES)..].join(" / "),
         });
-        let unexpected_exits = &self.cx.record.unexpected_exits;
-        unexpected_exits.set(unexpected_exits.get() + count);
-        exited
     }
 
     /// Restarts the processes of a box that should be running but have exited.
     fn restart_exited(&self, index: usize) {
         self.for_each_process(index, &ALL_ROLES, |managed| {
-            if managed.should_run && managed.process.has_ended() {
+            if managed.should_run && self.has_ended(managed) {
                 self.restart(index, managed);
             }
         });
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
+use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::Framing;
@@ -109,6 +110,23 @@
     pub calm: Option<u32>,
 }
 
+/// How a process of a box ended.
+#[derive(Debug, Clone)]
+pub struct ProcessEnd {
+    /// Name of the process.
+    pub process: String,
+    /// Exit status, or the signal that ended it.
+    pub status: ExitStatus,
+    /// Time since the start of the run.
+    pub at: Duration,
+    /// Time since the start of the process.
+    pub age: Duration,
+    /// Signals that the run sent to it, with the time since the start of the run.
+    pub signals: Vec<(i32, Duration)>,
+    /// Last lines of its log.
+    pub log: String,
+}
+
 /// A configuration event observed by the operator.
 #[derive(Debug, Clone)]
 pub enum ConfigEvent {
@@ -156,8 +174,8 @@
     pub cut_inside_events: Cell<usize>,
     /// Number of boxes that send requests to upstreams.
     pub boxes: Cell<usize>,
-    /// Number of processes that exited unexpectedly.
-    pub unexpected_exits: Cell<u64>,
+    /// Ends of processes of boxes, in order.
+    pub ends: RefCell<Vec<ProcessEnd>>,
 }
 
 impl Record {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -77,8 +77,8 @@
     pub outcomes: BTreeMap<&'static str, usize>,
     /// Number of configuration events, acknowledged or read.
     pub configs: usize,
-    /// Number of processes that exited unexpectedly.
-    pub unexpected_exits: u64,
+    /// Number of processes that ended, for whatever cause.
+    pub process_ends: usize,
     /// Actions of the run, in order.
     pub actions: Vec<String>,
 }
@@ -283,6 +283,7 @@
 
     /// Builds the report, including an error that ended the rounds early.
     fn report(&self, rounds: anyhow::Result<()>) -> Report {
+        self.fleet.record_ends();
         let mut violations = verify(&self.cx.record);
         violations.extend(rounds.err().map(|err| Violation {
             property: "the fleet serves again after its repair",
@@ -297,7 +298,7 @@
             violations,
             outcomes: self.cx.record.outcome_counts(),
             configs: self.cx.record.configs.borrow().len(),
-            unexpected_exits: self.cx.record.unexpected_exits.get(),
+            process_ends: self.cx.record.ends.borrow().len(),
             actions: self.actions.borrow().clone(),
         }
     }
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -3,13 +3,14 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use std::os::unix::process::ExitStatusExt as _;
 use std::time::Duration;
 
 use hatchpitch_net::Framing;
 
 use crate::record::{
-    Call, ConfigEvent, InstanceId, LimitedRequest, Outcome, Record, RejectedRequest, RequestId,
-    RequestKind, RunStart,
+    Call, ConfigEvent, InstanceId, LimitedRequest, Outcome, ProcessEnd, Record, RejectedRequest,
+    RequestId, RequestKind, RunStart,
 };
 
 /// Time from the first request that an instance received under a limit until the limit is enforced.
@@ -57,6 +58,7 @@
     violations.extend(check_config_order(&calls));
     violations.extend(check_limits(&record.limited.borrow()));
     violations.extend(check_rests(&record.rejected.borrow(), record.boxes.get()));
+    violations.extend(record.ends.borrow().iter().filter_map(check_end));
     let late_requests = record.late_requests.borrow();
     violations.extend(late_requests.iter().map(|observed| Violation {
         property: "a leaving upstream receives no new requests after a few seconds",
@@ -191,6 +193,23 @@
     })
 }
 
+/// Checks that a process ended only because the run killed it or asked it to stop. A hang-up signal
+/// is no reason to end, and neither is a fault of a disk or of a peer.
+fn check_end(end: &ProcessEnd) -> Option<Violation> {
+    let was_sent = |signal| end.signals.iter().any(|(sent, _)| *sent == signal);
+    let is_caused = match end.status.signal() {
+        Some(signal) => matches!(signal, libc::SIGKILL | libc::SIGTERM) && was_sent(signal),
+        None => end.status.success() && was_sent(libc::SIGTERM),
+    };
+    (!is_caused).then(|| Violation {
+        property: "a process ends only when it is killed or asked to stop",
+        observed: format!(
+            "{} ended {:.2?} after the start of the run, at the age of {:.2?}: {}; signals sent: {:?}; log: {}",
+            end.process, end.at, end.age, end.status, end.signals, end.log
+        ),
+    })
+}
+
 /// Checks that upstreams run only requests that callers sent.
 fn check_unknown_runs(
     calls: &BTreeMap<RequestId, Call>,
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -1,10 +1,13 @@
 //! For each guarantee that the soak checks, tests that a record which violates it is reported.
 
+use std::os::unix::process::ExitStatusExt as _;
+use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::Framing;
 use hatchpitch_soak::record::{
-    ConfigEvent, LimitedRequest, Outcome, Record, RejectedRequest, RequestKind, RunStart,
+    ConfigEvent, LimitedRequest, Outcome, ProcessEnd, Record, RejectedRequest, RequestKind,
+    RunStart,
 };
 use hatchpitch_soak::verify::verify;
 
@@ -217,3 +220,41 @@
         assert_eq!(!violations.is_empty(), is_violation, "{count} {calm:?}: {violations:?}");
     }
 }
+
+/// Guards against a process that ends by itself, or that a signal ends which must not, unnoticed.
+#[test]
+fn ends_without_a_cause_are_reported() {
+    // The wait status of an exit holds its code in the second byte, that of a signal its number.
+    let exited = |code: i32| code << 8;
+    let (kill, term, hup, abort) = (libc::SIGKILL, libc::SIGTERM, libc::SIGHUP, libc::SIGABRT);
+    for (status, signals, is_violation) in [
+        (kill, vec![kill], false),
+        (kill, vec![term, kill], false),
+        (term, vec![term], false),
+        (exited(0), vec![term], false),
+        // The process ended before the signal that would have ended it.
+        (exited(101), vec![kill], true),
+        (exited(1), vec![term], true),
+        (exited(0), vec![], true),
+        (exited(0), vec![kill], true),
+        (kill, vec![], true),
+        (kill, vec![term], true),
+        (hup, vec![hup], true),
+        (abort, vec![term], true),
+    ] {
+        let record = Record::default();
+        record.ends.borrow_mut().push(ProcessEnd {
+            process: "box-1-entry".to_owned(),
+            status: ExitStatus::from_raw(status),
+            at: Duration::from_millis(2_500),
+            age: Duration::from_secs(1),
+            signals: signals.iter().map(|signal| (*signal, Duration::from_secs(2))).collect(),
+            log: "the last line".to_owned(),
+        });
+        let violations = verify(&record);
+        assert_eq!(!violations.is_empty(), is_violation, "{status} {signals:?}: {violations:?}");
+        for part in ["box-1-entry", "2.50s", "the last line"] {
+            assert!(violations.iter().all(|found| found.observed.contains(part)));
+        }
+    }
+}
