Soak: check the resident memory of every process

A process could pass the limit of a user's machine in a run, and nobody saw it: the soak did not look at memory.

The memory of each process is read ten times a second now. Each process is told the limit as `memory_mb` in its settings.

tests/verify.rs, memory_over_the_limit_is_reported, shows the check red.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The boxes of a run: processes behind proxies, and the faults that can be applied to them.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -13,6 +14,7 @@
 use crate::context::RunCx;
 use crate::proxy::Proxy;
 use crate::record::ProcessEnd;
+use crate::verify::MEGABYTE;
 use crate::wire::{BoxPlan, Ports, Role};
 
 /// Time after a SIGTERM at which a process is killed, as a platform would do.
@@ -21,6 +23,8 @@
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which the processes are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of polls from one look at the memory of processes to the next.
+const POLLS_PER_SAMPLE: u32 = 2;
 /// All roles that a process of a box can have.
 pub const ALL_ROLES: [Role; 2] = [Role::Control, Role::Entry];
 /// Bytes of a partially written log record: its header and the first bytes of its payload.
@@ -281,6 +285,30 @@
         }
     }
 
+    /// Looks at the memory of all processes repeatedly, until the run stops. A look at a process that
+    /// has just ended is passed over: its end is recorded elsewhere.
+    pub async fn watch_memory(self: Rc<Self>) {
+        while !self.cx.stop.is_set() {
+            compio::time::sleep(POLL_INTERVAL * POLLS_PER_SAMPLE).await;
+            for managed in self.processes.borrow().iter().flatten() {
+                let Ok(usage) = managed.process.usage() else { continue };
+                let (name, at) = (&managed.process.name, self.started.elapsed());
+                self.cx.record.note_memory(name, managed.starts, usage.memory, at);
+            }
+        }
+    }
+
+    /// Returns the most memory of a process of each role, in megabytes.
+    pub fn memory_peaks(&self) -> BTreeMap<String, u64> {
+        let mut peaks = BTreeMap::new();
+        for ((process, _), peak) in self.cx.record.memory.borrow().iter() {
+            let role = process.rsplit('-').next().unwrap_or(process);
+            let most: &mut u64 = peaks.entry(role.to_owned()).or_default();
+            *most = (*most).max(peak.bytes / MEGABYTE);
+        }
+        peaks
+    }
+
     /// Records the ends of processes that were not noticed yet.
     pub fn record_ends(&self) {
         for index in 0..self.boxes() {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -22,7 +22,12 @@
 /// # Errors
 ///
 /// Returns an error if no port can be bound.
-pub fn plan_boxes(folder: &Path, net: [u8; 3], size: FleetSize) -> anyhow::Result<Vec<BoxPlan>> {
+pub fn plan_boxes(
+    folder: &Path,
+    net: [u8; 3],
+    size: FleetSize,
+    memory_mb: u64,
+) -> anyhow::Result<Vec<BoxPlan>> {
     let ips: Vec<Ipv4Addr> =
         (0..size.boxes).map(|index| ip(net, FIRST_PROXY_OCTET, index)).collect();
     let listen_ips: Vec<Ipv4Addr> =
@@ -38,6 +43,7 @@
         has_control: size.control_boxes().contains(&index),
         data_folder: (index < size.log_boxes).then(|| folder.join(format!("data-{index}"))),
         first_start: true,
+        memory_mb,
         seeds: seeds.clone(),
     };
     Ok((0..size.boxes).map(plan_box).collect())
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -110,6 +110,15 @@
     pub calm: Option<u32>,
 }
 
+/// Most resident memory of one process, from a start to its end.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryPeak {
+    /// Most resident memory that was seen, in bytes.
+    pub bytes: u64,
+    /// When it first passed the limit, since the start of the run, and the faults in force then.
+    pub passed: Option<(Duration, Vec<String>)>,
+}
+
 /// How a process of a box ended.
 #[derive(Debug, Clone)]
 pub struct ProcessEnd {
@@ -174,6 +183,12 @@
     pub cut_inside_events: Cell<usize>,
     /// Number of boxes that send requests to upstreams.
     pub boxes: Cell<usize>,
+    /// Limit of the resident memory of each process, in bytes.
+    pub memory_limit: Cell<u64>,
+    /// Memory of each process, by its name and the number of its start.
+    pub memory: RefCell<BTreeMap<(String, u64), MemoryPeak>>,
+    /// Faults that are in force.
+    pub faults: RefCell<Vec<String>>,
     /// Ends of processes of boxes, in order.
     pub ends: RefCell<Vec<ProcessEnd>>,
 }
@@ -238,6 +253,16 @@
         numbers.max().unwrap_or(0)
     }
 
+    /// Records the resident memory of a process at this time since the start of the run.
+    pub fn note_memory(&self, process: &str, starts: u64, bytes: u64, at: Duration) {
+        let mut memory = self.memory.borrow_mut();
+        let peak = memory.entry((process.to_owned(), starts)).or_default();
+        peak.bytes = peak.bytes.max(bytes);
+        if bytes > self.memory_limit.get() && peak.passed.is_none() {
+            peak.passed = Some((at, self.faults.borrow().clone()));
+        }
+    }
+
     /// Returns the number of requests that were answered.
     pub fn answered(&self) -> usize {
         self.calls.borrow().values().filter(|call| call.outcome == Outcome::Answered).count()
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,7 +22,7 @@
 use crate::schedule::{self, FleetSize, ScheduledFault};
 use crate::sources::Sources;
 use crate::upstreams::{Pool, PoolPlan};
-use crate::verify::{Violation, verify};
+use crate::verify::{MEGABYTE, Violation, verify};
 use crate::wire::Wire;
 
 /// Time limit for a repaired fleet to serve again; long, because test machines may be busy.
@@ -64,6 +64,8 @@
     pub limits: bool,
     /// Whether upstreams reject requests and ask for a rest for the duration of a round.
     pub rests: bool,
+    /// Limit of the resident memory of each process, in megabytes.
+    pub memory_mb: u64,
     /// Folder for settings, data and logs.
     pub folder: PathBuf,
 }
@@ -79,6 +81,8 @@
     pub configs: usize,
     /// Number of processes that ended, for whatever cause.
     pub process_ends: usize,
+    /// Most resident memory of a process of each role, in megabytes.
+    pub memory_mb: BTreeMap<String, u64>,
     /// Actions of the run, in order.
     pub actions: Vec<String>,
 }
@@ -131,10 +135,11 @@
 impl Soak {
     async fn start(cx: Rc<RunCx>, opts: Options) -> anyhow::Result<Self> {
         cx.record.boxes.set(opts.boxes);
+        cx.record.memory_limit.set(opts.memory_mb * MEGABYTE);
         let upstreams = opts.engines + opts.plain;
         let size = FleetSize { boxes: opts.boxes, log_boxes: LOG_BOXES, upstreams };
         let net = loopback_net(opts.seed);
-        let plans = plan_boxes(&opts.folder, net, size)?;
+        let plans = plan_boxes(&opts.folder, net, size, opts.memory_mb)?;
         let fleet = Fleet::start(cx.clone(), &opts.folder, plans).await?;
         let control: Vec<SocketAddr> =
             size.control_boxes().map(|index| fleet.addr(index, |ports| ports.control)).collect();
@@ -158,6 +163,7 @@
             refused: RefCell::default(),
         });
         compio::runtime::spawn(fleet.clone().supervise()).detach();
+        compio::runtime::spawn(fleet.clone().watch_memory()).detach();
         let injector = FaultInjector { cx: cx.clone(), size, fleet: fleet.clone(), pool };
         Ok(Self { opts, cx, size, fleet, injector, operator, actions: RefCell::default() })
     }
@@ -239,7 +245,14 @@
     async fn run_fault(&self, scheduled: &ScheduledFault) {
         compio::time::sleep(scheduled.at).await;
         self.log_action(format!("{:?} for {:?}", scheduled.fault, scheduled.duration));
+        let text = format!("{:?}", scheduled.fault);
+        let faults = &self.cx.record.faults;
+        faults.borrow_mut().push(text.clone());
         self.injector.inject(scheduled.fault, scheduled.duration).await;
+        let mut faults = faults.borrow_mut();
+        if let Some(position) = faults.iter().position(|fault| *fault == text) {
+            faults.remove(position);
+        }
     }
 
     /// Waits until every box is ready and a configuration can be read.
@@ -299,6 +312,7 @@
             outcomes: self.cx.record.outcome_counts(),
             configs: self.cx.record.configs.borrow().len(),
             process_ends: self.cx.record.ends.borrow().len(),
+            memory_mb: self.fleet.memory_peaks(),
             actions: self.actions.borrow().clone(),
         }
     }
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -9,8 +9,8 @@
 use hatchpitch_net::Framing;
 
 use crate::record::{
-    Call, ConfigEvent, InstanceId, LimitedRequest, Outcome, ProcessEnd, Record, RejectedRequest,
-    RequestId, RequestKind, RunStart,
+    Call, ConfigEvent, InstanceId, LimitedRequest, MemoryPeak, Outcome, ProcessEnd, Record,
+    RejectedRequest, RequestId, RequestKind, RunStart,
 };
 
 /// Time from the first request that an instance received under a limit until the limit is enforced.
@@ -31,6 +31,9 @@
 /// first answers.
 const REJECTED_SLACK: usize = 12;
 
+/// A megabyte, in which memory is reported.
+pub(crate) const MEGABYTE: u64 = 1_000_000;
+
 /// A guarantee that was violated.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Violation {
@@ -59,6 +62,10 @@
     violations.extend(check_limits(&record.limited.borrow()));
     violations.extend(check_rests(&record.rejected.borrow(), record.boxes.get()));
     violations.extend(record.ends.borrow().iter().filter_map(check_end));
+    let memory = record.memory.borrow();
+    violations.extend(
+        memory.iter().filter_map(|((process, starts), peak)| check_memory(process, *starts, peak)),
+    );
     let late_requests = record.late_requests.borrow();
     violations.extend(late_requests.iter().map(|observed| Violation {
         property: "a leaving upstream receives no new requests after a few seconds",
@@ -193,6 +200,18 @@
     })
 }
 
+/// Checks that the memory of a process stayed within the limit.
+fn check_memory(process: &str, starts: u64, peak: &MemoryPeak) -> Option<Violation> {
+    let (at, faults) = peak.passed.as_ref()?;
+    Some(Violation {
+        property: "the memory of a process stays within its limit",
+        observed: format!(
+            "{process}, start {starts}: passed it {at:.2?} after the start of the run, peak {} MB; faults in force: {faults:?}",
+            peak.bytes / MEGABYTE
+        ),
+    })
+}
+
 /// Checks that a process ended only because the run killed it or asked it to stop. A hang-up signal
 /// is no reason to end, and neither is a fault of a disk or of a peer.
 fn check_end(end: &ProcessEnd) -> Option<Violation> {
--- a/crates/soak/src/wire.rs
+++ b/crates/soak/src/wire.rs
@@ -54,6 +54,8 @@
     pub data_folder: Option<PathBuf>,
     /// Whether this is the first start of the whole fleet.
     pub first_start: bool,
+    /// Limit of the memory of each process, in megabytes.
+    pub memory_mb: u64,
     /// Control addresses of the boxes that hold the log, listed in the settings.
     pub seeds: Vec<SocketAddr>,
 }
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -258,3 +258,22 @@
         }
     }
 }
+
+/// Guards against a process that passes the limit of its machine unnoticed.
+#[test]
+fn memory_over_the_limit_is_reported() {
+    let record = Record::default();
+    record.memory_limit.set(110_000_000);
+    record.faults.borrow_mut().push("KillBox(0)".to_owned());
+    record.note_memory("box-1-entry", 1, 110_000_000, Duration::from_secs(1));
+    record.note_memory("box-1-entry", 2, 20_000_000, Duration::from_secs(2));
+    assert_eq!(verify(&record), []);
+    record.note_memory("box-1-entry", 2, 110_000_001, Duration::from_secs(3));
+    record.note_memory("box-1-entry", 2, 292_000_000, Duration::from_secs(4));
+    record.note_memory("box-1-entry", 2, 20_000_000, Duration::from_secs(5));
+    assert_violation(&record, "the memory of a process");
+    let observed = &verify(&record)[0].observed;
+    for part in ["box-1-entry, start 2", "3.00s", "292 MB", "KillBox(0)"] {
+        assert!(observed.contains(part), "{observed}");
+    }
+}
