Soak: draw loads on memory and starts under bad conditions

No fault of the soak made a process hold much memory or start badly, so its new checks of ends and of memory could hardly find anything.

`--starts` adds starts with a port held by another socket and with a disk that takes no bytes. Both have generators of their own, so the other faults of a seed stay as they were. Outcomes of these requests are checked like others, and a message that had to be rejected but is accepted is a violation.

Last lines of a log leave out the frames of a backtrace.

--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -1,5 +1,6 @@
 //! Processes of a test fleet.
 
+use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -45,6 +46,8 @@
     child: Option<Child>,
     /// How the process ended, until the caller takes it.
     exit: Option<ExitStatus>,
+    /// Limit of the size of files at each start.
+    file_size_at_start: Option<u64>,
 }
 
 impl Process {
@@ -55,7 +58,15 @@
     /// Returns an error if the binary was not built or cannot be spawned.
     pub fn start(name: &str, bin: &str, args: Vec<String>, log: PathBuf) -> anyhow::Result<Self> {
         let bin = find_binary(bin)?;
-        let mut process = Self { name: name.to_owned(), bin, args, log, child: None, exit: None };
+        let mut process = Self {
+            name: name.to_owned(),
+            bin,
+            args,
+            log,
+            child: None,
+            exit: None,
+            file_size_at_start: None,
+        };
         process.restart()?;
         Ok(process)
     }
@@ -68,14 +79,16 @@
     pub fn restart(&mut self) -> anyhow::Result<()> {
         self.kill();
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let mut command = Command::new(&self.bin);
+        command.args(&self.args).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        if let Some(bytes) = self.file_size_at_start {
+            let limit = file_size_limit(Some(bytes));
+            // SAFETY: `prlimit` is a plain system call, which may follow a fork, and allocates no
+            // memory; `limit` lives in the closure.
+            unsafe { command.pre_exec(move || set_file_size_limit(0, &limit)) };
+        }
         let spawn_guard = lock_process_spawning();
-        let child = Command::new(&self.bin)
-            .args(&self.args)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()
-            .with_context(|| format!("start {}", self.bin.display()))?;
+        let child = command.spawn().with_context(|| format!("start {}", self.bin.display()))?;
         drop(spawn_guard);
         self.child = Some(child);
         Ok(())
@@ -108,15 +121,13 @@
     /// Returns the error of `prlimit`.
     pub fn limit_file_size(&self, bytes: Option<u64>) -> std::io::Result<()> {
         let Some(pid) = self.pid() else { return Ok(()) };
-        let limit = libc::rlimit {
-            rlim_cur: bytes.unwrap_or(libc::RLIM_INFINITY),
-            rlim_max: libc::RLIM_INFINITY,
-        };
-        // SAFETY: `limit` outlives the call, and the pid belongs to a child not yet reaped.
-        let result = unsafe {
-            libc::prlimit(pid, libc::RLIMIT_FSIZE, &raw const limit, std::ptr::null_mut())
-        };
-        if result == 0 { Ok(()) } else { Err(std::io::Error::last_os_error()) }
+        set_file_size_limit(pid, &file_size_limit(bytes))
+    }
+
+    /// Limits the size of files that the process writes from each later start on, as
+    /// [`Self::limit_file_size`] does for one that runs.
+    pub fn limit_file_size_at_start(&mut self, bytes: Option<u64>) {
+        self.file_size_at_start = bytes;
     }
 
     /// Sends a signal to the process if it is running.
@@ -196,6 +207,18 @@
     }
 }
 
+/// Returns the limit of the size of files, in bytes; `None` is no limit.
+fn file_size_limit(bytes: Option<u64>) -> libc::rlimit {
+    libc::rlimit { rlim_cur: bytes.unwrap_or(libc::RLIM_INFINITY), rlim_max: libc::RLIM_INFINITY }
+}
+
+/// Limits the size of files that a process writes, where 0 is the calling process.
+fn set_file_size_limit(pid: libc::pid_t, limit: &libc::rlimit) -> std::io::Result<()> {
+    // SAFETY: `limit` outlives the call. The pid is 0 or belongs to a child not yet reaped.
+    let result = unsafe { libc::prlimit(pid, libc::RLIMIT_FSIZE, limit, std::ptr::null_mut()) };
+    if result == 0 { Ok(()) } else { Err(std::io::Error::last_os_error()) }
+}
+
 /// Runs a binary of this workspace to completion; returns its exit code, or -1 if a signal ended
 /// it, and its standard output followed by its standard error.
 ///
--- a/crates/soak/src/answers.rs
+++ b/crates/soak/src/answers.rs
@@ -7,6 +7,9 @@
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 60;
 
+/// Length of the comment in a large event.
+const LARGE_COMMENT: usize = 256 * 1024;
+
 /// How the body of an answer ended for its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Ending {
@@ -21,6 +24,11 @@
     format!("{id} was answered by {instance}, and this is the end.")
 }
 
+/// Returns an event of a stream that begins with a long comment.
+pub fn large_event_text(id: &str, generation: u64, n: u64) -> String {
+    format!(":{:x>LARGE_COMMENT$}\n{}", "", event_text(id, generation, n))
+}
+
 /// Returns an event of a stream.
 pub fn event_text(id: &str, generation: u64, n: u64) -> String {
     format!("id: {n}\ndata: {id} {generation} {n}\n\n")
@@ -64,7 +72,11 @@
     let mut count = 0;
     for event in text.split_inclusive("\n\n") {
         if !event.ends_with("\n\n") {
-            return Err(format!("incomplete event {event:?}"));
+            return Err(format!("incomplete event {:?}", event.get(..100).unwrap_or(event)));
+        }
+        let comment = event.lines().find_map(|line| line.strip_prefix(':'));
+        if comment.is_some_and(|comment| comment.len() != LARGE_COMMENT) {
+            return Err(format!("event {} lacks a part of its comment", count + 1));
         }
         let data = event.lines().find_map(|line| line.strip_prefix("data: ")).unwrap_or("");
         let fields: Vec<&str> = data.split(' ').collect();
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -32,6 +32,8 @@
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
 /// Largest answer that a caller reads, in bytes.
 const MAX_ANSWER: usize = 1 << 20;
+/// Interval at which a caller that does not read checks whether it may read again.
+const STALL_POLL: Duration = Duration::from_millis(50);
 /// Share of streams that the caller closes before their end.
 const EARLY_CLOSE_SHARE: f64 = 0.05;
 
@@ -45,6 +47,8 @@
     pub newest_config: Rc<Cell<u64>>,
     /// Number of requests sent, from which request ids are derived.
     pub request_count: Cell<u64>,
+    /// Whether callers stop reading the streams that they receive.
+    pub stalled: Cell<bool>,
 }
 
 /// One simulated caller.
@@ -83,13 +87,26 @@
                     None => continue,
                 },
             };
-            kept = self.request(connection).await.filter(|_| self.reuses_connections);
+            kept = self.request(connection, None).await.filter(|_| self.reuses_connections);
         }
     }
 
-    /// Connects to the entry listener of a box.
+    /// Sends one request with the given body to a box.
+    pub async fn request_once(&self, box_index: usize, body: Body) {
+        let addr = self.cx.fleet.addr(box_index, |ports| ports.front);
+        if let Some(connection) = self.connect_to(addr).await {
+            self.request(connection, Some(body)).await;
+        }
+    }
+
+    /// Connects to the entry listener of any box.
     async fn connect(&self) -> Option<Connection> {
         let addr = self.choose_addr().await?;
+        self.connect_to(addr).await
+    }
+
+    /// Connects to the entry listener of a box.
+    async fn connect_to(&self, addr: SocketAddr) -> Option<Connection> {
         let box_index = self.cx.fleet.box_at(addr)?;
         let entry_starts = self.cx.fleet.entry_starts(box_index);
         let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
@@ -135,15 +152,16 @@
         }
     }
 
-    /// Sends one request and records its outcome. Returns the connection if it can be reused.
-    async fn request(&self, mut connection: Connection) -> Option<Connection> {
+    /// Sends one request, with `body` in place of its short one if there is any, and records its
+    /// outcome. Returns the connection if it can be reused.
+    async fn request(&self, mut connection: Connection, body: Option<Body>) -> Option<Connection> {
         let cx = &self.cx;
         cx.request_count.set(cx.request_count.get() + 1);
         let id = format!("r{:06}", cx.request_count.get());
         let kind = self.choose_kind();
         let req = CallerRequest { id: id.clone(), kind, timeout: ANSWER_TIMEOUT };
         cx.run.record.begin(&id, kind, (connection.box_index, connection.entry_starts));
-        let outcome = self.exchange(&mut connection, &req).await;
+        let outcome = self.exchange(&mut connection, &req, body).await;
         let ended_well =
             matches!(outcome, Outcome::Answered | Outcome::Refused | Outcome::Failed(_));
         cx.run.record.finish(&id, outcome);
@@ -152,11 +170,19 @@
     }
 
     /// Sends a request and reads the answer.
-    async fn exchange(&self, connection: &mut Connection, req: &CallerRequest) -> Outcome {
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        req: &CallerRequest,
+        body: Option<Body>,
+    ) -> Outcome {
         if connection.tx.ready().await.is_err() {
             return Outcome::NotConnected;
         }
-        let message: Request<Body> = (self.cx.run.wire.request)(req);
+        let mut message: Request<Body> = (self.cx.run.wire.request)(req);
+        if let Some(body) = body {
+            *message.body_mut() = body;
+        }
         let method = message.method().clone();
         let sent = connection.tx.send_request(message);
         let answer = match compio::time::timeout(ANSWER_TIMEOUT, sent).await {
@@ -190,6 +216,9 @@
         let closes_early = self.rng.borrow_mut().random_bool(EARLY_CLOSE_SHARE);
         let mut text = String::new();
         loop {
+            while self.cx.stalled.get() && !self.cx.run.stop.is_set() {
+                compio::time::sleep(STALL_POLL).await;
+            }
             match compio::time::timeout(ANSWER_TIMEOUT, read_stream(&mut body)).await {
                 Ok(Ok(Some(piece))) => text.push_str(&String::from_utf8_lossy(&piece)),
                 Ok(Ok(None)) => return judge_stream(&req.id, &text, Ending::InOrder(framing)),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,9 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::callers::CallerCx;
 use crate::condition::{Condition, Party};
 use crate::context::RunCx;
 use crate::fleet::{ALL_ROLES, Fleet};
+use crate::load;
 use crate::schedule::{Fault, FleetSize};
 use crate::upstreams::{AnswerFault, Pool};
 use crate::wire::Role;
@@ -24,6 +26,8 @@
     pub fleet: Rc<Fleet>,
     /// The upstreams.
     pub pool: Rc<Pool>,
+    /// State shared by all callers.
+    pub callers: Rc<CallerCx>,
 }
 
 impl FaultInjector {
@@ -69,15 +73,47 @@
             }
             Fault::Reclaim(index) => self.pool.reclaim(index).await,
             Fault::Leave(index) => self.pool.leave(index).await,
+            Fault::EndlessEvents(index) => {
+                self.fault_answers(index, AnswerFault::Endless, duration).await
+            }
+            Fault::LargeEvents(index) => {
+                self.fault_answers(index, AnswerFault::Large, duration).await
+            }
+            Fault::StalledCallers(index) => {
+                self.callers.stalled.set(true);
+                self.fault_answers(index, AnswerFault::Large, duration).await;
+                self.callers.stalled.set(false);
+            }
+            Fault::LargeBodies(index) => load::call_at_once(&self.callers, index).await,
+            Fault::UnsignedMessages(index) => {
+                let message = self.cx.wire.unsigned_message;
+                for position in 0..2 {
+                    let addr = self.fleet.addr(index, |ports| ports.boxes[position]);
+                    load::send_at_once(&self.cx, addr, message).await;
+                }
+            }
+            Fault::OperatorBodies(index) => {
+                let addr = self.fleet.addr(index, |ports| ports.control);
+                let message = || (self.cx.wire.put_config)(String::new());
+                load::send_at_once(&self.cx, addr, message).await;
+            }
+            Fault::HeldPort(index, position) => self.hold_port(index, position, duration).await,
+            Fault::FullDiskAtStart(index) => {
+                self.fleet.fill_disk_at_start(index, true);
+                self.kill(&[index], &[Role::Control], DOWNTIME).await;
+                compio::time::sleep(duration).await;
+                self.fleet.fill_disk_at_start(index, false);
+            }
         }
     }
 
     /// Ends all faults: clears the links, and restarts boxes and upstreams that are down.
     pub fn repair(&self) {
         self.cx.links.clear();
+        self.callers.stalled.set(false);
         for index in self.size.all_boxes() {
             self.fleet.freeze(index, false);
-            self.fleet.fill_disk(index, false);
+            self.fleet.fill_disk_at_start(index, false);
             self.fleet.start_again(index);
         }
         for index in 0..self.size.upstreams {
@@ -96,6 +132,18 @@
         }
     }
 
+    /// Kills a box and restarts it while one of its ports is held.
+    async fn hold_port(&self, index: usize, position: usize, duration: Duration) {
+        self.fleet.kill(index, &ALL_ROLES);
+        let held = self.fleet.hold_port(index, position);
+        if let Err(err) = &held {
+            log::warn!("can't hold a port of box {index}: {err}");
+        }
+        self.fleet.start_again(index);
+        compio::time::sleep(duration).await;
+        drop(held);
+    }
+
     async fn freeze(&self, index: usize, duration: Duration) {
         self.fleet.freeze(index, true);
         compio::time::sleep(duration).await;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::Write as _;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -100,20 +100,11 @@
         Ok(fleet)
     }
 
-    /// Opens a proxy in front of every listener of a box, except for the product's own interfaces,
-    /// which no run uses.
+    /// Opens a proxy in front of the listeners of a box.
     async fn open_proxies(&self, index: usize) -> anyhow::Result<()> {
         let plan = self.plans.borrow()[index].clone();
-        let Ports { boxes, own: _, front, ready, directory, control } = plan.ports;
-        let listeners = [
-            (boxes[0], true),
-            (boxes[1], true),
-            (front, false),
-            (ready, false),
-            (directory, false),
-            (control, false),
-        ];
-        for (port, identifies_box) in listeners {
+        for port in plan.ports.proxied() {
+            let identifies_box = plan.ports.boxes.contains(&port);
             let addr = SocketAddr::from((plan.ip, port));
             let target = SocketAddr::from((plan.listen_ip, port));
             let proxy = Proxy { addr, target, party: Party::Box(index), identifies_box };
@@ -146,7 +137,10 @@
     fn write_settings(&self, index: usize) -> anyhow::Result<PathBuf> {
         let file = self.folder.join(format!("box-{index}.settings"));
         let text = (self.cx.wire.settings)(&self.plans.borrow()[index]);
-        std::fs::write(&file, text)?;
+        // A process of the box may read the file at this moment, so it is replaced as a whole.
+        let new = file.with_extension("new");
+        std::fs::write(&new, text)?;
+        std::fs::rename(&new, &file)?;
         Ok(file)
     }
 
@@ -272,6 +266,28 @@
         });
     }
 
+    /// Makes the control process of a box start with a disk that takes no bytes, or no longer.
+    pub fn fill_disk_at_start(&self, index: usize, full: bool) {
+        self.for_each_process(index, &[Role::Control], |managed| {
+            managed.process.limit_file_size_at_start(full.then_some(0));
+        });
+        if !full {
+            self.fill_disk(index, false);
+        }
+    }
+
+    /// Holds the proxied port at `position` of a box that is not running, until the listener is
+    /// dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the port can't be bound.
+    pub fn hold_port(&self, index: usize, position: usize) -> std::io::Result<TcpListener> {
+        let plans = self.plans.borrow();
+        let plan = &plans[index];
+        TcpListener::bind((plan.listen_ip, plan.ports.proxied()[position]))
+    }
+
     /// Restarts processes that end while they should be running, until the run stops.
     pub async fn supervise(self: Rc<Self>) {
         while !self.cx.stop.is_set() {
@@ -337,7 +353,9 @@
         let Some(status) = managed.process.take_exit() else { return };
         let since_start = |(signal, at): &(i32, Instant)| (*signal, *at - self.started);
         let log = managed.process.log();
-        let lines: Vec<&str> = log.lines().collect();
+        // The frames of a backtrace are indented.
+        let is_message = |line: &&str| !line.is_empty() && !line.starts_with(' ');
+        let lines: Vec<&str> = log.lines().filter(is_message).collect();
         self.cx.record.ends.borrow_mut().push(ProcessEnd {
             process: managed.process.name.clone(),
             status,
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -183,6 +183,8 @@
     pub cut_inside_events: Cell<usize>,
     /// Number of boxes that send requests to upstreams.
     pub boxes: Cell<usize>,
+    /// Descriptions of messages that were accepted but had to be rejected.
+    pub accepted: RefCell<Vec<String>>,
     /// Limit of the resident memory of each process, in bytes.
     pub memory_limit: Cell<u64>,
     /// Memory of each process, by its name and the number of its start.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -66,6 +66,10 @@
     pub rests: bool,
     /// Limit of the resident memory of each process, in megabytes.
     pub memory_mb: u64,
+    /// Whether storms contain loads on the memory of processes.
+    pub memory: bool,
+    /// Whether storms contain starts with a held port or a full disk.
+    pub starts: bool,
     /// Folder for settings, data and logs.
     pub folder: PathBuf,
 }
@@ -164,18 +168,20 @@
         });
         compio::runtime::spawn(fleet.clone().supervise()).detach();
         compio::runtime::spawn(fleet.clone().watch_memory()).detach();
-        let injector = FaultInjector { cx: cx.clone(), size, fleet: fleet.clone(), pool };
+        let callers = Rc::new(CallerCx {
+            run: cx.clone(),
+            fleet: fleet.clone(),
+            newest_config: operator.newest.clone(),
+            request_count: Cell::new(0),
+            stalled: Cell::new(false),
+        });
+        let injector = FaultInjector { cx: cx.clone(), size, fleet: fleet.clone(), pool, callers };
         Ok(Self { opts, cx, size, fleet, injector, operator, actions: RefCell::default() })
     }
 
     /// Starts the callers and the operator's tasks.
     fn start_clients(&self) {
-        let cx = Rc::new(CallerCx {
-            run: self.cx.clone(),
-            fleet: self.fleet.clone(),
-            newest_config: self.operator.newest.clone(),
-            request_count: Cell::new(0),
-        });
+        let cx = &self.injector.callers;
         for caller in 0..self.opts.callers {
             let seed = self.opts.seed.wrapping_mul(1_000) + caller as u64;
             compio::runtime::spawn(Caller::new(cx.clone(), seed).run()).detach();
@@ -206,6 +212,12 @@
         }
         let mut faults = schedule::storm(seed, self.size, self.opts.storm);
         faults.extend(framing.faults);
+        if self.opts.memory {
+            faults.extend(schedule::memory(seed, self.size, self.opts.storm));
+        }
+        if self.opts.starts {
+            faults.extend(schedule::starts(seed, self.size, self.opts.storm));
+        }
         self.run_schedule(&faults, self.opts.storm).await;
         self.injector.repair();
         for index in 0..self.size.upstreams {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,6 +6,8 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::wire::PROXIED_PORTS;
+
 /// Range of fault durations, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 200..2_500;
 /// Range of the number of faults per storm. With a storm of six seconds, several overlap at any
@@ -89,6 +91,23 @@
     Reclaim(usize),
     /// Makes an upstream leave gracefully, after its active runs have ended.
     Leave(usize),
+    /// Makes an upstream begin streams with an event that never ends.
+    EndlessEvents(usize),
+    /// Makes an upstream send large events.
+    LargeEvents(usize),
+    /// Makes all callers stop reading, while an upstream sends large events.
+    StalledCallers(usize),
+    /// Sends many requests with large bodies to a box.
+    LargeBodies(usize),
+    /// Sends large messages without a signature to a box, as if other boxes did.
+    UnsignedMessages(usize),
+    /// Sends large bodies to the operators' listener of a box.
+    OperatorBodies(usize),
+    /// Kills a box and restarts it while another socket holds one of its ports, given by its
+    /// position among them.
+    HeldPort(usize, usize),
+    /// Kills the control process of a box and restarts it with a disk that takes no bytes.
+    FullDiskAtStart(usize),
 }
 
 /// Separates the random numbers of the rate limits from those of the faults.
@@ -110,6 +129,13 @@
 /// Range of the number of faults per storm that cut such answers short.
 const CUT_COUNT: std::ops::Range<usize> = 2..6;
 
+/// Separates the random numbers of loads on memory and of failed starts from those of the faults.
+const MEMORY_SALT: u64 = 0x6d65_6d6f_7279;
+const STARTS_SALT: u64 = 0x7374_6172_7473;
+/// Ranges of the number of such faults per storm.
+const LOAD_COUNT: std::ops::Range<usize> = 3..7;
+const START_COUNT: std::ops::Range<usize> = 2..5;
+
 /// How upstreams frame their answers in a round.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FramingPlan {
@@ -216,6 +242,42 @@
     FramingPlan { storm, calm, faults }
 }
 
+/// Draws the loads on the memory of processes in a storm phase, from a separate generator.
+pub fn memory(seed: u64, size: FleetSize, storm_length: Duration) -> Vec<ScheduledFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ MEMORY_SALT);
+    let count = rng.random_range(LOAD_COUNT);
+    let faults = (0..count).map(|_| {
+        let any_box = rng.random_range(0..size.boxes);
+        let upstream = rng.random_range(0..size.upstreams);
+        let all = [
+            Fault::EndlessEvents(upstream),
+            Fault::LargeEvents(upstream),
+            Fault::StalledCallers(upstream),
+            Fault::LargeBodies(any_box),
+            Fault::UnsignedMessages(any_box),
+            Fault::OperatorBodies(rng.random_range(size.control_boxes())),
+        ];
+        let fault = *all.choose(&mut rng).expect("the list is not empty");
+        schedule_fault(&mut rng, fault, storm_length)
+    });
+    faults.collect()
+}
+
+/// Draws the starts under bad conditions in a storm phase, from a separate generator.
+pub fn starts(seed: u64, size: FleetSize, storm_length: Duration) -> Vec<ScheduledFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ STARTS_SALT);
+    let count = rng.random_range(START_COUNT);
+    let faults = (0..count).map(|_| {
+        let any_box = rng.random_range(0..size.boxes);
+        let log_box = rng.random_range(0..size.log_boxes);
+        let port = rng.random_range(0..PROXIED_PORTS);
+        let all = [Fault::HeldPort(any_box, port), Fault::FullDiskAtStart(log_box)];
+        let fault = *all.choose(&mut rng).expect("the list is not empty");
+        schedule_fault(&mut rng, fault, storm_length)
+    });
+    faults.collect()
+}
+
 /// Draws the start and the duration of a fault within a phase of the given length.
 fn schedule_fault(rng: &mut SmallRng, fault: Fault, length: Duration) -> ScheduledFault {
     let at = rng.random_range(0..length.as_millis().max(1)) as u64;
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -55,6 +55,17 @@
     /// Answers without a length or chunks end in order before they are complete, and others are
     /// aborted.
     Ended,
+    /// Streams begin with an event that never ends.
+    Endless,
+    /// The events of streams are large.
+    Large,
+}
+
+impl AnswerFault {
+    /// Returns whether a plain answer ends before it is complete.
+    fn cuts_text(self) -> bool {
+        !matches!(self, Self::None | Self::Endless | Self::Large)
+    }
 }
 
 /// One upstream instance, from its start to its end or crash.
--- a/crates/soak/src/upstreams/delivery.rs
+++ b/crates/soak/src/upstreams/delivery.rs
@@ -8,13 +8,16 @@
 
 use super::runs::RunState;
 use super::{AnswerFault, Instance};
-use crate::answers::{EVENTS, event_text};
+use crate::answers::{EVENTS, event_text, large_event_text};
 use crate::context::RunCx;
+use crate::load::PIECE;
 use crate::record::RequestId;
 
 /// Interval between two events, and between the halves of a plain answer; a stream takes 1.5
 /// seconds.
 const PIECE_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval between two pieces of an event that never ends: 13 MB a second.
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(5);
 /// Number of chunks of an answer that are buffered.
 const BUFFERED_CHUNKS: usize = 4;
 
@@ -33,7 +36,7 @@
     /// Returns the body of a plain answer. One without a length or chunks is sent in two halves.
     pub(super) fn send_text(self, text: String) -> Body {
         if !self.framing.is_until_close() {
-            let delivers = self.fault == AnswerFault::None && !self.instance.died.get();
+            let delivers = !self.fault.cuts_text() && !self.instance.died.get();
             return if delivers { Body::from(text) } else { aborted_body() };
         }
         let (tx, body) = Body::stream(BUFFERED_CHUNKS);
@@ -48,7 +51,7 @@
             return;
         }
         compio::time::sleep(PIECE_INTERVAL).await;
-        if self.fault != AnswerFault::None || self.instance.ended.get() {
+        if self.fault.cuts_text() || self.instance.ended.get() {
             return self.cut_short(tx, false, "").await;
         }
         // A reader that left has closed the body.
@@ -60,7 +63,11 @@
     pub(super) fn send_events(self, run: Rc<RunState>) -> Body {
         let (tx, body) = Body::stream(BUFFERED_CHUNKS);
         let framing = self.framing;
-        compio::runtime::spawn(self.generate_events(tx, run)).detach();
+        if self.fault == AnswerFault::Endless {
+            compio::runtime::spawn(self.send_endless(tx, run)).detach();
+        } else {
+            compio::runtime::spawn(self.generate_events(tx, run)).detach();
+        }
         body.framed(framing)
     }
 
@@ -71,7 +78,10 @@
             let cuts = matches!(self.fault, AnswerFault::Truncated | AnswerFault::Ended);
             let is_cut = cuts && run.made.get() > EVENTS / 2;
             let n = run.made.get() + 1;
-            let event = event_text(&self.id, run.generation, n);
+            let event = match self.fault {
+                AnswerFault::Large => large_event_text(&self.id, run.generation, n),
+                _ => event_text(&self.id, run.generation, n),
+            };
             if run.stopped.get() || self.instance.ended.get() || tx.is_closed() || is_cut {
                 run.finished.set(true);
                 let next = if self.ends_inside_event { event.as_str() } else { "" };
@@ -86,6 +96,20 @@
         tx.finish();
     }
 
+    /// Sends an event that never ends, until its reader or its upstream is gone.
+    async fn send_endless(self, mut tx: BodySender, run: Rc<RunState>) {
+        let mut piece = Bytes::from(format!("id: 1\ndata: {} {} ", self.id, run.generation));
+        while !self.instance.ended.get() && !self.cx.stop.is_set() {
+            if tx.send(piece).await.is_err() {
+                break;
+            }
+            piece = PIECE;
+            compio::time::sleep(ENDLESS_INTERVAL).await;
+        }
+        run.finished.set(true);
+        tx.abort();
+    }
+
     /// Ends an answer before it is complete: in order where it has neither a length nor chunks and
     /// its fault or the stop of its run is of that kind, else with an error. An answer that ends in
     /// order ends inside `next`, unless that is empty.
--- a/crates/soak/src/upstreams/runs.rs
+++ b/crates/soak/src/upstreams/runs.rs
@@ -22,7 +22,7 @@
 /// Time that copying a run takes.
 const COPY_TIME: Duration = Duration::from_millis(25);
 /// Largest request body that is read, in bytes.
-const MAX_REQUEST: usize = 1 << 20;
+const MAX_REQUEST: usize = 8 << 20;
 
 /// State of a run at an upstream.
 pub(super) struct RunState {
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -62,6 +62,10 @@
     violations.extend(check_limits(&record.limited.borrow()));
     violations.extend(check_rests(&record.rejected.borrow(), record.boxes.get()));
     violations.extend(record.ends.borrow().iter().filter_map(check_end));
+    violations.extend(record.accepted.borrow().iter().map(|observed| Violation {
+        property: "unsigned messages and invalid configurations are rejected",
+        observed: observed.clone(),
+    }));
     let memory = record.memory.borrow();
     violations.extend(
         memory.iter().filter_map(|((process, starts), peak)| check_memory(process, *starts, peak)),
--- a/crates/soak/src/wire.rs
+++ b/crates/soak/src/wire.rs
@@ -37,6 +37,18 @@
     pub control: u16,
 }
 
+/// Number of ports of a box that stand behind proxies.
+pub const PROXIED_PORTS: usize = 6;
+
+impl Ports {
+    /// Returns the ports behind proxies: all but the product's own interfaces, which no run uses.
+    /// Those for traffic between boxes come first.
+    pub fn proxied(&self) -> [u16; PROXIED_PORTS] {
+        let [control_boxes, entry_boxes] = self.boxes;
+        [control_boxes, entry_boxes, self.front, self.ready, self.directory, self.control]
+    }
+}
+
 /// Setup of one box.
 #[derive(Debug, Clone)]
 pub struct BoxPlan {
@@ -189,6 +201,8 @@
     pub config: fn(u64, u64) -> String,
     /// Builds the request that installs a configuration.
     pub put_config: fn(String) -> Request<Body>,
+    /// Builds a message between boxes that lacks a signature.
+    pub unsigned_message: fn() -> Request<Body>,
     /// Builds the request that reads the newest configuration.
     pub get_config: fn() -> Request<Body>,
 }
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -277,3 +277,11 @@
         assert!(observed.contains(part), "{observed}");
     }
 }
+
+/// Guards against a box that takes a message which nobody signed, or a configuration that is none.
+#[test]
+fn messages_that_had_to_be_rejected_are_reported() {
+    let record = Record::default();
+    record.accepted.borrow_mut().push("/box/gossip: 200 OK".to_owned());
+    assert_violation(&record, "are rejected");
+}
