Soak: keep bad conditions at a start until the start has met them

The last lines of a log leave out backtraces by the form of their lines, not by their indent, as the cause of an error is indented, too.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,6 +16,10 @@
 /// unexpected exit.
 const DOWNTIME: Duration = Duration::from_millis(300);
 
+/// Time in which a process has opened its disk and its ports, also on a busy machine. Bad conditions
+/// at a start last longer.
+const START_TIME: Duration = Duration::from_millis(1_000);
+
 /// Injects faults into the boxes, links and upstreams of a run.
 pub struct FaultInjector {
     /// State shared by all parts of the run.
@@ -101,7 +105,7 @@
             Fault::FullDiskAtStart(index) => {
                 self.fleet.fill_disk_at_start(index, true);
                 self.kill(&[index], &[Role::Control], DOWNTIME).await;
-                compio::time::sleep(duration).await;
+                compio::time::sleep(START_TIME + duration).await;
                 self.fleet.fill_disk_at_start(index, false);
             }
         }
@@ -140,7 +144,7 @@
             log::warn!("can't hold a port of box {index}: {err}");
         }
         self.fleet.start_again(index);
-        compio::time::sleep(duration).await;
+        compio::time::sleep(START_TIME + duration).await;
         drop(held);
     }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -353,9 +353,7 @@
         let Some(status) = managed.process.take_exit() else { return };
         let since_start = |(signal, at): &(i32, Instant)| (*signal, *at - self.started);
         let log = managed.process.log();
-        // The frames of a backtrace are indented.
-        let is_message = |line: &&str| !line.is_empty() && !line.starts_with(' ');
-        let lines: Vec<&str> = log.lines().filter(is_message).collect();
+        let lines: Vec<&str> = log.lines().filter(|line| is_message(line)).collect();
         self.cx.record.ends.borrow_mut().push(ProcessEnd {
             process: managed.process.name.clone(),
             status,
@@ -388,6 +386,13 @@
     }
 }
 
+/// Returns whether a line of a log is none of a backtrace.
+fn is_message(line: &str) -> bool {
+    let text = line.trim_start();
+    let is_frame = text.split_once(": ").is_some_and(|(n, _)| n.parse::<u32>().is_ok());
+    !(text.is_empty() || is_frame || text.starts_with("at ") || text.ends_with("backtrace:"))
+}
+
 /// Returns the log files in a data folder.
 fn log_files(data: &Path) -> Vec<PathBuf> {
     let Ok(entries) = std::fs::read_dir(data) else { return Vec::new() };
