Soak: start with a new disk that takes no bytes

A restart with a full disk and a whole log goes on, so the fault could not reach the writes that a process needs to begin: its identity and its log. One such start a storm loses the data of its box first, unless the storm loses another disk.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -103,10 +103,10 @@
             }
             Fault::HeldPort(index, position) => self.hold_port(index, position, duration).await,
             Fault::FullDiskAtStart(index) => {
-                self.fleet.fill_disk_at_start(index, true);
-                self.kill(&[index], &[Role::Control], DOWNTIME).await;
-                compio::time::sleep(START_TIME + duration).await;
-                self.fleet.fill_disk_at_start(index, false);
+                self.start_on_full_disk(index, |_, _| {}, duration).await
+            }
+            Fault::FullNewDisk(index) => {
+                self.start_on_full_disk(index, Fleet::lose_disk, duration).await;
             }
         }
     }
@@ -136,6 +136,20 @@
         }
     }
 
+    /// Kills the control process of a box, damages its disk and restarts it with a disk that takes no
+    /// bytes for a while.
+    async fn start_on_full_disk(
+        &self,
+        index: usize,
+        damage_disk: fn(&Fleet, usize),
+        duration: Duration,
+    ) {
+        self.fleet.fill_disk_at_start(index, true);
+        self.kill_and_damage(index, damage_disk, DOWNTIME).await;
+        compio::time::sleep(START_TIME + duration).await;
+        self.fleet.fill_disk_at_start(index, false);
+    }
+
     /// Kills a box and restarts it while one of its ports is held.
     async fn hold_port(&self, index: usize, position: usize, duration: Duration) {
         self.fleet.kill(index, &ALL_ROLES);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -216,7 +216,8 @@
             faults.extend(schedule::memory(seed, self.size, self.opts.storm));
         }
         if self.opts.starts {
-            faults.extend(schedule::starts(seed, self.size, self.opts.storm));
+            let starts = schedule::starts(seed, self.size, self.opts.storm, &faults);
+            faults.extend(starts);
         }
         self.run_schedule(&faults, self.opts.storm).await;
         self.injector.repair();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -108,6 +108,9 @@
     HeldPort(usize, usize),
     /// Kills the control process of a box and restarts it with a disk that takes no bytes.
     FullDiskAtStart(usize),
+    /// Kills the control process of a box, deletes its data and restarts it with a disk that takes no
+    /// bytes.
+    FullNewDisk(usize),
 }
 
 /// Separates the random numbers of the rate limits from those of the faults.
@@ -263,8 +266,15 @@
     faults.collect()
 }
 
-/// Draws the starts under bad conditions in a storm phase, from a separate generator.
-pub fn starts(seed: u64, size: FleetSize, storm_length: Duration) -> Vec<ScheduledFault> {
+/// Draws the starts under bad conditions in a storm phase, from a separate generator. One of them
+/// loses the data of a box if none of the faults in `storm` does.
+pub fn starts(
+    seed: u64,
+    size: FleetSize,
+    storm_length: Duration,
+    storm: &[ScheduledFault],
+) -> Vec<ScheduledFault> {
+    let mut may_lose_disk = !storm.iter().any(|other| matches!(other.fault, Fault::LoseDisk(_)));
     let mut rng = SmallRng::seed_from_u64(seed ^ STARTS_SALT);
     let count = rng.random_range(START_COUNT);
     let faults = (0..count).map(|_| {
@@ -272,7 +282,11 @@
         let log_box = rng.random_range(0..size.log_boxes);
         let port = rng.random_range(0..PROXIED_PORTS);
         let all = [Fault::HeldPort(any_box, port), Fault::FullDiskAtStart(log_box)];
-        let fault = *all.choose(&mut rng).expect("the list is not empty");
+        let mut fault = *all.choose(&mut rng).expect("the list is not empty");
+        if let (Fault::FullDiskAtStart(index), true) = (fault, may_lose_disk) {
+            fault = Fault::FullNewDisk(index);
+            may_lose_disk = false;
+        }
         schedule_fault(&mut rng, fault, storm_length)
     });
     faults.collect()
