--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -120,6 +120,7 @@
         stop,
     });
     ensure!(opts.boxes >= LOG_BOXES, "{} boxes: expected {LOG_BOXES} or more", opts.boxes);
+    ensure!(!opts.memory || opts.engines > 0, "no engines: loads on memory need one");
     let soak = Soak::start(cx, opts).await?;
     soak.operator.put(1, 0).await;
     soak.wait_until_serving().await.context("first start")?;
@@ -141,7 +142,8 @@
         cx.record.boxes.set(opts.boxes);
         cx.record.memory_limit.set(opts.memory_mb * MEGABYTE);
         let upstreams = opts.engines + opts.plain;
-        let size = FleetSize { boxes: opts.boxes, log_boxes: LOG_BOXES, upstreams };
+        let size =
+            FleetSize { boxes: opts.boxes, log_boxes: LOG_BOXES, upstreams, engines: opts.engines };
         let net = loopback_net(opts.seed);
         let plans = plan_boxes(&opts.folder, net, size, opts.memory_mb)?;
         let fleet = Fleet::start(cx.clone(), &opts.folder, plans).await?;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -25,6 +25,8 @@
     pub log_boxes: usize,
     /// Number of upstreams.
     pub upstreams: usize,
+    /// Number of engines, which answer streams and are the first of the upstreams.
+    pub engines: usize,
 }
 
 /// Number of boxes with a control process: three that hold the log and three without a disk, as in
@@ -251,11 +253,11 @@
     let count = rng.random_range(LOAD_COUNT);
     let faults = (0..count).map(|_| {
         let any_box = rng.random_range(0..size.boxes);
-        let upstream = rng.random_range(0..size.upstreams);
+        let engine = rng.random_range(0..size.engines);
         let all = [
-            Fault::EndlessEvents(upstream),
-            Fault::LargeEvents(upstream),
-            Fault::StalledCallers(upstream),
+            Fault::EndlessEvents(engine),
+            Fault::LargeEvents(engine),
+            Fault::StalledCallers(engine),
             Fault::LargeBodies(any_box),
             Fault::UnsignedMessages(any_box),
             Fault::OperatorBodies(rng.random_range(size.control_boxes())),
