--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,8 +1,9 @@
 //! The boxes of a run: processes behind proxies, and the faults that can be applied to them.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io::Write as _;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,6 +13,8 @@
 use crate::condition::Party;
 use crate::context::RunCx;
 use crate::proxy::Proxy;
+use crate::record::ProcessEnd;
+use crate::verify::MEGABYTE;
 use crate::wire::{BoxPlan, Ports, Role};
 
 /// Time after a SIGTERM at which a process is killed, as a platform would do.
@@ -20,22 +23,35 @@
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which the processes are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of polls from one look at the memory of processes to the next.
+const POLLS_PER_SAMPLE: u32 = 2;
 /// All roles that a process of a box can have.
 pub const ALL_ROLES: [Role; 2] = [Role::Control, Role::Entry];
 /// Bytes of a partially written log record: its header and the first bytes of its payload.
 const PARTIAL_RECORD: [u8; 21] = [0xab; 21];
+/// Number of the last lines of a log that are kept when its process ends.
+const LOG_LINES: usize = 3;
 
-/// A process that is restarted when it exits unexpectedly.
+/// A process that is restarted when it ends while it should be running.
 struct ManagedProcess {
     role: Role,
     process: Process,
     /// Number of times that the process was started.
     starts: u64,
+    /// When the process was last started.
+    started: Instant,
     /// Whether the process should be running.
     should_run: bool,
-    /// Whether the process was asked to stop. Its exit is then expected, even if another fault sets
-    /// `should_run` in the meantime.
-    stop_requested: bool,
+    /// Signals that were sent to the process since its last start, and when.
+    signals: Vec<(i32, Instant)>,
+}
+
+impl ManagedProcess {
+    /// Sends a signal and notes it.
+    fn signal(&mut self, signal: i32) {
+        self.signals.push((signal, Instant::now()));
+        self.process.signal(signal);
+    }
 }
 
 /// All boxes of a run.
@@ -45,6 +61,8 @@
     plans: RefCell<Vec<BoxPlan>>,
     processes: RefCell<Vec<Vec<ManagedProcess>>>,
     folder: PathBuf,
+    /// Start of the run.
+    started: Instant,
 }
 
 impl Fleet {
@@ -64,6 +82,7 @@
             processes: RefCell::default(),
             plans: RefCell::new(plans),
             folder: folder.to_owned(),
+            started: Instant::now(),
         });
         for index in 0..boxes {
             fleet.open_proxies(index).await?;
@@ -81,20 +100,11 @@
         Ok(fleet)
     }
 
-    /// Opens a proxy in front of every listener of a box, except for the product's own interfaces,
-    /// which no run uses.
+    /// Opens a proxy in front of the listeners of a box.
     async fn open_proxies(&self, index: usize) -> anyhow::Result<()> {
         let plan = self.plans.borrow()[index].clone();
-        let Ports { boxes, own: _, front, ready, directory, control } = plan.ports;
-        let listeners = [
-            (boxes[0], true),
-            (boxes[1], true),
-            (front, false),
-            (ready, false),
-            (directory, false),
-            (control, false),
-        ];
-        for (port, identifies_box) in listeners {
+        for port in plan.ports.proxied() {
+            let identifies_box = plan.ports.boxes.contains(&port);
             let addr = SocketAddr::from((plan.ip, port));
             let target = SocketAddr::from((plan.listen_ip, port));
             let proxy = Proxy { addr, target, party: Party::Box(index), identifies_box };
@@ -111,7 +121,9 @@
         let log = self.folder.join(format!("{name}.log"));
         let process = Process::start(&name, self.cx.wire.program, args, log)?;
         self.register(index, &process);
-        Ok(ManagedProcess { role, process, starts: 1, should_run: true, stop_requested: false })
+        let started = Instant::now();
+        let signals = Vec::new();
+        Ok(ManagedProcess { role, process, starts: 1, started, should_run: true, signals })
     }
 
     /// Registers a process as belonging to a box.
@@ -125,7 +137,10 @@
     fn write_settings(&self, index: usize) -> anyhow::Result<PathBuf> {
         let file = self.folder.join(format!("box-{index}.settings"));
         let text = (self.cx.wire.settings)(&self.plans.borrow()[index]);
-        std::fs::write(&file, text)?;
+        // A process of the box may read the file at this moment, so it is replaced as a whole.
+        let new = file.with_extension("new");
+        std::fs::write(&new, text)?;
+        std::fs::rename(&new, &file)?;
         Ok(file)
     }
 
@@ -160,7 +175,9 @@
                 self.cx.sources.remove(id);
             }
             managed.process.thaw();
+            managed.signals.push((libc::SIGKILL, Instant::now()));
             managed.process.kill();
+            self.record_end(managed);
         });
     }
 
@@ -171,7 +188,7 @@
         }
         self.for_each_process(index, &ALL_ROLES, |managed| {
             managed.should_run = true;
-            if managed.process.has_ended() {
+            if self.has_ended(managed) {
                 self.restart(index, managed);
             }
         });
@@ -180,7 +197,8 @@
     /// Restarts a process that has exited.
     fn restart(&self, index: usize, managed: &mut ManagedProcess) {
         managed.starts += 1;
-        managed.stop_requested = false;
+        managed.started = Instant::now();
+        managed.signals.clear();
         match managed.process.restart() {
             Ok(()) => self.register(index, &managed.process),
             Err(err) => log::error!("can't start {}: {err:#}", managed.process.name),
@@ -197,7 +215,7 @@
 
     /// Sends a signal to the processes of a box.
     pub fn signal(&self, index: usize, signal: i32) {
-        self.for_each_process(index, &ALL_ROLES, |managed| managed.process.signal(signal));
+        self.for_each_process(index, &ALL_ROLES, |managed| managed.signal(signal));
     }
 
     /// Asks the processes of a box to stop, kills those that exceed the grace period, and restarts
@@ -205,8 +223,7 @@
     pub async fn stop_and_start(&self, index: usize) {
         self.for_each_process(index, &ALL_ROLES, |managed| {
             managed.should_run = false;
-            managed.stop_requested = true;
-            managed.process.signal(libc::SIGTERM);
+            managed.signal(libc::SIGTERM);
         });
         let started = Instant::now();
         while started.elapsed() < STOP_GRACE && !self.have_exited(index) {
@@ -218,7 +235,7 @@
 
     /// Returns whether all processes of a box have exited.
     fn have_exited(&self, index: usize) -> bool {
-        self.processes.borrow_mut()[index].iter_mut().all(|managed| managed.process.has_ended())
+        self.processes.borrow_mut()[index].iter_mut().all(|managed| self.has_ended(managed))
     }
 
     /// Deletes the data folder of a box whose control process is not running.
@@ -249,12 +266,34 @@
         });
     }
 
-    /// Restarts processes that exit unexpectedly, until the run stops.
+    /// Makes the control process of a box start with a disk that takes no bytes, or no longer.
+    pub fn fill_disk_at_start(&self, index: usize, full: bool) {
+        self.for_each_process(index, &[Role::Control], |managed| {
+            managed.process.limit_file_size_at_start(full.then_some(0));
+        });
+        if !full {
+            self.fill_disk(index, false);
+        }
+    }
+
+    /// Holds the proxied port at `position` of a box that is not running, until the listener is
+    /// dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the port can't be bound.
+    pub fn hold_port(&self, index: usize, position: usize) -> std::io::Result<TcpListener> {
+        let plans = self.plans.borrow();
+        let plan = &plans[index];
+        TcpListener::bind((plan.listen_ip, plan.ports.proxied()[position]))
+    }
+
+    /// Restarts processes that end while they should be running, until the run stops.
     pub async fn supervise(self: Rc<Self>) {
         while !self.cx.stop.is_set() {
             compio::time::sleep(POLL_INTERVAL).await;
             for index in 0..self.boxes() {
-                if self.count_unexpected_exits(index) {
+                if self.record_ends_of(index) {
                     compio::time::sleep(RESTART_DELAY).await;
                     self.restart_exited(index);
                 }
@@ -262,25 +301,73 @@
         }
     }
 
-    /// Counts the unexpected exits of a box's processes. Returns whether any process has to be
-    /// restarted.
-    fn count_unexpected_exits(&self, index: usize) -> bool {
-        let (mut count, mut exited) = (0, false);
-        self.for_each_process(index, &ALL_ROLES, |managed| {
-            if managed.should_run && managed.process.has_ended() {
-                exited = true;
-                count += u64::from(!managed.stop_requested);
+    /// Looks at the memory of all processes repeatedly, until the run stops. A look at a process that
+    /// has just ended is passed over: its end is recorded elsewhere.
+    pub async fn watch_memory(self: Rc<Self>) {
+        while !self.cx.stop.is_set() {
+            compio::time::sleep(POLL_INTERVAL * POLLS_PER_SAMPLE).await;
+            for managed in self.processes.borrow().iter().flatten() {
+                let Ok(usage) = managed.process.usage() else { continue };
+                let (name, at) = (&managed.process.name, self.started.elapsed());
+                self.cx.record.note_memory(name, managed.starts, usage.memory, at);
             }
+        }
+    }
+
+    /// Returns the most memory of a process of each role, in megabytes.
+    pub fn memory_peaks(&self) -> BTreeMap<String, u64> {
+        let mut peaks = BTreeMap::new();
+        for ((process, _), peak) in self.cx.record.memory.borrow().iter() {
+            let role = process.rsplit('-').next().unwrap_or(process);
+            let most: &mut u64 = peaks.entry(role.to_owned()).or_default();
+            *most = (*most).max(peak.bytes / MEGABYTE);
+        }
+        peaks
+    }
+
+    /// Records the ends of processes that were not noticed yet.
+    pub fn record_ends(&self) {
+        for index in 0..self.boxes() {
+            self.record_ends_of(index);
+        }
+    }
+
+    /// Records the ends of a box's processes. Returns whether any process has to be restarted.
+    fn record_ends_of(&self, index: usize) -> bool {
+        let mut must_restart = false;
+        self.for_each_process(index, &ALL_ROLES, |managed| {
+            must_restart |= self.has_ended(managed) && managed.should_run;
+        });
+        must_restart
+    }
+
+    /// Returns whether a process has ended, and records its end when it is first seen.
+    fn has_ended(&self, managed: &mut ManagedProcess) -> bool {
+        let has_ended = managed.process.has_ended();
+        self.record_end(managed);
+        has_ended
+    }
+
+    /// Records the end of a process that was reaped, once.
+    fn record_end(&self, managed: &mut ManagedProcess) {
+        let Some(status) = managed.process.take_exit() else { return };
+        let since_start = |(signal, at): &(i32, Instant)| (*signal, *at - self.started);
+        let log = managed.process.log();
+        let lines: Vec<&str> = log.lines().filter(|line| is_message(line)).collect();
+        self.cx.record.ends.borrow_mut().push(ProcessEnd {
+            process: managed.process.name.clone(),
+            status,
+            at: self.started.elapsed(),
+            age: managed.started.elapsed(),
+            signals: managed.signals.iter().map(since_start).collect(),
+            log: lines[lines.len().saturating_sub(LOG_LINES)..].join(" / "),
         });
-        let unexpected_exits = &self.cx.record.unexpected_exits;
-        unexpected_exits.set(unexpected_exits.get() + count);
-        exited
     }
 
     /// Restarts the processes of a box that should be running but have exited.
     fn restart_exited(&self, index: usize) {
         self.for_each_process(index, &ALL_ROLES, |managed| {
-            if managed.should_run && managed.process.has_ended() {
+            if managed.should_run && self.has_ended(managed) {
                 self.restart(index, managed);
             }
         });
@@ -299,6 +386,13 @@
     }
 }
 
+/// Returns whether a line of a log is none of a backtrace.
+fn is_message(line: &str) -> bool {
+    let text = line.trim_start();
+    let is_frame = text.split_once(": ").is_some_and(|(n, _)| n.parse::<u32>().is_ok());
+    !(text.is_empty() || is_frame || text.starts_with("at ") || text.ends_with("backtrace:"))
+}
+
 /// Returns the log files in a data folder.
 fn log_files(data: &Path) -> Vec<PathBuf> {
     let Ok(entries) = std::fs::read_dir(data) else { return Vec::new() };
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
+use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::Framing;
@@ -109,6 +110,32 @@
     pub calm: Option<u32>,
 }
 
+/// Most resident memory of one process, from a start to its end.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryPeak {
+    /// Most resident memory that was seen, in bytes.
+    pub bytes: u64,
+    /// When it first passed the limit, since the start of the run, and the faults in force then.
+    pub passed: Option<(Duration, Vec<String>)>,
+}
+
+/// How a process of a box ended.
+#[derive(Debug, Clone)]
+pub struct ProcessEnd {
+    /// Name of the process.
+    pub process: String,
+    /// Exit status, or the signal that ended it.
+    pub status: ExitStatus,
+    /// Time since the start of the run.
+    pub at: Duration,
+    /// Time since the start of the process.
+    pub age: Duration,
+    /// Signals that the run sent to it, with the time since the start of the run.
+    pub signals: Vec<(i32, Duration)>,
+    /// Last lines of its log.
+    pub log: String,
+}
+
 /// A configuration event observed by the operator.
 #[derive(Debug, Clone)]
 pub enum ConfigEvent {
@@ -156,8 +183,16 @@
     pub cut_inside_events: Cell<usize>,
     /// Number of boxes that send requests to upstreams.
     pub boxes: Cell<usize>,
-    /// Number of processes that exited unexpectedly.
-    pub unexpected_exits: Cell<u64>,
+    /// Descriptions of messages that were accepted but had to be rejected.
+    pub accepted: RefCell<Vec<String>>,
+    /// Limit of the resident memory of each process, in bytes.
+    pub memory_limit: Cell<u64>,
+    /// Memory of each process, by its name and the number of its start.
+    pub memory: RefCell<BTreeMap<(String, u64), MemoryPeak>>,
+    /// Faults that are in force.
+    pub faults: RefCell<Vec<String>>,
+    /// Ends of processes of boxes, in order.
+    pub ends: RefCell<Vec<ProcessEnd>>,
 }
 
 impl Record {
@@ -220,6 +255,16 @@
         numbers.max().unwrap_or(0)
     }
 
+    /// Records the resident memory of a process at this time since the start of the run.
+    pub fn note_memory(&self, process: &str, starts: u64, bytes: u64, at: Duration) {
+        let mut memory = self.memory.borrow_mut();
+        let peak = memory.entry((process.to_owned(), starts)).or_default();
+        peak.bytes = peak.bytes.max(bytes);
+        if bytes > self.memory_limit.get() && peak.passed.is_none() {
+            peak.passed = Some((at, self.faults.borrow().clone()));
+        }
+    }
+
     /// Returns the number of requests that were answered.
     pub fn answered(&self) -> usize {
         self.calls.borrow().values().filter(|call| call.outcome == Outcome::Answered).count()
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,7 +22,7 @@
 use crate::schedule::{self, FleetSize, ScheduledFault};
 use crate::sources::Sources;
 use crate::upstreams::{Pool, PoolPlan};
-use crate::verify::{Violation, verify};
+use crate::verify::{MEGABYTE, Violation, verify};
 use crate::wire::Wire;
 
 /// Time limit for a repaired fleet to serve again; long, because test machines may be busy.
@@ -64,6 +64,12 @@
     pub limits: bool,
     /// Whether upstreams reject requests and ask for a rest for the duration of a round.
     pub rests: bool,
+    /// Limit of the resident memory of each process, in megabytes.
+    pub memory_mb: u64,
+    /// Whether storms contain loads on the memory of processes.
+    pub memory: bool,
+    /// Whether storms contain starts with a held port or a full disk.
+    pub starts: bool,
     /// Folder for settings, data and logs.
     pub folder: PathBuf,
 }
@@ -77,8 +83,10 @@
     pub outcomes: BTreeMap<&'static str, usize>,
     /// Number of configuration events, acknowledged or read.
     pub configs: usize,
-    /// Number of processes that exited unexpectedly.
-    pub unexpected_exits: u64,
+    /// Number of processes that ended, for whatever cause.
+    pub process_ends: usize,
+    /// Most resident memory of a process of each role, in megabytes.
+    pub memory_mb: BTreeMap<String, u64>,
     /// Actions of the run, in order.
     pub actions: Vec<String>,
 }
@@ -112,6 +120,7 @@
         stop,
     });
     ensure!(opts.boxes >= LOG_BOXES, "{} boxes: expected {LOG_BOXES} or more", opts.boxes);
+    ensure!(!opts.memory || opts.engines > 0, "no engines: loads on memory need one");
     let soak = Soak::start(cx, opts).await?;
     soak.operator.put(1, 0).await;
     soak.wait_until_serving().await.context("first start")?;
@@ -131,10 +140,12 @@
 impl Soak {
     async fn start(cx: Rc<RunCx>, opts: Options) -> anyhow::Result<Self> {
         cx.record.boxes.set(opts.boxes);
+        cx.record.memory_limit.set(opts.memory_mb * MEGABYTE);
         let upstreams = opts.engines + opts.plain;
-        let size = FleetSize { boxes: opts.boxes, log_boxes: LOG_BOXES, upstreams };
+        let size =
+            FleetSize { boxes: opts.boxes, log_boxes: LOG_BOXES, upstreams, engines: opts.engines };
         let net = loopback_net(opts.seed);
-        let plans = plan_boxes(&opts.folder, net, size)?;
+        let plans = plan_boxes(&opts.folder, net, size, opts.memory_mb)?;
         let fleet = Fleet::start(cx.clone(), &opts.folder, plans).await?;
         let control: Vec<SocketAddr> =
             size.control_boxes().map(|index| fleet.addr(index, |ports| ports.control)).collect();
@@ -158,18 +169,21 @@
             refused: RefCell::default(),
         });
         compio::runtime::spawn(fleet.clone().supervise()).detach();
-        let injector = FaultInjector { cx: cx.clone(), size, fleet: fleet.clone(), pool };
+        compio::runtime::spawn(fleet.clone().watch_memory()).detach();
+        let callers = Rc::new(CallerCx {
+            run: cx.clone(),
+            fleet: fleet.clone(),
+            newest_config: operator.newest.clone(),
+            request_count: Cell::new(0),
+            stalled: Cell::new(false),
+        });
+        let injector = FaultInjector { cx: cx.clone(), size, fleet: fleet.clone(), pool, callers };
         Ok(Self { opts, cx, size, fleet, injector, operator, actions: RefCell::default() })
     }
 
     /// Starts the callers and the operator's tasks.
     fn start_clients(&self) {
-        let cx = Rc::new(CallerCx {
-            run: self.cx.clone(),
-            fleet: self.fleet.clone(),
-            newest_config: self.operator.newest.clone(),
-            request_count: Cell::new(0),
-        });
+        let cx = &self.injector.callers;
         for caller in 0..self.opts.callers {
             let seed = self.opts.seed.wrapping_mul(1_000) + caller as u64;
             compio::runtime::spawn(Caller::new(cx.clone(), seed).run()).detach();
@@ -200,6 +214,13 @@
         }
         let mut faults = schedule::storm(seed, self.size, self.opts.storm);
         faults.extend(framing.faults);
+        if self.opts.memory {
+            faults.extend(schedule::memory(seed, self.size, self.opts.storm));
+        }
+        if self.opts.starts {
+            let starts = schedule::starts(seed, self.size, self.opts.storm, &faults);
+            faults.extend(starts);
+        }
         self.run_schedule(&faults, self.opts.storm).await;
         self.injector.repair();
         for index in 0..self.size.upstreams {
@@ -239,7 +260,14 @@
     async fn run_fault(&self, scheduled: &ScheduledFault) {
         compio::time::sleep(scheduled.at).await;
         self.log_action(format!("{:?} for {:?}", scheduled.fault, scheduled.duration));
+        let text = format!("{:?}", scheduled.fault);
+        let faults = &self.cx.record.faults;
+        faults.borrow_mut().push(text.clone());
         self.injector.inject(scheduled.fault, scheduled.duration).await;
+        let mut faults = faults.borrow_mut();
+        if let Some(position) = faults.iter().position(|fault| *fault == text) {
+            faults.remove(position);
+        }
     }
 
     /// Waits until every box is ready and a configuration can be read.
@@ -283,6 +311,7 @@
 
     /// Builds the report, including an error that ended the rounds early.
     fn report(&self, rounds: anyhow::Result<()>) -> Report {
+        self.fleet.record_ends();
         let mut violations = verify(&self.cx.record);
         violations.extend(rounds.err().map(|err| Violation {
             property: "the fleet serves again after its repair",
@@ -297,7 +326,8 @@
             violations,
             outcomes: self.cx.record.outcome_counts(),
             configs: self.cx.record.configs.borrow().len(),
-            unexpected_exits: self.cx.record.unexpected_exits.get(),
+            process_ends: self.cx.record.ends.borrow().len(),
+            memory_mb: self.fleet.memory_peaks(),
             actions: self.actions.borrow().clone(),
         }
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,6 +6,8 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::wire::PROXIED_PORTS;
+
 /// Range of fault durations, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 200..2_500;
 /// Range of the number of faults per storm. With a storm of six seconds, several overlap at any
@@ -23,6 +25,8 @@
     pub log_boxes: usize,
     /// Number of upstreams.
     pub upstreams: usize,
+    /// Number of engines, which answer streams and are the first of the upstreams.
+    pub engines: usize,
 }
 
 /// Number of boxes with a control process: three that hold the log and three without a disk, as in
@@ -89,6 +93,26 @@
     Reclaim(usize),
     /// Makes an upstream leave gracefully, after its active runs have ended.
     Leave(usize),
+    /// Makes an upstream begin streams with an event that never ends.
+    EndlessEvents(usize),
+    /// Makes an upstream send large events.
+    LargeEvents(usize),
+    /// Makes all callers stop reading, while an upstream sends large events.
+    StalledCallers(usize),
+    /// Sends many requests with large bodies to a box.
+    LargeBodies(usize),
+    /// Sends large messages without a signature to a box, as if other boxes did.
+    UnsignedMessages(usize),
+    /// Sends large bodies to the operators' listener of a box.
+    OperatorBodies(usize),
+    /// Kills a box and restarts it while another socket holds one of its ports, given by its
+    /// position among them.
+    HeldPort(usize, usize),
+    /// Kills the control process of a box and restarts it with a disk that takes no bytes.
+    FullDiskAtStart(usize),
+    /// Kills the control process of a box, deletes its data and restarts it with a disk that takes no
+    /// bytes.
+    FullNewDisk(usize),
 }
 
 /// Separates the random numbers of the rate limits from those of the faults.
@@ -110,6 +134,13 @@
 /// Range of the number of faults per storm that cut such answers short.
 const CUT_COUNT: std::ops::Range<usize> = 2..6;
 
+/// Separates the random numbers of loads on memory and of failed starts from those of the faults.
+const MEMORY_SALT: u64 = 0x6d65_6d6f_7279;
+const STARTS_SALT: u64 = 0x7374_6172_7473;
+/// Ranges of the number of such faults per storm.
+const LOAD_COUNT: std::ops::Range<usize> = 3..7;
+const START_COUNT: std::ops::Range<usize> = 2..5;
+
 /// How upstreams frame their answers in a round.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FramingPlan {
@@ -216,6 +247,53 @@
     FramingPlan { storm, calm, faults }
 }
 
+/// Draws the loads on the memory of processes in a storm phase, from a separate generator.
+pub fn memory(seed: u64, size: FleetSize, storm_length: Duration) -> Vec<ScheduledFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ MEMORY_SALT);
+    let count = rng.random_range(LOAD_COUNT);
+    let faults = (0..count).map(|_| {
+        let any_box = rng.random_range(0..size.boxes);
+        let engine = rng.random_range(0..size.engines);
+        let all = [
+            Fault::EndlessEvents(engine),
+            Fault::LargeEvents(engine),
+            Fault::StalledCallers(engine),
+            Fault::LargeBodies(any_box),
+            Fault::UnsignedMessages(any_box),
+            Fault::OperatorBodies(rng.random_range(size.control_boxes())),
+        ];
+        let fault = *all.choose(&mut rng).expect("the list is not empty");
+        schedule_fault(&mut rng, fault, storm_length)
+    });
+    faults.collect()
+}
+
+/// Draws the starts under bad conditions in a storm phase, from a separate generator. One of them
+/// loses the data of a box if none of the faults in `storm` does.
+pub fn starts(
+    seed: u64,
+    size: FleetSize,
+    storm_length: Duration,
+    storm: &[ScheduledFault],
+) -> Vec<ScheduledFault> {
+    let mut may_lose_disk = !storm.iter().any(|other| matches!(other.fault, Fault::LoseDisk(_)));
+    let mut rng = SmallRng::seed_from_u64(seed ^ STARTS_SALT);
+    let count = rng.random_range(START_COUNT);
+    let faults = (0..count).map(|_| {
+        let any_box = rng.random_range(0..size.boxes);
+        let log_box = rng.random_range(0..size.log_boxes);
+        let port = rng.random_range(0..PROXIED_PORTS);
+        let all = [Fault::HeldPort(any_box, port), Fault::FullDiskAtStart(log_box)];
+        let mut fault = *all.choose(&mut rng).expect("the list is not empty");
+        if let (Fault::FullDiskAtStart(index), true) = (fault, may_lose_disk) {
+            fault = Fault::FullNewDisk(index);
+            may_lose_disk = false;
+        }
+        schedule_fault(&mut rng, fault, storm_length)
+    });
+    faults.collect()
+}
+
 /// Draws the start and the duration of a fault within a phase of the given length.
 fn schedule_fault(rng: &mut SmallRng, fault: Fault, length: Duration) -> ScheduledFault {
     let at = rng.random_range(0..length.as_millis().max(1)) as u64;
--- a/crates/soak/src/verify.rs
+++ b/crates/soak/src/verify.rs
@@ -3,13 +3,14 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use std::os::unix::process::ExitStatusExt as _;
 use std::time::Duration;
 
 use hatchpitch_net::Framing;
 
 use crate::record::{
-    Call, ConfigEvent, InstanceId, LimitedRequest, Outcome, Record, RejectedRequest, RequestId,
-    RequestKind, RunStart,
+    Call, ConfigEvent, InstanceId, LimitedRequest, MemoryPeak, Outcome, ProcessEnd, Record,
+    RejectedRequest, RequestId, RequestKind, RunStart,
 };
 
 /// Time from the first request that an instance received under a limit until the limit is enforced.
@@ -30,6 +31,9 @@
 /// first answers.
 const REJECTED_SLACK: usize = 12;
 
+/// A megabyte, in which memory is reported.
+pub(crate) const MEGABYTE: u64 = 1_000_000;
+
 /// A guarantee that was violated.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Violation {
@@ -57,6 +61,15 @@
     violations.extend(check_config_order(&calls));
     violations.extend(check_limits(&record.limited.borrow()));
     violations.extend(check_rests(&record.rejected.borrow(), record.boxes.get()));
+    violations.extend(record.ends.borrow().iter().filter_map(check_end));
+    violations.extend(record.accepted.borrow().iter().map(|observed| Violation {
+        property: "unsigned messages and invalid configurations are rejected",
+        observed: observed.clone(),
+    }));
+    let memory = record.memory.borrow();
+    violations.extend(
+        memory.iter().filter_map(|((process, starts), peak)| check_memory(process, *starts, peak)),
+    );
     let late_requests = record.late_requests.borrow();
     violations.extend(late_requests.iter().map(|observed| Violation {
         property: "a leaving upstream receives no new requests after a few seconds",
@@ -191,6 +204,35 @@
     })
 }
 
+/// Checks that the memory of a process stayed within the limit.
+fn check_memory(process: &str, starts: u64, peak: &MemoryPeak) -> Option<Violation> {
+    let (at, faults) = peak.passed.as_ref()?;
+    Some(Violation {
+        property: "the memory of a process stays within its limit",
+        observed: format!(
+            "{process}, start {starts}: passed it {at:.2?} after the start of the run, peak {} MB; faults in force: {faults:?}",
+            peak.bytes / MEGABYTE
+        ),
+    })
+}
+
+/// Checks that a process ended only because the run killed it or asked it to stop. A hang-up signal
+/// is no reason to end, and neither is a fault of a disk or of a peer.
+fn check_end(end: &ProcessEnd) -> Option<Violation> {
+    let was_sent = |signal| end.signals.iter().any(|(sent, _)| *sent == signal);
+    let is_caused = match end.status.signal() {
+        Some(signal) => matches!(signal, libc::SIGKILL | libc::SIGTERM) && was_sent(signal),
+        None => end.status.success() && was_sent(libc::SIGTERM),
+    };
+    (!is_caused).then(|| Violation {
+        property: "a process ends only when it is killed or asked to stop",
+        observed: format!(
+            "{} ended {:.2?} after the start of the run, at the age of {:.2?}: {}; signals sent: {:?}; log: {}",
+            end.process, end.at, end.age, end.status, end.signals, end.log
+        ),
+    })
+}
+
 /// Checks that upstreams run only requests that callers sent.
 fn check_unknown_runs(
     calls: &BTreeMap<RequestId, Call>,
--- a/crates/soak/tests/verify.rs
+++ b/crates/soak/tests/verify.rs
@@ -1,10 +1,13 @@
 //! For each guarantee that the soak checks, tests that a record which violates it is reported.
 
+use std::os::unix::process::ExitStatusExt as _;
+use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::Framing;
 use hatchpitch_soak::record::{
-    ConfigEvent, LimitedRequest, Outcome, Record, RejectedRequest, RequestKind, RunStart,
+    ConfigEvent, LimitedRequest, Outcome, ProcessEnd, Record, RejectedRequest, RequestKind,
+    RunStart,
 };
 use hatchpitch_soak::verify::verify;
 
@@ -217,3 +220,68 @@
         assert_eq!(!violations.is_empty(), is_violation, "{count} {calm:?}: {violations:?}");
     }
 }
+
+/// Guards against a process that ends by itself, or that a signal ends which must not, unnoticed.
+#[test]
+fn ends_without_a_cause_are_reported() {
+    // The wait status of an exit holds its code in the second byte, that of a signal its number.
+    let exited = |code: i32| code << 8;
+    let (kill, term, hup, abort) = (libc::SIGKILL, libc::SIGTERM, libc::SIGHUP, libc::SIGABRT);
+    for (status, signals, is_violation) in [
+        (kill, vec![kill], false),
+        (kill, vec![term, kill], false),
+        (term, vec![term], false),
+        (exited(0), vec![term], false),
+        // The process ended before the signal that would have ended it.
+        (exited(101), vec![kill], true),
+        (exited(1), vec![term], true),
+        (exited(0), vec![], true),
+        (exited(0), vec![kill], true),
+        (kill, vec![], true),
+        (kill, vec![term], true),
+        (hup, vec![hup], true),
+        (abort, vec![term], true),
+    ] {
+        let record = Record::default();
+        record.ends.borrow_mut().push(ProcessEnd {
+            process: "box-1-entry".to_owned(),
+            status: ExitStatus::from_raw(status),
+            at: Duration::from_millis(2_500),
+            age: Duration::from_secs(1),
+            signals: signals.iter().map(|signal| (*signal, Duration::from_secs(2))).collect(),
+            log: "the last line".to_owned(),
+        });
+        let violations = verify(&record);
+        assert_eq!(!violations.is_empty(), is_violation, "{status} {signals:?}: {violations:?}");
+        for part in ["box-1-entry", "2.50s", "the last line"] {
+            assert!(violations.iter().all(|found| found.observed.contains(part)));
+        }
+    }
+}
+
+/// Guards against a process that passes the limit of its machine unnoticed.
+#[test]
+fn memory_over_the_limit_is_reported() {
+    let record = Record::default();
+    record.memory_limit.set(110_000_000);
+    record.faults.borrow_mut().push("KillBox(0)".to_owned());
+    record.note_memory("box-1-entry", 1, 110_000_000, Duration::from_secs(1));
+    record.note_memory("box-1-entry", 2, 20_000_000, Duration::from_secs(2));
+    assert_eq!(verify(&record), []);
+    record.note_memory("box-1-entry", 2, 110_000_001, Duration::from_secs(3));
+    record.note_memory("box-1-entry", 2, 292_000_000, Duration::from_secs(4));
+    record.note_memory("box-1-entry", 2, 20_000_000, Duration::from_secs(5));
+    assert_violation(&record, "the memory of a process");
+    let observed = &verify(&record)[0].observed;
+    for part in ["box-1-entry, start 2", "3.00s", "292 MB", "KillBox(0)"] {
+        assert!(observed.contains(part), "{observed}");
+    }
+}
+
+/// Guards against a box that takes a message which nobody signed, or a configuration that is none.
+#[test]
+fn messages_that_had_to_be_rejected_are_reported() {
+    let record = Record::default();
+    record.accepted.borrow_mut().push("/box/gossip: 200 OK".to_owned());
+    assert_violation(&record, "are rejected");
+}
