--- a/crates/hatchpitch/tests/memory_holders.rs
+++ b/crates/hatchpitch/tests/memory_holders.rs
@@ -74,7 +74,7 @@
         memory: PROCESS_LIMIT,
         log_level: log::LevelFilter::Off,
     };
-    ControlCx::new(settings, 1, client(memory))
+    ControlCx::new(settings, client(memory))
 }
 
 /// Starts the two listeners of a control box without a log; they stop with the test.
