Receive signals through descriptors and not in handlers

A SIGHUP or SIGTERM could abort the process (signal 6), with no line of the log and "fatal runtime error: current thread handle already set during thread spawn" on standard error.

Cause: the runtime's signal listener does its work in a signal handler, which the system may run on a thread that is just being spawned (while the main thread blocks all signals for that). The handler asks for the current thread, and the standard library, which can't set that thread up any more, aborts. The pool of threads grows while a process starts, so a reload or a stop at that time is the most likely to hit it.

Signals are now blocked in the main thread and in those that it spawns, and are read from a signal descriptor on the loop. No handler runs at all.

--- a/crates/hatchpitch/src/signals.rs
+++ b/crates/hatchpitch/src/signals.rs
@@ -1,10 +1,12 @@
 //! Handling of SIGTERM, SIGINT (stop) and SIGHUP (reload settings).
 
-use std::io;
-use std::task::Poll;
+use std::fs::File;
+use std::io::{self, Read as _};
+use std::os::fd::FromRawFd as _;
 
-use futures_util::future::{Either, LocalBoxFuture, ready, select};
-use futures_util::{FutureExt, poll};
+use compio::runtime::fd::PollFd;
+use futures_util::FutureExt;
+use futures_util::future::{Either, LocalBoxFuture, select};
 use hatchpitch_net::Stop;
 
 /// Receives SIGTERM and SIGINT. Neither terminates the process once it exists.
@@ -20,9 +22,6 @@
     ///
     /// Returns the system's error if the signal handlers cannot be installed.
     pub async fn listen() -> io::Result<Self> {
-        for signal in [libc::SIGTERM, libc::SIGINT] {
-            prevent_termination(signal).await?;
-        }
         Ok(Self { term: listen(libc::SIGTERM).await?, int: listen(libc::SIGINT).await? })
     }
 
@@ -75,17 +74,11 @@
 /// Prevents SIGHUP from terminating the process from now on. Its default action would do so while
 /// no listener is registered, such as before the first one and between two of them.
 pub async fn prevent_sighup_termination() {
-    if let Err(err) = prevent_termination(libc::SIGHUP).await {
+    if let Err(err) = block(libc::SIGHUP) {
         log::error!("cannot listen for SIGHUP: {err}");
     }
 }
 
-async fn prevent_termination(signal: i32) -> io::Result<()> {
-    // Dropping the last listener would restore the default action of the signal.
-    std::mem::forget(listen(signal).await?);
-    Ok(())
-}
-
 /// Calls `reload` after each SIGHUP until `stop` is set. Signals in quick succession may be merged
 /// into one call, which starts after the last of them.
 pub fn on_sighup(reload: impl Fn() + 'static, stop: Stop) {
@@ -112,12 +105,44 @@
 /// Resolves when a signal is received.
 type Listener = LocalBoxFuture<'static, io::Result<()>>;
 
-/// Registers a listener for a signal and returns a future that resolves at the next one.
+/// Registers a listener for a signal and returns a future that resolves at the next one. The signal
+/// stays pending while none waits for it.
 async fn listen(signal: i32) -> io::Result<Listener> {
-    let mut listener = compio::signal::unix::signal(signal).boxed_local();
-    match poll!(&mut listener) {
-        Poll::Ready(Err(err)) => Err(err),
-        Poll::Ready(Ok(())) => Ok(ready(Ok(())).boxed_local()),
-        Poll::Pending => Ok(listener),
+    let set = block(signal)?;
+    let flags = libc::SFD_NONBLOCK | libc::SFD_CLOEXEC;
+    // SAFETY: `set` is initialized and outlives the call.
+    let fd = unsafe { libc::signalfd(-1, &raw const set, flags) };
+    if fd < 0 {
+        return Err(io::Error::last_os_error());
     }
+    // SAFETY: the descriptor was just created and has no other owner.
+    let file = unsafe { File::from_raw_fd(fd) };
+    Ok(receive(PollFd::new(file)?).boxed_local())
+}
+
+/// Waits until a signal descriptor has a signal and takes it.
+async fn receive(fd: PollFd<File>) -> io::Result<()> {
+    let mut info = [0; size_of::<libc::signalfd_siginfo>()];
+    loop {
+        match (&*fd).read(&mut info) {
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => fd.read_ready().await?,
+            read => return read.map(|_| ()),
+        }
+    }
+}
+
+/// Blocks a signal in this thread and those that it spawns from now on. It is received through a
+/// descriptor and not by a handler: one that runs on a thread that is being spawned aborts the
+/// process, since the standard library can't set that thread up any more.
+fn block(signal: i32) -> io::Result<libc::sigset_t> {
+    // SAFETY: `sigemptyset` initializes the set before it is used; the calls have no other effects
+    // on memory.
+    let (set, failed) = unsafe {
+        let mut set = std::mem::zeroed();
+        libc::sigemptyset(&raw mut set);
+        libc::sigaddset(&raw mut set, signal);
+        let failed = libc::pthread_sigmask(libc::SIG_BLOCK, &raw const set, std::ptr::null_mut());
+        (set, failed)
+    };
+    if failed == 0 { Ok(set) } else { Err(io::Error::from_raw_os_error(failed)) }
 }
