--- a/crates/soak/src/answers.rs
+++ b/crates/soak/src/answers.rs
@@ -26,7 +26,7 @@
 
 /// Returns an event of a stream that begins with a long comment.
 pub fn large_event_text(id: &str, generation: u64, n: u64) -> String {
-    format!(":{:x>LARGE_COMMENT$}\n{}", "", event_text(id, generation, n))
+    format!(":{}\n{}", "x".repeat(LARGE_COMMENT), event_text(id, generation, n))
 }
 
 /// Returns an event of a stream.
--- a/crates/soak/tests/answers.rs
+++ b/crates/soak/tests/answers.rs
@@ -2,7 +2,7 @@
 
 use hatchpitch_net::Framing::{Delimited, UntilClose};
 use hatchpitch_soak::answers::{
-    EVENTS, Ending, answer_text, event_text, judge_plain, judge_stream,
+    EVENTS, Ending, answer_text, event_text, judge_plain, judge_stream, large_event_text,
 };
 use hatchpitch_soak::record::Outcome;
 
@@ -80,3 +80,15 @@
         }
     }
 }
+
+/// Guards against large events that an upstream can't build, or that lack a part of their comment
+/// and still pass for whole.
+#[test]
+fn a_large_event_that_lacks_a_part_is_wrong() {
+    let rest: String = (2..=EVENTS).map(|n| event_text("r1", 7, n)).collect();
+    let first = large_event_text("r1", 7, 1);
+    let judge =
+        |first: &str| judge_stream("r1", &format!("{first}{rest}"), Ending::InOrder(Delimited));
+    assert_eq!(judge(&first), Outcome::Answered);
+    assert!(is_wrong(&judge(&first.replacen('x', "", 1))));
+}
