Keep the budget from cutting what runs

- A small answer to another box was replaced by 503 when the budget was full.
The failure of a request that was sent for that box then looked like one that was never sent, and the request could run twice.
Small answers are sent without room.
- Connections and streams could fill the part that is kept for small messages.
They use seven eighths of the budget, and a stream takes what it adds to its connection.
- High resident memory kept large reservations out for good if the allocator did not return it, and broke holders off though nobody waited.
Freed memory is returned first, only new bodies and events are kept out, and holders are broken off only while nobody gets room.
- A body that had been read, or a queue between two sends, counted as one that can be broken off.
Only a wait for it makes a holder one.
- The bytes of an event were counted nowhere while its queue waited for room.
They move from one holder to the other.
- A connection in the middle of an answer could be closed to make room for a new one.
Only unfinished heads are.
- A configuration without a length counted as the largest one, which most sites have no room for.

crates/net/tests/memory.rs has a test of each of the first, second, fourth and fifth; they need functions that the code before lacks.

--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -192,14 +192,13 @@
         max: usize,
         limit: Duration,
     ) -> Result<ConfigText, BodyError> {
+        let max = max.min(self.boxes.memory().largest() / DECODING_FACTOR);
         let announced = body.size_hint().exact().and_then(|len| usize::try_from(len).ok());
-        let len = announced.unwrap_or(max);
+        // One that announces no length is counted as it is read.
+        let len = announced.unwrap_or(0);
         if len > max {
             return Err(BodyError::TooLarge(max));
         }
-        if !self.boxes.memory().can_hold(len.saturating_mul(DECODING_FACTOR)) {
-            return Err(BodyError::TooLarge(self.boxes.memory().limit() / DECODING_FACTOR));
-        }
         let share = self.boxes.memory().limit() / CONFIG_SHARE;
         let total = self.config_bytes.get() + len;
         if self.config_bytes.get() > 0 && total > share {
--- a/crates/hatchpitch/src/memory_monitor.rs
+++ b/crates/hatchpitch/src/memory_monitor.rs
@@ -22,6 +22,11 @@
     while !stop.is_set() {
         compio::time::sleep(SAMPLE_PERIOD).await;
         if let Some(bytes) = resident_bytes() {
+            let is_high = memory.is_resident_high(bytes);
+            if is_high {
+                return_freed_memory();
+            }
+            let bytes = if is_high { resident_bytes().unwrap_or(bytes) } else { bytes };
             memory.record_resident(bytes);
         }
         let short_for = memory.short_for(clock::now());
@@ -35,6 +40,15 @@
     }
 }
 
+/// Returns memory to the system that the allocator keeps after it was freed.
+fn return_freed_memory() {
+    #[cfg(target_env = "gnu")]
+    // SAFETY: the call only releases free pages of the heap.
+    unsafe {
+        libc::malloc_trim(0);
+    }
+}
+
 fn log_change(memory: &MemoryBudget, is_short: bool) {
     let usage = memory.usage();
     let bytes = |holder| usage.get(&holder).copied().unwrap_or_default().bytes;
@@ -43,6 +57,7 @@
         resident_bytes = resident_bytes().unwrap_or(0), process_limit = memory.process_limit(),
         budget = memory.limit(), used = memory.used(),
         connections = bytes(Holder::Connection), request_bodies = bytes(Holder::RequestBody),
+        heads = bytes(Holder::Head), streams = bytes(Holder::Stream),
         answers = bytes(Holder::Answer), events = bytes(Holder::Event),
         box_messages = bytes(Holder::BoxMessage), transfers = bytes(Holder::Transfer);
         "{message}"
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -141,7 +141,7 @@
         let origin =
             Origin { request: self.req.id.clone(), path: self.req.route.name.clone(), peer: None };
         let memory = self.relay.cx.boxes.memory();
-        match memory.reserve(Holder::Event, origin, stream::CONNECTION_BYTES) {
+        match memory.reserve(Holder::Stream, origin, stream::STREAM_BYTES) {
             Ok(held) => {
                 *self.stream_held.borrow_mut() = Some(held);
                 Ok(())
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -27,8 +27,8 @@
 
 /// Chunks buffered between upstream and caller.
 pub(super) const BUFFERED_CHUNKS: usize = 32;
-/// Memory of the connections of a stream to its upstream and its caller, in bytes.
-pub(super) const CONNECTION_BYTES: usize = 32 * 1024;
+/// Memory of the buffers of a stream, in bytes.
+pub(super) const STREAM_BYTES: usize = 12 * 1024;
 /// Size up to which the incomplete event of a stream is part of the memory of its connection, in
 /// bytes.
 const USUAL_EVENT_BYTES: usize = 4 * 1024;
@@ -81,8 +81,10 @@
     pub(super) slot: Slot,
     pub(super) service: ServiceName,
     pub(super) splitter: EventSplitter,
-    /// Memory of the connections, and of the incomplete event in the splitter.
+    /// Memory of the incomplete event in the splitter.
     event_held: Reservation,
+    /// Memory of the buffers.
+    _held: Option<Reservation>,
     pub(super) moving: Option<Moving>,
     /// Framing of the response to the caller.
     pub(super) caller_framing: Framing,
@@ -137,9 +139,7 @@
         let (now, runner) = (clock::now(), slot.runner.clone());
         let splitter = EventSplitter::new(relay.cx.settings.limits.max_event);
         let origin = response::origin(&req, slot.addr);
-        let event_held =
-            held.unwrap_or_else(|| relay.cx.boxes.memory().open(Holder::Event, origin.clone()));
-        event_held.set_origin(origin);
+        let event_held = relay.cx.boxes.memory().open(Holder::Event, origin);
         Self {
             relay,
             req,
@@ -148,6 +148,7 @@
             service,
             splitter,
             event_held,
+            _held: held,
             moving: None,
             caller_framing: Framing::Delimited,
             framing: Framing::Delimited,
@@ -246,7 +247,6 @@
             let was_in_pieces = self.splitter.is_in_pieces();
             let events = self.splitter.push(&chunk).or_else(|| self.piece_without_room());
             let Some(events) = events else { continue };
-            self.reserve_event();
             if self.splitter.is_in_pieces() && !was_in_pieces {
                 self.log_large_event();
             }
@@ -257,6 +257,7 @@
             if let Some(end) = self.deliver(tx, events).await {
                 return LinkEnd::Over(end);
             }
+            self.reserve_event();
         }
     }
 
@@ -268,8 +269,8 @@
     /// Reserves the memory of the incomplete event; returns whether there is room.
     fn reserve_event(&self) -> bool {
         let buffered = self.splitter.buffered();
-        let is_usual = buffered <= USUAL_EVENT_BYTES && self.event_held.bytes() <= CONNECTION_BYTES;
-        is_usual || self.event_held.resize(CONNECTION_BYTES + buffered).is_ok()
+        let is_usual = buffered <= USUAL_EVENT_BYTES && self.event_held.bytes() == 0;
+        is_usual || self.event_held.resize(buffered).is_ok()
     }
 
     fn log_large_event(&self) {
@@ -339,7 +340,9 @@
 
     async fn deliver(&self, tx: &mut BodySender, events: Bytes) -> Option<StreamEnd> {
         let limit = self.relay.cx.settings.timing.slow_caller;
-        match compio::time::timeout(limit, tx.send(events)).await {
+        let counted = self.event_held.bytes();
+        let sent = tx.send_from(events, &self.event_held, counted);
+        match compio::time::timeout(limit, sent).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(StreamEnd::CallerLeft),
             Err(_) => {
--- a/crates/net/src/backlog.rs
+++ b/crates/net/src/backlog.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 
+use crate::memory::SMALL_RESERVATION;
 use crate::memory::{Holder, MemoryBudget, MemoryError, Origin, Reservation};
 
 /// Queued bytes above which no further large message should be queued. A link of 100 Mbit/s sends
@@ -96,10 +97,28 @@
     pub fn count(&self, path: &str, message: Vec<u8>) -> Result<Bytes, MemoryError> {
         let origin = Origin { path: path.to_owned(), ..Origin::default() };
         let held = self.memory.reserve(Holder::BoxMessage, origin, message.len())?;
+        Ok(self.queue(message, held))
+    }
+
+    /// Adds an answer to the backlog until the returned bytes are dropped. A small one is sent also
+    /// if there is no room: it may say that something was done, which its absence would deny.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`MemoryError`] if the budget has no room for a large answer.
+    pub fn count_answer(&self, message: Vec<u8>) -> Result<Bytes, MemoryError> {
+        let held = self.memory.open(Holder::BoxMessage, Origin::default());
+        match held.resize(message.len()) {
+            Err(err) if message.len() > SMALL_RESERVATION => Err(err),
+            _ => Ok(self.queue(message, held)),
+        }
+    }
+
+    fn queue(&self, message: Vec<u8>, held: Reservation) -> Bytes {
         let counters = self.counters.clone();
         counters.messages.fetch_add(1, Ordering::Relaxed);
         let bytes = counters.bytes.fetch_add(message.len(), Ordering::Relaxed) + message.len();
         counters.peak_bytes.fetch_max(bytes, Ordering::Relaxed);
-        Ok(Bytes::from_owner(QueuedMessage { message, counters, _held: held }))
+        Bytes::from_owner(QueuedMessage { message, counters, _held: held })
     }
 }
--- a/crates/net/src/chunks.rs
+++ b/crates/net/src/chunks.rs
@@ -137,6 +137,22 @@
         Ok(())
     }
 
+    /// Sends one chunk of which `from` counts up to `counted` bytes, which move to the queue with it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Self::send`].
+    pub async fn send_from(
+        &mut self,
+        mut chunk: Bytes,
+        from: &Reservation,
+        counted: usize,
+    ) -> Result<(), BodyError> {
+        let moved = from.move_to(&self.held, counted.min(chunk.len()));
+        self.send_counted(chunk.split_to(moved)).await?;
+        self.send(chunk).await
+    }
+
     /// Sends one chunk whose bytes the reservation of the queue counts already, waiting while the
     /// queue is full.
     ///
--- a/crates/net/src/connection_memory.rs
+++ b/crates/net/src/connection_memory.rs
@@ -19,15 +19,17 @@
 /// Ratio of what a connection takes to what is reserved for it. Its buffers are counted whole, unlike
 /// those of other holders, for which the budget leaves as much again.
 const BUDGET_RATIO: usize = 2;
+/// Memory of a head that the buffers of its connection hold, in bytes.
+const FREE_HEAD_BYTES: usize = 8 * 1024;
 /// Longest wait of a new connection for room. Its peer's request waits in the system meanwhile.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Memory of one connection.
 #[derive(Debug)]
 pub(crate) struct ConnectionMemory {
-    held: Reservation,
-    /// Bytes reserved while no head is being received.
-    idle_bytes: usize,
+    _held: Reservation,
+    /// Memory of the head that is being received.
+    head: Reservation,
     /// Bytes of the current head that have arrived.
     head_bytes: Cell<usize>,
 }
@@ -49,7 +51,7 @@
         let idle_bytes = (STATE_BYTES + 2 * io_bytes) / BUDGET_RATIO;
         let held = budget.open(Holder::Connection, Origin::peer(peer));
         if held.try_grow(idle_bytes).is_err() {
-            if let Some(revoked) = budget.revoke_largest_of(Holder::Connection, idle_bytes) {
+            if let Some(revoked) = budget.revoke_largest_of(Holder::Head, 0) {
                 log::info!(
                     peer:% = revoked.origin.peer.unwrap_or(peer), bytes = revoked.bytes;
                     "a connection with an unfinished head is closed, as memory is short"
@@ -57,7 +59,8 @@
             }
             held.grow(idle_bytes, ROOM_TIMEOUT).await?;
         }
-        Ok(Self { held, idle_bytes, head_bytes: Cell::new(0) })
+        let head = budget.open(Holder::Head, Origin::peer(peer));
+        Ok(Self { _held: held, head, head_bytes: Cell::new(0) })
     }
 
     /// Counts bytes of a head that is not complete.
@@ -68,19 +71,19 @@
     pub(crate) fn add_head_bytes(&self, len: usize) -> io::Result<()> {
         self.head_bytes.set(self.head_bytes.get() + len);
         let needed = HEAD_FACTOR * self.head_bytes.get() / BUDGET_RATIO;
-        self.held.resize(self.idle_bytes.max(needed)).map_err(io::Error::other)
+        self.head.resize(needed.saturating_sub(FREE_HEAD_BYTES)).map_err(io::Error::other)
     }
 
     /// Records that the head is complete.
     pub(crate) fn end_head(&self) {
         if self.head_bytes.replace(0) > 0 {
             // Shrinking needs no room.
-            let _ = self.held.resize(self.idle_bytes);
+            let _ = self.head.resize(0);
         }
     }
 
-    /// Waits until the memory is taken back.
+    /// Waits until the memory of an unfinished head is taken back.
     pub(crate) async fn revoked(&self) {
-        self.held.revoked().await;
+        self.head.revoked().await;
     }
 }
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -26,6 +26,8 @@
 pub const SMALL_RESERVATION: usize = 32 * 1024;
 /// Part of the budget that is kept for small reservations.
 const SMALL_SHARE: usize = 4;
+/// Part of the budget that connections and streams leave to what passes on them.
+const TRAFFIC_SHARE: usize = 8;
 /// Memory that a process uses apart from its budget, in bytes: code, tables and configuration.
 const BASE_BYTES: usize = 32 * 1024 * 1024;
 /// Ratio of the rest of the limit to the budget. Allocators, copies during encoding and buffers of
@@ -39,8 +41,12 @@
 /// What a reservation is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Holder {
-    /// Buffers of a connection and the head of a request that is being received on it.
+    /// Buffers of a connection.
     Connection,
+    /// The head of a request that is being received.
+    Head,
+    /// Buffers of a stream.
+    Stream,
     /// A request body, until its request is answered.
     RequestBody,
     /// An answer, until its caller's connection has taken it.
@@ -55,8 +61,10 @@
 
 impl Holder {
     /// All holders.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 8] = [
         Self::Connection,
+        Self::Head,
+        Self::Stream,
         Self::RequestBody,
         Self::Answer,
         Self::Event,
@@ -68,6 +76,8 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Connection => "connection",
+            Self::Head => "head",
+            Self::Stream => "stream",
             Self::RequestBody => "request_body",
             Self::Answer => "answer",
             Self::Event => "event",
@@ -247,9 +257,14 @@
         Ok(reservation)
     }
 
+    /// Returns the size of the largest reservation that the budget could ever hold, in bytes.
+    pub fn largest(&self) -> usize {
+        self.0.limit - self.0.limit / SMALL_SHARE
+    }
+
     /// Returns whether `bytes` could ever be reserved by one holder.
     pub fn can_hold(&self, bytes: usize) -> bool {
-        bytes <= self.0.limit_for(bytes)
+        bytes <= self.largest()
     }
 
     /// Returns for how long room has been short at `now`, if it is.
@@ -257,17 +272,16 @@
         self.state().short_since.map(|since| now.saturating_duration_since(since))
     }
 
-    /// Records the resident memory of the process. While it is near the limit of the process, only
-    /// small reservations can grow: something takes memory that no reservation counts.
+    /// Returns whether resident memory of `bytes` is near the limit of the process.
+    pub fn is_resident_high(&self, bytes: usize) -> bool {
+        bytes >= self.0.process_limit / 100 * SHORTAGE_PERCENT
+    }
+
+    /// Records the resident memory of the process. While it is near the limit of the process, large
+    /// bodies and events find no room: something takes memory that no reservation counts.
     pub fn record_resident(&self, bytes: usize) {
-        let threshold = self.0.process_limit / 100 * SHORTAGE_PERCENT;
         let mut state = self.state();
-        state.is_resident_high = bytes >= threshold;
-        if state.is_resident_high {
-            state.short_since.get_or_insert_with(clock::now);
-        } else if state.waiting.is_empty() {
-            state.short_since = None;
-        }
+        state.is_resident_high = self.is_resident_high(bytes);
         let woken = std::mem::take(&mut state.waiting);
         drop(state);
         woken.into_iter().for_each(Waker::wake);
@@ -309,11 +323,14 @@
 }
 
 impl Shared {
-    /// Returns up to which total a reservation of `bytes` may grow.
-    fn limit_for(&self, bytes: usize) -> usize {
-        match bytes <= SMALL_RESERVATION {
-            true => self.limit,
-            false => self.limit - self.limit / SMALL_SHARE,
+    /// Returns up to which total the budget may be used for a reservation to grow to `bytes`.
+    fn limit_for(&self, holder: Holder, bytes: usize) -> usize {
+        match holder {
+            Holder::Connection | Holder::Head | Holder::Stream => {
+                self.limit - self.limit / TRAFFIC_SHARE
+            }
+            _ if bytes <= SMALL_RESERVATION => self.limit,
+            _ => self.limit - self.limit / SMALL_SHARE,
         }
     }
 }
@@ -335,10 +352,16 @@
         }
         let grown = bytes - entry.bytes;
         let is_small = bytes <= SMALL_RESERVATION;
-        let has_room = self.used.saturating_add(grown) <= shared.limit_for(bytes);
-        if !has_room || (self.is_resident_high && !is_small) {
+        let is_new_work = matches!(entry.holder, Holder::RequestBody | Holder::Event);
+        let is_kept_out = self.is_resident_high && is_new_work && !is_small;
+        let has_room = self.used.saturating_add(grown) <= shared.limit_for(entry.holder, bytes);
+        if !has_room || is_kept_out {
             return Err(MemoryError::Exhausted(grown));
         }
+        if !is_small {
+            // Room comes, so nobody has to be broken off.
+            self.short_since = None;
+        }
         entry.bytes = bytes;
         usage.bytes += grown;
         usage.peak_bytes = usage.peak_bytes.max(usage.bytes);
@@ -453,6 +476,25 @@
         }
     }
 
+    /// Moves up to `bytes` to another reservation of the same budget, which needs no room. Returns
+    /// the number of bytes moved.
+    pub fn move_to(&self, other: &Self, bytes: usize) -> usize {
+        let mut state = self.budget.state();
+        let Some(from) = state.entries.get_mut(&self.id) else { return 0 };
+        let moved = bytes.min(from.bytes);
+        from.bytes -= moved;
+        let holder = from.holder;
+        state.usage.entry(holder).or_default().bytes -= moved;
+        if let Some(to) = state.entries.get_mut(&other.id) {
+            to.bytes += moved;
+            let holder = to.holder;
+            let usage = state.usage.entry(holder).or_default();
+            usage.bytes += moved;
+            usage.peak_bytes = usage.peak_bytes.max(usage.bytes);
+        }
+        moved
+    }
+
     /// Grows by `bytes` once there is room.
     ///
     /// # Errors
@@ -474,9 +516,10 @@
         .await
     }
 
-    /// Waits until the reservation is taken back. Marks it as one whose holder reacts to that: it
-    /// has to drop the reservation soon after.
+    /// Waits until the reservation is taken back, which it can be only during the wait. Its holder
+    /// has to drop it soon after.
     pub async fn revoked(&self) {
+        let _guard = RevocableGuard(self);
         poll_fn(|cx| {
             let mut state = self.budget.state();
             match state.entries.get_mut(&self.id) {
@@ -502,7 +545,7 @@
     fn wake_waiting(&self) {
         let mut state = self.state();
         let woken = std::mem::take(&mut state.waiting);
-        if woken.is_empty() && !state.is_resident_high {
+        if state.used <= self.0.limit / 2 {
             state.short_since = None;
         }
         drop(state);
@@ -524,6 +567,18 @@
     }
 }
 
+/// Ends the time during which a reservation can be taken back.
+struct RevocableGuard<'a>(&'a Reservation);
+
+impl Drop for RevocableGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(entry) = self.0.budget.state().entries.get_mut(&self.0.id) {
+            entry.is_revocable = false;
+            entry.waker = None;
+        }
+    }
+}
+
 /// Bytes with their reservation.
 struct HeldBytes<T> {
     bytes: T,
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -137,7 +137,7 @@
     }
 
     /// Creates a MessagePack response to another box and counts it in the backlog until it is sent.
-    /// Responds with 503 if the memory budget has no room for it.
+    /// Responds with 503 if the memory budget has no room for a large one.
     pub fn respond<A: Serialize>(&self, answer: &A) -> Response<Body> {
         let bytes = match rmp_serde::to_vec_named(answer) {
             Ok(bytes) => bytes,
@@ -145,7 +145,7 @@
                 return text_response(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string());
             }
         };
-        match self.backlog.count("answer", bytes) {
+        match self.backlog.count_answer(bytes) {
             Ok(bytes) => message_response(bytes),
             Err(err) => {
                 log::info!("no answer to another box: {err}");
--- a/crates/net/tests/memory.rs
+++ b/crates/net/tests/memory.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::task::noop_waker;
 use hatchpitch_net::memory::{SMALL_RESERVATION, Usage};
-use hatchpitch_net::{Body, BodyError, Holder, MemoryBudget, MemoryError, Origin};
+use hatchpitch_net::{Backlog, Body, BodyError, Holder, MemoryBudget, MemoryError, Origin};
 use http_body_util::BodyExt;
 
 const MB: usize = 1_000_000;
@@ -106,11 +106,13 @@
     let largest = budget.reserve(Holder::RequestBody, origin("/served"), 9 * MB).unwrap();
     let reading = budget.reserve(Holder::RequestBody, origin("/reading"), 8 * MB).unwrap();
     let small = budget.reserve(Holder::Connection, origin("/small"), 1_000).unwrap();
-    assert_eq!(poll_once(reading.revoked()), Poll::Pending);
-    assert_eq!(poll_once(small.revoked()), Poll::Pending);
+    let mut cx = Context::from_waker(std::task::Waker::noop());
+    let (mut reads, mut idles) = (pin!(reading.revoked()), pin!(small.revoked()));
+    assert_eq!(reads.as_mut().poll(&mut cx), Poll::Pending);
+    assert_eq!(idles.as_mut().poll(&mut cx), Poll::Pending);
     let revoked = budget.revoke_largest().unwrap();
     assert_eq!((revoked.origin.path.as_str(), revoked.bytes), ("/reading", 8 * MB));
-    assert_eq!(poll_once(reading.revoked()), Poll::Ready(()));
+    assert_eq!(reads.as_mut().poll(&mut cx), Poll::Ready(()));
     assert_eq!(reading.try_grow(1), Err(MemoryError::Revoked));
     assert!(!largest.is_revoked());
     assert_eq!(budget.revoke_largest(), None, "small holders are left alone");
@@ -120,9 +122,11 @@
 #[test]
 fn large_reservations_wait_while_resident_memory_is_near_the_limit() {
     let budget = budget();
-    let held = budget.open(Holder::Answer, origin("/a"));
+    let held = budget.open(Holder::RequestBody, origin("/a"));
+    let running = budget.open(Holder::Answer, origin("/b"));
     budget.record_resident(PROCESS_LIMIT - 5 * MB);
     assert_eq!(held.try_grow(MB), Err(MemoryError::Exhausted(MB)));
+    assert_eq!(running.try_grow(MB), Ok(()), "answers in progress go on");
     assert_eq!(held.try_grow(SMALL_RESERVATION), Ok(()));
     budget.record_resident(PROCESS_LIMIT / 2);
     assert_eq!(held.try_grow(MB), Ok(()));
@@ -180,3 +184,66 @@
     assert_eq!(sent, Err(BodyError::Closed));
     drop(full);
 }
+
+/// Connections and streams that use the whole budget leave nothing for votes and for the bytes of
+/// running answers.
+#[test]
+fn idle_connections_and_streams_leave_room_for_messages() {
+    let budget = MemoryBudget::new(88 * MB);
+    let mut held = Vec::new();
+    for _ in 0..1_400 {
+        held.push(budget.reserve(Holder::Connection, origin("/idle"), 13 * 1_024).unwrap());
+    }
+    for _ in 0..400 {
+        held.push(budget.reserve(Holder::Stream, origin("/stream"), 12 * 1_024).unwrap());
+    }
+    while let Ok(idle) = budget.reserve(Holder::Connection, origin("/idle"), 13 * 1_024) {
+        held.push(idle);
+    }
+    for _ in 0..50 {
+        held.push(budget.reserve(Holder::BoxMessage, origin("/vote"), 2_000).unwrap());
+        held.push(budget.reserve(Holder::Answer, origin("/stream"), 20_000).unwrap());
+    }
+}
+
+/// A body that was read is not being read any more, so breaking its reading off frees nothing.
+#[compio::test]
+async fn a_holder_that_no_longer_reacts_is_not_taken_for_the_largest() {
+    let budget = budget();
+    let read = budget.reserve(Holder::RequestBody, origin("/read"), 9 * MB).unwrap();
+    let reading = budget.reserve(Holder::RequestBody, origin("/reading"), 8 * MB).unwrap();
+    assert_eq!(poll_once(read.revoked()), Poll::Pending);
+    let mut revoked = pin!(reading.revoked());
+    let mut cx = Context::from_waker(std::task::Waker::noop());
+    assert_eq!(revoked.as_mut().poll(&mut cx), Poll::Pending);
+    assert_eq!(budget.revoke_largest().unwrap().origin.path, "/reading");
+}
+
+/// Bytes that move from one holder to another are counted all the time.
+#[test]
+fn bytes_that_change_their_holder_stay_counted() {
+    let budget = budget();
+    let event = budget.reserve(Holder::Event, origin("/a"), 200_000).unwrap();
+    let queue = budget.open(Holder::Answer, origin("/a"));
+    assert_eq!(event.move_to(&queue, 150_000), 150_000);
+    assert_eq!((event.bytes(), queue.bytes(), budget.used()), (50_000, 150_000, 200_000));
+    assert_eq!(event.move_to(&queue, 100_000), 50_000);
+    drop((event, queue));
+    assert_eq!(budget.used(), 0);
+}
+
+/// Without an answer, another box takes a request that has run for one that has not.
+#[test]
+fn a_small_answer_to_another_box_is_sent_without_room() {
+    let budget = MemoryBudget::new(88 * MB);
+    let backlog = Backlog::new(budget.clone());
+    let full = budget.open(Holder::BoxMessage, origin("/full"));
+    while full.try_grow(1_000).is_ok() {}
+    let mut small = Vec::new();
+    while let Ok(message) = budget.reserve(Holder::BoxMessage, origin("/small"), 1_000) {
+        small.push(message);
+    }
+    assert_eq!(backlog.count_answer(vec![1; 3_000]).unwrap().len(), 3_000);
+    assert!(backlog.count_answer(vec![1; 300_000]).is_err());
+    assert!(backlog.count("/message", vec![1; 3_000]).is_err());
+}
