--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -81,7 +81,7 @@
             LOG_PATH => {
                 let batch = self.message.decode::<LogBatch>()?;
                 let bytes = batch.envelopes.iter().map(|e| e.message.payload_len()).sum();
-                let held = self.cx.open_memory(Holder::Transfer, LOG_PATH);
+                let held = self.cx.boxes.open_memory(Holder::Transfer, LOG_PATH);
                 held.resize(bytes).map_err(|err| {
                     Box::new(text_response(StatusCode::SERVICE_UNAVAILABLE, err.to_string()))
                 })?;
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -8,9 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::lock::Mutex;
-use hatchpitch_net::{
-    BodyError, BoxClient, Holder, MemoryError, Origin, Reservation, clock, read_body,
-};
+use hatchpitch_net::{BodyError, BoxClient, Holder, MemoryError, Reservation, clock, read_body};
 use hyper::body::{Body as _, Incoming};
 
 use super::machine::{Command, Machine, Order, Reply};
@@ -175,11 +173,6 @@
         })
     }
 
-    /// Opens an empty reservation for bytes on the given path or route.
-    pub fn open_memory(&self, holder: Holder, path: &str) -> Reservation {
-        self.boxes.memory().open(holder, Origin { path: path.to_owned(), ..Origin::default() })
-    }
-
     /// Reads a configuration of at most `max` bytes from the body of a request within `limit`.
     ///
     /// # Errors
@@ -206,7 +199,7 @@
         }
         self.config_bytes.set(total);
         let counted = ConfigBytes { total: self.config_bytes.clone(), len };
-        let held = self.open_memory(Holder::RequestBody, path);
+        let held = self.boxes.open_memory(Holder::RequestBody, path);
         let text = read_body(body, max, limit, held).await?;
         Ok(ConfigText { text, _counted: counted })
     }
@@ -218,7 +211,7 @@
     ///
     /// Returns a [`BodyError`] if no room came.
     pub async fn reserve_decoding(&self, text: &ConfigText) -> Result<Reservation, BodyError> {
-        let held = self.open_memory(Holder::Transfer, "configuration");
+        let held = self.boxes.open_memory(Holder::Transfer, "configuration");
         let bytes = text.text.len().saturating_mul(DECODING_FACTOR);
         held.grow(bytes, DECODING_PATIENCE).await?;
         Ok(held)
@@ -230,7 +223,7 @@
     ///
     /// Returns a [`BodyError`] if no room came.
     pub async fn reserve_answer(&self, path: &str, len: usize) -> Result<Reservation, BodyError> {
-        let held = self.open_memory(Holder::Answer, path);
+        let held = self.boxes.open_memory(Holder::Answer, path);
         held.grow(len, DECODING_PATIENCE).await?;
         Ok(held)
     }
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -149,7 +149,7 @@
 /// Reads the body of a request of a kind within the limits of the settings.
 async fn read_request_body(cx: &EntryCx, kind: &str, incoming: Incoming) -> Result<Bytes, Problem> {
     let max = cx.settings.limits.max_body;
-    let held = cx.open_memory(Holder::RequestBody, kind);
+    let held = cx.boxes.open_memory(Holder::RequestBody, kind);
     let body = read_body(incoming, max, cx.settings.timing.body_timeout, held);
     let body = cx.drain.wait(kind, body).await.map_err(Stopping::problem)?;
     body.map_err(body_problem)
--- a/crates/hatchpitch/src/entry/completions.rs
+++ b/crates/hatchpitch/src/entry/completions.rs
@@ -292,7 +292,7 @@
         chat,
     };
     let token = token.seal(&cx.settings.box_keys);
-    let held = cx.open_memory(Holder::Answer, &generation.job().pool);
+    let held = cx.boxes.open_memory(Holder::Answer, &generation.job().pool);
     let (tx, body) = Body::stream(MAX_BUFFERED_EVENTS, held);
     let active = cx.begin_request();
     compio::runtime::spawn(async move {
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hatchpitch_net::{BoxClient, Holder, Origin, Reservation, Upstream, clock};
+use hatchpitch_net::{BoxClient, Upstream, clock};
 use http::StatusCode;
 
 use crate::admission::{AdmissionConfig, Gate, Placement, ReturnSchedule};
@@ -501,11 +501,6 @@
         Upstream { addr, connect_timeout, source: self.settings.upstream_source_ip }
     }
 
-    /// Opens an empty reservation for bytes on the given path or route.
-    pub fn open_memory(&self, holder: Holder, path: &str) -> Reservation {
-        self.boxes.memory().open(holder, Origin { path: path.to_owned(), ..Origin::default() })
-    }
-
     /// Returns how many requests are in progress.
     pub fn active(&self) -> usize {
         self.active.get()
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -111,7 +111,7 @@
         "/ops/drain" => {
             require_method(Method::POST, &req)?;
             let timeout = cx.settings.timing.body_timeout;
-            let held = cx.open_memory(Holder::RequestBody, &path);
+            let held = cx.boxes.open_memory(Holder::RequestBody, &path);
             read_body(req.into_body(), 1_024, timeout, held).await.map_err(body_problem)?;
             log::info!("drain ordered by operator {operator}");
             daemon::begin_drain(cx);
--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -236,7 +236,7 @@
             }
             let req = encode(budget.left(clock::now()));
             // The action is a copy of the request, which is kept until the other box has answered.
-            let held = cx.open_memory(Holder::BoxMessage, task::FORWARD_PATH);
+            let held = cx.boxes.open_memory(Holder::BoxMessage, task::FORWARD_PATH);
             if let Err(err) = held.resize(body_len(&req)) {
                 log::info!(upstream = detour.name.as_str(); "request not forwarded: {err}");
                 break;
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -172,7 +172,7 @@
         log::debug!("request not forwarded: {peer} answered with {}", res.status());
         return PeerAnswer::NoHelp;
     }
-    let held = cx.open_memory(Holder::BoxMessage, FORWARD_PATH);
+    let held = cx.boxes.open_memory(Holder::BoxMessage, FORWARD_PATH);
     match read_failure(res.into_body(), held).await {
         Ok(ForwardFailure { link_lost: true, cause, .. }) => {
             PeerAnswer::LinkLost(format!("through {peer}: {cause}"))
@@ -224,7 +224,7 @@
         Err(refusal) => return *refusal,
     };
     // The decoded request is a copy, which is kept until the upstream has it.
-    let held = cx.open_memory(Holder::BoxMessage, FORWARD_PATH);
+    let held = cx.boxes.open_memory(Holder::BoxMessage, FORWARD_PATH);
     if let Err(err) = held.resize(message.size()) {
         log::info!("request of another box refused: {err}");
         return text_response(StatusCode::SERVICE_UNAVAILABLE, err.to_string());
--- a/crates/hatchpitch/src/relay/response.rs
+++ b/crates/hatchpitch/src/relay/response.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hatchpitch_net::{
-    Body, BodyError, BodySender, Framing, Origin, Reservation, clock, read_stream,
+    Body, BodyError, BodySender, Framing, Holder, Origin, Reservation, clock, read_stream,
 };
 use http::response::Parts;
 use http::{Response, Version, header};
@@ -36,9 +36,15 @@
     parts.version = Version::HTTP_11;
 }
 
-/// Returns the origin of what an upstream answers to a request.
-pub(super) fn origin(req: &HostedRequest, upstream: SocketAddr) -> Origin {
-    Origin { peer: Some(upstream), request: req.id.clone(), path: req.route.name.clone() }
+/// Opens an empty reservation for bytes that an upstream answers to a request.
+pub(super) fn open_memory(
+    relay: &Relay,
+    req: &HostedRequest,
+    upstream: SocketAddr,
+    holder: Holder,
+) -> Reservation {
+    let (request, path) = (req.id.clone(), req.route.name.clone());
+    relay.cx.boxes.memory().open(holder, Origin { peer: Some(upstream), request, path })
 }
 
 /// The part of a response that was received before it is streamed.
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -5,9 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use hatchpitch_net::{
-    Body, Framing, Holder, Origin, Reservation, SendError, SendStep, clock, read_stream,
-};
+use hatchpitch_net::{Body, Framing, Holder, Reservation, SendError, SendStep, clock, read_stream};
 use http::response::Parts;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
@@ -77,13 +75,8 @@
         Err(refusal) => Err(run.refused(refusal)),
         Ok(within) => {
             run.within = within;
-            match run.reserve_stream() {
-                Err(problem) => Err(problem),
-                Ok(()) => {
-                    let result = compio::time::timeout(left, run.try_upstreams()).await;
-                    result.unwrap_or_else(|_| Err(run.timed_out()))
-                }
-            }
+            let result = compio::time::timeout(left, run.try_upstreams()).await;
+            result.unwrap_or_else(|_| Err(run.timed_out()))
         }
     };
     run.log(&result);
@@ -109,7 +102,7 @@
     sent_to: RefCell<RunnerName>,
     /// Framing of the last response of an upstream; `None` before the first one.
     framing: Cell<Option<Framing>>,
-    /// Memory of the connections of a stream, until it is passed on to the stream.
+    /// Memory of a stream, until the stream is there.
     stream_held: RefCell<Option<Reservation>>,
 }
 
@@ -133,25 +126,11 @@
         }
     }
 
-    /// Reserves the memory of a stream before its request runs, as it could not be refused later.
-    fn reserve_stream(&self) -> Result<(), Problem> {
-        if self.req.route.runs != RunPolicy::Stream {
-            return Ok(());
-        }
-        let origin =
-            Origin { request: self.req.id.clone(), path: self.req.route.name.clone(), peer: None };
-        let memory = self.relay.cx.boxes.memory();
-        match memory.reserve(Holder::Stream, origin, stream::STREAM_BYTES) {
-            Ok(held) => {
-                *self.stream_held.borrow_mut() = Some(held);
-                Ok(())
-            }
-            Err(err) => Err(self.refused(Refusal::new(&err.to_string(), NO_ROOM_RETRY))),
-        }
-    }
-
     async fn try_upstreams(&self) -> Result<Response<Body>, Problem> {
         let mut last: Option<Response<Body>> = None;
+        let reserved = stream::reserve(&self.relay, &self.req).map_err(|err| err.to_string());
+        let held = reserved.map_err(|err| self.refused(Refusal::new(&err, NO_ROOM_RETRY)))?;
+        self.stream_held.replace(held);
         loop {
             if let Err(problem) = self.check_quarantine() {
                 return last.ok_or(problem);
@@ -499,8 +478,7 @@
         mut body: Incoming,
     ) -> Result<Response<Body>, Failure> {
         let (mut buf, started) = (BytesMut::new(), clock::now());
-        let origin = response::origin(&self.req, slot.addr);
-        let held = self.relay.cx.boxes.memory().open(Holder::Answer, origin);
+        let held = response::open_memory(&self.relay, &self.req, slot.addr, Holder::Answer);
         loop {
             let has_room = match read_stream(&mut body).await {
                 Ok(Some(chunk)) => {
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hatchpitch_net::{Body, BodySender, Framing, Holder, Reservation, clock, read_stream};
+use hatchpitch_net::{
+    Body, BodySender, Framing, Holder, MemoryError, Origin, Reservation, clock, read_stream,
+};
 use http::Response;
 use hyper::body::Incoming;
 
@@ -14,7 +16,7 @@
 use super::events::EventSplitter;
 use super::request::HostedRequest;
 use super::response::{self, adapt_head};
-use crate::config::hosted::EngineSpec;
+use crate::config::hosted::{EngineSpec, RunPolicy};
 use crate::entry::context::ActiveGuard;
 use crate::grants::Slot;
 use crate::ids::{RunnerName, ServiceName};
@@ -28,7 +30,7 @@
 /// Chunks buffered between upstream and caller.
 pub(super) const BUFFERED_CHUNKS: usize = 32;
 /// Memory of the buffers of a stream, in bytes.
-pub(super) const STREAM_BYTES: usize = 12 * 1024;
+const STREAM_BYTES: usize = 12 * 1024;
 /// Size up to which the incomplete event of a stream is part of the memory of its connection, in
 /// bytes.
 const USUAL_EVENT_BYTES: usize = 4 * 1024;
@@ -51,6 +53,19 @@
     OutOfTime,
 }
 
+/// Reserves the memory of the buffers of a stream before its request runs, since the request could not
+/// be refused later. Returns `None` for a request that asks for no stream.
+pub(super) fn reserve(
+    relay: &Relay,
+    req: &HostedRequest,
+) -> Result<Option<Reservation>, MemoryError> {
+    if req.route.runs != RunPolicy::Stream {
+        return Ok(None);
+    }
+    let origin = Origin { peer: None, request: req.id.clone(), path: req.route.name.clone() };
+    relay.cx.boxes.memory().reserve(Holder::Stream, origin, STREAM_BYTES).map(Some)
+}
+
 /// Forwards a stream of events. Only complete events are sent to the caller.
 pub(super) fn forward(
     relay: &Rc<Relay>,
@@ -64,9 +79,8 @@
     let (mut parts, body) = res.into_parts();
     let framing = Framing::of_response(&req.method, &parts);
     adapt_head(&mut parts);
-    let origin = response::origin(&req, slot.addr);
-    let memory = relay.cx.boxes.memory().clone();
-    let (tx, out) = Body::stream(BUFFERED_CHUNKS, memory.open(Holder::Answer, origin));
+    let queued = response::open_memory(relay, &req, slot.addr, Holder::Answer);
+    let (tx, out) = Body::stream(BUFFERED_CHUNKS, queued);
     let mut stream = EventStream::new(relay.clone(), req, causes, service.to_owned(), slot, held);
     stream.start(framing);
     let out = out.framed(stream.caller_framing);
@@ -138,8 +152,7 @@
         let active = relay.cx.begin_request();
         let (now, runner) = (clock::now(), slot.runner.clone());
         let splitter = EventSplitter::new(relay.cx.settings.limits.max_event);
-        let origin = response::origin(&req, slot.addr);
-        let event_held = relay.cx.boxes.memory().open(Holder::Event, origin);
+        let event_held = response::open_memory(&relay, &req, slot.addr, Holder::Event);
         Self {
             relay,
             req,
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -16,8 +16,8 @@
 
 use crate::receive::UnverifiedPool;
 use crate::{
-    Backlog, Body, Holder, KeyRing, MemoryBudget, MemoryError, Origin, SendError, SendStep,
-    Upstream,
+    Backlog, Body, Holder, KeyRing, MemoryBudget, MemoryError, Origin, Reservation, SendError,
+    SendStep, Upstream,
 };
 
 /// Header that carries the signature of a message between boxes.
@@ -121,6 +121,11 @@
         self.backlog.memory()
     }
 
+    /// Opens an empty reservation for bytes on a path or route.
+    pub fn open_memory(&self, holder: Holder, path: &str) -> Reservation {
+        self.memory().open(holder, Origin { path: path.to_owned(), ..Origin::default() })
+    }
+
     /// Returns the keys that this client signs with.
     pub fn keys(&self) -> &KeyRing {
         &self.keys
