Let new connections find room beside unread answers and unfinished heads

Connections, heads and streams have a limit of their own, fifteen sixteenths, whatever others use. A new connection gives up one unfinished head after the other for a second until it has room.

--- a/crates/net/src/connection_memory.rs
+++ b/crates/net/src/connection_memory.rs
@@ -20,9 +20,11 @@
 /// those of other holders, for which the budget leaves as much again.
 const BUDGET_RATIO: usize = 2;
 /// Memory of a head that the buffers of its connection hold, in bytes.
-const FREE_HEAD_BYTES: usize = 8 * 1024;
+const FREE_HEAD_BYTES: usize = 12 * 1024;
 /// Longest wait of a new connection for room. Its peer's request waits in the system meanwhile.
-const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
+const ROOM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Attempts to get room within that time, each after another head was given up.
+const MAX_ATTEMPTS: u32 = 20;
 
 /// Memory of one connection.
 #[derive(Debug)]
@@ -50,14 +52,19 @@
     ) -> Result<Self, MemoryError> {
         let idle_bytes = (STATE_BYTES + 2 * io_bytes) / BUDGET_RATIO;
         let held = budget.open(Holder::Connection, Origin::peer(peer));
-        if held.try_grow(idle_bytes).is_err() {
+        let mut attempts = 1;
+        while let Err(err) = held.grow(idle_bytes, ROOM_TIMEOUT / MAX_ATTEMPTS).await {
+            if attempts == MAX_ATTEMPTS {
+                return Err(err);
+            }
+            attempts += 1;
+            // Others may take the room that one of them makes.
             if let Some(revoked) = budget.revoke_largest_of(Holder::Head, 0) {
                 log::info!(
                     peer:% = revoked.origin.peer.unwrap_or(peer), bytes = revoked.bytes;
                     "a connection with an unfinished head is closed, as memory is short"
                 );
             }
-            held.grow(idle_bytes, ROOM_TIMEOUT).await?;
         }
         let head = budget.open(Holder::Head, Origin::peer(peer));
         Ok(Self { _held: held, head, head_bytes: Cell::new(0) })
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -27,7 +27,7 @@
 /// Part of the budget that is kept for small reservations.
 const SMALL_SHARE: usize = 4;
 /// Part of the budget that connections and streams leave to what passes on them.
-const TRAFFIC_SHARE: usize = 8;
+const TRAFFIC_SHARE: usize = 16;
 /// Memory that a process uses apart from its budget, in bytes: code, tables and configuration.
 const BASE_BYTES: usize = 32 * 1024 * 1024;
 /// Ratio of the rest of the limit to the budget. Allocators, copies during encoding and buffers of
@@ -72,6 +72,11 @@
         Self::Transfer,
     ];
 
+    /// Returns whether it is a part of a connection that is open, whatever passes on it.
+    fn is_connection(self) -> bool {
+        matches!(self, Self::Connection | Self::Head | Self::Stream)
+    }
+
     /// Returns the name in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -169,6 +174,8 @@
 #[derive(Debug, Default)]
 struct State {
     used: usize,
+    /// Bytes reserved for connections and streams.
+    connection_bytes: usize,
     next_id: u64,
     entries: BTreeMap<u64, Entry>,
     usage: BTreeMap<Holder, Usage>,
@@ -324,15 +331,17 @@
 
 impl Shared {
     /// Returns up to which total the budget may be used for a reservation to grow to `bytes`.
-    fn limit_for(&self, holder: Holder, bytes: usize) -> usize {
-        match holder {
-            Holder::Connection | Holder::Head | Holder::Stream => {
-                self.limit - self.limit / TRAFFIC_SHARE
-            }
-            _ if bytes <= SMALL_RESERVATION => self.limit,
-            _ => self.limit - self.limit / SMALL_SHARE,
+    fn limit_for(&self, bytes: usize) -> usize {
+        match bytes <= SMALL_RESERVATION {
+            true => self.limit,
+            false => self.limit - self.limit / SMALL_SHARE,
         }
     }
+
+    /// Returns the most that connections and streams may use together.
+    fn connection_limit(&self) -> usize {
+        self.limit - self.limit / TRAFFIC_SHARE
+    }
 }
 
 impl State {
@@ -345,6 +354,9 @@
             entry.bytes = bytes;
             usage.bytes -= freed;
             self.used -= freed;
+            if entry.holder.is_connection() {
+                self.connection_bytes -= freed;
+            }
             return Ok(());
         }
         if entry.is_revoked {
@@ -354,7 +366,10 @@
         let is_small = bytes <= SMALL_RESERVATION;
         let is_new_work = matches!(entry.holder, Holder::RequestBody | Holder::Event);
         let is_kept_out = self.is_resident_high && is_new_work && !is_small;
-        let has_room = self.used.saturating_add(grown) <= shared.limit_for(entry.holder, bytes);
+        let is_connection = entry.holder.is_connection();
+        let of_connections = self.connection_bytes.saturating_add(grown);
+        let has_room = self.used.saturating_add(grown) <= shared.limit_for(bytes)
+            && (!is_connection || of_connections <= shared.connection_limit());
         if !has_room || is_kept_out {
             return Err(MemoryError::Exhausted(grown));
         }
@@ -363,6 +378,9 @@
             self.short_since = None;
         }
         entry.bytes = bytes;
+        if is_connection {
+            self.connection_bytes = of_connections;
+        }
         usage.bytes += grown;
         usage.peak_bytes = usage.peak_bytes.max(usage.bytes);
         self.used += grown;
@@ -561,6 +579,9 @@
             usage.reservations -= 1;
             usage.bytes -= entry.bytes;
             state.used -= entry.bytes;
+            if entry.holder.is_connection() {
+                state.connection_bytes -= entry.bytes;
+            }
         }
         drop(state);
         self.budget.wake_waiting();
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -20,10 +20,10 @@
 
 /// Default size of one read or write, in bytes. Larger sizes made no measurable difference.
 pub(crate) const DEFAULT_IO_BYTES: usize = 8 * 1024;
-/// Most bytes buffered for the socket, per connection. A window of this size carries 100 Mbit/s at
+/// Most bytes buffered for the socket, per connection. A window of this size carries 50 Mbit/s at
 /// a round-trip time of 5 ms. With the default limit of compio's adapter, 64 MiB, 120 peers that
 /// did not read used 249 MB.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
 /// Bytes that are read from a connection at a stretch before other tasks run.
 const MAX_BURST_BYTES: usize = 16 * 1024;
