--- a/crates/net/src/backlog.rs
+++ b/crates/net/src/backlog.rs
@@ -9,8 +9,7 @@
 
 use bytes::Bytes;
 
-use crate::memory::SMALL_RESERVATION;
-use crate::memory::{Holder, MemoryBudget, MemoryError, Origin, Reservation};
+use crate::memory::{Holder, MemoryBudget, MemoryError, Origin, Reservation, SMALL_RESERVATION};
 
 /// Queued bytes above which no further large message should be queued. A link of 100 Mbit/s sends
 /// this many in 84 ms, so heartbeats queued behind them still arrive in time. It also bounds the
