Check less often whether a port that is in use is free

A control process whose port for other boxes was in use looked 500 times a second whether its listener was open. The pause doubles up to 0.1 s now; the first checks, which usually suffice, are as before. By reading; the tests of ports in use cover the path.

--- a/crates/hatchpitch/src/control/replica.rs
+++ b/crates/hatchpitch/src/control/replica.rs
@@ -22,16 +22,18 @@
 const DAMAGE_LOG_INTERVAL: Duration = Duration::from_secs(60);
 /// Interval at which a box that waits for a condition without a notification checks it.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which the start checks whether its listener is open, which usually takes one turn of
-/// the runtime.
+/// First pause before the start checks whether its listener is open, which usually takes one turn of
+/// the runtime. It doubles while the port is in use.
 const OPEN_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Starts the replica of the log in a folder. Returns once it runs, which is never if the log is
 /// damaged.
 pub async fn start(cx: &Rc<ControlCx>, folder: &Path, stop: &Stop) {
     // Only the process that listens at the address of this box may use its disk and its identity.
+    let mut pause = OPEN_CHECK_INTERVAL;
     while cx.unopened.contains(cx.settings.own.boxes_addr) {
-        compio::time::sleep(OPEN_CHECK_INTERVAL).await;
+        compio::time::sleep(pause).await;
+        pause = (pause * 2).min(CHECK_INTERVAL);
     }
     let mut retry = Retry::new(format!("log in {}", folder.display()));
     let mut drawn = None;
