Log the memory limit of the settings at the start

The start line looked for a limit in the control groups, read three files for it, and said "unknown" where the settings name the limit that the budget is made from. It says that one now.

--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -65,7 +65,8 @@
 ) -> anyhow::Result<()> {
     let memory = MemoryBudget::new(settings.memory);
     let limits = ServerLimits { memory: memory.clone(), ..ServerLimits::default() };
-    lifecycle::log_start("control", limits.connections, settings.data_folder.as_deref());
+    let folder = settings.data_folder.as_deref();
+    lifecycle::log_start("control", settings.memory, limits.connections, folder);
     let client = BoxClient::new(settings.box_keys.clone())?
         .with_memory(memory)
         .with_answer_limits(max_answer);
--- a/crates/hatchpitch/src/entry/daemon.rs
+++ b/crates/hatchpitch/src/entry/daemon.rs
@@ -67,7 +67,8 @@
     extra: impl FnOnce(&Rc<EntryCx>) -> Vec<ExtraListener>,
     reloaded: impl Fn(&Rc<EntryCx>) + 'static,
 ) -> anyhow::Result<()> {
-    lifecycle::log_start("entry", settings.limits.max_connections, None);
+    let limits = &settings.limits;
+    lifecycle::log_start("entry", limits.memory, limits.max_connections, None);
     let listen_ip = settings.listen_ip;
     let memory = MemoryBudget::new(settings.limits.memory);
     let client = BoxClient::new(settings.box_keys.clone())?
--- a/crates/hatchpitch/src/lifecycle.rs
+++ b/crates/hatchpitch/src/lifecycle.rs
@@ -108,9 +108,9 @@
 
 /// Logs the start of a process with its limits and, if a record in `data_folder` says so, how the
 /// last run ended. Records ends of this run there from now on.
-pub fn log_start(role: &str, connections: usize, data_folder: Option<&Path>) {
+pub fn log_start(role: &str, memory: usize, connections: usize, data_folder: Option<&Path>) {
     let last_end = data_folder.map_or_else(|| UNKNOWN.to_owned(), begin_record);
-    let memory = memory_limit().map_or_else(|| UNKNOWN.to_owned(), |bytes| bytes.to_string());
+    let memory = memory.to_string();
     let descriptors = descriptor_limit().unwrap_or_else(|| UNKNOWN.to_owned());
     log::info!(
         version = env!("CARGO_PKG_VERSION"), role = role, memory_limit_bytes = memory.as_str(),
@@ -238,23 +238,6 @@
     id.map_or_else(|_| UNKNOWN.to_owned(), |id| id.trim().to_owned())
 }
 
-/// Returns the lowest memory limit of this process and of its control groups, in bytes.
-fn memory_limit() -> Option<u64> {
-    let own = limit_of("Max address space").and_then(|limit| limit.parse().ok());
-    let groups = fs::read_to_string("/proc/self/cgroup").unwrap_or_default();
-    let group = groups.lines().find_map(|line| line.strip_prefix("0::")).unwrap_or("/").to_owned();
-    let group = PathBuf::from("/sys/fs/cgroup").join(group.trim_start_matches('/'));
-    let of_group = |group: &Path| -> Option<u64> {
-        fs::read_to_string(group.join("memory.max")).ok()?.trim().parse().ok()
-    };
-    group
-        .ancestors()
-        .take_while(|group| group.starts_with("/sys/fs/cgroup"))
-        .filter_map(of_group)
-        .chain(own)
-        .min()
-}
-
 fn descriptor_limit() -> Option<String> {
     limit_of("Max open files")
 }
