Keep one copy of buffers that a reservation counts

Answers of other boxes, unpacked configurations and bodies each computed the growth of their buffer, and seven places put an origin together from a path. Reservation::extend, capacity_for and Origin::path serve them. No change of behaviour but that an unpacked configuration no longer reserves more than it may have.

--- a/crates/hatchpitch/src/config/feed.rs
+++ b/crates/hatchpitch/src/config/feed.rs
@@ -145,7 +145,7 @@
     }
 
     fn open_memory(&self) -> Reservation {
-        let origin = Origin { path: FEED_PATH.to_owned(), ..Origin::default() };
+        let origin = Origin::path(FEED_PATH);
         self.backlog.memory().open(Holder::Transfer, origin)
     }
 
--- a/crates/hatchpitch/src/config/packed.rs
+++ b/crates/hatchpitch/src/config/packed.rs
@@ -73,13 +73,8 @@
         if len > MAX_UNPACKED {
             return Err(std::io::Error::other(format!("more than {MAX_UNPACKED} bytes unpacked")));
         }
-        if len > self.bytes.capacity() {
-            let capacity = len.max(self.bytes.capacity() * 2);
-            self.held.resize(capacity).map_err(std::io::Error::other)?;
-            self.bytes.reserve_exact(capacity - self.bytes.len());
-        }
-        self.bytes.extend_from_slice(buf);
-        Ok(buf.len())
+        let extended = self.held.extend(&mut self.bytes, buf, MAX_UNPACKED);
+        extended.map(|()| buf.len()).map_err(std::io::Error::other)
     }
 
     fn flush(&mut self) -> std::io::Result<()> {
@@ -140,7 +135,7 @@
         if self.0.len() >= MAX_CACHED_PARTS {
             self.0.pop_front();
         }
-        let origin = Origin { path: FEED_PATH.to_owned(), ..Origin::default() };
+        let origin = Origin::path(FEED_PATH);
         match memory.reserve(Holder::Transfer, origin, part.delta.packed_len()) {
             Ok(held) => {
                 let key = (have, after.cloned());
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -483,7 +483,7 @@
     if bytes == 0 {
         return Ok(None);
     }
-    let origin = Origin { path: LOG_PATH.to_owned(), ..Origin::default() };
+    let origin = Origin::path(LOG_PATH);
     client.memory().reserve(Holder::Transfer, origin, bytes).map(Some)
 }
 
--- a/crates/hatchpitch/src/replication/transfer.rs
+++ b/crates/hatchpitch/src/replication/transfer.rs
@@ -131,7 +131,7 @@
     }
 
     fn reserve(&self, total: usize) -> Option<Reservation> {
-        let origin = Origin { path: PART_PATH.to_owned(), ..Origin::default() };
+        let origin = Origin::path(PART_PATH);
         let held = self.memory.reserve(Holder::Transfer, origin, total * MEMORY_FACTOR);
         held.inspect_err(|err| {
             log::warn!(bytes = total; "large message of the log refused for now: {err}");
--- a/crates/net/src/backlog.rs
+++ b/crates/net/src/backlog.rs
@@ -94,8 +94,7 @@
     ///
     /// Returns a [`MemoryError`] if the budget has no room for the message.
     pub fn count(&self, path: &str, message: Vec<u8>) -> Result<Bytes, MemoryError> {
-        let origin = Origin { path: path.to_owned(), ..Origin::default() };
-        let held = self.memory.reserve(Holder::BoxMessage, origin, message.len())?;
+        let held = self.memory.reserve(Holder::BoxMessage, Origin::path(path), message.len())?;
         Ok(self.queue(message, held))
     }
 
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -20,7 +20,7 @@
 
 use crate::Framing;
 use crate::chunks::{self, BodyReceiver, BodySender};
-use crate::memory::{MemoryError, Reservation, SMALL_RESERVATION};
+use crate::memory::{MemoryError, Reservation, SMALL_RESERVATION, capacity_for};
 
 /// Longest wait for room for a body that is being received. The wait applies backpressure to its
 /// sender; room that has not come by then is taken by bodies whose requests are being served.
@@ -217,9 +217,8 @@
         if buf.len() + chunk.len() > max {
             return Err(BodyError::TooLarge(max));
         }
-        let len = buf.len() + chunk.len();
-        if len > buf.capacity() {
-            let capacity = len.max(buf.capacity() * 2).min(max);
+        let capacity = capacity_for(&buf, chunk.len(), max);
+        if capacity > buf.capacity() {
             held.grow(capacity.saturating_sub(held.bytes()), ROOM_TIMEOUT).await?;
             buf.reserve_exact(capacity - buf.len());
         }
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -418,6 +418,21 @@
         .await
     }
 
+    /// Appends bytes to a buffer of at most `max` bytes whose capacity this reservation counts.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`MemoryError`] and leaves the buffer as it is if there is no room.
+    pub fn extend(&self, buf: &mut Vec<u8>, bytes: &[u8], max: usize) -> Result<(), MemoryError> {
+        let capacity = capacity_for(buf, bytes.len(), max);
+        if capacity > buf.capacity() {
+            self.resize(capacity)?;
+            buf.reserve_exact(capacity - buf.len());
+        }
+        buf.extend_from_slice(bytes);
+        Ok(())
+    }
+
     /// Waits until the reservation is taken back, which it can be only during the wait. Its holder
     /// has to drop it soon after.
     pub async fn revoked(&self) {
@@ -484,6 +499,13 @@
     }
 }
 
+/// Returns the capacity that a buffer of at most `max` bytes needs to take `more`: at least twice its
+/// own if it has to grow.
+pub(crate) fn capacity_for(buf: &Vec<u8>, more: usize, max: usize) -> usize {
+    let len = buf.len() + more;
+    if len <= buf.capacity() { buf.capacity() } else { len.max(buf.capacity() * 2).min(max) }
+}
+
 /// Bytes with their reservation.
 struct HeldBytes<T> {
     bytes: T,
--- a/crates/net/src/memory/holder.rs
+++ b/crates/net/src/memory/holder.rs
@@ -69,6 +69,11 @@
 }
 
 impl Origin {
+    /// Creates the origin of bytes of a request or message to a path.
+    pub fn path(path: &str) -> Self {
+        Self { path: path.to_owned(), ..Self::default() }
+    }
+
     /// Creates the origin of bytes of a peer.
     pub fn peer(peer: SocketAddr) -> Self {
         Self { peer: Some(peer), ..Self::default() }
--- a/crates/net/src/receive.rs
+++ b/crates/net/src/receive.rs
@@ -19,7 +19,7 @@
 use crate::rpc::{
     HEAD_SIGNATURE_HEADER, decode_message, text_response, unknown_sender, verify_body, verify_head,
 };
-use crate::{Body, BodyError, BoxClient, Holder, Origin, read_body};
+use crate::{Body, BodyError, BoxClient, Holder, read_body};
 
 /// Largest accepted body of a message whose head is not signed, in bytes. Earlier versions send
 /// their log in parts of 64 KiB; their largest other messages are forwarded requests and answers of
@@ -111,8 +111,7 @@
     ) -> Result<ReceivedMessage, Box<Response<Body>>> {
         let path = parts.uri.path();
         let unverified = self.admit(parts, &body, max)?;
-        let origin = Origin { path: path.to_owned(), ..Origin::default() };
-        let held = self.memory().open(Holder::BoxMessage, origin);
+        let held = self.open_memory(Holder::BoxMessage, path);
         let body = read_body(body, max, limit, held).await.map_err(|err| refusal(path, &err))?;
         verify_body(self.keys(), path, &parts.headers, &body)?;
         drop(unverified);
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -123,7 +123,7 @@
 
     /// Opens an empty reservation for bytes on a path or route.
     pub fn open_memory(&self, holder: Holder, path: &str) -> Reservation {
-        self.memory().open(holder, Origin { path: path.to_owned(), ..Origin::default() })
+        self.memory().open(holder, Origin::path(path))
     }
 
     /// Returns the keys that this client signs with.
@@ -286,12 +286,7 @@
             if len > max {
                 return Err(too_large());
             }
-            if len > buf.capacity() {
-                let capacity = len.max(buf.capacity() * 2).min(max);
-                held.resize(capacity).map_err(no_room)?;
-                buf.reserve_exact(capacity - buf.len());
-            }
-            buf.extend_from_slice(&chunk);
+            held.extend(&mut buf, &chunk, max).map_err(no_room)?;
         }
         Ok(held.attach(buf))
     }
