Tell the reset of a connection from the end of a response

Callers got the part of a response that had arrived before its upstream reset the connection as a complete one: the response had neither a length nor chunks, and the request was still being written.

Cause: the system reports a reset to the first operation that meets it. Where that is the write of the request, the read after it returns what has arrived and then an orderly end. hyper polls reads first, so it took that end for the end of the body before it saw the failed write. The other order lost whole responses: hyper discards a response that it has not passed on yet as soon as a write fails, also one whose length or last chunk shows that it is complete.

At the end of its input the stream of an upstream connection now asks the system whether the connection is closed in both directions. That is its state after a reset or a timeout, whichever operation was told of it, and not after the peer has ended its side. Errors of writes no longer reach hyper; the connection ends with its input, which has the bytes that arrived before the reset.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -5,7 +5,6 @@
 //! can have left this process. Each request uses a connection of its own, so a
 //! late answer is never read as that of the next request.
 
-use std::cell::Cell;
 use std::fmt;
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
@@ -20,6 +19,7 @@
 use hyper::client::conn::http1;
 use serde::{Deserialize, Serialize};
 
+use crate::exchange::Exchange;
 use crate::server::set_silence_timeouts;
 use crate::stream::{DEFAULT_IO_BYTES, Stream};
 use crate::{Body, ConnectionMonitor};
@@ -31,8 +31,6 @@
 /// Size limit of the HTTP library's buffer of a connection, in bytes. It bounds the heads and chunks
 /// that an upstream sends faster than they are passed on.
 const MAX_HTTP_BUFFER: usize = 32 * 1024;
-/// Longest response head together with the interim responses before it, in bytes.
-const MAX_HEAD_BYTES: usize = 256 * 1024;
 
 /// The step of a call to an upstream at which it failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -222,8 +220,8 @@
         head_timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         let fail = |step, cause: String| SendError { step, peer: self.peer, cause };
-        let head_left = Rc::new(Cell::new(MAX_HEAD_BYTES));
-        let stream = Stream::new(self.stream, DEFAULT_IO_BYTES).with_head_limit(head_left.clone());
+        let exchange = Rc::new(Exchange::new());
+        let stream = Stream::new(self.stream, DEFAULT_IO_BYTES).with_exchange(exchange.clone());
         let handshake = http1::Builder::new().max_buf_size(MAX_HTTP_BUFFER).handshake(stream).await;
         let (mut tx, conn) = handshake.map_err(|err| fail(SendStep::Connect, err.to_string()))?;
         compio::runtime::spawn(async move {
@@ -234,7 +232,7 @@
         .detach();
         match compio::time::timeout(head_timeout, tx.try_send_request(req)).await {
             Ok(Ok(res)) => {
-                head_left.set(usize::MAX);
+                exchange.record_head();
                 Ok(res)
             }
             Ok(Err(mut err)) => {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod client;
 pub mod clock;
 mod connection_memory;
+mod exchange;
 pub mod framing;
 pub mod keys;
 pub mod memory;
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -4,7 +4,6 @@
 //! them over, so a buffer sits between the two. Its size limit is what applies
 //! backpressure from a slow reader to the writer.
 
-use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -17,6 +16,8 @@
 
 use crate::answers::AnswerTracker;
 use crate::connection_memory::ConnectionMemory;
+use crate::exchange::Exchange;
+use crate::monitor;
 
 /// Default size of one read or write, in bytes. Larger sizes made no measurable difference.
 pub(crate) const DEFAULT_IO_BYTES: usize = 8 * 1024;
@@ -35,9 +36,10 @@
     tracker: Option<Rc<AnswerTracker>>,
     /// Counts the bytes of heads, if the connection serves requests.
     memory: Option<Rc<ConnectionMemory>>,
-    /// Bytes that may still be read before the head of the response is complete, if the connection
-    /// waits for one.
-    head_left: Option<Rc<Cell<usize>>>,
+    /// The request and its response, if the connection is one to an upstream.
+    exchange: Option<Rc<Exchange>>,
+    /// Whether a write to an upstream has failed.
+    has_write_failed: bool,
     /// Bytes read since the reader last had to wait.
     burst: usize,
 }
@@ -46,7 +48,7 @@
     /// Wraps a connected socket; `io_bytes` is the typical size of one read or write, in bytes.
     pub(crate) fn new(socket: TcpStream, io_bytes: usize) -> Self {
         let io = Box::pin(AsyncStream::with_limits(io_bytes, MAX_BUFFER_BYTES, socket));
-        Self { io, tracker: None, memory: None, head_left: None, burst: 0 }
+        Self { io, tracker: None, memory: None, exchange: None, has_write_failed: false, burst: 0 }
     }
 
     /// Tells `tracker` when all written bytes have left the buffers, and counts the bytes of heads in
@@ -61,23 +63,41 @@
         self
     }
 
-    /// Fails once more than `left` bytes are read; `usize::MAX` stands for no limit.
-    pub(crate) fn with_head_limit(mut self, left: Rc<Cell<usize>>) -> Self {
-        self.head_left = Some(left);
+    /// Carries a request to an upstream and its response.
+    pub(crate) fn with_exchange(mut self, exchange: Rc<Exchange>) -> Self {
+        self.exchange = Some(exchange);
         self
     }
 
-    /// Counts received bytes of the response until its head is complete.
-    fn count_response(&self, len: usize) -> io::Result<()> {
-        let Some(left) = &self.head_left else { return Ok(()) };
-        if left.get() == usize::MAX {
+    /// Checks the end of the input, which is that of a response if nothing else marks its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection to an upstream was reset.
+    fn check_end(&self) -> io::Result<()> {
+        if self.exchange.is_none() {
             return Ok(());
         }
-        let rest = left.get().checked_sub(len);
-        left.set(rest.ok_or_else(|| io::Error::other("the head of the response is too long"))?);
+        // Only the first operation after a reset fails with it.
+        if self.has_write_failed || monitor::is_closed(self.io.get_ref().0)? {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         Ok(())
     }
 
+    /// Keeps the error of a write from the HTTP library, which would discard a response that has
+    /// arrived. The connection ends with the input then.
+    fn check_write<T>(&mut self, polled: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        match polled {
+            Poll::Ready(Err(err)) if self.exchange.is_some() => {
+                log::debug!("a request was not sent to its end: {err}");
+                self.has_write_failed = true;
+                Poll::Pending
+            }
+            other => other,
+        }
+    }
+
     /// Counts received bytes that belong to the head of the next request.
     fn count_head(&self, len: usize) -> io::Result<()> {
         match (&self.memory, &self.tracker) {
@@ -105,11 +125,16 @@
             return Poll::Pending;
         };
         let received = received?;
+        if received.is_empty() {
+            return Poll::Ready(self.check_end());
+        }
         let len = received.len().min(buf.remaining());
         buf.put_slice(&received[..len]);
         self.io.as_mut().consume(len);
         self.burst += len;
-        self.count_response(len)?;
+        if let Some(exchange) = &self.exchange {
+            exchange.record_received(len)?;
+        }
         self.count_head(len)?;
         Poll::Ready(Ok(()))
     }
@@ -121,7 +146,11 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.io.as_mut().poll_write(cx, buf)
+        if self.has_write_failed {
+            return Poll::Pending;
+        }
+        let polled = self.io.as_mut().poll_write(cx, buf);
+        self.check_write(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -134,11 +163,19 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.io.as_mut().poll_write_vectored(cx, bufs)
+        if self.has_write_failed {
+            return Poll::Pending;
+        }
+        let polled = self.io.as_mut().poll_write_vectored(cx, bufs);
+        self.check_write(polled)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(self.io.as_mut().poll_flush(cx))?;
+        if self.has_write_failed {
+            return Poll::Pending;
+        }
+        let polled = self.io.as_mut().poll_flush(cx);
+        ready!(self.check_write(polled))?;
         if let Some(tracker) = &self.tracker {
             tracker.record_flush();
         }
@@ -146,6 +183,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.has_write_failed {
+            return Poll::Ready(Ok(()));
+        }
         self.io.as_mut().poll_close(cx)
     }
 }
