Refuse responses whose head leaves open where their body ends

Callers got 200 with the chunk sizes inside the body for a transfer coding such as `chunkd`, an empty one or `chunked, x`; encoded bodies whose coding was taken out of the head (`gzip, chunked`, `identity`); the first 7 bytes of a body with chunks beside `Content-Length: 7`, complete for them; and 101, 600 and 999 as they were. All routes were affected, also through another box, and so were chat and text completions, calls to services and the command line.

Cause: hyper reads a body to the end of the connection unless the last transfer coding is `chunked`, and prefers any coding to a length. Six places read the framing of a response from its fields after that, each beside a reader that trusted hyper, and a large body was sent on with the length of the upstream's head.

Framing::take now decides in one place whether a head is that of a final response and how its body ends (RFC 9112, section 6; RFC 9110, section 15), and takes the framing fields out of the head. Connection::send, which all requests to upstreams and requests through other boxes go through, returns a ResponseBody that carries the result, and what is sent on is framed by it alone. A coding other than one `chunked`, a length beside a coding, lengths that differ, and a status below 200 or from 600 on make the response invalid: SendStep::InvalidResponse, a log line with the peer and the field, and for the request what a broken response is. A length beside `chunked` is an error as RFC 9112, section 6.3, advises, since the two contradict each other. Calls between boxes and the command line, which have clients of their own, check heads with the same function and accept only bodies that mark their end, as all answers of boxes do.

Status 000, and names of fields with a blank or a control byte, were refused before on all of these paths (by hyper); their tests stay.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -7,6 +7,7 @@
 use hatchpitch::control::operators::ControlStatus;
 use hatchpitch::entry::operators::EntryStatus;
 use hatchpitch::outcome::ProblemBody;
+use hatchpitch_net::ResponseHead;
 use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 
@@ -75,11 +76,13 @@
         body: Vec<u8>,
     ) -> anyhow::Result<Response> {
         let timeout = if path.starts_with("/ops/repair") { REPAIR_TIMEOUT } else { CALL_TIMEOUT };
-        let req = self.http.request(method, format!("http://{at}{path}"))?;
+        let req = self.http.request(method.clone(), format!("http://{at}{path}"))?;
         let req = req.bearer_auth(&self.key)?.body(body);
         let exchange = async {
             let res = req.send().await?;
             let status = res.status();
+            let head = ResponseHead { method: &method, status, headers: res.headers() };
+            head.check_marked().with_context(|| format!("invalid response head: {path}"))?;
             anyhow::Ok(Response { status, body: res.bytes().await?.to_vec() })
         };
         let res = compio::time::timeout(timeout, exchange).await;
--- a/crates/hatchpitch/src/engine/adapter.rs
+++ b/crates/hatchpitch/src/engine/adapter.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use hatchpitch_net::{Body, BodyError, SendError, read_body, read_stream};
+use hatchpitch_net::{Body, BodyError, ResponseBody, SendError, read_body, read_stream};
 use http::{Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -85,7 +84,7 @@
 
 /// Reads the events of one response stream.
 pub struct EventReader {
-    body: Incoming,
+    body: ResponseBody,
     buf: BytesMut,
 }
 
@@ -268,7 +267,7 @@
 }
 
 /// Returns the signals about its upstream in a response head.
-pub fn head_signals(res: &Response<Incoming>) -> UpstreamSignals {
+pub fn head_signals(res: &Response<ResponseBody>) -> UpstreamSignals {
     UpstreamSignals::read(&SIGNAL_HEADERS, res.status(), res.headers())
 }
 
@@ -289,7 +288,7 @@
 }
 
 /// Reads an error response; an undecodable body counts as possibly run.
-async fn read_refusal(upstream: &UpstreamClient, res: Response<Incoming>) -> EngineError {
+async fn read_refusal(upstream: &UpstreamClient, res: Response<ResponseBody>) -> EngineError {
     let status = res.status();
     let held = upstream.open_answer("engine");
     let text = match read_body(res.into_body(), MAX_ANSWER, CALL_TIMEOUT, held).await {
--- a/crates/hatchpitch/src/entry/apps.rs
+++ b/crates/hatchpitch/src/entry/apps.rs
@@ -379,7 +379,7 @@
             return Err(AppFailure { cause: format!("{addr} refused"), ran: false });
         }
         let (parts, body) = res.into_parts();
-        let mut check = EndCheck::new(&self.call.method, &parts);
+        let mut check = EndCheck::new(body.framing(), &parts.headers);
         let broken = |cause: &str| AppFailure { cause: format!("{addr}: {cause}"), ran: true };
         let body = read_body(body, MAX_ANSWER, timeout, held).await;
         let body = body.map_err(|err| broken(&err.to_string()))?;
--- a/crates/hatchpitch/src/entry/generation.rs
+++ b/crates/hatchpitch/src/entry/generation.rs
@@ -346,7 +346,7 @@
                 if let EngineError::Send(err) = &err {
                     self.has_path = !matches!(err.step, SendStep::NoPath | SendStep::LinkLost);
                     self.record_runner_failure();
-                    if err.step == SendStep::AwaitHead {
+                    if err.is_broken_response() {
                         self.report_interruption();
                     }
                 }
--- a/crates/hatchpitch/src/reachability/client.rs
+++ b/crates/hatchpitch/src/reachability/client.rs
@@ -8,11 +8,10 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hatchpitch_net::{
-    Body, Holder, Listening, MemoryBudget, Origin, Reservation, SendError, SendStep, Upstream,
-    clock,
+    Body, Holder, Listening, MemoryBudget, Origin, Reservation, ResponseBody, SendError, SendStep,
+    Upstream, clock,
 };
 use http::{Request, Response};
-use hyper::body::Incoming;
 
 use super::messages::{ForwardAction, ProbeResult};
 use super::task::{self, PeerAnswer};
@@ -65,7 +64,7 @@
 /// Result of the search for a box that reaches the upstream.
 enum Search {
     /// A box sent the request.
-    Sent(Result<Response<Incoming>, SendError>),
+    Sent(Result<Response<ResponseBody>, SendError>),
     /// A box that has links to other upstreams failed as well. Holds the cause.
     UpstreamFailed(String),
     /// No box could tell.
@@ -106,7 +105,7 @@
         &self,
         req: Request<Body>,
         timeout: Duration,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ResponseBody>, SendError> {
         let (parts, body) = req.into_parts();
         let bytes = match body {
             Body::Full(bytes) => bytes,
@@ -135,7 +134,7 @@
         encode: Encode<'_>,
         timeout: Duration,
         options: SendOptions<'_>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ResponseBody>, SendError> {
         let budget = TimeBudget { timeout, end: clock::now() + timeout };
         let Some(detour) = &self.detour else {
             return self.send_directly(encode, budget, options).await;
@@ -199,7 +198,7 @@
         encode: Encode<'_>,
         budget: TimeBudget,
         options: SendOptions<'_>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ResponseBody>, SendError> {
         let conn = self.upstream.connect().await.inspect_err(|_| self.record_failure())?;
         let connected = clock::now();
         let req = encode(budget.left(connected));
@@ -209,6 +208,7 @@
         };
         match &sent {
             Ok(_) => self.record_success(connected),
+            Err(err) if err.step == SendStep::InvalidResponse => self.record_success(connected),
             Err(err) if err.step == SendStep::Unsent => self.record_failure(),
             Err(_) if clock::now() < budget.end => self.probe(),
             Err(_) => {}
--- a/crates/hatchpitch/src/reachability/task.rs
+++ b/crates/hatchpitch/src/reachability/task.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::{
-    Body, Framing, Holder, Listening, Reservation, SendError, SendStep, clock, read_body,
+    Body, Framing, Holder, Listening, Reservation, ResponseBody, SendError, SendStep, clock,
+    read_body,
 };
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde_bytes::ByteBuf;
 
@@ -53,7 +54,7 @@
 /// Answer of another box that was asked to send a request.
 pub enum PeerAnswer {
     /// The response of the upstream.
-    Response(Response<Incoming>),
+    Response(Response<ResponseBody>),
     /// The request may have reached the upstream. Holds the cause.
     MayHaveRun(String),
     /// The request may have reached the upstream, and the box found that the link it was sent on is
@@ -163,7 +164,7 @@
         if framing == UNFRAMED {
             // The chunks between the boxes show that the response came through whole, not that the
             // upstream completed it.
-            res.headers_mut().remove(header::TRANSFER_ENCODING);
+            res = res.map(|body| body.with_framing(Framing::UntilClose));
         }
         cx.metrics.count(Count::SentByPeer, "");
         return PeerAnswer::Response(res);
@@ -191,7 +192,7 @@
     }
 }
 
-async fn read_failure(body: Incoming, held: Reservation) -> Result<ForwardFailure, String> {
+async fn read_failure(body: ResponseBody, held: Reservation) -> Result<ForwardFailure, String> {
     let bytes = read_body(body, MAX_FAILURE, FAILURE_TIMEOUT, held).await;
     let bytes = bytes.map_err(|err| err.to_string())?;
     rmp_serde::from_slice(&bytes).map_err(|err| err.to_string())
@@ -335,7 +336,6 @@
     let Some(req) = decode(message, held) else {
         return Err(cannot("the request does not decode"));
     };
-    let method = req.method().clone();
     let conn = match link.path.connect().await {
         Ok(conn) => conn,
         Err(err) => return Err(failure(cx, &err).await),
@@ -348,7 +348,7 @@
     // A path that was broken is only tried again by probes, so there is no change to log.
     cx.reachability.paths.borrow_mut().record_success(addr, connected);
     record_backoff(cx, upstream, &res, connected);
-    Ok(forwarded_response(res, &method))
+    Ok(forwarded_response(res))
 }
 
 async fn failure(cx: &EntryCx, err: &SendError) -> ForwardFailure {
@@ -363,7 +363,7 @@
 
 /// Records the backoff that the upstream asks for. It may mean the box that sent the request, so
 /// both keep it; other signals are recorded by the box that took the request.
-fn record_backoff(cx: &EntryCx, upstream: &str, res: &Response<Incoming>, sent: Instant) {
+fn record_backoff(cx: &EntryCx, upstream: &str, res: &Response<ResponseBody>, sent: Instant) {
     let mut backoffs = cx.backoffs.borrow_mut();
     match parse_backoff(res.status(), res.headers()) {
         Some(backoff) => backoffs.start(upstream, backoff, clock::now()),
@@ -389,17 +389,13 @@
 
 /// Builds the response to another box from that of an upstream, whose body is passed on as it
 /// arrives. If it breaks off, so does the response.
-fn forwarded_response(res: Response<Incoming>, method: &Method) -> Response<Body> {
+fn forwarded_response(res: Response<ResponseBody>) -> Response<Body> {
     let (mut parts, body) = res.into_parts();
-    let framing = match Framing::of_response(method, &parts) {
+    let framing = match body.framing() {
         Framing::Delimited => FRAMED,
         Framing::UntilClose => UNFRAMED,
     };
     strip_hop_by_hop(&mut parts.headers);
-    if *method == Method::HEAD {
-        // The length of a body that is not there would not match this response.
-        parts.headers.remove(header::CONTENT_LENGTH);
-    }
     parts.version = http::Version::HTTP_11;
     parts.headers.insert(FORWARDED_HEADER, HeaderValue::from_static(framing));
     Response::from_parts(parts, Body::from(body))
--- a/crates/hatchpitch/src/reachability/watch.rs
+++ b/crates/hatchpitch/src/reachability/watch.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use hatchpitch_net::{Body, Connection, ProbedLink, SendError, SendStep, Upstream, clock};
+use hatchpitch_net::{
+    Body, Connection, ProbedLink, ResponseBody, SendError, SendStep, Upstream, clock,
+};
 use http::{Request, Response};
-use hyper::body::Incoming;
 
 use super::messages::{AnswersReply, AnswersRequest};
 use super::silence::{AckWatch, CHECK_INTERVAL, Evidence, WaitingRequest};
@@ -64,7 +65,7 @@
         req: Request<Body>,
         timeout: Duration,
         options: SendOptions<'_>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ResponseBody>, SendError> {
         let (addr, sent) = (self.path.addr, clock::now());
         let waiting = WaitingRequest { addr, kind: options.kind.to_owned(), sent };
         let monitor = conn.monitor();
@@ -105,9 +106,9 @@
     /// Records an answer, and marks the failure of a request whose link has become suspect.
     fn conclude(
         &self,
-        result: Result<Response<Incoming>, SendError>,
+        result: Result<Response<ResponseBody>, SendError>,
         req: &WaitingRequest,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ResponseBody>, SendError> {
         match result {
             Ok(res) => {
                 self.cx.reachability.paths.borrow_mut().record_byte(req.addr, clock::now());
@@ -119,7 +120,12 @@
             Err(err) if err.step == SendStep::AwaitHead && self.abandon_at(req.sent).is_some() => {
                 Err(SendError { step: SendStep::LinkLost, ..err })
             }
-            Err(err) => Err(err),
+            Err(err) => {
+                if err.step == SendStep::InvalidResponse {
+                    self.cx.reachability.paths.borrow_mut().record_byte(req.addr, clock::now());
+                }
+                Err(err)
+            }
         }
     }
 
--- a/crates/hatchpitch/src/relay/ending.rs
+++ b/crates/hatchpitch/src/relay/ending.rs
@@ -9,8 +9,7 @@
 use std::time::{Duration, Instant};
 
 use hatchpitch_net::Framing;
-use http::response::Parts;
-use http::{HeaderMap, Method, header};
+use http::{HeaderMap, header};
 
 use super::json::JsonNesting;
 use crate::entry::EntryCx;
@@ -60,10 +59,9 @@
 }
 
 impl EndCheck {
-    /// Creates a check for the response with this head to a request with this method.
-    pub fn new(method: &Method, head: &Parts) -> Self {
-        let framing = Framing::of_response(method, head);
-        let follows_json = framing.is_until_close() && is_json(&head.headers);
+    /// Creates a check for a response with this framing and these header fields.
+    pub fn new(framing: Framing, headers: &HeaderMap) -> Self {
+        let follows_json = framing.is_until_close() && is_json(headers);
         Self { framing, json: follows_json.then(JsonNesting::default) }
     }
 
--- a/crates/hatchpitch/src/relay/response.rs
+++ b/crates/hatchpitch/src/relay/response.rs
@@ -5,11 +5,12 @@
 
 use bytes::Bytes;
 use hatchpitch_net::{
-    Body, BodyError, BodySender, Framing, Holder, Origin, Reservation, clock, read_stream,
+    Body, BodyError, BodySender, Framing, Holder, Origin, Reservation, ResponseBody, clock,
+    read_stream,
 };
 use http::response::Parts;
-use http::{Response, Version, header};
-use hyper::body::Incoming;
+use http::{HeaderValue, Response, Version, header};
+use hyper::body::Body as _;
 
 use super::context::Relay;
 use super::ending::{EndCheck, Ending, STREAM_STATE_TIMEOUT, open_end_verdict};
@@ -26,7 +27,6 @@
 /// Builds the caller's response from the head of an upstream's and its body.
 pub(super) fn buffered_response(mut parts: Parts, body: Bytes, framing: Framing) -> Response<Body> {
     adapt_head(&mut parts);
-    parts.headers.remove(header::CONTENT_LENGTH);
     Response::from_parts(parts, Body::from(body).framed(framing))
 }
 
@@ -65,10 +65,14 @@
     mut slot: Slot,
     begun: BegunResponse,
     mut check: EndCheck,
-    mut body: Incoming,
+    mut body: ResponseBody,
 ) -> Response<Body> {
     let BegunResponse { mut parts, bytes: first, held } = begun;
     adapt_head(&mut parts);
+    if let Some(rest) = body.size_hint().exact() {
+        let len = HeaderValue::from(first.len() as u64 + rest);
+        parts.headers.insert(header::CONTENT_LENGTH, len);
+    }
     let (mut tx, out) = Body::stream(BUFFERED_CHUNKS, held);
     let out = out.framed(check.framing());
     let cx = relay.cx.clone();
@@ -126,7 +130,7 @@
 async fn forward_body(
     first: Bytes,
     check: &mut EndCheck,
-    body: &mut Incoming,
+    body: &mut ResponseBody,
     tx: &mut BodySender,
 ) -> Result<(), BodyError> {
     tx.send_counted(first).await?;
--- a/crates/hatchpitch/src/relay/resume.rs
+++ b/crates/hatchpitch/src/relay/resume.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hatchpitch_net::{Framing, SendError, SendStep, clock};
-use hyper::body::Incoming;
+use hatchpitch_net::{ResponseBody, SendError, clock};
 
 use super::migration::MOVE_DELAY;
 use super::protocol::{Attempt, ResponseKind, Resume};
@@ -45,7 +44,7 @@
     pub(super) async fn open_next_link(
         &mut self,
         closed: &StreamEnd,
-    ) -> Result<Option<Incoming>, String> {
+    ) -> Result<Option<ResponseBody>, String> {
         let Some(moving) = self.moving.take() else { return Ok(None) };
         if !matches!(closed, StreamEnd::Broken(_)) && !moving.is_stopping() {
             // The run was not stopped, so it has finished; its migration is abandoned.
@@ -72,7 +71,7 @@
 
     /// Resumes the run at the runner that received the copy. If that runner does not accept it, the
     /// run resumes where it was stopped, which keeps its state until the copy is used.
-    async fn resume(&mut self, moved: Moved) -> Result<Incoming, String> {
+    async fn resume(&mut self, moved: Moved) -> Result<ResponseBody, String> {
         self.roster_version = 0;
         self.next_move = clock::now() + MOVE_DELAY;
         let Moved { slot, source, handle, stopped_at } = moved;
@@ -105,7 +104,7 @@
         &mut self,
         source: SocketAddr,
         handle: String,
-    ) -> Result<Incoming, ResumeFailure> {
+    ) -> Result<ResponseBody, ResumeFailure> {
         if upstream_signals::backoff_remaining(&self.relay.cx, &self.slot.runner).is_some() {
             return Err(ResumeFailure::NotRun(format!(
                 "resume: {}",
@@ -124,7 +123,7 @@
         let upstream = self.relay.cx.upstream(&self.slot.runner, self.slot.addr);
         let sent = upstream.send_encoded(&encode, left, SendOptions::default()).await;
         let sent = sent.map_err(|err| {
-            if err.step == SendStep::AwaitHead && !self.req.time_left(clock::now()).is_zero() {
+            if err.is_broken_response() && !self.req.time_left(clock::now()).is_zero() {
                 self.note_break(None);
             }
             ResumeFailure::from_send(err)
@@ -136,7 +135,7 @@
         match kind {
             ResponseKind::Answer if parts.status.is_success() => {
                 self.relay.cx.metrics.count(Count::Relinks, &self.req.route.name);
-                self.set_framing(Framing::of_response(&self.req.method, &parts));
+                self.set_framing(body.framing());
                 self.link_start = clock::now();
                 self.link_has_events = false;
                 Ok(body)
--- a/crates/hatchpitch/src/relay/run.rs
+++ b/crates/hatchpitch/src/relay/run.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use hatchpitch_net::{Body, Framing, Holder, Reservation, SendError, SendStep, clock, read_stream};
+use hatchpitch_net::{
+    Body, Framing, Holder, Reservation, ResponseBody, SendError, SendStep, clock, read_stream,
+};
 use http::response::Parts;
 use http::{Response, StatusCode};
-use hyper::body::Incoming;
 
 use super::context::Relay;
 use super::ending::{BUFFERED_STATE_TIMEOUT, EndCheck, Ending, is_event_stream, open_end_verdict};
@@ -404,16 +405,16 @@
             let verdict = match err.step {
                 SendStep::Connect | SendStep::Unsent => Verdict::Failed,
                 SendStep::NoPath | SendStep::LinkLost => Verdict::Released,
-                SendStep::AwaitHead => Verdict::Faulty,
+                SendStep::AwaitHead | SendStep::InvalidResponse => Verdict::Faulty,
             };
             slot.finish(verdict, None);
-            if err.step == SendStep::AwaitHead && !self.req.time_left(clock::now()).is_zero() {
+            if err.is_broken_response() && !self.req.time_left(clock::now()).is_zero() {
                 self.note_break(&slot, None);
             }
             self.send_failure(&err)
         })?;
         let (parts, body) = res.into_parts();
-        let check = EndCheck::new(&self.req.method, &parts);
+        let check = EndCheck::new(body.framing(), &parts.headers);
         self.framing.set(Some(check.framing()));
         let kind = (self.relay.protocol.classify)(&self.req, &parts);
         let signals = kind.trusted_signals(self.relay.protocol.signals(&parts));
@@ -463,7 +464,7 @@
                 self.in_flight.set(false);
                 Failure::NotRun { cause, arrived: false }
             }
-            SendStep::AwaitHead => Failure::MayHaveRun { cause },
+            SendStep::AwaitHead | SendStep::InvalidResponse => Failure::MayHaveRun { cause },
             SendStep::LinkLost => Failure::LinkLost { cause },
         }
     }
@@ -475,7 +476,7 @@
         mut slot: Slot,
         parts: Parts,
         mut check: EndCheck,
-        mut body: Incoming,
+        mut body: ResponseBody,
     ) -> Result<Response<Body>, Failure> {
         let (mut buf, started) = (BytesMut::new(), clock::now());
         let held = response::open_memory(&self.relay, &self.req, slot.addr, Holder::Answer);
--- a/crates/hatchpitch/src/relay/stream.rs
+++ b/crates/hatchpitch/src/relay/stream.rs
@@ -6,10 +6,10 @@
 
 use bytes::Bytes;
 use hatchpitch_net::{
-    Body, BodySender, Framing, Holder, MemoryError, Origin, Reservation, clock, read_stream,
+    Body, BodySender, Framing, Holder, MemoryError, Origin, Reservation, ResponseBody, clock,
+    read_stream,
 };
 use http::Response;
-use hyper::body::Incoming;
 
 use super::context::Relay;
 use super::ending::{Ending, STREAM_STATE_TIMEOUT, judge_open_end, open_end_verdict};
@@ -73,11 +73,11 @@
     causes: Rc<Causes>,
     service: &str,
     slot: Slot,
-    res: Response<Incoming>,
+    res: Response<ResponseBody>,
     held: Option<Reservation>,
 ) -> Response<Body> {
     let (mut parts, body) = res.into_parts();
-    let framing = Framing::of_response(&req.method, &parts);
+    let framing = body.framing();
     adapt_head(&mut parts);
     let queued = response::open_memory(relay, &req, slot.addr, Holder::Answer);
     let (tx, out) = Body::stream(BUFFERED_CHUNKS, queued);
@@ -201,7 +201,7 @@
         }
     }
 
-    async fn run(mut self, body: Incoming, mut tx: BodySender) {
+    async fn run(mut self, body: ResponseBody, mut tx: BodySender) {
         let end = self.forward_links(body, &mut tx).await;
         let tokens = self.tokens_produced();
         match &end {
@@ -228,7 +228,7 @@
     }
 
     /// Forwards events over one link after another, as the generation is migrated.
-    async fn forward_links(&mut self, mut body: Incoming, tx: &mut BodySender) -> StreamEnd {
+    async fn forward_links(&mut self, mut body: ResponseBody, tx: &mut BodySender) -> StreamEnd {
         loop {
             let closed = match self.forward_link(&mut body, tx).await {
                 LinkEnd::Over(end) => return end,
@@ -242,7 +242,7 @@
         }
     }
 
-    async fn forward_link(&mut self, body: &mut Incoming, tx: &mut BodySender) -> LinkEnd {
+    async fn forward_link(&mut self, body: &mut ResponseBody, tx: &mut BodySender) -> LinkEnd {
         loop {
             if tx.is_closed() {
                 return LinkEnd::Over(StreamEnd::CallerLeft);
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -87,6 +87,55 @@
     }
 }
 
+/// Body of a response that another process sent.
+#[derive(Debug)]
+pub struct ResponseBody {
+    body: Incoming,
+    framing: Framing,
+}
+
+impl ResponseBody {
+    pub(crate) fn new(body: Incoming, framing: Framing) -> Self {
+        Self { body, framing }
+    }
+
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns the body with the framing that it had where another process received it.
+    pub fn with_framing(self, framing: Framing) -> Self {
+        Self { framing, ..self }
+    }
+}
+
+impl HttpBody for ResponseBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl From<ResponseBody> for Body {
+    fn from(body: ResponseBody) -> Self {
+        Self::Incoming(body.body)
+    }
+}
+
 impl From<Incoming> for Body {
     fn from(body: Incoming) -> Self {
         Self::Incoming(body)
@@ -146,6 +195,11 @@
     }
 }
 
+/// Body of a request or a response that arrives.
+pub trait ReceivedBody: HttpBody<Data = Bytes, Error = hyper::Error> + Unpin {}
+
+impl<B: HttpBody<Data = Bytes, Error = hyper::Error> + Unpin> ReceivedBody for B {}
+
 /// Error of reading or writing a body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BodyError {
@@ -189,7 +243,7 @@
 /// Returns a [`BodyError`] if a limit is exceeded, there is no room, or the connection fails. A body
 /// that announces its length is not read at all if it is too large or there is no room.
 pub async fn read_body(
-    body: Incoming,
+    body: impl ReceivedBody,
     max: usize,
     limit: Duration,
     held: Reservation,
@@ -201,7 +255,11 @@
     Ok(if buf.is_empty() { Bytes::new() } else { held.attach(buf) })
 }
 
-async fn collect(mut body: Incoming, max: usize, held: &Reservation) -> Result<Vec<u8>, BodyError> {
+async fn collect(
+    mut body: impl ReceivedBody,
+    max: usize,
+    held: &Reservation,
+) -> Result<Vec<u8>, BodyError> {
     let announced = HttpBody::size_hint(&body).exact().unwrap_or(0);
     let announced = usize::try_from(announced).unwrap_or(usize::MAX);
     if announced > max {
@@ -228,7 +286,10 @@
 }
 
 /// Reads the next chunk of a body until its reservation is taken back.
-async fn read_held(body: &mut Incoming, held: &Reservation) -> Result<Option<Bytes>, BodyError> {
+async fn read_held(
+    body: &mut impl ReceivedBody,
+    held: &Reservation,
+) -> Result<Option<Bytes>, BodyError> {
     if held.bytes() <= SMALL_RESERVATION {
         return read_stream(body).await;
     }
@@ -244,7 +305,7 @@
 /// # Errors
 ///
 /// Returns [`BodyError::Broken`] when the connection ends before the body does.
-pub async fn read_stream(body: &mut Incoming) -> Result<Option<Bytes>, BodyError> {
+pub async fn read_stream(body: &mut impl ReceivedBody) -> Result<Option<Bytes>, BodyError> {
     loop {
         let Some(frame) = body.frame().await else {
             return Ok(None);
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -14,7 +14,7 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpSocket, TcpStream};
-use http::{Request, Response};
+use http::{Method, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use serde::{Deserialize, Serialize};
@@ -22,7 +22,7 @@
 use crate::exchange::Exchange;
 use crate::server::set_silence_timeouts;
 use crate::stream::{DEFAULT_IO_BYTES, Stream};
-use crate::{Body, ConnectionMonitor};
+use crate::{Body, ConnectionMonitor, Framing, ResponseBody};
 
 /// Message of a probe. It is no request, so an upstream runs nothing for it; HTTP servers answer it
 /// with 400.
@@ -47,6 +47,8 @@
     /// Bytes of the request may have reached the upstream, and the link that they were sent on was
     /// found to be lost. The failure is no evidence against the upstream.
     LinkLost,
+    /// The upstream has sent something that is no response.
+    InvalidResponse,
 }
 
 /// A failed call to an upstream.
@@ -65,9 +67,14 @@
     pub fn is_not_run(&self) -> bool {
         match self.step {
             SendStep::Connect | SendStep::Unsent | SendStep::NoPath => true,
-            SendStep::AwaitHead | SendStep::LinkLost => false,
+            SendStep::AwaitHead | SendStep::LinkLost | SendStep::InvalidResponse => false,
         }
     }
+
+    /// Returns whether the upstream failed to respond to a request that it may have run.
+    pub fn is_broken_response(&self) -> bool {
+        matches!(self.step, SendStep::AwaitHead | SendStep::InvalidResponse)
+    }
 }
 
 impl fmt::Display for SendError {
@@ -125,7 +132,7 @@
         &self,
         req: Request<Body>,
         head_timeout: Duration,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ResponseBody>, SendError> {
         self.connect().await?.send(req, head_timeout).await
     }
 
@@ -218,8 +225,9 @@
         self,
         req: Request<Body>,
         head_timeout: Duration,
-    ) -> Result<Response<Incoming>, SendError> {
-        let fail = |step, cause: String| SendError { step, peer: self.peer, cause };
+    ) -> Result<Response<ResponseBody>, SendError> {
+        let peer = self.peer;
+        let fail = |step, cause: String| SendError { step, peer, cause };
         let exchange = Rc::new(Exchange::new());
         let stream = Stream::new(self.stream, DEFAULT_IO_BYTES).with_exchange(exchange.clone());
         let handshake = http1::Builder::new().max_buf_size(MAX_HTTP_BUFFER).handshake(stream).await;
@@ -230,19 +238,40 @@
             }
         })
         .detach();
+        let method = req.method().clone();
         match compio::time::timeout(head_timeout, tx.try_send_request(req)).await {
             Ok(Ok(res)) => {
                 exchange.record_head();
-                Ok(res)
+                check_head(peer, &method, res)
             }
             Ok(Err(mut err)) => {
                 let step = match err.take_message() {
                     Some(_) => SendStep::Unsent,
+                    None if err.error().is_parse() => SendStep::InvalidResponse,
                     None => SendStep::AwaitHead,
                 };
+                if step == SendStep::InvalidResponse {
+                    log::warn!(peer:% = peer; "invalid response head: {}", err.error());
+                }
                 Err(fail(step, err.error().to_string()))
             }
             Err(_) => Err(fail(SendStep::AwaitHead, format!("no answer within {head_timeout:?}"))),
         }
     }
 }
+
+/// Checks the head of a response and takes the framing of its body from it.
+fn check_head(
+    peer: SocketAddr,
+    method: &Method,
+    res: Response<Incoming>,
+) -> Result<Response<ResponseBody>, SendError> {
+    let (mut head, body) = res.into_parts();
+    match Framing::take(method, &mut head) {
+        Ok(framing) => Ok(Response::from_parts(head, ResponseBody::new(body, framing))),
+        Err(err) => {
+            log::warn!(peer:% = peer, field = err.field(); "invalid response head: {err}");
+            Err(SendError { step: SendStep::InvalidResponse, peer, cause: err.to_string() })
+        }
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -25,10 +25,10 @@
 
 pub use answers::PendingAnswers;
 pub use backlog::{Backlog, Waiting};
-pub use body::{Body, BodyError, read_body, read_stream};
+pub use body::{Body, BodyError, ReceivedBody, ResponseBody, read_body, read_stream};
 pub use chunks::BodySender;
 pub use client::{Connection, Listening, ProbedLink, SendError, SendStep, Upstream};
-pub use framing::Framing;
+pub use framing::{Framing, HeadError, ResponseHead};
 pub use keys::{KeyId, KeyRing, SigningKey};
 pub use memory::{Holder, MemoryBudget, MemoryError, Origin, Reservation, Revoked};
 pub use monitor::{Acknowledgements, ConnectionMonitor};
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -10,14 +10,13 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
-use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::receive::UnverifiedPool;
 use crate::{
-    Backlog, Body, Holder, KeyRing, MemoryBudget, MemoryError, Origin, Reservation, SendError,
-    SendStep, Upstream,
+    Backlog, Body, Holder, KeyRing, MemoryBudget, MemoryError, Origin, Reservation, ResponseBody,
+    ResponseHead, SendError, SendStep, Upstream,
 };
 
 /// Header that carries the signature of a message between boxes.
@@ -205,7 +204,7 @@
         message: &Q,
         connect_timeout: Duration,
         head_timeout: Duration,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ResponseBody>, SendError> {
         let unsent = |cause| SendError { step: SendStep::Unsent, peer, cause };
         let body = rmp_serde::to_vec_named(message).map_err(|err| unsent(err.to_string()))?;
         let value = |signature: String| {
@@ -251,6 +250,11 @@
             .map_err(send_failed)?;
         let res = req.body(queued).send().await.map_err(send_failed)?;
         let status = res.status();
+        let head = ResponseHead { method: &Method::POST, status, headers: res.headers() };
+        head.check_marked().map_err(|err| {
+            log::warn!(peer:% = peer, field = err.field(), path = path; "invalid response head: {err}");
+            fail(CallStep::Send, err.to_string())
+        })?;
         let bytes = self.read_answer(peer, path, res).await?;
         self.record_traffic(path, 0, bytes.len());
         if status != StatusCode::OK {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,7 +8,7 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use hatchpitch_net::{Body, Framing, Reservation, Upstream, read_body, read_stream};
+use hatchpitch_net::{Body, Framing, Reservation, ResponseHead, Upstream, read_body, read_stream};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -198,7 +198,12 @@
             Err(_) => return Outcome::Unanswered,
         };
         let (head, body) = Response::into_parts(answer);
-        let framing = Framing::of_response(&method, &head);
+        let received =
+            ResponseHead { method: &method, status: head.status, headers: &head.headers };
+        let framing = match Framing::try_from(received) {
+            Ok(framing) => framing,
+            Err(err) => return Outcome::Wrong(err.to_string()),
+        };
         self.cx.run.record.set_framing(&req.id, framing);
         match (self.cx.run.wire.read_head)(&head) {
             AnswerHead::Signed if req.kind == RequestKind::Stream => {
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -9,9 +9,10 @@
 use futures_util::{Stream, StreamExt};
 use hatchpitch::discovery::Endpoints;
 use hatchpitch::outcome::ProblemBody;
-use hatchpitch_net::{Body, BodyError, Framing, Reservation, Upstream, read_body, read_stream};
+use hatchpitch_net::{
+    Body, BodyError, Framing, Reservation, ResponseBody, Upstream, read_body, read_stream,
+};
 use http::{HeaderMap, Method, Request, Response, header};
-use hyper::body::Incoming;
 use serde::Deserialize;
 
 /// Timeout for establishing a connection.
@@ -208,9 +209,9 @@
         headers: HeaderMap,
         body: Bytes,
     ) -> anyhow::Result<Received> {
-        let res = self.send(at, method.clone(), path, headers, body).await?;
+        let res = self.send(at, method, path, headers, body).await?;
         let (head, incoming) = res.into_parts();
-        let mut end = BodyEnd::of_read(Framing::of_response(&method, &head));
+        let mut end = BodyEnd::of_read(incoming.framing());
         let mut body = BytesMut::new();
         let mut chunks = std::pin::pin!(body_chunks(incoming));
         while let Some(chunk) = chunks.next().await {
@@ -232,7 +233,7 @@
         path: &str,
         mut headers: HeaderMap,
         body: Bytes,
-    ) -> anyhow::Result<Response<Incoming>> {
+    ) -> anyhow::Result<Response<ResponseBody>> {
         headers.insert(header::HOST, at.to_string().parse()?);
         headers.insert(header::AUTHORIZATION, format!("Bearer {}", self.key).parse()?);
         let mut req = Request::new(Body::from(body));
@@ -245,7 +246,7 @@
 }
 
 /// Reads a whole response body; returns an error if the status is not a success.
-async fn read_success_body(res: Response<Incoming>) -> anyhow::Result<Bytes> {
+async fn read_success_body(res: Response<ResponseBody>) -> anyhow::Result<Bytes> {
     let status = res.status();
     let body = read_body(res.into_body(), MAX_BODY, HEAD_TIMEOUT, Reservation::uncounted()).await?;
     if !status.is_success() {
@@ -256,7 +257,7 @@
 
 /// Reads a streamed response into `answer` until it ends or `on_token` returns `false`.
 async fn read_answer(
-    res: Response<Incoming>,
+    res: Response<ResponseBody>,
     mut answer: Answer,
     mut on_token: impl FnMut(&ReceivedToken) -> bool,
 ) -> anyhow::Result<Answer> {
@@ -275,9 +276,8 @@
     if !response.is_empty() {
         answer.response = response;
     }
-    let (head, body) = res.into_parts();
-    // No request for a stream has the method HEAD, whose responses have no body.
-    let framing = Framing::of_response(&Method::GET, &head);
+    let body = res.into_body();
+    let framing = body.framing();
     let mut events = std::pin::pin!(body_chunks(body).eventsource());
     loop {
         let event = match events.next().await {
@@ -314,7 +314,7 @@
 ///
 /// The timeout applies to raw chunks because heartbeats are comments, which the event parser does
 /// not report.
-fn body_chunks(body: Incoming) -> impl Stream<Item = Result<Bytes, BodyError>> {
+fn body_chunks(body: ResponseBody) -> impl Stream<Item = Result<Bytes, BodyError>> {
     futures_util::stream::unfold(Some(body), |body| async move {
         let mut body = body?;
         match compio::time::timeout(STREAM_IDLE_TIMEOUT, read_stream(&mut body)).await {
