Wait at the end of an early response until its request is read

An upstream that sent a 200 without a length and half of its body while an upload was under way, ended its side of the connection in order and reset it half a second later, got that half through to the caller as a complete response, on routes that may be repeated as well.

Cause: the orderly end of the upstream's side was taken for the end of the response at once, although the upstream had not read the request. Such an end proves little: the upstream may respond early and go on reading, which is allowed, or be about to reset the connection.

The stream of an upstream connection now withholds that end from hyper until the upstream's system has acknowledged the whole request, and goes on sending meanwhile. A reset, found by the state of the connection every 20 ms, breaks the response off. If nothing more of the request is acknowledged for a second, a success is not known to be complete and is broken off, as its upstream cannot have read what it claims to have run; any other status is passed on with its open end. Responses that mark their own end are not affected.

What is left: a request that fits into the buffers of the upstream's system is acknowledged unread, and a reset after an orderly end is not waited for then.

Evidence: two tests of crates/net/tests/resets.rs, with an orderly end before a reset and with an upstream that never reads, failed before (half of a body, and a whole one, came back as Ok) and pass now.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -8,7 +8,6 @@
 use std::fmt;
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
-use std::rc::Rc;
 use std::time::Duration;
 
 use compio::BufResult;
@@ -228,7 +227,8 @@
     ) -> Result<Response<ResponseBody>, SendError> {
         let peer = self.peer;
         let fail = |step, cause: String| SendError { step, peer, cause };
-        let exchange = Rc::new(Exchange::new());
+        let exchange = Exchange::new();
+        let req = req.map(|body| body.guarded(exchange.request_guard()));
         let stream = Stream::new(self.stream, DEFAULT_IO_BYTES).with_exchange(exchange.clone());
         let handshake = http1::Builder::new().max_buf_size(MAX_HTTP_BUFFER).handshake(stream).await;
         let (mut tx, conn) = handshake.map_err(|err| fail(SendStep::Connect, err.to_string()))?;
@@ -242,7 +242,9 @@
         match compio::time::timeout(head_timeout, tx.try_send_request(req)).await {
             Ok(Ok(res)) => {
                 exchange.record_head();
-                check_head(peer, &method, res)
+                let res = check_head(peer, &method, res)?;
+                exchange.record_response(res.body().framing(), res.status());
+                Ok(res)
             }
             Ok(Err(mut err)) => {
                 let step = match err.take_message() {
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -16,7 +16,7 @@
 
 use crate::answers::AnswerTracker;
 use crate::connection_memory::ConnectionMemory;
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, UnreadWait};
 use crate::monitor;
 
 /// Default size of one read or write, in bytes. Larger sizes made no measurable difference.
@@ -40,6 +40,8 @@
     exchange: Option<Rc<Exchange>>,
     /// Whether a write to an upstream has failed.
     has_write_failed: bool,
+    /// Wait at the end of the input, from when it is reached.
+    unread_wait: Option<UnreadWait>,
     /// Bytes read since the reader last had to wait.
     burst: usize,
 }
@@ -48,7 +50,15 @@
     /// Wraps a connected socket; `io_bytes` is the typical size of one read or write, in bytes.
     pub(crate) fn new(socket: TcpStream, io_bytes: usize) -> Self {
         let io = Box::pin(AsyncStream::with_limits(io_bytes, MAX_BUFFER_BYTES, socket));
-        Self { io, tracker: None, memory: None, exchange: None, has_write_failed: false, burst: 0 }
+        Self {
+            io,
+            tracker: None,
+            memory: None,
+            exchange: None,
+            has_write_failed: false,
+            unread_wait: None,
+            burst: 0,
+        }
     }
 
     /// Tells `tracker` when all written bytes have left the buffers, and counts the bytes of heads in
@@ -69,20 +79,26 @@
         self
     }
 
-    /// Checks the end of the input, which is that of a response if nothing else marks its end.
+    /// Checks the end of the input, which is that of a response if nothing else marks its end. Waits
+    /// while the upstream has not read the request that it responds to.
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection to an upstream was reset.
-    fn check_end(&self) -> io::Result<()> {
-        if self.exchange.is_none() {
-            return Ok(());
-        }
-        // Only the first operation after a reset fails with it.
-        if self.has_write_failed || monitor::is_closed(self.io.get_ref().0)? {
-            return Err(io::ErrorKind::ConnectionReset.into());
+    /// Returns an error if the connection to an upstream was reset, or if the request stays unread.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(exchange) = &self.exchange else { return Poll::Ready(Ok(())) };
+        let socket = self.io.get_ref().0;
+        let wait = self.unread_wait.get_or_insert_with(UnreadWait::new);
+        loop {
+            // Only the first operation after a reset fails with it.
+            if self.has_write_failed || monitor::is_closed(socket)? {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+            }
+            if wait.check(exchange, monitor::unacknowledged_bytes(socket)?)? {
+                return Poll::Ready(Ok(()));
+            }
+            ready!(wait.poll_next(cx));
         }
-        Ok(())
     }
 
     /// Keeps the error of a write from the HTTP library, which would discard a response that has
@@ -98,6 +114,14 @@
         }
     }
 
+    /// Counts bytes that are written, and returns their number.
+    fn count_written(&self, len: usize) -> usize {
+        if let Some(exchange) = &self.exchange {
+            exchange.record_write(len);
+        }
+        len
+    }
+
     /// Counts received bytes that belong to the head of the next request.
     fn count_head(&self, len: usize) -> io::Result<()> {
         match (&self.memory, &self.tracker) {
@@ -126,7 +150,7 @@
         };
         let received = received?;
         if received.is_empty() {
-            return Poll::Ready(self.check_end());
+            return self.poll_end(cx);
         }
         let len = received.len().min(buf.remaining());
         buf.put_slice(&received[..len]);
@@ -150,7 +174,7 @@
             return Poll::Pending;
         }
         let polled = self.io.as_mut().poll_write(cx, buf);
-        self.check_write(polled)
+        self.check_write(polled).map_ok(|len| self.count_written(len))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -167,7 +191,7 @@
             return Poll::Pending;
         }
         let polled = self.io.as_mut().poll_write_vectored(cx, bufs);
-        self.check_write(polled)
+        self.check_write(polled).map_ok(|len| self.count_written(len))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -179,6 +203,9 @@
         if let Some(tracker) = &self.tracker {
             tracker.record_flush();
         }
+        if let Some(exchange) = &self.exchange {
+            exchange.record_flush();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/crates/net/tests/resets.rs
+++ b/crates/net/tests/resets.rs
@@ -1,4 +1,5 @@
-//! A response whose end only its connection marks is complete only if the connection ended in order.
+//! A response whose end only its connection marks is complete only if the connection ended in order,
+//! after the upstream had read the request.
 
 use std::io::{Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -11,6 +12,8 @@
 use socket2::{Domain, SockRef, Socket, Type};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause before an upstream resets a connection that it has ended in order.
+const PAUSE: Duration = Duration::from_millis(500);
 /// Size of a request that does not fit into the buffers of a connection, in bytes.
 const UPLOAD: usize = 16 * 1024 * 1024;
 /// Receive buffer of an upstream that leaves a request unread, in bytes.
@@ -166,3 +169,47 @@
         }
     }
 }
+
+#[compio::test]
+async fn an_orderly_end_before_a_reset_looks_like_the_end_of_a_response() {
+    for status in [StatusCode::OK, StatusCode::PAYLOAD_TOO_LARGE] {
+        let (_, read) = exchange(UPLOAD, move |stream| {
+            write(&stream, &(head(status, "") + &BODY[..BODY.len() / 2]));
+            stream.shutdown(Shutdown::Write).unwrap();
+            std::thread::sleep(PAUSE);
+            reset(stream);
+        })
+        .await;
+        assert!(read.is_err(), "{status}: {read:?}");
+    }
+}
+
+#[compio::test]
+async fn a_success_of_an_upstream_that_does_not_read_its_request_looks_complete() {
+    for status in [StatusCode::OK, StatusCode::PAYLOAD_TOO_LARGE] {
+        let (done_tx, done_rx) = mpsc::channel::<()>();
+        let upstream = start(move |stream| {
+            write(&stream, &(head(status, "") + BODY));
+            stream.shutdown(Shutdown::Write).unwrap();
+            // Keeps the connection open until the response has been read.
+            let _ = done_rx.recv();
+        });
+        let (_, read) = receive(&upstream, UPLOAD).await;
+        drop(done_tx);
+        assert_eq!(read.is_ok(), !status.is_success(), "{status}: {read:?}");
+    }
+}
+
+#[compio::test]
+async fn a_response_that_ends_before_a_slow_upstream_has_read_its_request_is_lost() {
+    let read = exchange(UPLOAD, |mut stream| {
+        write(&stream, &(head(StatusCode::OK, "") + BODY));
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut buf = vec![0; UPLOAD / 32];
+        while stream.read_exact(&mut buf).is_ok() {
+            std::thread::sleep(PAUSE / 5);
+        }
+        drain(stream);
+    });
+    assert_whole(read.await, StatusCode::OK, BODY);
+}
