Spoil the heads of answers in the soak

With `--heads`, the proxy before an upstream spoils the heads of its answers for a part of a storm: unknown transfer codings, a second framing, lines that are no field, and statuses that no final response has. Such answers reached callers with bodies that were not those of their upstreams; a caller that gets one reports a wrong answer.

--- a/crates/soak/src/condition.rs
+++ b/crates/soak/src/condition.rs
@@ -4,6 +4,8 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use crate::heads::HeadSpoil;
+
 /// One end of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Party {
@@ -37,6 +39,8 @@
     deaths: RefCell<HashMap<Party, u64>>,
     /// Parties that do not listen.
     refusing: RefCell<HashSet<Party>>,
+    /// How the heads are spoilt that parties send.
+    spoils: RefCell<HashMap<Party, HeadSpoil>>,
 }
 
 impl Links {
@@ -49,8 +53,9 @@
         };
     }
 
-    /// Clears all links and accepts new connections to every party.
+    /// Clears all links, accepts new connections to every party and leaves all heads as they are.
     pub fn clear(&self) {
+        self.spoils.borrow_mut().clear();
         self.directions.borrow_mut().clear();
         self.refusing.borrow_mut().clear();
     }
@@ -95,6 +100,20 @@
         }
     }
 
+    /// Sets how the heads are spoilt that a party sends, if they are.
+    pub fn spoil(&self, party: Party, spoil: Option<HeadSpoil>) {
+        let mut spoils = self.spoils.borrow_mut();
+        match spoil {
+            Some(spoil) => spoils.insert(party, spoil),
+            None => spoils.remove(&party),
+        };
+    }
+
+    /// Returns how the heads are spoilt that a party sends, if they are.
+    pub fn head_spoil(&self, party: Party) -> Option<HeadSpoil> {
+        self.spoils.borrow().get(&party).copied()
+    }
+
     /// Returns whether new connections to a party are refused.
     pub fn refuses(&self, party: Party) -> bool {
         self.refusing.borrow().contains(&party)
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -75,6 +75,11 @@
             Fault::SpoilAnswers(index) => {
                 self.fault_answers(index, AnswerFault::Truncated, duration).await
             }
+            Fault::SpoilHeads(index, spoil) => {
+                self.cx.links.spoil(Party::Upstream(index), Some(spoil));
+                compio::time::sleep(duration).await;
+                self.cx.links.spoil(Party::Upstream(index), None);
+            }
             Fault::Reclaim(index) => self.pool.reclaim(index).await,
             Fault::Leave(index) => self.pool.leave(index).await,
             Fault::EndlessEvents(index) => {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod context;
 pub mod faults;
 pub mod fleet;
+pub mod heads;
 pub mod load;
 pub mod operator;
 pub mod plan;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -185,6 +185,8 @@
     /// connection breaks.
     async fn relay(&self, mut from: TcpStream, mut to: TcpStream, direction: Direction) {
         let mut buf = Vec::with_capacity(READ_SIZE);
+        // A connection to an upstream carries one request, so its head arrives first.
+        let mut is_head = matches!(direction, Direction::Backward);
         loop {
             buf.clear();
             let BufResult(read, bytes) = from.read(buf).await;
@@ -197,7 +199,15 @@
                     let _ = to.shutdown().await;
                     return;
                 }
-                Ok(_) => to.write_all(bytes).await,
+                Ok(_) => {
+                    let spoil = self.cx.links.head_spoil(self.party).filter(|_| is_head);
+                    is_head = false;
+                    let bytes = match spoil {
+                        Some(spoil) => spoil.apply(&bytes),
+                        None => bytes,
+                    };
+                    to.write_all(bytes).await
+                }
                 Err(_) => return self.broken.set(true),
             };
             buf = written.1;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -70,6 +70,8 @@
     pub memory: bool,
     /// Whether storms contain starts with a held port or a full disk.
     pub starts: bool,
+    /// Whether storms contain faults that spoil the heads of answers.
+    pub heads: bool,
     /// Folder for settings, data and logs.
     pub folder: PathBuf,
 }
@@ -221,6 +223,9 @@
             let starts = schedule::starts(seed, self.size, self.opts.storm, &faults);
             faults.extend(starts);
         }
+        if self.opts.heads {
+            faults.extend(schedule::heads(seed, self.size, self.opts.storm));
+        }
         self.run_schedule(&faults, self.opts.storm).await;
         self.injector.repair();
         for index in 0..self.size.upstreams {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,6 +6,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::heads::{HEAD_SPOILS, HeadSpoil};
 use crate::wire::PROXIED_PORTS;
 
 /// Range of fault durations, in milliseconds.
@@ -89,6 +90,8 @@
     LoseAnswers(usize),
     /// Makes an upstream abort its answers midway.
     SpoilAnswers(usize),
+    /// Spoils the heads of the answers of an upstream.
+    SpoilHeads(usize, HeadSpoil),
     /// Makes an upstream announce that it is leaving and crash shortly afterwards.
     Reclaim(usize),
     /// Makes an upstream leave gracefully, after its active runs have ended.
@@ -137,6 +140,10 @@
 /// Separates the random numbers of loads on memory and of failed starts from those of the faults.
 const MEMORY_SALT: u64 = 0x6d65_6d6f_7279;
 const STARTS_SALT: u64 = 0x7374_6172_7473;
+/// Separates the random numbers of spoilt heads from those of the faults.
+const HEADS_SALT: u64 = 0x0068_6561_6473;
+/// Range of the number of faults per storm that spoil heads.
+const HEADS_COUNT: std::ops::Range<usize> = 2..6;
 /// Ranges of the number of such faults per storm.
 const LOAD_COUNT: std::ops::Range<usize> = 3..7;
 const START_COUNT: std::ops::Range<usize> = 2..5;
@@ -294,6 +301,18 @@
     faults.collect()
 }
 
+/// Draws the faults of a storm phase that spoil the heads of answers, from a separate generator.
+pub fn heads(seed: u64, size: FleetSize, storm_length: Duration) -> Vec<ScheduledFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ HEADS_SALT);
+    let count = rng.random_range(HEADS_COUNT);
+    let faults = (0..count).map(|_| {
+        let upstream = rng.random_range(0..size.upstreams);
+        let spoil = *HEAD_SPOILS.choose(&mut rng).expect("the list is not empty");
+        schedule_fault(&mut rng, Fault::SpoilHeads(upstream, spoil), storm_length)
+    });
+    faults.collect()
+}
+
 /// Draws the start and the duration of a fault within a phase of the given length.
 fn schedule_fault(rng: &mut SmallRng, fault: Fault, length: Duration) -> ScheduledFault {
     let at = rng.random_range(0..length.as_millis().max(1)) as u64;
