--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -568,9 +568,10 @@
     }
 }
 
+/// Ends a case that can't run. It unwinds, so that all processes that were started are ended.
 pub fn cannot_run(cause: &str) -> ! {
     println!("the case can't run: {cause}");
-    std::process::exit(2)
+    std::panic::resume_unwind(Box::new("the case can't run"))
 }
 
 /// What a runner does with a request on a connection.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,7 +10,7 @@
     let (case, folder) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let out = kit::Record::open(&folder);
-    let broken = match case.as_str() {
+    let run = || match case.as_str() {
         "two-owners" => cases::two_owners(&out, trouble),
         "replaced-core" => cases::replaced_core(&out, trouble),
         "many-headers" => cases::many_headers(&out, trouble),
@@ -18,6 +18,9 @@
         "unknown-service" => cases::unknown_service(&out, trouble),
         other => kit::cannot_run(&format!("no case {other:?}")),
     };
+    let Ok(broken) = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)) else {
+        std::process::exit(2)
+    };
     out.say(if broken { "the rule was broken" } else { "the rule held" });
     std::process::exit(i32::from(broken));
 }
