--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -137,7 +137,7 @@
 pub fn two_owners(out: &Out, trouble: bool) -> bool {
     const COLD_PER_S: f64 = 31.0;
     const BOUND: f64 = COLD_PER_S * 1.5 + 5.0;
-    const CUT: Duration = Duration::from_millis(7_500);
+    const CUT: Duration = Duration::from_millis(5_900);
     let links = Arc::new(Links::default());
     let fleet = Fleet::start_linked(3, out, &links);
     let route = "{\"name\":\"r-gen\",\"hostname\":\"h.example\",\"path_prefix\":\"/gen/\",\
@@ -205,18 +205,17 @@
         links.cut_off(0);
         out.say("machine 0 is cut off from all other machines; clients and the runner reach it");
     }
-    beat_to(1, 0);
+    beat_to(1, 2);
     beat_to(2, 1);
-    beat_to(3, 2);
-    sleep_until(started + beat * 4 - Duration::from_millis(100));
+    sleep_until(started + beat * 3 - Duration::from_millis(100));
     runner.set_cold_until(Instant::now() + Duration::from_secs(5));
     let cold_at = out.at();
     out.say("the runner becomes cold, for 5 s");
-    beat_to(4, 0);
-    beat_to(5, 1);
+    beat_to(3, 0);
+    beat_to(4, 1);
     let known_at = out.at();
     out.say("both sides know from heartbeats that the runner is cold");
-    beat_to(6, 2);
+    beat_to(5, 2);
     sleep_until(cut_end);
     if trouble {
         links.heal();
