Remove a control box that is gone as soon as that is certain

Cause: four voters need three. A replica that ended for good stayed a voter until it had been silent for 1.6 s, on SIGTERM as well, and a second loss meanwhile leaves two of four, which can elect nobody who could remove either. Besides, one join held all other changes up for up to 20 s while the box that had asked was gone again.

Change: the leader decides each membership change from the present state (control/core_changes.rs), and none waits for a box. While the group exceeds its target size, a voter goes at once if its box stops (it asks to leave before its process ends, with a limit of 1.5 s), has another identity, or refuses connections; silence remains the last resort. In a group of the target size a stop is a restart as before, and nobody is asked. The target size is the largest one that a known box has in its settings. The newest voter leads while the group exceeds its target size, since the box about to go is another one.

Why it works: a removal needs a majority of the remaining voters only, so the leader can still make it with two of four left, and three voters bear one loss. Every change passes the log as before, so wrong evidence costs a return as a learner and never a vote.

--- a/crates/hatchpitch/src/control/boxes.rs
+++ b/crates/hatchpitch/src/control/boxes.rs
@@ -9,7 +9,7 @@
 
 use super::context::{ControlCx, ProposeError};
 use super::daemon::BODY_TIMEOUT;
-use super::join::{self, JOIN_PATH, JoinRequest};
+use super::join::{self, JOIN_PATH, JoinRequest, LEAVE_PATH, LeaveRequest};
 use super::leader::LeaderAnswer;
 use super::machine::{Order, Reply};
 use super::registrations;
@@ -123,7 +123,11 @@
             }
             JOIN_PATH => {
                 let req = self.message.decode::<JoinRequest>()?;
-                Ok(self.cx.boxes.respond(&join::answer(self.cx, req)))
+                Ok(self.cx.boxes.respond(&join::answer(self.cx, &req)))
+            }
+            LEAVE_PATH => {
+                let req = self.message.decode::<LeaveRequest>()?;
+                Ok(self.cx.boxes.respond(&join::answer_leave(self.cx, &req).await))
             }
             HELLO_PATH => {
                 self.message.decode::<Hello>()?;
--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_channel::mpsc;
 use futures_util::lock::Mutex;
 use hatchpitch_net::{BodyError, BoxClient, Holder, MemoryError, Reservation, clock, read_body};
 use hyper::body::{Body as _, Incoming};
@@ -99,8 +100,12 @@
     pub boxes: BoxClient,
     /// Whether a leader sent replication messages while this box had no log.
     pub contacted_by_leader: Cell<bool>,
-    /// Whether this box is performing a membership change.
-    pub changing_members: Cell<bool>,
+    /// What boxes asked of this box about the membership while it leads.
+    pub core_requests: RefCell<CoreRequests>,
+    /// Whether this box stops and leaves the replication group.
+    pub is_leaving: Cell<bool>,
+    /// Wakes the task that changes the members of the replication group.
+    members_wake: RefCell<mpsc::Sender<()>>,
     /// Held while a configuration is decoded and submitted. Decoding takes several times the size
     /// of a configuration in memory, so configurations are processed one at a time.
     pub submit_lock: Mutex<()>,
@@ -158,7 +163,9 @@
             config: ConfigCell::new(boxes.backlog().clone()),
             metrics: Metrics::default(),
             contacted_by_leader: Cell::new(false),
-            changing_members: Cell::new(false),
+            core_requests: RefCell::default(),
+            is_leaving: Cell::new(false),
+            members_wake: RefCell::new(mpsc::channel(0).0),
             submit_lock: Mutex::new(()),
             registry: Rc::new(RegistryCell::new(rand::random())),
             outbox: Rc::default(),
@@ -233,8 +240,27 @@
         read(&self.machine.borrow())
     }
 
+    /// Returns the receiver of the wake-ups of [`Self::check_members`].
+    pub fn members_wake(&self) -> mpsc::Receiver<()> {
+        let (tx, rx) = mpsc::channel(0);
+        *self.members_wake.borrow_mut() = tx;
+        rx
+    }
+
+    /// Wakes the task that changes the members of the replication group.
+    pub fn check_members(&self) {
+        // A full channel holds a wake-up already; a closed one belongs to a box that stops.
+        let _ = self.members_wake.borrow_mut().try_send(());
+    }
+
     /// Sets the replica of the log once it is started.
-    pub fn set_log(&self, log: ReplicaHandle) {
+    pub fn set_log(self: &Rc<Self>, log: ReplicaHandle) {
+        let cx = Rc::downgrade(self);
+        log.absent().on_absence(move || {
+            if let Some(cx) = cx.upgrade() {
+                cx.check_members();
+            }
+        });
         // The daemon starts the log once, so the cell is empty here.
         let _ = self.log.set(log);
         self.log_state.set(LogState::Open);
@@ -277,6 +303,7 @@
             members: self.log_members(),
             leader: self.leader(),
             without_disk: self.settings.data_folder.is_none(),
+            core_size: self.settings.core_size,
         }
     }
 
@@ -346,7 +373,7 @@
     /// take it.
     pub async fn hand_over(&self) -> bool {
         match self.log() {
-            Some(log) => log.hand_over().await,
+            Some(log) => log.hand_over(None).await,
             None => false,
         }
     }
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -83,6 +83,7 @@
     signals::on_sighup(move || reloaded(&reload_cx), stop.clone());
     stop_signals.next().await?;
     hand_over(&cx).await;
+    join::leave(&cx).await;
     drop(stop_handle);
     if compio::time::timeout(STOP_TIMEOUT, listeners.wait_closed()).await.is_err() {
         log::warn!("calls in progress are left as the time limit of {STOP_TIMEOUT:?} is over");
@@ -93,7 +94,7 @@
 /// Starts the background tasks that do not depend on the log.
 fn spawn_tasks(cx: &Rc<ControlCx>, stop: &Stop) {
     if let Some(folder) = cx.settings.data_folder.clone() {
-        spawn_essential("members", join::run(cx.clone(), stop.clone()));
+        spawn_essential("members", join::run(cx.clone(), cx.members_wake(), stop.clone()));
         let (log_cx, log_stop) = (cx.clone(), stop.clone());
         spawn_essential("replica", async move {
             let stopping = Box::pin(log_stop.wait());
--- a/crates/hatchpitch/src/control/mod.rs
+++ b/crates/hatchpitch/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod boxes;
 pub mod context;
+pub mod core_changes;
 pub mod daemon;
 pub mod evacuate;
 pub mod join;
--- a/crates/hatchpitch/src/control/repair.rs
+++ b/crates/hatchpitch/src/control/repair.rs
@@ -97,14 +97,14 @@
 }
 
 /// Returns the replicas of box `name` other than `keep`: those on disks that the box lost.
-pub(super) fn other_replicas_of(members: &Members, name: &str, keep: NodeId) -> Vec<NodeId> {
+fn other_replicas_of(members: &Members, name: &str, keep: NodeId) -> Vec<NodeId> {
     let named = members.all().filter(|(id, peer)| peer.name == name && *id != keep);
     named.map(|(id, _)| id).collect()
 }
 
 /// Performs a membership change and waits until it is committed. While another change is in
 /// progress or the replica is behind, the change is retried.
-pub(super) async fn change_members(
+async fn change_members(
     log: &ReplicaHandle,
     step: &'static str,
     change: &MemberChange,
@@ -116,6 +116,12 @@
             Err(ChangeError::Busy | ChangeError::Behind) if clock::since(started) < STEP_LIMIT => {
                 compio::time::sleep(POLL_INTERVAL).await;
             }
+            // The leader may have made the same change by itself meanwhile.
+            Err(ChangeError::InvalidMember)
+                if log.with(|replica| change.is_made(replica.members())) =>
+            {
+                break;
+            }
             Err(err) => return Err(RepairError { step, cause: err.to_string() }),
         }
     }
--- a/crates/hatchpitch/src/message_limits.rs
+++ b/crates/hatchpitch/src/message_limits.rs
@@ -5,7 +5,7 @@
 
 use crate::claims::client::{CLAIM_PATH, SETTLE_PATH};
 use crate::config::feed::FEED_PATH;
-use crate::control::join::JOIN_PATH;
+use crate::control::join::{JOIN_PATH, LEAVE_PATH};
 use crate::grants::task::{ADOPT_PATH, GRANT_PATH, RELEASE_PATH, SYNC_PATH};
 use crate::membership::task::{GOSSIP_PATH, PING_PATH, PROBE_PATH};
 use crate::moves::task::{TURN_DONE_PATH, TURN_PATH};
@@ -40,9 +40,8 @@
 pub fn max_body(path: &str) -> Option<usize> {
     Some(match path {
         PING_PATH | PROBE_PATH | FEED_PATH | GRANT_PATH | RELEASE_PATH | TURN_PATH
-        | TURN_DONE_PATH | PERMIT_PATH | FOLLOW_PATH | JOIN_PATH | HELLO_PATH | CLAIM_PATH => {
-            MAX_SMALL
-        }
+        | TURN_DONE_PATH | PERMIT_PATH | FOLLOW_PATH | JOIN_PATH | LEAVE_PATH | HELLO_PATH
+        | CLAIM_PATH => MAX_SMALL,
         GOSSIP_PATH | SYNC_PATH | ADOPT_PATH | LIMIT_NOTICES_PATH | LEAVING_PATH | BRITTLE_PATH
         | PACE_PATH | ANSWERS_PATH | NEWS_PATH => MAX_LIST,
         EVIDENCE_PATH => MAX_EVIDENCE,
--- a/crates/hatchpitch/src/replication/bootstrap.rs
+++ b/crates/hatchpitch/src/replication/bootstrap.rs
@@ -44,6 +44,9 @@
     /// Whether the box has no disk and is therefore not a replica.
     #[serde(default)]
     pub without_disk: bool,
+    /// Target size of the group in the settings of the box; 0 from earlier versions.
+    #[serde(default)]
+    pub core_size: usize,
 }
 
 /// What to do after one round of calls to the peers.
--- a/crates/hatchpitch/src/replication/election.rs
+++ b/crates/hatchpitch/src/replication/election.rs
@@ -106,14 +106,17 @@
         }
     }
 
-    /// Hands leadership over to a voter that holds the whole log; returns whether there is one.
+    /// Hands leadership over to a voter that holds the whole log, to `next` if one is named; returns
+    /// whether there is such a voter.
     ///
     /// This replica becomes a follower at once, so its lease ends before another replica can lead.
-    pub fn hand_over(&mut self, now: Instant) -> bool {
+    pub fn hand_over(&mut self, next: Option<NodeId>, now: Instant) -> bool {
         let Role::Leader(leadership) = &self.role else { return false };
         let end = self.log.end().index;
         let caught_up = leadership.progress.iter().filter(|(id, progress)| {
-            self.members.voters.contains_key(id) && progress.matched == end
+            self.members.voters.contains_key(id)
+                && progress.matched == end
+                && next.is_none_or(|next| next == **id)
         });
         // Of the voters that are caught up, choose the one with the most recent contact.
         let next = caught_up.max_by_key(|(_, progress)| progress.last_contact).map(|(id, _)| *id);
--- a/crates/hatchpitch/src/replication/membership.rs
+++ b/crates/hatchpitch/src/replication/membership.rs
@@ -16,6 +16,17 @@
     Remove(NodeId),
 }
 
+impl MemberChange {
+    /// Returns whether `members` are those after the change.
+    pub fn is_made(&self, members: &Members) -> bool {
+        match self {
+            Self::AddLearner(id, _) => members.get(*id).is_some(),
+            Self::Promote(id) => members.voters.contains_key(id),
+            Self::Remove(id) => members.get(*id).is_none(),
+        }
+    }
+}
+
 /// Why a membership change was rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChangeError {
--- a/crates/hatchpitch/src/replication/messages.rs
+++ b/crates/hatchpitch/src/replication/messages.rs
@@ -28,6 +28,13 @@
     pub operators_addr: SocketAddr,
 }
 
+impl Peer {
+    /// Returns whether two replicas belong to the same box. Only one process listens at an address.
+    pub fn is_same_box(&self, other: &Self) -> bool {
+        self.name == other.name || self.boxes_addr == other.boxes_addr
+    }
+}
+
 /// The members of the group. Each change adds or removes one voter at most, so that the majorities
 /// before and after it overlap.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -53,6 +60,11 @@
     pub fn get(&self, id: NodeId) -> Option<&Peer> {
         self.voters.get(&id).or_else(|| self.learners.get(&id))
     }
+
+    /// Iterates over the replicas of a box.
+    pub fn replicas_of<'a>(&'a self, peer: &'a Peer) -> impl Iterator<Item = NodeId> + 'a {
+        self.all().filter(|(_, other)| other.is_same_box(peer)).map(|(id, _)| id)
+    }
 }
 
 /// Content of a log entry.
--- a/crates/hatchpitch/src/replication/mod.rs
+++ b/crates/hatchpitch/src/replication/mod.rs
@@ -4,6 +4,7 @@
 //! Pre-vote and check-quorum keep a box that rejoins after a network partition from disrupting the
 //! leader. Leader leases depend only on the monotonic clock.
 
+pub mod absence;
 pub mod append;
 pub mod bootstrap;
 pub mod disk;
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -11,8 +11,9 @@
 
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
-use hatchpitch_net::{BoxClient, Holder, MemoryError, Origin, Reservation, Stop, clock};
+use hatchpitch_net::{BoxClient, CallStep, Holder, MemoryError, Origin, Reservation, Stop, clock};
 
+use super::absence::AbsentReplicas;
 use super::disk::Disk;
 use super::membership::{ChangeError, MemberChange};
 use super::messages::{Entry, Envelope, Index, LogBatch, Message, NodeId, Payload, Term};
@@ -82,8 +83,9 @@
     Received(Envelope, SocketAddr, Rc<Reservation>),
     /// Proposes an encoded command.
     Propose(Vec<u8>, oneshot::Sender<ProposeReply>),
-    /// Hands leadership over; answers whether another replica was asked to lead.
-    HandOver(oneshot::Sender<bool>),
+    /// Hands leadership over, to a certain replica if one is named; answers whether one was asked to
+    /// lead.
+    HandOver(Option<NodeId>, oneshot::Sender<bool>),
     /// Proposes a membership change.
     Change(MemberChange, oneshot::Sender<Result<(), ChangeError>>),
 }
@@ -93,6 +95,7 @@
 pub struct ReplicaHandle {
     tx: mpsc::UnboundedSender<Input>,
     shared: Rc<RefCell<Replica>>,
+    absent: Rc<AbsentReplicas>,
 }
 
 impl ReplicaHandle {
@@ -120,10 +123,11 @@
         rx.await.unwrap_or(Err(ChangeError::NotLeader))
     }
 
-    /// Hands leadership over to another replica, if this one leads; returns whether one was asked.
-    pub async fn hand_over(&self) -> bool {
+    /// Hands leadership over to another replica, to `next` if one is named, if this one leads;
+    /// returns whether one was asked.
+    pub async fn hand_over(&self, next: Option<NodeId>) -> bool {
         let (tx, rx) = oneshot::channel();
-        let sent = self.tx.unbounded_send(Input::HandOver(tx));
+        let sent = self.tx.unbounded_send(Input::HandOver(next, tx));
         sent.is_ok() && rx.await.unwrap_or(false)
     }
 
@@ -137,6 +141,11 @@
         }
     }
 
+    /// Returns the replicas whose box refuses connections.
+    pub fn absent(&self) -> &AbsentReplicas {
+        &self.absent
+    }
+
     /// Calls a function with the replica's current state.
     pub fn with<T>(&self, read: impl FnOnce(&Replica) -> T) -> T {
         read(&self.shared.borrow())
@@ -188,6 +197,7 @@
     logged_no_lease: bool,
     /// Newest reply address of each sender, for replicas that are not in the members.
     reply_addrs: BTreeMap<NodeId, SocketAddr>,
+    absent: Rc<AbsentReplicas>,
     client: BoxClient,
     own_addr: SocketAddr,
 }
@@ -211,7 +221,8 @@
     let replica = Rc::new(RefCell::new(replica));
     let (tx, rx) = mpsc::unbounded();
     let (large_done_tx, large_done) = mpsc::unbounded();
-    let handle = ReplicaHandle { tx, shared: replica.clone() };
+    let absent = Rc::<AbsentReplicas>::default();
+    let handle = ReplicaHandle { tx, shared: replica.clone(), absent: absent.clone() };
     let driver = Driver {
         id,
         disk,
@@ -227,6 +238,7 @@
         logged_leader: None,
         logged_no_lease: false,
         reply_addrs: BTreeMap::new(),
+        absent,
         client,
         own_addr,
     };
@@ -310,8 +322,8 @@
                 log::debug!("dropped a message for replica {to}: this is another replica");
             }
             Input::Propose(command, reply) => self.propose(command, reply, now),
-            Input::HandOver(reply) => {
-                let was_asked = self.replica.borrow_mut().hand_over(now);
+            Input::HandOver(next, reply) => {
+                let was_asked = self.replica.borrow_mut().hand_over(next, now);
                 let _ = reply.send(was_asked);
             }
             Input::Change(change, reply) => {
@@ -449,7 +461,7 @@
             let (client, reply_to) = (self.client.clone(), self.own_addr);
             let (small, small_rx) = mpsc::channel(SEND_QUEUE);
             let (large, large_rx) = mpsc::channel(LARGE_SEND_QUEUE);
-            let task = send_small(client.clone(), reply_to, addr, small_rx);
+            let task = send_small(client.clone(), reply_to, addr, small_rx, self.absent.clone());
             compio::runtime::spawn(task).detach();
             let task = send_large(client, reply_to, addr, large_rx, self.large_done_tx.clone());
             compio::runtime::spawn(task).detach();
@@ -517,14 +529,17 @@
     }
 }
 
-/// Sends small messages to one replica in batches, one call at a time. Returns when `rx` is closed.
+/// Sends small messages to one replica in batches, one call at a time, and records whether its box
+/// refuses connections. Returns when `rx` is closed.
 async fn send_small(
     client: BoxClient,
     reply_to: SocketAddr,
     addr: SocketAddr,
     mut rx: mpsc::Receiver<Outgoing>,
+    absent: Rc<AbsentReplicas>,
 ) {
     while let Some(first) = rx.next().await {
+        let to = first.envelope.to;
         let mut bytes = first.envelope.message.payload_len();
         let (mut envelopes, mut held) = (vec![first.envelope], vec![first.held]);
         while bytes <= BATCH_BYTES
@@ -535,7 +550,10 @@
             held.push(next.held);
         }
         let batch = LogBatch { reply_to, envelopes };
-        if let Err(err) = client.call::<_, ()>(addr, LOG_PATH, &batch, SEND_TIMEOUT).await {
+        let sent = client.call::<_, ()>(addr, LOG_PATH, &batch, SEND_TIMEOUT).await;
+        let is_refused = matches!(&sent, Err(err) if err.step == CallStep::NoListener);
+        absent.record(to, is_refused);
+        if let Err(err) = sent {
             log::debug!("{} log messages not delivered: {err}", batch.envelopes.len());
         }
     }
--- a/crates/hatchpitch/tests/replication/group.rs
+++ b/crates/hatchpitch/tests/replication/group.rs
@@ -49,7 +49,7 @@
 }
 
 pub fn peer(id: NodeId) -> Peer {
-    let addr = ([127, 0, 0, 1], 1).into();
+    let addr = ([127, 0, 0, 1], u16::try_from(id).unwrap()).into();
     Peer { name: format!("box-{id}"), boxes_addr: addr, operators_addr: addr }
 }
 
@@ -195,7 +195,7 @@
     /// Makes a node hand leadership over, if it leads.
     pub fn hand_over(&mut self, id: NodeId) {
         self.step(id, |replica, now| {
-            replica.hand_over(now);
+            replica.hand_over(None, now);
         });
     }
 
--- a/crates/hatchpitch/tests/replication/main.rs
+++ b/crates/hatchpitch/tests/replication/main.rs
@@ -3,6 +3,7 @@
 
 mod explore;
 mod group;
+mod members;
 mod restarts;
 mod schedules;
 mod storage;
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +40,8 @@
     Encode,
     /// The call could not be sent or was not answered in time.
     Send,
+    /// The system of the box refused the connection: no process listens at the address.
+    NoListener,
     /// The box answered with a status other than 200.
     Refused,
     /// The answer could not be decoded.
@@ -235,7 +238,10 @@
         body: Vec<u8>,
     ) -> Result<Bytes, CallError> {
         let fail = |step, cause: String| CallError { step, peer, cause };
-        let send_failed = |err: cyper::Error| fail(CallStep::Send, error_chain(&err));
+        let send_failed = |err: cyper::Error| {
+            let step = if is_refused(&err) { CallStep::NoListener } else { CallStep::Send };
+            fail(step, error_chain(&err))
+        };
         let len = body.len();
         let signature = self.keys.sign(SIGNATURE_PURPOSE, &[path.as_bytes(), &body]);
         let queued = self.backlog.count(path, body);
@@ -319,6 +325,13 @@
     text
 }
 
+/// Returns whether an error is due to a refused connection.
+fn is_refused(err: &(dyn std::error::Error + 'static)) -> bool {
+    let causes = std::iter::successors(Some(err), |err| err.source());
+    let mut io_errors = causes.filter_map(|err| err.downcast_ref::<io::Error>());
+    io_errors.any(|err| err.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Verifies the signature of a message from another box and decodes it. Programs that hold bodies of
 /// unknown senders only within limits use [`BoxClient::receive`] instead.
 ///
