Remove a lost voter before its successor is promoted

Cause: the new replica was promoted first and the lost one removed after it. In between four voters need three, and a box that fails then leaves two missing. repair had the same order.

Change: once the new replica holds the whole log, the lost voter is removed and the new one promoted. The voter that is removed has no disk, so a group without it bears as much as with it, and a failure between the two steps costs nothing.

Evidence: a_disk_lost_twice_by_the_same_box_ends_the_core, which fails the box after each of 96 messages of its return, is red on the code before (the first size) and green now for three, four and five replicas.

--- a/crates/hatchpitch/src/control/core_changes.rs
+++ b/crates/hatchpitch/src/control/core_changes.rs
@@ -151,14 +151,18 @@
         self.joining.iter().find_map(|(id, Joining { peer, .. })| {
             let others = members.replicas_of(peer).filter(|other| other != id);
             let mut others = others.filter(|other| *other != replica.id());
-            let is_voter = members.voters.contains_key(id);
-            // A voter is replaced by a voter only, so that the group does not shrink.
-            if let Some(other) = others.find(|id| is_voter || members.learners.contains_key(id)) {
+            let is_learner = members.learners.contains_key(id);
+            let is_ready = members.voters.contains_key(id)
+                || (is_learner && replica.replication_lag(*id) == Some(0));
+            // A lost voter is removed just before its successor is promoted. In the other order, a
+            // box that fails between the two steps would leave two voters missing.
+            let is_due = |other: &NodeId| is_ready || members.learners.contains_key(other);
+            if let Some(other) = others.find(is_due) {
                 return remove(other, Cause::Replaced);
             }
             match members.get(*id) {
                 None => Some(CoreChange::Add(*id, peer.clone())),
-                Some(peer) if !is_voter && replica.replication_lag(*id) == Some(0) => {
+                Some(peer) if is_learner && is_ready => {
                     Some(CoreChange::Promote(*id, peer.clone()))
                 }
                 Some(_) => None,
--- a/crates/hatchpitch/src/control/repair.rs
+++ b/crates/hatchpitch/src/control/repair.rs
@@ -1,7 +1,7 @@
 //! Replaces a control box that lost its disk.
 //!
-//! The new replica is added as a learner, promoted once it holds the whole log,
-//! and the lost replica is removed. Success is reported only when the new
+//! The new replica is added as a learner. Once it holds the whole log, the lost
+//! replica is removed and the new one promoted. Success is reported only when the new
 //! replica is a voter that durably holds every committed entry and the last
 //! membership change is committed, so that losing another replica immediately
 //! afterwards loses no data.
@@ -73,12 +73,13 @@
     }
     wait_until(log, "catch up", |log| log.with(|replica| replica.replication_lag(id)) == Some(0))
         .await?;
-    if log.with(|replica| replica.members().learners.contains_key(&id)) {
-        change_members(log, "promote", &MemberChange::Promote(id)).await?;
-    }
+    // In the other order, a box that fails between the two steps would leave two voters missing.
     for replaced in other_replicas_of(&log.with(|replica| replica.members().clone()), name, id) {
         change_members(log, "remove", &MemberChange::Remove(replaced)).await?;
     }
+    if log.with(|replica| replica.members().learners.contains_key(&id)) {
+        change_members(log, "promote", &MemberChange::Promote(id)).await?;
+    }
     wait_until(log, "confirm", |log| {
         log.with(|replica| replica.members_committed() && replica.replication_lag(id) == Some(0))
     })
--- a/crates/hatchpitch/tests/replication/members.rs
+++ b/crates/hatchpitch/tests/replication/members.rs
@@ -19,6 +19,9 @@
 /// Number of messages after which the steps of a leave are certainly over.
 const LEAVE_MESSAGES: usize = 48;
 
+/// Number of messages after which a box that lost its disk has certainly returned.
+const JOIN_MESSAGES: usize = 96;
+
 /// A group whose leader changes the members.
 struct Core {
     group: Group,
@@ -154,6 +157,13 @@
         self.group.add(id + NEW_IDENTITY, voters([]));
     }
 
+    /// Makes a box lose its disk once more.
+    fn lose_disk_again(&mut self, id: NodeId) {
+        self.remove(id + NEW_IDENTITY);
+        self.lost.insert(id + NEW_IDENTITY);
+        self.group.add(id + 2 * NEW_IDENTITY, voters([]));
+    }
+
     /// Checks that the group goes on without anything lost.
     fn check(&mut self) {
         self.run(5_000);
@@ -296,6 +306,7 @@
     core.change_members();
     core.group.run(100).unwrap();
     assert!(core.members(leader).learners.contains_key(&(first + NEW_IDENTITY)));
+    core.lost.insert(first + NEW_IDENTITY);
     core.group.add(first + 2 * NEW_IDENTITY, voters([]));
     core.run(500);
     let members = core.members(leader);
@@ -305,6 +316,35 @@
     core.check();
 }
 
+/// Guards against a box that loses its disk a second time right after it was promoted, and with it
+/// two voters of four. It fails after each message of its return.
+#[test]
+fn a_disk_lost_twice_by_the_same_box_ends_the_core() {
+    for (boxes, size) in [(3, 3), (4, 3), (5, 5)] {
+        for steps in 0..JOIN_MESSAGES {
+            let mut core = Core::new(boxes, size);
+            let leader = core.leader().unwrap();
+            let lost = (1..=boxes).find(|id| *id != leader).unwrap();
+            core.lose_disk(lost);
+            for _ in 0..steps {
+                core.ask_again();
+                core.change_members();
+                match core.group.in_flight.is_empty() {
+                    true => core.group.advance(Duration::from_millis(20)),
+                    false => core.group.deliver(0),
+                }
+                core.group.verify().unwrap();
+            }
+            core.lose_disk_again(lost);
+            core.run(4_000);
+            let leader = core.leader().expect("one box of them is lost");
+            let second = (1..=boxes).rfind(|id| *id != lost && *id != leader).unwrap();
+            core.lose_disk(second);
+            core.check();
+        }
+    }
+}
+
 /// Guards against a removal on wrong evidence that a box does not recover from: one whose process
 /// ended for a moment returns with its disk and its identity.
 #[test]
