Tell on every control box that the core has no majority, and who is missing

A core without a majority left no line that said so: each box logged that it knew no leader, and nothing named the voters that did not take part.

A control box that has known no leader for longer than an election asks the voters who they are, logs the missing ones with their causes and times every 10 s, and logs the end. Boxes without a disk do the same with the members that they heard of. Gauges: hatchpitch_core_voters, hatchpitch_core_voters_missing, hatchpitch_core_leaderless_seconds.

--- a/crates/hatchpitch/src/control/context.rs
+++ b/crates/hatchpitch/src/control/context.rs
@@ -12,7 +12,9 @@
 use hatchpitch_net::{BodyError, BoxClient, Holder, MemoryError, Reservation, clock, read_body};
 use hyper::body::{Body as _, Incoming};
 
+use super::core_changes::CoreRequests;
 use super::machine::{Command, Machine, Order, Reply};
+use super::majority::Outage;
 use super::quarantine;
 use crate::config::feed::ConfigCell;
 use crate::ids::RunnerName;
@@ -52,6 +54,10 @@
 /// Time after which a control box that sent no news is removed from the known peers.
 const CONTROL_PEER_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for which a box without a log takes it that the leader it heard of leads: several intervals
+/// at which it asks.
+const CORE_HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// State of another control box, as learned from news about upstreams.
 #[derive(Debug, Clone, Copy)]
 struct ControlPeerState {
@@ -115,8 +121,11 @@
     pub outbox: Rc<Outbox>,
     /// Replication messages of which parts are still missing.
     pub log_parts: RefCell<Reassembler>,
-    /// Newest introduction of a member of the replication group; set only on a box without a log.
-    core_hello: RefCell<Option<Hello>>,
+    /// Newest introduction of a member that follows a leader, and when it came; set only on a box
+    /// without a log.
+    core_hello: RefCell<Option<(Hello, Instant)>>,
+    /// The present time without a leader, if it is longer than an election.
+    pub outage: RefCell<Option<Outage>>,
     /// Other control boxes by address, as learned from news about upstreams.
     control_peers: RefCell<BTreeMap<SocketAddr, ControlPeerState>>,
     /// Ids of refused announcements, and when each refusal was last logged.
@@ -171,6 +180,7 @@
             outbox: Rc::default(),
             log_parts: RefCell::new(Reassembler::new(boxes.memory().clone())),
             core_hello: RefCell::default(),
+            outage: RefCell::default(),
             control_peers: RefCell::default(),
             refused_ids: RefCell::default(),
             machine: RefCell::new(Machine::new()),
@@ -275,7 +285,7 @@
     /// another box reported.
     pub fn members(&self) -> Option<Members> {
         let from_hello =
-            || self.core_hello.borrow().as_ref().and_then(|hello| hello.members.clone());
+            || self.core_hello.borrow().as_ref().and_then(|(hello, _)| hello.members.clone());
         self.log_members().or_else(from_hello)
     }
 
@@ -286,7 +296,7 @@
 
     /// Records the introduction of a member of the replication group; for a box without a log.
     pub fn set_core_hello(&self, hello: Hello) {
-        *self.core_hello.borrow_mut() = Some(hello);
+        *self.core_hello.borrow_mut() = Some((hello, clock::now()));
     }
 
     /// Returns whether this box may tell others who it is and whether it has a log. A box that
@@ -382,7 +392,20 @@
     pub fn leader(&self) -> Option<Peer> {
         match self.log() {
             Some(log) => log.with(|replica| replica.members().get(replica.leader()?).cloned()),
-            None => self.core_hello.borrow().as_ref().and_then(|hello| hello.leader.clone()),
+            None => self.core_hello.borrow().as_ref().and_then(|(hello, _)| hello.leader.clone()),
+        }
+    }
+
+    /// Returns whether this box leads or follows a leader; one without a log, whether it heard of
+    /// one a short time ago.
+    pub fn follows_leader(&self) -> bool {
+        match self.log() {
+            Some(log) => log.with(|replica| replica.leader().is_some()),
+            None => self
+                .core_hello
+                .borrow()
+                .as_ref()
+                .is_some_and(|(_, at)| clock::since(*at) < CORE_HELLO_TIMEOUT),
         }
     }
 
--- a/crates/hatchpitch/src/control/daemon.rs
+++ b/crates/hatchpitch/src/control/daemon.rs
@@ -9,7 +9,7 @@
 
 use super::context::ControlCx;
 use super::machine::Order;
-use super::{boxes, join, operators, replica};
+use super::{boxes, join, majority, operators, replica};
 use crate::backlog_monitor;
 use crate::commands::task as commands;
 use crate::config::feed;
@@ -117,6 +117,7 @@
     follow_leader(cx, stop.clone());
     let core_cx = cx.clone();
     spawn_essential("core", async move { follow_core(&core_cx).await });
+    spawn_essential("majority", majority::run(cx.clone(), stop.clone()));
     spawn_essential("pressure", backlog_monitor::run(cx.boxes.clone(), stop.clone()));
     let memory = cx.boxes.memory().clone();
     spawn_essential("memory", memory_monitor::run(memory, stop.clone()));
--- a/crates/hatchpitch/src/control/mod.rs
+++ b/crates/hatchpitch/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub mod join;
 pub mod leader;
 pub mod machine;
+pub mod majority;
 pub mod operators;
 pub mod quarantine;
 pub mod registrations;
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use hatchpitch_net::keys::to_hex;
-use hatchpitch_net::{Body, Reservation, query_value};
+use hatchpitch_net::{Body, Reservation, clock, query_value};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -163,6 +163,13 @@
     cx.metrics.gauge("hatchpitch_log_damaged", flag(log_state == LogState::Damaged));
     cx.metrics.gauge("hatchpitch_config_number", cx.config.number() as f64);
     cx.metrics.gauge("hatchpitch_leads", if cx.leads() { 1.0 } else { 0.0 });
+    let voters = cx.members().map_or(0, |members| members.voters.len());
+    cx.metrics.gauge("hatchpitch_core_voters", voters as f64);
+    let outage = cx.outage.borrow();
+    let missing = outage.as_ref().map_or(0, |outage| outage.missing.len());
+    cx.metrics.gauge("hatchpitch_core_voters_missing", missing as f64);
+    let leaderless = outage.as_ref().map_or(0.0, |o| clock::since(o.since).as_secs_f64());
+    cx.metrics.gauge("hatchpitch_core_leaderless_seconds", leaderless);
     cx.metrics.evacuations(&cx.config.evacuations());
     cx.metrics.quarantine(&cx.config.quarantine());
     let upstreams = cx.registry.with(|table| table.alive().count());
