Refuse chats and calls at a box without a configuration with 503

A caller with a good key got 401 from the product's own listener of a box that had no configuration yet, and a client does not try another box after that.

Cause: the key was looked up before anything asked whether the box knows keys at all. Requests on hosted routes were asked first and got 503.

Change: the listener refuses with "no_config" and a Retry-After until the box has a configuration, resumed answers included.

--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -90,6 +90,8 @@
     path: &str,
     span: Span,
 ) -> Result<Response<Body>, Problem> {
+    // Without a configuration no key is known, so the caller has to try another box.
+    cx.check_config_known()?;
     let view = cx.sync_gates();
     let workspace = authenticate(&view, req.headers())?;
     if let Some(token) = path.strip_prefix("/v1/responses/") {
--- a/crates/hatchpitch/src/entry/context.rs
+++ b/crates/hatchpitch/src/entry/context.rs
@@ -473,11 +473,7 @@
         if self.intake.get() == Intake::Closed {
             return Err(Stopping.problem());
         }
-        if self.config.number() == 0 {
-            let message = "this box knows no configuration yet";
-            let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_config", message);
-            return Err(problem.retry_after(self.short_retry()));
-        }
+        self.check_config_known()?;
         if !self.config_is_fresh() {
             let message = "this box is cut off and its configuration may be old; use another one";
             let problem =
@@ -487,6 +483,20 @@
         Ok(())
     }
 
+    /// Checks that the box has a configuration, without which it knows no route and no key.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem with which requests are refused, with the time after which to retry.
+    pub fn check_config_known(&self) -> Result<(), Problem> {
+        if self.config.number() > 0 {
+            return Ok(());
+        }
+        let message = "this box knows no configuration yet";
+        let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no_config", message);
+        Err(problem.retry_after(self.short_retry()))
+    }
+
     /// Returns the client of an upstream with the connect timeout of this box.
     pub fn upstream(self: &Rc<Self>, name: &str, addr: SocketAddr) -> UpstreamClient {
         UpstreamClient::new(
