Refuse unknown keys on every route

On other routes it got 401.

Cause: the check asked whether the route is open before it asked whether the request carries a key. The field was read in two places besides.

Change: security.rs decides who a caller is, from the field to "no key", "key of a workspace", "unknown key" or "malformed", for hosted routes of each kind and for the product's own listener; operators' keys are read by the same function. Only a request without the field is anonymous. Schemes are compared regardless of case, as RFC 9110 asks. Two fields, another scheme and an empty key are refused: their sender means to be somebody. Without any workspace, keys are not looked at, as before: a box that lags behind must not refuse the keys of the first workspaces. Refusals on hosted routes are counted like those of the product's own listener.

--- a/crates/e2e/tests/input.rs
+++ b/crates/e2e/tests/input.rs
@@ -87,6 +87,45 @@
     Ok(())
 }
 
+/// Guards against a path that takes a request whose key is missing, unknown or malformed.
+#[compio::test]
+async fn every_path_needs_the_key_of_a_workspace() -> anyhow::Result<()> {
+    let fleet =
+        TestFleet::start(FleetSpec { entry: 1, engines: 1, ..FleetSpec::default() }).await?;
+    let at = fleet.entry_addrs[0];
+    let key = fleet.caller(0).key;
+    let refused = [
+        String::new(),
+        "Authorization: Bearer not-a-key\r\n".to_owned(),
+        "Authorization: Bearer\r\n".to_owned(),
+        format!("Authorization: Token {key}\r\n"),
+        format!("Authorization: {key}\r\n"),
+        format!("Authorization: Bearer {key}\r\nAuthorization: Bearer {key}\r\n"),
+    ];
+    let paths = [
+        "POST /v1/chat/completions",
+        "POST /v1/completions",
+        "POST /apps/calculator/x",
+        "GET /v1/responses/a-token",
+    ];
+    for path in paths {
+        for fields in &refused {
+            let message = format!(
+                "{path} HTTP/1.1\r\nHost: x\r\n{fields}Content-Length: 0\r\n\
+                 Connection: close\r\n\r\n"
+            );
+            let answer = send_raw(at, message.as_bytes());
+            assert!(answer.starts_with("HTTP/1.1 401"), "{path}: {fields}: {answer}");
+            assert!(answer.contains("unknown_key") && !answer.contains(&key), "{answer}");
+        }
+    }
+    let known =
+        format!("GET /v1/responses/x HTTP/1.1\r\nHost: x\r\nAuthorization: bearer {key}\r\n\r\n");
+    let answer = send_raw(at, known.as_bytes());
+    assert!(!answer.starts_with("HTTP/1.1 401") && answer.starts_with("HTTP/1.1 4"), "{answer}");
+    Ok(())
+}
+
 #[compio::test]
 async fn logs_contain_no_keys_or_prompts() -> anyhow::Result<()> {
     let fleet = TestFleet::start(FleetSpec { engines: 1, ..FleetSpec::default() }).await?;
--- a/crates/hatchpitch/src/control/operators.rs
+++ b/crates/hatchpitch/src/control/operators.rs
@@ -22,7 +22,7 @@
 use crate::evacuation::{EvacuationOrder, Evacuations, Revision};
 use crate::ids::{BoxName, ConfigNumber, FailureDomainName};
 use crate::outcome::{Outcome, Problem, json_response, text_response};
-use crate::security::bearer;
+use crate::security::{self, BEARER, bearer};
 use crate::settings::diagnostic::Problem as FileProblem;
 
 /// Status of a control box, for operators.
@@ -203,10 +203,9 @@
     let from_settings = cx.settings.operators.iter().find(|op| find_key(&op.keys, key).is_some());
     let from_settings = from_settings.map(|op| op.name.clone());
     let view = cx.config.view();
-    from_settings.or_else(|| view.operator_of_key(key).map(str::to_owned)).ok_or_else(|| {
-        let message = "Authorization: expected \"Bearer\" and a key of an operator";
-        Problem::not_run(StatusCode::UNAUTHORIZED, "unknown_key", message)
-    })
+    from_settings
+        .or_else(|| view.operator_of_key(key).map(str::to_owned))
+        .ok_or_else(|| security::unknown_key(BEARER, "an operator"))
 }
 
 /// A submitted fleet file that is not validated yet.
--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -21,7 +21,7 @@
 use crate::metrics::Count;
 use crate::outcome::{Outcome, Problem, json_response, text_response};
 use crate::pace::task as pace;
-use crate::security::bearer;
+use crate::security::{self, BEARER, Caller};
 use crate::trace::Span;
 
 /// Maximum length of a request target (path and query), in bytes.
@@ -49,8 +49,8 @@
     res
 }
 
-/// Counts a refused or failed request and logs it.
-fn record_problem(cx: &EntryCx, problem: &Problem) {
+/// Counts a refused or failed request.
+pub fn count_problem(cx: &EntryCx, problem: &Problem) {
     let counter = match (problem.status, problem.outcome) {
         (StatusCode::UNAUTHORIZED, _) => Count::UnknownKey,
         (StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE, _) => Count::BadInput,
@@ -58,6 +58,11 @@
         _ => Count::Refused,
     };
     cx.metrics.count(counter, "");
+}
+
+/// Counts a refused or failed request and logs it.
+fn record_problem(cx: &EntryCx, problem: &Problem) {
+    count_problem(cx, problem);
     log::info!("refused with {}: {}: {}", problem.status, problem.kind, problem.message);
 }
 
@@ -123,13 +128,12 @@
     }
 }
 
-/// Returns the workspace that the bearer key belongs to.
+/// Returns the workspace that the bearer key belongs to. All paths of this listener need a key.
 fn authenticate<'a>(view: &'a FleetView, headers: &HeaderMap) -> Result<&'a Workspace, Problem> {
-    let workspace = bearer(headers).and_then(|key| view.workspace_of_key(key));
-    workspace.map(|ix| &view.workspaces[ix]).ok_or_else(|| {
-        let message = "Authorization: expected \"Bearer\" and a key of a workspace";
-        Problem::not_run(StatusCode::UNAUTHORIZED, "unknown_key", message)
-    })
+    let workspace = Caller::identify(view, headers, BEARER).authorize(BEARER, true)?;
+    workspace
+        .map(|ix| &view.workspaces[ix])
+        .ok_or_else(|| security::unknown_key(BEARER, "a workspace"))
 }
 
 /// Reads a request to a service. `path` is the path below the service name.
--- a/crates/hatchpitch/src/entry/operators.rs
+++ b/crates/hatchpitch/src/entry/operators.rs
@@ -17,7 +17,7 @@
 use crate::membership::MemberStatus;
 use crate::outcome::{Outcome, Problem, json_response};
 use crate::pace::watch::paces;
-use crate::security::bearer;
+use crate::security::{self, BEARER, bearer};
 use crate::upstream_limits::RateLimit;
 
 /// Status of an entry box, for operators.
@@ -95,8 +95,7 @@
     let view = cx.sync_gates();
     let operator = bearer(req.headers()).and_then(|key| view.operator_of_key(key));
     let Some(operator) = operator.map(str::to_owned) else {
-        let message = "Authorization: expected \"Bearer\" and a key of an operator";
-        return Err(Problem::not_run(StatusCode::UNAUTHORIZED, "unknown_key", message));
+        return Err(security::unknown_key(BEARER, "an operator"));
     };
     let path = req.uri().path().to_owned();
     if let Some(trace) = path.strip_prefix("/ops/trace/") {
