Forget refused connections when a replica begins to lead

A follower seldom connects to the others, so what it recorded may be minutes old. As a leader of a group beyond its target size it would have removed a sound voter before the first message to it. An introduction in a test gets the field of the target size.

--- a/crates/e2e/tests/first_start.rs
+++ b/crates/e2e/tests/first_start.rs
@@ -57,7 +57,14 @@
         let name = if place == 2 && !disclose { "unknown" } else { &self.boxes[place].name };
         let members = self.members().filter(|_| disclose);
         let id = PEERS[place - 1];
-        Hello { name: name.to_owned(), id, members, leader: None, without_disk: false }
+        Hello {
+            name: name.to_owned(),
+            id,
+            members,
+            leader: None,
+            without_disk: false,
+            core_size: 0,
+        }
     }
 }
 
--- a/crates/hatchpitch/src/replication/absence.rs
+++ b/crates/hatchpitch/src/replication/absence.rs
@@ -27,6 +27,12 @@
         *self.on_absence.borrow_mut() = Some(Box::new(callback));
     }
 
+    /// Forgets what is known. A replica that begins to lead does so: what it recorded while it
+    /// followed may be old, since followers seldom connect to each other.
+    pub(super) fn clear(&self) {
+        self.ids.borrow_mut().clear();
+    }
+
     /// Records how a connection to a replica ended.
     pub(super) fn record(&self, id: NodeId, is_refused: bool) {
         if !is_refused {
--- a/crates/hatchpitch/src/replication/task.rs
+++ b/crates/hatchpitch/src/replication/task.rs
@@ -284,12 +284,13 @@
                 log::error!("{err}; reopening the log");
                 self.reopen().await;
             }
-            self.log_leader_change();
+            self.observe_leader_change();
         }
     }
 
-    /// Logs a change of the term or the known leader.
-    fn log_leader_change(&mut self) {
+    /// Logs a change of the term or the known leader, and forgets absent replicas if this one begins
+    /// to lead.
+    fn observe_leader_change(&mut self) {
         let replica = self.replica.borrow();
         let (term, leader) = (replica.term(), replica.leader());
         if !self.logged_no_lease && replica.rules_out_leases() {
@@ -303,6 +304,9 @@
             return;
         }
         self.logged_leader = Some((term, leader));
+        if replica.leads() {
+            self.absent.clear();
+        }
         let leader = leader.map_or_else(String::new, |id| format!("{id:016x}"));
         log::info!(
             term = term, leader = leader.as_str(), leads = replica.leads(),
