--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -110,6 +110,7 @@
             Fault::FullDiskAtStart(index) => {
                 self.start_on_full_disk(index, |_, _| {}, duration).await
             }
+            Fault::Replace(replacement) => self.replace(replacement, duration).await,
             Fault::FullNewDisk(index) => {
                 self.start_on_full_disk(index, Fleet::lose_disk, duration).await;
             }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -218,9 +218,8 @@
         self.for_each_process(index, &ALL_ROLES, |managed| managed.signal(signal));
     }
 
-    /// Asks the processes of a box to stop, kills those that exceed the grace period, and restarts
-    /// all.
-    pub async fn stop_and_start(&self, index: usize) {
+    /// Asks the processes of a box to stop, and kills those that exceed the grace period.
+    pub async fn stop(&self, index: usize) {
         self.for_each_process(index, &ALL_ROLES, |managed| {
             managed.should_run = false;
             managed.signal(libc::SIGTERM);
@@ -230,9 +229,32 @@
             compio::time::sleep(POLL_INTERVAL).await;
         }
         self.kill(index, &ALL_ROLES);
+    }
+
+    /// Stops the processes of a box as [`Self::stop`] does and restarts all.
+    pub async fn stop_and_start(&self, index: usize) {
+        self.stop(index).await;
         self.start_again(index);
     }
 
+    /// Gives a box whose processes are not running an empty disk.
+    pub fn give_disk(&self, index: usize) {
+        let data = self.folder.join(format!("data-{index}"));
+        self.plans.borrow_mut()[index].data_folder = Some(data);
+    }
+
+    /// Takes the disk of a box whose processes are not running away for good.
+    pub fn take_disk(&self, index: usize) {
+        self.lose_disk(index);
+        self.plans.borrow_mut()[index].data_folder = None;
+    }
+
+    /// Returns whether a box has a disk and a control process.
+    pub fn has_disk(&self, index: usize) -> bool {
+        let plan = &self.plans.borrow()[index];
+        plan.has_control && plan.data_folder.is_some()
+    }
+
     /// Returns whether all processes of a box have exited.
     fn have_exited(&self, index: usize) -> bool {
         self.processes.borrow_mut()[index].iter_mut().all(|managed| self.has_ended(managed))
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod plan;
 pub mod proxy;
 pub mod record;
+pub mod replacement;
 pub mod run;
 pub mod schedule;
 pub mod sources;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -72,6 +72,9 @@
     pub starts: bool,
     /// Whether storms contain faults that spoil the heads of answers.
     pub heads: bool,
+    /// Whether each round ends with the replacement of a box that holds the log, beside the loss of
+    /// another one's disk.
+    pub replace: bool,
     /// Folder for settings, data and logs.
     pub folder: PathBuf,
 }
@@ -239,6 +242,9 @@
         self.run_schedule(&maintenance, self.opts.calm).await;
         self.wait_until_serving().await?;
         self.cx.record.set_calm(None);
+        if self.opts.replace {
+            self.replace_box(seed).await?;
+        }
         for (index, _) in &limits {
             self.injector.pool.set_limit(*index, None);
         }
@@ -255,6 +261,16 @@
         Ok(())
     }
 
+    /// Replaces a box that holds the log and waits until the fleet serves again.
+    async fn replace_box(&self, seed: u64) -> anyhow::Result<()> {
+        let (holders, spares): (Vec<usize>, Vec<usize>) =
+            self.size.control_boxes().partition(|index| self.fleet.has_disk(*index));
+        let fault = schedule::replacement(seed, &holders, &spares);
+        let fault = fault.context("no box can replace another one")?;
+        self.run_fault(&fault).await;
+        self.wait_until_serving().await
+    }
+
     /// Injects all faults of a phase concurrently, and waits at least for the length of the phase.
     async fn run_schedule(&self, faults: &[ScheduledFault], length: Duration) {
         let all = faults.iter().map(|fault| self.run_fault(fault));
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::heads::{HEAD_SPOILS, HeadSpoil};
+use crate::replacement::Replacement;
 use crate::wire::PROXIED_PORTS;
 
 /// Range of fault durations, in milliseconds.
@@ -116,6 +117,8 @@
     /// Kills the control process of a box, deletes its data and restarts it with a disk that takes no
     /// bytes.
     FullNewDisk(usize),
+    /// Replaces a box that holds the log for good, and deletes the data of another one.
+    Replace(Replacement),
 }
 
 /// Separates the random numbers of the rate limits from those of the faults.
@@ -144,6 +147,13 @@
 const HEADS_SALT: u64 = 0x0068_6561_6473;
 /// Range of the number of faults per storm that spoil heads.
 const HEADS_COUNT: std::ops::Range<usize> = 2..6;
+/// Separates the random numbers of replacements from those of the faults.
+const REPLACE_SALT: u64 = 0x7265_706c_6163;
+/// Ranges of the time from the stop of a replaced box to the loss of another disk, in milliseconds.
+const PLANNED_GAP_MS: std::ops::Range<u64> = 100..1_500;
+/// The same for a killed box. The proxies accept connections for a box that is down, so it is only
+/// found to be gone by its silence.
+const KILLED_GAP_MS: std::ops::Range<u64> = 3_000..4_500;
 /// Ranges of the number of such faults per storm.
 const LOAD_COUNT: std::ops::Range<usize> = 3..7;
 const START_COUNT: std::ops::Range<usize> = 2..5;
@@ -313,6 +323,19 @@
     faults.collect()
 }
 
+/// Draws the replacement of a box, from a separate generator. `holders` are the boxes that hold the
+/// log and `spares` the control boxes without a disk.
+pub fn replacement(seed: u64, holders: &[usize], spares: &[usize]) -> Option<ScheduledFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ REPLACE_SALT);
+    let chosen: Vec<usize> = holders.choose_multiple(&mut rng, 2).copied().collect();
+    let [old, lost] = chosen[..] else { return None };
+    let new = *spares.choose(&mut rng)?;
+    let planned = rng.random_bool(0.5);
+    let gap = rng.random_range(if planned { PLANNED_GAP_MS } else { KILLED_GAP_MS });
+    let fault = Fault::Replace(Replacement { old, new, lost, planned });
+    Some(ScheduledFault { at: Duration::ZERO, duration: Duration::from_millis(gap), fault })
+}
+
 /// Draws the start and the duration of a fault within a phase of the given length.
 fn schedule_fault(rng: &mut SmallRng, fault: Fault, length: Duration) -> ScheduledFault {
     let at = rng.random_range(0..length.as_millis().max(1)) as u64;
