Report no outage to operators before the members are known

A box with an empty disk that was just added has a log without members until the leader's first entries arrive; if they took over 2 s it would have logged that a core of no voters has lost its majority.

--- a/crates/hatchpitch/src/control/majority.rs
+++ b/crates/hatchpitch/src/control/majority.rs
@@ -96,7 +96,10 @@
             }
             continue;
         }
-        let Some(members) = cx.members().filter(|_| !stop.is_set()) else { continue };
+        // A box that was just added knows no voters until the log arrives.
+        let Some(members) = cx.members().filter(|members| !members.voters.is_empty()) else {
+            continue;
+        };
         if clock::since(leader_seen) < ELECTION_PATIENCE {
             continue;
         }
