Cases for the members of the core, step by step

Leaves, two at once, with the box, another one or the leader gone between two steps; refusals beside a suspended voter; lost disks, once and at each step of a return, in a group of the target size and beyond it.

--- a/crates/hatchpitch/src/control/core_changes.rs
+++ b/crates/hatchpitch/src/control/core_changes.rs
@@ -1,9 +1,9 @@
 //! Decides which membership change of the replication group comes next.
 //!
-//! A voter beyond the target size costs more than it gives once it is gone: four voters need three,
-//! so one lost replica leaves no more room than a group of three has after none. The leader
-//! therefore removes such a voter as soon as it knows that it is gone, and not only once it has been
-//! silent. A group at its target size or below it keeps its voters, since most of them return.
+//! A voter beyond the target size is a risk once it is gone: four voters need three, so no other one
+//! may fail, whereas the three without it need two. The leader therefore removes such a voter as soon
+//! as it knows that it is gone, and not only once it has been silent. A group at its target size or
+//! below it keeps its voters, since most of them return.
 //!
 //! Each change is decided from the present state alone, so no change waits for a box that may be
 //! gone again. Whatever the evidence, a change takes effect only by a majority of the group;
--- a/crates/hatchpitch/tests/cases/main.rs
+++ b/crates/hatchpitch/tests/cases/main.rs
@@ -6,6 +6,7 @@
 
 mod claims;
 mod config;
+mod core;
 mod file;
 mod matrix;
 mod stream;
@@ -22,6 +23,7 @@
             "stream" => stream::run(case),
             "claims" => claims::run(case),
             "config" => config::run(case),
+            "core" => core::run(case),
             other => panic!("{}: unknown machine {other}", case.name),
         };
         if actual != case.expected() {
