--- a/crates/hatchpitch/src/entry/callers.rs
+++ b/crates/hatchpitch/src/entry/callers.rs
@@ -130,10 +130,12 @@
 
 /// Returns the workspace that the bearer key belongs to. All paths of this listener need a key.
 fn authenticate<'a>(view: &'a FleetView, headers: &HeaderMap) -> Result<&'a Workspace, Problem> {
-    let workspace = Caller::identify(view, headers, BEARER).authorize(BEARER, true)?;
-    workspace
-        .map(|ix| &view.workspaces[ix])
-        .ok_or_else(|| security::unknown_key(BEARER, "a workspace"))
+    match Caller::identify(view, headers, BEARER) {
+        Caller::Workspace(ix) => Ok(&view.workspaces[ix]),
+        Caller::NoKey | Caller::UnknownKey | Caller::Malformed => {
+            Err(security::unknown_key(BEARER, "a workspace"))
+        }
+    }
 }
 
 /// Reads a request to a service. `path` is the path below the service name.
