--- a/crates/hatchpitch/src/control/join.rs
+++ b/crates/hatchpitch/src/control/join.rs
@@ -1,8 +1,8 @@
 //! Automatic repair of the membership of the replication group.
 //!
 //! A control box that is not a voter asks the leader to add it; one that stops asks to be removed
-//! if the group has more voters than its target size. The leader makes the changes one at a time, as
-//! [`CoreRequests::next_change`] decides. A box does not vote before it is promoted.
+//! if the group has more voters than its target size. The leader makes the changes one at a time;
+//! [`core_changes`](super::core_changes) decides which. A box does not vote before it is promoted.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
