Let a box that lost its disk in the soak return before the next storm

Two disks at a time are more than a core of three bears, and the storms themselves lose only one.

The replacement now ends 5 s after the box with the empty disk is back, the time that the new box gets as well.

--- a/crates/soak/src/replacement.rs
+++ b/crates/soak/src/replacement.rs
@@ -6,7 +6,8 @@
 use crate::fleet::{ALL_ROLES, Fleet};
 use crate::wire::Role;
 
-/// Time that the new box gets before the old one goes; platforms allow several seconds.
+/// Time that the new box gets before the old one goes, and the one that lost its disk before anything
+/// else fails; platforms allow several seconds.
 const CATCH_UP: Duration = Duration::from_secs(5);
 /// Time for which the box that loses its disk is down.
 const DOWNTIME: Duration = Duration::from_secs(1);
@@ -49,5 +50,6 @@
         futures_util::future::join(stop_old, lose_disk).await;
         self.fleet.take_disk(old);
         self.fleet.start_again(old);
+        compio::time::sleep(CATCH_UP).await;
     }
 }
